--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,261 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/sourcegraph/conc"
+	"github.com/zeebo/errs"
+
+	"github.com/wheatweir/wheatweir/api"
+	"github.com/wheatweir/wheatweir/outcome"
+)
+
+// ErrServer is the class of failures of the server itself.
+var ErrServer = errs.Class("caller: server")
+
+const (
+	readTimeout = 30 * time.Second
+	idleTimeout = 60 * time.Second
+	// relayBufferBytes is the buffer of one streamed answer.
+	relayBufferBytes = 4 << 10
+	// maxCommandBytes bounds an operator's command.
+	maxCommandBytes = 16 << 10
+)
+
+// Server takes calls over HTTP.
+type Server struct {
+	app      *fiber.App
+	handler  Handler
+	listener net.Listener
+	hangups  *hangupWatch
+	cancel   context.CancelFunc
+	group    conc.WaitGroup
+	idPrefix string
+	nextID   atomic.Uint64
+	active   atomic.Int64
+}
+
+// Listen starts a server on an "IP:port" address. The name makes request
+// identities unique among daemons.
+func Listen(address, name string, maxBodyBytes int, handler Handler) (*Server, error) {
+	raw, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, ErrServer.Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &Server{
+		handler:  handler,
+		listener: listener{raw},
+		hangups:  newHangupWatch(),
+		cancel:   cancel,
+		idPrefix: name + "-" + strconv.FormatInt(time.Now().UnixMilli(), 36) + "-",
+	}
+	server.app = fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		// Strings must stay valid after the handler has returned, because
+		// streams go on after it.
+		Immutable:    true,
+		BodyLimit:    maxBodyBytes,
+		ReadTimeout:  readTimeout,
+		IdleTimeout:  idleTimeout,
+		ErrorHandler: handleError,
+	})
+	server.routes()
+	server.group.Go(func() { server.hangups.run(ctx) })
+	server.group.Go(func() { _ = server.app.Listener(server.listener) })
+	return server, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Active returns the number of calls in progress, streams included.
+func (s *Server) Active() int64 { return s.active.Load() }
+
+// Close stops listening and ends open connections.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.app.ShutdownWithTimeout(time.Second)
+	s.group.Wait()
+}
+
+// handleError gives errors of the library, such as an oversized body, the same
+// form as our own.
+func handleError(c *fiber.Ctx, err error) error {
+	status := fiber.StatusInternalServerError
+	if known, ok := err.(*fiber.Error); ok {
+		status = known.Code
+	}
+	result := badRequest("%v", err)
+	c.Set(HeaderOutcome, result.Kind.String())
+	c.Set(HeaderNotRun, "true")
+	return c.Status(status).JSON(errorBody{detailOf(result)})
+}
+
+func (s *Server) routes() {
+	s.app.Post("/v1/chat/completions", s.completion)
+	s.app.Post("/v1/completions", s.completion)
+	s.app.Get("/v1/models", s.models)
+	s.app.Get("/v1/addresses", s.addresses)
+	s.app.All("/v1/services/:name/*", s.service)
+	s.app.Post("/operator/v1/command", s.command)
+	s.app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
+	s.app.Get("/readyz", s.ready)
+	s.app.Get("/metrics", s.metrics)
+}
+
+func (s *Server) newCall(c *fiber.Ctx) *Call {
+	return &Call{
+		ID:        s.idPrefix + strconv.FormatUint(s.nextID.Add(1), 36),
+		Method:    strings.Clone(c.Method()),
+		ArrivedAt: time.Now(),
+		// The library uses the body's buffer again after the handler.
+		Body: append([]byte(nil), c.Body()...),
+	}
+}
+
+func headersOf(c *fiber.Ctx) requestHeaders {
+	return requestHeaders{
+		Priority:      c.Get(HeaderPriority),
+		Deadline:      c.Get(HeaderDeadline),
+		NotRepeatable: c.Get(HeaderNotRepeatable),
+		RequestKey:    c.Get(HeaderRequestKey),
+	}
+}
+
+func (s *Server) completion(c *fiber.Ctx) error {
+	call := s.newCall(c)
+	call.Path = strings.Clone(c.Path())
+	if result, ok := decodeCompletion(call, headersOf(c)); !ok {
+		return writeError(c, result)
+	}
+	return s.serve(c, call)
+}
+
+func (s *Server) service(c *fiber.Ctx) error {
+	call := s.newCall(c)
+	call.Service = c.Params("name")
+	call.Path = "/" + c.Params("*")
+	if query := c.Context().QueryArgs().String(); query != "" {
+		call.Path += "?" + query
+	}
+	call.ContentType = c.Get(fiber.HeaderContentType)
+	if result, ok := decodeHeaders(call, headersOf(c)); !ok {
+		return writeError(c, result)
+	}
+	return s.serve(c, call)
+}
+
+// serve runs a call and sends its answer.
+func (s *Server) serve(c *fiber.Ctx, call *Call) error {
+	s.active.Add(1)
+	ctx, release := s.hangups.add(c.Context().Conn())
+	end := func() {
+		release()
+		s.active.Add(-1)
+	}
+	c.Set(HeaderRequestID, call.ID)
+	answer, result := s.handler.Serve(ctx, call)
+	if answer == nil {
+		end()
+		return writeError(c, result)
+	}
+	c.Status(answer.Status)
+	c.Set(fiber.HeaderContentType, answer.ContentType)
+	if answer.Stream == nil {
+		end()
+		return c.Send(answer.Body)
+	}
+	c.Set(fiber.HeaderCacheControl, "no-cache")
+	stream := answer.Stream
+	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer end()
+		relay(w, stream)
+	})
+	return nil
+}
+
+// relay copies a stream to the caller and flushes whenever the source has
+// nothing more at hand.
+func relay(w *bufio.Writer, stream Stream) {
+	buffer := make([]byte, relayBufferBytes)
+	var deliveryError error
+	for deliveryError == nil {
+		count, err := stream.Read(buffer)
+		if count > 0 {
+			_, deliveryError = w.Write(buffer[:count])
+		}
+		if err != nil {
+			break
+		}
+		if deliveryError == nil && stream.Buffered() == 0 {
+			deliveryError = w.Flush()
+		}
+	}
+	result := stream.Finish(deliveryError)
+	if result.Kind != outcome.Answered && deliveryError == nil {
+		_, _ = w.Write(errorEvent(result))
+	}
+	_ = w.Flush()
+}
+
+// modelList is the usual form of GET /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) models(c *fiber.Ctx) error {
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, model := range s.handler.Models() {
+		list.Data = append(list.Data, newModelItem(model.Name))
+		for _, adapter := range model.Adapters {
+			list.Data = append(list.Data, newModelItem(model.Name+":"+adapter.Name))
+		}
+	}
+	return c.JSON(list)
+}
+
+func newModelItem(id string) modelItem {
+	return modelItem{ID: id, Object: "model", OwnedBy: "wheatweir"}
+}
+
+func (s *Server) addresses(c *fiber.Ctx) error {
+	reference := api.ParseModelReference(c.Query("model"))
+	return c.JSON(s.handler.Addresses(reference.Model))
+}
+
+func (s *Server) ready(c *fiber.Ctx) error {
+	if !s.handler.Ready() {
+		return c.Status(fiber.StatusServiceUnavailable).SendString("not ready\n")
+	}
+	return c.SendString("ready\n")
+}
+
+func (s *Server) metrics(c *fiber.Ctx) error {
+	c.Set(fiber.HeaderContentType, "text/plain; version=0.0.4")
+	return s.handler.WriteMetrics(c)
+}
+
+func (s *Server) command(c *fiber.Ctx) error {
+	if len(c.Body()) > maxCommandBytes {
+		return writeError(c, badRequest("command is over %d bytes", maxCommandBytes))
+	}
+	credential := strings.TrimPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
+	body, status := s.handler.Command(c.Context(), string(append([]byte(nil), c.Body()...)), credential)
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Status(status).Send(body)
+}
--- /dev/null
+++ b/cmd/wheatweir/lab.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/wheatweir/wheatweir/lab/demo"
+)
+
+// interruptible returns a context that ends on SIGINT or SIGTERM.
+func interruptible() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
+
+func addLabCommands(app *kingpin.Application) {
+	lab := app.Command("lab", "Stand-ins, load, faults and experiments.")
+	addDemo(lab)
+}
+
+// openLog opens a log file, or drops logs if no path is given.
+func openLog(path string) (*os.File, error) {
+	if path == "" {
+		path = os.DevNull
+	}
+	return os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+}
+
+func addDemo(lab *kingpin.CmdClause) {
+	command := lab.Command("demo", "Serve a mixed load on embedded stand-ins and check every answer.")
+	path := command.Flag("log", "Write the daemons' log lines to a file.").PlaceHolder("FILE").String()
+	command.Action(func(*kingpin.ParseContext) error {
+		ctx, cancel := interruptible()
+		defer cancel()
+		logs, err := openLog(*path)
+		if err != nil {
+			return err
+		}
+		defer logs.Close()
+		return demo.Run(ctx, os.Stdout, logs)
+	})
+}
--- /dev/null
+++ b/cmd/wheatweir/operator.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/chzyer/readline"
+	"github.com/zeebo/errs"
+
+	"github.com/wheatweir/wheatweir/lab/client"
+	"github.com/wheatweir/wheatweir/operator"
+)
+
+// ErrCommand is the class of commands that failed.
+var ErrCommand = errs.Class("command")
+
+// Environment variables with defaults for flags.
+const (
+	environmentDaemon     = "WHEATWEIR_DAEMON"
+	environmentCredential = "WHEATWEIR_CREDENTIAL"
+)
+
+const commandTimeout = 20 * time.Second
+
+// console sends commands to a daemon and prints their results.
+type console struct {
+	address    string
+	credential string
+	format     string
+	client     *client.Client
+}
+
+func addOperatorCommands(app *kingpin.Application) {
+	c := &console{}
+	do := app.Command("do", "Run one command of the query and command language.")
+	addConsoleFlags(do, c)
+	words := do.Arg("command", "The command; \"help\" lists the language.").Required().Strings()
+	do.Action(func(*kingpin.ParseContext) error { return c.once(strings.Join(*words, " ")) })
+
+	shell := app.Command("shell", "Run commands interactively, with history and completion.")
+	addConsoleFlags(shell, c)
+	shell.Action(func(*kingpin.ParseContext) error { return c.shell() })
+}
+
+func addConsoleFlags(command *kingpin.CmdClause, c *console) {
+	command.Flag("daemon", "Caller address of any daemon.").PlaceHolder("IP:PORT").
+		Envar(environmentDaemon).Required().StringVar(&c.address)
+	command.Flag("credential", "Operators' credential, for changes.").
+		Envar(environmentCredential).StringVar(&c.credential)
+	command.Flag("format", "Form of the output.").Default("table").EnumVar(&c.format, "table", "json")
+}
+
+// run sends one command and prints its result.
+func (c *console) run(command string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	defer cancel()
+	if c.client == nil {
+		c.client = client.New([]string{c.address})
+	}
+	result, err := c.client.Operator(ctx, c.address, c.credential, command)
+	if err != nil {
+		return err
+	}
+	if c.format == "json" {
+		fmt.Println(string(result.JSON()))
+	} else {
+		fmt.Print(result.Table())
+	}
+	if result.Error != "" {
+		return ErrCommand.New("%s", result.Error)
+	}
+	return nil
+}
+
+func (c *console) once(command string) error { return c.run(command) }
+
+// completer offers the words of the language.
+type completer struct{}
+
+// Do implements readline.AutoCompleter.
+func (completer) Do(line []rune, position int) ([][]rune, int) {
+	start := position
+	for start > 0 && line[start-1] != ' ' {
+		start--
+	}
+	typed := string(line[start:position])
+	var endings [][]rune
+	for _, word := range operator.Keywords {
+		if ending, found := strings.CutPrefix(word, typed); found {
+			endings = append(endings, []rune(ending+" "))
+		}
+	}
+	return endings, position - start
+}
+
+func (c *console) shell() error {
+	reader, err := readline.NewEx(&readline.Config{
+		Prompt: "wheatweir> ", AutoComplete: completer{}, HistoryLimit: 1000,
+	})
+	if err != nil {
+		return ErrCommand.Wrap(err)
+	}
+	defer reader.Close()
+	for {
+		line, err := reader.Readline()
+		if err != nil {
+			return nil
+		}
+		line = strings.TrimSpace(line)
+		switch line {
+		case "":
+			continue
+		case "exit", "quit":
+			return nil
+		}
+		if err := c.run(line); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}
+}
--- /dev/null
+++ b/control/backends.go
@@ -0,0 +1,285 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wheatweir/wheatweir/api"
+	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/placement"
+)
+
+const leavingMachine = api.MachineLeaving
+
+// interestTime is how long after a request for a model its back ends are
+// polled by a daemon that is not told about them.
+const interestTime = 15 * time.Second
+
+// backEndState is what this daemon knows of one back end.
+type backEndState struct {
+	report   api.Report
+	known    bool
+	at       time.Time
+	polling  bool
+	nextPoll time.Time
+	failures int
+	orders   map[orderKey]time.Time
+	// sent is the report last passed on, and when.
+	sent   api.Report
+	sentAt time.Time
+}
+
+type orderKey struct {
+	kind     api.OrderKind
+	artifact api.Artifact
+	fence    uint64
+}
+
+func (n *Node) backEnd(name string) *backEndState {
+	state := n.backEnds[name]
+	if state == nil {
+		state = &backEndState{orders: map[orderKey]time.Time{}}
+		n.backEnds[name] = state
+	}
+	return state
+}
+
+// tickPolls polls the engines that this daemon acts for, and those of models
+// that it gets requests for without being told about them.
+func (n *Node) tickPolls(now time.Time) {
+	for _, name := range n.actingFor() {
+		n.pollIfDue(now, name)
+	}
+	for _, model := range sortedNames(n.interest) {
+		if now.After(n.interest[model]) {
+			delete(n.interest, model)
+			continue
+		}
+		for _, name := range n.catalog.holders(model) {
+			if state := n.backEnds[name]; state == nil || now.Sub(state.at) > 2*n.settings.PollInterval {
+				n.pollIfDue(now, name)
+			}
+		}
+	}
+	n.removeGoneRecords(now)
+}
+
+func (n *Node) pollIfDue(now time.Time, name string) {
+	state := n.backEnd(name)
+	if state.polling || now.Before(state.nextPoll) {
+		return
+	}
+	machine, found := n.catalog.machines[name]
+	if !found {
+		return
+	}
+	state.polling = true
+	state.nextPoll = now.Add(n.jitter(n.settings.PollInterval))
+	n.do(Poll{BackEnd: name, Address: machine.Address})
+}
+
+// holders returns the back ends whose records hold weights of a model.
+func (c *catalog) holders(model string) []string {
+	var names []string
+	for name, known := range c.placements {
+		for _, entry := range known.placement.Entries {
+			if entry.Artifact.Model == model && entry.Artifact.Adapter == "" && entry.Phase == api.PhaseHeld {
+				names = append(names, name)
+				break
+			}
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Interested notes that this daemon got a request for a model.
+func (n *Node) Interested(now time.Time, model string) {
+	if n.isHome(model) {
+		return
+	}
+	n.interest[model] = now.Add(interestTime)
+}
+
+func (n *Node) isHome(model string) bool {
+	self := n.detector.Self()
+	set, found := n.duties.byZone[self.Zone]
+	return found && slices.Contains(set.Top("model/"+model, n.settings.HomesPerZone), self.Name)
+}
+
+// PollAnswered takes in the answer to Poll.
+func (n *Node) PollAnswered(now time.Time, answer PollAnswer) []Action {
+	state := n.backEnd(answer.BackEnd)
+	state.polling = false
+	machine, found := n.catalog.machines[answer.BackEnd]
+	acting := found && n.actsForBackEnd(answer.BackEnd, machine.Zone)
+	if answer.Err != CallOK {
+		n.pollFailed(answer.BackEnd, state, acting)
+		return n.take()
+	}
+	state.failures = 0
+	n.takeReport(now, answer.Report, true)
+	if acting {
+		n.reconcile(now, answer.BackEnd, machine, state)
+		n.shareReport(now, state)
+	}
+	return n.take()
+}
+
+func (n *Node) pollFailed(name string, state *backEndState, acting bool) {
+	state.failures++
+	if !acting || state.failures < n.settings.PollFailures {
+		return
+	}
+	news, heard := n.detector.BackEnd(name)
+	if !heard {
+		return
+	}
+	news.State = member.BackEndDown
+	if n.detector.ReportBackEnd(news) {
+		n.revision++
+		n.decide("placement", "Back end is down.", "back_end", name, "failed_polls", state.failures)
+	}
+}
+
+// takeReport takes in a report if it is newer than the known one.
+func (n *Node) takeReport(now time.Time, report api.Report, polled bool) {
+	state := n.backEnd(report.BackEnd)
+	if state.known && (report.Boot < state.report.Boot || report.Boot == state.report.Boot && report.Sequence <= state.report.Sequence) {
+		return
+	}
+	state.report = report
+	state.known = true
+	state.at = now
+	n.revision++
+	health := member.BackEndUp
+	if report.Leaving || n.catalog.machines[report.BackEnd].State == leavingMachine {
+		health = member.BackEndLeaving
+	}
+	news := member.BackEnd{Name: report.BackEnd, Boot: report.Boot, Sequence: report.Sequence, State: health}
+	if n.detector.ReportBackEnd(news) && polled {
+		n.decide("placement", "Back end state.", "back_end", report.BackEnd, "state", health, "boot", report.Boot)
+	}
+}
+
+// reconcile makes the engine follow its record.
+func (n *Node) reconcile(now time.Time, name string, machine api.Machine, state *backEndState) {
+	known, found := n.catalog.placements[name]
+	if !found {
+		return
+	}
+	leaving := n.health(name) == placement.Leaving
+	if leaving && !known.placement.Drained {
+		record := known.placement.Clone()
+		record.BackEnd = name
+		record.Drained = true
+		if n.write(now, record, known.version, false) {
+			n.decide("placement", "Back end drains.", "back_end", name, "reason", "leaving")
+		}
+		return
+	}
+	result := placement.Reconcile(known.placement, known.version, machine.ChecksFence, &state.report, n.loadSlots())
+	if result.RecordChanged {
+		if n.write(now, result.Record, known.version, false) {
+			n.decide("placement", "Memory released.", "back_end", name, "fence", state.report.Fence)
+		}
+		return
+	}
+	n.sendOrders(now, name, machine, state, result.Orders)
+}
+
+// loadSlots is this daemon's share of the weight store's slots.
+func (n *Node) loadSlots() int {
+	engines := max(len(n.catalog.engineNames()), 1)
+	mine := len(n.actingFor())
+	perBackEnd := n.settings.WeightStoreSlots * mine / engines / max(mine, 1)
+	return max(perBackEnd, 1)
+}
+
+func (n *Node) sendOrders(now time.Time, name string, machine api.Machine, state *backEndState, orders []api.Order) {
+	for key, sent := range state.orders {
+		if now.Sub(sent) > n.settings.OrderRetry {
+			delete(state.orders, key)
+		}
+	}
+	for _, order := range orders {
+		key := orderKey{order.Kind, order.Artifact, order.Fence}
+		if _, waiting := state.orders[key]; waiting {
+			continue
+		}
+		state.orders[key] = now
+		n.decide("placement", "Order sent.", "order", string(order.Kind), "artifact", order.Artifact.String(), "back_end", name, "fence", order.Fence)
+		n.do(SendOrder{BackEnd: name, Address: machine.Address, Order: order})
+	}
+}
+
+// shareReport passes a report on to the daemons that route or plan the models
+// on the back end, if it says something new or the last is getting old.
+func (n *Node) shareReport(now time.Time, state *backEndState) {
+	if !differs(state.sent, state.report) && now.Sub(state.sentAt) < n.settings.ReportRefresh {
+		return
+	}
+	state.sent = state.report
+	state.sentAt = now
+	for _, name := range n.audience(&state.report) {
+		n.send(n.address(name), Message{Reports: []api.Report{state.report}})
+	}
+}
+
+// audience returns the daemons that want a report: the homes of each model on
+// the back end in every zone, and the daemon that plans the model.
+func (n *Node) audience(report *api.Report) []string {
+	var names []string
+	seen := map[string]bool{}
+	for _, artifact := range report.Residents {
+		if artifact.Adapter != "" || seen[artifact.Model] {
+			continue
+		}
+		seen[artifact.Model] = true
+		key := "model/" + artifact.Model
+		names = append(names, n.duties.daemons.Owner(key))
+		for _, zone := range n.duties.zones {
+			names = append(names, n.duties.byZone[zone].Top(key, n.settings.HomesPerZone)...)
+		}
+	}
+	slices.Sort(names)
+	names = slices.Compact(names)
+	return slices.DeleteFunc(names, func(name string) bool { return name == n.detector.Self().Name })
+}
+
+// loadStep is the change of load that is worth a message.
+const loadStep = 4
+
+func differs(old, fresh api.Report) bool {
+	if old.Boot != fresh.Boot || old.Leaving != fresh.Leaving || old.Fence != fresh.Fence {
+		return true
+	}
+	if !slices.Equal(old.Residents, fresh.Residents) {
+		return true
+	}
+	change := (fresh.Running + fresh.Waiting) - (old.Running + old.Waiting)
+	return change >= loadStep || change <= -loadStep
+}
+
+// removeGoneRecords deletes records of machines that left the machine list.
+func (n *Node) removeGoneRecords(now time.Time) {
+	if now.Before(n.nextPlan) || len(n.catalog.machines) == 0 {
+		return
+	}
+	for _, name := range sortedNames(n.catalog.placements) {
+		known := n.catalog.placements[name]
+		key := api.Key{Kind: api.KindMachine, Name: name}
+		gone := n.store.Version(key) != 0 && n.catalog.machines[name].Name == ""
+		if !gone || known.version == 0 || !n.recordLives(name) || !n.actsForBackEnd(name, "") {
+			continue
+		}
+		if n.write(now, known.placement, known.version, true) {
+			n.decide("placement", "Record removed.", "back_end", name, "reason", "machine gone")
+		}
+	}
+}
+
+func (n *Node) recordLives(name string) bool {
+	_, live := n.store.Get(api.Key{Kind: api.KindPlacement, Name: name})
+	return live
+}
--- /dev/null
+++ b/control/node.go
@@ -0,0 +1,228 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/wheatweir/wheatweir/api"
+	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/rendezvous"
+	"github.com/wheatweir/wheatweir/replica"
+)
+
+// Node is the control plane of one daemon. It is not safe for concurrent use.
+type Node struct {
+	settings Settings
+	random   *rand.Rand
+	detector *member.Detector
+	store    *replica.Store
+	catalog  *catalog
+	duties   duties
+	backEnds map[string]*backEndState
+	watch    watchState
+	spread   spreadState
+	writes   writeState
+	demand   demandState
+	interest map[string]time.Time
+	nextPlan time.Time
+	actions  []Action
+	// revision changes with everything that routing depends on.
+	revision uint64
+}
+
+// duties is who does what under one membership view.
+type duties struct {
+	revision  uint64
+	daemons   rendezvous.Set
+	byZone    map[string]rendezvous.Set
+	zones     []string
+	zonePeers []string
+}
+
+// New returns a node that knows only itself.
+func New(self member.Member, settings Settings, random *rand.Rand) *Node {
+	node := &Node{
+		settings: settings,
+		random:   random,
+		detector: member.NewDetector(self, settings.Member, random),
+		store:    replica.NewStore(),
+		catalog:  newCatalog(),
+		backEnds: map[string]*backEndState{},
+		interest: map[string]time.Time{},
+	}
+	node.writes.pending = map[api.Key]*pendingWrite{}
+	node.demand.local = map[string]*average{}
+	node.demand.remote = map[string]map[string]remoteDemand{}
+	node.demand.totals = map[string]*modelAverages{}
+	node.spread.peerThrough = map[string]uint64{}
+	return node
+}
+
+// Self returns this daemon's member entry.
+func (n *Node) Self() member.Member { return n.detector.Self() }
+
+// Members returns all known daemons.
+func (n *Node) Members() []member.Member { return n.detector.Members() }
+
+// Store returns the node's copy of the platform's objects.
+func (n *Node) Store() *replica.Store { return n.store }
+
+// Leave announces a planned stop of this daemon.
+func (n *Node) Leave() { n.detector.Leave() }
+
+// SetSeeds names peer addresses to join through, besides the machine list.
+func (n *Node) SetSeeds(addresses []string) {
+	n.spread.configuredSeeds = addresses
+	n.updateSeeds()
+}
+
+// Tick does what is due. It should be called about every 100 ms.
+func (n *Node) Tick(now time.Time) []Action {
+	for _, packet := range n.detector.Tick(now) {
+		n.sendProbe(packet)
+	}
+	n.refreshDuties()
+	n.tickWatch(now)
+	n.tickPolls(now)
+	n.tickDemand(now)
+	n.tickWrites(now)
+	if !now.Before(n.nextPlan) {
+		n.nextPlan = now.Add(n.jitter(n.settings.PlanInterval))
+		n.plan(now)
+	}
+	n.tickSpread()
+	return n.take()
+}
+
+// Receive takes in a message from another daemon.
+func (n *Node) Receive(now time.Time, message Message) []Action {
+	if message.Probe != nil {
+		for _, packet := range n.detector.Receive(now, *message.Probe) {
+			n.sendProbe(packet)
+		}
+		n.refreshDuties()
+	}
+	if message.Delta != nil {
+		n.learn(n.store.Apply(*message.Delta))
+	}
+	n.exchange(message)
+	for _, report := range message.Reports {
+		n.takeReport(now, report, false)
+	}
+	for _, demand := range message.Demand {
+		n.takeDemand(now, demand)
+	}
+	return n.take()
+}
+
+// jitter returns a duration between 0.75 and 1.25 times the given one.
+func (n *Node) jitter(duration time.Duration) time.Duration {
+	return duration*3/4 + time.Duration(n.random.Int64N(int64(duration/2)+1))
+}
+
+func (n *Node) do(action Action) { n.actions = append(n.actions, action) }
+
+func (n *Node) take() []Action {
+	taken := n.actions
+	n.actions = nil
+	return taken
+}
+
+func (n *Node) decide(part, text string, fields ...any) {
+	n.do(Decision{Part: part, Text: text, Fields: fields})
+}
+
+func (n *Node) sendProbe(packet member.Packet) {
+	message := packet.Message
+	n.send(packet.Address, Message{Probe: &message})
+}
+
+func (n *Node) send(address string, message Message) {
+	message.From = n.detector.Self().PeerAddress
+	message.Through = n.store.Through()
+	n.do(SendPeer{Address: address, Message: message})
+}
+
+// refreshDuties works out anew who does what when the members have changed.
+// Daemons that are leaving hand over their duties before they stop.
+func (n *Node) refreshDuties() {
+	if n.duties.byZone != nil && n.duties.revision == n.detector.Revision() {
+		return
+	}
+	byZone := map[string][]string{}
+	var all []string
+	for _, name := range n.detector.Live() {
+		known, _ := n.detector.Lookup(name)
+		if known.State == member.Leaving {
+			continue
+		}
+		all = append(all, name)
+		byZone[known.Zone] = append(byZone[known.Zone], name)
+	}
+	fresh := duties{revision: n.detector.Revision(), daemons: rendezvous.NewSet(all), byZone: map[string]rendezvous.Set{}}
+	for zone, names := range byZone {
+		fresh.byZone[zone] = rendezvous.NewSet(names)
+		fresh.zones = append(fresh.zones, zone)
+	}
+	slices.Sort(fresh.zones)
+	fresh.zonePeers = byZone[n.detector.Self().Zone]
+	n.duties = fresh
+	n.catalog.dropDuties()
+	n.revision++
+}
+
+// actsForBackEnd reports whether this daemon polls the back end and sends it
+// orders: the owner is a daemon of the back end's zone if there is one.
+func (n *Node) actsForBackEnd(name, zone string) bool {
+	set, found := n.duties.byZone[zone]
+	if !found {
+		set = n.duties.daemons
+	}
+	return set.Owner("backend/"+name) == n.detector.Self().Name
+}
+
+// actsForModel reports whether this daemon plans the model's replicas.
+func (n *Node) actsForModel(name string) bool {
+	return n.modelOwner(name) == n.detector.Self().Name
+}
+
+func (n *Node) modelOwner(name string) string { return n.duties.daemons.Owner("model/" + name) }
+
+// Homes returns the daemons of a zone that callers of a model should use.
+func (n *Node) Homes(model, zone string) []member.Member {
+	set, found := n.duties.byZone[zone]
+	if !found {
+		set = n.duties.daemons
+	}
+	var homes []member.Member
+	for _, name := range set.Top("model/"+model, n.settings.HomesPerZone) {
+		if known, found := n.detector.Lookup(name); found {
+			homes = append(homes, known)
+		}
+	}
+	return homes
+}
+
+// address returns the peer address of a daemon.
+func (n *Node) address(name string) string {
+	known, _ := n.detector.Lookup(name)
+	return known.PeerAddress
+}
+
+// sortedNames returns the keys of a map in a fixed order, so that the same
+// events always give the same actions.
+func sortedNames[V any](named map[string]V) []string {
+	names := make([]string, 0, len(named))
+	for name := range named {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Describe returns a one-line summary for logs.
+func (n *Node) Describe() string {
+	return fmt.Sprintf("daemons %d, objects %d, through %d", len(n.detector.Live()), n.store.Len(), n.store.Through())
+}
--- /dev/null
+++ b/control/planning.go
@@ -0,0 +1,200 @@
+package control
+
+import (
+	"math"
+	"time"
+
+	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/placement"
+)
+
+// average is an exponentially weighted average of a sampled value.
+type average struct {
+	value float64
+	at    time.Time
+}
+
+func (a *average) add(now time.Time, sample float64, span time.Duration) {
+	if a.at.IsZero() {
+		a.value, a.at = sample, now
+		return
+	}
+	keep := math.Exp(-now.Sub(a.at).Seconds() / span.Seconds())
+	a.value = a.value*keep + sample*(1-keep)
+	a.at = now
+}
+
+const (
+	fastSpan = 4 * time.Second
+	slowSpan = 2 * time.Minute
+	// remoteDemandAge is how long another daemon's demand counts.
+	remoteDemandAge = 10 * time.Second
+	// demandFloor is the demand under which nothing is reported.
+	demandFloor = 0.01
+)
+
+// demandState holds the demand seen here and, for models that this daemon
+// plans, the demand reported by all.
+type demandState struct {
+	local  map[string]*average
+	remote map[string]map[string]remoteDemand
+	totals map[string]*modelAverages
+	next   time.Time
+}
+
+type remoteDemand struct {
+	requests float64
+	at       time.Time
+}
+
+type modelAverages struct {
+	fast average
+	slow average
+}
+
+// ObserveDemand takes in the requests in progress and waiting for a model.
+func (n *Node) ObserveDemand(now time.Time, model string, requests float64) {
+	known := n.demand.local[model]
+	if known == nil {
+		known = &average{}
+		n.demand.local[model] = known
+	}
+	known.add(now, requests, time.Second)
+}
+
+func (n *Node) tickDemand(now time.Time) {
+	if now.Before(n.demand.next) {
+		return
+	}
+	n.demand.next = now.Add(n.jitter(n.settings.DemandInterval))
+	byOwner := map[string][]ModelDemand{}
+	self := n.detector.Self().Name
+	for _, model := range sortedNames(n.demand.local) {
+		known := n.demand.local[model]
+		owner := n.modelOwner(model)
+		demand := ModelDemand{Daemon: self, Model: model, Requests: known.value}
+		if known.value < demandFloor {
+			demand.Requests = 0
+			delete(n.demand.local, model)
+		}
+		byOwner[owner] = append(byOwner[owner], demand)
+	}
+	for _, owner := range n.detector.Live() {
+		demands := byOwner[owner]
+		if len(demands) == 0 {
+			continue
+		}
+		if owner != self {
+			n.send(n.address(owner), Message{Demand: demands})
+			continue
+		}
+		for _, demand := range demands {
+			n.takeDemand(now, demand)
+		}
+	}
+}
+
+func (n *Node) takeDemand(now time.Time, demand ModelDemand) {
+	byDaemon := n.demand.remote[demand.Model]
+	if byDaemon == nil {
+		byDaemon = map[string]remoteDemand{}
+		n.demand.remote[demand.Model] = byDaemon
+	}
+	byDaemon[demand.Daemon] = remoteDemand{demand.Requests, now}
+}
+
+// modelDemand sums the demand of a model over all daemons.
+func (n *Node) modelDemand(now time.Time, model string) placement.Demand {
+	total := 0.0
+	for _, daemon := range sortedNames(n.demand.remote[model]) {
+		demand := n.demand.remote[model][daemon]
+		if now.Sub(demand.at) > remoteDemandAge {
+			delete(n.demand.remote[model], daemon)
+			continue
+		}
+		total += demand.requests
+	}
+	averages := n.demand.totals[model]
+	if averages == nil {
+		averages = &modelAverages{}
+		n.demand.totals[model] = averages
+	}
+	averages.fast.add(now, total, fastSpan)
+	averages.slow.add(now, total, slowSpan)
+	return placement.Demand{Fast: averages.fast.value, Slow: averages.slow.value}
+}
+
+// plan runs the planner for the models that this daemon plans.
+func (n *Node) plan(now time.Time) {
+	models := n.planningFor()
+	if len(models) == 0 || n.writes.tokens < 1 || now.Before(n.writes.paused) {
+		return
+	}
+	snapshot := placement.Snapshot{Now: now, Settings: n.settings.Placement}
+	for _, name := range models {
+		entry := n.catalog.models[name]
+		snapshot.Models = append(snapshot.Models, placement.Model{
+			Model: entry.model, Deleted: entry.deleted, Demand: n.modelDemand(now, name),
+		})
+	}
+	snapshot.BackEnds = n.plannedBackEnds()
+	n.execute(now, placement.Plan(snapshot))
+}
+
+// plannedBackEnds returns the engines as the planner sees them. An engine is
+// offered only after it was heard of, so that no record is made for a machine
+// that never started.
+func (n *Node) plannedBackEnds() []placement.BackEnd {
+	names := n.catalog.engineNames()
+	backEnds := make([]placement.BackEnd, 0, len(names))
+	for _, name := range names {
+		machine := n.catalog.machines[name]
+		known := n.catalog.placements[name]
+		backEnd := placement.BackEnd{
+			Name: name, Zone: machine.Zone, MemoryBytes: machine.MemoryBytes, ChecksFence: machine.ChecksFence,
+			Health: n.health(name), Placement: known.placement, Version: known.version,
+		}
+		if state := n.backEnds[name]; state != nil && state.known {
+			backEnd.Report = &state.report
+		}
+		backEnds = append(backEnds, backEnd)
+	}
+	return backEnds
+}
+
+// health joins what the group says of a back end with the machine list.
+func (n *Node) health(name string) placement.Health {
+	news, heard := n.detector.BackEnd(name)
+	if !heard || news.State == member.BackEndDown {
+		return placement.Down
+	}
+	machine, found := n.catalog.machines[name]
+	switch {
+	case !found:
+		return placement.Down
+	case news.State == member.BackEndLeaving || machine.State == leavingMachine:
+		return placement.Leaving
+	default:
+		return placement.Up
+	}
+}
+
+// execute groups operations by record and starts their writes.
+func (n *Node) execute(now time.Time, operations []placement.Operation) {
+	var order []string
+	byBackEnd := map[string][]placement.Operation{}
+	for _, operation := range operations {
+		if operation.Kind == placement.OperationRelease && operation.ReliesOn != "" {
+			n.startRelease(now, operation)
+			continue
+		}
+		if byBackEnd[operation.BackEnd] == nil {
+			order = append(order, operation.BackEnd)
+		}
+		byBackEnd[operation.BackEnd] = append(byBackEnd[operation.BackEnd], operation)
+	}
+	for _, backEnd := range order {
+		n.applyOperations(now, backEnd, byBackEnd[backEnd])
+	}
+	n.tickWrites(now)
+}
--- /dev/null
+++ b/control/settings.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"time"
+
+	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/placement"
+)
+
+// Settings of a Node.
+type Settings struct {
+	Member    member.Settings
+	Placement placement.Settings
+	// PollInterval is the time between two polls of a back end.
+	PollInterval time.Duration
+	// PollFailures is how many polls in a row must fail before a back end is
+	// held for down.
+	PollFailures int
+	// PlanInterval is the time between two planning rounds.
+	PlanInterval time.Duration
+	// DemandInterval is the time between two reports of demand.
+	DemandInterval time.Duration
+	// ReportRefresh is how long an unchanged report is not sent again.
+	ReportRefresh time.Duration
+	// WatchWait is how long a watch may wait at the platform.
+	WatchWait time.Duration
+	// WatchPause is the least time between two watches, so that a run of
+	// changes wakes a watcher once.
+	WatchPause time.Duration
+	// WatchersPerZone is how many daemons of a zone watch the platform.
+	WatchersPerZone int
+	// HomesPerZone is how many daemons of a zone are told about a model's
+	// back ends and are named to callers of the model.
+	HomesPerZone int
+	// WritesPerSecond is the platform's write budget for all daemons; each
+	// takes an equal share.
+	WritesPerSecond float64
+	// WeightStoreSlots is how many loads may run at once over all back ends;
+	// each daemon takes a share by the back ends it acts for.
+	WeightStoreSlots int
+	// OrderRetry is how long an unanswered order waits before it is repeated.
+	OrderRetry time.Duration
+	// DeltaBytes bounds one message of changes.
+	DeltaBytes int
+}
+
+// DefaultSettings returns the settings used unless an operator changes them.
+func DefaultSettings() Settings {
+	return Settings{
+		Member:           member.DefaultSettings(),
+		Placement:        placement.DefaultSettings(),
+		PollInterval:     time.Second,
+		PollFailures:     3,
+		PlanInterval:     time.Second,
+		DemandInterval:   2 * time.Second,
+		ReportRefresh:    10 * time.Second,
+		WatchWait:        10 * time.Second,
+		WatchPause:       250 * time.Millisecond,
+		WatchersPerZone:  2,
+		HomesPerZone:     2,
+		WritesPerSecond:  50,
+		WeightStoreSlots: 10,
+		OrderRetry:       3 * time.Second,
+		DeltaBytes:       32 << 10,
+	}
+}
--- /dev/null
+++ b/control/spread.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wheatweir/wheatweir/api"
+	"github.com/wheatweir/wheatweir/rendezvous"
+)
+
+// treeFanout is how many daemons each daemon passes changes on to. With four,
+// 64 daemons of a zone are three steps deep and each change is sent about once
+// for each daemon.
+const treeFanout = 4
+
+// watchBackoffLimit bounds the pause after failed watches.
+const watchBackoffLimit = 5 * time.Second
+
+// watchState is the duty of watching the platform.
+type watchState struct {
+	waiting bool
+	next    time.Time
+	backoff time.Duration
+}
+
+// spreadState is the duty of passing changes on to other daemons.
+type spreadState struct {
+	// pushed is the version that the tree children were last sent.
+	pushed uint64
+	// peerThrough is what peers were last heard to be complete through.
+	peerThrough     map[string]uint64
+	configuredSeeds []string
+}
+
+// isWatcher reports whether this daemon watches the platform for its zone.
+func (n *Node) isWatcher() bool {
+	self := n.detector.Self()
+	set, found := n.duties.byZone[self.Zone]
+	if !found {
+		return true
+	}
+	return slices.Contains(set.Top("watcher", n.settings.WatchersPerZone), self.Name)
+}
+
+func (n *Node) tickWatch(now time.Time) {
+	if n.watch.waiting || now.Before(n.watch.next) || !n.isWatcher() {
+		return
+	}
+	n.watch.waiting = true
+	n.do(FetchChanges{Since: n.store.Through(), Wait: n.settings.WatchWait})
+}
+
+// ChangesAnswered takes in the answer to FetchChanges.
+func (n *Node) ChangesAnswered(now time.Time, answer ChangesAnswer) []Action {
+	n.watch.waiting = false
+	if answer.Err != CallOK {
+		n.watch.backoff = min(max(2*n.watch.backoff, n.settings.WatchPause), watchBackoffLimit)
+		n.watch.next = now.Add(n.jitter(n.watch.backoff))
+		return n.take()
+	}
+	n.watch.backoff = 0
+	n.watch.next = now.Add(n.settings.WatchPause)
+	n.learn(n.store.Apply(answer.Delta))
+	n.tickSpread()
+	return n.take()
+}
+
+// tickSpread passes new changes on to this daemon's children in the tree of
+// its zone. The tree follows from the members, so it needs no upkeep; a daemon
+// that is missed asks for the changes when it next hears a higher version.
+func (n *Node) tickSpread() {
+	through := n.store.Through()
+	if through <= n.spread.pushed {
+		return
+	}
+	from := n.spread.pushed
+	n.spread.pushed = through
+	for _, child := range n.treeChildren() {
+		address := n.address(child)
+		start := max(from, n.spread.peerThrough[address])
+		if start >= through {
+			continue
+		}
+		delta := n.store.Since(start, n.settings.DeltaBytes)
+		n.spread.peerThrough[address] = delta.Through
+		n.send(address, Message{Delta: &delta})
+	}
+}
+
+// treeChildren returns the daemons that this one passes changes on to. The
+// watcher of the zone is the root.
+func (n *Node) treeChildren() []string {
+	names := slices.Clone(n.duties.zonePeers)
+	slices.SortFunc(names, func(a, b string) int {
+		left, right := rendezvous.Weight("watcher", a), rendezvous.Weight("watcher", b)
+		switch {
+		case left > right:
+			return -1
+		case left < right:
+			return 1
+		}
+		return 0
+	})
+	position := slices.Index(names, n.detector.Self().Name)
+	if position < 0 {
+		return nil
+	}
+	first := position*treeFanout + 1
+	last := min(first+treeFanout, len(names))
+	if first >= last {
+		return nil
+	}
+	return names[first:last]
+}
+
+// exchange compares what both sides are complete through. The one that is
+// behind asks for the changes; each probe message makes both compare.
+func (n *Node) exchange(message Message) {
+	n.spread.peerThrough[message.From] = message.Through
+	through := n.store.Through()
+	switch {
+	case message.Pull:
+		delta := n.store.Since(message.Through, n.settings.DeltaBytes)
+		n.send(message.From, Message{Delta: &delta})
+	case message.Through > through:
+		n.send(message.From, Message{Pull: true})
+	}
+}
+
+// updateSeeds takes the entry machines of the machine list as seeds.
+func (n *Node) updateSeeds() {
+	seeds := slices.Clone(n.spread.configuredSeeds)
+	for _, machine := range n.catalog.machines {
+		if machine.Role == api.RoleEntry && machine.PeerAddress != "" {
+			seeds = append(seeds, machine.PeerAddress)
+		}
+	}
+	slices.Sort(seeds)
+	n.detector.SetSeeds(slices.Compact(seeds))
+}
--- /dev/null
+++ b/control/table.go
@@ -0,0 +1,193 @@
+package control
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wheatweir/wheatweir/api"
+	"github.com/wheatweir/wheatweir/placement"
+	"github.com/wheatweir/wheatweir/route"
+)
+
+// observationAge is how old a report may be to count as an observation of what
+// an engine serves.
+const observationAge = 15 * time.Second
+
+// Revision changes whenever Table would return something else.
+func (n *Node) Revision() uint64 { return n.revision + n.detector.Revision() }
+
+// Table returns the routing view of what is known now.
+func (n *Node) Table(now time.Time, loads *route.Loads) *route.Table {
+	table := &route.Table{
+		Models:   make(map[string]*route.Model, len(n.catalog.models)),
+		Services: make(map[string]*route.Service, len(n.catalog.services)),
+	}
+	for name, entry := range n.catalog.models {
+		if !entry.deleted {
+			table.Models[name] = &route.Model{Spec: entry.model}
+		}
+	}
+	for _, name := range sortedNames(n.catalog.placements) {
+		n.addCandidates(now, table, loads, name)
+	}
+	for name, service := range n.catalog.services {
+		table.Services[name] = n.serviceView(service, loads)
+	}
+	return table
+}
+
+// addCandidates adds the replicas of one back end. A back end that is leaving
+// is left out, whatever its record says.
+func (n *Node) addCandidates(now time.Time, table *route.Table, loads *route.Loads, name string) {
+	if n.health(name) != placement.Up {
+		return
+	}
+	record := n.catalog.placements[name].placement
+	backEnd := n.backEndView(name, loads)
+	state := n.backEnds[name]
+	fresh := state != nil && state.known && now.Sub(state.at) < observationAge
+	for i := range record.Entries {
+		entry := &record.Entries[i]
+		if entry.Artifact.Adapter != "" || entry.Phase != api.PhaseHeld {
+			continue
+		}
+		model := table.Models[entry.Artifact.Model]
+		if model == nil {
+			continue
+		}
+		model.Candidates = append(model.Candidates, route.Candidate{
+			BackEnd:  backEnd,
+			Version:  entry.Artifact.Version,
+			Serving:  entry.Artifact.Version == model.Spec.Serving,
+			Observed: fresh && state.report.Serves(entry.Artifact),
+			Draining: record.Drained,
+			Adapters: adaptersOn(&record, entry.Artifact, fresh, state),
+		})
+	}
+}
+
+// adaptersOn returns the adapters that the engine was observed to hold, or, if
+// it was not observed, those that it should hold.
+func adaptersOn(record *api.Placement, weights api.Artifact, fresh bool, state *backEndState) []string {
+	var names []string
+	for i := range record.Entries {
+		entry := &record.Entries[i]
+		if entry.Artifact.Adapter == "" || entry.Artifact.Base() != weights || entry.Phase != api.PhaseHeld {
+			continue
+		}
+		if !fresh || state.report.Serves(entry.Artifact) {
+			names = append(names, entry.Artifact.Adapter)
+		}
+	}
+	return names
+}
+
+func (n *Node) backEndView(name string, loads *route.Loads) *route.BackEnd {
+	machine := n.catalog.machines[name]
+	view := &route.BackEnd{Name: name, Address: machine.Address, Zone: machine.Zone, Load: loads.Get(name)}
+	state := n.backEnds[name]
+	if state != nil && state.known {
+		view.Slots = state.report.Slots
+		view.ReportedAt = state.at
+		others := state.report.Running + state.report.Waiting - int(view.Load.InFlight())
+		view.OthersLoad = float64(max(others, 0))
+	}
+	return view
+}
+
+func (n *Node) serviceView(service api.Service, loads *route.Loads) *route.Service {
+	view := &route.Service{Spec: service}
+	for _, name := range service.Machines {
+		machine, found := n.catalog.machines[name]
+		if !found || machine.State == api.MachineLeaving {
+			continue
+		}
+		view.Machines = append(view.Machines, &route.BackEnd{
+			Name: name, Address: machine.Address, Zone: machine.Zone, Load: loads.Get(name),
+		})
+	}
+	return view
+}
+
+// Addresses returns the caller addresses for a model in a zone: its homes, or
+// for no model all daemons of the zone, less those that are leaving.
+func (n *Node) Addresses(model, zone string) []string {
+	var addresses []string
+	for _, home := range n.Homes(model, zone) {
+		addresses = append(addresses, home.CallerAddress)
+	}
+	return addresses
+}
+
+// BackEndStatus is what an operator sees of a back end.
+type BackEndStatus struct {
+	Machine   api.Machine
+	Health    placement.Health
+	Placement api.Placement
+	Version   uint64
+	Report    *api.Report
+	ActedFor  bool
+}
+
+// BackEndStatuses returns the state of every engine, sorted by name.
+func (n *Node) BackEndStatuses() []BackEndStatus {
+	var all []BackEndStatus
+	for _, name := range n.catalog.engineNames() {
+		machine := n.catalog.machines[name]
+		known := n.catalog.placements[name]
+		status := BackEndStatus{
+			Machine: machine, Health: n.health(name), Placement: known.placement.Clone(), Version: known.version,
+			ActedFor: n.actsForBackEnd(name, machine.Zone),
+		}
+		if state := n.backEnds[name]; state != nil && state.known {
+			report := state.report
+			status.Report = &report
+		}
+		all = append(all, status)
+	}
+	slices.SortFunc(all, func(a, b BackEndStatus) int { return strings.Compare(a.Machine.Name, b.Machine.Name) })
+	return all
+}
+
+// Versioned is a configuration value with its object version.
+type Versioned[T any] struct {
+	Value   T
+	Version uint64
+}
+
+// ModelObjects returns all models, sorted by name.
+func (n *Node) ModelObjects() []Versioned[api.Model] {
+	var all []Versioned[api.Model]
+	for _, name := range sortedNames(n.catalog.models) {
+		entry := n.catalog.models[name]
+		if !entry.deleted {
+			all = append(all, Versioned[api.Model]{entry.model, n.store.Version(api.Key{Kind: api.KindModel, Name: name})})
+		}
+	}
+	return all
+}
+
+// ServiceObjects returns all services, sorted by name.
+func (n *Node) ServiceObjects() []Versioned[api.Service] {
+	var all []Versioned[api.Service]
+	for _, name := range sortedNames(n.catalog.services) {
+		all = append(all, Versioned[api.Service]{n.catalog.services[name], n.store.Version(api.Key{Kind: api.KindService, Name: name})})
+	}
+	return all
+}
+
+// Learned takes in an object that an operator's command has just written here.
+func (n *Node) Learned(object api.Object) []Action {
+	n.learnObject(object)
+	return n.take()
+}
+
+// Machines returns the platform's machine list as known here, sorted by name.
+func (n *Node) Machines() []api.Machine {
+	var all []api.Machine
+	for _, name := range sortedNames(n.catalog.machines) {
+		all = append(all, n.catalog.machines[name])
+	}
+	return all
+}
--- /dev/null
+++ b/control/writes.go
@@ -0,0 +1,208 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wheatweir/wheatweir/api"
+	"github.com/wheatweir/wheatweir/placement"
+)
+
+// writeState is the duty of changing placement records. At most one write of
+// an object is under way, and a write whose answer was lost is settled by
+// reading the object back before the next.
+type writeState struct {
+	pending map[api.Key]*pendingWrite
+	tokens  float64
+	filled  time.Time
+	counter uint64
+	paused  time.Time
+}
+
+type pendingWrite struct {
+	writeID string
+	// release waits for a fresh read of the record that it relies on.
+	release *placement.Operation
+	// readKey is the object whose read is outstanding or due.
+	readKey  api.Key
+	readDue  time.Time
+	readOpen bool
+}
+
+const (
+	// writeBurst is how many writes a daemon may make at once.
+	writeBurst = 4
+	// readRetry is the pause before a failed read is made again.
+	readRetry = time.Second
+	// refusalPause is the pause of all writes after the platform refused one.
+	refusalPause = 2 * time.Second
+)
+
+func (n *Node) tickWrites(now time.Time) {
+	n.refillWrites(now)
+	for _, key := range n.pendingKeys() {
+		pending := n.writes.pending[key]
+		if pending.readKey.Name == "" || pending.readOpen || now.Before(pending.readDue) {
+			continue
+		}
+		pending.readOpen = true
+		n.do(Read{Key: pending.readKey})
+	}
+}
+
+// pendingKeys returns the keys of the pending writes in a fixed order.
+func (n *Node) pendingKeys() []api.Key {
+	keys := make([]api.Key, 0, len(n.writes.pending))
+	for key := range n.writes.pending {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b api.Key) int { return strings.Compare(a.Name, b.Name) })
+	return keys
+}
+
+// refillWrites grows this daemon's equal share of the write budget.
+func (n *Node) refillWrites(now time.Time) {
+	if !n.writes.filled.IsZero() {
+		share := n.settings.WritesPerSecond / float64(max(len(n.detector.Live()), 1))
+		n.writes.tokens += share * now.Sub(n.writes.filled).Seconds()
+	}
+	n.writes.filled = now
+	n.writes.tokens = min(n.writes.tokens, writeBurst)
+}
+
+// write starts a conditional update of a placement record. It returns false
+// if the write has to wait for its turn.
+func (n *Node) write(now time.Time, record api.Placement, version uint64, deleted bool) bool {
+	key := api.Key{Kind: api.KindPlacement, Name: record.BackEnd}
+	if n.writes.tokens < 1 || now.Before(n.writes.paused) || n.writes.pending[key] != nil {
+		return false
+	}
+	n.writes.tokens--
+	n.startWrite(key, record, version, deleted)
+	return true
+}
+
+func (n *Node) startWrite(key api.Key, record api.Placement, version uint64, deleted bool) {
+	n.writes.counter++
+	self := n.detector.Self()
+	object := api.Object{
+		Key:     key,
+		Deleted: deleted,
+		WriteID: fmt.Sprintf("%s/%d/%d", self.Name, self.Incarnation, n.writes.counter),
+		Writer:  self.Name,
+	}
+	if !deleted {
+		object.Value = api.Encode(record)
+	}
+	n.writes.pending[key] = &pendingWrite{writeID: object.WriteID}
+	n.do(Write{Object: object, IfVersion: version})
+}
+
+// WriteAnswered takes in the answer to Write.
+func (n *Node) WriteAnswered(now time.Time, answer WriteAnswer) []Action {
+	pending := n.writes.pending[answer.Key]
+	switch answer.Err {
+	case CallOK, CallConflict:
+		delete(n.writes.pending, answer.Key)
+		n.learnObject(answer.Object)
+		if answer.Err == CallConflict {
+			n.decide("placement", "Write lost a race.", "object", answer.Key.String(), "winner", answer.Object.Writer, "version", answer.Object.Version)
+		}
+	case CallNotDone:
+		delete(n.writes.pending, answer.Key)
+		n.writes.paused = now.Add(n.jitter(refusalPause))
+	case CallUnknown:
+		if pending != nil {
+			pending.readKey = answer.Key
+			pending.readDue = now
+		}
+	}
+	return n.take()
+}
+
+func (n *Node) learnObject(object api.Object) {
+	if object.Version != 0 && n.store.Learn(object) {
+		n.learn([]api.Key{object.Key})
+	}
+}
+
+// ReadAnswered takes in the answer to Read.
+func (n *Node) ReadAnswered(now time.Time, answer ReadAnswer) []Action {
+	for _, key := range n.pendingKeys() {
+		pending := n.writes.pending[key]
+		if !pending.readOpen || pending.readKey != answer.Key {
+			continue
+		}
+		pending.readOpen = false
+		if answer.Err != CallOK {
+			pending.readDue = now.Add(n.jitter(readRetry))
+			if pending.release != nil {
+				delete(n.writes.pending, key)
+			}
+			continue
+		}
+		delete(n.writes.pending, key)
+		n.learnObject(answer.Object)
+		if pending.release != nil {
+			n.finishRelease(now, *pending.release, answer.Object)
+		}
+	}
+	return n.take()
+}
+
+// startRelease asks for a fresh read of the record that a release relies on.
+func (n *Node) startRelease(now time.Time, operation placement.Operation) {
+	key := api.Key{Kind: api.KindPlacement, Name: operation.BackEnd}
+	if n.writes.pending[key] != nil {
+		return
+	}
+	n.writes.pending[key] = &pendingWrite{
+		release: &operation,
+		readKey: api.Key{Kind: api.KindPlacement, Name: operation.ReliesOn},
+		readDue: now,
+	}
+}
+
+// finishRelease writes a release if the record read afresh still allows it.
+func (n *Node) finishRelease(now time.Time, operation placement.Operation, relied api.Object) {
+	if relied.Deleted || relied.Version == 0 {
+		return
+	}
+	record, err := api.Decode[api.Placement](relied)
+	if err != nil || !placement.MayRely(record, operation.ReliesOnArtifact) {
+		n.decide("placement", "Release given up.", "back_end", operation.BackEnd, "relies_on", operation.ReliesOn)
+		return
+	}
+	n.applyOperations(now, operation.BackEnd, []placement.Operation{operation})
+}
+
+// applyOperations writes the operations of one round on one record.
+func (n *Node) applyOperations(now time.Time, backEnd string, operations []placement.Operation) {
+	known := n.catalog.placements[backEnd]
+	machine, found := n.catalog.machines[backEnd]
+	if !found {
+		return
+	}
+	record := known.placement
+	record.BackEnd = backEnd
+	var applied []placement.Operation
+	for _, operation := range operations {
+		if operation.IfVersion != known.version {
+			continue
+		}
+		next, ok := placement.Apply(record, machine.MemoryBytes, operation, now)
+		if ok {
+			record = next
+			applied = append(applied, operation)
+		}
+	}
+	if len(applied) == 0 || !n.write(now, record, known.version, false) {
+		return
+	}
+	for _, operation := range applied {
+		n.decide("placement", "Placement changes.", "action", operation.Kind, "artifact", operation.Artifact.String(),
+			"back_end", backEnd, "on_version", known.version, "reason", operation.Reason)
+	}
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,247 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+	"github.com/zeebo/errs"
+
+	"github.com/wheatweir/wheatweir/admit"
+	"github.com/wheatweir/wheatweir/api"
+	"github.com/wheatweir/wheatweir/caller"
+	"github.com/wheatweir/wheatweir/control"
+	"github.com/wheatweir/wheatweir/engine"
+	"github.com/wheatweir/wheatweir/exchange"
+	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/operator"
+	"github.com/wheatweir/wheatweir/peer"
+	"github.com/wheatweir/wheatweir/platform"
+	"github.com/wheatweir/wheatweir/retry"
+	"github.com/wheatweir/wheatweir/ring"
+	"github.com/wheatweir/wheatweir/route"
+	"github.com/wheatweir/wheatweir/service"
+	"github.com/wheatweir/wheatweir/settings"
+)
+
+// ErrStart is the class of failures to start.
+var ErrStart = errs.Class("daemon: start")
+
+// ErrDuty is the class of failures of a duty.
+var ErrDuty = errs.Class("daemon: duty")
+
+// Daemon is one running daemon.
+type Daemon struct {
+	settings settings.Settings
+	logger   *log.Logger
+	started  time.Time
+
+	node      *control.Node
+	events    *ring.Ring[event]
+	calls     callRings
+	table     atomic.Pointer[route.Table]
+	loads     *route.Loads
+	picker    *route.Picker
+	prefixes  *route.PrefixIndex
+	interests *ring.Ring[string]
+
+	transport *peer.Transport
+	platform  platform.Client
+	engines   *engine.Client
+	services  *service.Client
+	server    *caller.Server
+	operators *operator.Executor
+	ledger    *keyLedger
+	metrics   *metrics
+	history   *history
+	requests  *requestLog
+	budget    *retry.Budget
+	exchange  exchange.Settings
+
+	gateMutex sync.RWMutex
+	gates     map[string]*admit.Gate
+
+	stopping atomic.Bool
+	failed   chan error
+	cancel   context.CancelFunc
+	group    conc.WaitGroup
+}
+
+// Rings between the duties. Each is long enough for a burst of one round at
+// the largest size; a full one sheds work that is found again later.
+const (
+	eventRingSize    = 4096
+	callRingSize     = 1024
+	interestRingSize = 256
+)
+
+// Start starts a daemon and returns once it takes calls. Logs go to output.
+func Start(s settings.Settings, output io.Writer) (*Daemon, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	prefixes := &route.PrefixIndex{}
+	d := &Daemon{
+		settings:  s,
+		logger:    newLogger(s.Daemon.LogLevel, output),
+		started:   time.Now(),
+		events:    ring.New[event](eventRingSize),
+		calls:     newCallRings(),
+		loads:     route.NewLoads(),
+		prefixes:  prefixes,
+		picker:    route.DefaultPicker(prefixes),
+		interests: ring.New[string](interestRingSize),
+		engines:   engine.NewClient(s.Requests.IdleTimeout),
+		services:  service.NewClient(s.Requests.IdleTimeout),
+		platform:  platform.NewHTTPClient(s.Daemon.PlatformAddress),
+		metrics:   newMetrics(),
+		history:   newHistory(),
+		requests:  newRequestLog(),
+		budget:    retry.NewBudget(s.Requests.RetryShare, retryBurst),
+		exchange:  exchange.Settings{MaxAttempts: s.Requests.MaxAttempts},
+		gates:     map[string]*admit.Gate{},
+		cancel:    cancel,
+		failed:    make(chan error, 1),
+	}
+	d.table.Store(&route.Table{})
+	d.operators = &operator.Executor{System: d, Platform: d.platform, Writer: s.Daemon.Name}
+	d.ledger = newKeyLedger(d.platform, s.Requests.ClaimTimeout, s.Daemon.Name)
+	if err := d.listen(); err != nil {
+		cancel()
+		return nil, err
+	}
+	d.newNode()
+	d.startDuties(ctx)
+	d.logger.Info("Started.", "part", "daemon", "name", s.Daemon.Name, "zone", s.Daemon.Zone,
+		"callers", d.server.Address(), "peers", d.transport.Address())
+	return d, nil
+}
+
+// retryBurst is how many retries may be made before the first success.
+const retryBurst = 20
+
+func (d *Daemon) listen() error {
+	var err error
+	d.transport, err = peer.Listen(d.settings.Daemon.PeerAddress, []byte(d.settings.Daemon.DeploymentKey), d.receive)
+	if err != nil {
+		return ErrStart.Wrap(err)
+	}
+	d.server, err = caller.Listen(d.settings.Daemon.CallerAddress, d.settings.Daemon.Name, d.settings.Requests.MaxBodyBytes, d)
+	if err != nil {
+		d.transport.Close()
+		return ErrStart.Wrap(err)
+	}
+	return nil
+}
+
+func (d *Daemon) newNode() {
+	self := member.Member{
+		Name:          d.settings.Daemon.Name,
+		Zone:          d.settings.Daemon.Zone,
+		PeerAddress:   d.transport.Address(),
+		CallerAddress: d.server.Address(),
+		Incarnation:   uint64(d.started.UnixMilli()),
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	d.node = control.New(self, d.settings.Control, random)
+	d.node.SetSeeds(d.settings.Daemon.Seeds)
+}
+
+func (d *Daemon) startDuties(ctx context.Context) {
+	d.startDuty("control", func() { d.runControl(ctx) })
+	d.startDuty("watches", func() { d.runWatches(ctx) })
+	for range platformWorkers {
+		d.startDuty("platform", func() { d.runPlatformCalls(ctx) })
+	}
+	for range pollWorkers {
+		d.startDuty("polls", func() { d.runPolls(ctx) })
+	}
+	for range orderWorkers {
+		d.startDuty("orders", func() { d.runOrders(ctx) })
+	}
+	d.startDuty("ledger", func() { d.ledger.run(ctx) })
+}
+
+// startDuty starts a duty. A duty that panics takes the daemon out of service:
+// a daemon that lacks one would look healthy and do half its work.
+func (d *Daemon) startDuty(name string, duty func()) {
+	d.group.Go(func() {
+		var catcher panics.Catcher
+		catcher.Try(duty)
+		recovered := catcher.Recovered()
+		if recovered == nil {
+			return
+		}
+		d.logger.Error("Duty failed.", "part", "daemon", "duty", name, "error", recovered.AsError())
+		d.stopping.Store(true)
+		select {
+		case d.failed <- ErrDuty.Wrap(recovered.AsError()):
+		default:
+		}
+	})
+}
+
+// Failed gives the error of a duty that failed. The daemon should be ended.
+func (d *Daemon) Failed() <-chan error { return d.failed }
+
+// CallerAddress returns the address that takes callers.
+func (d *Daemon) CallerAddress() string { return d.server.Address() }
+
+// PeerAddress returns the address that hears other daemons.
+func (d *Daemon) PeerAddress() string { return d.transport.Address() }
+
+// leaveSpread is how long the news of a stop takes to reach the group, on top
+// of the time that callers keep an answer about addresses.
+const leaveSpread = 2 * time.Second
+
+// Stop ends the daemon without cutting off a request: it leaves the answers
+// about addresses, serves for as long as an answer may be kept, and then waits
+// for the requests in progress, at most until ctx ends or the drain limit.
+func (d *Daemon) Stop(ctx context.Context) {
+	d.logger.Info("Stop begins.", "part", "daemon")
+	d.stopping.Store(true)
+	d.events.Put(ctx, func(*control.Node, time.Time) []control.Action {
+		d.node.Leave()
+		return nil
+	})
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Requests.DrainLimit)
+	defer cancel()
+	sleep(ctx, d.settings.Requests.AddressKeep+leaveSpread)
+	for d.server.Active() > 0 && ctx.Err() == nil {
+		sleep(ctx, 50*time.Millisecond)
+	}
+	cut := d.server.Active()
+	d.Kill()
+	d.logger.Info("Stopped.", "part", "daemon", "requests_cut", cut)
+}
+
+// Kill ends the daemon at once.
+func (d *Daemon) Kill() {
+	d.stopping.Store(true)
+	d.server.Close()
+	d.cancel()
+	d.transport.Close()
+	d.group.Wait()
+	d.engines.Close()
+	d.services.Close()
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Learned implements operator.System.
+func (d *Daemon) Learned(object api.Object) {
+	d.events.Offer(func(node *control.Node, _ time.Time) []control.Action {
+		return node.Learned(object)
+	})
+}
--- /dev/null
+++ b/member/types.go
@@ -0,0 +1,129 @@
+package member
+
+import "time"
+
+// State is the state of a member as far as this daemon knows. A higher state
+// wins over a lower one at the same incarnation.
+type State uint8
+
+// States of a member.
+const (
+	Alive State = iota
+	// Leaving means a planned stop has begun: no new callers are sent there.
+	Leaving
+	Suspect
+	Dead
+)
+
+var stateNames = [...]string{"alive", "leaving", "suspect", "dead"}
+
+// String returns the name used in logs and command output.
+func (s State) String() string { return stateNames[s] }
+
+// Member is what is known of one daemon.
+type Member struct {
+	Name string `msgpack:"n"`
+	Zone string `msgpack:"z"`
+	// PeerAddress hears other daemons, CallerAddress hears callers.
+	PeerAddress   string `msgpack:"p"`
+	CallerAddress string `msgpack:"c"`
+	// Incarnation starts at the boot time in Unix milliseconds and is raised
+	// by the member itself to refute a suspicion.
+	Incarnation uint64 `msgpack:"i"`
+	State       State  `msgpack:"s"`
+}
+
+// BackEndState is the health of a back end. A higher state wins over a lower
+// one at the same boot and sequence.
+type BackEndState uint8
+
+// States of a back end.
+const (
+	BackEndUp BackEndState = iota
+	BackEndLeaving
+	BackEndDown
+)
+
+var backEndStateNames = [...]string{"up", "leaving", "down"}
+
+// String returns the name used in logs and command output.
+func (s BackEndState) String() string { return backEndStateNames[s] }
+
+// BackEnd is news about one back end. Boot and Sequence come from the engine's
+// own reports and order the news.
+type BackEnd struct {
+	Name     string       `msgpack:"n"`
+	Boot     string       `msgpack:"b"`
+	Sequence uint64       `msgpack:"q"`
+	State    BackEndState `msgpack:"s"`
+}
+
+// newer reports whether b should replace the known news old.
+func (b BackEnd) newer(old BackEnd) bool {
+	if b.Boot != old.Boot {
+		// Boot identities start with the boot time in a fixed width, so
+		// their text order is their time order.
+		return b.Boot > old.Boot
+	}
+	if b.Sequence != old.Sequence {
+		return b.Sequence > old.Sequence
+	}
+	return b.State > old.State
+}
+
+// MessageKind is the kind of a probe message.
+type MessageKind uint8
+
+// Kinds of probe messages.
+const (
+	Ping MessageKind = iota + 1
+	Ack
+	// PingRequest asks the receiver to probe Target for the sender.
+	PingRequest
+)
+
+// Message is one probe message with the news that rides on it.
+type Message struct {
+	Kind MessageKind `msgpack:"k"`
+	// Sequence pairs an Ack with its Ping.
+	Sequence uint64 `msgpack:"q"`
+	// Target is the peer address to probe, in a PingRequest.
+	Target string `msgpack:"t,omitempty"`
+	// Sender lets a receiver that does not know the sender learn of it.
+	Sender   Member    `msgpack:"f"`
+	Members  []Member  `msgpack:"m,omitempty"`
+	BackEnds []BackEnd `msgpack:"b,omitempty"`
+}
+
+// Packet is a message with the peer address that it goes to.
+type Packet struct {
+	Address string
+	Message Message
+}
+
+// Settings are the times and counts of the detector.
+type Settings struct {
+	// ProbeInterval is the time between two direct probes.
+	ProbeInterval time.Duration
+	// ProbeTimeout is how long an Ack may take before helpers are asked.
+	ProbeTimeout time.Duration
+	// SuspicionIntervals is how many probe intervals, times the logarithm of
+	// the group size, a suspected member has to refute.
+	SuspicionIntervals int
+	// Helpers is how many members are asked to probe on our behalf.
+	Helpers int
+	// NewsPerMessage bounds the news of each sort on one message.
+	NewsPerMessage int
+}
+
+// DefaultSettings returns settings that detect a dead daemon in about five
+// seconds with a few daemons and about ten seconds with 320.
+func DefaultSettings() Settings {
+	return Settings{
+		ProbeInterval:      time.Second,
+		ProbeTimeout:       300 * time.Millisecond,
+		SuspicionIntervals: 2,
+		Helpers:            3,
+		NewsPerMessage:     6,
+	}
+}
--- /dev/null
+++ b/nearest/nearest.go
@@ -0,0 +1,35 @@
+// Package nearest finds the valid word closest to a mistyped one.
+package nearest
+
+// Word returns the candidate with the least edit distance to a word, or "" if
+// there are no candidates or none is close.
+func Word(word string, candidates []string) string {
+	best, bestDistance := "", len(word)/2+2
+	for _, candidate := range candidates {
+		if distance := distanceBetween(word, candidate); distance < bestDistance {
+			best, bestDistance = candidate, distance
+		}
+	}
+	return best
+}
+
+// distanceBetween is the Levenshtein distance in bytes.
+func distanceBetween(a, b string) int {
+	previous := make([]int, len(b)+1)
+	current := make([]int, len(b)+1)
+	for j := range previous {
+		previous[j] = j
+	}
+	for i := range len(a) {
+		current[0] = i + 1
+		for j := range len(b) {
+			cost := 1
+			if a[i] == b[j] {
+				cost = 0
+			}
+			current[j+1] = min(previous[j]+cost, previous[j+1]+1, current[j]+1)
+		}
+		previous, current = current, previous
+	}
+	return previous[len(b)]
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,269 @@
+// Package peer carries messages between daemons: length-prefixed frames with a
+// msgpack body over TCP.
+//
+// Both sides prove that they know the deployment's key before any message is
+// taken: each sends a random challenge, and every frame then carries a MAC
+// under a key derived from the deployment's key and both challenges, over the
+// frame's number and body. Messages are not encrypted.
+//
+// Sending never waits: each peer has a bounded ring, and a message that finds
+// it full is dropped and counted. All messages between daemons are repeated by
+// the protocols above, so a lost one costs time only.
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/zeebo/errs"
+
+	"github.com/wheatweir/wheatweir/control"
+	"github.com/wheatweir/wheatweir/ring"
+)
+
+// Classes of errors.
+var (
+	// ErrListen is the class of failures to listen.
+	ErrListen = errs.Class("peer: listen")
+	// ErrProtocol is the class of frames that are not valid.
+	ErrProtocol = errs.Class("peer: protocol")
+)
+
+const (
+	// maxFrameBytes bounds one frame. A delta is bounded well under it.
+	maxFrameBytes = 4 << 20
+	// sendRingSize is how many messages wait for one peer.
+	sendRingSize = 64
+	dialTimeout  = 2 * time.Second
+	// writeTimeout bounds the sending of one frame.
+	writeTimeout = 3 * time.Second
+	// idleTimeout is how long a connection without messages is kept. A daemon
+	// probes each other daemon about once for each daemon there is, so at 320
+	// daemons connections between most pairs come and go.
+	idleTimeout = 30 * time.Second
+	// redialPause is the least time between two attempts to connect.
+	redialPause = 500 * time.Millisecond
+	// maxConnections bounds the connections that are accepted at once.
+	maxConnections = 4096
+)
+
+// Handler takes in a message. It must not keep the message's slices shared
+// with others, and must not block for long.
+type Handler func(control.Message)
+
+// Transport sends and receives messages of one daemon.
+type Transport struct {
+	key      []byte
+	handler  Handler
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    conc.WaitGroup
+
+	mutex   sync.Mutex
+	senders map[string]*sender
+	open    map[net.Conn]bool
+	counts  Counts
+}
+
+// Counts are totals since the start.
+type Counts struct {
+	BytesSent    uint64
+	MessagesSent uint64
+	Dropped      uint64
+	Rejected     uint64
+}
+
+// Listen opens the transport on an "IP:port" address.
+func Listen(address string, key []byte, handler Handler) (*Transport, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, ErrListen.Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	transport := &Transport{
+		key: key, handler: handler, listener: listener, ctx: ctx, cancel: cancel,
+		senders: map[string]*sender{}, open: map[net.Conn]bool{},
+	}
+	transport.group.Go(transport.accept)
+	return transport, nil
+}
+
+// Address returns the address that the transport listens on.
+func (t *Transport) Address() string { return t.listener.Addr().String() }
+
+// Counts returns the totals so far.
+func (t *Transport) Counts() Counts {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.counts
+}
+
+// Close ends all connections and waits for the transport's goroutines.
+func (t *Transport) Close() {
+	t.cancel()
+	_ = t.listener.Close()
+	t.mutex.Lock()
+	for conn := range t.open {
+		_ = conn.Close()
+	}
+	t.mutex.Unlock()
+	t.group.Wait()
+}
+
+// Send queues a message to a peer address.
+func (t *Transport) Send(address string, message control.Message) {
+	body, err := msgpack.Marshal(&message)
+	if err != nil {
+		return
+	}
+	if !t.sender(address).frames.Offer(body) {
+		t.count(func(counts *Counts) { counts.Dropped++ })
+	}
+}
+
+func (t *Transport) count(change func(*Counts)) {
+	t.mutex.Lock()
+	change(&t.counts)
+	t.mutex.Unlock()
+}
+
+// sender is the duty of sending to one peer. It ends after a time without
+// messages, so that addresses of replaced daemons are not kept.
+type sender struct {
+	address string
+	frames  *ring.Ring[[]byte]
+}
+
+func (t *Transport) sender(address string) *sender {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.senders[address]
+	if known == nil {
+		known = &sender{address: address, frames: ring.New[[]byte](sendRingSize)}
+		t.senders[address] = known
+		if t.ctx.Err() == nil {
+			t.group.Go(func() { t.runSender(known) })
+		}
+	}
+	return known
+}
+
+func (t *Transport) runSender(s *sender) {
+	defer func() {
+		t.mutex.Lock()
+		delete(t.senders, s.address)
+		t.mutex.Unlock()
+	}()
+	var session *session
+	defer func() {
+		if session != nil {
+			t.closeConn(session.conn)
+		}
+	}()
+	for {
+		wait, cancel := context.WithTimeout(t.ctx, idleTimeout)
+		body, ok := s.frames.Take(wait)
+		cancel()
+		if !ok {
+			return
+		}
+		if session == nil {
+			session = t.connect(s.address)
+		}
+		if session == nil {
+			t.count(func(counts *Counts) { counts.Dropped++ })
+			continue
+		}
+		if err := session.writeFrame(body); err != nil {
+			t.closeConn(session.conn)
+			session = nil
+			continue
+		}
+		t.count(func(counts *Counts) {
+			counts.MessagesSent++
+			counts.BytesSent += uint64(len(body) + frameOverhead)
+		})
+	}
+}
+
+func (t *Transport) connect(address string) *session {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err == nil {
+		t.track(conn)
+		var opened *session
+		opened, err = openSession(conn, t.key, true)
+		if err == nil {
+			return opened
+		}
+		t.closeConn(conn)
+	}
+	select {
+	case <-time.After(redialPause):
+	case <-t.ctx.Done():
+	}
+	return nil
+}
+
+func (t *Transport) track(conn net.Conn) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.ctx.Err() != nil || len(t.open) >= maxConnections {
+		return false
+	}
+	t.open[conn] = true
+	return true
+}
+
+func (t *Transport) closeConn(conn net.Conn) {
+	_ = conn.Close()
+	t.mutex.Lock()
+	delete(t.open, conn)
+	t.mutex.Unlock()
+}
+
+func (t *Transport) accept() {
+	for {
+		conn, err := t.listener.Accept()
+		if err != nil {
+			if t.ctx.Err() != nil {
+				return
+			}
+			time.Sleep(redialPause)
+			continue
+		}
+		if !t.track(conn) {
+			_ = conn.Close()
+			continue
+		}
+		t.group.Go(func() { t.receive(conn) })
+	}
+}
+
+func (t *Transport) receive(conn net.Conn) {
+	defer t.closeConn(conn)
+	session, err := openSession(conn, t.key, false)
+	if err != nil {
+		t.count(func(counts *Counts) { counts.Rejected++ })
+		return
+	}
+	for {
+		body, err := session.readFrame()
+		if err != nil {
+			if ErrProtocol.Has(err) {
+				t.count(func(counts *Counts) { counts.Rejected++ })
+			}
+			return
+		}
+		var message control.Message
+		if err := msgpack.Unmarshal(body, &message); err != nil {
+			t.count(func(counts *Counts) { counts.Rejected++ })
+			return
+		}
+		t.handler(message)
+	}
+}
--- /dev/null
+++ b/peer/session.go
@@ -0,0 +1,135 @@
+package peer
+
+import (
+	"bufio"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"hash"
+	"io"
+	"net"
+	"time"
+)
+
+const (
+	challengeBytes = 32
+	lengthBytes    = 4
+	macBytes       = 16
+	// frameOverhead is what a frame adds to its body.
+	frameOverhead = lengthBytes + macBytes
+	// handshakeTimeout bounds the exchange of challenges.
+	handshakeTimeout = 3 * time.Second
+)
+
+// Labels keep the two directions and the two uses of the key apart.
+const (
+	labelDialer   = "wheatweir peer dialer"
+	labelListener = "wheatweir peer listener"
+)
+
+// session is one connection after the exchange of challenges. Messages go from
+// the dialer to the listener only.
+type session struct {
+	conn     net.Conn
+	reader   *bufio.Reader
+	mac      hash.Hash
+	sequence uint64
+	buffer   []byte
+}
+
+// openSession exchanges challenges and proofs. The listener proves itself too,
+// so that a dialer does not talk to a stranger on an address used again.
+func openSession(conn net.Conn, key []byte, dialer bool) (*session, error) {
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, ErrProtocol.Wrap(err)
+	}
+	var own, other [challengeBytes]byte
+	if _, err := rand.Read(own[:]); err != nil {
+		return nil, ErrProtocol.Wrap(err)
+	}
+	if _, err := conn.Write(own[:]); err != nil {
+		return nil, ErrProtocol.Wrap(err)
+	}
+	if _, err := io.ReadFull(conn, other[:]); err != nil {
+		return nil, ErrProtocol.Wrap(err)
+	}
+	ownLabel, otherLabel := labelListener, labelDialer
+	dialerChallenge, listenerChallenge := other[:], own[:]
+	if dialer {
+		ownLabel, otherLabel = otherLabel, ownLabel
+		dialerChallenge, listenerChallenge = own[:], other[:]
+	}
+	if _, err := conn.Write(proof(key, ownLabel, dialerChallenge, listenerChallenge)); err != nil {
+		return nil, ErrProtocol.Wrap(err)
+	}
+	var answer [sha256.Size]byte
+	if _, err := io.ReadFull(conn, answer[:]); err != nil {
+		return nil, ErrProtocol.Wrap(err)
+	}
+	if !hmac.Equal(answer[:], proof(key, otherLabel, dialerChallenge, listenerChallenge)) {
+		return nil, ErrProtocol.New("the other side does not know the deployment's key")
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return nil, ErrProtocol.Wrap(err)
+	}
+	sessionKey := proof(key, "wheatweir peer frames", dialerChallenge, listenerChallenge)
+	return &session{conn: conn, reader: bufio.NewReader(conn), mac: hmac.New(sha256.New, sessionKey)}, nil
+}
+
+func proof(key []byte, label string, dialerChallenge, listenerChallenge []byte) []byte {
+	mac := hmac.New(sha256.New, key)
+	mac.Write([]byte(label))
+	mac.Write(dialerChallenge)
+	mac.Write(listenerChallenge)
+	return mac.Sum(nil)
+}
+
+// sum returns the MAC of the next frame and counts it.
+func (s *session) sum(body []byte) []byte {
+	s.mac.Reset()
+	var number [8]byte
+	binary.BigEndian.PutUint64(number[:], s.sequence)
+	s.sequence++
+	s.mac.Write(number[:])
+	s.mac.Write(body)
+	return s.mac.Sum(nil)[:macBytes]
+}
+
+// writeFrame sends one frame: length of the body, MAC, body.
+func (s *session) writeFrame(body []byte) error {
+	if len(body) > maxFrameBytes {
+		return ErrProtocol.New("frame of %d bytes is over %d", len(body), maxFrameBytes)
+	}
+	s.buffer = binary.BigEndian.AppendUint32(s.buffer[:0], uint32(len(body)))
+	s.buffer = append(s.buffer, s.sum(body)...)
+	s.buffer = append(s.buffer, body...)
+	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return ErrProtocol.Wrap(err)
+	}
+	_, err := s.conn.Write(s.buffer)
+	return err
+}
+
+// readFrame returns the body of the next frame. The slice is new.
+func (s *session) readFrame() ([]byte, error) {
+	if err := s.conn.SetReadDeadline(time.Now().Add(2 * idleTimeout)); err != nil {
+		return nil, err
+	}
+	var head [frameOverhead]byte
+	if _, err := io.ReadFull(s.reader, head[:]); err != nil {
+		return nil, err
+	}
+	length := binary.BigEndian.Uint32(head[:lengthBytes])
+	if length > maxFrameBytes {
+		return nil, ErrProtocol.New("frame of %d bytes is over %d", length, maxFrameBytes)
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(s.reader, body); err != nil {
+		return nil, err
+	}
+	if !hmac.Equal(head[lengthBytes:], s.sum(body)) {
+		return nil, ErrProtocol.New("frame %d has a wrong MAC", s.sequence-1)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/placement/apply.go
@@ -0,0 +1,78 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/wheatweir/wheatweir/api"
+)
+
+// Apply returns the record after an operation. It returns false if the
+// operation no longer fits the record or its memory.
+func Apply(record api.Placement, memoryBytes int64, operation Operation, now time.Time) (api.Placement, bool) {
+	next := record.Clone()
+	switch operation.Kind {
+	case OperationAdd:
+		return applyAdd(next, memoryBytes, operation, now)
+	case OperationMarkMoving:
+		return applyToReplica(next, operation, func(entry *api.PlacementEntry) { entry.Moving = true })
+	case OperationKeep:
+		return applyToReplica(next, operation, func(entry *api.PlacementEntry) { entry.Moving = false })
+	case OperationPromote:
+		return applyToReplica(next, operation, func(entry *api.PlacementEntry) { entry.Anchor = true })
+	case OperationRelease:
+		return applyToReplica(next, operation, func(entry *api.PlacementEntry) {
+			entry.Phase = api.PhaseReleasing
+			entry.Since = now.UnixMilli()
+		})
+	}
+	return record, false
+}
+
+func applyAdd(next api.Placement, memoryBytes int64, operation Operation, now time.Time) (api.Placement, bool) {
+	added := false
+	for _, entry := range operation.Entries {
+		entry.Since = now.UnixMilli()
+		entry.Reason = operation.Reason
+		known := next.Find(entry.Artifact)
+		switch {
+		case known == nil:
+			next.Entries = append(next.Entries, entry)
+			added = true
+		case known.Phase == api.PhaseReleasing:
+			// Its memory is still reserved, so it can simply be kept.
+			*known = entry
+			added = true
+		}
+	}
+	if !added || next.Reserved() > memoryBytes {
+		return next, false
+	}
+	return next, true
+}
+
+// applyToReplica changes the weights named by the operation and, for weights,
+// the adapters on top of them.
+func applyToReplica(next api.Placement, operation Operation, change func(*api.PlacementEntry)) (api.Placement, bool) {
+	changed := false
+	for i := range next.Entries {
+		entry := &next.Entries[i]
+		covered := entry.Artifact == operation.Artifact ||
+			operation.Artifact.Adapter == "" && entry.Artifact.Base() == operation.Artifact
+		if !covered || entry.Phase != api.PhaseHeld {
+			continue
+		}
+		before := *entry
+		change(entry)
+		if *entry != before {
+			entry.Reason = operation.Reason
+			changed = true
+		}
+	}
+	return next, changed
+}
+
+// MayRely reports whether a release may rely on the replica in this record.
+func MayRely(record api.Placement, artifact api.Artifact) bool {
+	entry := record.Find(artifact)
+	return entry != nil && entry.Phase == api.PhaseHeld && entry.Anchor && !entry.Moving && !record.Drained
+}
--- /dev/null
+++ b/placement/planner.go
@@ -0,0 +1,496 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/wheatweir/wheatweir/api"
+	"github.com/wheatweir/wheatweir/rendezvous"
+)
+
+// Plan returns the operations that bring the models of the snapshot closer to
+// where they should be. Models with a higher priority are planned first, and
+// every model gets its first replica before any gets its second.
+func Plan(snapshot Snapshot) []Operation {
+	plan := newPlan(snapshot)
+	models := slices.Clone(snapshot.Models)
+	slices.SortStableFunc(models, func(a, b Model) int {
+		if a.Model.Priority != b.Model.Priority {
+			return int(a.Model.Priority) - int(b.Model.Priority)
+		}
+		return strings.Compare(a.Model.Name, b.Model.Name)
+	})
+	views := make([]*modelView, 0, len(models))
+	for i := range models {
+		if models[i].Deleted {
+			plan.releaseDeleted(models[i].Model.Name)
+			continue
+		}
+		views = append(views, plan.view(&models[i]))
+	}
+	plan.addReplicas(views)
+	for _, view := range views {
+		plan.retire(view)
+		plan.trim(view)
+	}
+	return plan.operations
+}
+
+// plan collects the operations of one round.
+type plan struct {
+	snapshot   Snapshot
+	backEnds   []BackEnd
+	byName     map[string]int
+	byModel    map[string][]holding
+	free       []int64
+	totalFree  int64
+	totalBytes int64
+	touched    map[string]bool
+	operations []Operation
+}
+
+// holding is one entry for weights in one record.
+type holding struct {
+	backEnd int
+	entry   api.PlacementEntry
+}
+
+func newPlan(snapshot Snapshot) *plan {
+	p := &plan{
+		snapshot: snapshot,
+		backEnds: snapshot.BackEnds,
+		byName:   make(map[string]int, len(snapshot.BackEnds)),
+		byModel:  make(map[string][]holding),
+		free:     make([]int64, len(snapshot.BackEnds)),
+		touched:  map[string]bool{},
+	}
+	for i := range p.backEnds {
+		backEnd := &p.backEnds[i]
+		p.byName[backEnd.Name] = i
+		p.free[i] = backEnd.free()
+		if backEnd.usable() {
+			p.totalFree += max(p.free[i], 0)
+			p.totalBytes += backEnd.MemoryBytes
+		}
+		for _, entry := range backEnd.Placement.Entries {
+			if entry.Artifact.Adapter == "" {
+				p.byModel[entry.Artifact.Model] = append(p.byModel[entry.Artifact.Model], holding{i, entry})
+			}
+		}
+	}
+	return p
+}
+
+// modelView is a model with its replicas.
+type modelView struct {
+	model   *Model
+	weights api.Artifact
+	desired int
+	// replicas are the held entries of the serving version on usable back
+	// ends that others may rely on.
+	replicas []holding
+	// retiring are the other held entries: old versions, entries marked as
+	// moving, and entries on back ends that are drained or leaving.
+	retiring []holding
+}
+
+func (p *plan) view(model *Model) *modelView {
+	version, _ := model.Model.ServingVersion()
+	view := &modelView{
+		model:   model,
+		weights: api.Artifact{Model: model.Model.Name, Version: version.Name},
+	}
+	for _, held := range p.byModel[model.Model.Name] {
+		backEnd := &p.backEnds[held.backEnd]
+		switch {
+		case held.entry.Phase != api.PhaseHeld || backEnd.Health == Down:
+		case held.entry.Artifact == view.weights && backEnd.usable() && !held.entry.Moving:
+			view.replicas = append(view.replicas, held)
+		default:
+			view.retiring = append(view.retiring, held)
+		}
+	}
+	view.desired = p.desiredReplicas(model, len(view.replicas))
+	return view
+}
+
+// slotsOf returns the batch slots of a typical engine.
+func (p *plan) slotsOf(replicas []holding) float64 {
+	for _, replica := range replicas {
+		if report := p.backEnds[replica.backEnd].Report; report != nil && report.Slots > 0 {
+			return float64(report.Slots)
+		}
+	}
+	return float64(p.snapshot.Settings.DefaultSlots)
+}
+
+// desiredReplicas turns demand into a number of replicas. Demand above what
+// the present replicas should take adds replicas if the worth of serving the
+// excess outweighs the moves; fewer are wanted only once the slow average
+// fits comfortably in fewer.
+func (p *plan) desiredReplicas(model *Model, present int) int {
+	settings := p.snapshot.Settings
+	floor := max(model.Model.MinReplicas, len(model.Model.Pins))
+	perReplica := p.slotsOf(p.byModel[model.Model.Name]) * settings.TargetUtilization
+	wanted := int(math.Ceil(model.Demand.Fast / perReplica))
+	held := int(math.Ceil(max(model.Demand.Slow, model.Demand.Fast) / (perReplica * scaleDownShare)))
+	desired := present
+	if wanted > present {
+		excess := model.Demand.Fast - float64(present)*perReplica
+		if settings.Weights.Attainment*excess >= settings.Weights.Moves*float64(wanted-present) {
+			desired = wanted
+		}
+	} else if held < present {
+		desired = held
+	}
+	desired = max(desired, floor)
+	if model.Model.MaxReplicas > 0 {
+		desired = min(desired, max(model.Model.MaxReplicas, floor))
+	}
+	return desired
+}
+
+// scaleDownShare is the load share that replicas must fit in before one is
+// given up. The gap to 1 is the hysteresis between adding and removing.
+const scaleDownShare = 0.6
+
+// addReplicas gives each model its first missing replica, then each its
+// second, and so on.
+func (p *plan) addReplicas(views []*modelView) {
+	for _, view := range views {
+		p.addPinned(view)
+		p.addAdapters(view)
+		p.promote(view)
+	}
+	for level := 1; ; level++ {
+		more := false
+		for _, view := range views {
+			if view.desired < level {
+				continue
+			}
+			more = true
+			if len(view.replicas) < level {
+				p.addReplica(view)
+			}
+		}
+		if !more {
+			return
+		}
+	}
+}
+
+func (p *plan) addPinned(view *modelView) {
+	for _, name := range view.model.Model.Pins {
+		i, found := p.byName[name]
+		if !found || holds(view.replicas, i) || !p.backEnds[i].usable() {
+			continue
+		}
+		bytes := view.model.Model.Bytes()
+		if p.free[i] >= bytes && !p.touched[name] {
+			p.add(view, i, bytes, "pinned by an operator")
+		}
+	}
+}
+
+// addAdapters reserves adapters that a replica lacks.
+func (p *plan) addAdapters(view *modelView) {
+	for _, replica := range view.replicas {
+		backEnd := &p.backEnds[replica.backEnd]
+		var missing []api.PlacementEntry
+		var bytes int64
+		for _, entry := range adapterEntries(view, replica.entry.Anchor) {
+			known := backEnd.Placement.Find(entry.Artifact)
+			if known == nil || known.Phase == api.PhaseReleasing {
+				missing = append(missing, entry)
+				bytes += entry.Bytes
+			}
+		}
+		if len(missing) == 0 || p.touched[backEnd.Name] {
+			continue
+		}
+		if p.free[replica.backEnd] < bytes {
+			continue
+		}
+		p.free[replica.backEnd] -= bytes
+		p.emit(Operation{
+			Kind: OperationAdd, BackEnd: backEnd.Name, IfVersion: backEnd.Version,
+			Artifact: view.weights, Entries: missing, Reason: "adapter configured",
+		})
+	}
+}
+
+// promote makes surplus replicas anchors when there are too few anchors.
+func (p *plan) promote(view *modelView) {
+	anchors := 0
+	for _, replica := range view.replicas {
+		if replica.entry.Anchor {
+			anchors++
+		}
+	}
+	for i := range view.replicas {
+		replica := &view.replicas[i]
+		backEnd := &p.backEnds[replica.backEnd]
+		if anchors >= view.model.Model.MinReplicas {
+			return
+		}
+		if replica.entry.Anchor || p.touched[backEnd.Name] {
+			continue
+		}
+		anchors++
+		p.emit(Operation{
+			Kind: OperationPromote, BackEnd: backEnd.Name, IfVersion: backEnd.Version,
+			Artifact: view.weights, Reason: "too few anchors",
+		})
+	}
+}
+
+func adapterEntries(view *modelView, anchor bool) []api.PlacementEntry {
+	entries := make([]api.PlacementEntry, 0, len(view.model.Model.Adapters))
+	for _, adapter := range view.model.Model.Adapters {
+		artifact := view.weights
+		artifact.Adapter = adapter.Name
+		entries = append(entries, api.PlacementEntry{
+			Artifact: artifact, Bytes: adapter.Bytes, Phase: api.PhaseHeld, Anchor: anchor,
+		})
+	}
+	return entries
+}
+
+func (p *plan) addReplica(view *modelView) {
+	bytes := view.model.Model.Bytes()
+	spareNeeded := int64(0)
+	above := len(view.replicas) >= view.model.Model.MinReplicas
+	if above {
+		spareNeeded = int64(p.snapshot.Settings.SpareFraction * float64(p.totalBytes))
+	}
+	if p.totalFree-bytes < spareNeeded {
+		return
+	}
+	best := p.bestBackEnd(view, bytes)
+	if best < 0 {
+		return
+	}
+	reason := "fewer replicas than the minimum"
+	if above {
+		reason = fmt.Sprintf("demand %.1f over %d replicas", view.model.Demand.Fast, len(view.replicas))
+	}
+	p.add(view, best, bytes, reason)
+}
+
+func (p *plan) add(view *modelView, index int, bytes int64, reason string) {
+	backEnd := &p.backEnds[index]
+	version, _ := view.model.Model.ServingVersion()
+	anchor := len(view.replicas) < view.model.Model.MinReplicas
+	weights := api.PlacementEntry{Artifact: view.weights, Bytes: version.Bytes, Phase: api.PhaseHeld, Anchor: anchor}
+	p.free[index] -= bytes
+	p.totalFree -= bytes
+	view.replicas = append(view.replicas, holding{index, weights})
+	p.emit(Operation{
+		Kind: OperationAdd, BackEnd: backEnd.Name, IfVersion: backEnd.Version, Artifact: view.weights,
+		Entries: append([]api.PlacementEntry{weights}, adapterEntries(view, anchor)...), Reason: reason,
+	})
+}
+
+// bestBackEnd picks the back end for one more replica: one that has room and
+// does not hold the model, in a zone with the fewest replicas of it, with the
+// largest share of free memory. Several daemons plan at once, so near-equal
+// back ends are told apart by a hash of model and back end, which spreads the
+// choices and saves lost races.
+func (p *plan) bestBackEnd(view *modelView, bytes int64) int {
+	best, bestScore := -1, math.Inf(-1)
+	for i := range p.backEnds {
+		backEnd := &p.backEnds[i]
+		if !backEnd.usable() || p.free[i] < bytes || p.touched[backEnd.Name] {
+			continue
+		}
+		if backEnd.Placement.Find(view.weights) != nil || holds(view.replicas, i) {
+			continue
+		}
+		score := float64(p.free[i]) / float64(backEnd.MemoryBytes)
+		score -= zonePenalty * float64(p.replicasInZone(view, backEnd.Zone))
+		score += spreadShare * float64(rendezvous.Weight(view.model.Model.Name, backEnd.Name)) / math.MaxUint64
+		if score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+const (
+	// zonePenalty makes a zone without a replica win over any free share.
+	zonePenalty = 2.0
+	// spreadShare is how much of the score the hash may decide.
+	spreadShare = 0.2
+)
+
+func (p *plan) replicasInZone(view *modelView, zone string) int {
+	count := 0
+	for _, replica := range view.replicas {
+		if p.backEnds[replica.backEnd].Zone == zone {
+			count++
+		}
+	}
+	return count
+}
+
+func holds(replicas []holding, index int) bool {
+	for _, replica := range replicas {
+		if replica.backEnd == index {
+			return true
+		}
+	}
+	return false
+}
+
+// retire takes away replicas that should go, once others are seen to serve.
+func (p *plan) retire(view *modelView) {
+	for _, held := range view.retiring {
+		backEnd := &p.backEnds[held.backEnd]
+		if p.touched[backEnd.Name] {
+			continue
+		}
+		wanted := held.entry.Artifact == view.weights && backEnd.usable()
+		if wanted && len(view.replicas) < view.desired && held.entry.Moving {
+			p.emit(Operation{
+				Kind: OperationKeep, BackEnd: backEnd.Name, IfVersion: backEnd.Version,
+				Artifact: held.entry.Artifact, Reason: "needed after all",
+			})
+			continue
+		}
+		p.retireOne(view, held, retireReason(view, backEnd, held))
+	}
+}
+
+func retireReason(view *modelView, backEnd *BackEnd, held holding) string {
+	switch {
+	case held.entry.Artifact != view.weights:
+		return "version replaced by " + view.weights.Version
+	case backEnd.Placement.Drained:
+		return "back end drained"
+	case backEnd.Health == Leaving:
+		return "back end leaving"
+	default:
+		return "moved"
+	}
+}
+
+// retireOne takes the next step to release a replica: mark it as moving, or
+// release it if enough other replicas are observed to serve.
+func (p *plan) retireOne(view *modelView, held holding, reason string) {
+	backEnd := &p.backEnds[held.backEnd]
+	if !held.entry.Moving {
+		p.emit(Operation{
+			Kind: OperationMarkMoving, BackEnd: backEnd.Name, IfVersion: backEnd.Version,
+			Artifact: held.entry.Artifact, Reason: reason,
+		})
+		return
+	}
+	relied, serving := p.servingAnchors(view, held.backEnd)
+	if serving < min(view.model.Model.MinReplicas, max(len(view.replicas), 1)) {
+		return
+	}
+	p.emit(Operation{
+		Kind: OperationRelease, BackEnd: backEnd.Name, IfVersion: backEnd.Version,
+		Artifact: held.entry.Artifact, Reason: reason,
+		ReliesOn: relied, ReliesOnArtifact: view.weights,
+	})
+}
+
+// servingAnchors counts the anchors observed to serve, other than on one back
+// end, and names one of them.
+func (p *plan) servingAnchors(view *modelView, except int) (string, int) {
+	name, count := "", 0
+	for _, replica := range view.replicas {
+		backEnd := &p.backEnds[replica.backEnd]
+		if replica.backEnd == except || !replica.entry.Anchor || !backEnd.serves(view.weights) {
+			continue
+		}
+		name = backEnd.Name
+		count++
+	}
+	return name, count
+}
+
+// trim gives up one replica more than desired. Replicas that are not anchors
+// go first, and only after their minimum stay unless memory is short.
+func (p *plan) trim(view *modelView) {
+	if len(view.replicas) <= view.desired {
+		return
+	}
+	for i := len(view.replicas) - 1; i >= 0; i-- {
+		replica := view.replicas[i]
+		backEnd := &p.backEnds[replica.backEnd]
+		if replica.entry.Since == 0 || p.touched[backEnd.Name] || slices.Contains(view.model.Model.Pins, backEnd.Name) {
+			continue
+		}
+		if !p.stayedLongEnough(replica) {
+			continue
+		}
+		if replica.entry.Anchor {
+			continue
+		}
+		p.emit(Operation{
+			Kind: OperationRelease, BackEnd: backEnd.Name, IfVersion: backEnd.Version, Artifact: view.weights,
+			Reason: fmt.Sprintf("%d replicas are enough for demand %.1f", view.desired, view.model.Demand.Slow),
+		})
+		return
+	}
+	p.trimAnchor(view)
+}
+
+// trimAnchor starts to give up an anchor above the minimum, such as one on a
+// back end that came back after its models were placed elsewhere.
+func (p *plan) trimAnchor(view *modelView) {
+	anchors := 0
+	last := -1
+	for i, replica := range view.replicas {
+		name := p.backEnds[replica.backEnd].Name
+		if !replica.entry.Anchor {
+			continue
+		}
+		anchors++
+		movable := p.stayedLongEnough(replica) && !p.touched[name] && replica.entry.Since != 0
+		if movable && !slices.Contains(view.model.Model.Pins, name) {
+			last = i
+		}
+	}
+	if anchors <= max(view.model.Model.MinReplicas, len(view.model.Model.Pins)) || last < 0 {
+		return
+	}
+	p.retireOne(view, view.replicas[last], "more anchors than needed")
+}
+
+func (p *plan) stayedLongEnough(replica holding) bool {
+	spare := p.snapshot.Settings.SpareFraction * float64(p.totalBytes)
+	if float64(p.totalFree) < spare/2 {
+		return true
+	}
+	stayed := p.snapshot.Now.UnixMilli() - replica.entry.Since
+	return stayed >= p.snapshot.Settings.MinimumStay.Milliseconds()
+}
+
+// releaseDeleted releases everything of a model that no longer exists.
+func (p *plan) releaseDeleted(name string) {
+	for _, held := range p.byModel[name] {
+		backEnd := &p.backEnds[held.backEnd]
+		if held.entry.Phase != api.PhaseHeld || p.touched[backEnd.Name] {
+			continue
+		}
+		p.emit(Operation{
+			Kind: OperationRelease, BackEnd: backEnd.Name, IfVersion: backEnd.Version,
+			Artifact: held.entry.Artifact, Reason: "model deleted",
+		})
+	}
+}
+
+// emit adds an operation. Reservations on the same record are merged into one
+// write by the caller; every other operation is the only one on its record in
+// this round, because its condition was checked on the record as it is.
+func (p *plan) emit(operation Operation) {
+	if operation.Kind != OperationAdd {
+		p.touched[operation.BackEnd] = true
+	}
+	p.operations = append(p.operations, operation)
+}
--- /dev/null
+++ b/route/picker.go
@@ -0,0 +1,98 @@
+package route
+
+import (
+	"math"
+	"time"
+)
+
+// Picker chooses a candidate by filters and scorers.
+type Picker struct {
+	filters []Filter
+	scorers []Scorer
+}
+
+// NewPicker returns a picker with the given parts.
+func NewPicker(filters []Filter, scorers []Scorer) *Picker {
+	return &Picker{filters: filters, scorers: scorers}
+}
+
+// DefaultPicker returns the picker that daemons use.
+func DefaultPicker(index *PrefixIndex) *Picker {
+	return NewPicker(
+		[]Filter{NotExcluded{}, HasAdapter{}},
+		[]Scorer{
+			LoadScorer{HalfLife: 4 * time.Second},
+			PrefixScorer{Index: index, Bonus: 0.5},
+			ZoneScorer{Cost: 0.1},
+			StateScorer{NotObservedCost: 4, OldVersionCost: 8, DrainingCost: 16},
+		},
+	)
+}
+
+const (
+	// scoredCandidates is how many candidates are scored; with more, a random
+	// window of this length is, which keeps the cost of a choice bounded and
+	// keeps daemons that see the same reports from all choosing the same.
+	scoredCandidates = 8
+)
+
+// Pick returns the best candidate for a request, or nil.
+func (p *Picker) Pick(now time.Time, model *Model, request *Request) *Candidate {
+	count := len(model.Candidates)
+	if count == 0 {
+		return nil
+	}
+	start := int(request.Random % uint64(count))
+	var best *Candidate
+	bestScore := math.Inf(1)
+	scored := 0
+	for offset := range count {
+		candidate := &model.Candidates[(start+offset)%count]
+		if !p.allows(request, candidate) {
+			continue
+		}
+		score := p.score(now, request, candidate)
+		if score < bestScore {
+			best, bestScore = candidate, score
+		}
+		scored++
+		if scored == scoredCandidates {
+			break
+		}
+	}
+	return best
+}
+
+func (p *Picker) allows(request *Request, candidate *Candidate) bool {
+	for _, filter := range p.filters {
+		if !filter.Allows(request, candidate) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Picker) score(now time.Time, request *Request, candidate *Candidate) float64 {
+	total := 0.0
+	for _, scorer := range p.scorers {
+		total += scorer.Score(now, request, candidate)
+	}
+	return total
+}
+
+// PickMachine returns the machine of a service with the fewest own requests
+// in progress that was not excluded, or nil.
+func PickMachine(service *Service, request *Request) *BackEnd {
+	count := len(service.Machines)
+	var best *BackEnd
+	for offset := range count {
+		machine := service.Machines[(int(request.Random%uint64(count))+offset)%count]
+		if request.Excludes(machine.Load) {
+			continue
+		}
+		if best == nil || machine.Load.InFlight() < best.Load.InFlight() {
+			best = machine
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/route/scorer.go
@@ -0,0 +1,80 @@
+package route
+
+import (
+	"math"
+	"time"
+)
+
+// Scorer rates a candidate; lower is better. Scores of all scorers are summed.
+// One unit is the cost of a whole batch of waiting requests.
+type Scorer interface {
+	Score(now time.Time, request *Request, candidate *Candidate) float64
+}
+
+// LoadScorer rates by expected load for each batch slot.
+type LoadScorer struct {
+	// HalfLife is the age at which a report of others' load counts half.
+	HalfLife time.Duration
+}
+
+// Score implements Scorer.
+func (s LoadScorer) Score(now time.Time, _ *Request, candidate *Candidate) float64 {
+	backEnd := candidate.BackEnd
+	others := backEnd.OthersLoad
+	if others > 0 {
+		age := now.Sub(backEnd.ReportedAt)
+		others *= math.Exp2(-age.Seconds() / s.HalfLife.Seconds())
+	}
+	return (others + float64(backEnd.Load.InFlight())) / float64(backEnd.slots())
+}
+
+// PrefixScorer favours the back end that last got the longest known prefix.
+type PrefixScorer struct {
+	Index *PrefixIndex
+	// Bonus is taken off the score for a match of all blocks.
+	Bonus float64
+}
+
+// Score implements Scorer.
+func (s PrefixScorer) Score(_ time.Time, request *Request, candidate *Candidate) float64 {
+	matched := s.Index.Match(&request.Prefix, candidate.BackEnd.Load.ID)
+	if matched == 0 {
+		return 0
+	}
+	return -s.Bonus * float64(matched) / float64(request.Prefix.Count)
+}
+
+// ZoneScorer adds a cost for leaving the zone.
+type ZoneScorer struct{ Cost float64 }
+
+// Score implements Scorer.
+func (s ZoneScorer) Score(_ time.Time, request *Request, candidate *Candidate) float64 {
+	if request.Zone == candidate.BackEnd.Zone {
+		return 0
+	}
+	return s.Cost
+}
+
+// StateScorer adds a cost for replicas that were not observed to serve or that
+// hold a version other than the configured one. They are used only when
+// nothing better is left.
+type StateScorer struct {
+	NotObservedCost float64
+	OldVersionCost  float64
+	DrainingCost    float64
+}
+
+// Score implements Scorer.
+func (s StateScorer) Score(_ time.Time, _ *Request, candidate *Candidate) float64 {
+	cost := 0.0
+	if !candidate.Observed {
+		cost += s.NotObservedCost
+	}
+	if !candidate.Serving {
+		cost += s.OldVersionCost
+	}
+	if candidate.Draining {
+		cost += s.DrainingCost
+	}
+	return cost
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,71 @@
+package route
+
+import (
+	"time"
+
+	"github.com/wheatweir/wheatweir/api"
+)
+
+// Table is an immutable view of what serves which model and service.
+type Table struct {
+	Models   map[string]*Model
+	Services map[string]*Service
+}
+
+// Model is one model with the back ends that may serve it.
+type Model struct {
+	Spec       api.Model
+	Candidates []Candidate
+}
+
+// Slots returns the batch slots of all candidates.
+func (m *Model) Slots() int {
+	total := 0
+	for i := range m.Candidates {
+		total += m.Candidates[i].BackEnd.slots()
+	}
+	return total
+}
+
+// Candidate is one replica of a model version.
+type Candidate struct {
+	BackEnd *BackEnd
+	Version string
+	// Serving says that the version is the one configured for new requests.
+	Serving bool
+	// Observed says that a recent report shows the weights in memory.
+	Observed bool
+	// Draining says that an operator wants the back end empty. It is used
+	// only while nothing else serves the model.
+	Draining bool
+	// Adapters lists the adapters that are known, or assumed, to be there.
+	Adapters []string
+}
+
+// BackEnd is one engine as routing sees it.
+type BackEnd struct {
+	Name    string
+	Address string
+	Zone    string
+	Load    *Load
+	// OthersLoad is the reported load less this daemon's own at that time.
+	OthersLoad float64
+	ReportedAt time.Time
+	Slots      int
+}
+
+// defaultSlots is assumed for a back end that has not reported.
+const defaultSlots = 16
+
+func (b *BackEnd) slots() int {
+	if b.Slots > 0 {
+		return b.Slots
+	}
+	return defaultSlots
+}
+
+// Service is one plain service with the machines that run it.
+type Service struct {
+	Spec     api.Service
+	Machines []*BackEnd
+}
