Verify the promises in virtual time under random faults

Cause: nothing showed that the promises hold when things fail.

Change: a simulator that drives the daemons' own control, admission, routing, exchange and ledger code with delays and faults, oracles for eight promises, 'lab verify', and two mechanisms whose need the first runs showed: a daemon that was paused joins anew before it serves, and a planned stop waits until every live daemon has acknowledged it.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -85,7 +85,9 @@
 type Handler interface {
 	// Serve returns an answer, or how the request ended without one.
 	Serve(ctx context.Context, call *Call) (*Answer, outcome.Result)
-	Addresses(model string) AddressesAnswer
+	// Addresses returns the addresses for a model, or false if this daemon
+	// does not know enough to tell.
+	Addresses(model string) (AddressesAnswer, bool)
 	Models() []api.Model
 	// Ready reports whether callers should be sent here.
 	Ready() bool
--- a/caller/errors.go
+++ b/caller/errors.go
@@ -36,7 +36,7 @@
 	outcome.ReasonNoReplica:      fiber.StatusServiceUnavailable,
 	outcome.ReasonQueueFull:      fiber.StatusTooManyRequests,
 	outcome.ReasonDeadline:       fiber.StatusServiceUnavailable,
-	outcome.ReasonStopping:       fiber.StatusServiceUnavailable,
+	outcome.ReasonStarting:       fiber.StatusServiceUnavailable,
 	outcome.ReasonKeyUsed:        fiber.StatusConflict,
 	outcome.ReasonKeyUnavailable: fiber.StatusServiceUnavailable,
 	outcome.ReasonConnect:        fiber.StatusServiceUnavailable,
--- a/caller/server.go
+++ b/caller/server.go
@@ -40,6 +40,7 @@
 	idPrefix string
 	nextID   atomic.Uint64
 	active   atomic.Int64
+	lastCall atomic.Int64
 }
 
 // Listen starts a server on an "IP:port" address. The name makes request
@@ -79,6 +80,11 @@
 // Active returns the number of calls in progress, streams included.
 func (s *Server) Active() int64 { return s.active.Load() }
 
+// QuietFor returns how long ago the last call began.
+func (s *Server) QuietFor() time.Duration {
+	return time.Since(time.Unix(0, s.lastCall.Load()))
+}
+
 // Close stops listening and ends open connections.
 func (s *Server) Close() {
 	s.cancel()
@@ -156,6 +162,7 @@
 // serve runs a call and sends its answer.
 func (s *Server) serve(c *fiber.Ctx, call *Call) error {
 	s.active.Add(1)
+	s.lastCall.Store(call.ArrivedAt.UnixNano())
 	ctx, release := s.hangups.add(c.Context().Conn())
 	end := func() {
 		release()
@@ -235,7 +242,11 @@
 
 func (s *Server) addresses(c *fiber.Ctx) error {
 	reference := api.ParseModelReference(c.Query("model"))
-	return c.JSON(s.handler.Addresses(reference.Model))
+	answer, known := s.handler.Addresses(reference.Model)
+	if !known {
+		return writeError(c, outcome.Refuse(outcome.ReasonStarting, time.Second))
+	}
+	return c.JSON(answer)
 }
 
 func (s *Server) ready(c *fiber.Ctx) error {
--- a/cmd/wheatweir/lab.go
+++ b/cmd/wheatweir/lab.go
@@ -19,6 +19,7 @@
 func addLabCommands(app *kingpin.Application) {
 	lab := app.Command("lab", "Stand-ins, load, faults and experiments.")
 	addDemo(lab)
+	addVerify(lab)
 }
 
 // openLog opens a log file, or drops logs if no path is given.
--- a/control/backends.go
+++ b/control/backends.go
@@ -17,9 +17,13 @@
 
 // backEndState is what this daemon knows of one back end.
 type backEndState struct {
-	report   api.Report
-	known    bool
-	at       time.Time
+	report api.Report
+	known  bool
+	at     time.Time
+	// aged says that the routing view no longer counts the report.
+	aged bool
+	// health is the health that the routing view was made with.
+	health   placement.Health
 	polling  bool
 	nextPoll time.Time
 	failures int
@@ -55,7 +59,7 @@
 			delete(n.interest, model)
 			continue
 		}
-		for _, name := range n.catalog.holders(model) {
+		for _, name := range sortedNames(n.catalog.holdersOf[model]) {
 			if state := n.backEnds[name]; state == nil || now.Sub(state.at) > 2*n.settings.PollInterval {
 				n.pollIfDue(now, name)
 			}
@@ -78,21 +82,6 @@
 	n.do(Poll{BackEnd: name, Address: machine.Address})
 }
 
-// holders returns the back ends whose records hold weights of a model.
-func (c *catalog) holders(model string) []string {
-	var names []string
-	for name, known := range c.placements {
-		for _, entry := range known.placement.Entries {
-			if entry.Artifact.Model == model && entry.Artifact.Adapter == "" && entry.Phase == api.PhaseHeld {
-				names = append(names, name)
-				break
-			}
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
 // Interested notes that this daemon got a request for a model.
 func (n *Node) Interested(now time.Time, model string) {
 	if n.isHome(model) {
@@ -151,7 +140,9 @@
 	state.report = report
 	state.known = true
 	state.at = now
+	state.aged = false
 	n.revision++
+	n.catalog.markBackEnd(report.BackEnd)
 	health := member.BackEndUp
 	if report.Leaving || n.catalog.machines[report.BackEnd].State == leavingMachine {
 		health = member.BackEndLeaving
--- a/control/catalog.go
+++ b/control/catalog.go
@@ -13,6 +13,10 @@
 	services   map[string]api.Service
 	machines   map[string]api.Machine
 	placements map[string]placementEntry
+	// holdersOf lists, for each model, the back ends whose records name it.
+	holdersOf map[string]map[string]bool
+	// dirty names the models whose routing view is out of date.
+	dirty map[string]bool
 	// engines caches the sorted names of engine machines.
 	engines []string
 	// acting caches the engines that this daemon acts for.
@@ -39,16 +43,44 @@
 		services:     map[string]api.Service{},
 		machines:     map[string]api.Machine{},
 		placements:   map[string]placementEntry{},
+		holdersOf:    map[string]map[string]bool{},
+		dirty:        map[string]bool{},
 		actingStale:  true,
 		plannedStale: true,
 	}
 }
 
+// dropDuties forgets who acts for what, after the members have changed.
 func (c *catalog) dropDuties() {
 	c.actingStale = true
 	c.plannedStale = true
 }
 
+// markBackEnd marks the models on a back end as out of date for routing.
+func (c *catalog) markBackEnd(name string) {
+	for _, entry := range c.placements[name].placement.Entries {
+		c.dirty[entry.Artifact.Model] = true
+	}
+}
+
+// setPlacement replaces the record of a back end.
+func (c *catalog) setPlacement(name string, fresh placementEntry) {
+	c.markBackEnd(name)
+	for _, entry := range c.placements[name].placement.Entries {
+		delete(c.holdersOf[entry.Artifact.Model], name)
+	}
+	c.placements[name] = fresh
+	for _, entry := range fresh.placement.Entries {
+		holders := c.holdersOf[entry.Artifact.Model]
+		if holders == nil {
+			holders = map[string]bool{}
+			c.holdersOf[entry.Artifact.Model] = holders
+		}
+		holders[name] = true
+	}
+	c.markBackEnd(name)
+}
+
 // learn decodes objects that changed and notes what depends on them.
 func (n *Node) learn(changed []api.Key) {
 	if len(changed) == 0 {
@@ -62,10 +94,11 @@
 			n.decide("config", "Object ignored.", "object", key.String(), "version", object.Version, "error", err)
 		}
 		machines = machines || key.Kind == api.KindMachine
+		n.catalog.plannedStale = n.catalog.plannedStale || key.Kind == api.KindModel
 	}
-	n.catalog.dropDuties()
 	if machines {
 		n.catalog.engines = nil
+		n.catalog.actingStale = true
 		n.updateSeeds()
 	}
 }
@@ -73,6 +106,7 @@
 func (c *catalog) take(object api.Object, live bool) error {
 	switch object.Kind {
 	case api.KindModel:
+		c.dirty[object.Name] = true
 		if !live {
 			c.models[object.Name] = modelEntry{model: api.Model{Name: object.Name}, deleted: true}
 			return nil
@@ -85,19 +119,20 @@
 	case api.KindService:
 		return takeInto(c.services, object, live)
 	case api.KindMachine:
+		c.markBackEnd(object.Name)
 		return takeInto(c.machines, object, live)
 	case api.KindPlacement:
 		if !live {
-			c.placements[object.Name] = placementEntry{
+			c.setPlacement(object.Name, placementEntry{
 				placement: api.Placement{BackEnd: object.Name}, version: object.Version,
-			}
+			})
 			return nil
 		}
 		record, err := api.Decode[api.Placement](object)
 		if err != nil {
 			return err
 		}
-		c.placements[object.Name] = placementEntry{placement: record, version: object.Version}
+		c.setPlacement(object.Name, placementEntry{placement: record, version: object.Version})
 	}
 	return nil
 }
--- a/control/node.go
+++ b/control/node.go
@@ -10,6 +10,7 @@
 	"github.com/wheatweir/wheatweir/member"
 	"github.com/wheatweir/wheatweir/rendezvous"
 	"github.com/wheatweir/wheatweir/replica"
+	"github.com/wheatweir/wheatweir/route"
 )
 
 // Node is the control plane of one daemon. It is not safe for concurrent use.
@@ -26,8 +27,11 @@
 	writes   writeState
 	demand   demandState
 	interest map[string]time.Time
+	views    map[string]*route.Model
 	nextPlan time.Time
 	actions  []Action
+	join     joinState
+	leave    leaveState
 	// revision changes with everything that routing depends on.
 	revision uint64
 }
@@ -51,6 +55,7 @@
 		catalog:  newCatalog(),
 		backEnds: map[string]*backEndState{},
 		interest: map[string]time.Time{},
+		views:    map[string]*route.Model{},
 	}
 	node.writes.pending = map[api.Key]*pendingWrite{}
 	node.demand.local = map[string]*average{}
@@ -69,9 +74,6 @@
 // Store returns the node's copy of the platform's objects.
 func (n *Node) Store() *replica.Store { return n.store }
 
-// Leave announces a planned stop of this daemon.
-func (n *Node) Leave() { n.detector.Leave() }
-
 // SetSeeds names peer addresses to join through, besides the machine list.
 func (n *Node) SetSeeds(addresses []string) {
 	n.spread.configuredSeeds = addresses
@@ -80,10 +82,12 @@
 
 // Tick does what is due. It should be called about every 100 ms.
 func (n *Node) Tick(now time.Time) []Action {
+	n.tickJoin(now)
 	for _, packet := range n.detector.Tick(now) {
 		n.sendProbe(packet)
 	}
 	n.refreshDuties()
+	n.tickLeave(now)
 	n.tickWatch(now)
 	n.tickPolls(now)
 	n.tickDemand(now)
@@ -103,6 +107,7 @@
 			n.sendProbe(packet)
 		}
 		n.refreshDuties()
+		n.noteLeaveAck(message.Probe)
 	}
 	if message.Delta != nil {
 		n.learn(n.store.Apply(*message.Delta))
--- a/control/settings.go
+++ b/control/settings.go
@@ -11,6 +11,12 @@
 type Settings struct {
 	Member    member.Settings
 	Placement placement.Settings
+	// JoinWait is how long a daemon that has just started listens to others
+	// before it serves.
+	JoinWait time.Duration
+	// PauseLimit is the time without a tick after which this daemon takes
+	// itself for paused and joins anew.
+	PauseLimit time.Duration
 	// PollInterval is the time between two polls of a back end.
 	PollInterval time.Duration
 	// PollFailures is how many polls in a row must fail before a back end is
@@ -49,6 +55,8 @@
 	return Settings{
 		Member:           member.DefaultSettings(),
 		Placement:        placement.DefaultSettings(),
+		JoinWait:         2 * time.Second,
+		PauseLimit:       2 * time.Second,
 		PollInterval:     time.Second,
 		PollFailures:     3,
 		PlanInterval:     time.Second,
--- a/control/spread.go
+++ b/control/spread.go
@@ -117,6 +117,7 @@
 // behind asks for the changes; each probe message makes both compare.
 func (n *Node) exchange(message Message) {
 	n.spread.peerThrough[message.From] = message.Through
+	n.join.heard = max(n.join.heard, message.Through)
 	through := n.store.Through()
 	switch {
 	case message.Pull:
--- a/control/table.go
+++ b/control/table.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -17,44 +18,70 @@
 // Revision changes whenever Table would return something else.
 func (n *Node) Revision() uint64 { return n.revision + n.detector.Revision() }
 
-// Table returns the routing view of what is known now.
+// Table returns the routing view of what is known now. Only the models whose
+// back ends changed are worked out anew; the others are shared with the last
+// table.
 func (n *Node) Table(now time.Time, loads *route.Loads) *route.Table {
+	n.markChangedHealth(now)
+	for name := range n.catalog.dirty {
+		n.rebuildView(now, loads, name)
+	}
+	clear(n.catalog.dirty)
 	table := &route.Table{
-		Models:   make(map[string]*route.Model, len(n.catalog.models)),
+		Models:   maps.Clone(n.views),
 		Services: make(map[string]*route.Service, len(n.catalog.services)),
 	}
-	for name, entry := range n.catalog.models {
-		if !entry.deleted {
-			table.Models[name] = &route.Model{Spec: entry.model}
-		}
-	}
-	for _, name := range sortedNames(n.catalog.placements) {
-		n.addCandidates(now, table, loads, name)
-	}
 	for name, service := range n.catalog.services {
 		table.Services[name] = n.serviceView(service, loads)
 	}
 	return table
 }
 
-// addCandidates adds the replicas of one back end. A back end that is leaving
-// is left out, whatever its record says.
-func (n *Node) addCandidates(now time.Time, table *route.Table, loads *route.Loads, name string) {
+// markChangedHealth marks the back ends whose health changed, or whose report
+// has become too old, since the last table.
+func (n *Node) markChangedHealth(now time.Time) {
+	for _, name := range n.catalog.engineNames() {
+		state := n.backEnd(name)
+		health := n.health(name)
+		aged := state.known && now.Sub(state.at) >= observationAge
+		if health != state.health || aged && !state.aged {
+			state.health = health
+			state.aged = aged
+			n.catalog.markBackEnd(name)
+		}
+	}
+}
+
+func (n *Node) rebuildView(now time.Time, loads *route.Loads, name string) {
+	entry, found := n.catalog.models[name]
+	if !found || entry.deleted {
+		delete(n.views, name)
+		return
+	}
+	view := &route.Model{Spec: entry.model}
+	for _, holder := range sortedNames(n.catalog.holdersOf[name]) {
+		n.addCandidates(now, view, loads, holder)
+	}
+	n.views[name] = view
+}
+
+// addCandidates adds the replicas of a model on one back end. A back end that
+// is leaving is left out, whatever its record says.
+func (n *Node) addCandidates(now time.Time, model *route.Model, loads *route.Loads, name string) {
 	if n.health(name) != placement.Up {
 		return
 	}
 	record := n.catalog.placements[name].placement
-	backEnd := n.backEndView(name, loads)
+	var backEnd *route.BackEnd
 	state := n.backEnds[name]
 	fresh := state != nil && state.known && now.Sub(state.at) < observationAge
 	for i := range record.Entries {
 		entry := &record.Entries[i]
-		if entry.Artifact.Adapter != "" || entry.Phase != api.PhaseHeld {
+		if entry.Artifact.Model != model.Spec.Name || entry.Artifact.Adapter != "" || entry.Phase != api.PhaseHeld {
 			continue
 		}
-		model := table.Models[entry.Artifact.Model]
-		if model == nil {
-			continue
+		if backEnd == nil {
+			backEnd = n.backEndView(name, loads)
 		}
 		model.Candidates = append(model.Candidates, route.Candidate{
 			BackEnd:  backEnd,
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -53,6 +53,8 @@
 		case now := <-ticker.C:
 			d.observe(now)
 			d.perform(d.node.Tick(now))
+			d.caughtUp.Store(d.node.CaughtUp(now))
+			d.lastTick.Store(time.Now().UnixNano())
 		case happened := <-d.events.Items():
 			d.perform(happened(d.node, time.Now()))
 		case model := <-d.interests.Items():
--- a/daemon/queries.go
+++ b/daemon/queries.go
@@ -32,12 +32,6 @@
 	return names
 }
 
-func (d *Daemon) addressQuestion(model string, answer *caller.AddressesAnswer) func(*control.Node) {
-	return func(node *control.Node) {
-		answer.Addresses = node.Addresses(model, d.settings.Daemon.Zone)
-	}
-}
-
 // WriteMetrics implements caller.Handler.
 func (d *Daemon) WriteMetrics(w io.Writer) error { return d.metrics.write(w) }
 
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -9,6 +9,7 @@
 	"github.com/wheatweir/wheatweir/admit"
 	"github.com/wheatweir/wheatweir/api"
 	"github.com/wheatweir/wheatweir/caller"
+	"github.com/wheatweir/wheatweir/control"
 	"github.com/wheatweir/wheatweir/engine"
 	"github.com/wheatweir/wheatweir/exchange"
 	"github.com/wheatweir/wheatweir/outcome"
@@ -20,6 +21,8 @@
 const (
 	// noReplicaRetry is when to come back for a model that nothing serves now.
 	noReplicaRetry = 2 * time.Second
+	// startingRetry is when to come back to a daemon that has just started.
+	startingRetry = time.Second
 	// maxAnswerBytes bounds an answer that is not streamed.
 	maxAnswerBytes = 16 << 20
 	// backoffBase and backoffLimit bound the pause between two attempts.
@@ -29,6 +32,11 @@
 
 // Serve implements caller.Handler.
 func (d *Daemon) Serve(ctx context.Context, call *caller.Call) (*caller.Answer, outcome.Result) {
+	if !d.knowsEnough() {
+		result := outcome.Refuse(outcome.ReasonStarting, startingRetry)
+		d.settle(call, result)
+		return nil, result
+	}
 	var answer *caller.Answer
 	var result outcome.Result
 	if call.Service != "" {
@@ -42,6 +50,14 @@
 	return answer, result
 }
 
+// knowsEnough reports whether this daemon has caught up with the others and its
+// control duty has run lately. After a pause of the process it is false until
+// the control duty has caught up anew.
+func (d *Daemon) knowsEnough() bool {
+	lastTick := time.Unix(0, d.lastTick.Load())
+	return d.caughtUp.Load() && time.Since(lastTick) <= d.settings.Control.PauseLimit
+}
+
 // settle logs and counts the final result of a request.
 func (d *Daemon) settle(call *caller.Call, result outcome.Result) {
 	d.metrics.outcomes[result.Kind].Inc(1)
@@ -285,12 +301,16 @@
 }
 
 // Addresses implements caller.Handler.
-func (d *Daemon) Addresses(model string) caller.AddressesAnswer {
+func (d *Daemon) Addresses(model string) (caller.AddressesAnswer, bool) {
 	answer := caller.AddressesAnswer{Model: model, KeepSeconds: int(d.settings.Requests.AddressKeep.Seconds())}
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
-	d.ask(ctx, d.addressQuestion(model, &answer))
-	return answer
+	known := false
+	d.ask(ctx, func(node *control.Node) {
+		known = node.CaughtUp(time.Now())
+		answer.Addresses = node.Addresses(model, d.settings.Daemon.Zone)
+	})
+	return answer, known
 }
 
 // Models implements caller.Handler.
@@ -304,4 +324,4 @@
 }
 
 // Ready implements caller.Handler.
-func (d *Daemon) Ready() bool { return !d.stopping.Load() && len(d.table.Load().Models) > 0 }
+func (d *Daemon) Ready() bool { return !d.stopping.Load() && d.knowsEnough() }
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -54,6 +54,7 @@
 	return Options{
 		Daemons: 3, Engines: 4, Services: 2, Zones: 3, Store: store, Engine: engine.DefaultSettings, Log: log,
 		Adjust: func(s *settings.Settings) {
+			s.Control.JoinWait = 500 * time.Millisecond
 			s.Control.PollInterval = 200 * time.Millisecond
 			s.Control.PlanInterval = 200 * time.Millisecond
 			s.Control.Member.ProbeInterval = 200 * time.Millisecond
--- a/member/detector.go
+++ b/member/detector.go
@@ -356,6 +356,13 @@
 	}
 }
 
+// Tell returns a direct probe of one member, which tells it of this daemon's
+// own state. Its acknowledgement comes like any other.
+func (d *Detector) Tell(name string) Packet {
+	d.sequence++
+	return Packet{d.members[name].PeerAddress, d.message(Ping, d.sequence)}
+}
+
 // Receive takes in a message and returns the messages to send in answer.
 func (d *Detector) Receive(now time.Time, message Message) []Packet {
 	stranger := d.isStranger(message.Sender)
@@ -388,7 +395,8 @@
 // the news about older members is no longer going round.
 func (d *Detector) ackFor(message Message, stranger bool) Message {
 	ack := d.message(Ack, message.Sequence)
-	if known, found := d.members[message.Sender.Name]; found && known.State >= Suspect {
+	ack.SenderKnows = d.members[message.Sender.Name].State
+	if known := d.members[message.Sender.Name]; known.State >= Suspect {
 		ack.Members = append(ack.Members, known.Member)
 	}
 	if stranger {
--- a/member/types.go
+++ b/member/types.go
@@ -90,9 +90,12 @@
 	// Target is the peer address to probe, in a PingRequest.
 	Target string `msgpack:"t,omitempty"`
 	// Sender lets a receiver that does not know the sender learn of it.
-	Sender   Member    `msgpack:"f"`
-	Members  []Member  `msgpack:"m,omitempty"`
-	BackEnds []BackEnd `msgpack:"b,omitempty"`
+	Sender Member `msgpack:"f"`
+	// SenderKnows is, in an Ack, the state in which the answering daemon now
+	// holds the one that asked.
+	SenderKnows State     `msgpack:"w,omitempty"`
+	Members     []Member  `msgpack:"m,omitempty"`
+	BackEnds    []BackEnd `msgpack:"b,omitempty"`
 }
 
 // Packet is a message with the peer address that it goes to.
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -40,7 +40,7 @@
 	ReasonNoReplica      Reason = "no_replica"
 	ReasonQueueFull      Reason = "queue_full"
 	ReasonDeadline       Reason = "deadline"
-	ReasonStopping       Reason = "stopping"
+	ReasonStarting       Reason = "starting"
 	ReasonKeyUsed        Reason = "request_key_used"
 	ReasonKeyUnavailable Reason = "request_key_unavailable"
 	ReasonConnect        Reason = "connect_failed"
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -94,6 +94,9 @@
 	// retiring are the other held entries: old versions, entries marked as
 	// moving, and entries on back ends that are drained or leaving.
 	retiring []holding
+	// released says that a release was planned in this round. One at a time
+	// keeps two releases from counting on each other.
+	released bool
 }
 
 func (p *plan) view(model *Model) *modelView {
@@ -387,10 +390,11 @@
 		})
 		return
 	}
-	relied, serving := p.servingAnchors(view, held.backEnd)
-	if serving < min(view.model.Model.MinReplicas, max(len(view.replicas), 1)) {
+	relied, serving := p.servingWithout(view, held.backEnd)
+	if relied == "" || serving < view.model.Model.MinReplicas || view.released {
 		return
 	}
+	view.released = true
 	p.emit(Operation{
 		Kind: OperationRelease, BackEnd: backEnd.Name, IfVersion: backEnd.Version,
 		Artifact: held.entry.Artifact, Reason: reason,
@@ -398,17 +402,27 @@
 	})
 }
 
-// servingAnchors counts the anchors observed to serve, other than on one back
-// end, and names one of them.
-func (p *plan) servingAnchors(view *modelView, except int) (string, int) {
+// servingWithout counts the replicas observed to serve, other than those on
+// one back end, and names an anchor among them that is there to stay. Replicas
+// that are to go count while they serve, so that an old version can make room
+// for a new one step by step.
+func (p *plan) servingWithout(view *modelView, except int) (string, int) {
 	name, count := "", 0
 	for _, replica := range view.replicas {
 		backEnd := &p.backEnds[replica.backEnd]
-		if replica.backEnd == except || !replica.entry.Anchor || !backEnd.serves(view.weights) {
+		if replica.backEnd == except || !backEnd.serves(view.weights) {
 			continue
 		}
-		name = backEnd.Name
 		count++
+		if replica.entry.Anchor {
+			name = backEnd.Name
+		}
+	}
+	for _, held := range view.retiring {
+		backEnd := &p.backEnds[held.backEnd]
+		if held.backEnd != except && backEnd.Health == Up && backEnd.serves(held.entry.Artifact) {
+			count++
+		}
 	}
 	return name, count
 }
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -54,6 +54,9 @@
 		integer("membership", "suspicion_intervals", &m.SuspicionIntervals, 1, 100),
 		integer("membership", "helpers", &m.Helpers, 0, 16),
 
+		duration("membership", "join_wait", &c.JoinWait, 0, time.Minute),
+		duration("membership", "pause_limit", &c.PauseLimit, 500*time.Millisecond, time.Minute),
+
 		number("placement", "attainment_weight", &p.Weights.Attainment, 0, 1000),
 		number("placement", "moves_weight", &p.Weights.Moves, 0, 1000),
 		number("placement", "target_utilization", &p.TargetUtilization, 0.05, 1),
