Keep the news of a planned stop apart from the suspicion of a member

Ruled out: paused daemons answering from an old view (they join anew), and answers that outlive the wait (the wait counts from the last acknowledgement).

Change: Leaving is a flag of its own that is kept at merges.

--- a/control/leave.go
+++ b/control/leave.go
@@ -60,7 +60,7 @@
 
 // noteLeaveAck notes that a member has answered since the stop began.
 func (n *Node) noteLeaveAck(message *member.Message) {
-	if n.leave.leaving && message.Kind == member.Ack && message.SenderKnows == member.Leaving {
+	if n.leave.leaving && message.Kind == member.Ack && message.KnowsLeaving {
 		n.leave.told[message.Sender.Name] = true
 	}
 }
--- a/control/node.go
+++ b/control/node.go
@@ -160,7 +160,7 @@
 	var all []string
 	for _, name := range n.detector.Live() {
 		known, _ := n.detector.Lookup(name)
-		if known.State == member.Leaving {
+		if known.Leaving {
 			continue
 		}
 		all = append(all, name)
--- a/daemon/queries.go
+++ b/daemon/queries.go
@@ -14,6 +14,7 @@
 	"github.com/wheatweir/wheatweir/api"
 	"github.com/wheatweir/wheatweir/caller"
 	"github.com/wheatweir/wheatweir/control"
+	"github.com/wheatweir/wheatweir/member"
 	"github.com/wheatweir/wheatweir/operator"
 	"github.com/wheatweir/wheatweir/outcome"
 	"github.com/wheatweir/wheatweir/placement"
@@ -217,8 +218,12 @@
 func daemonRows(node *control.Node) *operator.Result {
 	result := &operator.Result{Columns: []string{"daemon", "zone", "state", "callers", "peers", "incarnation"}}
 	for _, known := range node.Members() {
+		state := known.State.String()
+		if known.Leaving && known.State == member.Alive {
+			state = "leaving"
+		}
 		result.Rows = append(result.Rows, []string{
-			known.Name, known.Zone, known.State.String(), known.CallerAddress, known.PeerAddress, strconv.FormatUint(known.Incarnation, 10),
+			known.Name, known.Zone, state, known.CallerAddress, known.PeerAddress, strconv.FormatUint(known.Incarnation, 10),
 		})
 	}
 	return result
--- a/lab/sim/oracle.go
+++ b/lab/sim/oracle.go
@@ -12,8 +12,8 @@
 // told and what each engine ran.
 type Oracle struct {
 	calls []*callRecord
-	// acceptedAt is when each configuration object version was accepted.
-	configuration []acceptedWrite
+	// Accepted, if set, is told of each write that the platform accepted.
+	Accepted func(object api.Object)
 	// CutByStop counts calls that a planned stop cut off or turned away at an
 	// address that the caller was still allowed to keep.
 	CutByStop int
@@ -23,12 +23,6 @@
 	WorkAtLeaving       int
 }
 
-type acceptedWrite struct {
-	key     api.Key
-	version uint64
-	at      time.Time
-}
-
 type callRecord struct {
 	call   Call
 	result Result
@@ -48,12 +42,6 @@
 	r.ended = true
 }
 
-func (o *Oracle) accepted(now time.Time, object api.Object) {
-	if object.Kind == api.KindModel || object.Kind == api.KindService {
-		o.configuration = append(o.configuration, acceptedWrite{object.Key, object.Version, now})
-	}
-}
-
 func (o *Oracle) workAtLeaving(after time.Duration) {
 	o.WorkAtLeaving++
 	o.LatestWorkAtLeaving = max(o.LatestWorkAtLeaving, after)
--- a/lab/sim/platform.go
+++ b/lab/sim/platform.go
@@ -130,7 +130,9 @@
 		stored, status := p.Core.Put(p.world.Now, object, ifVersion)
 		if status == objectstore.OK {
 			p.history = append(p.history, stored)
-			p.world.Oracle.accepted(p.world.Now, stored)
+			if p.world.Oracle.Accepted != nil {
+				p.world.Oracle.Accepted(stored)
+			}
 			p.wake()
 		}
 		lost := status == objectstore.OK && p.world.Chance(p.LostAnswers)
--- a/lab/verify/checks.go
+++ b/lab/verify/checks.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/wheatweir/wheatweir/api"
-	"github.com/wheatweir/wheatweir/control"
 	"github.com/wheatweir/wheatweir/lab/sim"
 )
 
@@ -22,8 +21,8 @@
 }
 
 // written notes a configuration that the platform accepted.
-func (r *run) written(object api.Object, err control.CallError) {
-	if err != control.CallOK || object.Kind != api.KindModel {
+func (r *run) written(object api.Object) {
+	if object.Kind != api.KindModel {
 		return
 	}
 	r.accepted = append(r.accepted, acceptedChange{object: object, at: r.world.Now})
--- a/lab/verify/run.go
+++ b/lab/verify/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wheatweir/wheatweir/api"
+	"github.com/wheatweir/wheatweir/control"
 	"github.com/wheatweir/wheatweir/lab/sim"
 	"github.com/wheatweir/wheatweir/lab/standin/engine"
 )
@@ -118,6 +119,7 @@
 		versions: map[string]map[api.Key]uint64{},
 		outcome:  &Outcome{Seed: seed, Faults: map[string]int{}, Violations: map[string][]string{}},
 	}
+	r.world.Oracle.Accepted = r.written
 	r.build()
 	r.world.Every(checkInterval, r.check)
 	return r
@@ -181,7 +183,7 @@
 
 func (r *run) writeObject(object api.Object) {
 	current := r.world.Platform.Core.Peek(object.Key)
-	r.world.Platform.Write("operator", object, current.Version, r.written)
+	r.world.Platform.Write("operator", object, current.Version, func(api.Object, control.CallError) {})
 }
 
 func (r *run) scheduleLoad(caller *sim.Caller) {
--- a/member/detector.go
+++ b/member/detector.go
@@ -89,7 +89,7 @@
 
 // Leave announces a planned stop of this daemon.
 func (d *Detector) Leave() {
-	d.self.State = Leaving
+	d.self.Leaving = true
 	d.announceSelf()
 }
 
@@ -395,7 +395,7 @@
 // the news about older members is no longer going round.
 func (d *Detector) ackFor(message Message, stranger bool) Message {
 	ack := d.message(Ack, message.Sequence)
-	ack.SenderKnows = d.members[message.Sender.Name].State
+	ack.KnowsLeaving = d.members[message.Sender.Name].Leaving
 	if known := d.members[message.Sender.Name]; known.State >= Suspect {
 		ack.Members = append(ack.Members, known.Member)
 	}
@@ -429,23 +429,33 @@
 }
 
 // merge takes in news about one member. Higher incarnations win; at the same
-// incarnation the higher state wins.
+// incarnation the higher state wins, and a member that is leaving stays so.
 func (d *Detector) merge(now time.Time, news Member) {
 	if news.Name == d.self.Name {
 		d.refute(news)
 		return
 	}
 	known, found := d.members[news.Name]
+	if !found && news.State == Dead {
+		return
+	}
 	if found {
-		older := news.Incarnation < known.Incarnation
-		same := news.Incarnation == known.Incarnation && news.State <= known.State
-		if older || same {
+		if news.Incarnation < known.Incarnation {
 			return
 		}
-	} else if news.State == Dead {
-		return
+		if news.Incarnation == known.Incarnation {
+			news.State = max(news.State, known.State)
+			news.Leaving = news.Leaving || known.Leaving
+			if news == known.Member {
+				return
+			}
+		}
+	}
+	since := now
+	if found && news.State == known.State {
+		since = known.since
 	}
-	d.members[news.Name] = &entry{Member: news, since: now}
+	d.members[news.Name] = &entry{Member: news, since: since}
 	d.memberNews.add(news.Name, news)
 	d.changed()
 }
--- a/member/types.go
+++ b/member/types.go
@@ -9,13 +9,11 @@
 // States of a member.
 const (
 	Alive State = iota
-	// Leaving means a planned stop has begun: no new callers are sent there.
-	Leaving
 	Suspect
 	Dead
 )
 
-var stateNames = [...]string{"alive", "leaving", "suspect", "dead"}
+var stateNames = [...]string{"alive", "suspect", "dead"}
 
 // String returns the name used in logs and command output.
 func (s State) String() string { return stateNames[s] }
@@ -31,6 +29,10 @@
 	// by the member itself to refute a suspicion.
 	Incarnation uint64 `msgpack:"i"`
 	State       State  `msgpack:"s"`
+	// Leaving means that a planned stop has begun: no new callers are sent
+	// there. It is kept apart from State, since a member that is leaving may
+	// be suspected as well, and it never ends within an incarnation.
+	Leaving bool `msgpack:"l,omitempty"`
 }
 
 // BackEndState is the health of a back end. A higher state wins over a lower
@@ -91,11 +93,11 @@
 	Target string `msgpack:"t,omitempty"`
 	// Sender lets a receiver that does not know the sender learn of it.
 	Sender Member `msgpack:"f"`
-	// SenderKnows is, in an Ack, the state in which the answering daemon now
-	// holds the one that asked.
-	SenderKnows State     `msgpack:"w,omitempty"`
-	Members     []Member  `msgpack:"m,omitempty"`
-	BackEnds    []BackEnd `msgpack:"b,omitempty"`
+	// KnowsLeaving says, in an Ack, that the answering daemon knows that the
+	// one that asked is leaving.
+	KnowsLeaving bool      `msgpack:"w,omitempty"`
+	Members      []Member  `msgpack:"m,omitempty"`
+	BackEnds     []BackEnd `msgpack:"b,omitempty"`
 }
 
 // Packet is a message with the peer address that it goes to.
