Send load alone, on change, and only to daemons that use the model

A profile put 60% of the time into rebuilding routing views after every report, and most bytes into whole reports to every home of every model.

Ruled out: fewer homes (costs callers their second address); slower polls (load would lag more).

Change: load lives in counters that routing tables point to, so a report that changes only load rebuilds nothing; load is sent alone, when it moved by a quarter of the batch slots, to daemons that subscribed because they use the model now; demand is sent on change; views are rebuilt per model.

--- a/cmd/wheatweir/lab.go
+++ b/cmd/wheatweir/lab.go
@@ -20,6 +20,7 @@
 	lab := app.Command("lab", "Stand-ins, load, faults and experiments.")
 	addDemo(lab)
 	addVerify(lab)
+	addScale(lab)
 }
 
 // openLog opens a log file, or drops logs if no path is given.
--- a/control/backends.go
+++ b/control/backends.go
@@ -11,10 +11,6 @@
 
 const leavingMachine = api.MachineLeaving
 
-// interestTime is how long after a request for a model its back ends are
-// polled by a daemon that is not told about them.
-const interestTime = 15 * time.Second
-
 // backEndState is what this daemon knows of one back end.
 type backEndState struct {
 	report api.Report
@@ -28,9 +24,7 @@
 	nextPoll time.Time
 	failures int
 	orders   map[orderKey]time.Time
-	// sent is the report last passed on, and when.
-	sent   api.Report
-	sentAt time.Time
+	share    shareState
 }
 
 type orderKey struct {
@@ -48,23 +42,11 @@
 	return state
 }
 
-// tickPolls polls the engines that this daemon acts for, and those of models
-// that it gets requests for without being told about them.
+// tickPolls polls the engines that this daemon acts for.
 func (n *Node) tickPolls(now time.Time) {
 	for _, name := range n.actingFor() {
 		n.pollIfDue(now, name)
 	}
-	for _, model := range sortedNames(n.interest) {
-		if now.After(n.interest[model]) {
-			delete(n.interest, model)
-			continue
-		}
-		for _, name := range sortedNames(n.catalog.holdersOf[model]) {
-			if state := n.backEnds[name]; state == nil || now.Sub(state.at) > 2*n.settings.PollInterval {
-				n.pollIfDue(now, name)
-			}
-		}
-	}
 	n.removeGoneRecords(now)
 }
 
@@ -82,20 +64,6 @@
 	n.do(Poll{BackEnd: name, Address: machine.Address})
 }
 
-// Interested notes that this daemon got a request for a model.
-func (n *Node) Interested(now time.Time, model string) {
-	if n.isHome(model) {
-		return
-	}
-	n.interest[model] = now.Add(interestTime)
-}
-
-func (n *Node) isHome(model string) bool {
-	self := n.detector.Self()
-	set, found := n.duties.byZone[self.Zone]
-	return found && slices.Contains(set.Top("model/"+model, n.settings.HomesPerZone), self.Name)
-}
-
 // PollAnswered takes in the answer to Poll.
 func (n *Node) PollAnswered(now time.Time, answer PollAnswer) []Action {
 	state := n.backEnd(answer.BackEnd)
@@ -110,7 +78,7 @@
 	n.takeReport(now, answer.Report, true)
 	if acting {
 		n.reconcile(now, answer.BackEnd, machine, state)
-		n.shareReport(now, state)
+		n.shareReport(now, answer.BackEnd, state)
 	}
 	return n.take()
 }
@@ -134,15 +102,17 @@
 // takeReport takes in a report if it is newer than the known one.
 func (n *Node) takeReport(now time.Time, report api.Report, polled bool) {
 	state := n.backEnd(report.BackEnd)
-	if state.known && (report.Boot < state.report.Boot || report.Boot == state.report.Boot && report.Sequence <= state.report.Sequence) {
+	if state.known && !reportNewer(&report, &state.report) {
 		return
 	}
+	if !state.known || state.aged || !sameStructure(&state.report, &report) {
+		n.revision++
+		n.catalog.markBackEnd(report.BackEnd)
+	}
 	state.report = report
 	state.known = true
-	state.at = now
 	state.aged = false
-	n.revision++
-	n.catalog.markBackEnd(report.BackEnd)
+	n.noteLoad(now, state)
 	health := member.BackEndUp
 	if report.Leaving || n.catalog.machines[report.BackEnd].State == leavingMachine {
 		health = member.BackEndLeaving
@@ -153,6 +123,24 @@
 	}
 }
 
+func (n *Node) noteLoad(now time.Time, state *backEndState) {
+	state.at = now
+	report := &state.report
+	n.loads.Get(report.BackEnd).SetReport(report.Running+report.Waiting, report.Slots, now)
+}
+
+func reportNewer(report, known *api.Report) bool {
+	if report.Boot != known.Boot {
+		return report.Boot > known.Boot
+	}
+	return report.Sequence > known.Sequence
+}
+
+// sameStructure reports whether two reports differ in load only.
+func sameStructure(a, b *api.Report) bool {
+	return a.Boot == b.Boot && a.Leaving == b.Leaving && a.Slots == b.Slots && slices.Equal(a.Residents, b.Residents)
+}
+
 // reconcile makes the engine follow its record.
 func (n *Node) reconcile(now time.Time, name string, machine api.Machine, state *backEndState) {
 	known, found := n.catalog.placements[name]
@@ -204,54 +192,6 @@
 	}
 }
 
-// shareReport passes a report on to the daemons that route or plan the models
-// on the back end, if it says something new or the last is getting old.
-func (n *Node) shareReport(now time.Time, state *backEndState) {
-	if !differs(state.sent, state.report) && now.Sub(state.sentAt) < n.settings.ReportRefresh {
-		return
-	}
-	state.sent = state.report
-	state.sentAt = now
-	for _, name := range n.audience(&state.report) {
-		n.send(n.address(name), Message{Reports: []api.Report{state.report}})
-	}
-}
-
-// audience returns the daemons that want a report: the homes of each model on
-// the back end in every zone, and the daemon that plans the model.
-func (n *Node) audience(report *api.Report) []string {
-	var names []string
-	seen := map[string]bool{}
-	for _, artifact := range report.Residents {
-		if artifact.Adapter != "" || seen[artifact.Model] {
-			continue
-		}
-		seen[artifact.Model] = true
-		key := "model/" + artifact.Model
-		names = append(names, n.duties.daemons.Owner(key))
-		for _, zone := range n.duties.zones {
-			names = append(names, n.duties.byZone[zone].Top(key, n.settings.HomesPerZone)...)
-		}
-	}
-	slices.Sort(names)
-	names = slices.Compact(names)
-	return slices.DeleteFunc(names, func(name string) bool { return name == n.detector.Self().Name })
-}
-
-// loadStep is the change of load that is worth a message.
-const loadStep = 4
-
-func differs(old, fresh api.Report) bool {
-	if old.Boot != fresh.Boot || old.Leaving != fresh.Leaving || old.Fence != fresh.Fence {
-		return true
-	}
-	if !slices.Equal(old.Residents, fresh.Residents) {
-		return true
-	}
-	change := (fresh.Running + fresh.Waiting) - (old.Running + old.Waiting)
-	return change >= loadStep || change <= -loadStep
-}
-
 // removeGoneRecords deletes records of machines that left the machine list.
 func (n *Node) removeGoneRecords(now time.Time) {
 	if now.Before(n.nextPlan) || len(n.catalog.machines) == 0 {
--- a/control/events.go
+++ b/control/events.go
@@ -19,7 +19,21 @@
 	Pull    bool           `msgpack:"l,omitempty"`
 	Delta   *replica.Delta `msgpack:"d,omitempty"`
 	Reports []api.Report   `msgpack:"r,omitempty"`
-	Demand  []ModelDemand  `msgpack:"m,omitempty"`
+	Loads   []LoadReport   `msgpack:"o,omitempty"`
+	// Subscribe names models whose back ends' load the sender wants to hear
+	// of for a while, from the daemon that acts for them.
+	Subscribe []string      `msgpack:"s,omitempty"`
+	Demand    []ModelDemand `msgpack:"m,omitempty"`
+}
+
+// LoadReport is the part of a report that changes often. It adds to the last
+// whole report of the same boot.
+type LoadReport struct {
+	BackEnd  string `msgpack:"n"`
+	BootHash uint32 `msgpack:"b"`
+	Sequence uint64 `msgpack:"s"`
+	Running  int    `msgpack:"u"`
+	Waiting  int    `msgpack:"w"`
 }
 
 // ModelDemand is one daemon's load of one model.
--- a/control/node.go
+++ b/control/node.go
@@ -26,12 +26,16 @@
 	spread   spreadState
 	writes   writeState
 	demand   demandState
-	interest map[string]time.Time
-	views    map[string]*route.Model
-	nextPlan time.Time
-	actions  []Action
-	join     joinState
-	leave    leaveState
+	interest map[string]*interest
+	// subscribers holds, for each model, the peer addresses that want the load
+	// of its back ends, and until when.
+	subscribers map[string]map[string]time.Time
+	views       map[string]*route.Model
+	loads       *route.Loads
+	nextPlan    time.Time
+	actions     []Action
+	join        joinState
+	leave       leaveState
 	// revision changes with everything that routing depends on.
 	revision uint64
 }
@@ -48,17 +52,19 @@
 // New returns a node that knows only itself.
 func New(self member.Member, settings Settings, random *rand.Rand) *Node {
 	node := &Node{
-		settings: settings,
-		random:   random,
-		detector: member.NewDetector(self, settings.Member, random),
-		store:    replica.NewStore(),
-		catalog:  newCatalog(),
-		backEnds: map[string]*backEndState{},
-		interest: map[string]time.Time{},
-		views:    map[string]*route.Model{},
+		settings:    settings,
+		random:      random,
+		detector:    member.NewDetector(self, settings.Member, random),
+		store:       replica.NewStore(),
+		catalog:     newCatalog(),
+		backEnds:    map[string]*backEndState{},
+		interest:    map[string]*interest{},
+		subscribers: map[string]map[string]time.Time{},
+		views:       map[string]*route.Model{},
+		loads:       route.NewLoads(),
 	}
 	node.writes.pending = map[api.Key]*pendingWrite{}
-	node.demand.local = map[string]*average{}
+	node.demand.local = map[string]*localDemand{}
 	node.demand.remote = map[string]map[string]remoteDemand{}
 	node.demand.totals = map[string]*modelAverages{}
 	node.spread.peerThrough = map[string]uint64{}
@@ -90,6 +96,7 @@
 	n.tickLeave(now)
 	n.tickWatch(now)
 	n.tickPolls(now)
+	n.tickSubscriptions(now)
 	n.tickDemand(now)
 	n.tickWrites(now)
 	if !now.Before(n.nextPlan) {
@@ -116,6 +123,12 @@
 	for _, report := range message.Reports {
 		n.takeReport(now, report, false)
 	}
+	for _, load := range message.Loads {
+		n.takeLoad(now, load)
+	}
+	for _, model := range message.Subscribe {
+		n.subscribed(now, message.From, model)
+	}
 	for _, demand := range message.Demand {
 		n.takeDemand(now, demand)
 	}
@@ -179,13 +192,19 @@
 }
 
 // actsForBackEnd reports whether this daemon polls the back end and sends it
-// orders: the owner is a daemon of the back end's zone if there is one.
+// orders.
 func (n *Node) actsForBackEnd(name, zone string) bool {
+	return n.actingDaemon(name, zone) == n.detector.Self().Name
+}
+
+// actingDaemon returns the daemon that acts for a back end: one of its zone if
+// there is one.
+func (n *Node) actingDaemon(name, zone string) string {
 	set, found := n.duties.byZone[zone]
 	if !found {
 		set = n.duties.daemons
 	}
-	return set.Owner("backend/"+name) == n.detector.Self().Name
+	return set.Owner("backend/" + name)
 }
 
 // actsForModel reports whether this daemon plans the model's replicas.
--- a/control/planning.go
+++ b/control/planning.go
@@ -28,7 +28,13 @@
 	fastSpan = 4 * time.Second
 	slowSpan = 2 * time.Minute
 	// remoteDemandAge is how long another daemon's demand counts.
-	remoteDemandAge = 10 * time.Second
+	remoteDemandAge = 25 * time.Second
+	// demandRefresh is how long an unchanged demand is not sent again.
+	demandRefresh = 10 * time.Second
+	// demandChange is the change that is sent at once, as a share of the last,
+	// and demandStep the least such change in requests.
+	demandChange = 0.25
+	demandStep   = 1.0
 	// demandFloor is the demand under which nothing is reported.
 	demandFloor = 0.01
 )
@@ -36,12 +42,28 @@
 // demandState holds the demand seen here and, for models that this daemon
 // plans, the demand reported by all.
 type demandState struct {
-	local  map[string]*average
+	local  map[string]*localDemand
 	remote map[string]map[string]remoteDemand
 	totals map[string]*modelAverages
 	next   time.Time
 }
 
+// localDemand is the demand for one model here, and what was last sent of it.
+type localDemand struct {
+	average
+	sent   float64
+	sentAt time.Time
+}
+
+// due reports whether the demand is worth a message.
+func (d *localDemand) due(now time.Time) bool {
+	if now.Sub(d.sentAt) >= demandRefresh || d.value < demandFloor {
+		return true
+	}
+	change := math.Abs(d.value - d.sent)
+	return change >= demandStep && change >= demandChange*d.sent
+}
+
 type remoteDemand struct {
 	requests float64
 	at       time.Time
@@ -56,7 +78,7 @@
 func (n *Node) ObserveDemand(now time.Time, model string, requests float64) {
 	known := n.demand.local[model]
 	if known == nil {
-		known = &average{}
+		known = &localDemand{}
 		n.demand.local[model] = known
 	}
 	known.add(now, requests, time.Second)
@@ -71,6 +93,10 @@
 	self := n.detector.Self().Name
 	for _, model := range sortedNames(n.demand.local) {
 		known := n.demand.local[model]
+		if !known.due(now) {
+			continue
+		}
+		known.sent, known.sentAt = known.value, now
 		owner := n.modelOwner(model)
 		demand := ModelDemand{Daemon: self, Model: model, Requests: known.value}
 		if known.value < demandFloor {
--- a/control/settings.go
+++ b/control/settings.go
@@ -24,7 +24,7 @@
 	PollFailures int
 	// PlanInterval is the time between two planning rounds.
 	PlanInterval time.Duration
-	// DemandInterval is the time between two reports of demand.
+	// DemandInterval is the least time between two reports of demand.
 	DemandInterval time.Duration
 	// ReportRefresh is how long an unchanged report is not sent again.
 	ReportRefresh time.Duration
@@ -60,8 +60,8 @@
 		PollInterval:     time.Second,
 		PollFailures:     3,
 		PlanInterval:     time.Second,
-		DemandInterval:   2 * time.Second,
-		ReportRefresh:    10 * time.Second,
+		DemandInterval:   time.Second,
+		ReportRefresh:    30 * time.Second,
 		WatchWait:        10 * time.Second,
 		WatchPause:       250 * time.Millisecond,
 		WatchersPerZone:  2,
--- /dev/null
+++ b/control/share.go
@@ -0,0 +1,198 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wheatweir/wheatweir/api"
+)
+
+// shareState is what was last passed on about one back end.
+type shareState struct {
+	// whole is the last whole report, sent at wholeAt.
+	whole   api.Report
+	wholeAt time.Time
+	// requests is the load last sent, at loadAt.
+	requests int
+	loadAt   time.Time
+}
+
+// interest is the use of one model by callers of this daemon.
+type interest struct {
+	until time.Time
+	// renew is when the subscription is due again.
+	renew time.Time
+}
+
+const (
+	// interestTime is how long after a request this daemon wants to hear of
+	// the load of a model's back ends.
+	interestTime = 15 * time.Second
+	// subscriptionRenew is the time between two subscriptions, and
+	// subscriptionTime is how long one holds.
+	subscriptionRenew = 10 * time.Second
+	subscriptionTime  = 25 * time.Second
+	// loadShare is the change of load, as a share of the batch slots, that is
+	// worth a message, and loadPause the least time between two.
+	loadShare = 0.25
+	loadPause = time.Second
+	// loadRefresh is how long an unchanged load is not sent again.
+	loadRefresh = 10 * time.Second
+)
+
+// shareReport passes a report on. A whole report goes to every daemon that may
+// route or plan the models on the back end, when more than the load changed or
+// the last is old. Load alone goes to the daemons that use those models now.
+func (n *Node) shareReport(now time.Time, name string, state *backEndState) {
+	report := &state.report
+	share := &state.share
+	changed := !sameStructure(&share.whole, report) || share.whole.Fence != report.Fence
+	if changed || now.Sub(share.wholeAt) >= n.settings.ReportRefresh {
+		share.whole, share.wholeAt = *report, now
+		share.requests, share.loadAt = report.Running+report.Waiting, now
+		for _, daemon := range n.audience(report) {
+			n.send(n.address(daemon), Message{Reports: []api.Report{*report}})
+		}
+		return
+	}
+	if !loadDiffers(now, share, report) {
+		return
+	}
+	share.requests, share.loadAt = report.Running+report.Waiting, now
+	load := LoadReport{
+		BackEnd: name, BootHash: bootHash(report.Boot), Sequence: report.Sequence,
+		Running: report.Running, Waiting: report.Waiting,
+	}
+	for _, address := range n.loadAudience(now, report) {
+		n.send(address, Message{Loads: []LoadReport{load}})
+	}
+}
+
+func loadDiffers(now time.Time, share *shareState, report *api.Report) bool {
+	age := now.Sub(share.loadAt)
+	if age < loadPause {
+		return false
+	}
+	change := float64(report.Running + report.Waiting - share.requests)
+	step := loadShare * float64(report.Slots)
+	return change >= step || change <= -step || change != 0 && age >= loadRefresh
+}
+
+func bootHash(boot string) uint32 { return uint32(xxhash.Sum64String(boot)) }
+
+// modelsOf returns the models whose weights a report lists.
+func modelsOf(report *api.Report) []string {
+	var models []string
+	for _, artifact := range report.Residents {
+		if artifact.Adapter == "" && !slices.Contains(models, artifact.Model) {
+			models = append(models, artifact.Model)
+		}
+	}
+	return models
+}
+
+// audience returns the daemons that want a whole report: the homes of each
+// model on the back end in every zone, and the daemon that plans the model.
+func (n *Node) audience(report *api.Report) []string {
+	var names []string
+	for _, model := range modelsOf(report) {
+		key := "model/" + model
+		names = append(names, n.duties.daemons.Owner(key))
+		for _, zone := range n.duties.zones {
+			names = append(names, n.duties.byZone[zone].Top(key, n.settings.HomesPerZone)...)
+		}
+	}
+	slices.Sort(names)
+	names = slices.Compact(names)
+	return slices.DeleteFunc(names, func(name string) bool { return name == n.detector.Self().Name })
+}
+
+// loadAudience returns the peer addresses that subscribed to a model on the
+// back end.
+func (n *Node) loadAudience(now time.Time, report *api.Report) []string {
+	var addresses []string
+	for _, model := range modelsOf(report) {
+		for _, address := range sortedNames(n.subscribers[model]) {
+			if now.After(n.subscribers[model][address]) {
+				delete(n.subscribers[model], address)
+				continue
+			}
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
+// takeLoad takes in a report of load alone. It is dropped unless it follows
+// the known whole report.
+func (n *Node) takeLoad(now time.Time, load LoadReport) {
+	state := n.backEnds[load.BackEnd]
+	if state == nil || !state.known || bootHash(state.report.Boot) != load.BootHash || load.Sequence <= state.report.Sequence {
+		return
+	}
+	state.report.Sequence = load.Sequence
+	state.report.Running, state.report.Waiting = load.Running, load.Waiting
+	n.noteLoad(now, state)
+}
+
+// Interested notes that this daemon got a request for a model.
+func (n *Node) Interested(now time.Time, model string) {
+	known := n.interest[model]
+	if known == nil {
+		known = &interest{renew: now}
+		n.interest[model] = known
+	}
+	known.until = now.Add(interestTime)
+}
+
+// tickSubscriptions subscribes to the load of the models in use here.
+func (n *Node) tickSubscriptions(now time.Time) {
+	byDaemon := map[string][]string{}
+	for _, model := range sortedNames(n.interest) {
+		known := n.interest[model]
+		if now.After(known.until) {
+			delete(n.interest, model)
+			continue
+		}
+		if now.Before(known.renew) {
+			continue
+		}
+		known.renew = now.Add(n.jitter(subscriptionRenew))
+		for _, backEnd := range sortedNames(n.catalog.holdersOf[model]) {
+			acting := n.actingDaemon(backEnd, n.catalog.machines[backEnd].Zone)
+			if !slices.Contains(byDaemon[acting], model) {
+				byDaemon[acting] = append(byDaemon[acting], model)
+			}
+		}
+	}
+	for _, daemon := range sortedNames(byDaemon) {
+		if daemon != n.detector.Self().Name {
+			n.send(n.address(daemon), Message{Subscribe: byDaemon[daemon]})
+		}
+	}
+}
+
+// subscribed notes a subscription. A new subscriber gets the whole reports at
+// once, since it may not be one that gets them anyway.
+func (n *Node) subscribed(now time.Time, address, model string) {
+	byAddress := n.subscribers[model]
+	if byAddress == nil {
+		byAddress = map[string]time.Time{}
+		n.subscribers[model] = byAddress
+	}
+	_, known := byAddress[address]
+	byAddress[address] = now.Add(subscriptionTime)
+	if known {
+		return
+	}
+	for _, backEnd := range sortedNames(n.catalog.holdersOf[model]) {
+		state := n.backEnds[backEnd]
+		acting := n.actsForBackEnd(backEnd, n.catalog.machines[backEnd].Zone)
+		if acting && state != nil && state.known {
+			n.send(address, Message{Reports: []api.Report{state.report}})
+		}
+	}
+}
--- a/control/table.go
+++ b/control/table.go
@@ -13,7 +13,7 @@
 
 // observationAge is how old a report may be to count as an observation of what
 // an engine serves.
-const observationAge = 15 * time.Second
+const observationAge = 75 * time.Second
 
 // Revision changes whenever Table would return something else.
 func (n *Node) Revision() uint64 { return n.revision + n.detector.Revision() }
@@ -21,10 +21,10 @@
 // Table returns the routing view of what is known now. Only the models whose
 // back ends changed are worked out anew; the others are shared with the last
 // table.
-func (n *Node) Table(now time.Time, loads *route.Loads) *route.Table {
+func (n *Node) Table(now time.Time) *route.Table {
 	n.markChangedHealth(now)
 	for name := range n.catalog.dirty {
-		n.rebuildView(now, loads, name)
+		n.rebuildView(now, name)
 	}
 	clear(n.catalog.dirty)
 	table := &route.Table{
@@ -32,7 +32,7 @@
 		Services: make(map[string]*route.Service, len(n.catalog.services)),
 	}
 	for name, service := range n.catalog.services {
-		table.Services[name] = n.serviceView(service, loads)
+		table.Services[name] = n.serviceView(service)
 	}
 	return table
 }
@@ -52,7 +52,7 @@
 	}
 }
 
-func (n *Node) rebuildView(now time.Time, loads *route.Loads, name string) {
+func (n *Node) rebuildView(now time.Time, name string) {
 	entry, found := n.catalog.models[name]
 	if !found || entry.deleted {
 		delete(n.views, name)
@@ -60,14 +60,14 @@
 	}
 	view := &route.Model{Spec: entry.model}
 	for _, holder := range sortedNames(n.catalog.holdersOf[name]) {
-		n.addCandidates(now, view, loads, holder)
+		n.addCandidates(now, view, holder)
 	}
 	n.views[name] = view
 }
 
 // addCandidates adds the replicas of a model on one back end. A back end that
 // is leaving is left out, whatever its record says.
-func (n *Node) addCandidates(now time.Time, model *route.Model, loads *route.Loads, name string) {
+func (n *Node) addCandidates(now time.Time, model *route.Model, name string) {
 	if n.health(name) != placement.Up {
 		return
 	}
@@ -81,7 +81,7 @@
 			continue
 		}
 		if backEnd == nil {
-			backEnd = n.backEndView(name, loads)
+			backEnd = n.backEndView(name)
 		}
 		model.Candidates = append(model.Candidates, route.Candidate{
 			BackEnd:  backEnd,
@@ -110,20 +110,12 @@
 	return names
 }
 
-func (n *Node) backEndView(name string, loads *route.Loads) *route.BackEnd {
+func (n *Node) backEndView(name string) *route.BackEnd {
 	machine := n.catalog.machines[name]
-	view := &route.BackEnd{Name: name, Address: machine.Address, Zone: machine.Zone, Load: loads.Get(name)}
-	state := n.backEnds[name]
-	if state != nil && state.known {
-		view.Slots = state.report.Slots
-		view.ReportedAt = state.at
-		others := state.report.Running + state.report.Waiting - int(view.Load.InFlight())
-		view.OthersLoad = float64(max(others, 0))
-	}
-	return view
+	return &route.BackEnd{Name: name, Address: machine.Address, Zone: machine.Zone, Load: n.loads.Get(name)}
 }
 
-func (n *Node) serviceView(service api.Service, loads *route.Loads) *route.Service {
+func (n *Node) serviceView(service api.Service) *route.Service {
 	view := &route.Service{Spec: service}
 	for _, name := range service.Machines {
 		machine, found := n.catalog.machines[name]
@@ -131,7 +123,7 @@
 			continue
 		}
 		view.Machines = append(view.Machines, &route.BackEnd{
-			Name: name, Address: machine.Address, Zone: machine.Zone, Load: loads.Get(name),
+			Name: name, Address: machine.Address, Zone: machine.Zone, Load: n.loads.Get(name),
 		})
 	}
 	return view
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -81,7 +81,7 @@
 
 // publish makes a new routing table and adjusts the gates to it.
 func (d *Daemon) publish(now time.Time) {
-	table := d.node.Table(now, d.loads)
+	table := d.node.Table(now)
 	d.table.Store(table)
 	d.gateMutex.RLock()
 	defer d.gateMutex.RUnlock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -46,7 +46,6 @@
 	events    *ring.Ring[event]
 	calls     callRings
 	table     atomic.Pointer[route.Table]
-	loads     *route.Loads
 	picker    *route.Picker
 	prefixes  *route.PrefixIndex
 	interests *ring.Ring[string]
@@ -93,7 +92,6 @@
 		started:   time.Now(),
 		events:    ring.New[event](eventRingSize),
 		calls:     newCallRings(),
-		loads:     route.NewLoads(),
 		prefixes:  prefixes,
 		picker:    route.DefaultPicker(prefixes),
 		interests: ring.New[string](interestRingSize),
--- a/lab/sim/daemon.go
+++ b/lab/sim/daemon.go
@@ -1,8 +1,10 @@
 package sim
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -11,7 +13,6 @@
 	"github.com/wheatweir/wheatweir/control"
 	"github.com/wheatweir/wheatweir/member"
 	"github.com/wheatweir/wheatweir/retry"
-	"github.com/wheatweir/wheatweir/route"
 )
 
 const (
@@ -22,6 +23,10 @@
 	// frameBytes is what a frame between daemons adds: its own head and, per
 	// message, one TCP/IP segment's headers.
 	frameBytes = 20 + 52
+	// pollRequestBytes is a poll with HTTP and TCP/IP headers, and
+	// pollAnswerBytes what the headers add to its answer.
+	pollRequestBytes = 130 + 52
+	pollAnswerBytes  = 150 + 52
 )
 
 // Daemon is one daemon on the network.
@@ -44,11 +49,12 @@
 
 // Stats are totals of one daemon's control plane.
 type Stats struct {
-	MessagesSent uint64
-	BytesSent    uint64
-	Polls        uint64
-	Orders       uint64
-	CPU          time.Duration
+	MessagesSent  uint64
+	BytesSent     uint64
+	BytesReceived uint64
+	Polls         uint64
+	Orders        uint64
+	CPU           time.Duration
 }
 
 // AddDaemon starts a daemon and puts it on the machine list.
@@ -189,7 +195,7 @@
 	case control.FetchChanges:
 		w.Platform.Watch(d.Name, action.Since, action.Wait, func(answer control.ChangesAnswer) {
 			d.guard(func() {
-				d.timed(func() []control.Action { return d.node.ChangesAnswered(w.Now, answer) })
+				d.timed(func() []control.Action { return d.node.ChangesAnswered(w.Now, d.ownCopy(answer)) })
 			})()
 		})
 	case control.Write:
@@ -215,6 +221,19 @@
 	}
 }
 
+// ownCopy gives a measured daemon its own memory, as decoding an answer does.
+func (d *Daemon) ownCopy(answer control.ChangesAnswer) control.ChangesAnswer {
+	if !d.world.Settings.MeasureCPU {
+		return answer
+	}
+	answer.Delta.Objects = slices.Clone(answer.Delta.Objects)
+	for i := range answer.Delta.Objects {
+		object := &answer.Delta.Objects[i]
+		object.Value = bytes.Clone(object.Value)
+	}
+	return answer
+}
+
 func (d *Daemon) sendPeer(action control.SendPeer) {
 	w := d.world
 	target := w.peers[action.Address]
@@ -222,16 +241,32 @@
 		return
 	}
 	message := withoutLeaving(w, action.Message)
+	began := time.Now()
 	encoded, err := msgpack.Marshal(&message)
 	if err != nil {
 		return
 	}
+	if w.Settings.MeasureCPU {
+		d.Stats.CPU += time.Since(began)
+	}
 	d.Stats.MessagesSent++
 	d.Stats.BytesSent += uint64(len(encoded) + frameBytes)
-	w.Network.Send(d.Name, target.Name, func() {
-		target.guard(func() {
-			target.timed(func() []control.Action { return target.node.Receive(w.Now, message) })
-		})()
+	w.Network.Send(d.Name, target.Name, func() { target.guard(func() { target.receive(message, encoded) })() })
+}
+
+// receive takes in a message. A measured daemon decodes it, so that the cost
+// counts and so that daemons share no memory.
+func (d *Daemon) receive(message control.Message, encoded []byte) {
+	d.Stats.BytesReceived += uint64(len(encoded) + frameBytes)
+	d.timed(func() []control.Action {
+		if d.world.Settings.MeasureCPU {
+			var decoded control.Message
+			if err := msgpack.Unmarshal(encoded, &decoded); err != nil {
+				return nil
+			}
+			message = decoded
+		}
+		return d.node.Receive(d.world.Now, message)
 	})
 }
 
@@ -241,6 +276,7 @@
 	const pollTimeout = 2 * time.Second
 	w := d.world
 	d.Stats.Polls++
+	d.Stats.BytesSent += pollRequestBytes
 	answered := func(answer control.PollAnswer) {
 		d.guard(func() {
 			d.timed(func() []control.Action { return d.node.PollAnswered(w.Now, answer) })
@@ -257,10 +293,8 @@
 			w.After(pollTimeout, func() { answered(failed) })
 			return
 		}
-		report := e.Core.Report(w.Now)
-		if w.Settings.Without == MechanismLeavingNews {
-			report.Leaving = false
-		}
+		report := e.report()
+		d.Stats.BytesReceived += uint64(len(api.Encode(report)) + pollAnswerBytes)
 		w.After(w.Network.Delay(e.Name, d.Name), func() {
 			answered(control.PollAnswer{BackEnd: action.BackEnd, Report: report})
 		})
@@ -292,11 +326,9 @@
 	}
 }
 
-// newLoads and budgets live as long as one boot.
+// newRetryBudget returns the budget of one boot.
 func newRetryBudget() *retry.Budget { return retry.NewBudget(0.1, 20) }
 
-func newLoads() *route.Loads { return route.NewLoads() }
-
 // callID returns an identity that no other call has.
 func (w *World) callID() string {
 	w.nextCall++
--- a/lab/sim/engine.go
+++ b/lab/sim/engine.go
@@ -17,10 +17,13 @@
 	Alive    bool
 	// LeavingSince is when the engine began to leave.
 	LeavingSince time.Time
-	address      string
-	boots        int
-	nextStep     time.Time
-	streams      map[string]func(engineEvent)
+	// Load, if set, replaces the counts of requests in reports, for hollow
+	// engines that serve none.
+	Load     func() (running, waiting int)
+	address  string
+	boots    int
+	nextStep time.Time
+	streams  map[string]func(engineEvent)
 }
 
 // engineEvent is a token, or the loss of the engine.
@@ -55,6 +58,18 @@
 	return fmt.Sprintf("%016x-%d", e.world.Now.UnixNano(), e.boots)
 }
 
+// report returns what a poll gets.
+func (e *Engine) report() api.Report {
+	report := e.Core.Report(e.world.Now)
+	if e.Load != nil {
+		report.Running, report.Waiting = e.Load()
+	}
+	if e.world.Settings.Without == MechanismLeavingNews {
+		report.Leaving = false
+	}
+	return report
+}
+
 // Kill stops the engine at once and loses its requests.
 func (e *Engine) Kill() {
 	e.Alive = false
--- a/lab/sim/requests.go
+++ b/lab/sim/requests.go
@@ -69,7 +69,6 @@
 	daemon   *Daemon
 	settings *RequestSettings
 	random   *rand.Rand
-	loads    *route.Loads
 	picker   *route.Picker
 	prefixes *route.PrefixIndex
 	budget   *retry.Budget
@@ -109,7 +108,7 @@
 		prefixes = hollowPrefixes
 	}
 	p := &requestPlane{
-		daemon: d, settings: &d.world.Settings.Request, random: random, loads: newLoads(), prefixes: prefixes,
+		daemon: d, settings: &d.world.Settings.Request, random: random, prefixes: prefixes,
 		picker: route.DefaultPicker(prefixes), budget: newRetryBudget(), table: &route.Table{},
 		queues: map[string]*admit.Queue{}, waiting: map[*admit.Ticket]*flight{}, flights: map[*flight]bool{},
 	}
@@ -170,11 +169,11 @@
 
 func (d *Daemon) timedTable() {
 	if !d.world.Settings.MeasureCPU {
-		d.plane.table = d.node.Table(d.world.Now, d.plane.loads)
+		d.plane.table = d.node.Table(d.world.Now)
 		return
 	}
 	began := time.Now()
-	d.plane.table = d.node.Table(d.world.Now, d.plane.loads)
+	d.plane.table = d.node.Table(d.world.Now)
 	d.Stats.CPU += time.Since(began)
 }
 
--- a/route/load.go
+++ b/route/load.go
@@ -1,16 +1,53 @@
 package route
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// Load counts this daemon's own requests in progress at one back end. It lives
-// as long as the daemon, across tables.
+// Load is what this daemon knows of the load of one back end: its own requests
+// in progress there, and the newest report. It lives as long as the daemon,
+// across tables, and changes under the tables that point to it.
 type Load struct {
 	// ID is a small number for the back end, for use in hints.
-	ID       uint32
-	inFlight atomic.Int64
+	ID         uint32
+	inFlight   atomic.Int64
+	others     atomic.Int64
+	reportedAt atomic.Int64
+	slots      atomic.Int64
+}
+
+// SetReport takes in a report: the requests at the back end and its batch
+// slots. Requests of this daemon itself are not counted twice.
+func (l *Load) SetReport(requests, slots int, at time.Time) {
+	l.others.Store(max(int64(requests)-l.inFlight.Load(), 0))
+	l.reportedAt.Store(at.UnixNano())
+	l.slots.Store(int64(slots))
+}
+
+// Slots returns the batch slots of the back end.
+func (l *Load) Slots() int {
+	if slots := l.slots.Load(); slots > 0 {
+		return int(slots)
+	}
+	return defaultSlots
+}
+
+// defaultSlots is assumed for a back end that has not reported.
+const defaultSlots = 16
+
+// Expected returns the requests expected at the back end now: own ones, and
+// those of others fading by half in each half-life.
+func (l *Load) Expected(now time.Time, halfLife time.Duration) float64 {
+	own := float64(l.inFlight.Load())
+	others := l.others.Load()
+	if others == 0 {
+		return own
+	}
+	age := now.UnixNano() - l.reportedAt.Load()
+	return own + float64(others)*math.Exp2(-float64(age)/float64(halfLife))
 }
 
 // Begin counts a request that was sent to the back end.
--- a/route/scorer.go
+++ b/route/scorer.go
@@ -1,9 +1,6 @@
 package route
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Scorer rates a candidate; lower is better. Scores of all scorers are summed.
 // One unit is the cost of a whole batch of waiting requests.
@@ -19,13 +16,8 @@
 
 // Score implements Scorer.
 func (s LoadScorer) Score(now time.Time, _ *Request, candidate *Candidate) float64 {
-	backEnd := candidate.BackEnd
-	others := backEnd.OthersLoad
-	if others > 0 {
-		age := now.Sub(backEnd.ReportedAt)
-		others *= math.Exp2(-age.Seconds() / s.HalfLife.Seconds())
-	}
-	return (others + float64(backEnd.Load.InFlight())) / float64(backEnd.slots())
+	load := candidate.BackEnd.Load
+	return load.Expected(now, s.HalfLife) / float64(load.Slots())
 }
 
 // PrefixScorer favours the back end that last got the longest known prefix.
--- a/route/table.go
+++ b/route/table.go
@@ -1,12 +1,9 @@
 package route
 
-import (
-	"time"
+import "github.com/wheatweir/wheatweir/api"
 
-	"github.com/wheatweir/wheatweir/api"
-)
-
-// Table is an immutable view of what serves which model and service.
+// Table is a view of what serves which model and service. It is never changed,
+// but the Load of each back end that it points to is.
 type Table struct {
 	Models   map[string]*Model
 	Services map[string]*Service
@@ -22,7 +19,7 @@
 func (m *Model) Slots() int {
 	total := 0
 	for i := range m.Candidates {
-		total += m.Candidates[i].BackEnd.slots()
+		total += m.Candidates[i].BackEnd.Load.Slots()
 	}
 	return total
 }
@@ -48,20 +45,6 @@
 	Address string
 	Zone    string
 	Load    *Load
-	// OthersLoad is the reported load less this daemon's own at that time.
-	OthersLoad float64
-	ReportedAt time.Time
-	Slots      int
-}
-
-// defaultSlots is assumed for a back end that has not reported.
-const defaultSlots = 16
-
-func (b *BackEnd) slots() int {
-	if b.Slots > 0 {
-		return b.Slots
-	}
-	return defaultSlots
 }
 
 // Service is one plain service with the machines that run it.
