Route to observed replicas only, and let writes follow the platform's rate

Change: a replica that was not observed to serve is picked only when no observed one is left.

Change: each daemon raises its rate while the platform takes its writes and halves it when one is refused.

--- a/control/settings.go
+++ b/control/settings.go
@@ -38,8 +38,8 @@
 	// HomesPerZone is how many daemons of a zone are told about a model's
 	// back ends and are named to callers of the model.
 	HomesPerZone int
-	// WritesPerSecond is the platform's write budget for all daemons; each
-	// takes an equal share.
+	// WritesPerSecond is the platform's write budget for all daemons. Each
+	// keeps at least half of an equal share when the platform refuses writes.
 	WritesPerSecond float64
 	// WeightStoreSlots is how many loads may run at once over all back ends;
 	// each daemon takes a share by the back ends it acts for.
--- a/control/writes.go
+++ b/control/writes.go
@@ -15,7 +15,9 @@
 // reading the object back before the next.
 type writeState struct {
 	pending map[api.Key]*pendingWrite
+	// tokens is how many writes may start now; it grows by rate a second.
 	tokens  float64
+	rate    float64
 	filled  time.Time
 	counter uint64
 	paused  time.Time
@@ -33,11 +35,18 @@
 
 const (
 	// writeBurst is how many writes a daemon may make at once.
-	writeBurst = 4
+	writeBurst = 8
+	// A daemon starts at writeRateStart writes a second, adds writeRateStep
+	// for each that the platform takes, and halves its rate for each that it
+	// refuses. Few daemons with much to write so get most of the platform's
+	// rate, and many get equal shares of it.
+	writeRateStart = 2.0
+	writeRateStep  = 0.2
+	writeRateLimit = 10.0
 	// readRetry is the pause before a failed read is made again.
 	readRetry = time.Second
 	// refusalPause is the pause of all writes after the platform refused one.
-	refusalPause = 2 * time.Second
+	refusalPause = time.Second
 )
 
 func (n *Node) tickWrites(now time.Time) {
@@ -62,16 +71,25 @@
 	return keys
 }
 
-// refillWrites grows this daemon's equal share of the write budget.
+// refillWrites lets writes through at the present rate.
 func (n *Node) refillWrites(now time.Time) {
-	if !n.writes.filled.IsZero() {
-		share := n.settings.WritesPerSecond / float64(max(len(n.detector.Live()), 1))
-		n.writes.tokens += share * now.Sub(n.writes.filled).Seconds()
+	if n.writes.filled.IsZero() {
+		n.writes.rate = writeRateStart
+	} else {
+		n.writes.tokens += n.writes.rate * now.Sub(n.writes.filled).Seconds()
 	}
 	n.writes.filled = now
 	n.writes.tokens = min(n.writes.tokens, writeBurst)
 }
 
+// slowWrites reacts to a write that the platform refused. The rate stays at
+// least at half of an equal share of the budget.
+func (n *Node) slowWrites(now time.Time) {
+	share := n.settings.WritesPerSecond / float64(max(len(n.detector.Live()), 1))
+	n.writes.rate = max(n.writes.rate/2, share/2)
+	n.writes.paused = now.Add(n.jitter(refusalPause))
+}
+
 // write starts a conditional update of a placement record. It returns false
 // if the write has to wait for its turn.
 func (n *Node) write(now time.Time, record api.Placement, version uint64, deleted bool) bool {
@@ -107,12 +125,13 @@
 	case CallOK, CallConflict:
 		delete(n.writes.pending, answer.Key)
 		n.learnObject(answer.Object)
+		n.writes.rate = min(n.writes.rate+writeRateStep, writeRateLimit)
 		if answer.Err == CallConflict {
 			n.decide("placement", "Write lost a race.", "object", answer.Key.String(), "winner", answer.Object.Writer, "version", answer.Object.Version)
 		}
 	case CallNotDone:
 		delete(n.writes.pending, answer.Key)
-		n.writes.paused = now.Add(n.jitter(refusalPause))
+		n.slowWrites(now)
 	case CallUnknown:
 		if pending != nil {
 			pending.readKey = answer.Key
--- a/lab/client/client.go
+++ b/lab/client/client.go
@@ -82,11 +82,11 @@
 // Close closes unused connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Forget drops all kept addresses.
-func (c *Client) Forget() {
+// SetBootstrap changes the addresses that are asked which to use.
+func (c *Client) SetBootstrap(addresses []string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	clear(c.known)
+	c.bootstrap = addresses
 }
 
 type addressesAnswer struct {
@@ -98,13 +98,14 @@
 func (c *Client) Addresses(ctx context.Context, model string) ([]string, error) {
 	c.mutex.Lock()
 	known, found := c.known[model]
+	bootstrap := c.bootstrap
 	c.mutex.Unlock()
 	if found && time.Now().Before(known.until) {
 		return known.addresses, nil
 	}
 	var failure error
-	for _, index := range rand.Perm(len(c.bootstrap)) {
-		answer, err := c.askAddresses(ctx, c.bootstrap[index], model)
+	for _, index := range rand.Perm(len(bootstrap)) {
+		answer, err := c.askAddresses(ctx, bootstrap[index], model)
 		if err != nil || len(answer.Addresses) == 0 {
 			failure = err
 			continue
--- a/lab/verify/verify_test.go
+++ b/lab/verify/verify_test.go
@@ -3,17 +3,71 @@
 import (
 	"testing"
 
+	"github.com/wheatweir/wheatweir/lab/sim"
 	"github.com/wheatweir/wheatweir/lab/verify"
 )
 
+func never() bool { return false }
+
 func TestPromisesHoldUnderFaults(t *testing.T) {
-	for seed := range uint64(10) {
-		outcome := verify.Run(verify.Options{Seed: seed})
-		t.Logf("seed %d: calls %d answered %d leaving %s in-force %d faults %v", seed, outcome.Calls, outcome.Answered, outcome.LatestLeaving, outcome.InForceChecks, outcome.Faults)
-		for promise, violations := range outcome.Violations {
-			for _, violation := range violations {
-				t.Errorf("seed %d: %s: %s", seed, promise, violation)
-			}
+	summary, err := verify.Execute(verify.Plan{Runs: 16}, never)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if summary.Runs != 16 || summary.Answered == 0 || len(summary.Faults) < 10 {
+		t.Fatalf("too little was tried: %+v", summary)
+	}
+	for _, promise := range summary.Promises {
+		for _, example := range promise.Examples {
+			t.Errorf("%s: %s", promise.Promise, example)
+		}
+	}
+}
+
+// TestChecksCanFail switches off each mechanism in turn. The promise that hangs
+// on it must then be seen to break, or its check shows nothing.
+func TestChecksCanFail(t *testing.T) {
+	const runsAtOnce, mostRuns = 16, 160
+	for _, promise := range verify.Promises {
+		for _, mechanism := range promise.Mechanisms {
+			t.Run(promise.Name+" without "+string(mechanism), func(t *testing.T) {
+				for first := uint64(0); first < mostRuns; first += runsAtOnce {
+					plan := verify.Plan{First: first, Runs: runsAtOnce, Promise: promise.Name, Without: mechanism}
+					summary, err := verify.Execute(plan, never)
+					if err != nil {
+						t.Fatal(err)
+					}
+					if summary.Violations() > 0 {
+						return
+					}
+				}
+				t.Fatalf("no violation in %d runs", mostRuns)
+			})
+		}
+	}
+}
+
+func TestSameSeedSameRun(t *testing.T) {
+	trace := func() []string {
+		var lines []string
+		verify.Run(verify.Options{Seed: 3, Trace: func(line string) { lines = append(lines, line) }})
+		return lines
+	}
+	first, second := trace(), trace()
+	if len(first) != len(second) || len(first) == 0 {
+		t.Fatalf("%d and %d lines", len(first), len(second))
+	}
+	for i := range first {
+		if first[i] != second[i] {
+			t.Fatalf("line %d differs:\n%s\n%s", i, first[i], second[i])
+		}
+	}
+}
+
+func TestUnknownNames(t *testing.T) {
+	for _, plan := range []verify.Plan{{Runs: 1, Promise: "memry"}, {Runs: 1, Without: sim.Mechanism("fense")}} {
+		if _, err := verify.Execute(plan, never); !verify.ErrVerify.Has(err) {
+			t.Errorf("%+v: error %v", plan, err)
 		}
 	}
 }
--- /dev/null
+++ b/member/detector_test.go
@@ -0,0 +1,227 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/wheatweir/wheatweir/internal/fixedseed"
+	"github.com/wheatweir/wheatweir/member"
+)
+
+// group drives detectors in steps of a tenth of a second. Messages arrive in
+// the next step unless their sender or receiver is off or their link is cut.
+type group struct {
+	now       time.Time
+	detectors []*member.Detector
+	off       []bool
+	cut       map[[2]int]bool
+	queue     []member.Packet
+	random    *rand.Rand
+	loss      float64
+}
+
+const step = 100 * time.Millisecond
+
+func address(index int) string { return fmt.Sprintf("10.0.0.%d:1", index) }
+
+func newGroup(size int, seed uint64) *group {
+	g := &group{
+		now: time.Unix(1000, 0), off: make([]bool, size), cut: map[[2]int]bool{},
+		random: rand.New(rand.NewPCG(seed, 1)),
+	}
+	for index := range size {
+		g.detectors = append(g.detectors, g.newDetector(index))
+	}
+	return g
+}
+
+func (g *group) newDetector(index int) *member.Detector {
+	self := member.Member{
+		Name: fmt.Sprintf("d%d", index), PeerAddress: address(index), Incarnation: uint64(g.now.UnixMilli()),
+	}
+	detector := member.NewDetector(self, member.DefaultSettings(), rand.New(rand.NewPCG(uint64(index), g.random.Uint64())))
+	detector.SetSeeds([]string{address(0), address(1)})
+	return detector
+}
+
+func (g *group) indexOf(peer string) int {
+	for index := range g.detectors {
+		if address(index) == peer {
+			return index
+		}
+	}
+	return -1
+}
+
+func (g *group) send(from int, packets []member.Packet) {
+	for _, packet := range packets {
+		to := g.indexOf(packet.Address)
+		if to < 0 || g.off[to] || g.cut[[2]int{from, to}] || g.random.Float64() < g.loss {
+			continue
+		}
+		g.queue = append(g.queue, packet)
+	}
+}
+
+func (g *group) run(span time.Duration) {
+	for end := g.now.Add(span); g.now.Before(end); g.now = g.now.Add(step) {
+		arriving := g.queue
+		g.queue = nil
+		for _, packet := range arriving {
+			to := g.indexOf(packet.Address)
+			if !g.off[to] {
+				g.send(to, g.detectors[to].Receive(g.now, packet.Message))
+			}
+		}
+		for index, detector := range g.detectors {
+			if !g.off[index] {
+				g.send(index, detector.Tick(g.now))
+			}
+		}
+	}
+}
+
+// requireLive checks whom every running daemon holds for live.
+func (g *group) requireLive(t interface {
+	Helper()
+	Fatalf(string, ...any)
+}, want func(index int) bool) {
+	t.Helper()
+	for index, detector := range g.detectors {
+		if g.off[index] {
+			continue
+		}
+		live := map[string]bool{}
+		for _, name := range detector.Live() {
+			live[name] = true
+		}
+		for other := range g.detectors {
+			name := fmt.Sprintf("d%d", other)
+			if live[name] != want(other) {
+				t.Fatalf("d%d holds %s for live: %v, want %v", index, name, live[name], want(other))
+			}
+		}
+	}
+}
+
+func all(int) bool { return true }
+
+func TestMembershipFaults(t *testing.T) {
+	settle := 40 * time.Second
+	cases := []struct {
+		name  string
+		fault func(g *group)
+		want  func(index int) bool
+	}{
+		{"none", func(*group) {}, all},
+		{"one dies", func(g *group) { g.off[3] = true }, func(index int) bool { return index != 3 }},
+		{"two die at once", func(g *group) { g.off[3], g.off[4] = true, true }, func(index int) bool { return index < 3 || index > 4 }},
+		{"a long pause", func(g *group) {
+			g.off[2] = true
+			g.run(settle)
+			g.off[2] = false
+		}, all},
+		{"a restart without memory", func(g *group) {
+			g.off[2] = true
+			g.run(5 * time.Second)
+			g.detectors[2], g.off[2] = g.newDetector(2), false
+		}, all},
+		{"one link cut", func(g *group) { g.cut[[2]int{1, 2}], g.cut[[2]int{2, 1}] = true, true }, all},
+		{"one link cut one way", func(g *group) { g.cut[[2]int{1, 2}] = true }, all},
+		{"a partition that heals", func(g *group) {
+			for a := range 3 {
+				for b := 3; b < 7; b++ {
+					g.cut[[2]int{a, b}], g.cut[[2]int{b, a}] = true, true
+				}
+			}
+			g.run(settle)
+			clear(g.cut)
+			g.run(settle)
+		}, all},
+		{"a tenth of messages lost", func(g *group) { g.loss = 0.1 }, all},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGroup(7, 1)
+			g.run(settle)
+			g.requireLive(t, all)
+			c.fault(g)
+			g.run(settle)
+			g.requireLive(t, c.want)
+		})
+	}
+}
+
+func TestLeavingOutlivesSuspicion(t *testing.T) {
+	g := newGroup(3, 1)
+	g.run(20 * time.Second)
+	g.detectors[2].Leave()
+	g.run(10 * time.Second)
+	g.cut[[2]int{2, 0}], g.cut[[2]int{2, 1}] = true, true
+	for range 100 {
+		g.run(step)
+		for index := range 2 {
+			known, _ := g.detectors[index].Lookup("d2")
+			if !known.Leaving {
+				t.Fatalf("d%d forgot that d2 is leaving, in state %s", index, known.State)
+			}
+		}
+	}
+}
+
+func TestBackEndNewsIsOrdered(t *testing.T) {
+	up, leaving, down := member.BackEndUp, member.BackEndLeaving, member.BackEndDown
+	cases := []struct {
+		name   string
+		first  member.BackEnd
+		second member.BackEnd
+		want   member.BackEndState
+	}{
+		{"later report wins", member.BackEnd{Boot: "b1", Sequence: 1, State: down}, member.BackEnd{Boot: "b1", Sequence: 2, State: up}, up},
+		{"older report loses", member.BackEnd{Boot: "b1", Sequence: 2, State: leaving}, member.BackEnd{Boot: "b1", Sequence: 1, State: up}, leaving},
+		{"down wins at the same report", member.BackEnd{Boot: "b1", Sequence: 2, State: up}, member.BackEnd{Boot: "b1", Sequence: 2, State: down}, down},
+		{"new boot wins", member.BackEnd{Boot: "b1", Sequence: 900, State: down}, member.BackEnd{Boot: "b2", Sequence: 1, State: up}, up},
+		{"old boot loses", member.BackEnd{Boot: "b2", Sequence: 1, State: up}, member.BackEnd{Boot: "b1", Sequence: 900, State: down}, up},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			detector := newGroup(1, 1).detectors[0]
+			detector.ReportBackEnd(c.first)
+			detector.ReportBackEnd(c.second)
+			if got, _ := detector.BackEnd(""); got.State != c.want {
+				t.Fatalf("state %s, want %s", got.State, c.want)
+			}
+		})
+	}
+}
+
+// TestMembershipSettles lets random kills, pauses, restarts and cuts happen and
+// checks that the view of all daemons is right once they have ended.
+func TestMembershipSettles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(5, rapid.Uint64().Draw(t, "seed"))
+		g.run(20 * time.Second)
+		for range rapid.IntRange(1, 8).Draw(t, "faults") {
+			victim := rapid.IntRange(0, 4).Draw(t, "victim")
+			other := rapid.IntRange(0, 4).Draw(t, "other")
+			switch rapid.IntRange(0, 3).Draw(t, "fault") {
+			case 0:
+				g.off[victim] = !g.off[victim]
+			case 1:
+				g.detectors[victim], g.off[victim] = g.newDetector(victim), false
+			case 2:
+				g.cut[[2]int{victim, other}] = true
+			case 3:
+				clear(g.cut)
+			}
+			g.run(time.Duration(rapid.IntRange(1, 150).Draw(t, "steps")) * step)
+		}
+		clear(g.cut)
+		g.run(90 * time.Second)
+		g.requireLive(t, func(index int) bool { return !g.off[index] })
+	})
+}
--- a/operator/create.go
+++ b/operator/create.go
@@ -52,10 +52,10 @@
 		Versions: []api.Version{{Name: command.Version, Bytes: size}}, MinReplicas: defaultReplicas,
 	}
 	if command.Replicas != nil {
-		model.MinReplicas = *command.Replicas
+		model.MinReplicas = int(*command.Replicas)
 	}
 	if command.Max != nil {
-		model.MaxReplicas = *command.Max
+		model.MaxReplicas = int(*command.Max)
 	}
 	if err := model.Validate(); err != nil {
 		return nil, ErrRefused.Wrap(err)
--- a/operator/executor.go
+++ b/operator/executor.go
@@ -160,7 +160,7 @@
 }
 
 func (e *Executor) set(ctx context.Context, command *Set) (*Result, error) {
-	object, err := e.changeModel(ctx, command.Model, command.Version, func(model *api.Model) error {
+	object, err := e.changeModel(ctx, command.Model, uint64(command.Version), func(model *api.Model) error {
 		if command.Property == "priority" {
 			priority, err := api.ParsePriority(command.Value)
 			if err != nil {
@@ -187,7 +187,7 @@
 }
 
 func (e *Executor) replace(ctx context.Context, command *Replace) (*Result, error) {
-	object, err := e.changeModel(ctx, command.Model, command.Version, func(model *api.Model) error {
+	object, err := e.changeModel(ctx, command.Model, uint64(command.Version), func(model *api.Model) error {
 		model.Serving = command.With
 		return nil
 	})
--- a/operator/grammar.go
+++ b/operator/grammar.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/alecthomas/participle/v2"
@@ -48,7 +49,7 @@
 	What  string      `parser:"@('models'|'adapters'|'versions'|'backends'|'daemons'|'placements'|'requests'|'moves'|'services'|'machines'|'settings'|'decisions')"`
 	Where []Condition `parser:"('where' @@ ('and' @@)*)?"`
 	Sort  string      `parser:"('sort' 'by' @Word)?"`
-	Limit int         `parser:"('limit' @Word)?"`
+	Limit count       `parser:"('limit' @Word)?"`
 }
 
 // Condition keeps rows whose column compares as asked.
@@ -78,8 +79,8 @@
 	Version  string `parser:"'version' @Word"`
 	Size     string `parser:"'size' @Word"`
 	Priority string `parser:"('priority' @Word)?"`
-	Replicas *int   `parser:"('replicas' @Word)?"`
-	Max      *int   `parser:"('max' @Word)?"`
+	Replicas *count `parser:"('replicas' @Word)?"`
+	Max      *count `parser:"('max' @Word)?"`
 }
 
 // CreateVersion adds a version to a model, without serving it yet.
@@ -108,14 +109,14 @@
 	Model    string `parser:"'model' @Word"`
 	Property string `parser:"@('priority'|'replicas'|'max')"`
 	Value    string `parser:"@Word"`
-	Version  uint64 `parser:"('if' 'version' @Word)?"`
+	Version  count  `parser:"('if' 'version' @Word)?"`
 }
 
 // Replace makes another version the one that serves.
 type Replace struct {
 	Model   string `parser:"'version' 'of' @Word"`
 	With    string `parser:"'with' @Word"`
-	Version uint64 `parser:"('if' 'version' @Word)?"`
+	Version count  `parser:"('if' 'version' @Word)?"`
 }
 
 // Pin ties a model to a back end, or ends that.
@@ -143,6 +144,19 @@
 	Model string `parser:"('on' @Word)?"`
 }
 
+// count is a whole number in a command.
+type count uint64
+
+// Capture implements participle.Capture.
+func (c *count) Capture(words []string) error {
+	value, err := strconv.ParseUint(words[0], 10, 63)
+	if err != nil {
+		return ErrSyntax.New("%q does not fit here; give a whole number", words[0])
+	}
+	*c = count(value)
+	return nil
+}
+
 var commandLexer = lexer.MustSimple([]lexer.SimpleRule{
 	{Name: "String", Pattern: `"(\\.|[^"\\])*"`},
 	{Name: "Operator", Pattern: `!=|>=|<=|=|<|>|~`},
@@ -168,7 +182,8 @@
 
 // Parse reads one command. Errors give the column and the nearest valid word.
 func Parse(text string) (*Command, error) {
-	command, err := parser.ParseString("", strings.TrimSpace(text))
+	text = strings.TrimSpace(text)
+	command, err := parser.ParseString("", text)
 	if err == nil {
 		return command, nil
 	}
@@ -176,8 +191,8 @@
 	if !errors.As(err, &failure) {
 		return nil, ErrSyntax.Wrap(err)
 	}
-	column := failure.Position().Column
-	message := failure.Message()
+	column := columnOf(text, failure.Position().Offset)
+	message := strings.TrimPrefix(failure.Message(), "failed to capture: syntax: ")
 	var unexpected *participle.UnexpectedTokenError
 	if errors.As(err, &unexpected) && unexpected.Unexpected.Type != lexer.EOF {
 		word := unexpected.Unexpected.Value
@@ -191,6 +206,14 @@
 	return nil, ErrSyntax.New("column %d: %s", column, message)
 }
 
+// columnOf returns the column of the first word at or after an offset.
+func columnOf(text string, offset int) int {
+	for offset < len(text) && text[offset] == ' ' {
+		offset++
+	}
+	return offset + 1
+}
+
 // HelpText describes the language.
 const HelpText = `show models|adapters|versions|backends|daemons|placements|requests|moves|services|machines|settings|decisions
      [where COLUMN =|!=|<|>|<=|>=|~ VALUE [and ...]] [sort by COLUMN] [limit N]
--- a/operator/result.go
+++ b/operator/result.go
@@ -63,8 +63,8 @@
 		}
 		slices.SortStableFunc(result.Rows, func(a, b []string) int { return compareCells(a[column], b[column]) })
 	}
-	if query.Limit > 0 && len(result.Rows) > query.Limit {
-		result.Rows = result.Rows[:query.Limit]
+	if limit := int(query.Limit); limit > 0 && len(result.Rows) > limit {
+		result.Rows = result.Rows[:limit]
 	}
 	return nil
 }
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,128 @@
+package peer
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/goleak"
+
+	"github.com/wheatweir/wheatweir/control"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func listen(t *testing.T, key string, handler Handler) *Transport {
+	t.Helper()
+	transport, err := Listen("127.0.0.1:0", []byte(key), handler)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(transport.Close)
+	return transport
+}
+
+func TestMessagesArriveInOrder(t *testing.T) {
+	const count = 50
+	received := make(chan uint64, count)
+	target := listen(t, "key", func(message control.Message) { received <- message.Through })
+	source := listen(t, "key", func(control.Message) {})
+	for number := range uint64(count) {
+		source.Send(target.Address(), control.Message{Through: number})
+	}
+	for number := range uint64(count) {
+		if got := <-received; got != number {
+			t.Fatalf("message %d arrived as number %d", got, number)
+		}
+	}
+}
+
+// rejected waits until a transport has rejected a connection.
+func rejected(transport *Transport) bool {
+	for transport.Counts().Rejected == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return true
+}
+
+func TestStrangersAreRejected(t *testing.T) {
+	valid := func(t *testing.T) []byte {
+		body, err := msgpack.Marshal(&control.Message{Through: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return body
+	}
+	cases := []struct {
+		name  string
+		speak func(t *testing.T, conn net.Conn)
+	}{
+		{"another key", func(t *testing.T, conn net.Conn) {
+			if _, err := openSession(conn, []byte("other"), true); err == nil {
+				t.Error("the session opened")
+			}
+		}},
+		{"no handshake", func(_ *testing.T, conn net.Conn) { _, _ = conn.Write(make([]byte, 4096)) }},
+		{"a changed frame", func(t *testing.T, conn net.Conn) {
+			session := open(t, conn)
+			body := valid(t)
+			mac := session.sum([]byte("another body"))
+			_, _ = conn.Write(append(append([]byte{0, 0, 0, byte(len(body))}, mac...), body...))
+		}},
+		{"a frame sent twice", func(t *testing.T, conn net.Conn) {
+			session := open(t, conn)
+			if err := session.writeFrame(valid(t)); err != nil {
+				t.Error(err)
+			}
+			_, _ = conn.Write(session.buffer)
+		}},
+		{"an oversized frame", func(t *testing.T, conn net.Conn) {
+			open(t, conn)
+			_, _ = conn.Write(append([]byte{255, 255, 255, 255}, make([]byte, macBytes)...))
+		}},
+		{"a body that is no message", func(t *testing.T, conn net.Conn) {
+			if err := open(t, conn).writeFrame([]byte("\xc1")); err != nil {
+				t.Error(err)
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			messages := make(chan control.Message, 4)
+			target := listen(t, "key", func(message control.Message) { messages <- message })
+			conn, err := net.Dial("tcp", target.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			c.speak(t, conn)
+			rejected(target)
+			if extra := len(messages); extra > 1 {
+				t.Fatalf("%d messages were taken", extra)
+			}
+		})
+	}
+}
+
+func open(t *testing.T, conn net.Conn) *session {
+	t.Helper()
+	session, err := openSession(conn, []byte("key"), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return session
+}
+
+func FuzzMessage(f *testing.F) {
+	body, err := msgpack.Marshal(&control.Message{From: "a", Through: 1, Subscribe: []string{"m"}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(body)
+	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var message control.Message
+		_ = msgpack.Unmarshal(body, &message)
+	})
+}
--- a/route/picker.go
+++ b/route/picker.go
@@ -24,7 +24,7 @@
 			LoadScorer{HalfLife: 4 * time.Second},
 			PrefixScorer{Index: index, Bonus: 0.5},
 			ZoneScorer{Cost: 0.1},
-			StateScorer{NotObservedCost: 4, OldVersionCost: 8, DrainingCost: 16},
+			StateScorer{OldVersionCost: 1, DrainingCost: 1},
 		},
 	)
 }
@@ -36,7 +36,10 @@
 	scoredCandidates = 8
 )
 
-// Pick returns the best candidate for a request, or nil.
+// Pick returns the best candidate for a request, or nil. A replica that was not
+// observed to serve is picked only if no observed one is left: it would refuse
+// at once, and since refusals keep its load low, a score alone would send it
+// ever more requests.
 func (p *Picker) Pick(now time.Time, model *Model, request *Request) *Candidate {
 	count := len(model.Candidates)
 	if count == 0 {
@@ -51,11 +54,14 @@
 		if !p.allows(request, candidate) {
 			continue
 		}
+		scored++
+		if best != nil && best.Observed && !candidate.Observed {
+			continue
+		}
 		score := p.score(now, request, candidate)
-		if score < bestScore {
+		if score < bestScore || candidate.Observed && !best.Observed {
 			best, bestScore = candidate, score
 		}
-		scored++
 		if scored == scoredCandidates {
 			break
 		}
--- a/route/scorer.go
+++ b/route/scorer.go
@@ -47,21 +47,17 @@
 	return s.Cost
 }
 
-// StateScorer adds a cost for replicas that were not observed to serve or that
-// hold a version other than the configured one. They are used only when
-// nothing better is left.
+// StateScorer adds a cost for replicas that hold a version other than the
+// configured one, or whose back end is to be emptied. They still take what the
+// others cannot.
 type StateScorer struct {
-	NotObservedCost float64
-	OldVersionCost  float64
-	DrainingCost    float64
+	OldVersionCost float64
+	DrainingCost   float64
 }
 
 // Score implements Scorer.
 func (s StateScorer) Score(_ time.Time, _ *Request, candidate *Candidate) float64 {
 	cost := 0.0
-	if !candidate.Observed {
-		cost += s.NotObservedCost
-	}
 	if !candidate.Serving {
 		cost += s.OldVersionCost
 	}
