Order news about back ends by changes of state, and repair missed news

Cause (found by losing a zone of hollow daemons): news was ordered by the engine's report numbers. A daemon that took over a dead zone's engines knew an old number from gossip, so its 'down' lost against newer reports that others had had, and models were not placed again within 180 s. Also, a daemon paused longer than news goes round never heard of it.

Ruled out: too little room or write rate (the planner made no operation at all; its view had the lost engines as up).

Change: news counts changes of state within a boot, raised only by who observes another state than the known one; probes carry a digest of the view, and one that differs is answered with everything, at most every 20 s.

--- a/cmd/wheatweir/lab.go
+++ b/cmd/wheatweir/lab.go
@@ -19,6 +19,8 @@
 func addLabCommands(app *kingpin.Application) {
 	lab := app.Command("lab", "Stand-ins, load, faults and experiments.")
 	addDemo(lab)
+	addUp(lab)
+	addStandIns(lab)
 	addVerify(lab)
 	addScale(lab)
 }
--- a/cmd/wheatweir/operator.go
+++ b/cmd/wheatweir/operator.go
@@ -61,7 +61,7 @@
 	if c.client == nil {
 		c.client = client.New([]string{c.address})
 	}
-	result, err := c.client.Operator(ctx, c.address, c.credential, command)
+	result, err := c.ask(ctx, command)
 	if err != nil {
 		return err
 	}
@@ -76,6 +76,33 @@
 	return nil
 }
 
+// ask sends a command to the daemon, or, if it asks for what each daemon keeps
+// for itself, to all daemons.
+func (c *console) ask(ctx context.Context, command string) (*operator.Result, error) {
+	parsed, err := operator.Parse(command)
+	if err != nil || !parsed.IsAboutEachDaemon() {
+		return c.client.Operator(ctx, c.address, c.credential, command)
+	}
+	daemons, err := c.client.Operator(ctx, c.address, c.credential, "show daemons where state != dead")
+	if err != nil {
+		return nil, err
+	}
+	merged := &operator.Result{}
+	for _, row := range daemons.Rows {
+		name, address := row[0], row[daemonAddressColumn]
+		result, err := c.client.Operator(ctx, address, c.credential, command)
+		if err != nil {
+			merged.Message += fmt.Sprintf("%s did not answer: %v\n", name, err)
+			continue
+		}
+		merged.Merge(name, result)
+	}
+	return merged, nil
+}
+
+// daemonAddressColumn is the column of "show daemons" with the caller address.
+const daemonAddressColumn = 3
+
 func (c *console) once(command string) error { return c.run(command) }
 
 // completer offers the words of the language.
--- a/control/backends.go
+++ b/control/backends.go
@@ -75,8 +75,9 @@
 		return n.take()
 	}
 	state.failures = 0
-	n.takeReport(now, answer.Report, true)
+	n.takeReport(now, answer.Report)
 	if acting {
+		n.observeHealth(&answer.Report)
 		n.reconcile(now, answer.BackEnd, machine, state)
 		n.shareReport(now, answer.BackEnd, state)
 	}
@@ -89,18 +90,14 @@
 		return
 	}
 	news, heard := n.detector.BackEnd(name)
-	if !heard {
-		return
-	}
-	news.State = member.BackEndDown
-	if n.detector.ReportBackEnd(news) {
+	if heard && n.detector.ObserveBackEnd(name, news.Boot, member.BackEndDown) {
 		n.revision++
 		n.decide("placement", "Back end is down.", "back_end", name, "failed_polls", state.failures)
 	}
 }
 
 // takeReport takes in a report if it is newer than the known one.
-func (n *Node) takeReport(now time.Time, report api.Report, polled bool) {
+func (n *Node) takeReport(now time.Time, report api.Report) {
 	state := n.backEnd(report.BackEnd)
 	if state.known && !reportNewer(&report, &state.report) {
 		return
@@ -113,12 +110,15 @@
 	state.known = true
 	state.aged = false
 	n.noteLoad(now, state)
+}
+
+// observeHealth tells the group what a poll of this daemon's own showed.
+func (n *Node) observeHealth(report *api.Report) {
 	health := member.BackEndUp
 	if report.Leaving || n.catalog.machines[report.BackEnd].State == leavingMachine {
 		health = member.BackEndLeaving
 	}
-	news := member.BackEnd{Name: report.BackEnd, Boot: report.Boot, Sequence: report.Sequence, State: health}
-	if n.detector.ReportBackEnd(news) && polled {
+	if n.detector.ObserveBackEnd(report.BackEnd, report.Boot, health) {
 		n.decide("placement", "Back end state.", "back_end", report.BackEnd, "state", health, "boot", report.Boot)
 	}
 }
--- a/control/node.go
+++ b/control/node.go
@@ -121,7 +121,7 @@
 	}
 	n.exchange(message)
 	for _, report := range message.Reports {
-		n.takeReport(now, report, false)
+		n.takeReport(now, report)
 	}
 	for _, load := range message.Loads {
 		n.takeLoad(now, load)
--- a/control/planning.go
+++ b/control/planning.go
@@ -195,10 +195,12 @@
 		return placement.Down
 	}
 	machine, found := n.catalog.machines[name]
+	state := n.backEnds[name]
+	reported := state != nil && state.known && state.report.Boot == news.Boot && state.report.Leaving
 	switch {
 	case !found:
 		return placement.Down
-	case news.State == member.BackEndLeaving || machine.State == leavingMachine:
+	case news.State == member.BackEndLeaving || machine.State == leavingMachine || reported:
 		return placement.Leaving
 	default:
 		return placement.Up
--- a/daemon/logging.go
+++ b/daemon/logging.go
@@ -80,7 +80,7 @@
 	for i := range h.entries {
 		entry := &h.entries[(h.next+i)%len(h.entries)]
 		if mentions(entry, words) {
-			at := entry.at.Format(time.RFC3339Nano)
+			at := entry.at.UTC().Format(timeLayout)
 			result.Rows = append(result.Rows, []string{at, entry.part, entry.text, entry.detail})
 		}
 	}
@@ -95,3 +95,6 @@
 	}
 	return true
 }
+
+// timeLayout has a fixed width, so that the text order of times is their order.
+const timeLayout = "2006-01-02T15:04:05.000000Z07:00"
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -29,6 +29,7 @@
 	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "wheatweir", CachedReporter: reporter, Separator: tallyprometheus.DefaultSeparator,
+		SanitizeOptions: &tallyprometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, time.Second)
 	m := &metrics{
 		registry: registry, scope: scope, closer: closer,
--- a/daemon/queries.go
+++ b/daemon/queries.go
@@ -278,7 +278,7 @@
 
 func (l *requestLog) add(call *caller.Call, target string, result outcome.Result, took time.Duration) {
 	row := []string{
-		call.ArrivedAt.Format(time.RFC3339Nano), call.ID, target, fmt.Sprint(call.Priority),
+		call.ArrivedAt.UTC().Format(timeLayout), call.ID, target, fmt.Sprint(call.Priority),
 		result.Kind.String(), string(result.Reason), took.Round(time.Microsecond).String(),
 	}
 	l.mutex.Lock()
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -73,20 +73,27 @@
 	return summary.verdict(running)
 }
 
-// Setup creates the models and waits until each answers.
+// Setup creates the models on a cluster and waits until each answers.
 func Setup(ctx context.Context, running *cluster.Cluster, caller *client.Client, output io.Writer) error {
+	machines := len(running.Engines) + len(running.Services)
+	return SetupAt(ctx, running.CallerAddresses(), cluster.Credential, machines, caller, output)
+}
+
+// SetupAt creates the models through running daemons, once they know at least
+// so many machines, and waits until each model answers at each daemon.
+func SetupAt(ctx context.Context, addresses []string, credential string, machines int, caller *client.Client, output io.Writer) error {
 	ctx, cancel := context.WithTimeout(ctx, setupTimeout)
 	defer cancel()
-	address := running.Daemons[0].CallerAddress()
+	address := addresses[0]
 	known := func() bool {
-		result, err := caller.Operator(ctx, address, "", "show machines")
-		return err == nil && len(result.Rows) == len(running.Engines)+len(running.Services)
+		result, err := caller.Operator(ctx, address, "", "show machines where role != entry")
+		return err == nil && len(result.Rows) >= machines
 	}
 	if err := cluster.Wait(ctx, "machines known", known); err != nil {
 		return err
 	}
 	for _, command := range SetupCommands {
-		result, err := caller.Operator(ctx, address, cluster.Credential, command)
+		result, err := caller.Operator(ctx, address, credential, command)
 		if err != nil {
 			return err
 		}
@@ -97,8 +104,8 @@
 	}
 	for _, model := range models {
 		answers := func() bool {
-			for _, daemon := range running.Daemons {
-				answer, err := caller.DoAt(ctx, daemon.CallerAddress(), client.Request{Model: model, Prompt: "ready?", Tokens: 1, Stream: true})
+			for _, address := range addresses {
+				answer, err := caller.DoAt(ctx, address, client.Request{Model: model, Prompt: "ready?", Tokens: 1, Stream: true})
 				if err != nil || answer.Outcome != "answered" {
 					return false
 				}
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -65,6 +65,8 @@
 	changesPerDay = 1300
 	serverBytes   = 640 << 30
 	modelBytes    = 60 << 30
+	// loadBytesPerSecond is the speed at which a server loads weights.
+	loadBytesPerSecond = 6 << 30
 )
 
 // measurement is the state of one measurement.
@@ -73,6 +75,7 @@
 	world   *sim.World
 	byName  map[string]*sim.Daemon
 	demand  []float64
+	refused int
 	result  Result
 }
 
@@ -128,7 +131,9 @@
 		s := engine.DefaultSettings(fmt.Sprintf("server-%03d", index+1))
 		s.MemoryBytes = serverBytes
 		s.Slots = serverSlots
-		s.LoadTime = func(time.Time, int64) time.Duration { return 10 * time.Second }
+		s.LoadTime = func(_ time.Time, bytes int64) time.Duration {
+			return time.Duration(float64(bytes) / loadBytesPerSecond * float64(time.Second))
+		}
 		added := w.AddEngine(zone, region, s)
 		running := requestsPerServer
 		added.Load = func() (int, int) {
@@ -153,9 +158,17 @@
 	}
 	key := api.Key{Kind: api.KindModel, Name: model.Name}
 	object := api.Object{Key: key, Writer: "operator", Value: api.Encode(model)}
-	m.world.Platform.Write("operator", object, m.world.Platform.Core.Peek(key).Version, func(api.Object, control.CallError) {})
+	m.world.Platform.Write("operator", object, m.world.Platform.Core.Peek(key).Version, func(_ api.Object, err control.CallError) {
+		if err != control.CallOK {
+			m.refused++
+			m.world.After(operatorRetry, func() { m.writeModel(index, priority) })
+		}
+	})
 }
 
+// operatorRetry is the pause before an operator's refused write is made again.
+const operatorRetry = 200 * time.Millisecond
+
 // settle creates all models at a rate that the platform takes, feeds demand,
 // and waits until each is held twice.
 func (m *measurement) settle() error {
--- a/lab/verify/checks.go
+++ b/lab/verify/checks.go
@@ -39,12 +39,39 @@
 
 // check runs at an interval through the whole run.
 func (r *run) check() bool {
+	r.checkReservations()
 	r.checkReachable()
 	r.checkConfiguration()
 	r.checkInForce()
 	return true
 }
 
+// checkReservations checks that everything that an engine holds is reserved in
+// its record. Memory that is held without a reservation may be given away.
+func (r *run) checkReservations() {
+	for _, e := range r.world.Engines {
+		if !e.Alive {
+			continue
+		}
+		report := e.Core.Report(r.world.Now)
+		held := append(report.Residents, report.Loading...)
+		if len(held) == 0 {
+			continue
+		}
+		object := r.world.Platform.Core.Peek(api.Key{Kind: api.KindPlacement, Name: e.Name})
+		record, err := api.Decode[api.Placement](object)
+		if err != nil {
+			r.violate("memory", "%s holds %d artifacts without a record", e.Name, len(held))
+			continue
+		}
+		for _, artifact := range held {
+			if record.Find(artifact) == nil {
+				r.violate("memory", "%s holds %s without a reservation", e.Name, artifact)
+			}
+		}
+	}
+}
+
 // leftoverTime is how long after its creation a model does not count as reached
 // yet: what serves it may be left over from a model of the same name that was
 // just deleted, and is on its way out.
--- a/lab/verify/promises.go
+++ b/lab/verify/promises.go
@@ -23,7 +23,7 @@
 
 // Promises lists all promises that runs check.
 var Promises = []Promise{
-	{"memory", "no engine is ever told to load more than its memory holds",
+	{"memory", "no engine is told to load more than its memory holds, and whatever it holds is reserved",
 		[]sim.Mechanism{sim.MechanismConditionalUpdate, sim.MechanismFence, sim.MechanismReservation}},
 	{"reachable", "every created model is held by a live engine at every instant, through the loss of any one engine",
 		[]sim.Mechanism{sim.MechanismSecondReplica}},
--- a/member/detector.go
+++ b/member/detector.go
@@ -39,6 +39,10 @@
 	live      []string
 	liveStale bool
 	revision  uint64
+
+	digest       uint64
+	digestStale  bool
+	lastExchange time.Time
 }
 
 type entry struct {
@@ -100,6 +104,7 @@
 
 func (d *Detector) changed() {
 	d.liveStale = true
+	d.digestStale = true
 	d.revision++
 }
 
@@ -148,19 +153,30 @@
 	return news, found
 }
 
-// ReportBackEnd takes in an own observation of a back end. It returns whether
-// the state of the back end changed.
-func (d *Detector) ReportBackEnd(news BackEnd) bool {
-	old, found := d.backEnds[news.Name]
-	if found && !news.newer(old) {
-		return false
+// ObserveBackEnd takes in an own observation of a back end. It returns whether
+// it is news: another boot or state than the known one.
+func (d *Detector) ObserveBackEnd(name, boot string, state BackEndState) bool {
+	known, found := d.backEnds[name]
+	news := BackEnd{Name: name, Boot: boot, Change: 1, State: state}
+	if found {
+		if boot < known.Boot || boot == known.Boot && state == known.State {
+			return false
+		}
+		if boot == known.Boot {
+			news.Change = known.Change + 1
+		}
 	}
-	d.backEnds[news.Name] = news
-	if found && old.State == news.State && old.Boot == news.Boot {
-		// A later report of the same state is not news for the group.
+	return d.mergeBackEnd(news)
+}
+
+// mergeBackEnd takes in news about a back end if it is newer.
+func (d *Detector) mergeBackEnd(news BackEnd) bool {
+	if known, found := d.backEnds[news.Name]; found && !news.newer(known) {
 		return false
 	}
+	d.backEnds[news.Name] = news
 	d.backEndNews.add(news.Name, news)
+	d.digestStale = true
 	d.revision++
 	return true
 }
@@ -351,6 +367,7 @@
 		Kind:     kind,
 		Sequence: sequence,
 		Sender:   d.self,
+		Digest:   d.currentDigest(),
 		Members:  d.memberNews.take(d.settings.NewsPerMessage, size),
 		BackEnds: d.backEndNews.take(d.settings.NewsPerMessage, size),
 	}
@@ -371,11 +388,11 @@
 		d.merge(now, news)
 	}
 	for _, news := range message.BackEnds {
-		d.ReportBackEnd(news)
+		d.mergeBackEnd(news)
 	}
 	switch message.Kind {
 	case Ping:
-		return []Packet{{message.Sender.PeerAddress, d.ackFor(message, stranger)}}
+		return []Packet{{message.Sender.PeerAddress, d.ackFor(now, message, stranger)}}
 	case PingRequest:
 		d.sequence++
 		d.relayed[d.sequence] = relay{message.Sender.PeerAddress, message.Sequence, now}
@@ -391,15 +408,18 @@
 	return !found || known.Incarnation < sender.Incarnation
 }
 
-// ackFor answers a ping. A sender that just joined gets the full view, since
-// the news about older members is no longer going round.
-func (d *Detector) ackFor(message Message, stranger bool) Message {
+// ackFor answers a ping. A sender that just joined, or whose digest shows that
+// it knows something else, gets everything, since the news that it lacks may no
+// longer be going round.
+func (d *Detector) ackFor(now time.Time, message Message, stranger bool) Message {
 	ack := d.message(Ack, message.Sequence)
 	ack.KnowsLeaving = d.members[message.Sender.Name].Leaving
 	if known := d.members[message.Sender.Name]; known.State >= Suspect {
 		ack.Members = append(ack.Members, known.Member)
 	}
-	if stranger {
+	differs := message.Digest != ack.Digest && now.Sub(d.lastExchange) >= d.settings.FullExchangeInterval
+	if stranger || differs {
+		d.lastExchange = now
 		ack.Members = d.Members()
 		ack.BackEnds = d.allBackEnds()
 	}
--- a/member/detector_test.go
+++ b/member/detector_test.go
@@ -173,32 +173,74 @@
 	}
 }
 
-func TestBackEndNewsIsOrdered(t *testing.T) {
+func TestObserveBackEnd(t *testing.T) {
 	up, leaving, down := member.BackEndUp, member.BackEndLeaving, member.BackEndDown
+	type observation struct {
+		boot  string
+		state member.BackEndState
+	}
 	cases := []struct {
 		name   string
-		first  member.BackEnd
-		second member.BackEnd
+		first  observation
+		second observation
+		news   bool
 		want   member.BackEndState
 	}{
-		{"later report wins", member.BackEnd{Boot: "b1", Sequence: 1, State: down}, member.BackEnd{Boot: "b1", Sequence: 2, State: up}, up},
-		{"older report loses", member.BackEnd{Boot: "b1", Sequence: 2, State: leaving}, member.BackEnd{Boot: "b1", Sequence: 1, State: up}, leaving},
-		{"down wins at the same report", member.BackEnd{Boot: "b1", Sequence: 2, State: up}, member.BackEnd{Boot: "b1", Sequence: 2, State: down}, down},
-		{"new boot wins", member.BackEnd{Boot: "b1", Sequence: 900, State: down}, member.BackEnd{Boot: "b2", Sequence: 1, State: up}, up},
-		{"old boot loses", member.BackEnd{Boot: "b2", Sequence: 1, State: up}, member.BackEnd{Boot: "b1", Sequence: 900, State: down}, up},
+		{"the same again is no news", observation{"b1", up}, observation{"b1", up}, false, up},
+		{"down after up", observation{"b1", up}, observation{"b1", down}, true, down},
+		{"up after down", observation{"b1", down}, observation{"b1", up}, true, up},
+		{"up after leaving", observation{"b1", leaving}, observation{"b1", up}, true, up},
+		{"a new boot", observation{"b1", down}, observation{"b2", up}, true, up},
+		{"an old boot", observation{"b2", up}, observation{"b1", down}, false, up},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			detector := newGroup(1, 1).detectors[0]
-			detector.ReportBackEnd(c.first)
-			detector.ReportBackEnd(c.second)
-			if got, _ := detector.BackEnd(""); got.State != c.want {
-				t.Fatalf("state %s, want %s", got.State, c.want)
+			detector.ObserveBackEnd("e", c.first.boot, c.first.state)
+			news := detector.ObserveBackEnd("e", c.second.boot, c.second.state)
+			if got, _ := detector.BackEnd("e"); got.State != c.want || news != c.news {
+				t.Fatalf("state %s news %v, want %s %v", got.State, news, c.want, c.news)
 			}
 		})
 	}
 }
 
+// TestNewsReachesADaemonThatMissedIt covers a pause that outlasts the time for
+// which news goes round.
+func TestNewsReachesADaemonThatMissedIt(t *testing.T) {
+	g := newGroup(5, 1)
+	g.run(20 * time.Second)
+	g.detectors[0].ObserveBackEnd("e", "b1", member.BackEndUp)
+	g.run(20 * time.Second)
+	g.off[4] = true
+	g.run(5 * time.Second)
+	g.detectors[1].ObserveBackEnd("e", "b1", member.BackEndDown)
+	g.run(300 * time.Second)
+	g.off[4] = false
+	g.run(60 * time.Second)
+	if got, _ := g.detectors[4].BackEnd("e"); got.State != member.BackEndDown {
+		t.Fatalf("state %s after the pause", got.State)
+	}
+}
+
+// TestTakeoverCanReportDown covers a daemon that takes over a back end of which
+// it has heard long ago, while others have had newer reports since.
+func TestTakeoverCanReportDown(t *testing.T) {
+	g := newGroup(3, 1)
+	g.detectors[0].ObserveBackEnd("e", "b1", member.BackEndUp)
+	g.run(20 * time.Second)
+	for range 50 {
+		g.detectors[0].ObserveBackEnd("e", "b1", member.BackEndUp)
+	}
+	g.detectors[1].ObserveBackEnd("e", "b1", member.BackEndDown)
+	g.run(20 * time.Second)
+	for index, detector := range g.detectors {
+		if got, _ := detector.BackEnd("e"); got.State != member.BackEndDown {
+			t.Fatalf("d%d has state %s", index, got.State)
+		}
+	}
+}
+
 // TestMembershipSettles lets random kills, pauses, restarts and cuts happen and
 // checks that the view of all daemons is right once they have ended.
 func TestMembershipSettles(t *testing.T) {
--- a/member/types.go
+++ b/member/types.go
@@ -36,7 +36,7 @@
 }
 
 // BackEndState is the health of a back end. A higher state wins over a lower
-// one at the same boot and sequence.
+// one at the same boot and change.
 type BackEndState uint8
 
 // States of a back end.
@@ -51,24 +51,24 @@
 // String returns the name used in logs and command output.
 func (s BackEndState) String() string { return backEndStateNames[s] }
 
-// BackEnd is news about one back end. Boot and Sequence come from the engine's
-// own reports and order the news.
+// BackEnd is news about one back end.
 type BackEnd struct {
-	Name     string       `msgpack:"n"`
-	Boot     string       `msgpack:"b"`
-	Sequence uint64       `msgpack:"q"`
-	State    BackEndState `msgpack:"s"`
+	Name string `msgpack:"n"`
+	// Boot identifies one run of the engine; a later one has a greater text.
+	Boot string `msgpack:"b"`
+	// Change counts the changes of state within one boot. Only a daemon that
+	// observes another state than the one it knows raises it.
+	Change uint64       `msgpack:"c"`
+	State  BackEndState `msgpack:"s"`
 }
 
 // newer reports whether b should replace the known news old.
 func (b BackEnd) newer(old BackEnd) bool {
 	if b.Boot != old.Boot {
-		// Boot identities start with the boot time in a fixed width, so
-		// their text order is their time order.
 		return b.Boot > old.Boot
 	}
-	if b.Sequence != old.Sequence {
-		return b.Sequence > old.Sequence
+	if b.Change != old.Change {
+		return b.Change > old.Change
 	}
 	return b.State > old.State
 }
@@ -95,9 +95,11 @@
 	Sender Member `msgpack:"f"`
 	// KnowsLeaving says, in an Ack, that the answering daemon knows that the
 	// one that asked is leaving.
-	KnowsLeaving bool      `msgpack:"w,omitempty"`
-	Members      []Member  `msgpack:"m,omitempty"`
-	BackEnds     []BackEnd `msgpack:"b,omitempty"`
+	KnowsLeaving bool `msgpack:"w,omitempty"`
+	// Digest sums up what the sender knows of members and back ends.
+	Digest   uint64    `msgpack:"d,omitempty"`
+	Members  []Member  `msgpack:"m,omitempty"`
+	BackEnds []BackEnd `msgpack:"b,omitempty"`
 }
 
 // Packet is a message with the peer address that it goes to.
@@ -117,6 +119,9 @@
 	SuspicionIntervals int
 	// Helpers is how many members are asked to probe on our behalf.
 	Helpers int
+	// FullExchangeInterval is the least time between two answers with
+	// everything that is known, to senders that know something else.
+	FullExchangeInterval time.Duration
 	// NewsPerMessage bounds the news of each sort on one message.
 	NewsPerMessage int
 }
@@ -130,5 +135,7 @@
 		SuspicionIntervals: 2,
 		Helpers:            3,
 		NewsPerMessage:     6,
+
+		FullExchangeInterval: 20 * time.Second,
 	}
 }
--- a/operator/executor.go
+++ b/operator/executor.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"github.com/wheatweir/wheatweir/api"
 	"github.com/wheatweir/wheatweir/nearest"
 	"github.com/wheatweir/wheatweir/placement"
 	"github.com/wheatweir/wheatweir/platform"
+	"github.com/wheatweir/wheatweir/retry"
 )
 
 // System is the daemon as commands see it.
@@ -104,7 +107,7 @@
 func (e *Executor) put(ctx context.Context, object api.Object, ifVersion uint64) (api.Object, error) {
 	object.Writer = "operator at " + e.Writer
 	object.WriteID = fmt.Sprintf("%s/operator/%d/%d", e.Writer, ifVersion, e.writes.Add(1))
-	written, err := e.Platform.Put(ctx, object, ifVersion)
+	written, err := e.putWithRetry(ctx, object, ifVersion)
 	switch {
 	case err == nil:
 		e.System.Learned(written)
@@ -118,6 +121,30 @@
 	return e.settle(ctx, object, err)
 }
 
+const (
+	// refusedAttempts is how often a write that the platform refused is made.
+	refusedAttempts = 6
+	refusedBase     = 200 * time.Millisecond
+	refusedLimit    = 2 * time.Second
+)
+
+// putWithRetry makes a write again while the platform refuses it, such as when
+// the daemons use up its rate.
+func (e *Executor) putWithRetry(ctx context.Context, object api.Object, ifVersion uint64) (api.Object, error) {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	for attempt := 0; ; attempt++ {
+		written, err := e.Platform.Put(ctx, object, ifVersion)
+		if !platform.ErrNotDone.Has(err) || attempt+1 >= refusedAttempts {
+			return written, err
+		}
+		select {
+		case <-time.After(retry.Backoff(random, attempt, refusedBase, refusedLimit)):
+		case <-ctx.Done():
+			return written, err
+		}
+	}
+}
+
 func (e *Executor) settle(ctx context.Context, object api.Object, cause error) (api.Object, error) {
 	found, err := e.Platform.Get(ctx, object.Key)
 	if err != nil {
--- a/operator/grammar.go
+++ b/operator/grammar.go
@@ -44,6 +44,15 @@
 	Help    bool     `parser:"| @'help'"`
 }
 
+// IsAboutEachDaemon reports whether the answer differs between daemons, because
+// each keeps its own: decisions and requests.
+func (c *Command) IsAboutEachDaemon() bool {
+	if c.Why != nil {
+		return true
+	}
+	return c.Show != nil && (c.Show.What == "requests" || c.Show.What == "moves" || c.Show.What == "decisions")
+}
+
 // Show lists one kind of thing.
 type Show struct {
 	What  string      `parser:"@('models'|'adapters'|'versions'|'backends'|'daemons'|'placements'|'requests'|'moves'|'services'|'machines'|'settings'|'decisions')"`
--- a/operator/result.go
+++ b/operator/result.go
@@ -130,3 +130,19 @@
 	}
 	return 0, false
 }
+
+// Merge adds the rows of one daemon's result, with its name in front, and keeps
+// rows that begin with a time in the order of time.
+func (r *Result) Merge(daemon string, other *Result) {
+	if other.Error != "" {
+		r.Error, r.ErrorKind = other.Error, other.ErrorKind
+		return
+	}
+	if len(r.Columns) == 0 {
+		r.Columns = append([]string{"at", "daemon"}, other.Columns[1:]...)
+	}
+	for _, row := range other.Rows {
+		r.Rows = append(r.Rows, append([]string{row[0], daemon}, row[1:]...))
+	}
+	slices.SortStableFunc(r.Rows, func(a, b []string) int { return strings.Compare(a[0], b[0]) })
+}
