Spread replicas over regions and zones, and let demand wait for a report

Change: machines have a region; a model whose replicas share a region or zone gets an anchor elsewhere, and the anchor that is then too many goes from the crowded place.

Cause 2: until an engine had reported, demand was divided by an assumed 16 slots. Change: demand adds nothing while no engine with the model has reported.

--- a/api/machine.go
+++ b/api/machine.go
@@ -21,10 +21,12 @@
 
 // Machine is one entry of the platform's machine list.
 type Machine struct {
-	Name  string       `json:"name"`
-	Role  Role         `json:"role"`
-	Zone  string       `json:"zone"`
-	State MachineState `json:"state"`
+	Name string `json:"name"`
+	Role Role   `json:"role"`
+	Zone string `json:"zone"`
+	// Region is the group of zones that may lose the others for minutes.
+	Region string       `json:"region,omitempty"`
+	State  MachineState `json:"state"`
 	// Address is where the machine serves calls, as "IP:port".
 	Address string `json:"address"`
 	// PeerAddress is where an entry machine hears other daemons.
--- a/control/planning.go
+++ b/control/planning.go
@@ -177,7 +177,7 @@
 		machine := n.catalog.machines[name]
 		known := n.catalog.placements[name]
 		backEnd := placement.BackEnd{
-			Name: name, Zone: machine.Zone, MemoryBytes: machine.MemoryBytes, ChecksFence: machine.ChecksFence,
+			Name: name, Zone: machine.Zone, Region: machine.Region, MemoryBytes: machine.MemoryBytes, ChecksFence: machine.ChecksFence,
 			Health: n.health(name), Placement: known.placement, Version: known.version,
 		}
 		if state := n.backEnds[name]; state != nil && state.known {
--- a/control/table.go
+++ b/control/table.go
@@ -112,7 +112,7 @@
 
 func (n *Node) backEndView(name string) *route.BackEnd {
 	machine := n.catalog.machines[name]
-	return &route.BackEnd{Name: name, Address: machine.Address, Zone: machine.Zone, Load: n.loads.Get(name)}
+	return &route.BackEnd{Name: name, Address: machine.Address, Zone: machine.Zone, Region: machine.Region, Load: n.loads.Get(name)}
 }
 
 func (n *Node) serviceView(service api.Service) *route.Service {
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -133,6 +133,7 @@
 	request := route.Request{
 		Adapter: call.Reference.Adapter,
 		Zone:    d.settings.Daemon.Zone,
+		Region:  d.settings.Daemon.Region,
 		Prefix:  route.HashPrefix(call.Reference.Model, promptOf(call.Body)),
 		Random:  rand.Uint64(),
 	}
--- a/lab/scale/result.go
+++ b/lab/scale/result.go
@@ -33,6 +33,9 @@
 	Daemons                  int         `json:"daemons"`
 	Servers                  int         `json:"servers"`
 	Models                   int         `json:"models"`
+	Placed                   float64     `json:"all_models_placed_seconds"`
+	PlacedWrites             float64     `json:"all_models_placed_writes"`
+	PlacedRefused            float64     `json:"all_models_placed_refused_calls"`
 	ControlBytes             Percentiles `json:"control_bytes_per_second"`
 	ControlBytesReceived     Percentiles `json:"control_bytes_received_per_second"`
 	ControlMessages          Percentiles `json:"control_messages_per_second"`
@@ -88,6 +91,9 @@
 }
 
 var rows = []row{
+	numberRow("empty to all held twice", "s", 1, func(r *Result) float64 { return r.Placed }),
+	numberRow("writes until then", "", 1, func(r *Result) float64 { return r.PlacedWrites }),
+	numberRow("refused calls until then", "", 1, func(r *Result) float64 { return r.PlacedRefused }),
 	percentileRow("control bytes sent", "B/s", 1, func(r *Result) Percentiles { return r.ControlBytes }),
 	percentileRow("control bytes received", "B/s", 1, func(r *Result) Percentiles { return r.ControlBytesReceived }),
 	percentileRow("control messages sent", "1/s", 1, func(r *Result) Percentiles { return r.ControlMessages }),
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -53,7 +53,8 @@
 
 // Times of the phases.
 const (
-	settleTime  = 150 * time.Second
+	settleLimit = 900 * time.Second
+	settleTime  = 60 * time.Second
 	steadyTime  = 120 * time.Second
 	changeEvery = 3 * time.Second
 	changes     = 20
@@ -181,10 +182,17 @@
 		m.feedDemand()
 		return true
 	})
-	w.Run(settleTime)
-	if short := m.shortModels(2); short > 0 {
-		return ErrScale.New("%d of %d models are not held twice after %s", short, m.options.Models, settleTime)
+	w.Run(5*time.Second + time.Duration(m.options.Models)*createEvery)
+	for m.shortModels(2) > 0 {
+		if w.Elapsed() > settleLimit {
+			return ErrScale.New("%d of %d models are not held twice after %s", m.shortModels(2), m.options.Models, settleLimit)
+		}
+		w.Run(time.Second)
 	}
+	m.result.Placed = w.Elapsed().Seconds()
+	m.result.PlacedWrites = float64(w.Platform.Core.Counts.Writes)
+	m.result.PlacedRefused = float64(w.Platform.Core.Counts.Refused)
+	w.Run(settleTime)
 	return nil
 }
 
--- a/lab/sim/daemon.go
+++ b/lab/sim/daemon.go
@@ -34,6 +34,7 @@
 	world  *World
 	Name   string
 	Zone   string
+	Region string
 	Alive  bool
 	Paused bool
 	// Stopping says that a planned stop has begun.
@@ -59,12 +60,12 @@
 
 // AddDaemon starts a daemon and puts it on the machine list.
 func (w *World) AddDaemon(name, zone, region string) *Daemon {
-	d := &Daemon{world: w, Name: name, Zone: zone, address: "peer:" + name}
+	d := &Daemon{world: w, Name: name, Zone: zone, Region: region, address: "peer:" + name}
 	w.Daemons = append(w.Daemons, d)
 	w.peers[d.address] = d
 	w.Network.Place(name, zone, region)
 	w.Platform.SetMachine(api.Machine{
-		Name: name, Role: api.RoleEntry, Zone: zone, State: api.MachineLive, Address: "call:" + name, PeerAddress: d.address,
+		Name: name, Role: api.RoleEntry, Zone: zone, Region: region, State: api.MachineLive, Address: "call:" + name, PeerAddress: d.address,
 	})
 	d.Start()
 	return d
--- a/lab/sim/engine.go
+++ b/lab/sim/engine.go
@@ -48,7 +48,7 @@
 
 func (e *Engine) machine(state api.MachineState) api.Machine {
 	return api.Machine{
-		Name: e.Name, Role: api.RoleEngine, Zone: e.world.Network.places[e.Name].zone, State: state, Address: e.address,
+		Name: e.Name, Role: api.RoleEngine, Zone: e.world.Network.places[e.Name].zone, Region: e.world.Network.places[e.Name].region, State: state, Address: e.address,
 		MemoryBytes: e.Settings.MemoryBytes, Accelerators: 8, ChecksFence: e.Settings.ChecksFence,
 	}
 }
--- a/lab/sim/requests.go
+++ b/lab/sim/requests.go
@@ -255,7 +255,7 @@
 	f.machine = exchange.New(p.settings.Exchange, p.budget, exchange.Request{
 		Repeatable: repeatable, HasKey: f.call.Key != "", Deadline: f.deadline,
 	})
-	f.request = route.Request{Adapter: f.call.Reference.Adapter, Zone: p.daemon.Zone, Random: p.random.Uint64()}
+	f.request = route.Request{Adapter: f.call.Reference.Adapter, Zone: p.daemon.Zone, Region: p.daemon.Region, Random: p.random.Uint64()}
 	f.request.Prefix.Hashes[0] = f.call.Prompt
 	f.request.Prefix.Count = 1
 	f.step(f.machine.Start())
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -72,6 +72,10 @@
 	surplus.Anchor = false
 	busy := model("m", "v1", 1)
 	busy.Demand = placement.Demand{Fast: 30, Slow: 30}
+	unreported := func(b placement.BackEnd) placement.BackEnd {
+		b.Report = nil
+		return b
+	}
 	deleted := model("m", "v1", 1)
 	deleted.Deleted = true
 	cases := []struct {
@@ -85,11 +89,14 @@
 		{"a lost replica is replaced", []placement.BackEnd{down(backEnd("a", "1", held(v1, 20*gib))), backEnd("b", "2", held(v1, 20*gib)), backEnd("c", "3")}, model("m", "v1", 2), "add m@v1@c;"},
 		{"no room, no operation", []placement.BackEnd{backEnd("a", "1", held(weights("x", "v1"), 70*gib))}, model("m", "v1", 1), ""},
 		{"demand adds replicas", []placement.BackEnd{backEnd("a", "1", held(v1, 20*gib)), backEnd("b", "2"), backEnd("c", "3")}, busy, "adds 2"},
+		{"demand adds nothing while no engine with the model has reported", []placement.BackEnd{unreported(backEnd("a", "1", held(v1, 20*gib))), backEnd("b", "2")}, busy, ""},
 		{"a surplus replica goes after its stay", []placement.BackEnd{backEnd("a", "1", held(v1, 20*gib)), backEnd("b", "2", surplus)}, model("m", "v1", 1), "release m@v1@b;"},
 		{"a replaced version is marked first", []placement.BackEnd{backEnd("a", "1", held(v1, 20*gib)), backEnd("b", "2", held(v2, 20*gib))}, model("m", "v2", 1), "mark_moving m@v1@a;"},
 		{"a replaced version goes once the new one serves", []placement.BackEnd{backEnd("a", "1", moving(held(v1, 20*gib))), backEnd("b", "2", held(v2, 20*gib))}, model("m", "v2", 1), "release m@v1@a;"},
 		{"a drained replica stays until others serve", []placement.BackEnd{drained(backEnd("a", "1", moving(held(v1, 20*gib)))), backEnd("b", "2")}, model("m", "v1", 1), "add m@v1@b;"},
 		{"a replica marked to go is kept if it is needed", []placement.BackEnd{backEnd("a", "1", moving(held(v1, 20*gib)))}, model("m", "v1", 1), "keep m@v1@a;"},
+		{"replicas in one zone are spread", []placement.BackEnd{backEnd("a", "1", held(v1, 20*gib)), backEnd("b", "1", held(v1, 20*gib)), backEnd("c", "2")}, model("m", "v1", 2), "add m@v1@c;"},
+		{"the anchor too many goes from the crowded zone", []placement.BackEnd{backEnd("a", "1", held(v1, 20*gib)), backEnd("b", "1", held(v1, 20*gib)), backEnd("c", "2", held(v1, 20*gib))}, model("m", "v1", 2), "mark_moving m@v1@b;"},
 		{"a deleted model is released", []placement.BackEnd{backEnd("a", "1", held(v1, 20*gib))}, deleted, "release m@v1@a;"},
 	}
 	for _, c := range cases {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -99,6 +99,18 @@
 	released bool
 }
 
+// inRecords counts the replicas that are in records already, and not only
+// planned in this round.
+func (v *modelView) inRecords() int {
+	count := 0
+	for _, replica := range v.replicas {
+		if replica.entry.Since != 0 {
+			count++
+		}
+	}
+	return count
+}
+
 func (p *plan) view(model *Model) *modelView {
 	version, _ := model.Model.ServingVersion()
 	view := &modelView{
@@ -119,24 +131,29 @@
 	return view
 }
 
-// slotsOf returns the batch slots of a typical engine.
+// slotsOf returns the batch slots of an engine that was observed to hold the
+// model, or zero if there is none.
 func (p *plan) slotsOf(replicas []holding) float64 {
 	for _, replica := range replicas {
 		if report := p.backEnds[replica.backEnd].Report; report != nil && report.Slots > 0 {
 			return float64(report.Slots)
 		}
 	}
-	return float64(p.snapshot.Settings.DefaultSlots)
+	return 0
 }
 
 // desiredReplicas turns demand into a number of replicas. Demand above what
 // the present replicas should take adds replicas if the worth of serving the
 // excess outweighs the moves; fewer are wanted only once the slow average
-// fits comfortably in fewer.
+// fits comfortably in fewer. While no engine with the model has reported, nobody
+// knows how much one takes, and demand changes nothing.
 func (p *plan) desiredReplicas(model *Model, present int) int {
 	settings := p.snapshot.Settings
 	floor := max(model.Model.MinReplicas, len(model.Model.Pins))
 	perReplica := p.slotsOf(p.byModel[model.Model.Name]) * settings.TargetUtilization
+	if perReplica == 0 {
+		return max(present, floor)
+	}
 	wanted := int(math.Ceil(model.Demand.Fast / perReplica))
 	held := int(math.Ceil(max(model.Demand.Slow, model.Demand.Fast) / (perReplica * scaleDownShare)))
 	desired := present
@@ -175,13 +192,48 @@
 			}
 			more = true
 			if len(view.replicas) < level {
-				p.addReplica(view)
+				p.addReplica(view, "")
 			}
 		}
 		if !more {
-			return
+			break
+		}
+	}
+	for _, view := range views {
+		p.spread(view)
+	}
+}
+
+// spread adds an anchor elsewhere if all are in one region although there is
+// another, or in one zone although there is another. The anchor that is
+// then too many is trimmed later.
+func (p *plan) spread(view *modelView) {
+	if view.model.Model.MinReplicas < 2 || len(view.replicas) < view.model.Model.MinReplicas {
+		return
+	}
+	first := &p.backEnds[view.replicas[0].backEnd]
+	sameRegion, sameZone := true, true
+	for _, replica := range view.replicas[1:] {
+		backEnd := &p.backEnds[replica.backEnd]
+		sameRegion = sameRegion && backEnd.Region == first.Region
+		sameZone = sameZone && backEnd.Zone == first.Zone
+	}
+	switch {
+	case sameRegion && p.otherPlace(func(b *BackEnd) bool { return b.Region != first.Region }):
+		p.addReplica(view, "all replicas are in one region")
+	case sameZone && p.otherPlace(func(b *BackEnd) bool { return b.Zone != first.Zone }):
+		p.addReplica(view, "all replicas are in one zone")
+	}
+}
+
+// otherPlace reports whether a usable back end is in another place.
+func (p *plan) otherPlace(elsewhere func(*BackEnd) bool) bool {
+	for i := range p.backEnds {
+		if p.backEnds[i].usable() && elsewhere(&p.backEnds[i]) {
+			return true
 		}
 	}
+	return false
 }
 
 func (p *plan) addPinned(view *modelView) {
@@ -192,7 +244,7 @@
 		}
 		bytes := view.model.Model.Bytes()
 		if p.free[i] >= bytes && !p.touched[name] {
-			p.add(view, i, bytes, "pinned by an operator")
+			p.add(view, i, bytes, true, "pinned by an operator")
 		}
 	}
 }
@@ -261,7 +313,10 @@
 	return entries
 }
 
-func (p *plan) addReplica(view *modelView) {
+// addReplica adds one replica on the best back end that has room. Replicas above
+// the minimum leave some memory spare; a reason says why one is needed although
+// demand asks for none.
+func (p *plan) addReplica(view *modelView, reason string) {
 	bytes := view.model.Model.Bytes()
 	spareNeeded := int64(0)
 	above := len(view.replicas) >= view.model.Model.MinReplicas
@@ -275,17 +330,20 @@
 	if best < 0 {
 		return
 	}
-	reason := "fewer replicas than the minimum"
-	if above {
+	anchor := !above || reason != ""
+	switch {
+	case reason != "":
+	case !above:
+		reason = "fewer replicas than the minimum"
+	default:
 		reason = fmt.Sprintf("demand %.1f over %d replicas", view.model.Demand.Fast, len(view.replicas))
 	}
-	p.add(view, best, bytes, reason)
+	p.add(view, best, bytes, anchor, reason)
 }
 
-func (p *plan) add(view *modelView, index int, bytes int64, reason string) {
+func (p *plan) add(view *modelView, index int, bytes int64, anchor bool, reason string) {
 	backEnd := &p.backEnds[index]
 	version, _ := view.model.Model.ServingVersion()
-	anchor := len(view.replicas) < view.model.Model.MinReplicas
 	weights := api.PlacementEntry{Artifact: view.weights, Bytes: version.Bytes, Phase: api.PhaseHeld, Anchor: anchor}
 	p.free[index] -= bytes
 	p.totalFree -= bytes
@@ -312,7 +370,8 @@
 			continue
 		}
 		score := float64(p.free[i]) / float64(backEnd.MemoryBytes)
-		score -= zonePenalty * float64(p.replicasInZone(view, backEnd.Zone))
+		inZone, inRegion := p.replicasNear(view, backEnd)
+		score -= zonePenalty*float64(inZone) + regionPenalty*float64(inRegion)
 		score += spreadShare * float64(rendezvous.Weight(view.model.Model.Name, backEnd.Name)) / math.MaxUint64
 		if score > bestScore {
 			best, bestScore = i, score
@@ -322,20 +381,26 @@
 }
 
 const (
-	// zonePenalty makes a zone without a replica win over any free share.
-	zonePenalty = 2.0
+	// zonePenalty makes a zone without a replica win over any free share, and
+	// regionPenalty a region without one over any zone.
+	zonePenalty   = 2.0
+	regionPenalty = 4.0
 	// spreadShare is how much of the score the hash may decide.
 	spreadShare = 0.2
 )
 
-func (p *plan) replicasInZone(view *modelView, zone string) int {
-	count := 0
+// replicasNear counts the model's replicas in the zone and region of a back end.
+func (p *plan) replicasNear(view *modelView, backEnd *BackEnd) (inZone, inRegion int) {
 	for _, replica := range view.replicas {
-		if p.backEnds[replica.backEnd].Zone == zone {
-			count++
+		other := &p.backEnds[replica.backEnd]
+		if other.Zone == backEnd.Zone {
+			inZone++
+		}
+		if other.Region == backEnd.Region {
+			inRegion++
 		}
 	}
-	return count
+	return inZone, inRegion
 }
 
 func holds(replicas []holding, index int) bool {
@@ -430,7 +495,7 @@
 // trim gives up one replica more than desired. Replicas that are not anchors
 // go first, and only after their minimum stay unless memory is short.
 func (p *plan) trim(view *modelView) {
-	if len(view.replicas) <= view.desired {
+	if view.inRecords() <= view.desired {
 		return
 	}
 	for i := len(view.replicas) - 1; i >= 0; i-- {
@@ -458,16 +523,19 @@
 // back end that came back after its models were placed elsewhere.
 func (p *plan) trimAnchor(view *modelView) {
 	anchors := 0
-	last := -1
+	last, mostCrowded := -1, 0
 	for i, replica := range view.replicas {
-		name := p.backEnds[replica.backEnd].Name
-		if !replica.entry.Anchor {
+		backEnd := &p.backEnds[replica.backEnd]
+		name := backEnd.Name
+		if !replica.entry.Anchor || replica.entry.Since == 0 {
 			continue
 		}
 		anchors++
-		movable := p.stayedLongEnough(replica) && !p.touched[name] && replica.entry.Since != 0
-		if movable && !slices.Contains(view.model.Model.Pins, name) {
-			last = i
+		movable := p.stayedLongEnough(replica) && !p.touched[name]
+		inZone, inRegion := p.replicasNear(view, backEnd)
+		crowded := 2*inRegion + inZone
+		if movable && crowded >= mostCrowded && !slices.Contains(view.model.Model.Pins, name) {
+			last, mostCrowded = i, crowded
 		}
 	}
 	if anchors <= max(view.model.Model.MinReplicas, len(view.model.Model.Pins)) || last < 0 {
--- a/placement/types.go
+++ b/placement/types.go
@@ -20,6 +20,7 @@
 type BackEnd struct {
 	Name        string
 	Zone        string
+	Region      string
 	MemoryBytes int64
 	ChecksFence bool
 	Health      Health
@@ -75,8 +76,6 @@
 	// SpareFraction of all memory is kept free of replicas above the
 	// minimum, so that new models and recoveries find room.
 	SpareFraction float64
-	// DefaultSlots is assumed for an engine without a report.
-	DefaultSlots int
 }
 
 // DefaultSettings returns the settings used unless an operator changes them.
@@ -86,7 +85,6 @@
 		TargetUtilization: 0.7,
 		MinimumStay:       2 * time.Minute,
 		SpareFraction:     0.1,
-		DefaultSlots:      16,
 	}
 }
 
--- a/route/request.go
+++ b/route/request.go
@@ -7,8 +7,9 @@
 // body, so it can be kept after the body's buffer is used again.
 type Request struct {
 	Adapter string
-	// Zone is the zone that is cheapest to reach.
-	Zone string
+	// Zone and Region are where the request is now.
+	Zone   string
+	Region string
 	// Prefix holds the hashes of the prompt's prefixes, shortest first.
 	Prefix PrefixHashes
 	// Random decides between equal candidates.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -36,6 +36,10 @@
 		{"own zone wins", func(a, b *route.Candidate, request *route.Request, _ *route.PrefixIndex) {
 			request.Zone, a.BackEnd.Zone, b.BackEnd.Zone = "z2", "z1", "z2"
 		}, "b"},
+		{"own region wins over a little load", func(a, b *route.Candidate, _ *route.Request, _ *route.PrefixIndex) {
+			a.BackEnd.Region = "far"
+			b.BackEnd.Load.SetReport(4, 10, now)
+		}, "b"},
 		{"a known prefix wins over a little load", func(_, b *route.Candidate, request *route.Request, index *route.PrefixIndex) {
 			request.Prefix = route.HashPrefix("m", make([]byte, 4096))
 			index.Record(&request.Prefix, b.BackEnd.Load.ID)
--- a/route/scorer.go
+++ b/route/scorer.go
@@ -36,15 +36,23 @@
 	return -s.Bonus * float64(matched) / float64(request.Prefix.Count)
 }
 
-// ZoneScorer adds a cost for leaving the zone.
-type ZoneScorer struct{ Cost float64 }
+// PlaceScorer adds a cost for leaving the zone, and another for leaving the
+// region.
+type PlaceScorer struct {
+	ZoneCost   float64
+	RegionCost float64
+}
 
 // Score implements Scorer.
-func (s ZoneScorer) Score(_ time.Time, request *Request, candidate *Candidate) float64 {
-	if request.Zone == candidate.BackEnd.Zone {
-		return 0
+func (s PlaceScorer) Score(_ time.Time, request *Request, candidate *Candidate) float64 {
+	cost := 0.0
+	if request.Zone != candidate.BackEnd.Zone {
+		cost += s.ZoneCost
 	}
-	return s.Cost
+	if request.Region != candidate.BackEnd.Region {
+		cost += s.RegionCost
+	}
+	return cost
 }
 
 // StateScorer adds a cost for replicas that hold a version other than the
--- a/route/table.go
+++ b/route/table.go
@@ -44,6 +44,7 @@
 	Name    string
 	Address string
 	Zone    string
+	Region  string
 	Load    *Load
 }
 
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -28,6 +28,7 @@
 	return []field{
 		word("daemon", "name", &d.Name, true),
 		word("daemon", "zone", &d.Zone, true),
+		word("daemon", "region", &d.Region, false),
 		address("daemon", "caller_address", &d.CallerAddress),
 		address("daemon", "peer_address", &d.PeerAddress),
 		address("daemon", "platform_address", &d.PlatformAddress),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,6 +20,7 @@
 type Daemon struct {
 	Name            string
 	Zone            string
+	Region          string
 	CallerAddress   string
 	PeerAddress     string
 	PlatformAddress string
