--- a/lab/standin/objectstore/server.go
+++ b/lab/standin/objectstore/server.go
@@ -202,18 +202,24 @@
 		if len(objects) > 0 || !time.Now().Before(deadline) {
 			return c.JSON(platform.ChangesAnswer{Through: through, Objects: objects})
 		}
-		s.wait(changed, deadline)
+		if !s.wait(changed, deadline) {
+			return answer(c, api.Object{}, Down)
+		}
 	}
 }
 
-func (s *Server) wait(changed <-chan struct{}, deadline time.Time) {
+// wait waits for a change or the deadline. It returns false when the server
+// closes.
+func (s *Server) wait(changed <-chan struct{}, deadline time.Time) bool {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
 	case <-changed:
 	case <-timer.C:
 	case <-s.closed:
+		return false
 	}
+	return true
 }
 
 func (s *Server) putMachine(c *fiber.Ctx) error {
--- a/route/picker.go
+++ b/route/picker.go
@@ -33,7 +33,7 @@
 	// scoredCandidates is how many candidates are scored; with more, a random
 	// window of this length is, which keeps the cost of a choice bounded and
 	// keeps daemons that see the same reports from all choosing the same.
-	scoredCandidates = 8
+	scoredCandidates = 6
 )
 
 // Pick returns the best candidate for a request, or nil. A replica that was not
