Wait before replacing replicas of a zone that was lost from view

The side without the platform also planned the same additions each second, because a refused write only paused it for one.

Ruled out: not marking engines down without a majority (there is no majority between two regions, and routing must leave them at once).

Change: replicas on back ends whose zone has no live daemon count towards the minimum for three minutes (lost_zone_wait) as long as another replica is there; the pause after refused writes doubles up to 8 s.

--- a/control/node.go
+++ b/control/node.go
@@ -30,12 +30,14 @@
 	// subscribers holds, for each model, the peer addresses that want the load
 	// of its back ends, and until when.
 	subscribers map[string]map[string]time.Time
-	views       map[string]*route.Model
-	loads       *route.Loads
-	nextPlan    time.Time
-	actions     []Action
-	join        joinState
-	leave       leaveState
+	// lostZones holds since when zones have had no live daemon.
+	lostZones map[string]time.Time
+	views     map[string]*route.Model
+	loads     *route.Loads
+	nextPlan  time.Time
+	actions   []Action
+	join      joinState
+	leave     leaveState
 	// revision changes with everything that routing depends on.
 	revision uint64
 }
@@ -60,6 +62,7 @@
 		backEnds:    map[string]*backEndState{},
 		interest:    map[string]*interest{},
 		subscribers: map[string]map[string]time.Time{},
+		lostZones:   map[string]time.Time{},
 		views:       map[string]*route.Model{},
 		loads:       route.NewLoads(),
 	}
--- a/control/planning.go
+++ b/control/planning.go
@@ -163,14 +163,15 @@
 			Model: entry.model, Deleted: entry.deleted, Demand: n.modelDemand(now, name),
 		})
 	}
-	snapshot.BackEnds = n.plannedBackEnds()
+	n.noteLostZones(now)
+	snapshot.BackEnds = n.plannedBackEnds(now)
 	n.execute(now, placement.Plan(snapshot))
 }
 
 // plannedBackEnds returns the engines as the planner sees them. An engine is
 // offered only after it was heard of, so that no record is made for a machine
 // that never started.
-func (n *Node) plannedBackEnds() []placement.BackEnd {
+func (n *Node) plannedBackEnds(now time.Time) []placement.BackEnd {
 	names := n.catalog.engineNames()
 	backEnds := make([]placement.BackEnd, 0, len(names))
 	for _, name := range names {
@@ -178,7 +179,7 @@
 		known := n.catalog.placements[name]
 		backEnd := placement.BackEnd{
 			Name: name, Zone: machine.Zone, Region: machine.Region, MemoryBytes: machine.MemoryBytes, ChecksFence: machine.ChecksFence,
-			Health: n.health(name), Placement: known.placement, Version: known.version,
+			Health: n.plannedHealth(now, name, machine.Zone), Placement: known.placement, Version: known.version,
 		}
 		if state := n.backEnds[name]; state != nil && state.known {
 			backEnd.Report = &state.report
@@ -207,6 +208,32 @@
 	}
 }
 
+// noteLostZones keeps since when each zone with engines has had no live daemon.
+func (n *Node) noteLostZones(now time.Time) {
+	for _, name := range n.catalog.engineNames() {
+		zone := n.catalog.machines[name].Zone
+		_, live := n.duties.byZone[zone]
+		_, noted := n.lostZones[zone]
+		switch {
+		case live:
+			delete(n.lostZones, zone)
+		case !noted:
+			n.lostZones[zone] = now
+		}
+	}
+}
+
+// plannedHealth is the health of a back end for planning. One that is down
+// together with all daemons of its zone is expected back for a while.
+func (n *Node) plannedHealth(now time.Time, name, zone string) placement.Health {
+	health := n.health(name)
+	lostSince, lost := n.lostZones[zone]
+	if health == placement.Down && lost && now.Sub(lostSince) < n.settings.LostZoneWait {
+		return placement.Suspended
+	}
+	return health
+}
+
 // execute groups operations by record and starts their writes.
 func (n *Node) execute(now time.Time, operations []placement.Operation) {
 	var order []string
--- a/control/settings.go
+++ b/control/settings.go
@@ -22,6 +22,11 @@
 	// PollFailures is how many polls in a row must fail before a back end is
 	// held for down.
 	PollFailures int
+	// LostZoneWait is how long replicas in a zone without a live daemon are
+	// expected back before they are replaced. Regions lose each other for
+	// minutes, and replacing half of all models each time would cost more
+	// than it gives, since each has a replica elsewhere.
+	LostZoneWait time.Duration
 	// PlanInterval is the time between two planning rounds.
 	PlanInterval time.Duration
 	// DemandInterval is the least time between two reports of demand.
@@ -59,6 +64,7 @@
 		PauseLimit:       2 * time.Second,
 		PollInterval:     time.Second,
 		PollFailures:     3,
+		LostZoneWait:     3 * time.Minute,
 		PlanInterval:     time.Second,
 		DemandInterval:   time.Second,
 		ReportRefresh:    30 * time.Second,
--- a/control/writes.go
+++ b/control/writes.go
@@ -20,7 +20,10 @@
 	rate    float64
 	filled  time.Time
 	counter uint64
-	paused  time.Time
+	// paused is until when no write starts, and refusals counts the refused
+	// writes since the last one that was taken.
+	paused   time.Time
+	refusals int
 }
 
 type pendingWrite struct {
@@ -45,8 +48,10 @@
 	writeRateLimit = 10.0
 	// readRetry is the pause before a failed read is made again.
 	readRetry = time.Second
-	// refusalPause is the pause of all writes after the platform refused one.
+	// refusalPause is the pause of all writes after the platform refused one;
+	// it doubles with each further refusal up to refusalLimit.
 	refusalPause = time.Second
+	refusalLimit = 8 * time.Second
 )
 
 func (n *Node) tickWrites(now time.Time) {
@@ -87,9 +92,14 @@
 func (n *Node) slowWrites(now time.Time) {
 	share := n.settings.WritesPerSecond / float64(max(len(n.detector.Live()), 1))
 	n.writes.rate = max(n.writes.rate/2, share/2)
-	n.writes.paused = now.Add(n.jitter(refusalPause))
+	pause := min(refusalPause<<min(n.writes.refusals, maxRefusalDoublings), refusalLimit)
+	n.writes.refusals++
+	n.writes.paused = now.Add(n.jitter(pause))
 }
 
+// maxRefusalDoublings keeps the doubling within the range of a duration.
+const maxRefusalDoublings = 10
+
 // write starts a conditional update of a placement record. It returns false
 // if the write has to wait for its turn.
 func (n *Node) write(now time.Time, record api.Placement, version uint64, deleted bool) bool {
@@ -126,6 +136,7 @@
 		delete(n.writes.pending, answer.Key)
 		n.learnObject(answer.Object)
 		n.writes.rate = min(n.writes.rate+writeRateStep, writeRateLimit)
+		n.writes.refusals = 0
 		if answer.Err == CallConflict {
 			n.decide("placement", "Write lost a race.", "object", answer.Key.String(), "winner", answer.Object.Writer, "version", answer.Object.Version)
 		}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -68,6 +68,10 @@
 		b.Health = placement.Down
 		return b
 	}
+	suspended := func(b placement.BackEnd) placement.BackEnd {
+		b.Health = placement.Suspended
+		return b
+	}
 	surplus := held(v1, 20*gib)
 	surplus.Anchor = false
 	busy := model("m", "v1", 1)
@@ -87,6 +91,8 @@
 		{"replicas go to different zones", []placement.BackEnd{backEnd("a", "1"), backEnd("b", "1"), backEnd("c", "2")}, model("m", "v1", 2), "zones 2"},
 		{"nothing to do", []placement.BackEnd{backEnd("a", "1", held(v1, 20*gib)), backEnd("b", "2", held(v1, 20*gib))}, model("m", "v1", 2), ""},
 		{"a lost replica is replaced", []placement.BackEnd{down(backEnd("a", "1", held(v1, 20*gib))), backEnd("b", "2", held(v1, 20*gib)), backEnd("c", "3")}, model("m", "v1", 2), "add m@v1@c;"},
+		{"a suspended replica is not replaced yet", []placement.BackEnd{suspended(backEnd("a", "1", held(v1, 20*gib))), backEnd("b", "2", held(v1, 20*gib)), backEnd("c", "3")}, model("m", "v1", 2), ""},
+		{"a model with only suspended replicas gets another", []placement.BackEnd{suspended(backEnd("a", "1", held(v1, 20*gib))), backEnd("c", "3")}, model("m", "v1", 2), "add m@v1@c;"},
 		{"no room, no operation", []placement.BackEnd{backEnd("a", "1", held(weights("x", "v1"), 70*gib))}, model("m", "v1", 1), ""},
 		{"demand adds replicas", []placement.BackEnd{backEnd("a", "1", held(v1, 20*gib)), backEnd("b", "2"), backEnd("c", "3")}, busy, "adds 2"},
 		{"demand adds nothing while no engine with the model has reported", []placement.BackEnd{unreported(backEnd("a", "1", held(v1, 20*gib))), backEnd("b", "2")}, busy, ""},
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -94,6 +94,8 @@
 	// retiring are the other held entries: old versions, entries marked as
 	// moving, and entries on back ends that are drained or leaving.
 	retiring []holding
+	// suspended counts the replicas on suspended back ends.
+	suspended int
 	// released says that a release was planned in this round. One at a time
 	// keeps two releases from counting on each other.
 	released bool
@@ -121,13 +123,17 @@
 		backEnd := &p.backEnds[held.backEnd]
 		switch {
 		case held.entry.Phase != api.PhaseHeld || backEnd.Health == Down:
+		case backEnd.Health == Suspended:
+			if held.entry.Artifact == view.weights {
+				view.suspended++
+			}
 		case held.entry.Artifact == view.weights && backEnd.usable() && !held.entry.Moving:
 			view.replicas = append(view.replicas, held)
 		default:
 			view.retiring = append(view.retiring, held)
 		}
 	}
-	view.desired = p.desiredReplicas(model, len(view.replicas))
+	view.desired = p.desiredReplicas(model, len(view.replicas), view.suspended)
 	return view
 }
 
@@ -146,10 +152,11 @@
 // the present replicas should take adds replicas if the worth of serving the
 // excess outweighs the moves; fewer are wanted only once the slow average
 // fits comfortably in fewer. While no engine with the model has reported, nobody
-// knows how much one takes, and demand changes nothing.
-func (p *plan) desiredReplicas(model *Model, present int) int {
+// knows how much one takes, and demand changes nothing. Suspended replicas count
+// towards the minimum as long as one other is there.
+func (p *plan) desiredReplicas(model *Model, present, suspended int) int {
 	settings := p.snapshot.Settings
-	floor := max(model.Model.MinReplicas, len(model.Model.Pins))
+	floor := max(model.Model.MinReplicas-suspended, 1, len(model.Model.Pins))
 	perReplica := p.slotsOf(p.byModel[model.Model.Name]) * settings.TargetUtilization
 	if perReplica == 0 {
 		return max(present, floor)
@@ -208,7 +215,7 @@
 // another, or in one zone although there is another. The anchor that is
 // then too many is trimmed later.
 func (p *plan) spread(view *modelView) {
-	if view.model.Model.MinReplicas < 2 || len(view.replicas) < view.model.Model.MinReplicas {
+	if view.suspended > 0 || view.model.Model.MinReplicas < 2 || len(view.replicas) < view.model.Model.MinReplicas {
 		return
 	}
 	first := &p.backEnds[view.replicas[0].backEnd]
--- a/placement/types.go
+++ b/placement/types.go
@@ -14,6 +14,10 @@
 	Up Health = iota
 	Leaving
 	Down
+	// Suspended means that the back end's whole zone was lost from view a
+	// short while ago, as when regions lose each other for minutes. Its
+	// replicas serve nobody here, but are not replaced yet either.
+	Suspended
 )
 
 // BackEnd is one engine with its record.
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -64,6 +64,7 @@
 		number("placement", "spare_fraction", &p.SpareFraction, 0, 0.9),
 		duration("placement", "minimum_stay", &p.MinimumStay, 0, 24*time.Hour),
 		duration("placement", "poll_interval", &c.PollInterval, 100*time.Millisecond, time.Minute),
+		duration("placement", "lost_zone_wait", &c.LostZoneWait, 0, 24*time.Hour),
 		duration("placement", "plan_interval", &c.PlanInterval, 100*time.Millisecond, time.Minute),
 		duration("placement", "order_retry", &c.OrderRetry, 100*time.Millisecond, time.Hour),
 		integer("placement", "poll_failures", &c.PollFailures, 1, 100),
