Run experiments with baselines and a bound on the same requests

Change: experiments as checked INI files for both deployments, a workload that all policies share, static placement and on-demand loading with eviction as baselines, and an upper bound without memory limit or loads.

--- a/cmd/wheatweir/lab.go
+++ b/cmd/wheatweir/lab.go
@@ -23,6 +23,7 @@
 	addStandIns(lab)
 	addVerify(lab)
 	addScale(lab)
+	addRun(lab)
 }
 
 // openLog opens a log file, or drops logs if no path is given.
--- a/lab/standin/engine/core.go
+++ b/lab/standin/engine/core.go
@@ -108,6 +108,9 @@
 	// Overcommits counts loads that did not fit: each would have broken the
 	// promise that memory is never overcommitted.
 	Overcommits int
+	// Loads and Unloads count weights, without adapters.
+	Loads   int
+	Unloads int
 	// Executions counts the runs begun for each request identity.
 	Executions map[string]int
 }
@@ -147,6 +150,9 @@
 	return used
 }
 
+// Load returns the requests in the batch and in the queue.
+func (c *Core) Load() int { return len(c.running) + len(c.waiting) }
+
 // Order follows an order or says why not.
 func (c *Core) Order(now time.Time, order api.Order) error {
 	c.settle(now)
@@ -181,6 +187,9 @@
 		c.Overcommits++
 		return ErrOrder.New("%s does not fit", order.Artifact)
 	}
+	if order.Artifact.Adapter == "" {
+		c.Loads++
+	}
 	c.held[order.Artifact] = &artifactState{bytes: order.Bytes, readyAt: now.Add(c.settings.LoadTime(now, order.Bytes))}
 	return nil
 }
@@ -191,6 +200,9 @@
 	if known == nil {
 		return
 	}
+	if !known.unloading && artifact.Adapter == "" {
+		c.Unloads++
+	}
 	known.unloading = true
 	c.dropUnused(artifact)
 }
