Place replicas for demand where load is least; load adapters together

Cause: in exam season and harvest hot models shared engines while others had room for requests, since placement looked at memory and zones only; and a new replica got its adapters one per poll, useless to half of its requests.

Change: the reported load counts against a back end, zones count little for replicas above the minimum, and adapters take no load slot.

--- a/placement/planner.go
+++ b/placement/planner.go
@@ -362,8 +362,9 @@
 }
 
 // bestBackEnd picks the back end for one more replica: one that has room and
-// does not hold the model, in a zone with the fewest replicas of it, with the
-// largest share of free memory. Several daemons plan at once, so near-equal
+// does not hold the model. Anchors go to a region and zone with the fewest
+// replicas of it; replicas for demand go where the load is least. After that the
+// largest share of free memory counts. Several daemons plan at once, so near-equal
 // back ends are told apart by a hash of model and back end, which spreads the
 // choices and saves lost races.
 func (p *plan) bestBackEnd(view *modelView, bytes int64) int {
@@ -377,8 +378,13 @@
 			continue
 		}
 		score := float64(p.free[i]) / float64(backEnd.MemoryBytes)
+		score -= loadPenalty * backEnd.loadShare()
 		inZone, inRegion := p.replicasNear(view, backEnd)
-		score -= zonePenalty*float64(inZone) + regionPenalty*float64(inRegion)
+		spread := zonePenalty*float64(inZone) + regionPenalty*float64(inRegion)
+		if len(view.replicas) >= view.model.Model.MinReplicas {
+			spread *= surplusSpreadShare
+		}
+		score -= spread
 		score += spreadShare * float64(rendezvous.Weight(view.model.Model.Name, backEnd.Name)) / math.MaxUint64
 		if score > bestScore {
 			best, bestScore = i, score
@@ -392,6 +398,11 @@
 	// regionPenalty a region without one over any zone.
 	zonePenalty   = 2.0
 	regionPenalty = 4.0
+	// surplusSpreadShare is how much of these counts for replicas above the
+	// minimum.
+	surplusSpreadShare = 0.05
+	// loadPenalty is the cost of a back end whose batch is full.
+	loadPenalty = 1.0
 	// spreadShare is how much of the score the hash may decide.
 	spreadShare = 0.2
 )
--- a/placement/reconcile.go
+++ b/placement/reconcile.go
@@ -4,7 +4,7 @@
 
 // Reconciliation is what makes an engine follow its record.
 type Reconciliation struct {
-	// Orders to send now, at most one load among them per free load slot.
+	// Orders to send now, at most one load of weights per free load slot.
 	Orders []api.Order
 	// Record is the record without the reservations that have ended, and
 	// RecordChanged says whether it differs from the input.
@@ -31,7 +31,7 @@
 		return result
 	}
 	result.Orders = append(result.Orders, unloadOrders(record, version, checksFence, report)...)
-	result.Orders = append(result.Orders, loadOrders(record, version, report, loadSlots-len(report.Loading))...)
+	result.Orders = append(result.Orders, loadOrders(record, version, report, loadSlots-weightsLoading(report))...)
 	return result
 }
 
@@ -72,21 +72,37 @@
 	return append(adapters, weights...)
 }
 
-// loadOrders returns loads in the order of the record, weights before the
-// adapters that need them.
+// loadOrders returns loads in the order of the record, and adapters once their
+// weights serve. Adapters are small, so they take no slot of their own: a
+// replica whose adapters came one poll after another would stay useless for
+// many requests.
 func loadOrders(record api.Placement, version uint64, report *api.Report, slots int) []api.Order {
 	var orders []api.Order
 	for _, entry := range record.Entries {
-		if len(orders) >= slots {
-			break
-		}
 		if entry.Phase != api.PhaseHeld || report.Holds(entry.Artifact) {
 			continue
 		}
-		if entry.Artifact.Adapter != "" && !report.Serves(entry.Artifact.Base()) {
+		if entry.Artifact.Adapter != "" {
+			if report.Serves(entry.Artifact.Base()) {
+				orders = append(orders, newOrder(api.OrderLoad, entry, version, report))
+			}
 			continue
 		}
-		orders = append(orders, newOrder(api.OrderLoad, entry, version, report))
+		if slots > 0 {
+			slots--
+			orders = append(orders, newOrder(api.OrderLoad, entry, version, report))
+		}
 	}
 	return orders
 }
+
+// weightsLoading counts the weights among the artifacts that are loading.
+func weightsLoading(report *api.Report) int {
+	count := 0
+	for _, artifact := range report.Loading {
+		if artifact.Adapter == "" {
+			count++
+		}
+	}
+	return count
+}
--- a/placement/types.go
+++ b/placement/types.go
@@ -38,6 +38,15 @@
 // free returns the bytes that are not reserved.
 func (b *BackEnd) free() int64 { return b.MemoryBytes - b.Placement.Reserved() }
 
+// loadShare returns the requests at the back end as a share of its batch slots,
+// as last reported; zero if it has not reported.
+func (b *BackEnd) loadShare() float64 {
+	if b.Report == nil || b.Report.Slots == 0 {
+		return 0
+	}
+	return float64(b.Report.Running+b.Report.Waiting) / float64(b.Report.Slots)
+}
+
 // usable reports whether replicas on the back end may be relied on.
 func (b *BackEnd) usable() bool { return b.Health == Up && !b.Placement.Drained }
 
