Ask again before each attempt whether this daemon knows enough; end leaving

Change: the check is made before each attempt.

Change: leaving is a mark of its own, which the acting daemon clears when the machine is back. Ruled out: lost writes, a stuck watch (all daemons had the newest version).

Also: scale measurements can be stopped and then print what they have.

--- a/api/placement.go
+++ b/api/placement.go
@@ -33,11 +33,18 @@
 // Its object version is the fence that orders to the engine carry.
 type Placement struct {
 	BackEnd string `json:"back_end"`
-	// Drained stops new work and new placements on the back end.
-	Drained bool             `json:"drained,omitempty"`
+	// Drained stops new placements on the back end and moves its models away;
+	// an operator sets and clears it.
+	Drained bool `json:"drained,omitempty"`
+	// Leaving does the same while the machine is leaving; the acting daemon
+	// sets it, and clears it if the machine comes back.
+	Leaving bool             `json:"leaving,omitempty"`
 	Entries []PlacementEntry `json:"entries"`
 }
 
+// Emptying reports whether the back end is to be emptied for either reason.
+func (p *Placement) Emptying() bool { return p.Drained || p.Leaving }
+
 // Reserved returns the reserved bytes over all entries, whatever their phase.
 func (p *Placement) Reserved() int64 {
 	var total int64
--- a/cmd/wheatweir/scale.go
+++ b/cmd/wheatweir/scale.go
@@ -38,15 +38,21 @@
 	if f.sweep {
 		shares = sweepShares
 	}
+	ctx, cancel := interruptible()
+	defer cancel()
+	f.options.Stop = func() bool { return ctx.Err() != nil }
 	var results []scale.Result
 	for _, share := range shares {
 		options := f.options
 		options.Daemons, options.Servers, options.Models = options.Daemons/share, options.Servers/share, options.Models/share
 		result, err := scale.Measure(options)
 		if err != nil {
-			return err
+			fmt.Fprintln(os.Stderr, err)
 		}
 		results = append(results, result)
+		if result.Partial {
+			break
+		}
 	}
 	switch {
 	case f.format == "json" && f.sweep:
--- a/control/backends.go
+++ b/control/backends.go
@@ -148,12 +148,12 @@
 		return
 	}
 	leaving := n.health(name) == placement.Leaving
-	if leaving && !known.placement.Drained {
+	if leaving != known.placement.Leaving {
 		record := known.placement.Clone()
 		record.BackEnd = name
-		record.Drained = true
+		record.Leaving = leaving
 		if n.write(now, record, known.version, false) {
-			n.decide("placement", "Back end drains.", "back_end", name, "reason", "leaving")
+			n.decide("placement", "Back end emptying changes.", "back_end", name, "leaving", leaving)
 		}
 		return
 	}
--- a/control/table.go
+++ b/control/table.go
@@ -88,7 +88,7 @@
 			Version:  entry.Artifact.Version,
 			Serving:  entry.Artifact.Version == model.Spec.Serving,
 			Observed: fresh && state.report.Serves(entry.Artifact),
-			Draining: record.Drained,
+			Draining: record.Emptying(),
 			Adapters: adaptersOn(&record, entry.Artifact, fresh, state),
 		})
 	}
--- a/daemon/queries.go
+++ b/daemon/queries.go
@@ -232,14 +232,14 @@
 var healthNames = map[placement.Health]string{placement.Up: "up", placement.Leaving: "leaving", placement.Down: "down"}
 
 func backEndRows(node *control.Node) *operator.Result {
-	result := &operator.Result{Columns: []string{"backend", "zone", "health", "drained", "memory", "reserved", "running", "waiting", "fenced", "address", "version"}}
+	result := &operator.Result{Columns: []string{"backend", "zone", "health", "emptying", "memory", "reserved", "running", "waiting", "fenced", "address", "version"}}
 	for _, status := range node.BackEndStatuses() {
 		running, waiting := "-", "-"
 		if status.Report != nil {
 			running, waiting = strconv.Itoa(status.Report.Running), strconv.Itoa(status.Report.Waiting)
 		}
 		result.Rows = append(result.Rows, []string{
-			status.Machine.Name, status.Machine.Zone, healthNames[status.Health], strconv.FormatBool(status.Placement.Drained),
+			status.Machine.Name, status.Machine.Zone, healthNames[status.Health], strconv.FormatBool(status.Placement.Emptying()),
 			operator.FormatSize(status.Machine.MemoryBytes), operator.FormatSize(status.Placement.Reserved()),
 			running, waiting, strconv.FormatBool(status.Machine.ChecksFence), status.Machine.Address, strconv.FormatUint(status.Version, 10),
 		})
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -146,9 +146,13 @@
 			return nil, machine.Result
 		case exchange.StepAttempt:
 			d.pauseBeforeRetry(ctx, machine.Attempts())
+			if !d.knowsEnough() {
+				step = machine.NoBackEnd(outcome.ReasonStarting, startingRetry)
+				continue
+			}
 			candidate := d.pick(call, &request)
 			if candidate == nil {
-				step = machine.NoBackEnd(noReplicaRetry)
+				step = machine.NoBackEnd(outcome.ReasonNoReplica, noReplicaRetry)
 				continue
 			}
 			answer, result := d.attempt(ctx, call, candidate, &request.Prefix, leave)
@@ -273,9 +277,13 @@
 			return nil, machine.Result
 		case exchange.StepAttempt:
 			d.pauseBeforeRetry(ctx, machine.Attempts())
+			if !d.knowsEnough() {
+				step = machine.NoBackEnd(outcome.ReasonStarting, startingRetry)
+				continue
+			}
 			chosen := route.PickMachine(view, &request)
 			if chosen == nil {
-				step = machine.NoBackEnd(noReplicaRetry)
+				step = machine.NoBackEnd(outcome.ReasonNoReplica, noReplicaRetry)
 				continue
 			}
 			answer, result := d.attemptService(ctx, call, chosen)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -112,14 +112,14 @@
 	return !e.request.Deadline.IsZero() && now.After(e.request.Deadline)
 }
 
-// NoBackEnd ends the exchange when there is no back end left to try. It keeps
-// the result of an earlier attempt if that says more.
-func (e *Exchange) NoBackEnd(retryAfter time.Duration) Step {
+// NoBackEnd ends the exchange when no attempt can be made now, for a reason. It
+// keeps the result of an earlier attempt if that says more.
+func (e *Exchange) NoBackEnd(reason outcome.Reason, retryAfter time.Duration) Step {
 	if e.attempts > 1 && e.Result.Reason != outcome.ReasonNone {
 		e.Result.RetryAfter = max(e.Result.RetryAfter, retryAfter)
 		return StepFinish
 	}
-	return e.finish(outcome.Refuse(outcome.ReasonNoReplica, retryAfter))
+	return e.finish(outcome.Refuse(reason, retryAfter))
 }
 
 // AttemptEnded takes in the result of an attempt. Relayed says that part of an
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -102,7 +102,7 @@
 				continue
 			}
 			if rapid.IntRange(0, 5).Draw(t, "any back end") == 0 {
-				step = machine.NoBackEnd(time.Second)
+				step = machine.NoBackEnd(outcome.ReasonNoReplica, time.Second)
 				continue
 			}
 			kind := outcome.Kind(rapid.IntRange(0, 3).Draw(t, "ended"))
--- a/lab/scale/phases.go
+++ b/lab/scale/phases.go
@@ -31,7 +31,9 @@
 		if m.world.Now.Sub(began) > phaseLimit {
 			return 0, ErrScale.New("%s: not within %s", what, phaseLimit)
 		}
-		m.world.Run(sampleEvery)
+		if err := m.advance(sampleEvery); err != nil {
+			return 0, err
+		}
 	}
 	return m.world.Now.Sub(began), nil
 }
@@ -69,7 +71,9 @@
 			return err
 		}
 		times = append(times, took.Seconds())
-		m.world.Run(changeEvery)
+		if err := m.advance(changeEvery); err != nil {
+			return err
+		}
 	}
 	m.result.ConfigInForce = percentilesOf(times)
 	return nil
@@ -85,10 +89,14 @@
 	w := m.world
 	w.Network.Cut("region-1", region)
 	w.Network.Cut(region, "region-1")
-	w.Run(cutTime / 2)
+	if err := m.advance(cutTime / 2); err != nil {
+		return err
+	}
 	key := api.Key{Kind: api.KindModel, Name: modelName(0)}
 	m.writeModel(0, api.PriorityFree)
-	w.Run(cutTime / 2)
+	if err := m.advance(cutTime / 2); err != nil {
+		return err
+	}
 	version := w.Platform.Core.Peek(key).Version
 	w.Network.Heal("region-1", region)
 	w.Network.Heal(region, "region-1")
@@ -115,7 +123,9 @@
 		}
 		times = append(times, took.Seconds())
 		victim.Start()
-		m.world.Run(20 * time.Second)
+		if err := m.advance(20 * time.Second); err != nil {
+			return err
+		}
 	}
 	m.result.Detection = percentilesOf(times)
 	return nil
@@ -155,12 +165,14 @@
 	took, err := m.until("models are held twice after a zone's loss", func() bool { return m.shortModels(2) == 0 })
 	m.result.ZoneRecovery = took.Seconds()
 	m.result.ZoneRecoveryWrites = float64(m.world.Platform.Core.Counts.Writes-writes) / max(took.Seconds(), 1)
-	m.restoreZone(zone)
-	return err
+	if err != nil {
+		return err
+	}
+	return m.restoreZone(zone)
 }
 
 // restoreZone brings a lost zone back empty and lets it settle.
-func (m *measurement) restoreZone(zone string) {
+func (m *measurement) restoreZone(zone string) error {
 	for _, d := range m.world.Daemons {
 		if d.Zone == zone {
 			d.Start()
@@ -171,7 +183,7 @@
 			e.Start()
 		}
 	}
-	m.world.Run(restoreTime)
+	return m.advance(restoreTime)
 }
 
 const restoreTime = 60 * time.Second
--- a/lab/scale/result.go
+++ b/lab/scale/result.go
@@ -30,6 +30,8 @@
 // Result is what a measurement found. Rates are per daemon, bytes are sent
 // ones with frame and TCP/IP headers, and the processor share is of one core.
 type Result struct {
+	// Partial says that the measurement ended before its last phase.
+	Partial                  bool        `json:"partial,omitempty"`
 	Daemons                  int         `json:"daemons"`
 	Servers                  int         `json:"servers"`
 	Models                   int         `json:"models"`
@@ -115,6 +117,9 @@
 
 // Print writes a result as text.
 func (r *Result) Print(output io.Writer) {
+	if r.Partial {
+		fmt.Fprintln(output, "PARTIAL: ended before the last phase; measures of later phases are zero")
+	}
 	fmt.Fprintf(output, "daemons %d  servers %d  models %d\n", r.Daemons, r.Servers, r.Models)
 	for _, row := range rows {
 		fmt.Fprintf(output, "  %-28s %s\n", row.name, row.value(r))
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -6,6 +6,7 @@
 package scale
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -32,8 +33,13 @@
 	Regions  int
 	Seed     uint64
 	Progress io.Writer
+	// Stop ends the measurement early when it returns true.
+	Stop func() bool
 }
 
+// errStopped ends a phase of a measurement that was stopped.
+var errStopped = ErrScale.New("stopped")
+
 // Check checks the sizes.
 func (o *Options) Check() error {
 	switch {
@@ -102,13 +108,29 @@
 	for _, phase := range phases {
 		began := time.Now()
 		if err := phase.run(); err != nil {
-			return m.result, err
+			m.result.Partial = true
+			if errors.Is(err, errStopped) {
+				return m.result, nil
+			}
+			return m.result, ErrScale.New("%s: %v", phase.name, err)
 		}
 		m.progress("%-24s %s", phase.name, time.Since(began).Round(time.Millisecond))
 	}
 	return m.result, nil
 }
 
+// advance runs the world for a span, or less if the measurement is stopped.
+func (m *measurement) advance(span time.Duration) error {
+	const slice = time.Second
+	for ; span > 0; span -= slice {
+		if m.options.Stop != nil && m.options.Stop() {
+			return errStopped
+		}
+		m.world.Run(min(slice, span))
+	}
+	return nil
+}
+
 func (m *measurement) progress(format string, arguments ...any) {
 	if m.options.Progress != nil {
 		fmt.Fprintf(m.options.Progress, "%4d daemons: %s\n", m.options.Daemons, fmt.Sprintf(format, arguments...))
@@ -183,18 +205,21 @@
 		m.feedDemand()
 		return true
 	})
-	w.Run(5*time.Second + time.Duration(m.options.Models)*createEvery)
+	if err := m.advance(5*time.Second + time.Duration(m.options.Models)*createEvery); err != nil {
+		return err
+	}
 	for m.shortModels(2) > 0 {
 		if w.Elapsed() > settleLimit {
 			return ErrScale.New("%d of %d models are not held twice after %s", m.shortModels(2), m.options.Models, settleLimit)
 		}
-		w.Run(time.Second)
+		if err := m.advance(time.Second); err != nil {
+			return err
+		}
 	}
 	m.result.Placed = w.Elapsed().Seconds()
 	m.result.PlacedWrites = float64(w.Platform.Core.Counts.Writes)
 	m.result.PlacedRefused = float64(w.Platform.Core.Counts.Refused)
-	w.Run(settleTime)
-	return nil
+	return m.advance(settleTime)
 }
 
 // feedDemand lets the homes of each model see its share of the letter's
@@ -296,7 +321,9 @@
 		}
 		return running
 	})
-	w.Run(steadyTime)
+	if err := m.advance(steadyTime); err != nil {
+		return err
+	}
 	running = false
 	seconds := steadyTime.Seconds()
 	var sent, received, messages, cpu []float64
--- a/lab/sim/requests.go
+++ b/lab/sim/requests.go
@@ -284,13 +284,17 @@
 // try makes one attempt at one engine.
 func (f *flight) try() {
 	p, w := f.plane, f.plane.daemon.world
+	if !p.daemon.node.CaughtUp(w.Now) && w.Settings.Without != MechanismCatchUp {
+		f.step(f.machine.NoBackEnd(outcome.ReasonStarting, time.Second))
+		return
+	}
 	model := p.table.Models[f.call.Reference.Model]
 	var candidate *route.Candidate
 	if model != nil {
 		candidate = p.picker.Pick(w.Now, model, &f.request)
 	}
 	if candidate == nil {
-		f.step(f.machine.NoBackEnd(2 * time.Second))
+		f.step(f.machine.NoBackEnd(outcome.ReasonNoReplica, 2*time.Second))
 		return
 	}
 	load := candidate.BackEnd.Load
--- a/lab/verify/faults.go
+++ b/lab/verify/faults.go
@@ -287,10 +287,17 @@
 	if !r.setDrained(e.Name, true) {
 		return false
 	}
-	r.world.After(r.world.Between(10*time.Second, 40*time.Second), func() { r.setDrained(e.Name, false) })
+	r.world.After(r.world.Between(10*time.Second, 40*time.Second), func() { r.undrain(e.Name) })
 	return true
 }
 
+// undrain ends a drain, and tries again while the platform does not take it.
+func (r *run) undrain(name string) {
+	if r.setDrained(name, false) {
+		r.world.After(8*time.Second, func() { r.undrain(name) })
+	}
+}
+
 func (r *run) setDrained(name string, drained bool) bool {
 	current := r.world.Platform.Core.Peek(api.Key{Kind: api.KindPlacement, Name: name})
 	if current.Version == 0 || current.Deleted {
--- a/operator/executor.go
+++ b/operator/executor.go
@@ -356,8 +356,8 @@
 	to := api.Key{Kind: api.KindPlacement, Name: command.To}
 	return change(ctx, e, to, 0, func(record *api.Placement, _ bool) error {
 		record.BackEnd = command.To
-		if record.Drained {
-			return ErrRefused.New("back end %s is drained", command.To)
+		if record.Emptying() {
+			return ErrRefused.New("back end %s is to be emptied", command.To)
 		}
 		next, ok := placement.Apply(*record, engine.MemoryBytes, placement.Operation{
 			Kind: placement.OperationAdd, Artifact: entries[0].Artifact.Base(), Entries: entries, Reason: "moved by an operator",
--- a/placement/apply.go
+++ b/placement/apply.go
@@ -74,5 +74,5 @@
 // MayRely reports whether a release may rely on the replica in this record.
 func MayRely(record api.Placement, artifact api.Artifact) bool {
 	entry := record.Find(artifact)
-	return entry != nil && entry.Phase == api.PhaseHeld && entry.Anchor && !entry.Moving && !record.Drained
+	return entry != nil && entry.Phase == api.PhaseHeld && entry.Anchor && !entry.Moving && !record.Emptying()
 }
--- a/placement/types.go
+++ b/placement/types.go
@@ -48,7 +48,7 @@
 }
 
 // usable reports whether replicas on the back end may be relied on.
-func (b *BackEnd) usable() bool { return b.Health == Up && !b.Placement.Drained }
+func (b *BackEnd) usable() bool { return b.Health == Up && !b.Placement.Emptying() }
 
 // serves reports whether the back end was observed to serve the artifact.
 func (b *BackEnd) serves(artifact api.Artifact) bool {
