Draw experiment results; load running daemons by an open arrival process

Cause: tables hide when in a run attainment is lost, and closed-loop load slows down with the system it measures.

Change: 'lab report' draws attainment, moves, queue and memory over time with gonum/plot; 'lab load' sends requests when they are due, checks every answer, and refuses targets that are not on loopback.

--- a/cmd/wheatweir/lab.go
+++ b/cmd/wheatweir/lab.go
@@ -24,6 +24,8 @@
 	addVerify(lab)
 	addScale(lab)
 	addRun(lab)
+	addReport(lab)
+	addLoad(lab)
 }
 
 // openLog opens a log file, or drops logs if no path is given.
