Keep replicas ready while memory is free

Also the spare share of memory was counted in bytes that no replica fits into, so it spared nothing.

Ruled out: pre-reserved standbys that are not loaded (same memory, later use).

Change: free memory counts in whole replicas, the spare share is 0.02, and replicas for five times the slow demand are kept while memory is free.

--- a/lab/experiment/ondemand.go
+++ b/lab/experiment/ondemand.go
@@ -16,9 +16,9 @@
 // delay, which no real one does.
 //
 // With bound set it is the upper bound instead: every engine has every model
-// from the start and no memory limit, as if the demand had been known and
-// placing had cost nothing. No policy with the same engines can place better;
-// the bound still routes to the least loaded engine and queues in it.
+// from the start without a memory limit, as if the demand had been known and
+// placing had cost nothing, prompts cost no prefill, as if every prefix were
+// cached, and the least loaded engine is known without delay.
 type onDemand struct {
 	name  string
 	bound bool
@@ -63,6 +63,7 @@
 		if p.bound {
 			settings.MemoryBytes = 1 << 60
 			settings.LoadTime = func(time.Time, int64) time.Duration { return 0 }
+			settings.PrefillPerToken = 0
 		}
 		s.engines = append(s.engines, &pooledEngine{
 			core: engine.NewCore(settings, "boot"), alive: true, streams: map[string]*pooledCall{},
--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -28,12 +28,14 @@
 // measures are what is drawn over time.
 var measures = []struct {
 	file, title, axis string
-	value             func(experiment.Sample) float64
+	// legendTop puts the legend where the lines of the measure are rarely.
+	legendTop bool
+	value     func(experiment.Sample) float64
 }{
-	{"attainment", "Attainment of the requests that came in each ten seconds", "share within targets", func(s experiment.Sample) float64 { return s.Attainment }},
-	{"moves", "Loads and unloads since the start", "moves", func(s experiment.Sample) float64 { return float64(s.Moves) }},
-	{"queue", "Requests at engines", "requests", func(s experiment.Sample) float64 { return float64(s.Queue) }},
-	{"memory", "Accelerator memory in use", "share", func(s experiment.Sample) float64 { return s.MemoryShare }},
+	{"attainment", "Attainment of the requests that came in each ten seconds", "share within targets", false, func(s experiment.Sample) float64 { return s.Attainment }},
+	{"moves", "Loads and unloads since the start", "moves", true, func(s experiment.Sample) float64 { return float64(s.Moves) }},
+	{"queue", "Requests at engines", "requests", true, func(s experiment.Sample) float64 { return float64(s.Queue) }},
+	{"memory", "Accelerator memory in use", "share", false, func(s experiment.Sample) float64 { return s.MemoryShare }},
 }
 
 // Load reads results that "lab run --format json" printed.
@@ -87,7 +89,7 @@
 	picture.Title.Text = strings.ReplaceAll(name, "-", " ") + ": " + measure.title
 	picture.X.Label.Text = "seconds"
 	picture.Y.Label.Text = measure.axis
-	picture.Legend.Top = true
+	picture.Legend.Top = measure.legendTop
 	picture.Legend.Left = true
 	picture.Add(plotter.NewGrid())
 	for i := range results {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -40,11 +40,14 @@
 
 // plan collects the operations of one round.
 type plan struct {
-	snapshot   Snapshot
-	backEnds   []BackEnd
-	byName     map[string]int
-	byModel    map[string][]holding
-	free       []int64
+	snapshot Snapshot
+	backEnds []BackEnd
+	byName   map[string]int
+	byModel  map[string][]holding
+	free     []int64
+	// typical is the size of a typical model; memory counts as free in whole
+	// multiples of it, since what is left over beside them takes no replica.
+	typical    int64
 	totalFree  int64
 	totalBytes int64
 	touched    map[string]bool
@@ -63,6 +66,7 @@
 		backEnds: snapshot.BackEnds,
 		byName:   make(map[string]int, len(snapshot.BackEnds)),
 		byModel:  make(map[string][]holding),
+		typical:  typicalBytes(snapshot.Models),
 		free:     make([]int64, len(snapshot.BackEnds)),
 		touched:  map[string]bool{},
 	}
@@ -71,7 +75,7 @@
 		p.byName[backEnd.Name] = i
 		p.free[i] = backEnd.free()
 		if backEnd.usable() {
-			p.totalFree += max(p.free[i], 0)
+			p.totalFree += p.wholeReplicas(p.free[i])
 			p.totalBytes += backEnd.MemoryBytes
 		}
 		for _, entry := range backEnd.Placement.Entries {
@@ -83,6 +87,26 @@
 	return p
 }
 
+// typicalBytes returns the mean size of the models.
+func typicalBytes(models []Model) int64 {
+	total, count := int64(0), int64(0)
+	for i := range models {
+		if bytes := models[i].Model.Bytes(); bytes > 0 {
+			total += bytes
+			count++
+		}
+	}
+	return total / max(count, 1)
+}
+
+// wholeReplicas rounds free bytes down to what whole replicas take.
+func (p *plan) wholeReplicas(free int64) int64 {
+	if p.typical <= 0 {
+		return max(free, 0)
+	}
+	return max(free, 0) / p.typical * p.typical
+}
+
 // modelView is a model with its replicas.
 type modelView struct {
 	model   *Model
@@ -152,7 +176,9 @@
 // the present replicas should take adds replicas if the worth of serving the
 // excess outweighs the moves; fewer are wanted only once the slow average
 // fits comfortably in fewer. While no engine with the model has reported, nobody
-// knows how much one takes, and demand changes nothing. Suspended replicas count
+// knows how much one takes, and demand changes nothing. While memory is free,
+// replicas for a rise of the slow demand are kept ready, so that a burst needs no
+// loads and no platform. Suspended replicas count
 // towards the minimum as long as one other is there.
 func (p *plan) desiredReplicas(model *Model, present, suspended int) int {
 	settings := p.snapshot.Settings
@@ -163,14 +189,21 @@
 	}
 	wanted := int(math.Ceil(model.Demand.Fast / perReplica))
 	held := int(math.Ceil(max(model.Demand.Slow, model.Demand.Fast) / (perReplica * scaleDownShare)))
+	ready := 0
+	if !p.memoryIsShort() {
+		ready = int(math.Ceil(model.Demand.Slow * settings.Headroom / perReplica))
+	}
 	desired := present
-	if wanted > present {
+	switch {
+	case wanted > present:
 		excess := model.Demand.Fast - float64(present)*perReplica
 		if settings.Weights.Attainment*excess >= settings.Weights.Moves*float64(wanted-present) {
 			desired = wanted
 		}
-	} else if held < present {
-		desired = held
+	case ready > present:
+		desired = ready
+	case max(held, ready) < present:
+		desired = max(held, ready)
 	}
 	desired = max(desired, floor)
 	if model.Model.MaxReplicas > 0 {
@@ -562,9 +595,18 @@
 	p.retireOne(view, view.replicas[last], "more anchors than needed")
 }
 
+// memoryIsShort reports whether little more than the spare memory is free.
+func (p *plan) memoryIsShort() bool {
+	return float64(p.totalFree) < shortShare*p.snapshot.Settings.SpareFraction*float64(p.totalBytes)
+}
+
+// shortShare is the share of the spare memory under which memory is short. It
+// is under 1, so that replicas which may use memory down to the spare do not
+// make it short.
+const shortShare = 0.6
+
 func (p *plan) stayedLongEnough(replica holding) bool {
-	spare := p.snapshot.Settings.SpareFraction * float64(p.totalBytes)
-	if float64(p.totalFree) < spare/2 {
+	if p.memoryIsShort() {
 		return true
 	}
 	stayed := p.snapshot.Now.UnixMilli() - replica.entry.Since
--- a/placement/types.go
+++ b/placement/types.go
@@ -84,6 +84,9 @@
 	// TargetUtilization is the share of an engine's batch slots that one
 	// model's load should take before another replica is added.
 	TargetUtilization float64
+	// Headroom is the multiple of the slow demand for which replicas are kept
+	// ready while memory is free.
+	Headroom float64
 	// MinimumStay is how long a surplus replica stays at least.
 	MinimumStay time.Duration
 	// SpareFraction of all memory is kept free of replicas above the
@@ -96,8 +99,9 @@
 	return Settings{
 		Weights:           Weights{Attainment: 1, Moves: 1},
 		TargetUtilization: 0.7,
+		Headroom:          5,
 		MinimumStay:       2 * time.Minute,
-		SpareFraction:     0.1,
+		SpareFraction:     0.02,
 	}
 }
 
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -45,6 +45,7 @@
 		inifile.Number("placement", "attainment_weight", &p.Weights.Attainment, 0, 1000),
 		inifile.Number("placement", "moves_weight", &p.Weights.Moves, 0, 1000),
 		inifile.Number("placement", "target_utilization", &p.TargetUtilization, 0.05, 1),
+		inifile.Number("placement", "headroom", &p.Headroom, 0, 100),
 		inifile.Number("placement", "spare_fraction", &p.SpareFraction, 0, 0.9),
 		inifile.Duration("placement", "minimum_stay", &p.MinimumStay, 0, 24*time.Hour),
 		inifile.Duration("placement", "poll_interval", &c.PollInterval, 100*time.Millisecond, time.Minute),
