Spend fewer control bytes: renew subscriptions together, refresh less often

Cause: by message at 60 hollow daemons, subscriptions took 1,256 B/s for each daemon and whole reports 2,633; renewals were spread one by one, a raised fence sent a whole report that no receiver needs, and refreshes came each 30 s. At 320 daemons the budget of 3 kB/s was overrun (p50 5,142, max 11,211 B/s).

Ruled out: full exchanges of the membership view (none in steady state).

Change: all subscriptions renew together each 30 s, whole reports refresh each minute, the fence alone sends nothing; large fleets keep fewer replicas ready.

--- a/control/node.go
+++ b/control/node.go
@@ -35,9 +35,11 @@
 	views     map[string]*route.Model
 	loads     *route.Loads
 	nextPlan  time.Time
-	actions   []Action
-	join      joinState
-	leave     leaveState
+	// nextRenewal is when all subscriptions are sent again.
+	nextRenewal time.Time
+	actions     []Action
+	join        joinState
+	leave       leaveState
 	// revision changes with everything that routing depends on.
 	revision uint64
 }
--- a/control/settings.go
+++ b/control/settings.go
@@ -73,7 +73,7 @@
 		LostZoneWait:     3 * time.Minute,
 		PlanInterval:     time.Second,
 		DemandInterval:   time.Second,
-		ReportRefresh:    30 * time.Second,
+		ReportRefresh:    time.Minute,
 		LoadChange:       0.1,
 		LoadPause:        400 * time.Millisecond,
 		WatchWait:        10 * time.Second,
@@ -88,11 +88,13 @@
 }
 
 // LargeFleetSettings returns settings for hundreds of daemons, which spend
-// fewer bytes on load reports than the defaults.
+// fewer bytes on load reports than the defaults and keep fewer replicas ready,
+// since each replica costs reports.
 func LargeFleetSettings() Settings {
 	settings := DefaultSettings()
 	settings.PollInterval = time.Second
 	settings.LoadChange = 0.25
 	settings.LoadPause = time.Second
+	settings.Placement.Headroom = 1.5
 	return settings
 }
--- a/control/share.go
+++ b/control/share.go
@@ -22,18 +22,18 @@
 // interest is the use of one model by callers of this daemon.
 type interest struct {
 	until time.Time
-	// renew is when the subscription is due again.
-	renew time.Time
+	// subscribed says that the subscription was sent since the last renewal.
+	subscribed bool
 }
 
 const (
 	// interestTime is how long after a request this daemon wants to hear of
 	// the load of a model's back ends.
-	interestTime = 15 * time.Second
+	interestTime = 30 * time.Second
 	// subscriptionRenew is the time between two subscriptions, and
 	// subscriptionTime is how long one holds.
-	subscriptionRenew = 10 * time.Second
-	subscriptionTime  = 25 * time.Second
+	subscriptionRenew = 30 * time.Second
+	subscriptionTime  = 75 * time.Second
 	// loadRefresh is how long an unchanged load is not sent again.
 	loadRefresh = 10 * time.Second
 )
@@ -44,7 +44,7 @@
 func (n *Node) shareReport(now time.Time, name string, state *backEndState) {
 	report := &state.report
 	share := &state.share
-	changed := !sameStructure(&share.whole, report) || share.whole.Fence != report.Fence
+	changed := !sameStructure(&share.whole, report)
 	if changed || now.Sub(share.wholeAt) >= n.settings.ReportRefresh {
 		share.whole, share.wholeAt = *report, now
 		share.requests, share.loadAt = report.Running+report.Waiting, now
@@ -140,14 +140,20 @@
 func (n *Node) Interested(now time.Time, model string) {
 	known := n.interest[model]
 	if known == nil {
-		known = &interest{renew: now}
+		known = &interest{}
 		n.interest[model] = known
 	}
 	known.until = now.Add(interestTime)
 }
 
-// tickSubscriptions subscribes to the load of the models in use here.
+// tickSubscriptions subscribes to the load of the models in use here: at once
+// for a model that was not in use, and for all models together at intervals, so
+// that one message to a daemon carries many.
 func (n *Node) tickSubscriptions(now time.Time) {
+	renew := !now.Before(n.nextRenewal)
+	if renew {
+		n.nextRenewal = now.Add(n.jitter(subscriptionRenew))
+	}
 	byDaemon := map[string][]string{}
 	for _, model := range sortedNames(n.interest) {
 		known := n.interest[model]
@@ -155,10 +161,10 @@
 			delete(n.interest, model)
 			continue
 		}
-		if now.Before(known.renew) {
+		if known.subscribed && !renew {
 			continue
 		}
-		known.renew = now.Add(n.jitter(subscriptionRenew))
+		known.subscribed = true
 		for _, backEnd := range sortedNames(n.catalog.holdersOf[model]) {
 			acting := n.actingDaemon(backEnd, n.catalog.machines[backEnd].Zone)
 			if !slices.Contains(byDaemon[acting], model) {
--- a/control/table.go
+++ b/control/table.go
@@ -13,7 +13,7 @@
 
 // observationAge is how old a report may be to count as an observation of what
 // an engine serves.
-const observationAge = 75 * time.Second
+const observationAge = 150 * time.Second
 
 // Revision changes whenever Table would return something else.
 func (n *Node) Revision() uint64 { return n.revision + n.detector.Revision() }
