Report an engine that came back empty to those who rely on it

The daemon that plans model-3 still counted the old boot's report as a replica that serves, and released a surplus anchor while another engine had just died. Ruled out: the fresh read of the relied-on record (it was right; the record held the model, the engine did not yet).

Change: reports go to those concerned with what the record says as well, and a report of an earlier boot counts for nothing.

--- a/control/backends.go
+++ b/control/backends.go
@@ -18,13 +18,14 @@
 	at     time.Time
 	// aged says that the routing view no longer counts the report.
 	aged bool
-	// health is the health that the routing view was made with.
-	health   placement.Health
-	polling  bool
-	nextPoll time.Time
-	failures int
-	orders   map[orderKey]time.Time
-	share    shareState
+	// health and viewedBoot are what the routing view was made with.
+	viewedBoot string
+	health     placement.Health
+	polling    bool
+	nextPoll   time.Time
+	failures   int
+	orders     map[orderKey]time.Time
+	share      shareState
 }
 
 type orderKey struct {
--- a/control/planning.go
+++ b/control/planning.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/wheatweir/wheatweir/api"
 	"github.com/wheatweir/wheatweir/member"
 	"github.com/wheatweir/wheatweir/placement"
 )
@@ -181,14 +182,23 @@
 			Name: name, Zone: machine.Zone, Region: machine.Region, MemoryBytes: machine.MemoryBytes, ChecksFence: machine.ChecksFence,
 			Health: n.plannedHealth(now, name, machine.Zone), Placement: known.placement, Version: known.version,
 		}
-		if state := n.backEnds[name]; state != nil && state.known {
-			backEnd.Report = &state.report
-		}
+		backEnd.Report = n.currentReport(name)
 		backEnds = append(backEnds, backEnd)
 	}
 	return backEnds
 }
 
+// currentReport returns the newest report of the present boot of a back end, or
+// nil. What an earlier boot reported is no longer there.
+func (n *Node) currentReport(name string) *api.Report {
+	state := n.backEnds[name]
+	news, heard := n.detector.BackEnd(name)
+	if state == nil || !state.known || !heard || state.report.Boot != news.Boot {
+		return nil
+	}
+	return &state.report
+}
+
 // health joins what the group says of a back end with the machine list.
 func (n *Node) health(name string) placement.Health {
 	news, heard := n.detector.BackEnd(name)
@@ -196,8 +206,8 @@
 		return placement.Down
 	}
 	machine, found := n.catalog.machines[name]
-	state := n.backEnds[name]
-	reported := state != nil && state.known && state.report.Boot == news.Boot && state.report.Leaving
+	report := n.currentReport(name)
+	reported := report != nil && report.Leaving
 	switch {
 	case !found:
 		return placement.Down
--- a/control/share.go
+++ b/control/share.go
@@ -48,7 +48,7 @@
 	if changed || now.Sub(share.wholeAt) >= n.settings.ReportRefresh {
 		share.whole, share.wholeAt = *report, now
 		share.requests, share.loadAt = report.Running+report.Waiting, now
-		for _, daemon := range n.audience(report) {
+		for _, daemon := range n.audience(name, report) {
 			n.send(n.address(daemon), Message{Reports: []api.Report{*report}})
 		}
 		return
@@ -91,11 +91,19 @@
 	return models
 }
 
-// audience returns the daemons that want a whole report: the homes of each
-// model on the back end in every zone, and the daemon that plans the model.
-func (n *Node) audience(report *api.Report) []string {
+// audience returns the daemons that want a whole report: the homes, in every
+// zone, of each model that the back end holds or should hold, and the daemon that
+// plans the model. An engine that came back empty must be reported to those who
+// believe that it still has their models.
+func (n *Node) audience(name string, report *api.Report) []string {
+	models := modelsOf(report)
+	for _, entry := range n.catalog.placements[name].placement.Entries {
+		if entry.Artifact.Adapter == "" && !slices.Contains(models, entry.Artifact.Model) {
+			models = append(models, entry.Artifact.Model)
+		}
+	}
 	var names []string
-	for _, model := range modelsOf(report) {
+	for _, model := range models {
 		key := "model/" + model
 		names = append(names, n.duties.daemons.Owner(key))
 		for _, zone := range n.duties.zones {
--- a/control/table.go
+++ b/control/table.go
@@ -37,15 +37,16 @@
 	return table
 }
 
-// markChangedHealth marks the back ends whose health changed, or whose report
-// has become too old, since the last table.
+// markChangedHealth marks the back ends whose health or boot changed, or whose
+// report has become too old, since the last table.
 func (n *Node) markChangedHealth(now time.Time) {
 	for _, name := range n.catalog.engineNames() {
 		state := n.backEnd(name)
 		health := n.health(name)
 		aged := state.known && now.Sub(state.at) >= observationAge
-		if health != state.health || aged && !state.aged {
-			state.health = health
+		news, _ := n.detector.BackEnd(name)
+		if health != state.health || news.Boot != state.viewedBoot || aged && !state.aged {
+			state.health, state.viewedBoot = health, news.Boot
 			state.aged = aged
 			n.catalog.markBackEnd(name)
 		}
@@ -74,7 +75,7 @@
 	record := n.catalog.placements[name].placement
 	var backEnd *route.BackEnd
 	state := n.backEnds[name]
-	fresh := state != nil && state.known && now.Sub(state.at) < observationAge
+	fresh := n.currentReport(name) != nil && now.Sub(state.at) < observationAge
 	for i := range record.Entries {
 		entry := &record.Entries[i]
 		if entry.Artifact.Model != model.Spec.Name || entry.Artifact.Adapter != "" || entry.Phase != api.PhaseHeld {
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -160,8 +160,7 @@
 				machine.AttemptEnded(time.Now(), result, false)
 				return answer, result
 			}
-			d.logAttempt(call, candidate.BackEnd.Name, result)
-			request.Exclude(candidate.BackEnd.Load)
+			d.noteFailure(call, candidate.BackEnd, &request, result)
 			step = machine.AttemptEnded(time.Now(), result, false)
 		}
 	}
@@ -200,8 +199,14 @@
 	return candidate
 }
 
-func (d *Daemon) logAttempt(call *caller.Call, backEnd string, result outcome.Result) {
-	d.logger.Info("Attempt failed.", "part", "route", "request", call.ID, "back_end", backEnd,
+// noteFailure keeps the request from the back end that failed it, and other
+// requests for a while if the back end was not reached or turned this one away.
+func (d *Daemon) noteFailure(call *caller.Call, backEnd *route.BackEnd, request *route.Request, result outcome.Result) {
+	request.Exclude(backEnd.Load)
+	if result.Kind == outcome.NotRun {
+		backEnd.Load.Refused(time.Now())
+	}
+	d.logger.Info("Attempt failed.", "part", "route", "request", call.ID, "back_end", backEnd.Name,
 		"outcome", result.Kind, "reason", string(result.Reason), "error", result.Err)
 }
 
@@ -281,7 +286,7 @@
 				step = machine.NoBackEnd(outcome.ReasonStarting, startingRetry)
 				continue
 			}
-			chosen := route.PickMachine(view, &request)
+			chosen := route.PickMachine(time.Now(), view, &request)
 			if chosen == nil {
 				step = machine.NoBackEnd(outcome.ReasonNoReplica, noReplicaRetry)
 				continue
@@ -291,8 +296,7 @@
 				machine.AttemptEnded(time.Now(), result, false)
 				return answer, result
 			}
-			d.logAttempt(call, chosen.Name, result)
-			request.Exclude(chosen.Load)
+			d.noteFailure(call, chosen, &request, result)
 			step = machine.AttemptEnded(time.Now(), result, false)
 		}
 	}
--- a/lab/sim/requests.go
+++ b/lab/sim/requests.go
@@ -312,6 +312,9 @@
 			f.cancel = nil
 			load.End()
 			f.request.Exclude(load)
+			if result.Kind == outcome.NotRun {
+				load.Refused(w.Now)
+			}
 			if w.Settings.Without == MechanismOutcomeKinds && result.Kind == outcome.Unknown {
 				result.Kind = outcome.NotRun
 			}
--- a/route/load.go
+++ b/route/load.go
@@ -17,6 +17,20 @@
 	others     atomic.Int64
 	reportedAt atomic.Int64
 	slots      atomic.Int64
+	refusedAt  atomic.Int64
+}
+
+// refusalMemory is how long a back end that turned a request away, or could not
+// be reached, is used only if nothing else is left. It bridges the time until
+// the group knows that the back end is down.
+const refusalMemory = 2 * time.Second
+
+// Refused notes that the back end turned a request away or was not reached.
+func (l *Load) Refused(now time.Time) { l.refusedAt.Store(now.UnixNano()) }
+
+// RefusedLately reports whether that was a short while ago.
+func (l *Load) RefusedLately(now time.Time) bool {
+	return now.UnixNano()-l.refusedAt.Load() < int64(refusalMemory)
 }
 
 // SetReport takes in a report: the requests at the back end and its batch
--- a/route/picker.go
+++ b/route/picker.go
@@ -37,9 +37,9 @@
 )
 
 // Pick returns the best candidate for a request, or nil. A replica that was not
-// observed to serve is picked only if no observed one is left: it would refuse
-// at once, and since refusals keep its load low, a score alone would send it
-// ever more requests.
+// observed to serve, or that turned a request away lately, is picked only if no
+// other is left: it would refuse at once, and since refusals keep its load low,
+// a score alone would send it ever more requests.
 func (p *Picker) Pick(now time.Time, model *Model, request *Request) *Candidate {
 	count := len(model.Candidates)
 	if count == 0 {
@@ -47,22 +47,23 @@
 	}
 	start := int(request.Random % uint64(count))
 	var best *Candidate
-	bestScore := math.Inf(1)
+	bestScore, bestTrusted := math.Inf(1), false
 	scored := 0
 	for offset := range count {
 		candidate := &model.Candidates[(start+offset)%count]
 		if !p.allows(request, candidate) {
 			continue
 		}
-		scored++
-		if best != nil && best.Observed && !candidate.Observed {
+		trusted := candidate.Observed && !candidate.BackEnd.Load.RefusedLately(now)
+		if bestTrusted && !trusted {
 			continue
 		}
 		score := p.score(now, request, candidate)
-		if score < bestScore || candidate.Observed && !best.Observed {
-			best, bestScore = candidate, score
+		if score < bestScore || trusted && !bestTrusted {
+			best, bestScore, bestTrusted = candidate, score, trusted
 		}
-		if scored == scoredCandidates {
+		scored++
+		if scored >= scoredCandidates && bestTrusted {
 			break
 		}
 	}
@@ -86,9 +87,10 @@
 	return total
 }
 
-// PickMachine returns the machine of a service with the fewest own requests
-// in progress that was not excluded, or nil.
-func PickMachine(service *Service, request *Request) *BackEnd {
+// PickMachine returns the machine of a service with the fewest own requests in
+// progress that was not excluded, or nil. One that turned a request away lately
+// is picked only if no other is left.
+func PickMachine(now time.Time, service *Service, request *Request) *BackEnd {
 	count := len(service.Machines)
 	var best *BackEnd
 	for offset := range count {
@@ -96,9 +98,17 @@
 		if request.Excludes(machine.Load) {
 			continue
 		}
-		if best == nil || machine.Load.InFlight() < best.Load.InFlight() {
+		if best == nil || betterMachine(now, machine, best) {
 			best = machine
 		}
 	}
 	return best
 }
+
+func betterMachine(now time.Time, machine, best *BackEnd) bool {
+	refused, bestRefused := machine.Load.RefusedLately(now), best.Load.RefusedLately(now)
+	if refused != bestRefused {
+		return bestRefused
+	}
+	return machine.Load.InFlight() < best.Load.InFlight()
+}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -68,6 +68,14 @@
 			a.Observed = false
 			request.Exclude(b.BackEnd.Load)
 		}, "a"},
+		{"a back end that refused lately is the last resort", func(a, b *route.Candidate, _ *route.Request, _ *route.PrefixIndex) {
+			a.BackEnd.Load.Refused(now)
+			b.BackEnd.Load.SetReport(900, 10, now)
+		}, "b"},
+		{"a refusal is forgotten", func(a, b *route.Candidate, _ *route.Request, _ *route.PrefixIndex) {
+			a.BackEnd.Load.Refused(now.Add(-time.Minute))
+			b.BackEnd.Load.SetReport(9, 10, now)
+		}, "a"},
 		{"nothing left", func(a, b *route.Candidate, request *route.Request, _ *route.PrefixIndex) {
 			request.Exclude(a.BackEnd.Load)
 			request.Exclude(b.BackEnd.Load)
