Prefer a full replica over one that still loads

Cause (a checked-streams run under the race detector, 2,100 of 3,000 calls refused): once the loaded replicas had refused for full queues, they counted no more than a replica that was still loading, whose zero load then won: 1,119 picks of an engine without the model. Ruled out: released replicas (none were).

Change: three grades of trust - serves, serves but refused lately, not observed - are compared before the score.

Measured: three runs of all real-socket tests under the race detector on a loaded machine pass; before, one of two failed.

--- a/route/picker.go
+++ b/route/picker.go
@@ -36,10 +36,32 @@
 	scoredCandidates = 6
 )
 
-// Pick returns the best candidate for a request, or nil. A replica that was not
-// observed to serve, or that turned a request away lately, is picked only if no
-// other is left: it would refuse at once, and since refusals keep its load low,
-// a score alone would send it ever more requests.
+// trust says how far a candidate can be expected to take a request. A candidate
+// of lower trust is picked only if none of higher trust is left: it would refuse
+// at once, and since refusals keep its load low, a score alone would send it
+// ever more requests.
+type trust int
+
+const (
+	// notObserved means that no report shows the replica; it may still load.
+	notObserved trust = iota
+	// refusedLately means that it serves but turned a request away.
+	refusedLately
+	trusted
+)
+
+func trustOf(now time.Time, candidate *Candidate) trust {
+	switch {
+	case !candidate.Observed:
+		return notObserved
+	case candidate.BackEnd.Load.RefusedLately(now):
+		return refusedLately
+	default:
+		return trusted
+	}
+}
+
+// Pick returns the best candidate for a request, or nil.
 func (p *Picker) Pick(now time.Time, model *Model, request *Request) *Candidate {
 	count := len(model.Candidates)
 	if count == 0 {
@@ -47,23 +69,23 @@
 	}
 	start := int(request.Random % uint64(count))
 	var best *Candidate
-	bestScore, bestTrusted := math.Inf(1), false
+	bestScore, bestTrust := math.Inf(1), notObserved
 	scored := 0
 	for offset := range count {
 		candidate := &model.Candidates[(start+offset)%count]
 		if !p.allows(request, candidate) {
 			continue
 		}
-		trusted := candidate.Observed && !candidate.BackEnd.Load.RefusedLately(now)
-		if bestTrusted && !trusted {
+		trust := trustOf(now, candidate)
+		if trust < bestTrust {
 			continue
 		}
 		score := p.score(now, request, candidate)
-		if score < bestScore || trusted && !bestTrusted {
-			best, bestScore, bestTrusted = candidate, score, trusted
+		if score < bestScore || trust > bestTrust {
+			best, bestScore, bestTrust = candidate, score, trust
 		}
 		scored++
-		if scored >= scoredCandidates && bestTrusted {
+		if scored >= scoredCandidates && bestTrust == trusted {
 			break
 		}
 	}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -72,6 +72,11 @@
 			a.BackEnd.Load.Refused(now)
 			b.BackEnd.Load.SetReport(900, 10, now)
 		}, "b"},
+		{"a full replica wins over one that still loads", func(a, b *route.Candidate, _ *route.Request, _ *route.PrefixIndex) {
+			a.Observed = false
+			b.BackEnd.Load.Refused(now)
+			b.BackEnd.Load.SetReport(900, 10, now)
+		}, "b"},
 		{"a refusal is forgotten", func(a, b *route.Candidate, _ *route.Request, _ *route.PrefixIndex) {
 			a.BackEnd.Load.Refused(now.Add(-time.Minute))
 			b.BackEnd.Load.SetReport(9, 10, now)
