Test the control node by itself, and add examples for embedders

Cause: the control node was tested through the simulator only, where a failure is far from its cause; the embeddable parts had no runnable examples.

--- a/cmd/wheatweir/lab.go
+++ b/cmd/wheatweir/lab.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -39,14 +40,18 @@
 func addDemo(lab *kingpin.CmdClause) {
 	command := lab.Command("demo", "Serve a mixed load on embedded stand-ins and check every answer.")
 	path := command.Flag("log", "Write the daemons' log lines to a file.").PlaceHolder("FILE").String()
-	command.Action(func(*kingpin.ParseContext) error {
-		ctx, cancel := interruptible()
-		defer cancel()
-		logs, err := openLog(*path)
-		if err != nil {
-			return err
-		}
-		defer logs.Close()
-		return demo.Run(ctx, os.Stdout, logs)
-	})
+	command.Action(func(*kingpin.ParseContext) error { return runWithLog(*path, demo.Run) })
+}
+
+// runWithLog runs something until it ends or is interrupted, with the daemons'
+// log lines going to a file.
+func runWithLog(path string, run func(ctx context.Context, output, logs io.Writer) error) error {
+	ctx, cancel := interruptible()
+	defer cancel()
+	logs, err := openLog(path)
+	if err != nil {
+		return err
+	}
+	defer logs.Close()
+	return run(ctx, os.Stdout, logs)
 }
--- a/cmd/wheatweir/standins.go
+++ b/cmd/wheatweir/standins.go
@@ -130,14 +130,5 @@
 func addUp(lab *kingpin.CmdClause) {
 	command := lab.Command("up", "Run stand-ins and daemons until interrupted, and print lines to try.")
 	path := command.Flag("log", "Write the daemons' log lines to a file.").PlaceHolder("FILE").String()
-	command.Action(func(*kingpin.ParseContext) error {
-		ctx, cancel := interruptible()
-		defer cancel()
-		logs, err := openLog(*path)
-		if err != nil {
-			return err
-		}
-		defer logs.Close()
-		return demo.Up(ctx, os.Stdout, logs)
-	})
+	command.Action(func(*kingpin.ParseContext) error { return runWithLog(*path, demo.Up) })
 }
--- /dev/null
+++ b/control/node_test.go
@@ -0,0 +1,108 @@
+package control_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/api"
+	"github.com/wheatweir/wheatweir/control"
+	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/replica"
+)
+
+// alone drives one node that hears no other daemon.
+type alone struct {
+	node *control.Node
+	now  time.Time
+}
+
+func newAlone() *alone {
+	now := time.Unix(1000, 0)
+	self := member.Member{Name: "d", Zone: "z", PeerAddress: "peer", Incarnation: 1}
+	return &alone{node: control.New(self, control.DefaultSettings(), rand.New(rand.NewPCG(1, 1))), now: now}
+}
+
+// tick runs the node for a span and returns the actions of one type.
+func tick[T control.Action](a *alone, span time.Duration) []T {
+	var found []T
+	for end := a.now.Add(span); a.now.Before(end); a.now = a.now.Add(100 * time.Millisecond) {
+		for _, action := range a.node.Tick(a.now) {
+			if wanted, ok := action.(T); ok {
+				found = append(found, wanted)
+			}
+		}
+	}
+	return found
+}
+
+// learn gives the node a model, an engine and the engine's report.
+func (a *alone) learn() {
+	machine := api.Machine{Name: "e", Role: api.RoleEngine, Zone: "z", State: api.MachineLive, MemoryBytes: 100, ChecksFence: true}
+	model := api.Model{Name: "m", Serving: "v1", Versions: []api.Version{{Name: "v1", Bytes: 10}}, MinReplicas: 1}
+	a.node.ChangesAnswered(a.now, control.ChangesAnswer{Delta: replica.Delta{Through: 2, Objects: []api.Object{
+		{Key: api.Key{Kind: api.KindMachine, Name: "e"}, Version: 1, Value: api.Encode(machine)},
+		{Key: api.Key{Kind: api.KindModel, Name: "m"}, Version: 2, Value: api.Encode(model)},
+	}}})
+	a.node.PollAnswered(a.now, control.PollAnswer{BackEnd: "e", Report: api.Report{BackEnd: "e", Boot: "b", Sequence: 1, Slots: 4}})
+}
+
+func TestAmbiguousWriteIsReadBackBeforeTheNext(t *testing.T) {
+	a := newAlone()
+	tick[control.Write](a, time.Second)
+	a.learn()
+	writes := tick[control.Write](a, 3*time.Second)
+	if len(writes) != 1 {
+		t.Fatalf("%d writes before the first was answered", len(writes))
+	}
+	key := writes[0].Object.Key
+	a.node.WriteAnswered(a.now, control.WriteAnswer{Key: key, Err: control.CallUnknown})
+	reads := tick[control.Read](a, 3*time.Second)
+	if len(reads) != 1 || reads[0].Key != key {
+		t.Fatalf("reads %v", reads)
+	}
+	if again := tick[control.Write](a, 3*time.Second); len(again) != 0 {
+		t.Fatal("a second write was made before the first was settled")
+	}
+	stored := writes[0].Object
+	stored.Version = 3
+	a.node.ReadAnswered(a.now, control.ReadAnswer{Key: key, Object: stored})
+	if again := tick[control.Write](a, 3*time.Second); len(again) != 0 {
+		t.Fatal("the write was made twice")
+	}
+}
+
+func TestPausedNodeCatchesUpBeforeItServes(t *testing.T) {
+	a := newAlone()
+	tick[control.Write](a, time.Second)
+	a.learn()
+	tick[control.Write](a, 10*time.Second)
+	if !a.node.CaughtUp(a.now) {
+		t.Fatal("a node that is alone never caught up")
+	}
+	a.now = a.now.Add(30 * time.Second)
+	if a.node.CaughtUp(a.now) {
+		t.Fatal("a node that did not run for 30 s claims to be caught up")
+	}
+	tick[control.Write](a, 200*time.Millisecond)
+	if a.node.CaughtUp(a.now) {
+		t.Fatal("a node that was paused did not join anew")
+	}
+}
+
+func TestLeavingBackEndIsNoCandidate(t *testing.T) {
+	a := newAlone()
+	tick[control.Write](a, time.Second)
+	a.learn()
+	writes := tick[control.Write](a, 2*time.Second)
+	stored := writes[0].Object
+	stored.Version = 3
+	a.node.WriteAnswered(a.now, control.WriteAnswer{Key: stored.Key, Object: stored})
+	if got := len(a.node.Table(a.now).Models["m"].Candidates); got != 1 {
+		t.Fatalf("%d candidates", got)
+	}
+	a.node.PollAnswered(a.now, control.PollAnswer{BackEnd: "e", Report: api.Report{BackEnd: "e", Boot: "b", Sequence: 2, Slots: 4, Leaving: true}})
+	if got := len(a.node.Table(a.now).Models["m"].Candidates); got != 0 {
+		t.Fatalf("%d candidates although the back end is leaving", got)
+	}
+}
--- /dev/null
+++ b/rendezvous/example_test.go
@@ -0,0 +1,23 @@
+package rendezvous_test
+
+import (
+	"fmt"
+
+	"github.com/wheatweir/wheatweir/rendezvous"
+)
+
+// A change of the set moves only the keys of the member that left.
+func ExampleSet_Owner() {
+	before := rendezvous.NewSet([]string{"daemon-1", "daemon-2", "daemon-3"})
+	after := rendezvous.NewSet([]string{"daemon-1", "daemon-3"})
+	moved := 0
+	for number := range 1000 {
+		key := fmt.Sprintf("model/%d", number)
+		owner := before.Owner(key)
+		if owner != "daemon-2" && after.Owner(key) != owner {
+			moved++
+		}
+	}
+	fmt.Println("keys of others that moved:", moved)
+	// Output: keys of others that moved: 0
+}
