Release adapters that are no longer configured

Cause: deleting an adapter changed the model's configuration only; its memory stayed reserved on every replica until the replica itself went.

Change: the planner releases such an adapter, one for each back end in a round; the reservation ends by the same rule as any other.

--- a/placement/planner.go
+++ b/placement/planner.go
@@ -30,6 +30,7 @@
 	plan.addReplicas(views)
 	for _, view := range views {
 		plan.retire(view)
+		plan.releaseAdapters(view)
 		plan.trim(view)
 	}
 	return plan.operations
--- a/placement/retire.go
+++ b/placement/retire.go
@@ -87,6 +87,27 @@
 	return name, count
 }
 
+// releaseAdapters releases adapters that are no longer configured, at most one
+// for each back end in a round.
+func (p *plan) releaseAdapters(view *modelView) {
+	for _, replica := range view.replicas {
+		backEnd := &p.backEnds[replica.backEnd]
+		for _, entry := range backEnd.Placement.Entries {
+			if p.touched[backEnd.Name] {
+				break
+			}
+			stray := entry.Artifact.Adapter != "" && entry.Artifact.Base() == view.weights &&
+				entry.Phase == api.PhaseHeld && !view.model.Model.HasAdapter(entry.Artifact.Adapter)
+			if stray {
+				p.emit(Operation{
+					Kind: OperationRelease, BackEnd: backEnd.Name, IfVersion: backEnd.Version,
+					Artifact: entry.Artifact, Reason: "adapter deleted",
+				})
+			}
+		}
+	}
+}
+
 // trim gives up one replica more than desired. Replicas that are not anchors
 // go first, and only after their minimum stay unless memory is short.
 func (p *plan) trim(view *modelView) {
