Drop an unused method and a second name for a constant

Cause: the newcomer's reading of the control package found Node.Describe, which nothing calls, and a local alias of api.MachineLeaving.

--- a/control/backends.go
+++ b/control/backends.go
@@ -9,8 +9,6 @@
 	"github.com/wheatweir/wheatweir/placement"
 )
 
-const leavingMachine = api.MachineLeaving
-
 // backEndState is what this daemon knows of one back end.
 type backEndState struct {
 	report api.Report
@@ -116,7 +114,7 @@
 // observeHealth tells the group what a poll of this daemon's own showed.
 func (n *Node) observeHealth(report *api.Report) {
 	health := member.BackEndUp
-	if report.Leaving || n.catalog.machines[report.BackEnd].State == leavingMachine {
+	if report.Leaving || n.catalog.machines[report.BackEnd].State == api.MachineLeaving {
 		health = member.BackEndLeaving
 	}
 	if n.detector.ObserveBackEnd(report.BackEnd, report.Boot, health) {
--- a/control/node.go
+++ b/control/node.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -250,8 +249,3 @@
 	slices.Sort(names)
 	return names
 }
-
-// Describe returns a one-line summary for logs.
-func (n *Node) Describe() string {
-	return fmt.Sprintf("daemons %d, objects %d, through %d", len(n.detector.Live()), n.store.Len(), n.store.Through())
-}
--- a/control/planning.go
+++ b/control/planning.go
@@ -211,7 +211,7 @@
 	switch {
 	case !found:
 		return placement.Down
-	case news.State == member.BackEndLeaving || machine.State == leavingMachine || reported:
+	case news.State == member.BackEndLeaving || machine.State == api.MachineLeaving || reported:
 		return placement.Leaving
 	default:
 		return placement.Up
