Name the object API client objectstore, and let the peer transport carry any message type

The folder name platform belongs to the adapter for the users' platform from now on, so the product's own object API client takes its own name. The peer transport knew the control plane's message type; it is now generic, so that a second control plane can use the same sessions and frames.

No behaviour changes. Tests of peer, stand-ins, daemon and operator pass.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -6,7 +6,7 @@
 
 	"github.com/wheatweir/wheatweir/api"
 	"github.com/wheatweir/wheatweir/control"
-	"github.com/wheatweir/wheatweir/platform"
+	"github.com/wheatweir/wheatweir/objectstore"
 	"github.com/wheatweir/wheatweir/ring"
 )
 
@@ -198,9 +198,9 @@
 	switch {
 	case err == nil:
 		return control.CallOK
-	case platform.ErrConflict.Has(err):
+	case objectstore.ErrConflict.Has(err):
 		return control.CallConflict
-	case platform.ErrNotDone.Has(err):
+	case objectstore.ErrNotDone.Has(err):
 		return control.CallNotDone
 	default:
 		return control.CallUnknown
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,9 +20,9 @@
 	"github.com/wheatweir/wheatweir/engine"
 	"github.com/wheatweir/wheatweir/exchange"
 	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/objectstore"
 	"github.com/wheatweir/wheatweir/operator"
 	"github.com/wheatweir/wheatweir/peer"
-	"github.com/wheatweir/wheatweir/platform"
 	"github.com/wheatweir/wheatweir/retry"
 	"github.com/wheatweir/wheatweir/ring"
 	"github.com/wheatweir/wheatweir/route"
@@ -50,8 +50,8 @@
 	prefixes  *route.PrefixIndex
 	interests *ring.Ring[string]
 
-	transport *peer.Transport
-	platform  platform.Client
+	transport *peer.Transport[control.Message]
+	platform  objectstore.Client
 	engines   *engine.Client
 	services  *service.Client
 	server    *caller.Server
@@ -97,7 +97,7 @@
 		interests: ring.New[string](interestRingSize),
 		engines:   engine.NewClient(s.Requests.IdleTimeout),
 		services:  service.NewClient(s.Requests.IdleTimeout),
-		platform:  platform.NewHTTPClient(s.Daemon.PlatformAddress),
+		platform:  objectstore.NewHTTPClient(s.Daemon.PlatformAddress),
 		metrics:   newMetrics(),
 		history:   newHistory(),
 		requests:  newRequestLog(),
--- a/daemon/ledger.go
+++ b/daemon/ledger.go
@@ -12,13 +12,13 @@
 	"github.com/wheatweir/wheatweir/api"
 	"github.com/wheatweir/wheatweir/exchange"
 	"github.com/wheatweir/wheatweir/ledger"
-	"github.com/wheatweir/wheatweir/platform"
+	"github.com/wheatweir/wheatweir/objectstore"
 )
 
 // keyLedger claims request keys. Each shard in use has a goroutine that makes
 // its calls, one at a time.
 type keyLedger struct {
-	platform platform.Client
+	platform objectstore.Client
 	timeout  time.Duration
 	holder   string
 	next     atomic.Uint64
@@ -36,7 +36,7 @@
 	wake    chan struct{}
 }
 
-func newKeyLedger(client platform.Client, timeout time.Duration, name string) *keyLedger {
+func newKeyLedger(client objectstore.Client, timeout time.Duration, name string) *keyLedger {
 	return &keyLedger{
 		platform: client,
 		timeout:  timeout,
@@ -172,9 +172,9 @@
 	switch {
 	case err == nil:
 		return ledger.CallOK
-	case platform.ErrConflict.Has(err):
+	case objectstore.ErrConflict.Has(err):
 		return ledger.CallConflict
-	case platform.ErrNotDone.Has(err):
+	case objectstore.ErrNotDone.Has(err):
 		return ledger.CallNotDone
 	default:
 		return ledger.CallUnknown
--- a/lab/sim/platform.go
+++ b/lab/sim/platform.go
@@ -6,7 +6,7 @@
 	"github.com/wheatweir/wheatweir/api"
 	"github.com/wheatweir/wheatweir/control"
 	"github.com/wheatweir/wheatweir/lab/standin/objectstore"
-	"github.com/wheatweir/wheatweir/platform"
+	client "github.com/wheatweir/wheatweir/objectstore"
 	"github.com/wheatweir/wheatweir/replica"
 )
 
@@ -71,7 +71,7 @@
 		if waiting.done {
 			continue
 		}
-		objects, through := p.Core.Changes(p.world.Now, waiting.since, platform.ReplicatedKinds)
+		objects, through := p.Core.Changes(p.world.Now, waiting.since, client.ReplicatedKinds)
 		if len(objects) == 0 {
 			kept = append(kept, waiting)
 			continue
--- a/lab/standin/objectstore/contract_test.go
+++ b/lab/standin/objectstore/contract_test.go
@@ -7,16 +7,16 @@
 
 	"github.com/wheatweir/wheatweir/api"
 	"github.com/wheatweir/wheatweir/lab/standin/objectstore"
-	"github.com/wheatweir/wheatweir/platform"
+	storeclient "github.com/wheatweir/wheatweir/objectstore"
 )
 
-func start(t *testing.T, settings objectstore.Settings) (*objectstore.Server, *platform.HTTPClient) {
+func start(t *testing.T, settings objectstore.Settings) (*objectstore.Server, *storeclient.HTTPClient) {
 	t.Helper()
 	server, err := objectstore.Listen("127.0.0.1:0", settings)
 	if err != nil {
 		t.Fatal(err)
 	}
-	client := platform.NewHTTPClient(server.Address())
+	client := storeclient.NewHTTPClient(server.Address())
 	t.Cleanup(func() {
 		client.Close()
 		server.Close()
@@ -42,7 +42,7 @@
 		t.Fatal(err)
 	}
 	inTheWay, err := client.Put(ctx, object(`"two"`, "b"), 0)
-	if !platform.ErrConflict.Has(err) || inTheWay.WriteID != "a" || inTheWay.Version != first.Version {
+	if !storeclient.ErrConflict.Has(err) || inTheWay.WriteID != "a" || inTheWay.Version != first.Version {
 		t.Fatalf("object %+v error %v", inTheWay, err)
 	}
 	second, err := client.Put(ctx, object(`"three"`, "c"), first.Version)
@@ -102,7 +102,7 @@
 			server, client := start(t, c.settings)
 			server.SetFaults(c.fault)
 			_, err := client.Put(context.Background(), c.object, 0)
-			if platform.ErrNotDone.Has(err) != c.notDone || err == nil || platform.ErrConflict.Has(err) {
+			if storeclient.ErrNotDone.Has(err) != c.notDone || err == nil || storeclient.ErrConflict.Has(err) {
 				t.Fatalf("error %v", err)
 			}
 			stored := false
--- a/lab/standin/objectstore/server.go
+++ b/lab/standin/objectstore/server.go
@@ -13,7 +13,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/wheatweir/wheatweir/api"
-	"github.com/wheatweir/wheatweir/platform"
+	client "github.com/wheatweir/wheatweir/objectstore"
 )
 
 // ErrServer is the class of failures of the server.
@@ -200,7 +200,7 @@
 			return answer(c, api.Object{}, Down)
 		}
 		if len(objects) > 0 || !time.Now().Before(deadline) {
-			return c.JSON(platform.ChangesAnswer{Through: through, Objects: objects})
+			return c.JSON(client.ChangesAnswer{Through: through, Objects: objects})
 		}
 		if !s.wait(changed, deadline) {
 			return answer(c, api.Object{}, Down)
--- a/platform/client.go
+++ b/objectstore/client.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
--- a/platform/platform.go
+++ b/objectstore/objectstore.go
@@ -1,4 +1,4 @@
-// Package platform is the peer package for the platform's object API: objects
+// Package objectstore is the peer package for the platform's object API: objects
 // with versions, conditional updates and watches, over HTTP and JSON.
 //
 // Wire form (see the stand-in for the other side):
@@ -9,7 +9,7 @@
 //
 // A deletion is an update with "deleted" set: the tombstone has a version too.
 // 429 and 503 say that the call was not done.
-package platform
+package objectstore
 
 import (
 	"context"
@@ -25,11 +25,11 @@
 var (
 	// ErrNotDone means that the call certainly had no effect: the platform
 	// said so, or nothing was sent.
-	ErrNotDone = errs.Class("platform: not done")
+	ErrNotDone = errs.Class("object store: not done")
 	// ErrConflict means that a conditional update found another version.
-	ErrConflict = errs.Class("platform: conflict")
+	ErrConflict = errs.Class("object store: conflict")
 	// ErrUnknownOutcome means that a write may have taken effect.
-	ErrUnknownOutcome = errs.Class("platform: unknown outcome")
+	ErrUnknownOutcome = errs.Class("object store: unknown outcome")
 )
 
 // Client is the platform as daemons use it.
--- a/operator/executor.go
+++ b/operator/executor.go
@@ -11,8 +11,8 @@
 
 	"github.com/wheatweir/wheatweir/api"
 	"github.com/wheatweir/wheatweir/nearest"
+	"github.com/wheatweir/wheatweir/objectstore"
 	"github.com/wheatweir/wheatweir/placement"
-	"github.com/wheatweir/wheatweir/platform"
 	"github.com/wheatweir/wheatweir/retry"
 )
 
@@ -32,7 +32,7 @@
 // Executor runs commands.
 type Executor struct {
 	System   System
-	Platform platform.Client
+	Platform objectstore.Client
 	// Writer names this daemon in the objects that it writes.
 	Writer string
 
@@ -112,10 +112,10 @@
 	case err == nil:
 		e.System.Learned(written)
 		return written, nil
-	case platform.ErrConflict.Has(err):
+	case objectstore.ErrConflict.Has(err):
 		e.System.Learned(written)
 		return api.Object{}, ErrConflict.New("%s was changed by %s to version %d in the meantime; nothing of this command was done", object.Key, written.Writer, written.Version)
-	case platform.ErrNotDone.Has(err):
+	case objectstore.ErrNotDone.Has(err):
 		return api.Object{}, ErrUnavailable.New("%s was not changed: %v", object.Key, err)
 	}
 	return e.settle(ctx, object, err)
@@ -134,7 +134,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for attempt := 0; ; attempt++ {
 		written, err := e.Platform.Put(ctx, object, ifVersion)
-		if !platform.ErrNotDone.Has(err) || attempt+1 >= refusedAttempts {
+		if !objectstore.ErrNotDone.Has(err) || attempt+1 >= refusedAttempts {
 			return written, err
 		}
 		select {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -21,7 +21,6 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/errs"
 
-	"github.com/wheatweir/wheatweir/control"
 	"github.com/wheatweir/wheatweir/ring"
 )
 
@@ -53,12 +52,12 @@
 
 // Handler takes in a message. It must not keep the message's slices shared
 // with others, and must not block for long.
-type Handler func(control.Message)
+type Handler[M any] func(M)
 
-// Transport sends and receives messages of one daemon.
-type Transport struct {
+// Transport sends and receives messages of type M for one daemon.
+type Transport[M any] struct {
 	key      []byte
-	handler  Handler
+	handler  Handler[M]
 	listener net.Listener
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -79,13 +78,13 @@
 }
 
 // Listen opens the transport on an "IP:port" address.
-func Listen(address string, key []byte, handler Handler) (*Transport, error) {
+func Listen[M any](address string, key []byte, handler Handler[M]) (*Transport[M], error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, ErrListen.Wrap(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	transport := &Transport{
+	transport := &Transport[M]{
 		key: key, handler: handler, listener: listener, ctx: ctx, cancel: cancel,
 		senders: map[string]*sender{}, open: map[net.Conn]bool{},
 	}
@@ -94,17 +93,17 @@
 }
 
 // Address returns the address that the transport listens on.
-func (t *Transport) Address() string { return t.listener.Addr().String() }
+func (t *Transport[M]) Address() string { return t.listener.Addr().String() }
 
 // Counts returns the totals so far.
-func (t *Transport) Counts() Counts {
+func (t *Transport[M]) Counts() Counts {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return t.counts
 }
 
 // Close ends all connections and waits for the transport's goroutines.
-func (t *Transport) Close() {
+func (t *Transport[M]) Close() {
 	t.cancel()
 	_ = t.listener.Close()
 	t.mutex.Lock()
@@ -116,7 +115,7 @@
 }
 
 // Send queues a message to a peer address.
-func (t *Transport) Send(address string, message control.Message) {
+func (t *Transport[M]) Send(address string, message M) {
 	body, err := msgpack.Marshal(&message)
 	if err != nil {
 		return
@@ -126,7 +125,7 @@
 	}
 }
 
-func (t *Transport) count(change func(*Counts)) {
+func (t *Transport[M]) count(change func(*Counts)) {
 	t.mutex.Lock()
 	change(&t.counts)
 	t.mutex.Unlock()
@@ -139,7 +138,7 @@
 	frames  *ring.Ring[[]byte]
 }
 
-func (t *Transport) sender(address string) *sender {
+func (t *Transport[M]) sender(address string) *sender {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known := t.senders[address]
@@ -153,7 +152,7 @@
 	return known
 }
 
-func (t *Transport) runSender(s *sender) {
+func (t *Transport[M]) runSender(s *sender) {
 	defer func() {
 		t.mutex.Lock()
 		delete(t.senders, s.address)
@@ -191,7 +190,7 @@
 	}
 }
 
-func (t *Transport) connect(address string) *session {
+func (t *Transport[M]) connect(address string) *session {
 	conn, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err == nil {
 		t.track(conn)
@@ -209,7 +208,7 @@
 	return nil
 }
 
-func (t *Transport) track(conn net.Conn) bool {
+func (t *Transport[M]) track(conn net.Conn) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.ctx.Err() != nil || len(t.open) >= maxConnections {
@@ -219,14 +218,14 @@
 	return true
 }
 
-func (t *Transport) closeConn(conn net.Conn) {
+func (t *Transport[M]) closeConn(conn net.Conn) {
 	_ = conn.Close()
 	t.mutex.Lock()
 	delete(t.open, conn)
 	t.mutex.Unlock()
 }
 
-func (t *Transport) accept() {
+func (t *Transport[M]) accept() {
 	for {
 		conn, err := t.listener.Accept()
 		if err != nil {
@@ -244,7 +243,7 @@
 	}
 }
 
-func (t *Transport) receive(conn net.Conn) {
+func (t *Transport[M]) receive(conn net.Conn) {
 	defer t.closeConn(conn)
 	session, err := openSession(conn, t.key, false)
 	if err != nil {
@@ -259,7 +258,7 @@
 			}
 			return
 		}
-		var message control.Message
+		var message M
 		if err := msgpack.Unmarshal(body, &message); err != nil {
 			t.count(func(counts *Counts) { counts.Rejected++ })
 			return
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -13,7 +13,7 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func listen(t *testing.T, key string, handler Handler) *Transport {
+func listen(t *testing.T, key string, handler Handler[control.Message]) *Transport[control.Message] {
 	t.Helper()
 	transport, err := Listen("127.0.0.1:0", []byte(key), handler)
 	if err != nil {
@@ -39,7 +39,7 @@
 }
 
 // rejected waits until a transport has rejected a connection.
-func rejected(transport *Transport) bool {
+func rejected(transport *Transport[control.Message]) bool {
 	for transport.Counts().Rejected == 0 {
 		time.Sleep(time.Millisecond)
 	}
