--- /dev/null
+++ b/balance/picker.go
@@ -0,0 +1,178 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+// Request is what the choice of an instance depends on.
+type Request struct {
+	Model   string
+	Adapter string
+	// Zone is the zone of this daemon.
+	Zone string
+	// Affinity is equal for requests that share the start of their prompt; zero
+	// if that does not matter.
+	Affinity uint64
+	// Excluded lists instances that were tried already.
+	Excluded []string
+}
+
+// Candidate is one instance with what is known of it.
+type Candidate struct {
+	Instance *fleet.Instance
+	// Load is the number of requests in progress, as far as is known.
+	Load int
+	// Available says that nothing speaks against the instance at the moment.
+	Available bool
+}
+
+// Filter tells whether a candidate may take a request at all.
+type Filter interface {
+	Allows(request *Request, candidate *Candidate) bool
+}
+
+// Scorer rates a candidate; lower is better. A score of one is about the cost of
+// a whole batch in front of the request.
+type Scorer interface {
+	Score(request *Request, candidate *Candidate) float64
+}
+
+// Picker chooses among candidates.
+type Picker struct {
+	tracker *Tracker
+	filters []Filter
+	scorers []Scorer
+}
+
+// NewPicker returns the picker with all filters and scorers.
+func NewPicker(tracker *Tracker) *Picker {
+	return &Picker{
+		tracker: tracker,
+		filters: []Filter{NotLeaving{}, NotExcluded{}, HasModel{}},
+		scorers: []Scorer{LoadScorer{}, ZoneScorer{}, AffinityScorer{}},
+	}
+}
+
+// Pick returns the best candidate, or nil if no instance may take the request.
+// Candidates that something speaks against are used only if there is no other.
+func (p *Picker) Pick(now time.Time, instances []*fleet.Instance, request *Request) *Candidate {
+	ids := make([]string, len(instances))
+	for i, instance := range instances {
+		ids[i] = instance.ID
+	}
+	statuses := p.tracker.statuses(now, ids, request.Model, request.Adapter, make([]status, 0, len(ids)))
+	var best *Candidate
+	bestScore := 0.0
+	for i, instance := range instances {
+		candidate := Candidate{Instance: instance, Load: statuses[i].load, Available: statuses[i].available}
+		if statuses[i].missing || !p.allows(request, &candidate) {
+			continue
+		}
+		score := p.score(request, &candidate)
+		if best == nil || better(&candidate, score, best, bestScore) {
+			chosen := candidate
+			best, bestScore = &chosen, score
+		}
+	}
+	return best
+}
+
+func better(a *Candidate, scoreA float64, b *Candidate, scoreB float64) bool {
+	if a.Available != b.Available {
+		return a.Available
+	}
+	return scoreA < scoreB
+}
+
+func (p *Picker) allows(request *Request, candidate *Candidate) bool {
+	for _, filter := range p.filters {
+		if !filter.Allows(request, candidate) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Picker) score(request *Request, candidate *Candidate) float64 {
+	total := 0.0
+	for _, scorer := range p.scorers {
+		total += scorer.Score(request, candidate)
+	}
+	return total
+}
+
+// NotLeaving turns away instances that are leaving.
+type NotLeaving struct{}
+
+// Allows implements Filter.
+func (NotLeaving) Allows(_ *Request, candidate *Candidate) bool { return !candidate.Instance.Leaving }
+
+// NotExcluded turns away instances that this request was sent to.
+type NotExcluded struct{}
+
+// Allows implements Filter.
+func (NotExcluded) Allows(request *Request, candidate *Candidate) bool {
+	for _, id := range request.Excluded {
+		if id == candidate.Instance.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// HasModel turns away instances without the model or adapter.
+type HasModel struct{}
+
+// Allows implements Filter.
+func (HasModel) Allows(request *Request, candidate *Candidate) bool {
+	if request.Model == "" {
+		return true
+	}
+	resident := candidate.Instance.Resident(request.Model)
+	return resident != nil && resident.HasAdapter(request.Adapter)
+}
+
+// LoadScorer prefers instances with few requests for their slots.
+type LoadScorer struct{}
+
+// Score implements Scorer.
+func (LoadScorer) Score(_ *Request, candidate *Candidate) float64 {
+	return float64(candidate.Load) / float64(max(1, candidate.Instance.Slots))
+}
+
+// zonePenalty is what another zone costs: a little time, and priced bytes.
+const zonePenalty = 0.03
+
+// ZoneScorer prefers this daemon's zone.
+type ZoneScorer struct{}
+
+// Score implements Scorer.
+func (ZoneScorer) Score(request *Request, candidate *Candidate) float64 {
+	if candidate.Instance.Zone == request.Zone {
+		return 0
+	}
+	return zonePenalty
+}
+
+// affinityWeight is what a kept prompt is worth at most.
+const affinityWeight = 0.08
+
+// AffinityScorer gives requests that share a prompt a common order of
+// instances, so that they meet where the prompt is kept, and spreads the others.
+type AffinityScorer struct{}
+
+// Score implements Scorer.
+func (AffinityScorer) Score(request *Request, candidate *Candidate) float64 {
+	hash := xxhash.New()
+	_, _ = hash.WriteString(candidate.Instance.ID)
+	var key [8]byte
+	for i := range key {
+		key[i] = byte(request.Affinity >> (8 * i))
+	}
+	_, _ = hash.Write(key[:])
+	return affinityWeight * float64(hash.Sum64()>>11) / float64(1<<53)
+}
--- /dev/null
+++ b/balance/tracker.go
@@ -0,0 +1,231 @@
+// Package balance chooses the instance that takes a request. A Tracker holds
+// what this daemon observes of the instances: requests in progress here and at
+// other daemons, outcomes, and doubts. A Picker filters and scores candidates;
+// each filter and scorer is a small type of its own.
+package balance
+
+import (
+	"sync"
+	"time"
+)
+
+// Outcome is how an attempt at an instance ended, as far as the instance is to
+// blame.
+type Outcome uint8
+
+// Outcomes of attempts.
+const (
+	// Served means that the instance gave a proper answer.
+	Served Outcome = iota
+	// Failed means that the instance failed the request or broke off.
+	Failed
+	// Declined means that the instance said that it did not run the request.
+	Declined
+	// Unreached means that no connection could be made.
+	Unreached
+	// Abandoned means that this side gave up; the instance is not to blame.
+	Abandoned
+)
+
+const (
+	// errorWeight is the weight of the newest outcome in the error share.
+	errorWeight = 0.2
+	// peerExpiry is how long the numbers of another daemon count.
+	peerExpiry = 3 * time.Second
+	// declinedPause keeps requests for a while from an instance that declined.
+	declinedPause = 100 * time.Millisecond
+	// unreachedPause does the same after a failed connection.
+	unreachedPause = 500 * time.Millisecond
+	// ejectionBase and ejectionLimit bound how long an instance is ejected.
+	ejectionBase  = time.Second
+	ejectionLimit = 8 * time.Second
+	// ejectErrorShare is the least error share for an ejection, and
+	// ejectRatio how many times the share of all siblings it has to be.
+	ejectErrorShare = 0.3
+	ejectRatio      = 2
+	// ejectSamples is the least number of outcomes before an ejection.
+	ejectSamples = 4
+)
+
+// instanceState is what is observed of one instance.
+type instanceState struct {
+	own        int
+	errorShare float64
+	samples    int
+	ejections  int
+	ejectedTo  time.Time
+	pausedTo   time.Time
+	unreached  int
+}
+
+// Tracker is safe for concurrent use.
+type Tracker struct {
+	mutex     sync.Mutex
+	instances map[string]*instanceState
+	peers     map[string]peerLoad
+	missing   map[missingKey]time.Time
+}
+
+type peerLoad struct {
+	at     time.Time
+	counts map[string]int
+}
+
+// missingKey names something that an instance turned out not to have.
+type missingKey struct{ instance, model, adapter string }
+
+// NewTracker returns an empty tracker.
+func NewTracker() *Tracker {
+	return &Tracker{
+		instances: map[string]*instanceState{}, peers: map[string]peerLoad{}, missing: map[missingKey]time.Time{},
+	}
+}
+
+func (t *Tracker) state(id string) *instanceState {
+	state := t.instances[id]
+	if state == nil {
+		state = &instanceState{}
+		t.instances[id] = state
+	}
+	return state
+}
+
+// Begin counts a request that is sent to an instance.
+func (t *Tracker) Begin(id string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.state(id).own++
+}
+
+// End counts the end of a request, and what it says about the instance.
+// Siblings are the instances of the same service.
+func (t *Tracker) End(now time.Time, id string, outcome Outcome, siblings []string) (ejected bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	state := t.state(id)
+	state.own--
+	switch outcome {
+	case Served:
+		state.unreached = 0
+		state.observe(0)
+	case Failed:
+		state.observe(1)
+		return t.eject(now, state, siblings)
+	case Declined:
+		state.pausedTo = now.Add(declinedPause)
+	case Unreached:
+		state.unreached++
+		state.pausedTo = now.Add(time.Duration(min(state.unreached, 8)) * unreachedPause)
+	case Abandoned:
+	}
+	return false
+}
+
+func (s *instanceState) observe(failure float64) {
+	s.samples++
+	s.errorShare += errorWeight * (failure - s.errorShare)
+	if failure == 0 && s.errorShare < ejectErrorShare/2 {
+		s.ejections = 0
+	}
+}
+
+// eject takes an instance out for a while if it fails much more often than its
+// siblings do. If all fail alike, none is taken out.
+func (t *Tracker) eject(now time.Time, state *instanceState, siblings []string) bool {
+	if state.samples < ejectSamples || state.errorShare < ejectErrorShare || now.Before(state.ejectedTo) {
+		return false
+	}
+	total, count, out := 0.0, 0, 0
+	for _, id := range siblings {
+		sibling := t.state(id)
+		if now.Before(sibling.ejectedTo) {
+			out++
+		}
+		if sibling != state {
+			total += sibling.errorShare
+			count++
+		}
+	}
+	if count == 0 || state.errorShare < ejectRatio*total/float64(count) || 2*(out+1) > count+1 {
+		return false
+	}
+	state.ejections++
+	state.ejectedTo = now.Add(min(ejectionBase<<min(state.ejections-1, 8), ejectionLimit))
+	// After its return, one more failure is enough to eject it again.
+	return true
+}
+
+// SetPeer takes in the requests in progress at another daemon.
+func (t *Tracker) SetPeer(now time.Time, peer string, counts map[string]int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.peers[peer] = peerLoad{at: now, counts: counts}
+}
+
+// Own returns the requests in progress from here, by instance.
+func (t *Tracker) Own() map[string]int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	counts := map[string]int{}
+	for id, state := range t.instances {
+		if state.own > 0 {
+			counts[id] = state.own
+		}
+	}
+	return counts
+}
+
+// Missing notes that an instance does not have a model or adapter after all.
+func (t *Tracker) Missing(now time.Time, instance, model, adapter string, span time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.missing[missingKey{instance, model, adapter}] = now.Add(span)
+}
+
+// Forget drops the state of instances that are gone.
+func (t *Tracker) Forget(now time.Time, present func(id string) bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for id, state := range t.instances {
+		if state.own == 0 && !present(id) {
+			delete(t.instances, id)
+		}
+	}
+	for key, until := range t.missing {
+		if now.After(until) {
+			delete(t.missing, key)
+		}
+	}
+	for peer, load := range t.peers {
+		if now.Sub(load.at) > peerExpiry {
+			delete(t.peers, peer)
+		}
+	}
+}
+
+// status is what the picker needs of one instance.
+type status struct {
+	load      int
+	available bool
+	// missing says that the instance lacks what the request needs.
+	missing bool
+}
+
+// statuses looks at several instances at once.
+func (t *Tracker) statuses(now time.Time, ids []string, model, adapter string, into []status) []status {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, id := range ids {
+		state := t.state(id)
+		available := !now.Before(state.ejectedTo) && !now.Before(state.pausedTo)
+		missing := now.Before(t.missing[missingKey{id, model, adapter}])
+		load := state.own
+		for _, peer := range t.peers {
+			if now.Sub(peer.at) <= peerExpiry {
+				load += peer.counts[id]
+			}
+		}
+		into = append(into, status{load: load, available: available, missing: missing})
+	}
+	return into
+}
--- a/cmd/wheatweird/main.go
+++ b/cmd/wheatweird/main.go
@@ -12,13 +12,15 @@
 
 	"github.com/wheatweir/wheatweir/cmd/internal/version"
 	"github.com/wheatweir/wheatweir/daemon"
+	"github.com/wheatweir/wheatweir/entry"
 	"github.com/wheatweir/wheatweir/settings"
 )
 
 func main() {
 	app := kingpin.New("wheatweird", "Serves many language models on few accelerators.")
 	app.Version(version.Text)
-	path := app.Flag("settings", "Settings file (INI).").PlaceHolder("FILE.ini").String()
+	path := app.Flag("settings", "Settings file (INI).").Envar("WHEATWEIR_SETTINGS").PlaceHolder("FILE.ini").String()
+	asEntry := app.Flag("entry", "Run as an entry daemon on the users' platform.").Bool()
 	check := app.Flag("check-settings", "Check the settings and exit.").Bool()
 	help := app.Flag("print-settings", "Print a settings file with all defaults and exit.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -29,7 +31,11 @@
 	if *path == "" {
 		app.Fatalf("--settings is missing")
 	}
-	if err := run(*path, *check); err != nil {
+	start := run
+	if *asEntry {
+		start = runEntry
+	}
+	if err := start(*path, *check); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -65,3 +71,29 @@
 	running.Stop(ctx)
 	return nil
 }
+
+// runEntry does the same for an entry daemon.
+func runEntry(path string, checkOnly bool) error {
+	loaded, err := entry.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	if checkOnly {
+		fmt.Printf("%s: settings are valid\n", path)
+		return nil
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	running, err := entry.Start(loaded, os.Stdout)
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-running.Failed():
+		return err
+	case <-signals:
+	}
+	running.Stop()
+	return nil
+}
--- /dev/null
+++ b/coordination/demand.go
@@ -0,0 +1,127 @@
+package coordination
+
+import (
+	"math"
+	"time"
+
+	"github.com/wheatweir/wheatweir/residency"
+)
+
+// peerExpiry is how long what another daemon told counts.
+const peerExpiry = 3 * time.Second
+
+type modelKey struct{ service, model string }
+
+// demandState holds the demand of all daemons for each model.
+type demandState struct {
+	own      map[modelKey]ModelLoad
+	smoothed map[modelKey]float64
+	current  map[string]map[string]residency.Demand
+	at       time.Time
+}
+
+func newDemandState() demandState {
+	return demandState{
+		own: map[modelKey]ModelLoad{}, smoothed: map[modelKey]float64{}, current: map[string]map[string]residency.Demand{},
+	}
+}
+
+// tick works the demand out anew: it rises at once and falls by half-lives.
+func (d *demandState) tick(now time.Time, halfLife time.Duration, peers map[string]peerState) {
+	sums := map[modelKey]ModelLoad{}
+	for _, load := range d.own {
+		addLoad(sums, load)
+	}
+	for name, peer := range peers {
+		if now.Sub(peer.at) > peerExpiry {
+			delete(peers, name)
+			continue
+		}
+		for _, load := range peer.load.Models {
+			addLoad(sums, load)
+		}
+	}
+	decay := 1.0
+	if !d.at.IsZero() {
+		decay = math.Exp2(-now.Sub(d.at).Seconds() / halfLife.Seconds())
+	}
+	d.at = now
+	for key, value := range d.smoothed {
+		if value *= decay; value < 0.01 {
+			delete(d.smoothed, key)
+		} else {
+			d.smoothed[key] = value
+		}
+	}
+	for key, load := range sums {
+		d.smoothed[key] = max(d.smoothed[key], float64(load.Requests))
+	}
+	d.publish(sums)
+}
+
+func addLoad(sums map[modelKey]ModelLoad, load ModelLoad) {
+	key := modelKey{load.Service, load.Model}
+	sum := sums[key]
+	sum.Requests += load.Requests
+	sum.Waiting += load.Waiting
+	for adapter, count := range load.Adapters {
+		if sum.Adapters == nil {
+			sum.Adapters = map[string]int{}
+		}
+		sum.Adapters[adapter] += count
+	}
+	sums[key] = sum
+}
+
+func (d *demandState) publish(sums map[modelKey]ModelLoad) {
+	d.current = map[string]map[string]residency.Demand{}
+	for key, value := range d.smoothed {
+		if d.current[key.service] == nil {
+			d.current[key.service] = map[string]residency.Demand{}
+		}
+		d.current[key.service][key.model] = residency.Demand{
+			Concurrent: value, Waiting: sums[key].Waiting, Adapters: sums[key].Adapters,
+		}
+	}
+}
+
+// of returns the demand for the models of a service.
+func (d *demandState) of(service string) map[string]residency.Demand { return d.current[service] }
+
+// ObserveOwn takes in what this daemon has in progress. Urgent says that a
+// request has begun to wait for a model or adapter: the holder hears at once.
+func (n *Node) ObserveOwn(now time.Time, requests map[string]int, models []ModelLoad, urgent bool) []Action {
+	n.demand.own = map[modelKey]ModelLoad{}
+	for _, load := range models {
+		n.demand.own[modelKey{load.Service, load.Model}] = load
+	}
+	load := Load{Requests: requests, Models: models}
+	if n.held {
+		load.Fence, _ = n.lease.MayOrder(now)
+	}
+	switch {
+	case now.Sub(n.sharedAt) >= n.settings.ShareEvery:
+		n.sharedAt = now
+		n.broadcast(Message{From: n.self, Load: &load})
+	case urgent && !n.held:
+		if holder, found := n.detector.Lookup(n.holderName); found {
+			n.do(SendPeer{Address: holder.PeerAddress, Message: Message{From: n.self, Load: &load}})
+		}
+	}
+	if urgent && n.held {
+		n.demand.tick(now, n.settings.DemandHalfLife, n.peers)
+		n.plan(now)
+	}
+	return n.take()
+}
+
+// PeerRequests returns what another daemon has in progress at each instance.
+func (n *Node) PeerRequests(now time.Time) map[string]map[string]int {
+	counts := map[string]map[string]int{}
+	for name, peer := range n.peers {
+		if now.Sub(peer.at) <= peerExpiry {
+			counts[name] = peer.load.Requests
+		}
+	}
+	return counts
+}
--- /dev/null
+++ b/coordination/node.go
@@ -0,0 +1,274 @@
+package coordination
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/wheatweir/wheatweir/feed"
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/lease"
+	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/residency"
+)
+
+// Node is the coordination state of one entry daemon. It is not safe for
+// concurrent use.
+type Node struct {
+	settings Settings
+	random   *rand.Rand
+	self     string
+	started  time.Time
+
+	detector      *member.Detector
+	lease         *lease.Lease
+	book          *residency.Book
+	instances     *feed.Mirror[*fleet.Instance]
+	configuration *fleet.Configuration
+	facts         map[string]fact
+	reports       map[string]*reportState
+	// listedAt is when the list last told something new of an instance.
+	listedAt map[string]time.Time
+	demand   demandState
+	peers    map[string]peerState
+
+	lastHolder  time.Time
+	holderName  string
+	held        bool
+	sharedAt    time.Time
+	plannedAt   time.Time
+	factsSentAt time.Time
+	viewStale   bool
+	actions     []Action
+}
+
+// fact is the newest report of a model server that is known here.
+type fact struct {
+	Fact
+	at time.Time
+}
+
+// peerState is what another daemon told last.
+type peerState struct {
+	load Load
+	at   time.Time
+}
+
+// New returns the node of a daemon.
+func New(now time.Time, self member.Member, settings Settings, seeds []string, random *rand.Rand) *Node {
+	boot := strconv.FormatUint(self.Incarnation, 36) + strconv.FormatUint(random.Uint64(), 36)
+	node := &Node{
+		settings: settings, random: random, self: self.Name, started: now,
+		detector:  member.NewDetector(self, settings.Member, random),
+		lease:     lease.New(self.Name, boot, settings.Lease),
+		book:      residency.NewBook(settings.Residency),
+		instances: feed.NewMirror[*fleet.Instance](),
+		facts:     map[string]fact{}, reports: map[string]*reportState{}, listedAt: map[string]time.Time{}, peers: map[string]peerState{},
+		demand: newDemandState(), lastHolder: now,
+	}
+	node.detector.SetSeeds(seeds)
+	return node
+}
+
+// take returns the actions collected so far.
+func (n *Node) take() []Action {
+	actions := n.actions
+	n.actions = nil
+	return actions
+}
+
+func (n *Node) do(action Action) { n.actions = append(n.actions, action) }
+
+func (n *Node) decide(part, text string, fields ...any) {
+	n.do(Decision{Part: part, Text: text, Fields: fields})
+}
+
+// Known reports whether configuration and instances are known.
+func (n *Node) Known() bool { return n.configuration != nil && n.instances.Known() }
+
+// Members returns all known daemons.
+func (n *Node) Members() []member.Member { return n.detector.Members() }
+
+// Holds reports whether this daemon holds the lease on orders.
+func (n *Node) Holds(now time.Time) bool { return n.lease.Held(now) }
+
+// Tick does what is due.
+func (n *Node) Tick(now time.Time) []Action {
+	for _, packet := range n.detector.Tick(now) {
+		n.sendProbe(packet)
+	}
+	n.tickLease(now)
+	n.demand.tick(now, n.settings.DemandHalfLife, n.peers)
+	n.tickReports(now)
+	if now.Sub(n.plannedAt) >= n.settings.PlanEvery {
+		n.plan(now)
+	}
+	return n.take()
+}
+
+func (n *Node) sendProbe(packet member.Packet) {
+	message := packet.Message
+	n.do(SendPeer{Address: packet.Address, Message: Message{From: n.self, Probe: &message}})
+}
+
+// Receive takes in a message of another daemon.
+func (n *Node) Receive(now time.Time, message Message) []Action {
+	if message.Probe != nil {
+		for _, packet := range n.detector.Receive(now, *message.Probe) {
+			n.sendProbe(packet)
+		}
+	}
+	if message.Load != nil {
+		n.takeLoad(now, message.From, *message.Load)
+	}
+	for _, told := range message.Facts {
+		n.learn(told, now.Add(-told.Age))
+	}
+	return n.take()
+}
+
+func (n *Node) takeLoad(now time.Time, from string, load Load) {
+	n.peers[from] = peerState{load: load, at: now}
+	if load.Fence != 0 {
+		if n.holderName != from {
+			n.decide("lease", "Holder heard.", "holder", from, "fence", load.Fence)
+		}
+		n.holderName = from
+		n.lastHolder = now
+	}
+	if n.held && waits(load) {
+		n.demand.tick(now, n.settings.DemandHalfLife, n.peers)
+		n.plan(now)
+	}
+}
+
+// waits reports whether requests wait for a model or adapter.
+func waits(load Load) bool {
+	for _, model := range load.Models {
+		if model.Waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// ConfigurationLearned takes in a configuration; older versions are dropped.
+func (n *Node) ConfigurationLearned(configuration *fleet.Configuration) []Action {
+	if n.configuration != nil && configuration.Version <= n.configuration.Version {
+		return n.take()
+	}
+	n.configuration = configuration
+	n.viewStale = true
+	n.decide("configuration", "In force.", "version", configuration.Version, "routes", len(configuration.Routes), "services", len(configuration.Services))
+	return n.take()
+}
+
+// InstancesListed takes in a full list of instances.
+func (n *Node) InstancesListed(now time.Time, batch feed.Batch[*fleet.Instance]) []Action {
+	n.instancesChanged(now, n.instances.Replace(batch))
+	return n.take()
+}
+
+// InstancesChanged takes in changes of instances.
+func (n *Node) InstancesChanged(now time.Time, batch feed.Batch[*fleet.Instance]) []Action {
+	n.instancesChanged(now, n.instances.Apply(batch))
+	return n.take()
+}
+
+// InstancesAt returns the revision that the instances are complete up to.
+func (n *Node) InstancesAt() uint64 { return n.instances.At() }
+
+func (n *Node) instancesChanged(now time.Time, changed []feed.Item[*fleet.Instance]) {
+	for _, item := range changed {
+		if item.Gone {
+			delete(n.facts, item.Name)
+			delete(n.reports, item.Name)
+			delete(n.listedAt, item.Name)
+			n.decide("instances", "Gone.", "instance", item.Name, "revision", item.Revision)
+			continue
+		}
+		n.decide("instances", "Seen.", "instance", item.Name, "service", item.Value.Service, "leaving", item.Value.Leaving,
+			"revision", item.Revision)
+		n.listedAt[item.Name] = now
+	}
+	if len(changed) == 0 && n.instances.Known() {
+		return
+	}
+	live := make([]*fleet.Instance, 0, len(changed))
+	for _, item := range n.instances.Items() {
+		live = append(live, item.Value)
+	}
+	n.book.Update(live)
+	n.viewStale = true
+}
+
+// learn takes in a fact about a model server.
+func (n *Node) learn(told Fact, at time.Time) {
+	known, found := n.facts[told.Instance]
+	if found && (told.Sequence < known.Sequence || told.Sequence == known.Sequence && at.Before(known.at)) {
+		return
+	}
+	n.facts[told.Instance] = fact{Fact: told, at: at}
+	if !found || !sameResidents(known.Residents, told.Residents) {
+		n.viewStale = true
+	}
+}
+
+func sameResidents(a, b []fleet.Resident) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Model != b[i].Model || len(a[i].Adapters) != len(b[i].Adapters) {
+			return false
+		}
+		for j := range a[i].Adapters {
+			if a[i].Adapters[j] != b[i].Adapters[j] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// TakeView returns a new snapshot if anything has changed since the last one.
+func (n *Node) TakeView() (*fleet.View, bool) {
+	if !n.viewStale {
+		return nil, false
+	}
+	n.viewStale = false
+	instances := make([]*fleet.Instance, 0)
+	for _, item := range n.instances.Items() {
+		instances = append(instances, n.merged(item.Value))
+	}
+	configuration := n.configuration
+	if !n.instances.Known() {
+		configuration = nil
+	}
+	return fleet.NewView(configuration, instances), true
+}
+
+// listLag is how much older than a report the list may be when it arrives.
+const listLag = 1500 * time.Millisecond
+
+// merged is an instance with what its newest report says it holds. A report is
+// believed over the list unless the list told something new well after it.
+func (n *Node) merged(listed *fleet.Instance) *fleet.Instance {
+	known, found := n.facts[listed.ID]
+	if !found || known.at.Add(listLag).Before(n.listedAt[listed.ID]) {
+		return listed
+	}
+	copied := *listed
+	copied.Residents = known.Residents
+	return &copied
+}
+
+// Leave begins a planned stop.
+func (n *Node) Leave() []Action {
+	n.detector.Leave()
+	n.lease.Leave()
+	return n.take()
+}
+
+// Left reports whether nothing is held any more after Leave.
+func (n *Node) Left() bool { return n.lease.Left() }
--- /dev/null
+++ b/coordination/orders.go
@@ -0,0 +1,224 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/lease"
+	"github.com/wheatweir/wheatweir/residency"
+)
+
+// rankPause is how much later each further candidate tries to take the lease.
+const rankPause = 300 * time.Millisecond
+
+func (n *Node) tickLease(now time.Time) {
+	if !n.Known() {
+		return
+	}
+	held := n.lease.Held(now)
+	if held != n.held {
+		n.held = held
+		n.leaseChanged(now)
+	}
+	if held {
+		n.lastHolder = now
+	}
+	if call := n.lease.Step(now, n.eager(now)); call != nil {
+		n.do(CallLease{Call: *call})
+	}
+}
+
+// eager reports whether this daemon should try to take the lease: nobody was
+// heard to hold it for a while. The candidates try one after the other, in an
+// order that all compute alike.
+func (n *Node) eager(now time.Time) bool {
+	silence := now.Sub(n.lastHolder)
+	quiet := n.settings.Lease.Term / 2
+	if n.holderName == "" {
+		// At the first start there is nobody to wait for.
+		quiet = rankPause
+	}
+	return silence >= quiet+time.Duration(n.rank())*rankPause
+}
+
+// rank is this daemon's place among the candidates.
+func (n *Node) rank() int {
+	own := xxhash.Sum64String("lease/" + n.self)
+	rank := 0
+	for _, name := range n.detector.Live() {
+		if name != n.self && xxhash.Sum64String("lease/"+name) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (n *Node) leaseChanged(now time.Time) {
+	fence, may := n.lease.MayOrder(now)
+	n.decide("lease", "Changed.", "held", n.held, "fence", fence, "may_order", may)
+	if !n.held {
+		return
+	}
+	n.holderName = n.self
+	for id := range n.reports {
+		delete(n.reports, id)
+	}
+	// Without a predecessor nobody has loaded anything.
+	if !may {
+		for _, service := range n.services() {
+			if service.Engine != nil {
+				n.book.Inherit(now, service.Engine.LoadsPerSecond)
+			}
+		}
+	}
+}
+
+func (n *Node) services() []fleet.Service {
+	if n.configuration == nil {
+		return nil
+	}
+	return n.configuration.Services
+}
+
+// LeaseAnswered takes in the end of a call for the lease.
+func (n *Node) LeaseAnswered(now time.Time, outcome lease.Outcome, stored lease.Stored) []Action {
+	n.lease.Answered(now, outcome, stored)
+	n.tickLease(now)
+	return n.take()
+}
+
+// plan decides which orders to send, if this daemon may send any.
+func (n *Node) plan(now time.Time) {
+	n.plannedAt = now
+	fence, may := n.lease.MayOrder(now)
+	if !may {
+		return
+	}
+	orders := n.book.Resend(now)
+	for i := range n.configuration.Services {
+		service := &n.configuration.Services[i]
+		if service.Engine != nil {
+			orders = append(orders, n.book.Plan(now, service.Name, service.Engine, n.demand.of(service.Name))...)
+		}
+	}
+	for _, order := range orders {
+		n.book.Sending(now, order)
+		n.decide("orders", "Sent.", "instance", order.Instance, "load", order.Load, "model", order.Model, "adapter", order.Adapter,
+			"expected", order.Expected, "fence", fence, "reason", order.Reason)
+		n.do(SendOrder{Order: order, Fence: fence, Until: n.lease.ValidUntil()})
+	}
+}
+
+// OrderAnswered takes in the end of an order.
+func (n *Node) OrderAnswered(now time.Time, order residency.Order, answer residency.Answer) []Action {
+	n.book.Answered(now, order, answer)
+	if answer != residency.AnswerTaken {
+		n.decide("orders", "Not taken.", "instance", order.Instance, "model", order.Model, "adapter", order.Adapter, "answer", answer.String())
+	}
+	if answer == residency.AnswerFenced {
+		n.lease.Lost()
+	}
+	if state := n.reports[order.Instance]; state != nil {
+		state.next = now.Add(n.settings.ReportSoon)
+	}
+	n.plan(now)
+	return n.take()
+}
+
+// reportState is when to ask one model server next.
+type reportState struct {
+	next   time.Time
+	asking bool
+	// sent is the last fact that was told to the other daemons.
+	sent Fact
+}
+
+// tickReports asks model servers, if this daemon sends the orders.
+func (n *Node) tickReports(now time.Time) {
+	if !n.held {
+		return
+	}
+	engines := map[string]bool{}
+	for _, service := range n.services() {
+		engines[service.Name] = service.Engine != nil
+	}
+	for _, item := range n.instances.Items() {
+		instance := item.Value
+		if !engines[instance.Service] {
+			continue
+		}
+		state := n.reports[instance.ID]
+		if state == nil {
+			state = &reportState{}
+			n.reports[instance.ID] = state
+		}
+		if !state.asking && !now.Before(state.next) {
+			state.asking = true
+			n.do(AskReport{Instance: instance.ID, Address: instance.Address})
+		}
+	}
+	n.tellAllFacts(now)
+}
+
+// ReportAnswered takes in a report, or that there was none.
+func (n *Node) ReportAnswered(askedAt, now time.Time, instance string, report fleet.Report, ok bool) []Action {
+	state := n.reports[instance]
+	if state == nil {
+		return n.take()
+	}
+	state.asking = false
+	state.next = now.Add(n.settings.ReportEvery)
+	if !ok {
+		return n.take()
+	}
+	if report.Busy || len(report.Coming) > 0 {
+		state.next = now.Add(2 * n.settings.ReportSoon)
+	}
+	n.book.Report(askedAt, instance, report)
+	told := Fact{Instance: instance, Sequence: report.Sequence, Residents: report.Residents}
+	n.learn(told, askedAt)
+	if told.Sequence != state.sent.Sequence || !sameResidents(told.Residents, state.sent.Residents) {
+		state.sent = told
+		n.broadcast(Message{From: n.self, Facts: []Fact{told}})
+	}
+	n.plan(now)
+	return n.take()
+}
+
+// tellAllFacts repeats everything from time to time, for daemons that missed a
+// message or have just started.
+func (n *Node) tellAllFacts(now time.Time) {
+	if now.Sub(n.factsSentAt) < n.settings.FactsEvery {
+		return
+	}
+	n.factsSentAt = now
+	facts := make([]Fact, 0, len(n.facts))
+	for _, known := range n.facts {
+		told := known.Fact
+		told.Age = now.Sub(known.at)
+		facts = append(facts, told)
+	}
+	slices.SortFunc(facts, func(a, b Fact) int { return cmp.Compare(a.Instance, b.Instance) })
+	if len(facts) > 0 {
+		n.broadcast(Message{From: n.self, Facts: facts})
+	}
+}
+
+// broadcast sends a message to the other live daemons, or to some of them if
+// there are many.
+func (n *Node) broadcast(message Message) {
+	names := slices.DeleteFunc(slices.Clone(n.detector.Live()), func(name string) bool { return name == n.self })
+	if len(names) > n.settings.MaxPeers {
+		n.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		names = names[:n.settings.MaxPeers]
+	}
+	for _, name := range names {
+		if other, found := n.detector.Lookup(name); found {
+			n.do(SendPeer{Address: other.PeerAddress, Message: message})
+		}
+	}
+}
--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,263 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+	"github.com/zeebo/errs"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/coordination"
+	"github.com/wheatweir/wheatweir/feed"
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/peer"
+	"github.com/wheatweir/wheatweir/platform"
+	"github.com/wheatweir/wheatweir/retry"
+	"github.com/wheatweir/wheatweir/ring"
+)
+
+// Classes of errors.
+var (
+	// ErrStart is the class of failures to start.
+	ErrStart = errs.Class("entry: start")
+	// ErrDuty is the class of failures of a duty.
+	ErrDuty = errs.Class("entry: duty")
+)
+
+const (
+	tickInterval   = 50 * time.Millisecond
+	eventRingSize  = 4096
+	callRingSize   = 256
+	reportWorkers  = 8
+	orderWorkers   = 8
+	memoryHeadroom = 0.8
+)
+
+// event is something that happened, for the control duty to take in.
+type event func(node *coordination.Node, now time.Time) []coordination.Action
+
+// Daemon is one running entry daemon.
+type Daemon struct {
+	settings Settings
+	log      *logBook
+	started  time.Time
+
+	node    *coordination.Node
+	events  *ring.Ring[event]
+	leases  *ring.Ring[coordination.CallLease]
+	reports *ring.Ring[coordination.AskReport]
+	orders  *ring.Ring[coordination.SendOrder]
+
+	store    *platform.Store
+	engines  *platform.Engines
+	upstream *platform.Upstream
+	front    *platform.Front
+	gateway  *gateway.Gateway
+	tracker  *balance.Tracker
+	budget   *retry.Budget
+	wants    *wants
+	peers    *peer.Transport[coordination.Message]
+	servers  []*http.Server
+
+	addresses atomic.Pointer[[]string]
+	live      atomic.Int64
+	ready     atomic.Bool
+	stopping  atomic.Bool
+	closing   atomic.Bool
+	failed    chan error
+	cancel    context.CancelFunc
+	ctx       context.Context
+	group     conc.WaitGroup
+	ended     sync.Once
+}
+
+// Start starts a daemon. Logs go to output.
+func Start(settings Settings, output io.Writer) (*Daemon, error) {
+	debug.SetMemoryLimit(int64(memoryHeadroom * float64(settings.MemoryLimitMB) * (1 << 20)))
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Daemon{
+		settings: settings, log: newLogBook(settings.LogLevel, output), started: time.Now(),
+		events: ring.New[event](eventRingSize), leases: ring.New[coordination.CallLease](callRingSize),
+		reports: ring.New[coordination.AskReport](callRingSize), orders: ring.New[coordination.SendOrder](callRingSize),
+		store: platform.NewStore(settings.StoreAddress), engines: platform.NewEngines(), upstream: platform.NewUpstream(),
+		tracker: balance.NewTracker(), wants: newWants(), failed: make(chan error, 1), ctx: ctx, cancel: cancel,
+	}
+	d.live.Store(1)
+	// Half of the slack is left to clients' own repeats that arrive twice.
+	d.budget = retry.NewBudget(settings.RetryShare/2, float64(settings.RetrySlack)/16)
+	d.gateway = gateway.New(gateway.Settings{
+		Zone: settings.Zone, RetryAfter: 200 * time.Millisecond, WaitShare: 0.5,
+		ShareOfConnections: func() float64 { return 1 / float64(max(1, d.live.Load())) },
+	}, d.upstream, d.tracker, d.budget, d.wants, d)
+	if err := d.listen(); err != nil {
+		cancel()
+		return nil, ErrStart.Wrap(err)
+	}
+	d.newNode()
+	d.startDuties()
+	d.log.add("daemon", "Started.", "name", settings.Name, "zone", settings.Zone, "front", settings.FrontAddress)
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	d.front, err = platform.ListenFront(d.settings.FrontAddress, d.gateway, d.stopping.Load, func() bool { return !d.closing.Load() })
+	if err != nil {
+		return err
+	}
+	addresses := map[string]bool{d.settings.ReadyAddress: true, d.settings.DirectoryAddress: true}
+	if d.settings.MetricsAddress != "" {
+		addresses[d.settings.MetricsAddress] = true
+	}
+	for address := range addresses {
+		server, listener, err := platform.ListenDirectory(address, d)
+		if err != nil {
+			return err
+		}
+		d.servers = append(d.servers, server)
+		d.startDuty("directory", func() { _ = server.Serve(listener) })
+	}
+	d.peers, err = peer.Listen(d.settings.PeerAddress, []byte(d.settings.DeploymentKey), d.receive)
+	return err
+}
+
+func (d *Daemon) newNode() {
+	self := member.Member{
+		Name: d.settings.Name, Zone: d.settings.Zone, PeerAddress: d.settings.PeerAddress,
+		CallerAddress: d.settings.FrontAddress, Incarnation: uint64(d.started.UnixMilli()),
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	settings := coordination.DefaultSettings(d.settings.LeaseTerm)
+	d.node = coordination.New(d.started, self, settings, d.settings.Seeds, random)
+}
+
+func (d *Daemon) startDuties() {
+	d.startDuty("log", func() { d.log.run(d.ctx) })
+	d.startDuty("front", d.front.Serve)
+	d.startDuty("control", d.runControl)
+	d.startDuty("lease", d.runLease)
+	for range reportWorkers {
+		d.startDuty("reports", d.runReports)
+	}
+	for range orderWorkers {
+		d.startDuty("orders", d.runOrders)
+	}
+	d.startDuty("configuration", func() {
+		source := d.store.Configurations()
+		follow(d, "configuration", source, d.configurationsLearned, d.configurationsLearned)
+	})
+	d.startDuty("instances", func() {
+		source := d.store.Servers()
+		source.Skipped = func(name string, err error) {
+			d.log.add("instances", "Not understood.", "instance", name, "error", err)
+		}
+		follow(d, "instances", source, (*coordination.Node).InstancesListed, (*coordination.Node).InstancesChanged)
+	})
+}
+
+// startDuty starts a duty. A duty that panics takes the daemon out of service: a
+// daemon that lacks one would look healthy and do half its work.
+func (d *Daemon) startDuty(name string, duty func()) {
+	d.group.Go(func() {
+		var catcher panics.Catcher
+		catcher.Try(duty)
+		if recovered := catcher.Recovered(); recovered != nil {
+			d.ready.Store(false)
+			select {
+			case d.failed <- ErrDuty.New("%s: %v", name, recovered.AsError()):
+			default:
+			}
+		}
+	})
+}
+
+// Failed gives the error of a duty that failed. The daemon should be ended.
+func (d *Daemon) Failed() <-chan error { return d.failed }
+
+// configurationsLearned takes in configurations, of which one is in force.
+func (d *Daemon) configurationsLearned(node *coordination.Node, _ time.Time, batch feed.Batch[*fleet.Configuration]) []coordination.Action {
+	var actions []coordination.Action
+	for _, item := range batch.Items {
+		if platform.IsConfiguration(item.Name) && !item.Gone {
+			actions = append(actions, node.ConfigurationLearned(item.Value)...)
+		}
+	}
+	return actions
+}
+
+// Addresses implements platform.Directory.
+func (d *Daemon) Addresses(_, _ string) ([]string, bool) {
+	addresses := d.addresses.Load()
+	if addresses == nil {
+		return nil, false
+	}
+	return *addresses, true
+}
+
+// Keep implements platform.Directory.
+func (d *Daemon) Keep() time.Duration { return d.settings.AddressKeep }
+
+// Ready implements platform.Directory.
+func (d *Daemon) Ready() bool { return d.ready.Load() && !d.stopping.Load() }
+
+// Metrics implements platform.Directory.
+func (d *Daemon) Metrics() string { return "" }
+
+const (
+	// keptFactor is how much longer than allowed some clients keep an answer
+	// about addresses.
+	keptFactor = 3
+	// stopPoll is the pause between two looks at whether a stop is safe.
+	stopPoll = 50 * time.Millisecond
+	// stopMargin is how long before the end of the grace the daemon ends.
+	stopMargin = 400 * time.Millisecond
+)
+
+// Stop ends the daemon: it is no longer ready and leaves the answers about
+// addresses at once, goes on serving for as long as clients may keep an answer,
+// and then waits for its requests, within the grace.
+func (d *Daemon) Stop() {
+	begun := time.Now()
+	d.log.add("daemon", "Stop begins.", "requests", d.gateway.Active())
+	d.stopping.Store(true)
+	d.events.Put(d.ctx, func(node *coordination.Node, _ time.Time) []coordination.Action { return node.Leave() })
+	kept := keptFactor*d.settings.AddressKeep + 200*time.Millisecond
+	for time.Since(begun) < d.settings.Grace-stopMargin {
+		if time.Since(begun) > kept {
+			d.closing.Store(true)
+			if d.gateway.Active() == 0 {
+				break
+			}
+		}
+		time.Sleep(stopPoll)
+	}
+	d.log.add("daemon", "Stopped.", "requests_cut", d.gateway.Active())
+	d.Kill()
+}
+
+// Kill ends the daemon at once.
+func (d *Daemon) Kill() {
+	d.ended.Do(func() {
+		shutdown, cancel := context.WithTimeout(context.Background(), stopPoll)
+		defer cancel()
+		d.front.Shutdown(shutdown)
+		d.front.Close()
+		for _, server := range d.servers {
+			_ = server.Close()
+		}
+		d.cancel()
+		d.peers.Close()
+		d.group.Wait()
+		d.upstream.Close()
+	})
+}
--- /dev/null
+++ b/entry/duties.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wheatweir/wheatweir/coordination"
+	"github.com/wheatweir/wheatweir/feed"
+	"github.com/wheatweir/wheatweir/member"
+)
+
+// runControl is the control duty: the only one that touches the node.
+func (d *Daemon) runControl() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+			d.tick(time.Now())
+		case happened := <-d.events.Items():
+			d.perform(happened(d.node, time.Now()))
+		case <-d.wants.urgent:
+			d.perform(d.node.ObserveOwn(time.Now(), d.tracker.Own(), d.wants.all(), true))
+		}
+		d.publish()
+	}
+}
+
+func (d *Daemon) tick(now time.Time) {
+	d.perform(d.node.ObserveOwn(now, d.tracker.Own(), d.wants.all(), false))
+	d.perform(d.node.Tick(now))
+	for name, counts := range d.node.PeerRequests(now) {
+		d.tracker.SetPeer(now, name, counts)
+	}
+	view := d.gateway.View()
+	d.tracker.Forget(now, func(id string) bool { return view.Instance(id) != nil })
+	d.publishAddresses()
+}
+
+// publish hands a new snapshot to the request path.
+func (d *Daemon) publish() {
+	view, changed := d.node.TakeView()
+	if !changed {
+		return
+	}
+	d.gateway.SetView(view)
+	if view.Configuration() != nil {
+		d.ready.Store(true)
+	}
+}
+
+// publishAddresses makes the answer about addresses: all daemons that live and
+// are not leaving.
+func (d *Daemon) publishAddresses() {
+	if !d.ready.Load() {
+		return
+	}
+	var addresses []string
+	live := int64(0)
+	for _, other := range d.node.Members() {
+		if other.State == member.Dead {
+			continue
+		}
+		live++
+		if !other.Leaving && other.State == member.Alive {
+			addresses = append(addresses, other.CallerAddress)
+		}
+	}
+	d.live.Store(max(1, live))
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(len(addresses), maxAddresses)]
+	d.addresses.Store(&addresses)
+}
+
+// maxAddresses bounds an answer about addresses.
+const maxAddresses = 64
+
+// perform hands actions to the duties that carry them out.
+func (d *Daemon) perform(actions []coordination.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case coordination.SendPeer:
+			d.peers.Send(action.Address, action.Message)
+		case coordination.CallLease:
+			d.leases.Offer(action)
+		case coordination.AskReport:
+			d.reports.Offer(action)
+		case coordination.SendOrder:
+			d.orders.Offer(action)
+		case coordination.Decision:
+			d.log.add(action.Part, action.Text, action.Fields...)
+		}
+	}
+}
+
+func (d *Daemon) receive(message coordination.Message) {
+	d.events.Offer(func(node *coordination.Node, now time.Time) []coordination.Action {
+		return node.Receive(now, message)
+	})
+}
+
+func (d *Daemon) runLease() {
+	for {
+		action, ok := d.leases.Take(d.ctx)
+		if !ok {
+			return
+		}
+		stored, outcome := d.store.CallLease(d.ctx, action.Call)
+		d.events.Put(d.ctx, func(node *coordination.Node, now time.Time) []coordination.Action {
+			return node.LeaseAnswered(now, outcome, stored)
+		})
+	}
+}
+
+func (d *Daemon) runReports() {
+	for {
+		ask, ok := d.reports.Take(d.ctx)
+		if !ok {
+			return
+		}
+		askedAt := time.Now()
+		report, err := d.engines.Report(d.ctx, ask.Instance, ask.Address)
+		d.events.Put(d.ctx, func(node *coordination.Node, now time.Time) []coordination.Action {
+			return node.ReportAnswered(askedAt, now, ask.Instance, report, err == nil)
+		})
+	}
+}
+
+func (d *Daemon) runOrders() {
+	for {
+		sent, ok := d.orders.Take(d.ctx)
+		if !ok {
+			return
+		}
+		d.sendOrder(sent)
+	}
+}
+
+// follow keeps a collection up to date: a list, then changes, and a list again
+// whenever the history is gone.
+func follow[T any](d *Daemon, name string, source feed.Source[T],
+	listed, changed func(*coordination.Node, time.Time, feed.Batch[T]) []coordination.Action,
+) {
+	const firstPause, lastPause = 50 * time.Millisecond, time.Second
+	pause := firstPause
+	available := true
+	at, known := uint64(0), false
+	for d.ctx.Err() == nil {
+		var batch feed.Batch[T]
+		var err error
+		take := listed
+		if known {
+			take = changed
+			batch, err = source.Watch(d.ctx, at, d.settings.WatchWait)
+		} else {
+			batch, err = source.List(d.ctx)
+		}
+		if available != (err == nil) && !feed.ErrHistoryGone.Has(err) {
+			available = err == nil
+			d.log.add(name, "Source.", "available", available, "at", at, "error", err)
+		}
+		switch {
+		case err == nil:
+			pause = firstPause
+			at, known = max(at, batch.At), true
+			d.events.Put(d.ctx, func(node *coordination.Node, now time.Time) []coordination.Action { return take(node, now, batch) })
+			continue
+		case feed.ErrHistoryGone.Has(err):
+			d.log.add(name, "History gone; listing again.", "at", at)
+			known = false
+		}
+		sleep(d.ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, lastPause)
+	}
+}
+
+func sleep(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/entry/observer.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/ring"
+)
+
+// logRingSize bounds the lines that wait to be written.
+const logRingSize = 2048
+
+// line is one line of the log before it is formatted.
+type line struct {
+	at     time.Time
+	text   string
+	fields []any
+}
+
+// logBook takes lines without waiting; one duty writes them. Lines that find the
+// ring full are dropped and counted.
+type logBook struct {
+	lines  *ring.Ring[line]
+	logger *log.Logger
+	now    time.Time
+}
+
+func newLogBook(level string, output io.Writer) *logBook {
+	book := &logBook{lines: ring.New[line](logRingSize)}
+	book.logger = log.NewWithOptions(output, log.Options{
+		ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Formatter: log.LogfmtFormatter,
+		TimeFunction: func(time.Time) time.Time { return book.now },
+	})
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		parsed = log.InfoLevel
+	}
+	book.logger.SetLevel(parsed)
+	return book
+}
+
+// add takes a line.
+func (b *logBook) add(part, text string, fields ...any) {
+	b.lines.Offer(line{at: time.Now(), text: part + ": " + text, fields: fields})
+}
+
+// run writes lines until ctx ends, then those that are left.
+func (b *logBook) run(ctx context.Context) {
+	var dropped uint64
+	for {
+		next, ok := b.lines.Take(ctx)
+		if !ok {
+			b.drain()
+			return
+		}
+		b.write(next)
+		if total := b.lines.Dropped(); total != dropped {
+			b.write(line{at: time.Now(), text: "log: Lines dropped.", fields: []any{"count", total - dropped}})
+			dropped = total
+		}
+	}
+}
+
+func (b *logBook) drain() {
+	for {
+		select {
+		case next := <-b.lines.Items():
+			b.write(next)
+		default:
+			return
+		}
+	}
+}
+
+func (b *logBook) write(next line) {
+	b.now = next.at
+	b.logger.Info(next.text, next.fields...)
+}
+
+// Observe implements gateway.Observer.
+func (d *Daemon) Observe(event gateway.Event) {
+	fields := []any{"request", event.Request.ID, "route", "", "step", event.Step}
+	if event.Route != nil {
+		fields[3] = event.Route.Name
+	}
+	if event.Request.Model != "" {
+		fields = append(fields, "model", event.Request.Model, "adapter", event.Request.Adapter)
+	}
+	if event.Instance != "" {
+		fields = append(fields, "instance", event.Instance, "attempt", event.Attempt)
+	}
+	if event.Step == "sent" {
+		fields = append(fields, "load", event.Load)
+	}
+	if event.Status != 0 {
+		fields = append(fields, "status", event.Status)
+	}
+	if event.Reason != "" {
+		fields = append(fields, "reason", event.Reason)
+	}
+	if event.Err != nil {
+		fields = append(fields, "error", strings.ReplaceAll(event.Err.Error(), "\n", " "))
+	}
+	fields = append(fields, "took_ms", time.Since(event.Request.Arrived).Milliseconds(), "configuration", event.Version)
+	d.log.add("request", "Decided.", fields...)
+}
--- /dev/null
+++ b/entry/orders.go
@@ -0,0 +1,24 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/wheatweir/wheatweir/coordination"
+	"github.com/wheatweir/wheatweir/residency"
+)
+
+// sendOrder sends one order unless the right to send it has ended, which is
+// looked at once more at the last moment: the process may have been paused.
+func (d *Daemon) sendOrder(sent coordination.SendOrder) {
+	answer := residency.AnswerNotSent
+	var err error
+	if time.Now().Before(sent.Until) {
+		answer, err = d.engines.Order(d.ctx, sent.Order, d.settings.Name, sent.Fence)
+	}
+	if err != nil {
+		d.log.add("orders", "Failed.", "instance", sent.Order.Instance, "model", sent.Order.Model, "error", err)
+	}
+	d.events.Put(d.ctx, func(node *coordination.Node, now time.Time) []coordination.Action {
+		return node.OrderAnswered(now, sent.Order, answer)
+	})
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,108 @@
+// Package entry wires one entry daemon on the users' platform: duties, each a
+// goroutine, that are joined by bounded rings. The control duty owns the
+// coordination.Node; the request path reads the snapshot that it publishes.
+package entry
+
+import (
+	"os"
+	"time"
+
+	"github.com/wheatweir/wheatweir/inifile"
+)
+
+// Settings are the settings of an entry daemon.
+type Settings struct {
+	Name     string
+	Zone     string
+	Region   string
+	LogLevel string
+
+	// FrontAddress takes clients, ReadyAddress and DirectoryAddress answer
+	// questions about readiness and addresses, PeerAddress hears other daemons.
+	FrontAddress     string
+	ReadyAddress     string
+	DirectoryAddress string
+	PeerAddress      string
+	// MetricsAddress may be empty.
+	MetricsAddress string
+	// StoreAddress is the platform's store.
+	StoreAddress string
+	// Seeds are peer addresses to join through.
+	Seeds []string
+	// DeploymentKey keeps deployments apart.
+	DeploymentKey string
+
+	// AddressKeep is how long clients may keep an answer about addresses.
+	AddressKeep time.Duration
+	// Grace is how long a planned stop may take.
+	Grace time.Duration
+	// LeaseTerm is the term of the lease on orders.
+	LeaseTerm time.Duration
+	// RetryShare is the share of requests that may be sent a second time over
+	// all daemons, RetrySlack how many more in one window.
+	RetryShare float64
+	RetrySlack int
+	// WatchWait is how long one call waits for changes.
+	WatchWait time.Duration
+	// MemoryLimitMB is the memory of the process.
+	MemoryLimitMB int
+}
+
+// DefaultSettings returns the settings before a file is read.
+func DefaultSettings() Settings {
+	return Settings{
+		LogLevel: "info", AddressKeep: time.Second, Grace: 8 * time.Second, LeaseTerm: 3 * time.Second,
+		RetryShare: 0.2, RetrySlack: 20, WatchWait: 6 * time.Second, MemoryLimitMB: 256,
+	}
+}
+
+func fieldsOf(s *Settings) []inifile.Field {
+	return []inifile.Field{
+		inifile.Word("daemon", "name", &s.Name, true),
+		inifile.Word("daemon", "zone", &s.Zone, true),
+		inifile.Word("daemon", "region", &s.Region, false),
+		inifile.Choice("daemon", "log_level", &s.LogLevel, "debug", "info", "warn", "error"),
+		inifile.Secret("daemon", "deployment_key", &s.DeploymentKey),
+		inifile.Integer("daemon", "memory_limit_mb", &s.MemoryLimitMB, 16, 1<<20),
+
+		inifile.Address("listen", "front", &s.FrontAddress),
+		inifile.Address("listen", "ready", &s.ReadyAddress),
+		inifile.Address("listen", "directory", &s.DirectoryAddress),
+		inifile.Address("listen", "peers", &s.PeerAddress),
+		optional(inifile.Address("listen", "metrics", &s.MetricsAddress)),
+
+		inifile.Address("store", "address", &s.StoreAddress),
+		inifile.Duration("store", "watch_wait", &s.WatchWait, 100*time.Millisecond, 30*time.Second),
+		inifile.Addresses("peers", "seeds", &s.Seeds),
+
+		inifile.Duration("requests", "address_keep", &s.AddressKeep, 100*time.Millisecond, time.Hour),
+		inifile.Duration("requests", "grace", &s.Grace, time.Second, time.Hour),
+		inifile.Number("requests", "retry_share", &s.RetryShare, 0, 1),
+		inifile.Integer("requests", "retry_slack", &s.RetrySlack, 0, 1000000),
+		inifile.Duration("orders", "lease_term", &s.LeaseTerm, 100*time.Millisecond, time.Hour),
+	}
+}
+
+func optional(field inifile.Field) inifile.Field {
+	field.Required = false
+	return field
+}
+
+// ReadSettings reads and checks a file.
+func ReadSettings(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, inifile.ErrFile.Wrap(err)
+	}
+	return ParseSettings(path, content)
+}
+
+// ParseSettings checks the content of a file. The path is used in errors only.
+func ParseSettings(path string, content []byte) (Settings, error) {
+	settings := DefaultSettings()
+	reader, err := inifile.Read(path, content, fieldsOf(&settings))
+	if err != nil {
+		return settings, err
+	}
+	return settings, reader.Err()
+}
--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,118 @@
+// Package feed keeps a typed copy of a collection that lives in an external
+// object store: a full list first, then changes, then a list again whenever the
+// store no longer has the history. Values only move forward in revision.
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Classes of errors of a Source.
+var (
+	// ErrHistoryGone means that changes after the given revision are no longer
+	// kept, and that the collection must be listed again.
+	ErrHistoryGone = errs.Class("feed: history gone")
+	// ErrUnavailable means that the store did not answer, or turned the call away.
+	ErrUnavailable = errs.Class("feed: unavailable")
+)
+
+// Item is one object of a collection.
+type Item[T any] struct {
+	Name     string
+	Revision uint64
+	// Gone marks a removal; Value is then the zero value.
+	Gone  bool
+	Value T
+}
+
+// Batch is an answer of a Source.
+type Batch[T any] struct {
+	Items []Item[T]
+	// At is the store's revision up to which the answer is complete.
+	At uint64
+}
+
+// Source is one collection of the store.
+type Source[T any] interface {
+	// List returns all items.
+	List(ctx context.Context) (Batch[T], error)
+	// Watch returns the changes after a revision, waiting for the first.
+	Watch(ctx context.Context, since uint64, wait time.Duration) (Batch[T], error)
+}
+
+// Mirror is the copy of one collection. It is not safe for concurrent use.
+type Mirror[T any] struct {
+	items map[string]Item[T]
+	at    uint64
+	known bool
+}
+
+// NewMirror returns an empty mirror.
+func NewMirror[T any]() *Mirror[T] { return &Mirror[T]{items: map[string]Item[T]{}} }
+
+// At returns the revision up to which the mirror is complete.
+func (m *Mirror[T]) At() uint64 { return m.at }
+
+// Known reports whether a list was taken in.
+func (m *Mirror[T]) Known() bool { return m.known }
+
+// Items returns the live items in no particular order.
+func (m *Mirror[T]) Items() []Item[T] {
+	items := make([]Item[T], 0, len(m.items))
+	for _, item := range m.items {
+		items = append(items, item)
+	}
+	return items
+}
+
+// Replace takes in a full list. A list that is older than the mirror is turned
+// away: a replica of the store may lag. It returns the items that changed.
+func (m *Mirror[T]) Replace(batch Batch[T]) []Item[T] {
+	if m.known && batch.At < m.at {
+		return nil
+	}
+	listed := make(map[string]bool, len(batch.Items))
+	changed := m.apply(batch.Items)
+	for _, item := range batch.Items {
+		listed[item.Name] = true
+	}
+	for name, item := range m.items {
+		if !listed[name] && item.Revision <= batch.At {
+			delete(m.items, name)
+			changed = append(changed, Item[T]{Name: name, Revision: batch.At, Gone: true})
+		}
+	}
+	m.at = batch.At
+	m.known = true
+	return changed
+}
+
+// Apply takes in changes and returns those that were news.
+func (m *Mirror[T]) Apply(batch Batch[T]) []Item[T] {
+	changed := m.apply(batch.Items)
+	m.at = max(m.at, batch.At)
+	return changed
+}
+
+func (m *Mirror[T]) apply(items []Item[T]) []Item[T] {
+	var changed []Item[T]
+	for _, item := range items {
+		held, found := m.items[item.Name]
+		if found && item.Revision < held.Revision || found && !item.Gone && item.Revision == held.Revision {
+			continue
+		}
+		if item.Gone {
+			if !found {
+				continue
+			}
+			delete(m.items, item.Name)
+		} else {
+			m.items[item.Name] = item
+		}
+		changed = append(changed, item)
+	}
+	return changed
+}
--- /dev/null
+++ b/fleet/instance.go
@@ -0,0 +1,49 @@
+package fleet
+
+import "time"
+
+// Resident is a model that an instance can serve.
+type Resident struct {
+	Model    string
+	Adapters []string
+}
+
+// HasAdapter reports whether an adapter is there; the empty name always is.
+func (r *Resident) HasAdapter(adapter string) bool {
+	if adapter == "" {
+		return true
+	}
+	for _, held := range r.Adapters {
+		if held == adapter {
+			return true
+		}
+	}
+	return false
+}
+
+// Instance is one run of a back-end server. A restart makes a new instance.
+type Instance struct {
+	// ID is unique to the run; an address may be used again by another one.
+	ID      string
+	Service string
+	// Address is "IP:port".
+	Address string
+	Zone    string
+	Slots   int
+	// Leaving instances finish what they run and take no new requests.
+	Leaving bool
+	// Remaining is how long an instance that leaves at short notice still
+	// lives; zero if it did not say.
+	Remaining time.Duration
+	Residents []Resident
+}
+
+// Resident returns the entry of a model, or nil.
+func (i *Instance) Resident(model string) *Resident {
+	for r := range i.Residents {
+		if i.Residents[r].Model == model {
+			return &i.Residents[r]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,299 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+const (
+	// missingSpan is how long an instance is not asked again for a model or
+	// adapter that it turned out not to have.
+	missingSpan = 300 * time.Millisecond
+	// maxWhole bounds an answer that is taken in whole before it is passed on.
+	maxWhole = 1 << 20
+	// pieceSize is the most that is passed on at once.
+	pieceSize = 8 << 10
+	// maxPriority is the least urgent rank at an instance.
+	maxPriority = 9
+)
+
+// exchange is one request with its attempts.
+type exchange struct {
+	gateway  *Gateway
+	request  *Request
+	reply    Reply
+	route    *fleet.Route
+	service  string
+	version  uint64
+	deadline time.Time
+
+	// sentTo lists the instances that the request was sent to.
+	sentTo []string
+	// passed lists instances that could not be reached; nothing was sent there.
+	passed []string
+	// mayHaveRun says that an instance may have run the request.
+	mayHaveRun bool
+	// begun says that the client has a part of an answer.
+	begun       bool
+	resumeAfter string
+}
+
+// verdict is what follows from an attempt.
+type verdict uint8
+
+const (
+	// verdictEnded means that the client has its final answer.
+	verdictEnded verdict = iota
+	// verdictUnreached means that nothing was sent.
+	verdictUnreached
+	// verdictDeclined means that the instance did not run the request.
+	verdictDeclined
+	// verdictBroken means that the request may have run and failed.
+	verdictBroken
+)
+
+// run makes attempts until the client has a final answer.
+func (e *exchange) run(ctx context.Context) {
+	e.resumeAfter = e.request.ResumeAfter
+	last := verdictUnreached
+	for {
+		candidate, reason := e.candidate(ctx)
+		if candidate == nil {
+			e.giveUp(ctx, reason)
+			return
+		}
+		last = e.attempt(ctx, candidate)
+		if last == verdictEnded {
+			return
+		}
+		if ctx.Err() != nil {
+			e.giveUp(ctx, ReasonTimeout)
+			return
+		}
+		if !e.mayTryAgain(last) {
+			e.giveUp(ctx, reasonOf(last))
+			return
+		}
+	}
+}
+
+func reasonOf(last verdict) string {
+	switch last {
+	case verdictDeclined:
+		return ReasonDeclined
+	case verdictBroken:
+		return ReasonBroken
+	default:
+		return ReasonUnreached
+	}
+}
+
+// maxUnreached bounds the instances that a request tries to reach in vain.
+const maxUnreached = 3
+
+// mayTryAgain reports whether another instance may be tried.
+func (e *exchange) mayTryAgain(last verdict) bool {
+	if last == verdictUnreached {
+		return len(e.passed) < maxUnreached
+	}
+	if last == verdictBroken && !e.route.Repeatable() {
+		return false
+	}
+	if len(e.sentTo) >= e.route.MaxAttempts {
+		return false
+	}
+	return e.gateway.budget.Take()
+}
+
+// giveUp gives the client its final answer, or breaks it off if a part is out.
+func (e *exchange) giveUp(ctx context.Context, reason string) {
+	if clientLeft(ctx) {
+		e.observe(Event{Step: "ended", Reason: ReasonClientGone})
+		e.reply.Abort()
+		return
+	}
+	switch {
+	case e.begun:
+		e.reply.Abort()
+		e.observe(Event{Step: "broken_off", Reason: reason})
+	case e.mayHaveRun && ctx.Err() != nil:
+		e.gateway.refuse(e.reply, e.route, e.request, statusTimeout, ReasonTimeout)
+	case e.mayHaveRun:
+		e.gateway.refuse(e.reply, e.route, e.request, statusBadGateway, reason)
+	default:
+		e.gateway.refuse(e.reply, e.route, e.request, statusUnavailable, reason)
+	}
+}
+
+func clientLeft(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
+
+func (e *exchange) observe(event Event) {
+	event.Request = e.request
+	event.Route = e.route
+	event.Version = e.version
+	event.Attempt = len(e.sentTo)
+	e.gateway.observer.Observe(event)
+}
+
+// candidate chooses an instance. It waits for one as long as that makes sense.
+func (e *exchange) candidate(ctx context.Context) (*balance.Candidate, string) {
+	var unwant func()
+	defer func() {
+		if unwant != nil {
+			unwant()
+		}
+	}()
+	wait := time.Duration(float64(time.Until(e.deadline)) * e.gateway.settings.WaitShare)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changed := *e.gateway.changed.Load()
+		view := e.gateway.view.Load()
+		candidate := e.pick(view)
+		if candidate != nil {
+			return candidate, ""
+		}
+		reason := e.lack(view)
+		if e.request.Model != "" && unwant == nil {
+			unwant = e.gateway.wants.Want(e.service, e.request.Model, e.request.Adapter)
+		}
+		if len(e.sentTo) > 0 || wait <= 0 {
+			return nil, reason
+		}
+		select {
+		case <-changed:
+		case <-time.After(doubtPause):
+		case <-timer.C:
+			return nil, reason
+		case <-ctx.Done():
+			return nil, reason
+		}
+	}
+}
+
+// doubtPause is how often a waiting request looks again without a change, since
+// doubts about instances end by themselves.
+const doubtPause = 100 * time.Millisecond
+
+func (e *exchange) pick(view *fleet.View) *balance.Candidate {
+	request := balance.Request{
+		Model: e.request.Model, Adapter: e.request.Adapter, Zone: e.gateway.settings.Zone,
+		Affinity: e.affinity(), Excluded: append(e.passed, e.sentTo...),
+	}
+	return e.gateway.picker.Pick(time.Now(), view.Instances(e.service), &request)
+}
+
+// affinity is equal for requests that share the first part of their prompt.
+func (e *exchange) affinity() uint64 {
+	if len(e.request.Prompt) == 0 {
+		return rand.Uint64()
+	}
+	return xxhash.Sum64String(e.request.Model + "/" + e.request.Adapter + "/" + e.request.Prompt[0].ID)
+}
+
+// lack tells why there is no candidate.
+func (e *exchange) lack(view *fleet.View) string {
+	if e.request.Model == "" {
+		return ReasonNoInstance
+	}
+	for _, instance := range view.Instances(e.service) {
+		if !instance.Leaving && instance.Resident(e.request.Model) != nil {
+			return ReasonNoAdapter
+		}
+	}
+	return ReasonNoModel
+}
+
+// attempt sends the request to one instance and passes the answer on.
+func (e *exchange) attempt(ctx context.Context, candidate *balance.Candidate) verdict {
+	id := candidate.Instance.ID
+	outbound := &Outbound{
+		Request: e.request, Instance: candidate.Instance, Left: time.Until(e.deadline),
+		Priority: min(e.route.Priority, maxPriority), ResumeAfter: e.resumeAfter, MaxConnections: e.connections(),
+	}
+	if outbound.Left <= 0 {
+		return verdictUnreached
+	}
+	e.observe(Event{Step: "sent", Instance: id, Load: candidate.Load})
+	e.gateway.tracker.Begin(id)
+	response, err := e.gateway.upstream.Send(ctx, outbound)
+	if err != nil {
+		return e.failedSend(ctx, id, err)
+	}
+	e.sentTo = append(e.sentTo, id)
+	if !response.Executed() {
+		return e.declined(id, response)
+	}
+	e.mayHaveRun = true
+	result := e.pass(ctx, id, response)
+	return result
+}
+
+// connections is this daemon's part of the connections to one instance.
+func (e *exchange) connections() int {
+	service := e.gateway.view.Load().Service(e.service)
+	if service == nil || service.MaxConnections == 0 {
+		return 0
+	}
+	return max(1, int(float64(service.MaxConnections)*e.gateway.settings.ShareOfConnections()))
+}
+
+func (e *exchange) failedSend(ctx context.Context, id string, err error) verdict {
+	if ErrNotSent.Has(err) {
+		outcome := balance.Unreached
+		if ctx.Err() != nil {
+			outcome = balance.Abandoned
+		}
+		e.passed = append(e.passed, id)
+		e.end(id, outcome)
+		e.observe(Event{Step: "unreached", Instance: id, Err: err})
+		return verdictUnreached
+	}
+	e.sentTo = append(e.sentTo, id)
+	e.mayHaveRun = true
+	e.end(id, blame(ctx))
+	e.observe(Event{Step: "attempt_failed", Instance: id, Err: err})
+	return verdictBroken
+}
+
+// blame tells whether an instance is to blame for an attempt that ended without
+// an answer: it is not if the client left.
+func blame(ctx context.Context) balance.Outcome {
+	if clientLeft(ctx) {
+		return balance.Abandoned
+	}
+	return balance.Failed
+}
+
+func (e *exchange) declined(id string, response Response) verdict {
+	misdirected := response.Misdirected()
+	status := response.Status()
+	response.Close()
+	outcome := balance.Declined
+	if misdirected {
+		outcome = balance.Abandoned
+		e.gateway.tracker.Missing(time.Now(), id, e.request.Model, e.request.Adapter, missingSpan)
+	}
+	e.end(id, outcome)
+	e.observe(Event{Step: "declined", Instance: id, Status: status})
+	return verdictDeclined
+}
+
+func (e *exchange) end(id string, outcome balance.Outcome) {
+	view := e.gateway.view.Load()
+	instances := view.Instances(e.service)
+	siblings := make([]string, len(instances))
+	for i, instance := range instances {
+		siblings[i] = instance.ID
+	}
+	if e.gateway.tracker.End(time.Now(), id, outcome, siblings) {
+		e.observe(Event{Step: "ejected", Instance: id})
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/retry"
+)
+
+// Own answers.
+const (
+	statusNotFound    = 404
+	statusBadGateway  = 502
+	statusUnavailable = 503
+	statusTimeout     = 504
+)
+
+// Reasons of outcomes, as they stand in logs and metrics.
+const (
+	ReasonStarting    = "starting"
+	ReasonStopping    = "stopping"
+	ReasonNoRoute     = "no_route"
+	ReasonNoInstance  = "no_instance"
+	ReasonNoModel     = "no_model"
+	ReasonNoAdapter   = "no_adapter"
+	ReasonDeclined    = "declined"
+	ReasonUnreached   = "unreached"
+	ReasonBroken      = "broken"
+	ReasonTimeout     = "timeout"
+	ReasonNeverSent   = "never_sent"
+	ReasonClientGone  = "client_gone"
+	ReasonAnswered    = "answered"
+	ReasonStreamBroke = "stream_broke"
+)
+
+// Settings of the request path.
+type Settings struct {
+	// Zone is the zone of this daemon.
+	Zone string
+	// RetryAfter is when a client that was refused may come back.
+	RetryAfter time.Duration
+	// WaitShare is the share of the time left that a request waits for an
+	// instance that can take it.
+	WaitShare float64
+	// ShareOfConnections is this daemon's part of the connections that an
+	// instance takes; zero means no bound.
+	ShareOfConnections func() float64
+}
+
+// Wants hears of what requests are waiting for.
+type Wants interface {
+	// Want notes that a request needs a model or adapter that no instance has.
+	// The function must be called when the request no longer waits.
+	Want(service, model, adapter string) func()
+	// Enter notes that a request for a model began; the function ends it.
+	Enter(service, model string) func()
+}
+
+// Event is one decision on a request, for the log and the metrics.
+type Event struct {
+	// Step names the decision: refused, sent, retried, resumed, ended, ...
+	Step    string
+	Request *Request
+	Route   *fleet.Route
+	// Instance is empty if none was chosen.
+	Instance string
+	Attempt  int
+	Status   int
+	Reason   string
+	// Load is the number of requests that the instance was believed to have.
+	Load int
+	// Version is the configuration that decided.
+	Version uint64
+	Err     error
+}
+
+// Observer hears of each decision. It must not block.
+type Observer interface {
+	Observe(event Event)
+}
+
+// Gateway serves requests. It is safe for concurrent use.
+type Gateway struct {
+	settings Settings
+	upstream Upstream
+	tracker  *balance.Tracker
+	picker   *balance.Picker
+	budget   *retry.Budget
+	wants    Wants
+	observer Observer
+	view     atomic.Pointer[fleet.View]
+	changed  atomic.Pointer[chan struct{}]
+	active   atomic.Int64
+}
+
+// New returns a gateway that knows nothing yet.
+func New(settings Settings, upstream Upstream, tracker *balance.Tracker, budget *retry.Budget, wants Wants, observer Observer) *Gateway {
+	g := &Gateway{
+		settings: settings, upstream: upstream, tracker: tracker, picker: balance.NewPicker(tracker),
+		budget: budget, wants: wants, observer: observer,
+	}
+	g.view.Store(fleet.NewView(nil, nil))
+	first := make(chan struct{})
+	g.changed.Store(&first)
+	return g
+}
+
+// SetView replaces the snapshot, and wakes requests that wait for a change.
+func (g *Gateway) SetView(view *fleet.View) {
+	g.view.Store(view)
+	next := make(chan struct{})
+	close(*g.changed.Swap(&next))
+}
+
+// View returns the snapshot in force.
+func (g *Gateway) View() *fleet.View { return g.view.Load() }
+
+// Active returns the number of requests in progress.
+func (g *Gateway) Active() int { return int(g.active.Load()) }
+
+// Serve answers one request. Ctx ends when the client leaves.
+func (g *Gateway) Serve(ctx context.Context, request *Request, reply Reply) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	view := g.view.Load()
+	if view.Configuration() == nil {
+		g.refuse(reply, nil, request, statusUnavailable, ReasonStarting)
+		return
+	}
+	route := view.Route(request.RouteHost, request.Path)
+	if route == nil {
+		g.refuse(reply, nil, request, statusNotFound, ReasonNoRoute)
+		return
+	}
+	held := route.Timeout
+	if request.Patience > 0 {
+		held = min(held, request.Patience)
+	}
+	ctx, cancel := context.WithDeadline(ctx, request.Arrived.Add(held))
+	defer cancel()
+	e := &exchange{
+		gateway: g, request: request, reply: reply, route: route, version: view.Version(),
+		deadline: request.Arrived.Add(held), service: chooseTarget(route),
+	}
+	if request.Model != "" {
+		defer g.wants.Enter(e.service, request.Model)()
+	}
+	g.budget.Succeeded()
+	e.run(ctx)
+}
+
+// chooseTarget draws a service by the weights of the route.
+func chooseTarget(route *fleet.Route) string {
+	total := 0
+	for _, target := range route.Targets {
+		total += target.Weight
+	}
+	if total <= 0 {
+		return route.Targets[0].Service
+	}
+	drawn := rand.IntN(total)
+	for _, target := range route.Targets {
+		if drawn < target.Weight {
+			return target.Service
+		}
+		drawn -= target.Weight
+	}
+	return route.Targets[0].Service
+}
+
+func (g *Gateway) refuse(reply Reply, route *fleet.Route, request *Request, status int, reason string) {
+	retryAfter := time.Duration(0)
+	if status == statusUnavailable {
+		retryAfter = g.settings.RetryAfter
+	}
+	reply.Refuse(status, reason, retryAfter)
+	g.observer.Observe(Event{Step: "refused", Request: request, Route: route, Status: status, Reason: reason, Version: g.view.Load().Version()})
+}
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+const (
+	statusOK          = 200
+	statusServerError = 500
+)
+
+// pass hands an answer on to the client.
+func (e *exchange) pass(ctx context.Context, id string, response Response) verdict {
+	defer response.Close()
+	if e.route.Kind == fleet.KindStream && response.Status() == statusOK && response.Signed() {
+		return e.passStream(ctx, id, response)
+	}
+	return e.passWhole(ctx, id, response)
+}
+
+// passWhole takes in the whole answer before the client sees any of it, so that
+// one that breaks off can be repeated or told apart.
+func (e *exchange) passWhole(ctx context.Context, id string, response Response) verdict {
+	body, err := io.ReadAll(io.LimitReader(response, maxWhole+1))
+	if err != nil {
+		e.end(id, blame(ctx))
+		e.observe(Event{Step: "attempt_failed", Instance: id, Status: response.Status(), Err: err})
+		return verdictBroken
+	}
+	if len(body) > maxWhole {
+		e.end(id, balance.Served)
+		return e.passLarge(ctx, id, response, body)
+	}
+	genuine := response.Signed() || response.Status() >= 300
+	if response.Status() >= statusServerError || !genuine {
+		e.end(id, balance.Failed)
+		if !genuine || e.canRepeatFailure() {
+			e.observe(Event{Step: "attempt_failed", Instance: id, Status: response.Status()})
+			return verdictBroken
+		}
+	} else {
+		e.end(id, balance.Served)
+	}
+	if e.begun {
+		return verdictBroken
+	}
+	e.begun = true
+	if e.reply.Begin(response.Status(), response.Header(), int64(len(body))) != nil || e.reply.Write(body) != nil {
+		e.reply.Abort()
+	}
+	e.observe(Event{Step: "ended", Instance: id, Status: response.Status(), Reason: ReasonAnswered})
+	return verdictEnded
+}
+
+// canRepeatFailure reports whether an answer that tells of a failure may be
+// dropped because another instance can be tried.
+func (e *exchange) canRepeatFailure() bool {
+	return e.route.Repeatable() && len(e.sentTo) < e.route.MaxAttempts
+}
+
+// passLarge hands on an answer that is too large to be taken in whole.
+func (e *exchange) passLarge(ctx context.Context, id string, response Response, head []byte) verdict {
+	if e.begun {
+		return verdictBroken
+	}
+	e.begun = true
+	if e.reply.Begin(response.Status(), response.Header(), response.Length()) != nil || e.reply.Write(head) != nil {
+		e.reply.Abort()
+		return verdictEnded
+	}
+	buffer := make([]byte, pieceSize)
+	for {
+		count, err := response.Read(buffer)
+		if count > 0 && e.reply.Write(buffer[:count]) != nil {
+			e.reply.Abort()
+			return verdictEnded
+		}
+		if errors.Is(err, io.EOF) {
+			e.observe(Event{Step: "ended", Instance: id, Status: response.Status(), Reason: ReasonAnswered})
+			return verdictEnded
+		}
+		if err != nil {
+			e.giveUp(ctx, ReasonBroken)
+			return verdictEnded
+		}
+	}
+}
+
+// passStream hands on the events of a stream as they come. For a stream that may
+// be resumed only whole events are passed on, so that another instance can go on
+// after the last one.
+func (e *exchange) passStream(ctx context.Context, id string, response Response) verdict {
+	buffer := make([]byte, pieceSize)
+	var events eventCutter
+	for {
+		count, err := response.Read(buffer)
+		if count > 0 {
+			piece := buffer[:count]
+			if e.route.Resumable {
+				piece = events.whole(piece)
+			}
+			if !e.forward(response, piece) {
+				e.end(id, balance.Abandoned)
+				e.observe(Event{Step: "ended", Instance: id, Reason: ReasonClientGone})
+				e.reply.Abort()
+				return verdictEnded
+			}
+			if events.lastID != "" {
+				e.resumeAfter = events.lastID
+			}
+		}
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, io.EOF):
+			return e.streamEnded(id, response, &events)
+		default:
+			e.end(id, blame(ctx))
+			e.observe(Event{Step: "stream_broke", Instance: id, Err: err})
+			return verdictBroken
+		}
+	}
+}
+
+// streamEnded ends a stream whose framing was whole.
+func (e *exchange) streamEnded(id string, response Response, events *eventCutter) verdict {
+	e.end(id, balance.Served)
+	if !e.forward(response, events.rest()) {
+		e.reply.Abort()
+	}
+	if !e.begun {
+		e.begun = true
+		_ = e.reply.Begin(response.Status(), response.Header(), -1)
+	}
+	e.observe(Event{Step: "ended", Instance: id, Status: response.Status(), Reason: ReasonAnswered})
+	return verdictEnded
+}
+
+// forward sends a piece of a stream, after the head if that is still due. It
+// reports whether the client still takes bytes.
+func (e *exchange) forward(response Response, piece []byte) bool {
+	if len(piece) == 0 {
+		return true
+	}
+	if !e.begun {
+		e.begun = true
+		if e.reply.Begin(response.Status(), response.Header(), response.Length()) != nil {
+			return false
+		}
+	}
+	return e.reply.Write(piece) == nil
+}
+
+// eventCutter cuts a stream of events after whole events.
+type eventCutter struct {
+	pending []byte
+	lastID  string
+}
+
+var (
+	eventEnd = []byte("\n\n")
+	idPrefix = []byte("id:")
+)
+
+// whole returns the whole events that are complete now. The slice is valid until
+// the next call.
+func (c *eventCutter) whole(piece []byte) []byte {
+	c.pending = append(c.pending, piece...)
+	index := bytes.LastIndex(c.pending, eventEnd)
+	if index < 0 {
+		return nil
+	}
+	cut := index + len(eventEnd)
+	events := append([]byte(nil), c.pending[:cut]...)
+	c.pending = append(c.pending[:0], c.pending[cut:]...)
+	c.note(events)
+	return events
+}
+
+// note remembers the id of the last event that has one.
+func (c *eventCutter) note(events []byte) {
+	for _, line := range bytes.Split(events, []byte("\n")) {
+		if value, found := bytes.CutPrefix(line, idPrefix); found {
+			c.lastID = string(bytes.TrimSpace(value))
+		}
+	}
+}
+
+// rest returns what follows the last whole event.
+func (c *eventCutter) rest() []byte { return c.pending }
--- /dev/null
+++ b/gateway/types.go
@@ -0,0 +1,118 @@
+// Package gateway is the path of one request from a client to a back-end
+// instance and back. It chooses the route and the instance, hands on what is
+// left of the deadline, repeats what may be repeated, resumes streams, and gives
+// up in time. The wire forms on both sides belong to other packages.
+package gateway
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+// Classes of errors of an Upstream.
+var (
+	// ErrNotSent means that no byte of the request reached the instance.
+	ErrNotSent = errs.Class("gateway: not sent")
+	// ErrUnknown means that the instance may have run the request.
+	ErrUnknown = errs.Class("gateway: unknown outcome")
+)
+
+// Field is one header field. The name is as it was received.
+type Field struct {
+	Name  string
+	Value string
+}
+
+// PromptPart is one part of a prompt that requests may share.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// Request is one request of a client. All but the typed fields is opaque.
+type Request struct {
+	ID     string
+	Method string
+	// URI is the request target as received: path and query.
+	URI string
+	// Host is the host as received.
+	Host string
+	// RouteHost is the host in lower case without a port, Path the target
+	// without its query.
+	RouteHost string
+	Path      string
+	// Header holds the end-to-end fields in the order received.
+	Header []Field
+	Body   []byte
+
+	Model        string
+	Adapter      string
+	PromptTokens int
+	OutputTokens int
+	Prompt       []PromptPart
+	// ResumeAfter is the last event that the client has, or empty.
+	ResumeAfter string
+
+	Arrived time.Time
+	// Patience is how long the client waits; zero if it did not say.
+	Patience time.Duration
+}
+
+// Outbound is a request on its way to one instance.
+type Outbound struct {
+	Request  *Request
+	Instance *fleet.Instance
+	// Left is what the instance may take.
+	Left time.Duration
+	// Priority is the rank at the instance: zero is admitted first.
+	Priority int
+	// ResumeAfter is the last event that the client has, or empty.
+	ResumeAfter string
+	// MaxConnections bounds the connections to the instance from here.
+	MaxConnections int
+}
+
+// Response is the answer of an instance whose body may still be arriving.
+type Response interface {
+	// Status is the HTTP status.
+	Status() int
+	// Header returns the end-to-end fields.
+	Header() []Field
+	// Length is the length of the body, or -1 if it is not known yet.
+	Length() int64
+	// Executed is false if the instance said that it did not run the request.
+	Executed() bool
+	// Misdirected says that the instance is another one, or lacks the model.
+	Misdirected() bool
+	// Signed says that the answer carries the mark of a genuine instance.
+	Signed() bool
+	// Read returns io.EOF only after the whole body.
+	io.Reader
+	// Close releases the answer. One that was not read to its end is broken off.
+	Close()
+}
+
+// Upstream sends requests to instances. It never repeats one by itself.
+type Upstream interface {
+	// Send returns when the head of the answer has arrived. The answer is broken
+	// off when ctx ends.
+	Send(ctx context.Context, outbound *Outbound) (Response, error)
+}
+
+// Reply is the client's side of one request.
+type Reply interface {
+	// Begin sends the head. Length is -1 if it is not known.
+	Begin(status int, header []Field, length int64) error
+	// Write sends a piece of the body at once.
+	Write(piece []byte) error
+	// Refuse sends an answer of our own. RetryAfter is when to come back; zero
+	// says nothing.
+	Refuse(status int, reason string, retryAfter time.Duration)
+	// Abort breaks the answer off so that it looks broken to the client.
+	Abort()
+}
--- /dev/null
+++ b/lease/lease.go
@@ -0,0 +1,268 @@
+// Package lease is the state machine of one lease that is kept in an external
+// store with conditional updates. It does no I/O and reads no clock: the driver
+// tells it the steady time, carries out the calls it asks for and reports their
+// answers.
+//
+// Safety rests on two rules. The holder counts its term from the moment before
+// it sent a renewal that succeeded, and stops a margin before the term is over.
+// Another candidate takes over only after it has seen the same record unchanged
+// for a whole term of its own clock, by an update on exactly that revision. The
+// revision of the update that changed the holder is the fencing token.
+package lease
+
+import "time"
+
+// Record is the stored form of the lease.
+type Record struct {
+	// Holder is empty when the lease was handed back.
+	Holder string
+	// Boot tells two processes of one holder apart.
+	Boot string
+	// Fence is the token of the holder: the revision at which it took over.
+	// In the store it is zero until the first renewal.
+	Fence uint64
+	// Renewals makes each renewal a change.
+	Renewals uint64
+}
+
+// Stored is a record with the store's revision; zero if there is none yet.
+type Stored struct {
+	Record   Record
+	Revision uint64
+}
+
+// Settings of a lease.
+type Settings struct {
+	// Term is how long a renewal lasts.
+	Term time.Duration
+	// RenewEvery is the time between two renewals.
+	RenewEvery time.Duration
+	// Margin is how long before the end of the term the holder stops.
+	Margin time.Duration
+	// CallTimeout is after how long an unanswered call is given up.
+	CallTimeout time.Duration
+}
+
+// DefaultSettings returns settings for a term.
+func DefaultSettings(term time.Duration) Settings {
+	return Settings{Term: term, RenewEvery: term / 3, Margin: term / 6, CallTimeout: term / 4}
+}
+
+// Call is what the driver has to do: read the record, or write one.
+type Call struct {
+	// Write is nil for a read.
+	Write *Record
+	// IfRevision is the revision that a write replaces; zero creates.
+	IfRevision uint64
+}
+
+// Outcome is how a call ended.
+type Outcome uint8
+
+// Outcomes of calls.
+const (
+	// OutcomeDone means that the call succeeded.
+	OutcomeDone Outcome = iota
+	// OutcomeConflict means that a write found another revision.
+	OutcomeConflict
+	// OutcomeFailed means that the call had no effect or an unknown one.
+	OutcomeFailed
+)
+
+// Lease is the view that one candidate has of the lease.
+type Lease struct {
+	settings Settings
+	self     string
+	boot     string
+
+	known      bool
+	stored     Stored
+	unchanged  time.Time // since when the stored record is known to be unchanged
+	held       bool
+	fence      uint64
+	validUntil time.Time
+	firstOrder time.Time // no order before this moment
+	calling    bool
+	calledAt   time.Time
+	pending    Call
+	retryAt    time.Time
+	leaving    bool
+}
+
+// New returns the view of a candidate. Boot must differ between two processes
+// of the same candidate.
+func New(self, boot string, settings Settings) *Lease {
+	return &Lease{settings: settings, self: self, boot: boot}
+}
+
+// Holder returns the last known holder, and whether any record is known.
+func (l *Lease) Holder() (string, bool) { return l.stored.Record.Holder, l.known }
+
+// Held reports whether this candidate may act as the holder now.
+func (l *Lease) Held(now time.Time) bool {
+	return l.held && now.Before(l.validUntil)
+}
+
+// ValidUntil is when the right of the holder ends unless it is renewed.
+func (l *Lease) ValidUntil() time.Time { return l.validUntil }
+
+// MayOrder reports whether orders may be sent now, and their fencing token. A
+// holder that took over from another waits a term first, so that orders of two
+// holders never alternate within a term.
+func (l *Lease) MayOrder(now time.Time) (fence uint64, ok bool) {
+	return l.fence, l.Held(now) && !now.Before(l.firstOrder)
+}
+
+// Step returns the call to make now, if any. Eager says that this candidate
+// should try to take the lease; a holder renews in any case.
+func (l *Lease) Step(now time.Time, eager bool) *Call {
+	if l.calling {
+		if now.Sub(l.calledAt) < l.settings.CallTimeout {
+			return nil
+		}
+		l.calling = false
+		l.known = l.known && l.pending.Write == nil
+	}
+	if now.Before(l.retryAt) {
+		return nil
+	}
+	switch {
+	case l.held && l.leaving:
+		return l.call(now, Call{Write: &Record{Fence: l.fence, Renewals: l.stored.Record.Renewals + 1}, IfRevision: l.stored.Revision})
+	case l.held:
+		return l.renew(now)
+	case l.leaving || !eager:
+		return nil
+	case !l.known:
+		return l.call(now, Call{})
+	default:
+		return l.take(now)
+	}
+}
+
+func (l *Lease) renew(now time.Time) *Call {
+	renewAt := l.validUntil.Add(l.settings.Margin - l.settings.Term + l.settings.RenewEvery)
+	if now.Before(renewAt) {
+		return nil
+	}
+	if !l.known {
+		return l.call(now, Call{})
+	}
+	return l.call(now, Call{Write: l.own(), IfRevision: l.stored.Revision})
+}
+
+func (l *Lease) own() *Record {
+	return &Record{Holder: l.self, Boot: l.boot, Fence: l.fence, Renewals: l.stored.Record.Renewals + 1}
+}
+
+// take tries to become the holder once the known record has been unchanged for
+// a term, or was handed back, or never existed.
+func (l *Lease) take(now time.Time) *Call {
+	free := l.stored.Revision == 0 || l.stored.Record.Holder == ""
+	if !free && now.Sub(l.unchanged) < l.settings.Term {
+		return nil
+	}
+	if !free && now.Sub(l.calledAt) > l.settings.Term/4 && l.pending.Write == nil {
+		// The record may have moved since it was read: look once more, so that
+		// a holder that renews is not disturbed by failing updates.
+		return l.call(now, Call{})
+	}
+	record := l.own()
+	record.Fence = 0
+	return l.call(now, Call{Write: record, IfRevision: l.stored.Revision})
+}
+
+func (l *Lease) call(now time.Time, call Call) *Call {
+	l.calling = true
+	l.calledAt = now
+	l.pending = call
+	return &call
+}
+
+// Answered takes in the end of the call under way. For OutcomeDone and
+// OutcomeConflict, stored is the record as it is in the store.
+func (l *Lease) Answered(now time.Time, outcome Outcome, stored Stored) {
+	if !l.calling {
+		return
+	}
+	l.calling = false
+	write := l.pending.Write
+	switch {
+	case outcome == OutcomeFailed:
+		l.retryAt = now.Add(l.settings.RenewEvery / 4)
+		if write != nil {
+			// The write may have been done: the next call has to read.
+			l.known = false
+		}
+	case outcome == OutcomeDone && write != nil:
+		l.written(stored)
+	default:
+		l.observe(now, stored)
+	}
+}
+
+// written takes in a write of our own that succeeded.
+func (l *Lease) written(stored Stored) {
+	previous := l.stored
+	l.learn(l.calledAt, stored)
+	if stored.Record.Holder != l.self || stored.Record.Boot != l.boot {
+		l.held = false
+		return
+	}
+	if !l.held {
+		l.begin(previous.Revision != 0 && previous.Record.Holder != l.self, stored.Revision)
+	}
+	l.validUntil = l.calledAt.Add(l.settings.Term - l.settings.Margin)
+}
+
+func (l *Lease) begin(wait bool, fence uint64) {
+	l.held = true
+	l.fence = fence
+	l.firstOrder = l.calledAt
+	if wait {
+		l.firstOrder = l.calledAt.Add(l.settings.Term)
+	}
+}
+
+// observe takes in a record that was read, or found in the way of a write.
+func (l *Lease) observe(now time.Time, stored Stored) {
+	l.learn(now, stored)
+	ours := stored.Record.Holder == l.self && stored.Record.Boot == l.boot
+	switch {
+	case l.held && !ours:
+		l.held = false
+	case !l.held && ours && !l.leaving:
+		// A write of ours was done although its answer was lost. How long ago
+		// is not known, so the next renewal starts the term.
+		fence := stored.Record.Fence
+		if fence == 0 {
+			fence = stored.Revision
+		}
+		l.begin(true, fence)
+		l.firstOrder = now.Add(l.settings.Term)
+		l.validUntil = l.calledAt
+	}
+}
+
+func (l *Lease) learn(now time.Time, stored Stored) {
+	if !l.known || stored.Revision != l.stored.Revision {
+		if stored.Revision != l.stored.Revision || l.unchanged.IsZero() {
+			l.unchanged = now
+		}
+	}
+	l.stored = stored
+	l.known = true
+}
+
+// Lost makes this candidate give up the lease at once: a server told of a higher
+// fencing token.
+func (l *Lease) Lost() {
+	l.held = false
+	l.known = false
+}
+
+// Leave makes this candidate hand the lease back and not take it again.
+func (l *Lease) Leave() { l.leaving = true }
+
+// Left reports whether the lease is not held any more after Leave.
+func (l *Lease) Left() bool { return l.leaving && !l.held }
--- /dev/null
+++ b/residency/book.go
@@ -0,0 +1,154 @@
+package residency
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+// busyPause is how long a server that turned an order away is left alone. It is
+// longer than reports lag behind.
+const busyPause = 250 * time.Millisecond
+
+// Book is the state of all model servers as the sender of orders knows it. It is
+// not safe for concurrent use.
+type Book struct {
+	settings Settings
+	servers  map[string]*server
+	// storeLoads are the times of loads that count against the weight store.
+	storeLoads []time.Time
+}
+
+// NewBook returns an empty book.
+func NewBook(settings Settings) *Book {
+	return &Book{settings: settings, servers: map[string]*server{}}
+}
+
+// Inherit makes the book assume that the weight store's rate was used up until
+// now by another sender of orders.
+func (b *Book) Inherit(now time.Time, loadsPerSecond float64) {
+	count := int(loadsPerSecond * b.settings.Window.Seconds())
+	b.storeLoads = b.storeLoads[:0]
+	for range count {
+		b.storeLoads = append(b.storeLoads, now)
+	}
+}
+
+// Update takes in the instances that are known now and forgets all others.
+func (b *Book) Update(instances []*fleet.Instance) {
+	present := make(map[string]bool, len(instances))
+	for _, instance := range instances {
+		present[instance.ID] = true
+		known := b.servers[instance.ID]
+		if known == nil {
+			known = &server{}
+			b.servers[instance.ID] = known
+		}
+		known.instance = instance
+		if known.reportAt.IsZero() {
+			known.report = fleet.Report{Residents: instance.Residents}
+		}
+	}
+	for id := range b.servers {
+		if !present[id] {
+			delete(b.servers, id)
+		}
+	}
+}
+
+// Report takes in what a server said when it was asked at the given time.
+func (b *Book) Report(askedAt time.Time, id string, report fleet.Report) {
+	known := b.servers[id]
+	if known == nil || askedAt.Before(known.reportAt) || report.Sequence < known.report.Sequence {
+		return
+	}
+	known.report = report
+	known.reportAt = askedAt
+	known.sequence = max(known.sequence, report.Sequence)
+	known.accepted = slices.DeleteFunc(known.accepted, func(order acceptedOrder) bool {
+		return b.visible(askedAt, &report, order)
+	})
+	if known.unsettled != nil && report.Sequence > known.unsettled.Expected {
+		known.unsettled = nil
+	}
+}
+
+// visible reports whether a report already reflects an accepted order.
+func (b *Book) visible(askedAt time.Time, report *fleet.Report, order acceptedOrder) bool {
+	if report.Sequence < order.sequence {
+		return false
+	}
+	if askedAt.Sub(order.at) > b.settings.Settle && !report.Busy {
+		return true
+	}
+	if order.Adapter == "" {
+		return !report.Busy && holds(report, order.Order) == order.Load
+	}
+	return holds(report, order.Order) == order.Load
+}
+
+func holds(report *fleet.Report, order Order) bool {
+	for i := range report.Residents {
+		if resident := &report.Residents[i]; resident.Model == order.Model {
+			return resident.HasAdapter(order.Adapter)
+		}
+	}
+	return false
+}
+
+// Sending notes that an order is on its way.
+func (b *Book) Sending(now time.Time, order Order) {
+	known := b.servers[order.Instance]
+	if known == nil {
+		return
+	}
+	known.sending = &order
+	if order.FromStore {
+		b.storeLoads = append(b.storeLoads, now)
+	}
+}
+
+// Answered takes in the end of an order.
+func (b *Book) Answered(now time.Time, order Order, answer Answer) {
+	known := b.servers[order.Instance]
+	if known == nil {
+		return
+	}
+	known.sending = nil
+	switch answer {
+	case AnswerTaken:
+		known.unsettled = nil
+		known.sequence = max(known.sequence, order.Expected+1)
+		known.accepted = append(known.accepted, acceptedOrder{Order: order, sequence: order.Expected + 1, at: now})
+	case AnswerUnknown:
+		known.unsettled = &order
+		known.unsettledAt = now
+	case AnswerBusy, AnswerRejected, AnswerFenced, AnswerNotSent:
+		// An order that was sent before without an answer may still come.
+		known.busyUntil = now.Add(busyPause)
+	}
+}
+
+// Resend returns unanswered orders that should be sent again as they were.
+func (b *Book) Resend(now time.Time) []Order {
+	var orders []Order
+	for _, known := range b.servers {
+		due := known.unsettled != nil && known.sending == nil && now.Sub(known.unsettledAt) >= b.settings.ResendAfter
+		if due && !now.Before(known.busyUntil) {
+			again := *known.unsettled
+			// The load was counted when it was sent first.
+			again.FromStore = false
+			orders = append(orders, again)
+		}
+	}
+	return orders
+}
+
+// storeLoadsLeft returns how many loads from the weight store may begin now.
+func (b *Book) storeLoadsLeft(now time.Time, loadsPerSecond float64) int {
+	b.storeLoads = slices.DeleteFunc(b.storeLoads, func(at time.Time) bool {
+		return now.Sub(at) > b.settings.Window
+	})
+	return int(loadsPerSecond*b.settings.Window.Seconds()) - len(b.storeLoads)
+}
--- /dev/null
+++ b/residency/plan.go
@@ -0,0 +1,389 @@
+package residency
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+// plan is one round of planning for one service.
+type plan struct {
+	now      time.Time
+	settings Settings
+	engine   *fleet.Engine
+	demand   map[string]Demand
+	slots    []*slot
+	// replicas counts, for each model, the servers that serve it or soon will.
+	replicas map[string]int
+	// ready counts those that serve it now.
+	ready     map[string]int
+	needs     map[string]int
+	loadsLeft int
+	orders    []Order
+}
+
+// Plan returns the orders to send now, at most one for each server. The servers
+// are those of one service with this engine.
+func (b *Book) Plan(now time.Time, service string, engine *fleet.Engine, demand map[string]Demand) []Order {
+	p := &plan{
+		now: now, settings: b.settings, engine: engine, demand: demand,
+		replicas: map[string]int{}, ready: map[string]int{}, needs: map[string]int{},
+		loadsLeft: b.storeLoadsLeft(now, engine.LoadsPerSecond),
+	}
+	for _, known := range b.servers {
+		if known.instance.Service == service && !known.instance.Leaving {
+			p.slots = append(p.slots, newSlot(now, known, engine, b.settings))
+		}
+	}
+	slices.SortFunc(p.slots, func(a, b *slot) int { return cmp.Compare(a.id(), b.id()) })
+	p.count()
+	p.placeAdapters(true)
+	p.reachAll()
+	p.followDemand()
+	p.fillMemory()
+	p.placeAdapters(false)
+	return p.orders
+}
+
+func (s *slot) id() string { return s.server.instance.ID }
+
+func (p *plan) count() {
+	for _, s := range p.slots {
+		for model, held := range s.models {
+			if held.unloading {
+				continue
+			}
+			p.replicas[model]++
+			if held.ready {
+				p.ready[model]++
+			}
+		}
+	}
+	for i := range p.engine.Models {
+		model := &p.engine.Models[i]
+		p.needs[model.Name] = p.need(model)
+	}
+}
+
+// need is how many replicas a model should have for its demand.
+func (p *plan) need(model *fleet.Model) int {
+	perReplica := math.Max(1, float64(p.engine.Slots)*p.settings.TargetUtilization)
+	need := int(math.Ceil(p.demand[model.Name].Concurrent / perReplica))
+	return min(max(1, need), max(1, len(p.slots)))
+}
+
+// reachAll gives every model that no server serves a first replica.
+func (p *plan) reachAll() {
+	for _, model := range p.modelsByDemand() {
+		if p.replicas[model.Name] == 0 {
+			p.addReplica(model, "unreachable", true)
+		}
+	}
+}
+
+// followDemand adds replicas where the demand asks for more.
+func (p *plan) followDemand() {
+	for _, model := range p.modelsByDemand() {
+		for missing := p.needs[model.Name] - p.replicas[model.Name]; missing > 0; missing-- {
+			if !p.addReplica(model, "demand", true) {
+				break
+			}
+		}
+	}
+}
+
+// fillMemory uses free memory: first a second replica for each model, then
+// places for adapters, then more replicas of what is asked for.
+func (p *plan) fillMemory() {
+	for _, model := range p.modelsByDemand() {
+		if p.replicas[model.Name] < p.settings.SpareReplicas {
+			p.addReplica(model, "spare", false)
+		}
+	}
+	for _, model := range p.modelsByDemand() {
+		if p.adapterPlaces(model) < model.Adapters {
+			p.addReplica(model, "adapters", false)
+		}
+	}
+	for _, model := range p.modelsByDemand() {
+		if p.demand[model.Name].Concurrent > 0 {
+			p.addReplica(model, "headroom", false)
+		}
+	}
+}
+
+// adapterPlaces is how many adapters of a model are resident or have room.
+func (p *plan) adapterPlaces(model *fleet.Model) int {
+	places := 0
+	for _, s := range p.slots {
+		if held := s.models[model.Name]; held != nil && !held.unloading {
+			places += len(held.adapters) + max(0, s.freeAdapters)
+		}
+	}
+	return places
+}
+
+// modelsByDemand lists the models with the greatest demand for each replica
+// first; among models without demand, those with adapters come first.
+func (p *plan) modelsByDemand() []*fleet.Model {
+	models := make([]*fleet.Model, len(p.engine.Models))
+	for i := range p.engine.Models {
+		models[i] = &p.engine.Models[i]
+	}
+	pressure := func(model *fleet.Model) float64 {
+		demand := p.demand[model.Name]
+		return (demand.Concurrent + float64(demand.Waiting)) / float64(max(1, p.replicas[model.Name]))
+	}
+	slices.SortStableFunc(models, func(a, b *fleet.Model) int {
+		if byPressure := cmp.Compare(pressure(b), pressure(a)); byPressure != 0 {
+			return byPressure
+		}
+		return cmp.Compare(b.Adapters, a.Adapters)
+	})
+	return models
+}
+
+// addReplica loads a model on the best server with room. If there is none and
+// makeRoom is set, it unloads a replica that another model can spare. It reports
+// whether it sent an order.
+func (p *plan) addReplica(model *fleet.Model, reason string, makeRoom bool) bool {
+	var best *slot
+	for _, s := range p.slots {
+		if s.blocked || s.modelOrder || s.models[model.Name] != nil || s.freeMB < model.WeightsMB {
+			continue
+		}
+		if p.loadsLeft <= 0 && !s.atHand[model.Name] {
+			continue
+		}
+		if best == nil || p.betterHost(model, s, best) {
+			best = s
+		}
+	}
+	if best == nil {
+		return makeRoom && p.makeRoom(model)
+	}
+	fromStore := !best.atHand[model.Name]
+	if fromStore {
+		p.loadsLeft--
+	}
+	p.send(best, Order{Load: true, Model: model.Name, FromStore: fromStore, Reason: reason})
+	best.modelOrder = true
+	best.hold(model.Name)
+	best.freeMB -= model.WeightsMB
+	p.replicas[model.Name]++
+	return true
+}
+
+// betterHost prefers a server with a copy at hand, then another zone than the
+// replicas there are, then free memory, then little load.
+func (p *plan) betterHost(model *fleet.Model, a, b *slot) bool {
+	if a.atHand[model.Name] != b.atHand[model.Name] {
+		return a.atHand[model.Name]
+	}
+	if x, y := p.inZone(model.Name, a), p.inZone(model.Name, b); x != y {
+		return x < y
+	}
+	if model.Adapters > 0 && a.freeAdapters != b.freeAdapters {
+		return a.freeAdapters > b.freeAdapters
+	}
+	if a.freeMB != b.freeMB {
+		return a.freeMB > b.freeMB
+	}
+	return a.requests < b.requests
+}
+
+func (p *plan) inZone(model string, host *slot) int {
+	count := 0
+	for _, s := range p.slots {
+		if s.server.instance.Zone == host.server.instance.Zone && s.serves(model) {
+			count++
+		}
+	}
+	return count
+}
+
+// makeRoom unloads the replica that is needed least, on a server where the model
+// then fits. It reports whether room is under way.
+func (p *plan) makeRoom(model *fleet.Model) bool {
+	if p.roomUnderWay(model) {
+		return true
+	}
+	var best *slot
+	var bestVictim string
+	bestCost := math.Inf(1)
+	for _, s := range p.slots {
+		if s.blocked || s.modelOrder || s.models[model.Name] != nil {
+			continue
+		}
+		for name, held := range s.models {
+			cost, allowed := p.unloadCost(s, name, held, model)
+			if allowed && (cost < bestCost || cost == bestCost && name < bestVictim) {
+				best, bestVictim, bestCost = s, name, cost
+			}
+		}
+	}
+	if best == nil {
+		return false
+	}
+	p.send(best, Order{Model: bestVictim, Reason: fmt.Sprintf("room for %s", model.Name)})
+	best.modelOrder = true
+	best.models[bestVictim].unloading = true
+	p.replicas[bestVictim]--
+	p.ready[bestVictim]--
+	return true
+}
+
+// roomUnderWay reports whether an unload that is under way makes room already.
+func (p *plan) roomUnderWay(model *fleet.Model) bool {
+	for _, s := range p.slots {
+		free := s.freeMB
+		for name, held := range s.models {
+			if victim := p.engine.Model(name); held.unloading && victim != nil {
+				free += victim.WeightsMB
+			}
+		}
+		if s.models[model.Name] == nil && s.modelOrder && free > s.freeMB && free >= model.WeightsMB {
+			return true
+		}
+	}
+	return false
+}
+
+// unloadCost rates the unload of a replica, lower is better.
+func (p *plan) unloadCost(s *slot, name string, held *holding, wanted *fleet.Model) (float64, bool) {
+	if !held.ready || held.unloading {
+		return 0, false
+	}
+	victim := p.engine.Model(name)
+	if victim == nil {
+		return -1, true
+	}
+	fits := s.freeMB+victim.WeightsMB+float64(len(held.adapters))*victim.AdapterMB >= wanted.WeightsMB
+	spare := p.replicas[name] > p.needs[name] && p.ready[name] > 1
+	if !fits || !spare {
+		return 0, false
+	}
+	left := float64(p.replicas[name] - 1)
+	cost := p.demand[name].Concurrent/left + 0.2*float64(len(held.adapters)) + 0.5/left
+	if !s.atHand[wanted.Name] {
+		cost += 0.5
+	}
+	return cost, true
+}
+
+func (p *plan) send(s *slot, order Order) {
+	order.Instance = s.id()
+	order.Address = s.server.instance.Address
+	order.Expected = s.next
+	s.next++
+	s.blocked = true
+	p.orders = append(p.orders, order)
+}
+
+// placeAdapters loads adapters that no server has: those that requests wait for,
+// or all others while there is room.
+func (p *plan) placeAdapters(wanted bool) {
+	for i := range p.engine.Models {
+		model := &p.engine.Models[i]
+		if model.Adapters == 0 {
+			continue
+		}
+		for _, adapter := range p.missingAdapters(model, wanted) {
+			p.placeAdapter(model, adapter, wanted)
+		}
+	}
+}
+
+func (p *plan) missingAdapters(model *fleet.Model, wanted bool) []string {
+	present := map[string]bool{}
+	for _, s := range p.slots {
+		if held := s.models[model.Name]; held != nil && !held.unloading {
+			for adapter := range held.adapters {
+				present[adapter] = true
+			}
+		}
+	}
+	var missing []string
+	if wanted {
+		for adapter := range p.demand[model.Name].Adapters {
+			if !present[adapter] {
+				missing = append(missing, adapter)
+			}
+		}
+		slices.Sort(missing)
+		return missing
+	}
+	for number := 1; number <= model.Adapters; number++ {
+		if adapter := fmt.Sprintf("a%d", number); !present[adapter] {
+			missing = append(missing, adapter)
+		}
+	}
+	return missing
+}
+
+// placeAdapter loads an adapter on the server of its model with the most free
+// places; if none is free and makeRoom is set, it unloads one that another server
+// has too, or that nothing waits for.
+func (p *plan) placeAdapter(model *fleet.Model, adapter string, makeRoom bool) {
+	var best, full *slot
+	for _, s := range p.slots {
+		held := s.models[model.Name]
+		if held == nil || !held.ready || held.unloading || s.blocked || s.modelOrder || s.coming >= p.settings.MaxComing {
+			continue
+		}
+		if s.freeAdapters <= 0 || s.freeMB < model.AdapterMB {
+			if full == nil || s.requests < full.requests {
+				full = s
+			}
+			continue
+		}
+		if best == nil || betterAdapterHost(adapter, s, best) {
+			best = s
+		}
+	}
+	if best != nil {
+		best.coming++
+		best.models[model.Name].adapters[adapter] = true
+		best.freeAdapters--
+		best.freeMB -= model.AdapterMB
+		p.send(best, Order{Load: true, Model: model.Name, Adapter: adapter, Reason: "adapter"})
+		return
+	}
+	if makeRoom && full != nil && full.freeing == 0 {
+		p.unloadAdapter(full, adapter)
+	}
+}
+
+func betterAdapterHost(adapter string, a, b *slot) bool {
+	if a.freeAdapters != b.freeAdapters {
+		return a.freeAdapters > b.freeAdapters
+	}
+	return xxhash.Sum64String(adapter+a.id()) > xxhash.Sum64String(adapter+b.id())
+}
+
+// unloadAdapter frees a place on a server. Adapters that nothing waits for go
+// first, in a pseudo-random order, so that no adapter is always the victim.
+func (p *plan) unloadAdapter(s *slot, salt string) {
+	var victimModel, victim string
+	var bestRank uint64
+	for name, held := range s.models {
+		for adapter := range held.adapters {
+			if p.demand[name].Adapters[adapter] > 0 {
+				continue
+			}
+			rank := xxhash.Sum64String(salt + name + adapter)
+			if victim == "" || rank > bestRank {
+				victimModel, victim, bestRank = name, adapter, rank
+			}
+		}
+	}
+	if victim != "" {
+		p.send(s, Order{Model: victimModel, Adapter: victim, Reason: "room for adapter " + salt})
+	}
+}
--- /dev/null
+++ b/residency/types.go
@@ -0,0 +1,121 @@
+// Package residency decides which models and adapters are resident on which
+// model servers, and which order to send next. It does no I/O and reads no clock.
+//
+// A Book keeps what is known of each server: its last report, the orders that
+// were accepted but are not visible in a report yet, and the order whose answer
+// was lost. Memory counts as taken until a report shows that it is free. An
+// unanswered order is settled by sending the same order again with the same
+// expected sequence: as soon as any order was taken under that sequence, a late
+// one is refused by the server.
+package residency
+
+import (
+	"time"
+
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+// Order asks one server to load or unload a model or adapter.
+type Order struct {
+	Instance string
+	Address  string
+	Load     bool
+	Model    string
+	// Adapter is empty for the model's weights.
+	Adapter string
+	// Expected is the number of orders that the server must have taken before.
+	Expected uint64
+	// FromStore says that the load counts against the weight store's rate.
+	FromStore bool
+	// Reason says why, for the log.
+	Reason string
+}
+
+// Answer is how an order ended.
+type Answer uint8
+
+// Answers to an order.
+const (
+	// AnswerTaken means that the order is under way or already holds.
+	AnswerTaken Answer = iota
+	// AnswerBusy means that another order is under way or the expected sequence
+	// does not match.
+	AnswerBusy
+	// AnswerFenced means that the server knows a higher fencing token.
+	AnswerFenced
+	// AnswerRejected means that the order is wrong or met another instance.
+	AnswerRejected
+	// AnswerNotSent means that the order certainly did not reach the server.
+	AnswerNotSent
+	// AnswerUnknown means that the order may be taken now or later.
+	AnswerUnknown
+)
+
+// String returns the name used in logs.
+func (a Answer) String() string {
+	return [...]string{"taken", "busy", "fenced", "rejected", "not_sent", "unknown"}[a]
+}
+
+// Demand is what entry daemons see of one model.
+type Demand struct {
+	// Concurrent is the smoothed number of requests in progress and waiting.
+	Concurrent float64
+	// Waiting is the number of requests that have no server to go to.
+	Waiting int
+	// Adapters counts requests that wait for an adapter.
+	Adapters map[string]int
+}
+
+// Settings of the planner.
+type Settings struct {
+	// TargetUtilization is the share of a server's slots that one model's
+	// demand should fill before it gets another replica.
+	TargetUtilization float64
+	// SpareReplicas is how many replicas a model gets while memory is free.
+	SpareReplicas int
+	// Window is the span over which loads from the weight store are counted.
+	Window time.Duration
+	// MaxComing bounds the adapters that load on one server at once.
+	MaxComing int
+	// Settle is how long an accepted order may stay invisible in reports.
+	Settle time.Duration
+	// ResendAfter is how long an unanswered order waits before it is sent again.
+	ResendAfter time.Duration
+}
+
+// DefaultSettings returns the settings used unless an operator changes them.
+func DefaultSettings() Settings {
+	return Settings{
+		TargetUtilization: 0.4,
+		SpareReplicas:     2,
+		Window:            5 * time.Second,
+		MaxComing:         4,
+		Settle:            3 * time.Second,
+		ResendAfter:       300 * time.Millisecond,
+	}
+}
+
+// server is what the Book knows of one instance.
+type server struct {
+	instance *fleet.Instance
+	report   fleet.Report
+	// reportAt is when the report was asked for; zero until there is one.
+	reportAt time.Time
+	// sequence is the highest known number of orders taken.
+	sequence uint64
+	// sending is the order whose answer is awaited.
+	sending *Order
+	// unsettled is an order that was not answered.
+	unsettled   *Order
+	unsettledAt time.Time
+	// accepted orders are not visible in a report yet.
+	accepted []acceptedOrder
+	// busyUntil keeps orders away after the server said that it is busy.
+	busyUntil time.Time
+}
+
+type acceptedOrder struct {
+	Order
+	sequence uint64
+	at       time.Time
+}
