--- a/balance/picker.go
+++ b/balance/picker.go
@@ -17,6 +17,8 @@
 	// Affinity is equal for requests that share the start of their prompt; zero
 	// if that does not matter.
 	Affinity uint64
+	// MemoryTokens is the memory of each instance; zero if it is not known.
+	MemoryTokens int
 	// Excluded lists instances that were tried already.
 	Excluded []string
 }
@@ -24,8 +26,8 @@
 // Candidate is one instance with what is known of it.
 type Candidate struct {
 	Instance *fleet.Instance
-	// Load is the number of requests in progress, as far as is known.
-	Load int
+	// Load is what the instance has to do, as far as is known.
+	Load Load
 	// Available says that nothing speaks against the instance at the moment.
 	Available bool
 }
@@ -53,7 +55,7 @@
 	return &Picker{
 		tracker: tracker,
 		filters: []Filter{NotLeaving{}, NotExcluded{}, HasModel{}},
-		scorers: []Scorer{LoadScorer{}, ZoneScorer{}, AffinityScorer{}},
+		scorers: []Scorer{LoadScorer{}, PromptScorer{}, ZoneScorer{}, AffinityScorer{}},
 	}
 }
 
@@ -141,7 +143,22 @@
 
 // Score implements Scorer.
 func (LoadScorer) Score(_ *Request, candidate *Candidate) float64 {
-	return float64(candidate.Load) / float64(max(1, candidate.Instance.Slots))
+	return float64(candidate.Load.Requests) / float64(max(1, candidate.Instance.Slots))
+}
+
+// promptShare is the part of an instance's memory that, as prompts still to be
+// read, weighs as much as a whole batch: reading holds up every other request.
+const promptShare = 1.0 / 16
+
+// PromptScorer prefers instances with few prompts still to be read.
+type PromptScorer struct{}
+
+// Score implements Scorer.
+func (PromptScorer) Score(request *Request, candidate *Candidate) float64 {
+	if request.MemoryTokens == 0 {
+		return 0
+	}
+	return float64(candidate.Load.PromptTokens) / (promptShare * float64(request.MemoryTokens))
 }
 
 // zonePenalty is what another zone costs: a little time, and priced bytes.
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -47,9 +47,22 @@
 	ejectSamples = 4
 )
 
+// Load is what one instance has to do.
+type Load struct {
+	// Requests counts requests in progress.
+	Requests int `msgpack:"r"`
+	// PromptTokens is the prompts of those that have not begun to answer.
+	PromptTokens int `msgpack:"t,omitempty"`
+}
+
+func (l *Load) add(other Load) {
+	l.Requests += other.Requests
+	l.PromptTokens += other.PromptTokens
+}
+
 // instanceState is what is observed of one instance.
 type instanceState struct {
-	own        int
+	own        Load
 	errorShare float64
 	samples    int
 	ejections  int
@@ -64,11 +77,13 @@
 	instances map[string]*instanceState
 	peers     map[string]peerLoad
 	missing   map[missingKey]time.Time
+	// changed tells that the own load has changed.
+	changed chan struct{}
 }
 
 type peerLoad struct {
-	at     time.Time
-	counts map[string]int
+	at    time.Time
+	loads map[string]Load
 }
 
 // missingKey names something that an instance turned out not to have.
@@ -78,6 +93,17 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		instances: map[string]*instanceState{}, peers: map[string]peerLoad{}, missing: map[missingKey]time.Time{},
+		changed: make(chan struct{}, 1),
+	}
+}
+
+// Changed gives a signal after changes of the own load.
+func (t *Tracker) Changed() <-chan struct{} { return t.changed }
+
+func (t *Tracker) signal() {
+	select {
+	case t.changed <- struct{}{}:
+	default:
 	}
 }
 
@@ -91,10 +117,19 @@
 }
 
 // Begin counts a request that is sent to an instance.
-func (t *Tracker) Begin(id string) {
+func (t *Tracker) Begin(id string, promptTokens int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.state(id).own.add(Load{Requests: 1, PromptTokens: promptTokens})
+	t.signal()
+}
+
+// Started notes that the instance has read the prompt of a request.
+func (t *Tracker) Started(id string, promptTokens int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.state(id).own++
+	t.state(id).own.PromptTokens -= promptTokens
+	t.signal()
 }
 
 // End counts the end of a request, and what it says about the instance.
@@ -103,7 +138,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	state := t.state(id)
-	state.own--
+	state.own.Requests--
 	switch outcome {
 	case Served:
 		state.unreached = 0
@@ -155,24 +190,24 @@
 	return true
 }
 
-// SetPeer takes in the requests in progress at another daemon.
-func (t *Tracker) SetPeer(now time.Time, peer string, counts map[string]int) {
+// SetPeer takes in the load that another daemon puts on instances.
+func (t *Tracker) SetPeer(now time.Time, peer string, loads map[string]Load) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.peers[peer] = peerLoad{at: now, counts: counts}
+	t.peers[peer] = peerLoad{at: now, loads: loads}
 }
 
-// Own returns the requests in progress from here, by instance.
-func (t *Tracker) Own() map[string]int {
+// Own returns the load from here, by instance.
+func (t *Tracker) Own() map[string]Load {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	counts := map[string]int{}
+	loads := map[string]Load{}
 	for id, state := range t.instances {
-		if state.own > 0 {
-			counts[id] = state.own
+		if state.own.Requests > 0 {
+			loads[id] = state.own
 		}
 	}
-	return counts
+	return loads
 }
 
 // Missing notes that an instance does not have a model or adapter after all.
@@ -187,7 +222,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for id, state := range t.instances {
-		if state.own == 0 && !present(id) {
+		if state.own.Requests == 0 && !present(id) {
 			delete(t.instances, id)
 		}
 	}
@@ -205,7 +240,7 @@
 
 // status is what the picker needs of one instance.
 type status struct {
-	load      int
+	load      Load
 	available bool
 	// missing says that the instance lacks what the request needs.
 	missing bool
@@ -222,7 +257,7 @@
 		load := state.own
 		for _, peer := range t.peers {
 			if now.Sub(peer.at) <= peerExpiry {
-				load += peer.counts[id]
+				load.add(peer.loads[id])
 			}
 		}
 		into = append(into, status{load: load, available: available, missing: missing})
--- a/coordination/demand.go
+++ b/coordination/demand.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/residency"
 )
 
@@ -88,40 +89,48 @@
 // of returns the demand for the models of a service.
 func (d *demandState) of(service string) map[string]residency.Demand { return d.current[service] }
 
-// ObserveOwn takes in what this daemon has in progress. Urgent says that a
-// request has begun to wait for a model or adapter: the holder hears at once.
-func (n *Node) ObserveOwn(now time.Time, requests map[string]int, models []ModelLoad, urgent bool) []Action {
+// Urgency says why the own load is told.
+type Urgency uint8
+
+// Urgencies, least first.
+const (
+	// UrgencyNone is a regular telling.
+	UrgencyNone Urgency = iota
+	// UrgencyLoad says that the load has changed.
+	UrgencyLoad
+	// UrgencyWant says that a request has begun to wait for a model or adapter.
+	UrgencyWant
+)
+
+// ObserveOwn takes in what this daemon has in progress, and tells the others.
+func (n *Node) ObserveOwn(now time.Time, requests map[string]balance.Load, models []ModelLoad, urgency Urgency) []Action {
 	n.demand.own = map[modelKey]ModelLoad{}
 	for _, load := range models {
 		n.demand.own[modelKey{load.Service, load.Model}] = load
 	}
-	load := Load{Requests: requests, Models: models}
+	load := Load{Requests: requests, Models: models, Versions: n.versions()}
 	if n.held {
 		load.Fence, _ = n.lease.MayOrder(now)
+		load.Lease = n.lease.Revision()
+	}
+	n.shareDue = n.shareDue || urgency != UrgencyNone
+	pause := n.settings.ShareEvery
+	if n.shareDue {
+		pause = n.settings.ShareSoon
 	}
 	switch {
-	case now.Sub(n.sharedAt) >= n.settings.ShareEvery:
+	case now.Sub(n.sharedAt) >= pause:
 		n.sharedAt = now
+		n.shareDue = false
 		n.broadcast(Message{From: n.self, Load: &load})
-	case urgent && !n.held:
+	case urgency == UrgencyWant && !n.held:
 		if holder, found := n.detector.Lookup(n.holderName); found {
 			n.do(SendPeer{Address: holder.PeerAddress, Message: Message{From: n.self, Load: &load}})
 		}
 	}
-	if urgent && n.held {
+	if urgency == UrgencyWant && n.held {
 		n.demand.tick(now, n.settings.DemandHalfLife, n.peers)
 		n.plan(now)
 	}
 	return n.take()
 }
-
-// PeerRequests returns what another daemon has in progress at each instance.
-func (n *Node) PeerRequests(now time.Time) map[string]map[string]int {
-	counts := map[string]map[string]int{}
-	for name, peer := range n.peers {
-		if now.Sub(peer.at) <= peerExpiry {
-			counts[name] = peer.load.Requests
-		}
-	}
-	return counts
-}
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -32,6 +32,8 @@
 	demand   demandState
 	peers    map[string]peerState
 
+	sources     map[Source]*sourceState
+	shareDue    bool
 	lastHolder  time.Time
 	holderName  string
 	held        bool
@@ -65,6 +67,7 @@
 		instances: feed.NewMirror[*fleet.Instance](),
 		facts:     map[string]fact{}, reports: map[string]*reportState{}, listedAt: map[string]time.Time{}, peers: map[string]peerState{},
 		demand: newDemandState(), lastHolder: now,
+		sources: map[Source]*sourceState{SourceConfiguration: {}, SourceInstances: {}},
 	}
 	node.detector.SetSeeds(seeds)
 	return node
@@ -97,6 +100,7 @@
 	for _, packet := range n.detector.Tick(now) {
 		n.sendProbe(packet)
 	}
+	n.tickSources(now)
 	n.tickLease(now)
 	n.demand.tick(now, n.settings.DemandHalfLife, n.peers)
 	n.tickReports(now)
@@ -121,6 +125,15 @@
 	if message.Load != nil {
 		n.takeLoad(now, message.From, *message.Load)
 	}
+	if message.Ask != nil {
+		n.answerAsk(message.From, *message.Ask)
+	}
+	if message.Configuration != nil {
+		n.learnConfiguration(message.Configuration)
+	}
+	if message.Instances != nil {
+		n.takeListing(now, message.Instances)
+	}
 	for _, told := range message.Facts {
 		n.learn(told, now.Add(-told.Age))
 	}
@@ -129,12 +142,14 @@
 
 func (n *Node) takeLoad(now time.Time, from string, load Load) {
 	n.peers[from] = peerState{load: load, at: now}
+	n.noteVersions(from, load.Versions)
 	if load.Fence != 0 {
 		if n.holderName != from {
 			n.decide("lease", "Holder heard.", "holder", from, "fence", load.Fence)
 		}
 		n.holderName = from
 		n.lastHolder = now
+		n.lease.Heard(now, load.Lease)
 	}
 	if n.held && waits(load) {
 		n.demand.tick(now, n.settings.DemandHalfLife, n.peers)
@@ -154,13 +169,17 @@
 
 // ConfigurationLearned takes in a configuration; older versions are dropped.
 func (n *Node) ConfigurationLearned(configuration *fleet.Configuration) []Action {
+	n.learnConfiguration(configuration)
+	return n.take()
+}
+
+func (n *Node) learnConfiguration(configuration *fleet.Configuration) {
 	if n.configuration != nil && configuration.Version <= n.configuration.Version {
-		return n.take()
+		return
 	}
 	n.configuration = configuration
 	n.viewStale = true
 	n.decide("configuration", "In force.", "version", configuration.Version, "routes", len(configuration.Routes), "services", len(configuration.Services))
-	return n.take()
 }
 
 // InstancesListed takes in a full list of instances.
--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -107,6 +107,10 @@
 	}
 	for _, order := range orders {
 		n.book.Sending(now, order)
+		if !order.Load {
+			// Nobody sends requests any more for what is about to go.
+			n.tellFact(now, order.Instance, order.Expected)
+		}
 		n.decide("orders", "Sent.", "instance", order.Instance, "load", order.Load, "model", order.Model, "adapter", order.Adapter,
 			"expected", order.Expected, "fence", fence, "reason", order.Reason)
 		n.do(SendOrder{Order: order, Fence: fence, Until: n.lease.ValidUntil()})
@@ -179,16 +183,23 @@
 		state.next = now.Add(2 * n.settings.ReportSoon)
 	}
 	n.book.Report(askedAt, instance, report)
-	told := Fact{Instance: instance, Sequence: report.Sequence, Residents: report.Residents}
-	n.learn(told, askedAt)
-	if told.Sequence != state.sent.Sequence || !sameResidents(told.Residents, state.sent.Residents) {
-		state.sent = told
-		n.broadcast(Message{From: n.self, Facts: []Fact{told}})
-	}
+	n.tellFact(askedAt, instance, report.Sequence)
 	n.plan(now)
 	return n.take()
 }
 
+// tellFact tells the other daemons what a server serves, if that is news.
+func (n *Node) tellFact(at time.Time, instance string, sequence uint64) {
+	state := n.reports[instance]
+	told := Fact{Instance: instance, Sequence: sequence, Residents: n.book.Residents(instance)}
+	n.learn(told, at)
+	if state == nil || told.Sequence == state.sent.Sequence && sameResidents(told.Residents, state.sent.Residents) {
+		return
+	}
+	state.sent = told
+	n.broadcast(Message{From: n.self, Facts: []Fact{told}})
+}
+
 // tellAllFacts repeats everything from time to time, for daemons that missed a
 // message or have just started.
 func (n *Node) tellAllFacts(now time.Time) {
--- a/coordination/types.go
+++ b/coordination/types.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/lease"
 	"github.com/wheatweir/wheatweir/member"
@@ -20,20 +21,57 @@
 	Probe *member.Message `msgpack:"p,omitempty"`
 	// Load is what the sender has in progress.
 	Load *Load `msgpack:"l,omitempty"`
+	// Ask asks for what the sender lacks while it can't reach the store.
+	Ask *Versions `msgpack:"a,omitempty"`
+	// Configuration and Instances answer that.
+	Configuration *fleet.Configuration `msgpack:"c,omitempty"`
+	Instances     *Listing             `msgpack:"i,omitempty"`
 	// Facts are reports of model servers, told by the holder of the lease.
 	Facts []Fact `msgpack:"r,omitempty"`
 }
 
 // Load is what one daemon has in progress and waits for.
 type Load struct {
+	Versions
 	// Fence is the fencing token if the sender holds the lease, else zero.
 	Fence uint64 `msgpack:"f,omitempty"`
-	// Requests counts requests in progress by instance.
-	Requests map[string]int `msgpack:"r,omitempty"`
+	// Lease is the revision of the sender's newest renewal.
+	Lease uint64 `msgpack:"l,omitempty"`
+	// Requests is the load by instance.
+	Requests map[string]balance.Load `msgpack:"r,omitempty"`
 	// Models tells of the demand.
 	Models []ModelLoad `msgpack:"m,omitempty"`
 }
 
+// Versions say how new a daemon's knowledge is.
+type Versions struct {
+	// Configuration is the version of the configuration, zero if none is known.
+	Configuration uint64 `msgpack:"c,omitempty"`
+	// Instances is the newest revision of any instance.
+	Instances uint64 `msgpack:"i,omitempty"`
+}
+
+// Listing is the list of all instances at a revision of the store.
+type Listing struct {
+	At    uint64           `msgpack:"a"`
+	Items []ListedInstance `msgpack:"i"`
+}
+
+// ListedInstance is one instance with the revision of its last change.
+type ListedInstance struct {
+	Revision uint64         `msgpack:"r"`
+	Value    fleet.Instance `msgpack:"v"`
+}
+
+// Source names a collection of the store.
+type Source string
+
+// Collections of the store that every daemon follows.
+const (
+	SourceConfiguration Source = "configuration"
+	SourceInstances     Source = "instances"
+)
+
 // ModelLoad is the demand for one model at one daemon.
 type ModelLoad struct {
 	Service string `msgpack:"s"`
@@ -73,6 +111,10 @@
 	Address  string
 }
 
+// Refresh makes the driver list a collection again, because another daemon knows
+// of something newer.
+type Refresh struct{ Source Source }
+
 // SendOrder sends an order; OrderAnswered takes the answer.
 type SendOrder struct {
 	Order residency.Order
@@ -89,6 +131,7 @@
 }
 
 func (SendPeer) action()  {}
+func (Refresh) action()   {}
 func (CallLease) action() {}
 func (AskReport) action() {}
 func (SendOrder) action() {}
@@ -99,14 +142,21 @@
 	Member    member.Settings
 	Lease     lease.Settings
 	Residency residency.Settings
-	// ShareEvery is the time between two messages about load.
+	// ShareEvery is the time between two messages about load, ShareSoon the
+	// least time after a change.
 	ShareEvery time.Duration
+	ShareSoon  time.Duration
 	// ReportEvery is the time between two questions to a model server that is
 	// at rest, ReportSoon after an order.
 	ReportEvery time.Duration
 	ReportSoon  time.Duration
 	// FactsEvery is the time between two tellings of all facts.
 	FactsEvery time.Duration
+	// RefreshAfter is how long this daemon may know less than another one before
+	// it lists again.
+	RefreshAfter time.Duration
+	// ChecksFence says that servers turn away orders with a lower fencing token.
+	ChecksFence bool
 	// PlanEvery is the time between two plans without a cause.
 	PlanEvery time.Duration
 	// DemandHalfLife is how fast past demand is forgotten.
@@ -125,9 +175,12 @@
 		Lease:          lease.DefaultSettings(term),
 		Residency:      residency.DefaultSettings(),
 		ShareEvery:     200 * time.Millisecond,
+		ShareSoon:      10 * time.Millisecond,
 		ReportEvery:    time.Second,
 		ReportSoon:     120 * time.Millisecond,
 		FactsEvery:     3 * time.Second,
+		RefreshAfter:   150 * time.Millisecond,
+		ChecksFence:    true,
 		PlanEvery:      200 * time.Millisecond,
 		DemandHalfLife: 4 * time.Second,
 		MaxPeers:       16,
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -66,6 +66,7 @@
 	tracker  *balance.Tracker
 	budget   *retry.Budget
 	wants    *wants
+	refresh  map[coordination.Source]chan struct{}
 	peers    *peer.Transport[coordination.Message]
 	servers  []*http.Server
 
@@ -91,6 +92,9 @@
 		reports: ring.New[coordination.AskReport](callRingSize), orders: ring.New[coordination.SendOrder](callRingSize),
 		store: platform.NewStore(settings.StoreAddress), engines: platform.NewEngines(), upstream: platform.NewUpstream(),
 		tracker: balance.NewTracker(), wants: newWants(), failed: make(chan error, 1), ctx: ctx, cancel: cancel,
+		refresh: map[coordination.Source]chan struct{}{
+			coordination.SourceConfiguration: make(chan struct{}, 1), coordination.SourceInstances: make(chan struct{}, 1),
+		},
 	}
 	d.live.Store(1)
 	// Half of the slack is left to clients' own repeats that arrive twice.
@@ -138,6 +142,10 @@
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	settings := coordination.DefaultSettings(d.settings.LeaseTerm)
+	if d.settings.ChecksFence {
+		// Servers turn away what an earlier holder still sends.
+		settings.Lease.OrderPause = 0
+	}
 	d.node = coordination.New(d.started, self, settings, d.settings.Seeds, random)
 }
 
@@ -154,14 +162,14 @@
 	}
 	d.startDuty("configuration", func() {
 		source := d.store.Configurations()
-		follow(d, "configuration", source, d.configurationsLearned, d.configurationsLearned)
+		follow(d, coordination.SourceConfiguration, source, d.configurationsLearned, d.configurationsLearned)
 	})
 	d.startDuty("instances", func() {
 		source := d.store.Servers()
 		source.Skipped = func(name string, err error) {
 			d.log.add("instances", "Not understood.", "instance", name, "error", err)
 		}
-		follow(d, "instances", source, (*coordination.Node).InstancesListed, (*coordination.Node).InstancesChanged)
+		follow(d, coordination.SourceInstances, source, (*coordination.Node).InstancesListed, (*coordination.Node).InstancesChanged)
 	})
 }
 
@@ -217,6 +225,12 @@
 	// keptFactor is how much longer than allowed some clients keep an answer
 	// about addresses.
 	keptFactor = 3
+	// graceShare bounds how long a stopping daemon takes new requests: a stream
+	// that begins later may not end within the grace.
+	graceShare = 2
+	// acceptMargin is how much sooner than clients' answers expire the daemon
+	// stops taking requests, so that none is on its way at that moment.
+	acceptMargin = 100 * time.Millisecond
 	// stopPoll is the pause between two looks at whether a stop is safe.
 	stopPoll = 50 * time.Millisecond
 	// stopMargin is how long before the end of the grace the daemon ends.
@@ -231,7 +245,7 @@
 	d.log.add("daemon", "Stop begins.", "requests", d.gateway.Active())
 	d.stopping.Store(true)
 	d.events.Put(d.ctx, func(node *coordination.Node, _ time.Time) []coordination.Action { return node.Leave() })
-	kept := keptFactor*d.settings.AddressKeep + 200*time.Millisecond
+	kept := min(keptFactor*d.settings.AddressKeep, d.settings.Grace/graceShare) - acceptMargin
 	for time.Since(begun) < d.settings.Grace-stopMargin {
 		if time.Since(begun) > kept {
 			d.closing.Store(true)
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/feed"
 	"github.com/wheatweir/wheatweir/member"
@@ -23,18 +25,17 @@
 		case happened := <-d.events.Items():
 			d.perform(happened(d.node, time.Now()))
 		case <-d.wants.urgent:
-			d.perform(d.node.ObserveOwn(time.Now(), d.tracker.Own(), d.wants.all(), true))
+			d.perform(d.node.ObserveOwn(time.Now(), d.tracker.Own(), d.wants.all(), coordination.UrgencyWant))
+		case <-d.tracker.Changed():
+			d.perform(d.node.ObserveOwn(time.Now(), d.tracker.Own(), d.wants.all(), coordination.UrgencyLoad))
 		}
 		d.publish()
 	}
 }
 
 func (d *Daemon) tick(now time.Time) {
-	d.perform(d.node.ObserveOwn(now, d.tracker.Own(), d.wants.all(), false))
+	d.perform(d.node.ObserveOwn(now, d.tracker.Own(), d.wants.all(), coordination.UrgencyNone))
 	d.perform(d.node.Tick(now))
-	for name, counts := range d.node.PeerRequests(now) {
-		d.tracker.SetPeer(now, name, counts)
-	}
 	view := d.gateway.View()
 	d.tracker.Forget(now, func(id string) bool { return view.Instance(id) != nil })
 	d.publishAddresses()
@@ -90,6 +91,11 @@
 			d.reports.Offer(action)
 		case coordination.SendOrder:
 			d.orders.Offer(action)
+		case coordination.Refresh:
+			select {
+			case d.refresh[action.Source] <- struct{}{}:
+			default:
+			}
 		case coordination.Decision:
 			d.log.add(action.Part, action.Text, action.Fields...)
 		}
@@ -97,6 +103,9 @@
 }
 
 func (d *Daemon) receive(message coordination.Message) {
+	if message.Load != nil {
+		d.tracker.SetPeer(time.Now(), message.From, message.Load.Requests)
+	}
 	d.events.Offer(func(node *coordination.Node, now time.Time) []coordination.Action {
 		return node.Receive(now, message)
 	})
@@ -139,44 +148,117 @@
 	}
 }
 
-// follow keeps a collection up to date: a list, then changes, and a list again
-// whenever the history is gone.
-func follow[T any](d *Daemon, name string, source feed.Source[T],
-	listed, changed func(*coordination.Node, time.Time, feed.Batch[T]) []coordination.Action,
-) {
-	const firstPause, lastPause = 50 * time.Millisecond, time.Second
+// follower keeps one collection up to date: a list, then changes, and a list again
+// whenever the history is gone, another daemon knows more, or the store was away.
+type follower[T any] struct {
+	daemon    *Daemon
+	name      coordination.Source
+	source    feed.Source[T]
+	listed    taker[T]
+	changed   taker[T]
+	at        uint64
+	known     bool
+	available bool
+}
+
+// taker hands a batch to the node.
+type taker[T any] func(*coordination.Node, time.Time, feed.Batch[T]) []coordination.Action
+
+const (
+	firstPause = 40 * time.Millisecond
+	lastPause  = 600 * time.Millisecond
+)
+
+func follow[T any](d *Daemon, name coordination.Source, source feed.Source[T], listed, changed taker[T]) {
+	f := &follower[T]{daemon: d, name: name, source: source, listed: listed, changed: changed, available: true}
 	pause := firstPause
-	available := true
-	at, known := uint64(0), false
 	for d.ctx.Err() == nil {
-		var batch feed.Batch[T]
-		var err error
-		take := listed
-		if known {
-			take = changed
-			batch, err = source.Watch(d.ctx, at, d.settings.WatchWait)
-		} else {
-			batch, err = source.List(d.ctx)
-		}
-		if available != (err == nil) && !feed.ErrHistoryGone.Has(err) {
-			available = err == nil
-			d.log.add(name, "Source.", "available", available, "at", at, "error", err)
-		}
-		switch {
-		case err == nil:
+		if f.step() {
 			pause = firstPause
-			at, known = max(at, batch.At), true
-			d.events.Put(d.ctx, func(node *coordination.Node, now time.Time) []coordination.Action { return take(node, now, batch) })
 			continue
-		case feed.ErrHistoryGone.Has(err):
-			d.log.add(name, "History gone; listing again.", "at", at)
-			known = false
 		}
-		sleep(d.ctx, pause/2+rand.N(pause))
+		// Half of the pause is random, so that daemons do not ask in step.
+		sleep(d.ctx, pause/2+rand.N(pause/2))
 		pause = min(2*pause, lastPause)
 	}
 }
 
+// step makes one call and reports whether it succeeded.
+func (f *follower[T]) step() bool {
+	take, call := f.listed, f.source.List
+	if f.known {
+		take, call = f.changed, f.watch
+	}
+	batch, err := f.interruptible(call)
+	if errRefresh.Has(err) {
+		f.known = false
+		return true
+	}
+	if err != nil {
+		f.failed(err)
+		return false
+	}
+	f.setAvailable(true, nil)
+	f.at, f.known = max(f.at, batch.At), true
+	f.daemon.events.Put(f.daemon.ctx, func(node *coordination.Node, now time.Time) []coordination.Action {
+		return take(node, now, batch)
+	})
+	return true
+}
+
+func (f *follower[T]) watch(ctx context.Context) (feed.Batch[T], error) {
+	return f.source.Watch(ctx, f.at, f.daemon.settings.WatchWait)
+}
+
+// interruptible makes a call that ends early when the collection should be listed
+// again.
+func (f *follower[T]) interruptible(call func(context.Context) (feed.Batch[T], error)) (feed.Batch[T], error) {
+	if !f.known {
+		return call(f.daemon.ctx)
+	}
+	ctx, cancel := context.WithCancelCause(f.daemon.ctx)
+	defer cancel(nil)
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-f.daemon.refresh[f.name]:
+			cancel(errRefresh.New("another daemon knows more"))
+		case <-ended:
+		}
+	}()
+	batch, err := call(ctx)
+	if err != nil && errRefresh.Has(context.Cause(ctx)) {
+		err = context.Cause(ctx)
+	}
+	return batch, err
+}
+
+// errRefresh ends a watch because the collection should be listed again.
+var errRefresh = errs.Class("entry: refresh")
+
+// failed makes the next call a list, which is answered at once or not at all: a
+// watch on a silent store would hide its return for as long as the watch waits.
+func (f *follower[T]) failed(err error) {
+	f.known = false
+	if feed.ErrHistoryGone.Has(err) {
+		f.daemon.log.add(string(f.name), "History gone; listing again.", "at", f.at)
+		return
+	}
+	f.setAvailable(false, err)
+}
+
+func (f *follower[T]) setAvailable(available bool, err error) {
+	if f.available == available {
+		return
+	}
+	f.available = available
+	f.daemon.log.add(string(f.name), "Store.", "available", available, "at", f.at, "error", err)
+	f.daemon.events.Put(f.daemon.ctx, func(node *coordination.Node, _ time.Time) []coordination.Action {
+		return node.SourceAvailable(f.name, available)
+	})
+}
+
 func sleep(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -95,7 +95,7 @@
 		fields = append(fields, "instance", event.Instance, "attempt", event.Attempt)
 	}
 	if event.Step == "sent" {
-		fields = append(fields, "load", event.Load)
+		fields = append(fields, "load", event.Load.Requests, "prompt_tokens", event.Load.PromptTokens)
 	}
 	if event.Status != 0 {
 		fields = append(fields, "status", event.Status)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -38,6 +38,8 @@
 	Grace time.Duration
 	// LeaseTerm is the term of the lease on orders.
 	LeaseTerm time.Duration
+	// ChecksFence says that model servers turn away orders with a lower token.
+	ChecksFence bool
 	// RetryShare is the share of requests that may be sent a second time over
 	// all daemons, RetrySlack how many more in one window.
 	RetryShare float64
@@ -79,6 +81,7 @@
 		inifile.Duration("requests", "grace", &s.Grace, time.Second, time.Hour),
 		inifile.Number("requests", "retry_share", &s.RetryShare, 0, 1),
 		inifile.Integer("requests", "retry_slack", &s.RetrySlack, 0, 1000000),
+		inifile.Boolean("orders", "checks_fence", &s.ChecksFence),
 		inifile.Duration("orders", "lease_term", &s.LeaseTerm, 100*time.Millisecond, time.Hour),
 	}
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -47,7 +47,9 @@
 type Mirror[T any] struct {
 	items map[string]Item[T]
 	at    uint64
-	known bool
+	// newest is the newest revision of a live item that was taken in.
+	newest uint64
+	known  bool
 }
 
 // NewMirror returns an empty mirror.
@@ -56,6 +58,10 @@
 // At returns the revision up to which the mirror is complete.
 func (m *Mirror[T]) At() uint64 { return m.at }
 
+// Newest returns the newest revision of an item that was taken in. Unlike At it is
+// the same for all mirrors that know the same items.
+func (m *Mirror[T]) Newest() uint64 { return m.newest }
+
 // Known reports whether a list was taken in.
 func (m *Mirror[T]) Known() bool { return m.known }
 
@@ -111,6 +117,7 @@
 			delete(m.items, item.Name)
 		} else {
 			m.items[item.Name] = item
+			m.newest = max(m.newest, item.Revision)
 		}
 		changed = append(changed, item)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -41,7 +41,9 @@
 	// mayHaveRun says that an instance may have run the request.
 	mayHaveRun bool
 	// begun says that the client has a part of an answer.
-	begun       bool
+	begun bool
+	// reading says that the instance has not begun to answer.
+	reading     bool
 	resumeAfter string
 }
 
@@ -185,11 +187,19 @@
 func (e *exchange) pick(view *fleet.View) *balance.Candidate {
 	request := balance.Request{
 		Model: e.request.Model, Adapter: e.request.Adapter, Zone: e.gateway.settings.Zone,
-		Affinity: e.affinity(), Excluded: append(e.passed, e.sentTo...),
+		Affinity: e.affinity(), MemoryTokens: memoryTokens(view, e.service), Excluded: append(e.passed, e.sentTo...),
 	}
 	return e.gateway.picker.Pick(time.Now(), view.Instances(e.service), &request)
 }
 
+func memoryTokens(view *fleet.View, name string) int {
+	service := view.Service(name)
+	if service == nil || service.Engine == nil {
+		return 0
+	}
+	return service.Engine.MemoryTokens
+}
+
 // affinity is equal for requests that share the first part of their prompt.
 func (e *exchange) affinity() uint64 {
 	if len(e.request.Prompt) == 0 {
@@ -222,7 +232,8 @@
 		return verdictUnreached
 	}
 	e.observe(Event{Step: "sent", Instance: id, Load: candidate.Load})
-	e.gateway.tracker.Begin(id)
+	e.gateway.tracker.Begin(id, e.request.PromptTokens)
+	e.reading = true
 	response, err := e.gateway.upstream.Send(ctx, outbound)
 	if err != nil {
 		return e.failedSend(ctx, id, err)
@@ -286,7 +297,16 @@
 	return verdictDeclined
 }
 
+// started notes that the instance has begun to answer.
+func (e *exchange) started(id string) {
+	if e.reading {
+		e.reading = false
+		e.gateway.tracker.Started(id, e.request.PromptTokens)
+	}
+}
+
 func (e *exchange) end(id string, outcome balance.Outcome) {
+	e.started(id)
 	view := e.gateway.view.Load()
 	instances := view.Instances(e.service)
 	siblings := make([]string, len(instances))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,8 +71,8 @@
 	Attempt  int
 	Status   int
 	Reason   string
-	// Load is the number of requests that the instance was believed to have.
-	Load int
+	// Load is what the instance was believed to have to do.
+	Load balance.Load
 	// Version is the configuration that decided.
 	Version uint64
 	Err     error
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -13,6 +13,10 @@
 const (
 	statusOK          = 200
 	statusServerError = 500
+
+	statusRequestTimeout  = 408
+	statusMisdirected     = 421
+	statusTooManyRequests = 429
 )
 
 // pass hands an answer on to the client.
@@ -37,7 +41,7 @@
 		e.end(id, balance.Served)
 		return e.passLarge(ctx, id, response, body)
 	}
-	genuine := response.Signed() || response.Status() >= 300
+	genuine := (response.Signed() || response.Status() >= 300) && !promisesNotRun(response.Status())
 	if response.Status() >= statusServerError || !genuine {
 		e.end(id, balance.Failed)
 		if !genuine || e.canRepeatFailure() {
@@ -58,6 +62,16 @@
 	return verdictEnded
 }
 
+// promisesNotRun reports whether a status tells the client that the request has
+// not run. An instance that ran it may not say so to the client.
+func promisesNotRun(status int) bool {
+	switch status {
+	case statusUnavailable, statusTooManyRequests, statusRequestTimeout, statusMisdirected:
+		return true
+	}
+	return false
+}
+
 // canRepeatFailure reports whether an answer that tells of a failure may be
 // dropped because another instance can be tried.
 func (e *exchange) canRepeatFailure() bool {
@@ -101,6 +115,7 @@
 	for {
 		count, err := response.Read(buffer)
 		if count > 0 {
+			e.started(id)
 			piece := buffer[:count]
 			if e.route.Resumable {
 				piece = events.whole(piece)
--- a/inifile/field.go
+++ b/inifile/field.go
@@ -101,6 +101,19 @@
 	}
 }
 
+// Boolean declares a choice of yes or no.
+func Boolean(section, name string, target *bool) Field {
+	return Field{
+		Section: section, Name: name, Form: "true or false",
+		Parse: func(text string) bool {
+			value, err := strconv.ParseBool(text)
+			*target = value
+			return err == nil
+		},
+		Show: func() string { return strconv.FormatBool(*target) },
+	}
+}
+
 // Duration declares a time in a range.
 func Duration(section, name string, target *time.Duration, least, most time.Duration) Field {
 	return Field{
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -37,15 +37,19 @@
 	Term time.Duration
 	// RenewEvery is the time between two renewals.
 	RenewEvery time.Duration
+	// OrderPause is how long a holder that took over from another one sends no
+	// orders.
+	OrderPause time.Duration
 	// Margin is how long before the end of the term the holder stops.
 	Margin time.Duration
 	// CallTimeout is after how long an unanswered call is given up.
 	CallTimeout time.Duration
 }
 
-// DefaultSettings returns settings for a term.
+// DefaultSettings returns settings for a term, for servers that check no fencing
+// token: orders of two holders then must never alternate within a term.
 func DefaultSettings(term time.Duration) Settings {
-	return Settings{Term: term, RenewEvery: term / 3, Margin: term / 6, CallTimeout: term / 4}
+	return Settings{Term: term, RenewEvery: term / 3, OrderPause: term, Margin: term / 6, CallTimeout: term / 4}
 }
 
 // Call is what the driver has to do: read the record, or write one.
@@ -107,8 +111,7 @@
 func (l *Lease) ValidUntil() time.Time { return l.validUntil }
 
 // MayOrder reports whether orders may be sent now, and their fencing token. A
-// holder that took over from another waits a term first, so that orders of two
-// holders never alternate within a term.
+// holder that took over from another one waits first, if the settings say so.
 func (l *Lease) MayOrder(now time.Time) (fence uint64, ok bool) {
 	return l.fence, l.Held(now) && !now.Before(l.firstOrder)
 }
@@ -220,7 +223,7 @@
 	l.fence = fence
 	l.firstOrder = l.calledAt
 	if wait {
-		l.firstOrder = l.calledAt.Add(l.settings.Term)
+		l.firstOrder = l.calledAt.Add(l.settings.OrderPause)
 	}
 }
 
@@ -239,7 +242,7 @@
 			fence = stored.Revision
 		}
 		l.begin(true, fence)
-		l.firstOrder = now.Add(l.settings.Term)
+		l.firstOrder = now.Add(l.settings.OrderPause)
 		l.validUntil = l.calledAt
 	}
 }
@@ -254,6 +257,23 @@
 	l.known = true
 }
 
+// Revision is the revision of the newest record that is known.
+func (l *Lease) Revision() uint64 { return l.stored.Revision }
+
+// Heard takes in that the holder renewed the lease with the given revision. That
+// the record is unchanged since now can then be told without asking the store.
+func (l *Lease) Heard(now time.Time, revision uint64) {
+	if l.held || revision <= l.stored.Revision {
+		return
+	}
+	l.stored = Stored{Record: Record{Holder: heardHolder}, Revision: revision}
+	l.unchanged = now
+	l.known = true
+}
+
+// heardHolder stands for a holder whose record was not read.
+const heardHolder = "(heard)"
+
 // Lost makes this candidate give up the lease at once: a server told of a higher
 // fencing token.
 func (l *Lease) Lost() {
--- a/residency/book.go
+++ b/residency/book.go
@@ -104,6 +104,12 @@
 		return
 	}
 	known.sending = &order
+	if order.RoomFor != "" {
+		known.reservedFor, known.reservedUntil = order.RoomFor, now.Add(b.settings.Reserve)
+	}
+	if order.Load && order.Model == known.reservedFor {
+		known.reservedFor = ""
+	}
 	if order.FromStore {
 		b.storeLoads = append(b.storeLoads, now)
 	}
@@ -152,3 +158,52 @@
 	})
 	return int(loadsPerSecond*b.settings.Window.Seconds()) - len(b.storeLoads)
 }
+
+// Residents returns what a server serves, as far as its last report tells,
+// without what it was ordered to unload.
+func (b *Book) Residents(id string) []fleet.Resident {
+	known := b.servers[id]
+	if known == nil {
+		return nil
+	}
+	unloading := known.unloading()
+	residents := make([]fleet.Resident, 0, len(known.report.Residents))
+	for _, resident := range known.report.Residents {
+		if unloading[fleet.AdapterOf{Model: resident.Model}] {
+			continue
+		}
+		kept := fleet.Resident{Model: resident.Model, Adapters: make([]string, 0, len(resident.Adapters))}
+		for _, adapter := range resident.Adapters {
+			if !unloading[fleet.AdapterOf{Model: resident.Model, Adapter: adapter}] {
+				kept.Adapters = append(kept.Adapters, adapter)
+			}
+		}
+		residents = append(residents, kept)
+	}
+	return residents
+}
+
+// unloading is what orders that are not visible yet take away.
+func (s *server) unloading() map[fleet.AdapterOf]bool {
+	gone := map[fleet.AdapterOf]bool{}
+	for _, order := range s.pending() {
+		if !order.Load {
+			gone[fleet.AdapterOf{Model: order.Model, Adapter: order.Adapter}] = true
+		}
+	}
+	return gone
+}
+
+// pending lists the orders that may have been taken but are not visible yet.
+func (s *server) pending() []Order {
+	orders := make([]Order, 0, len(s.accepted)+2)
+	for _, order := range s.accepted {
+		orders = append(orders, order.Order)
+	}
+	for _, order := range []*Order{s.sending, s.unsettled} {
+		if order != nil {
+			orders = append(orders, *order)
+		}
+	}
+	return orders
+}
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -23,7 +23,6 @@
 	replicas map[string]int
 	// ready counts those that serve it now.
 	ready     map[string]int
-	needs     map[string]int
 	loadsLeft int
 	orders    []Order
 }
@@ -33,7 +32,7 @@
 func (b *Book) Plan(now time.Time, service string, engine *fleet.Engine, demand map[string]Demand) []Order {
 	p := &plan{
 		now: now, settings: b.settings, engine: engine, demand: demand,
-		replicas: map[string]int{}, ready: map[string]int{}, needs: map[string]int{},
+		replicas: map[string]int{}, ready: map[string]int{},
 		loadsLeft: b.storeLoadsLeft(now, engine.LoadsPerSecond),
 	}
 	for _, known := range b.servers {
@@ -45,8 +44,8 @@
 	p.count()
 	p.placeAdapters(true)
 	p.reachAll()
-	p.followDemand()
-	p.fillMemory()
+	p.placeForAdapters()
+	p.grow()
 	p.placeAdapters(false)
 	return p.orders
 }
@@ -65,17 +64,6 @@
 			}
 		}
 	}
-	for i := range p.engine.Models {
-		model := &p.engine.Models[i]
-		p.needs[model.Name] = p.need(model)
-	}
-}
-
-// need is how many replicas a model should have for its demand.
-func (p *plan) need(model *fleet.Model) int {
-	perReplica := math.Max(1, float64(p.engine.Slots)*p.settings.TargetUtilization)
-	need := int(math.Ceil(p.demand[model.Name].Concurrent / perReplica))
-	return min(max(1, need), max(1, len(p.slots)))
 }
 
 // reachAll gives every model that no server serves a first replica.
@@ -87,35 +75,58 @@
 	}
 }
 
-// followDemand adds replicas where the demand asks for more.
-func (p *plan) followDemand() {
+// placeForAdapters adds replicas of models whose adapters do not all have a
+// place, while memory is free.
+func (p *plan) placeForAdapters() {
 	for _, model := range p.modelsByDemand() {
-		for missing := p.needs[model.Name] - p.replicas[model.Name]; missing > 0; missing-- {
-			if !p.addReplica(model, "demand", true) {
-				break
-			}
+		if p.adapterPlaces(model) < model.Adapters {
+			p.addReplica(model, "adapters", false)
 		}
 	}
 }
 
-// fillMemory uses free memory: first a second replica for each model, then
-// places for adapters, then more replicas of what is asked for.
-func (p *plan) fillMemory() {
-	for _, model := range p.modelsByDemand() {
-		if p.replicas[model.Name] < p.settings.SpareReplicas {
-			p.addReplica(model, "spare", false)
+// grow gives replicas to the models whose requests gain the most, first with free
+// memory, then with memory of replicas whose loss costs less.
+func (p *plan) grow() {
+	for range p.slots {
+		model, gain := p.mostRelieved()
+		if model == nil || gain < p.settings.WarmCost || !p.addReplica(model, "demand", true) {
+			return
 		}
 	}
-	for _, model := range p.modelsByDemand() {
-		if p.adapterPlaces(model) < model.Adapters {
-			p.addReplica(model, "adapters", false)
+}
+
+// mostRelieved is the model whose requests gain the most by one more replica.
+func (p *plan) mostRelieved() (*fleet.Model, float64) {
+	var best *fleet.Model
+	bestGain := 0.0
+	for i := range p.engine.Models {
+		model := &p.engine.Models[i]
+		if gain := p.gain(model.Name); p.replicas[model.Name] < len(p.slots) && gain > bestGain {
+			best, bestGain = model, gain
 		}
 	}
-	for _, model := range p.modelsByDemand() {
-		if p.demand[model.Name].Concurrent > 0 {
-			p.addReplica(model, "headroom", false)
-		}
+	return best, bestGain
+}
+
+// gain is how many requests fewer each replica of a model has with one more.
+func (p *plan) gain(model string) float64 {
+	replicas := float64(max(1, p.replicas[model]))
+	return p.demand[model].Concurrent * (1/replicas - 1/(replicas+1))
+}
+
+// loss is how many requests more each replica of a model has with one fewer.
+func (p *plan) loss(model string) float64 {
+	replicas := float64(p.replicas[model])
+	return p.demand[model].Concurrent * (1/(replicas-1) - 1/replicas)
+}
+
+// loadCost is what a load on a server is worth.
+func (p *plan) loadCost(s *slot, model string) float64 {
+	if s.atHand[model] {
+		return p.settings.WarmCost
 	}
+	return p.settings.StoreCost
 }
 
 // adapterPlaces is how many adapters of a model are resident or have room.
@@ -158,7 +169,10 @@
 		if s.blocked || s.modelOrder || s.models[model.Name] != nil || s.freeMB < model.WeightsMB {
 			continue
 		}
-		if p.loadsLeft <= 0 && !s.atHand[model.Name] {
+		if s.reservedFor != "" && s.reservedFor != model.Name || p.loadsLeft <= 0 && !s.atHand[model.Name] {
+			continue
+		}
+		if p.replicas[model.Name] > 0 && reason == "demand" && p.loadCost(s, model.Name) > p.gain(model.Name) {
 			continue
 		}
 		if best == nil || p.betterHost(model, s, best) {
@@ -183,6 +197,9 @@
 // betterHost prefers a server with a copy at hand, then another zone than the
 // replicas there are, then free memory, then little load.
 func (p *plan) betterHost(model *fleet.Model, a, b *slot) bool {
+	if a.reservedFor != b.reservedFor {
+		return a.reservedFor == model.Name
+	}
 	if a.atHand[model.Name] != b.atHand[model.Name] {
 		return a.atHand[model.Name]
 	}
@@ -218,7 +235,7 @@
 	var bestVictim string
 	bestCost := math.Inf(1)
 	for _, s := range p.slots {
-		if s.blocked || s.modelOrder || s.models[model.Name] != nil {
+		if s.blocked || s.modelOrder || s.reservedFor != "" || s.models[model.Name] != nil {
 			continue
 		}
 		for name, held := range s.models {
@@ -231,31 +248,27 @@
 	if best == nil {
 		return false
 	}
-	p.send(best, Order{Model: bestVictim, Reason: fmt.Sprintf("room for %s", model.Name)})
+	p.send(best, Order{Model: bestVictim, RoomFor: model.Name, Reason: "room for " + model.Name})
 	best.modelOrder = true
+	best.reservedFor = model.Name
 	best.models[bestVictim].unloading = true
 	p.replicas[bestVictim]--
 	p.ready[bestVictim]--
 	return true
 }
 
-// roomUnderWay reports whether an unload that is under way makes room already.
+// roomUnderWay reports whether room for a model is being made somewhere.
 func (p *plan) roomUnderWay(model *fleet.Model) bool {
 	for _, s := range p.slots {
-		free := s.freeMB
-		for name, held := range s.models {
-			if victim := p.engine.Model(name); held.unloading && victim != nil {
-				free += victim.WeightsMB
-			}
-		}
-		if s.models[model.Name] == nil && s.modelOrder && free > s.freeMB && free >= model.WeightsMB {
+		if s.reservedFor == model.Name {
 			return true
 		}
 	}
 	return false
 }
 
-// unloadCost rates the unload of a replica, lower is better.
+// unloadCost rates the unload of a replica, lower is better. The last replica
+// that is ready is never unloaded.
 func (p *plan) unloadCost(s *slot, name string, held *holding, wanted *fleet.Model) (float64, bool) {
 	if !held.ready || held.unloading {
 		return 0, false
@@ -265,18 +278,22 @@
 		return -1, true
 	}
 	fits := s.freeMB+victim.WeightsMB+float64(len(held.adapters))*victim.AdapterMB >= wanted.WeightsMB
-	spare := p.replicas[name] > p.needs[name] && p.ready[name] > 1
-	if !fits || !spare {
+	if !fits || p.ready[name] < 2 || p.replicas[name] < 2 {
 		return 0, false
 	}
-	left := float64(p.replicas[name] - 1)
-	cost := p.demand[name].Concurrent/left + 0.2*float64(len(held.adapters)) + 0.5/left
-	if !s.atHand[wanted.Name] {
-		cost += 0.5
+	if p.loadsLeft <= 0 && !s.atHand[wanted.Name] {
+		return 0, false
+	}
+	cost := p.loss(name)*p.settings.UnloadFactor + p.loadCost(s, wanted.Name) + adapterCost*float64(len(held.adapters))
+	if p.replicas[wanted.Name] > 0 && cost > p.gain(wanted.Name) {
+		return 0, false
 	}
 	return cost, true
 }
 
+// adapterCost is what a resident adapter is worth when its model is unloaded.
+const adapterCost = 0.05
+
 func (p *plan) send(s *slot, order Order) {
 	order.Instance = s.id()
 	order.Address = s.server.instance.Address
--- a/residency/slate.go
+++ b/residency/slate.go
@@ -26,6 +26,8 @@
 	blocked    bool
 	atHand     map[string]bool
 	requests   int
+	// reservedFor is the model that free memory is kept for, or empty.
+	reservedFor string
 }
 
 // holding is one model on one server.
@@ -56,15 +58,13 @@
 	for _, model := range known.report.AtHand {
 		s.atHand[model] = true
 	}
+	if now.Before(known.reservedUntil) {
+		s.reservedFor = known.reservedFor
+	}
 	s.modelOrder = known.report.Busy
 	s.blocked = known.reportAt.IsZero() || known.sending != nil || known.unsettled != nil || now.Before(known.busyUntil)
-	for _, order := range known.accepted {
-		s.reserve(order.Order)
-	}
-	for _, order := range []*Order{known.sending, known.unsettled} {
-		if order != nil {
-			s.reserve(*order)
-		}
+	for _, order := range known.pending() {
+		s.reserve(order)
 	}
 	s.account(engine)
 	return s
--- a/residency/types.go
+++ b/residency/types.go
@@ -27,6 +27,8 @@
 	Expected uint64
 	// FromStore says that the load counts against the weight store's rate.
 	FromStore bool
+	// RoomFor is the model that an unload makes room for, or empty.
+	RoomFor string
 	// Reason says why, for the log.
 	Reason string
 }
@@ -68,30 +70,36 @@
 
 // Settings of the planner.
 type Settings struct {
-	// TargetUtilization is the share of a server's slots that one model's
-	// demand should fill before it gets another replica.
-	TargetUtilization float64
-	// SpareReplicas is how many replicas a model gets while memory is free.
-	SpareReplicas int
 	// Window is the span over which loads from the weight store are counted.
 	Window time.Duration
 	// MaxComing bounds the adapters that load on one server at once.
 	MaxComing int
+	// Reserve is how long room that was made is kept for its model.
+	Reserve time.Duration
 	// Settle is how long an accepted order may stay invisible in reports.
 	Settle time.Duration
 	// ResendAfter is how long an unanswered order waits before it is sent again.
 	ResendAfter time.Duration
+	// WarmCost and StoreCost are what a load is worth, in requests for each
+	// replica that it has to relieve: from a copy at hand, and from the store.
+	WarmCost  float64
+	StoreCost float64
+	// UnloadFactor is how much more than the loss at the victim an eviction has
+	// to gain.
+	UnloadFactor float64
 }
 
 // DefaultSettings returns the settings used unless an operator changes them.
 func DefaultSettings() Settings {
 	return Settings{
-		TargetUtilization: 0.4,
-		SpareReplicas:     2,
-		Window:            5 * time.Second,
-		MaxComing:         4,
-		Settle:            3 * time.Second,
-		ResendAfter:       300 * time.Millisecond,
+		Window:       5 * time.Second,
+		MaxComing:    4,
+		Reserve:      6 * time.Second,
+		Settle:       3 * time.Second,
+		ResendAfter:  300 * time.Millisecond,
+		WarmCost:     0.15,
+		StoreCost:    0.4,
+		UnloadFactor: 1.5,
 	}
 }
 
@@ -110,6 +118,9 @@
 	unsettledAt time.Time
 	// accepted orders are not visible in a report yet.
 	accepted []acceptedOrder
+	// reservedFor is the model that room was made for, until reservedUntil.
+	reservedFor   string
+	reservedUntil time.Time
 	// busyUntil keeps orders away after the server said that it is busy.
 	busyUntil time.Time
 }
