Place for expected demand, pace prompts, settle adapters at once

Demand is now an average that rises fast; a part of it is expected at the model after it; replicas seen at the start stand for demand until there is some; rooms for one model are made in parallel. A request waits up to 0.3 of its target while every instance has many prompts to read. An adapter order that is answered with 'done' counts at once (before: up to 1.2 s until a report showed it). Waits for an instance end before clients leave.

--- a/coordination/demand.go
+++ b/coordination/demand.go
@@ -27,7 +27,11 @@
 	}
 }
 
-// tick works the demand out anew: it rises at once and falls by half-lives.
+// riseFactor is how much faster demand rises than it falls.
+const riseFactor = 6
+
+// tick works the demand out anew: an average that rises fast and falls slowly, so
+// that one request alone does not count as much as a lasting one.
 func (d *demandState) tick(now time.Time, halfLife time.Duration, peers map[string]peerState) {
 	sums := map[modelKey]ModelLoad{}
 	for _, load := range d.own {
@@ -42,20 +46,26 @@
 			addLoad(sums, load)
 		}
 	}
-	decay := 1.0
+	elapsed := 0.0
 	if !d.at.IsZero() {
-		decay = math.Exp2(-now.Sub(d.at).Seconds() / halfLife.Seconds())
+		elapsed = now.Sub(d.at).Seconds() / halfLife.Seconds()
 	}
 	d.at = now
+	for key := range sums {
+		d.smoothed[key] += 0
+	}
 	for key, value := range d.smoothed {
-		if value *= decay; value < 0.01 {
+		target := float64(sums[key].Requests)
+		steps := elapsed
+		if target > value {
+			steps *= riseFactor
+		}
+		value = target + (value-target)*math.Exp2(-steps)
+		if value < 0.01 && target == 0 {
 			delete(d.smoothed, key)
-		} else {
-			d.smoothed[key] = value
+			continue
 		}
-	}
-	for key, load := range sums {
-		d.smoothed[key] = max(d.smoothed[key], float64(load.Requests))
+		d.smoothed[key] = value
 	}
 	d.publish(sums)
 }
--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -120,7 +120,10 @@
 // OrderAnswered takes in the end of an order.
 func (n *Node) OrderAnswered(now time.Time, order residency.Order, answer residency.Answer) []Action {
 	n.book.Answered(now, order, answer)
-	if answer != residency.AnswerTaken {
+	if answer == residency.AnswerDone {
+		n.tellFact(now, order.Instance, order.Expected+1)
+	}
+	if answer != residency.AnswerTaken && answer != residency.AnswerDone {
 		n.decide("orders", "Not taken.", "instance", order.Instance, "model", order.Model, "adapter", order.Adapter, "answer", answer.String())
 	}
 	if answer == residency.AnswerFenced {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -33,6 +33,8 @@
 	service  string
 	version  uint64
 	deadline time.Time
+	// firstBy is when the client leaves if nothing has come by then.
+	firstBy time.Time
 
 	// sentTo lists the instances that the request was sent to.
 	sentTo []string
@@ -152,16 +154,20 @@
 			unwant()
 		}
 	}()
-	wait := time.Duration(float64(time.Until(e.deadline)) * e.gateway.settings.WaitShare)
+	wait := time.Duration(float64(time.Until(e.firstBy)) * e.gateway.settings.WaitShare)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		changed := *e.gateway.changed.Load()
 		view := e.gateway.view.Load()
 		candidate := e.pick(view)
-		if candidate != nil {
+		if candidate != nil && !e.crowded(view, candidate) {
 			return candidate, ""
 		}
+		if candidate != nil && ctx.Err() == nil {
+			sleep(ctx, crowdedPause)
+			continue
+		}
 		reason := e.lack(view)
 		if e.request.Model != "" && unwant == nil {
 			unwant = e.gateway.wants.Want(e.service, e.request.Model, e.request.Adapter)
@@ -180,6 +186,45 @@
 	}
 }
 
+const (
+	// crowdedPause is the pause between two looks for an instance with fewer
+	// prompts to read.
+	crowdedPause = 5 * time.Millisecond
+	// crowdedShare is the part of an instance's memory that prompts still to be
+	// read may take before further ones wait here.
+	crowdedShare = 1.0 / 40
+	// crowdedWait is the part of the target latency that a request may wait so.
+	crowdedWait = 0.3
+)
+
+// crowded reports whether a request should wait a little, because every instance
+// has many prompts to read: another one would hold up the streams that run there.
+// Less urgent requests wait sooner.
+func (e *exchange) crowded(view *fleet.View, candidate *balance.Candidate) bool {
+	limit := crowdedShare * float64(memoryTokens(view, e.service)) / float64(1+e.route.Priority)
+	if limit == 0 || candidate.Load.PromptTokens == 0 || e.waited() > crowdedWait {
+		return false
+	}
+	return float64(candidate.Load.PromptTokens+e.request.PromptTokens) > limit
+}
+
+// waited is the part of the target latency that has passed.
+func (e *exchange) waited() float64 {
+	if e.route.TargetLatency <= 0 {
+		return 1
+	}
+	return time.Since(e.request.Arrived).Seconds() / e.route.TargetLatency.Seconds()
+}
+
+func sleep(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // doubtPause is how often a waiting request looks again without a change, since
 // doubts about instances end by themselves.
 const doubtPause = 100 * time.Millisecond
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -144,7 +144,8 @@
 	defer cancel()
 	e := &exchange{
 		gateway: g, request: request, reply: reply, route: route, version: view.Version(),
-		deadline: request.Arrived.Add(held), service: chooseTarget(route),
+		deadline: request.Arrived.Add(held), firstBy: request.Arrived.Add(min(held, firstEventPatience(route))),
+		service: chooseTarget(route),
 	}
 	if request.Model != "" {
 		defer g.wants.Enter(e.service, request.Model)()
@@ -153,6 +154,15 @@
 	e.run(ctx)
 }
 
+// firstEventPatience is how long clients of a route wait for the first event of a
+// stream, as the platform's pages tell; others wait for as long as the route allows.
+func firstEventPatience(route *fleet.Route) time.Duration {
+	if route.Kind != fleet.KindStream {
+		return route.Timeout
+	}
+	return max(2*time.Second, 4*route.TargetLatency, 8*route.TargetGap)
+}
+
 // chooseTarget draws a service by the weights of the route.
 func chooseTarget(route *fleet.Route) string {
 	total := 0
--- a/residency/book.go
+++ b/residency/book.go
@@ -18,11 +18,13 @@
 	servers  map[string]*server
 	// storeLoads are the times of loads that count against the weight store.
 	storeLoads []time.Time
+	// expectations are kept by service.
+	expectations map[string]*expectations
 }
 
 // NewBook returns an empty book.
 func NewBook(settings Settings) *Book {
-	return &Book{settings: settings, servers: map[string]*server{}}
+	return &Book{settings: settings, servers: map[string]*server{}, expectations: map[string]*expectations{}}
 }
 
 // Inherit makes the book assume that the weight store's rate was used up until
@@ -127,6 +129,9 @@
 		known.unsettled = nil
 		known.sequence = max(known.sequence, order.Expected+1)
 		known.accepted = append(known.accepted, acceptedOrder{Order: order, sequence: order.Expected + 1, at: now})
+	case AnswerDone:
+		known.unsettled = nil
+		known.apply(order)
 	case AnswerUnknown:
 		known.unsettled = &order
 		known.unsettledAt = now
@@ -136,6 +141,30 @@
 	}
 }
 
+// apply takes an order that was carried out at once into the last report. Reports
+// of fewer orders are older and will be turned away.
+func (s *server) apply(order Order) {
+	s.sequence = max(s.sequence, order.Expected+1)
+	if order.Adapter == "" {
+		// Whether the weights were there before is for the next report to tell.
+		s.accepted = append(s.accepted, acceptedOrder{Order: order, sequence: order.Expected})
+		return
+	}
+	s.report.Sequence = max(s.report.Sequence, s.sequence)
+	residents := slices.Clone(s.report.Residents)
+	for i := range residents {
+		if residents[i].Model != order.Model {
+			continue
+		}
+		kept := slices.DeleteFunc(slices.Clone(residents[i].Adapters), func(name string) bool { return name == order.Adapter })
+		if order.Load {
+			kept = append(kept, order.Adapter)
+		}
+		residents[i].Adapters = kept
+	}
+	s.report.Residents = residents
+}
+
 // Resend returns unanswered orders that should be sent again as they were.
 func (b *Book) Resend(now time.Time) []Order {
 	var orders []Order
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -42,6 +42,11 @@
 	}
 	slices.SortFunc(p.slots, func(a, b *slot) int { return cmp.Compare(a.id(), b.id()) })
 	p.count()
+	if b.expectations[service] == nil {
+		b.expectations[service] = &expectations{}
+	}
+	p.expect(b.expectations[service])
+	p.useRooms()
 	p.placeAdapters(true)
 	p.reachAll()
 	p.placeForAdapters()
@@ -63,9 +68,37 @@
 				p.ready[model]++
 			}
 		}
+		if s.reservedFor != "" && !s.serves(s.reservedFor) {
+			p.replicas[s.reservedFor]++
+		}
 	}
 }
 
+// useRooms loads the models that room was made for.
+func (p *plan) useRooms() {
+	for _, s := range p.slots {
+		model := p.engine.Model(s.reservedFor)
+		if model == nil || s.blocked || s.modelOrder || s.models[model.Name] != nil || s.freeMB < model.WeightsMB {
+			continue
+		}
+		if p.loadsLeft > 0 || s.atHand[model.Name] {
+			p.load(s, model, "room was made")
+		}
+	}
+}
+
+// load orders a server to load a model.
+func (p *plan) load(s *slot, model *fleet.Model, reason string) {
+	fromStore := !s.atHand[model.Name]
+	if fromStore {
+		p.loadsLeft--
+	}
+	p.send(s, Order{Load: true, Model: model.Name, FromStore: fromStore, Reason: reason})
+	s.modelOrder = true
+	s.hold(model.Name)
+	s.freeMB -= model.WeightsMB
+}
+
 // reachAll gives every model that no server serves a first replica.
 func (p *plan) reachAll() {
 	for _, model := range p.modelsByDemand() {
@@ -169,7 +202,7 @@
 		if s.blocked || s.modelOrder || s.models[model.Name] != nil || s.freeMB < model.WeightsMB {
 			continue
 		}
-		if s.reservedFor != "" && s.reservedFor != model.Name || p.loadsLeft <= 0 && !s.atHand[model.Name] {
+		if s.reservedFor != "" || p.loadsLeft <= 0 && !s.atHand[model.Name] {
 			continue
 		}
 		if p.replicas[model.Name] > 0 && reason == "demand" && p.loadCost(s, model.Name) > p.gain(model.Name) {
@@ -182,14 +215,7 @@
 	if best == nil {
 		return makeRoom && p.makeRoom(model)
 	}
-	fromStore := !best.atHand[model.Name]
-	if fromStore {
-		p.loadsLeft--
-	}
-	p.send(best, Order{Load: true, Model: model.Name, FromStore: fromStore, Reason: reason})
-	best.modelOrder = true
-	best.hold(model.Name)
-	best.freeMB -= model.WeightsMB
+	p.load(best, model, reason)
 	p.replicas[model.Name]++
 	return true
 }
@@ -197,9 +223,6 @@
 // betterHost prefers a server with a copy at hand, then another zone than the
 // replicas there are, then free memory, then little load.
 func (p *plan) betterHost(model *fleet.Model, a, b *slot) bool {
-	if a.reservedFor != b.reservedFor {
-		return a.reservedFor == model.Name
-	}
 	if a.atHand[model.Name] != b.atHand[model.Name] {
 		return a.atHand[model.Name]
 	}
@@ -228,9 +251,6 @@
 // makeRoom unloads the replica that is needed least, on a server where the model
 // then fits. It reports whether room is under way.
 func (p *plan) makeRoom(model *fleet.Model) bool {
-	if p.roomUnderWay(model) {
-		return true
-	}
 	var best *slot
 	var bestVictim string
 	bestCost := math.Inf(1)
@@ -254,19 +274,10 @@
 	best.models[bestVictim].unloading = true
 	p.replicas[bestVictim]--
 	p.ready[bestVictim]--
+	p.replicas[model.Name]++
 	return true
 }
 
-// roomUnderWay reports whether room for a model is being made somewhere.
-func (p *plan) roomUnderWay(model *fleet.Model) bool {
-	for _, s := range p.slots {
-		if s.reservedFor == model.Name {
-			return true
-		}
-	}
-	return false
-}
-
 // unloadCost rates the unload of a replica, lower is better. The last replica
 // that is ready is never unloaded.
 func (p *plan) unloadCost(s *slot, name string, held *holding, wanted *fleet.Model) (float64, bool) {
@@ -292,7 +303,7 @@
 }
 
 // adapterCost is what a resident adapter is worth when its model is unloaded.
-const adapterCost = 0.05
+const adapterCost = 0.1
 
 func (p *plan) send(s *slot, order Order) {
 	order.Instance = s.id()
@@ -372,11 +383,21 @@
 		p.send(best, Order{Load: true, Model: model.Name, Adapter: adapter, Reason: "adapter"})
 		return
 	}
-	if makeRoom && full != nil && full.freeing == 0 {
+	if !makeRoom {
+		return
+	}
+	if full != nil && full.freeing == 0 {
 		p.unloadAdapter(full, adapter)
+	} else if full == nil && p.hostsComing(model) == 0 {
+		p.addReplica(model, "adapter wanted", true)
 	}
 }
 
+// hostsComing is how many servers will hold a model soon.
+func (p *plan) hostsComing(model *fleet.Model) int {
+	return p.replicas[model.Name] - p.ready[model.Name]
+}
+
 func betterAdapterHost(adapter string, a, b *slot) bool {
 	if a.freeAdapters != b.freeAdapters {
 		return a.freeAdapters > b.freeAdapters
--- a/residency/types.go
+++ b/residency/types.go
@@ -38,8 +38,10 @@
 
 // Answers to an order.
 const (
-	// AnswerTaken means that the order is under way or already holds.
+	// AnswerTaken means that the order is under way.
 	AnswerTaken Answer = iota
+	// AnswerDone means that what was ordered holds already.
+	AnswerDone
 	// AnswerBusy means that another order is under way or the expected sequence
 	// does not match.
 	AnswerBusy
@@ -55,7 +57,7 @@
 
 // String returns the name used in logs.
 func (a Answer) String() string {
-	return [...]string{"taken", "busy", "fenced", "rejected", "not_sent", "unknown"}[a]
+	return [...]string{"taken", "done", "busy", "fenced", "rejected", "not_sent", "unknown"}[a]
 }
 
 // Demand is what entry daemons see of one model.
@@ -84,6 +86,13 @@
 	// replica that it has to relieve: from a copy at hand, and from the store.
 	WarmCost  float64
 	StoreCost float64
+	// NextShare is the part of a model's demand that is expected at the model that
+	// follows it in the operator's list.
+	NextShare float64
+	// PriorPerReplica is the demand that each replica beyond the first stands for
+	// at the start, and PriorHalfLife how fast that fades.
+	PriorPerReplica float64
+	PriorHalfLife   time.Duration
 	// UnloadFactor is how much more than the loss at the victim an eviction has
 	// to gain.
 	UnloadFactor float64
@@ -92,14 +101,18 @@
 // DefaultSettings returns the settings used unless an operator changes them.
 func DefaultSettings() Settings {
 	return Settings{
-		Window:       5 * time.Second,
-		MaxComing:    4,
-		Reserve:      6 * time.Second,
-		Settle:       3 * time.Second,
-		ResendAfter:  300 * time.Millisecond,
-		WarmCost:     0.15,
-		StoreCost:    0.4,
-		UnloadFactor: 1.5,
+		Window:      5 * time.Second,
+		MaxComing:   4,
+		Reserve:     6 * time.Second,
+		Settle:      3 * time.Second,
+		ResendAfter: 300 * time.Millisecond,
+		WarmCost:    0.5,
+		StoreCost:   0.8,
+		NextShare:   0.35,
+
+		PriorPerReplica: 2,
+		PriorHalfLife:   10 * time.Second,
+		UnloadFactor:    1.5,
 	}
 }
 
