Avoid instances that fall silent while they work

An instance that works on requests and sends nothing at all for 0.7 s is now avoided while there are others. Ruled out: waiting for the list (three silent heartbeats).

--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -69,6 +69,17 @@
 	ejectedTo  time.Time
 	pausedTo   time.Time
 	unreached  int
+	// heardAt is when the instance last sent something, or was given its first
+	// request after a rest.
+	heardAt time.Time
+}
+
+// stallAfter is how long an instance that works on requests may send nothing at
+// all before new requests avoid it: its machine may be dark, which no error tells.
+const stallAfter = 700 * time.Millisecond
+
+func (s *instanceState) stalled(now time.Time) bool {
+	return s.own.Requests > 0 && now.Sub(s.heardAt) > stallAfter
 }
 
 // Tracker is safe for concurrent use.
@@ -120,10 +131,21 @@
 func (t *Tracker) Begin(id string, promptTokens int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.state(id).own.add(Load{Requests: 1, PromptTokens: promptTokens})
+	state := t.state(id)
+	if state.own.Requests == 0 {
+		state.heardAt = time.Now()
+	}
+	state.own.add(Load{Requests: 1, PromptTokens: promptTokens})
 	t.signal()
 }
 
+// Heard notes that an instance sent something.
+func (t *Tracker) Heard(id string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.state(id).heardAt = time.Now()
+}
+
 // Started notes that the instance has read the prompt of a request.
 func (t *Tracker) Started(id string, promptTokens int) {
 	t.mutex.Lock()
@@ -142,6 +164,7 @@
 	switch outcome {
 	case Served:
 		state.unreached = 0
+		state.heardAt = now
 		state.observe(0)
 	case Failed:
 		state.observe(1)
@@ -252,7 +275,7 @@
 	defer t.mutex.Unlock()
 	for _, id := range ids {
 		state := t.state(id)
-		available := !now.Before(state.ejectedTo) && !now.Before(state.pausedTo)
+		available := !now.Before(state.ejectedTo) && !now.Before(state.pausedTo) && !state.stalled(now)
 		missing := now.Before(t.missing[missingKey{id, model, adapter}])
 		load := state.own
 		for _, peer := range t.peers {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -116,6 +116,7 @@
 		count, err := response.Read(buffer)
 		if count > 0 {
 			e.started(id)
+			e.gateway.tracker.Heard(id)
 			piece := buffer[:count]
 			if e.route.Resumable {
 				piece = events.whole(piece)
