--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,154 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+func instance(id, zone string, models ...fleet.Resident) *fleet.Instance {
+	return &fleet.Instance{ID: id, Zone: zone, Slots: 10, Residents: models}
+}
+
+func TestPick(t *testing.T) {
+	now := time.Now()
+	model := fleet.Resident{Model: "m", Adapters: []string{"a1"}}
+	cases := []struct {
+		name      string
+		instances []*fleet.Instance
+		request   balance.Request
+		prepare   func(*balance.Tracker)
+		want      string
+	}{
+		{"the only one", []*fleet.Instance{instance("x", "z")}, balance.Request{}, nil, "x"},
+		{"none", nil, balance.Request{}, nil, ""},
+		{"leaving", []*fleet.Instance{{ID: "x", Leaving: true}}, balance.Request{}, nil, ""},
+		{"tried already", []*fleet.Instance{instance("x", "z")}, balance.Request{Excluded: []string{"x"}}, nil, ""},
+		{"without the model", []*fleet.Instance{instance("x", "z")}, balance.Request{Model: "m"}, nil, ""},
+		{"with the model", []*fleet.Instance{instance("x", "z"), instance("y", "z", model)}, balance.Request{Model: "m"}, nil, "y"},
+		{"without the adapter", []*fleet.Instance{instance("x", "z", model)}, balance.Request{Model: "m", Adapter: "a2"}, nil, ""},
+		{"with the adapter", []*fleet.Instance{instance("x", "z", model)}, balance.Request{Model: "m", Adapter: "a1"}, nil, "x"},
+		{"less load here", []*fleet.Instance{instance("x", "z"), instance("y", "z")}, balance.Request{}, func(t *balance.Tracker) {
+			for range 4 {
+				t.Begin("x", 0)
+			}
+		}, "y"},
+		{"less load at another daemon", []*fleet.Instance{instance("x", "z"), instance("y", "z")}, balance.Request{}, func(t *balance.Tracker) {
+			t.SetPeer(now, "peer", map[string]balance.Load{"y": {Requests: 5}})
+		}, "x"},
+		{"fewer prompts to read", []*fleet.Instance{instance("x", "z"), instance("y", "z")}, balance.Request{MemoryTokens: 16000}, func(t *balance.Tracker) {
+			t.SetPeer(now, "peer", map[string]balance.Load{"y": {Requests: 1, PromptTokens: 1000}, "x": {Requests: 2}})
+		}, "x"},
+		{"a peer that fell silent does not count", []*fleet.Instance{instance("x", "z"), instance("y", "z")}, balance.Request{}, func(t *balance.Tracker) {
+			t.SetPeer(now.Add(-time.Minute), "peer", map[string]balance.Load{"y": {Requests: 50}})
+			t.SetPeer(now, "other", map[string]balance.Load{"x": {Requests: 5}})
+		}, "y"},
+		{"unreached a moment ago", []*fleet.Instance{instance("x", "z"), instance("y", "z")}, balance.Request{}, func(t *balance.Tracker) {
+			t.Begin("x", 0)
+			t.End(now, "x", balance.Unreached, []string{"x", "y"})
+			t.SetPeer(now, "peer", map[string]balance.Load{"y": {Requests: 9}})
+		}, "y"},
+		{"unreached, but the only one", []*fleet.Instance{instance("x", "z")}, balance.Request{}, func(t *balance.Tracker) {
+			t.Begin("x", 0)
+			t.End(now, "x", balance.Unreached, []string{"x"})
+		}, "x"},
+		{"said that it lacks the model", []*fleet.Instance{instance("x", "z", model)}, balance.Request{Model: "m"}, func(t *balance.Tracker) {
+			t.Missing(now, "x", "m", "", time.Minute)
+		}, ""},
+		{"the same zone", []*fleet.Instance{instance("x", "far"), instance("y", "near")}, balance.Request{Zone: "near", Affinity: 3}, func(t *balance.Tracker) {
+			t.SetPeer(now, "peer", map[string]balance.Load{"x": {Requests: 1}})
+		}, "y"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tracker := balance.NewTracker()
+			if c.prepare != nil {
+				c.prepare(tracker)
+			}
+			picked := balance.NewPicker(tracker).Pick(now, c.instances, &c.request)
+			got := ""
+			if picked != nil {
+				got = picked.Instance.ID
+			}
+			if got != c.want {
+				t.Errorf("picked %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// fail ends a number of requests at an instance with an outcome.
+func fail(tracker *balance.Tracker, now time.Time, id string, outcome balance.Outcome, count int) bool {
+	ejected := false
+	for range count {
+		tracker.Begin(id, 0)
+		ejected = tracker.End(now, id, outcome, []string{"x", "y", "z"}) || ejected
+	}
+	return ejected
+}
+
+func TestAnInstanceThatFailsAloneIsEjected(t *testing.T) {
+	now := time.Now()
+	tracker := balance.NewTracker()
+	fail(tracker, now, "y", balance.Served, 10)
+	fail(tracker, now, "z", balance.Served, 10)
+	if !fail(tracker, now, "x", balance.Failed, 6) {
+		t.Fatal("not ejected")
+	}
+	picker := balance.NewPicker(tracker)
+	group := []*fleet.Instance{instance("x", ""), instance("y", ""), instance("z", "")}
+	tracker.SetPeer(now, "peer", map[string]balance.Load{"y": {Requests: 9}, "z": {Requests: 9}})
+	if got := picker.Pick(now, group, &balance.Request{}).Instance.ID; got == "x" {
+		t.Error("an ejected instance is picked")
+	}
+	later := now.Add(10 * time.Second)
+	tracker.SetPeer(later, "peer", map[string]balance.Load{"y": {Requests: 9}, "z": {Requests: 9}})
+	if got := picker.Pick(later, group, &balance.Request{}).Instance.ID; got != "x" {
+		t.Errorf("%s is picked after the ejection has ended", got)
+	}
+}
+
+func TestWhenAllFailAlikeNoneIsEjected(t *testing.T) {
+	now := time.Now()
+	tracker := balance.NewTracker()
+	for range 10 {
+		for _, id := range []string{"x", "y", "z"} {
+			if fail(tracker, now, id, balance.Failed, 1) {
+				t.Fatalf("%s is ejected", id)
+			}
+		}
+	}
+}
+
+// TestSilentInstanceIsAvoided covers a server whose machine goes dark: no error
+// tells, but nothing comes from it while it works on requests.
+func TestSilentInstanceIsAvoided(t *testing.T) {
+	now := time.Now()
+	tracker := balance.NewTracker()
+	tracker.Begin("x", 0)
+	later := now.Add(2 * time.Second)
+	tracker.SetPeer(later, "peer", map[string]balance.Load{"y": {Requests: 9}})
+	group := []*fleet.Instance{instance("x", ""), instance("y", "")}
+	if got := balance.NewPicker(tracker).Pick(later, group, &balance.Request{}).Instance.ID; got != "y" {
+		t.Fatalf("picked %s", got)
+	}
+	if got := balance.NewPicker(tracker).Pick(now, group, &balance.Request{}).Instance.ID; got != "x" {
+		t.Fatalf("picked %s before it was silent for long", got)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	tracker := balance.NewTracker()
+	group := make([]*fleet.Instance, 100)
+	for i := range group {
+		group[i] = instance(string(rune('a'+i%26))+string(rune('a'+i/26)), "z", fleet.Resident{Model: "m"})
+	}
+	picker := balance.NewPicker(tracker)
+	request := balance.Request{Model: "m", MemoryTokens: 1000, Affinity: 7}
+	now := time.Now()
+	for b.Loop() {
+		picker.Pick(now, group, &request)
+	}
+}
--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,77 @@
+package feed_test
+
+import (
+	"testing"
+
+	"github.com/wheatweir/wheatweir/feed"
+)
+
+func item(name string, revision uint64, value string) feed.Item[string] {
+	return feed.Item[string]{Name: name, Revision: revision, Value: value}
+}
+
+func gone(name string, revision uint64) feed.Item[string] {
+	return feed.Item[string]{Name: name, Revision: revision, Gone: true}
+}
+
+func batch(at uint64, items ...feed.Item[string]) feed.Batch[string] {
+	return feed.Batch[string]{At: at, Items: items}
+}
+
+func TestMirror(t *testing.T) {
+	list, change := true, false
+	type step struct {
+		list  bool
+		batch feed.Batch[string]
+	}
+	cases := []struct {
+		name  string
+		steps []step
+		want  map[string]string
+		at    uint64
+	}{
+		{"a list", []step{{list, batch(5, item("a", 3, "x"), item("b", 4, "y"))}}, map[string]string{"a": "x", "b": "y"}, 5},
+		{"a change", []step{{list, batch(5, item("a", 3, "x"))}, {change, batch(6, item("a", 6, "z"))}}, map[string]string{"a": "z"}, 6},
+		{"a removal", []step{{list, batch(5, item("a", 3, "x"))}, {change, batch(6, gone("a", 6))}}, map[string]string{}, 6},
+		{"an older change", []step{{list, batch(5, item("a", 5, "x"))}, {change, batch(4, item("a", 4, "old"))}}, map[string]string{"a": "x"}, 5},
+		{"an older removal", []step{{list, batch(5, item("a", 5, "x"))}, {change, batch(5, gone("a", 4))}}, map[string]string{"a": "x"}, 5},
+		{"an older list", []step{{list, batch(9, item("a", 8, "x"))}, {list, batch(5, item("a", 3, "old"), item("b", 4, "y"))}}, map[string]string{"a": "x"}, 9},
+		{"a list that lacks an item", []step{{list, batch(5, item("a", 3, "x"), item("b", 4, "y"))}, {list, batch(7, item("b", 4, "y"))}}, map[string]string{"b": "y"}, 7},
+		{"a list that lacks a newer item", []step{{list, batch(5)}, {change, batch(8, item("a", 8, "x"))}, {list, batch(8)}}, map[string]string{}, 8},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			mirror := feed.NewMirror[string]()
+			for _, step := range c.steps {
+				if step.list {
+					mirror.Replace(step.batch)
+				} else {
+					mirror.Apply(step.batch)
+				}
+			}
+			got := map[string]string{}
+			for _, item := range mirror.Items() {
+				got[item.Name] = item.Value
+			}
+			if len(got) != len(c.want) || mirror.At() != c.at {
+				t.Fatalf("items %v at %d, want %v at %d", got, mirror.At(), c.want, c.at)
+			}
+			for name, value := range c.want {
+				if got[name] != value {
+					t.Errorf("%s is %q, want %q", name, got[name], value)
+				}
+			}
+		})
+	}
+}
+
+func TestOnlyNewsIsReported(t *testing.T) {
+	mirror := feed.NewMirror[string]()
+	mirror.Replace(batch(5, item("a", 3, "x"), item("b", 4, "y")))
+	if changed := mirror.Replace(batch(6, item("a", 3, "x"), item("b", 6, "z"))); len(changed) != 1 || changed[0].Name != "b" {
+		t.Fatalf("changed %v", changed)
+	}
+	if changed := mirror.Apply(batch(7, gone("c", 7))); len(changed) != 0 {
+		t.Fatalf("the removal of an unknown item is reported: %v", changed)
+	}
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,340 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/retry"
+)
+
+// answer is what a scripted instance does with one request.
+type answer struct {
+	err         error
+	status      int
+	unsigned    bool
+	declined    bool
+	misdirected bool
+	body        string
+	// cut ends the body with an error.
+	cut bool
+	// hang answers only when the request's context ends.
+	hang bool
+}
+
+// script is an Upstream that answers by a list.
+type script struct {
+	mutex   sync.Mutex
+	answers []answer
+	sent    []gateway.Outbound
+	left    []time.Duration
+}
+
+func (s *script) Send(ctx context.Context, outbound *gateway.Outbound) (gateway.Response, error) {
+	s.mutex.Lock()
+	next := answer{status: 200, body: "default"}
+	if len(s.answers) > 0 {
+		next, s.answers = s.answers[0], s.answers[1:]
+	}
+	s.sent = append(s.sent, *outbound)
+	s.left = append(s.left, outbound.Left)
+	s.mutex.Unlock()
+	if next.hang {
+		<-ctx.Done()
+		return nil, gateway.ErrUnknown.Wrap(ctx.Err())
+	}
+	if next.err != nil {
+		return nil, next.err
+	}
+	return &response{answer: next, reader: strings.NewReader(next.body)}, nil
+}
+
+type response struct {
+	answer
+	reader *strings.Reader
+}
+
+var errCut = errors.New("connection reset")
+
+func (r *response) Status() int             { return r.status }
+func (r *response) Header() []gateway.Field { return nil }
+func (r *response) Length() int64           { return -1 }
+func (r *response) Executed() bool          { return !r.declined && !r.misdirected }
+func (r *response) Misdirected() bool       { return r.misdirected }
+func (r *response) Signed() bool            { return !r.unsigned }
+func (r *response) Close()                  {}
+
+func (r *response) Read(buffer []byte) (int, error) {
+	count, err := r.reader.Read(buffer)
+	if err == io.EOF && r.cut {
+		return count, errCut
+	}
+	return count, err
+}
+
+// client is a Reply that keeps what it gets.
+type client struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+	body       bytes.Buffer
+	begun      bool
+	aborted    bool
+	at         time.Time
+}
+
+func (c *client) Begin(status int, _ []gateway.Field, _ int64) error {
+	c.begun, c.status, c.at = true, status, time.Now()
+	return nil
+}
+
+func (c *client) Write(piece []byte) error {
+	c.body.Write(piece)
+	return nil
+}
+
+func (c *client) Refuse(status int, reason string, retryAfter time.Duration) {
+	c.status, c.reason, c.retryAfter, c.at = status, reason, retryAfter, time.Now()
+}
+
+func (c *client) Abort() { c.aborted, c.at = true, time.Now() }
+
+type noWants struct{ wanted []string }
+
+func (w *noWants) Want(_, model, adapter string) func() {
+	w.wanted = append(w.wanted, model+"/"+adapter)
+	return func() {}
+}
+func (w *noWants) Enter(_, _ string) func() { return func() {} }
+
+type silent struct{}
+
+func (silent) Observe(gateway.Event) {}
+
+func configuration() *fleet.Configuration {
+	route := func(name string, kind fleet.RouteKind, attempts int, resumable bool) fleet.Route {
+		return fleet.Route{
+			Name: name, Host: "host", PathPrefix: "/" + name + "/", Kind: kind, Timeout: 5 * time.Second,
+			TargetLatency: time.Second, MaxAttempts: attempts, Resumable: resumable,
+			Targets: []fleet.Target{{Service: "svc", Weight: 1}},
+		}
+	}
+	return &fleet.Configuration{
+		Version: 1,
+		Routes: []fleet.Route{
+			route("unsafe", fleet.KindUnsafe, 2, false), route("safe", fleet.KindSafe, 2, false),
+			route("once", fleet.KindUnsafe, 1, false), route("stream", fleet.KindStream, 2, false),
+			route("resume", fleet.KindStream, 2, true),
+		},
+		Services: []fleet.Service{{Name: "svc"}},
+	}
+}
+
+func view(models ...string) *fleet.View {
+	var residents []fleet.Resident
+	for _, model := range models {
+		residents = append(residents, fleet.Resident{Model: model})
+	}
+	return fleet.NewView(configuration(), []*fleet.Instance{
+		{ID: "i1", Service: "svc", Slots: 4, Residents: residents}, {ID: "i2", Service: "svc", Slots: 4, Residents: residents},
+		{ID: "i3", Service: "svc", Slots: 4, Residents: residents},
+	})
+}
+
+func newGateway(upstream gateway.Upstream, wants gateway.Wants) *gateway.Gateway {
+	settings := gateway.Settings{RetryAfter: 200 * time.Millisecond, WaitShare: 0.5, ShareOfConnections: func() float64 { return 1 }}
+	return gateway.New(settings, upstream, balance.NewTracker(), retry.NewBudget(0.2, 10), wants, silent{})
+}
+
+func request(route string) *gateway.Request {
+	return &gateway.Request{ID: "r", Method: "POST", URI: "/" + route + "/x", Path: "/" + route + "/x", RouteHost: "host", Arrived: time.Now()}
+}
+
+func TestServe(t *testing.T) {
+	notSent := gateway.ErrNotSent.New("refused")
+	unknown := gateway.ErrUnknown.New("reset")
+	cases := []struct {
+		name    string
+		route   string
+		answers []answer
+		status  int
+		body    string
+		aborted bool
+		sent    int
+	}{
+		{"served", "unsafe", []answer{{status: 200, body: "ok"}}, 200, "ok", false, 1},
+		{"no route", "nowhere", nil, 404, "", false, 0},
+		{"not reached, then served", "once", []answer{{err: notSent}, {status: 200, body: "ok"}}, 200, "ok", false, 2},
+		{"never reached", "once", []answer{{err: notSent}, {err: notSent}, {err: notSent}}, 503, "", false, 3},
+		{"an unsafe request that may have run", "unsafe", []answer{{err: unknown}}, 502, "", false, 1},
+		{"a safe request that may have run", "safe", []answer{{err: unknown}, {status: 200, body: "ok"}}, 200, "ok", false, 2},
+		{"a safe request that fails everywhere", "safe", []answer{{err: unknown}, {err: unknown}}, 502, "", false, 2},
+		{"declined, then served", "unsafe", []answer{{status: 503, declined: true}, {status: 200, body: "ok"}}, 200, "ok", false, 2},
+		{"declined, no attempt left", "once", []answer{{status: 503, declined: true}}, 503, "", false, 1},
+		{"declined everywhere", "unsafe", []answer{{status: 503, declined: true}, {status: 429, declined: true}}, 503, "", false, 2},
+		{"another instance", "unsafe", []answer{{status: 421, misdirected: true}, {status: 200, body: "ok"}}, 200, "ok", false, 2},
+		{"declined after a run", "safe", []answer{{err: unknown}, {status: 503, declined: true}}, 502, "", false, 2},
+		{"a failure of an unsafe run goes back", "unsafe", []answer{{status: 500, body: "sorry"}}, 500, "sorry", false, 1},
+		{"a failure of a safe run is repeated", "safe", []answer{{status: 500, body: "sorry"}, {status: 200, body: "ok"}}, 200, "ok", false, 2},
+		{"the second failure of a safe run goes back", "safe", []answer{{status: 500}, {status: 500, body: "sorry"}}, 500, "sorry", false, 2},
+		{"a run that ended with a promise not to have run", "unsafe", []answer{{status: 503, body: "busy"}}, 502, "", false, 1},
+		{"a success that is not genuine", "unsafe", []answer{{status: 200, unsigned: true, body: "x"}}, 502, "", false, 1},
+		{"a whole answer that breaks off", "unsafe", []answer{{status: 200, body: "part", cut: true}}, 502, "", false, 1},
+		{"a stream", "stream", []answer{{status: 200, body: "id: 1\n\n"}}, 200, "id: 1\n\n", false, 1},
+		{"a stream that breaks off", "stream", []answer{{status: 200, body: "id: 1\n\nid: 2", cut: true}}, 200, "id: 1\n\nid: 2", true, 1},
+		{"a stream that breaks off before its first byte", "stream", []answer{{status: 200, cut: true}}, 502, "", false, 1},
+		{"a resumed stream", "resume", []answer{
+			{status: 200, body: "id: 1\ndata: a\n\nid: 2\ndata", cut: true}, {status: 200, body: "id: 2\ndata: b\n\n"},
+		}, 200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false, 2},
+		{"a stream that can't be resumed again", "resume", []answer{
+			{status: 200, body: "id: 1\n\n", cut: true}, {status: 200, body: "id: 2\n\n", cut: true},
+		}, 200, "id: 1\n\nid: 2\n\n", true, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			upstream := &script{answers: c.answers}
+			g := newGateway(upstream, &noWants{})
+			g.SetView(view())
+			got := &client{}
+			g.Serve(context.Background(), request(c.route), got)
+			if got.status != c.status || got.body.String() != c.body || got.aborted != c.aborted || len(upstream.sent) != c.sent {
+				t.Fatalf("status %d body %q aborted %v after %d attempts, want %d %q %v %d",
+					got.status, got.body.String(), got.aborted, len(upstream.sent), c.status, c.body, c.aborted, c.sent)
+			}
+			if got.status == 503 && got.retryAfter == 0 {
+				t.Error("a refusal does not tell when to come back")
+			}
+			var instances []string
+			for _, sent := range upstream.sent {
+				instances = append(instances, sent.Instance.ID)
+			}
+			slices.Sort(instances)
+			if len(slices.Compact(instances)) != len(upstream.sent) {
+				t.Errorf("an instance was tried twice: %v", instances)
+			}
+		})
+	}
+}
+
+func TestResumeNamesTheLastWholeEvent(t *testing.T) {
+	upstream := &script{answers: []answer{{status: 200, body: "id: 7\n\nid: 8\nda", cut: true}, {status: 200, body: "id: 8\n\n"}}}
+	g := newGateway(upstream, &noWants{})
+	g.SetView(view())
+	g.Serve(context.Background(), request("resume"), &client{})
+	if got := upstream.sent[1].ResumeAfter; got != "7" {
+		t.Fatalf("resumed after %q", got)
+	}
+}
+
+func TestWithoutAConfigurationNothingIsDenied(t *testing.T) {
+	g := newGateway(&script{}, &noWants{})
+	got := &client{}
+	g.Serve(context.Background(), request("unsafe"), got)
+	if got.status != 503 || got.retryAfter == 0 {
+		t.Fatalf("status %d, come back after %v", got.status, got.retryAfter)
+	}
+}
+
+// TestTimeLimits runs requests against instances that never answer, in virtual
+// time: each ends at the earlier of its client's deadline and its route's limit.
+func TestTimeLimits(t *testing.T) {
+	cases := []struct {
+		name     string
+		patience time.Duration
+		want     time.Duration
+	}{
+		{"the route's limit", 0, 5 * time.Second},
+		{"the client's deadline", 2 * time.Second, 2 * time.Second},
+		{"a deadline beyond the route's limit", time.Minute, 5 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				upstream := &script{answers: []answer{{hang: true}}}
+				g := newGateway(upstream, &noWants{})
+				g.SetView(view())
+				sent := request("unsafe")
+				sent.Patience = c.patience
+				got := &client{}
+				g.Serve(context.Background(), sent, got)
+				if took := got.at.Sub(sent.Arrived); got.status != 504 || took != c.want {
+					t.Fatalf("status %d after %v, want 504 after %v", got.status, took, c.want)
+				}
+				if upstream.left[0] > c.want {
+					t.Errorf("handed on %v", upstream.left[0])
+				}
+			})
+		})
+	}
+}
+
+func TestClientThatLeavesEndsTheAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGateway(&script{answers: []answer{{hang: true}}}, &noWants{})
+		g.SetView(view())
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(300*time.Millisecond, cancel)
+		sent := request("safe")
+		got := &client{}
+		g.Serve(ctx, sent, got)
+		if took := time.Since(sent.Arrived); took != 300*time.Millisecond || !got.aborted {
+			t.Fatalf("ended after %v, aborted %v", took, got.aborted)
+		}
+	})
+}
+
+// TestModelThatNobodyHas covers a request that waits until a model is loaded, and
+// one that gives up in time to say when to come back.
+func TestModelThatNobodyHas(t *testing.T) {
+	for _, loaded := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			wants := &noWants{}
+			g := newGateway(&script{answers: []answer{{status: 200, body: "ok"}}}, wants)
+			g.SetView(view())
+			if loaded {
+				time.AfterFunc(time.Second, func() { g.SetView(view("m")) })
+			}
+			sent := request("stream")
+			sent.Model = "m"
+			got := &client{}
+			g.Serve(context.Background(), sent, got)
+			took := got.at.Sub(sent.Arrived)
+			if loaded && (got.status != 200 || took > 1100*time.Millisecond) {
+				t.Errorf("status %d after %v", got.status, took)
+			}
+			if !loaded && (got.status != 503 || took > 2*time.Second+100*time.Millisecond) {
+				t.Errorf("status %d after %v, want a refusal after half of the client's patience", got.status, took)
+			}
+			if len(wants.wanted) != 1 || wants.wanted[0] != "m/" {
+				t.Errorf("wanted %v", wants.wanted)
+			}
+		})
+	}
+}
+
+// TestRetriesKeepTheirBudget sends many requests to instances that all decline.
+func TestRetriesKeepTheirBudget(t *testing.T) {
+	upstream := &script{}
+	for range 300 {
+		upstream.answers = append(upstream.answers, answer{status: 503, declined: true})
+	}
+	g := newGateway(upstream, &noWants{})
+	g.SetView(view())
+	const requests = 100
+	for range requests {
+		g.Serve(context.Background(), request("safe"), &client{})
+	}
+	if extra := len(upstream.sent) - requests; extra > 10+requests/5 {
+		t.Fatalf("%d attempts beyond the first", extra)
+	}
+}
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,213 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/wheatweir/wheatweir/internal/fixedseed"
+	"github.com/wheatweir/wheatweir/lease"
+)
+
+const term = 3 * time.Second
+
+// store is the oracle: one record with conditional updates, whose answers may be
+// lost before or after the write is done.
+type store struct {
+	stored   lease.Stored
+	revision uint64
+	fences   map[uint64]string
+	takeover int
+}
+
+func (s *store) call(call lease.Call) (lease.Outcome, lease.Stored) {
+	if call.Write == nil {
+		return lease.OutcomeConflict, s.stored
+	}
+	if call.IfRevision != s.stored.Revision {
+		return lease.OutcomeConflict, s.stored
+	}
+	s.revision++
+	s.stored = lease.Stored{Record: *call.Write, Revision: s.revision}
+	return lease.OutcomeDone, s.stored
+}
+
+// candidate is one daemon with its own state and a pause.
+type candidate struct {
+	name    string
+	lease   *lease.Lease
+	paused  bool
+	pending *lease.Call
+	sentAt  time.Time
+}
+
+func newCandidate(name string, boot int) *candidate {
+	settings := lease.DefaultSettings(term)
+	return &candidate{name: name, lease: lease.New(name, fmt.Sprint(boot), settings)}
+}
+
+// TestAtMostOneHolder runs candidates under pauses, restarts, lost calls and lost
+// answers. At no moment do two of them hold the lease, and no two share a token.
+func TestAtMostOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &store{fences: map[uint64]string{}}
+		now := time.Unix(1000, 0)
+		candidates := []*candidate{newCandidate("a", 0), newCandidate("b", 0), newCandidate("c", 0)}
+		highest := uint64(0)
+		for step := range rapid.IntRange(50, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "pause")) * time.Millisecond)
+			for i, c := range candidates {
+				switch rapid.IntRange(0, 40).Draw(t, "event") {
+				case 0:
+					c.paused = !c.paused
+				case 1:
+					candidates[i] = newCandidate(c.name, step+1)
+					continue
+				}
+				if !c.paused {
+					c.run(t, s, now)
+				}
+			}
+			holders := 0
+			for _, c := range candidates {
+				fence, may := c.lease.MayOrder(now)
+				if c.lease.Held(now) {
+					holders++
+				}
+				if !may {
+					continue
+				}
+				if owner, used := s.fences[fence]; used && owner != c.name {
+					t.Fatalf("%s and %s share the token %d", owner, c.name, fence)
+				}
+				s.fences[fence] = c.name
+				if fence < highest {
+					t.Fatalf("%s orders under %d after %d", c.name, fence, highest)
+				}
+				highest = fence
+			}
+			if holders > 1 {
+				t.Fatalf("%d holders at once", holders)
+			}
+		}
+	})
+}
+
+// run makes one call and loses it, or its answer, now and then.
+func (c *candidate) run(t *rapid.T, s *store, now time.Time) {
+	if c.pending != nil {
+		// The answer of a call that was under way during a pause comes late.
+		outcome, stored := s.call(*c.pending)
+		c.pending = nil
+		c.lease.Answered(now, outcome, stored)
+	}
+	call := c.lease.Step(now, true)
+	if call == nil {
+		return
+	}
+	switch rapid.IntRange(0, 9).Draw(t, "fate") {
+	case 0:
+		c.lease.Answered(now, lease.OutcomeFailed, lease.Stored{})
+	case 1:
+		s.call(*call)
+		c.lease.Answered(now, lease.OutcomeFailed, lease.Stored{})
+	case 2:
+		c.pending = call
+	default:
+		outcome, stored := s.call(*call)
+		c.lease.Answered(now, outcome, stored)
+	}
+}
+
+// drive lets one candidate run without faults for a span.
+func drive(c *candidate, s *store, now time.Time, span time.Duration) time.Time {
+	for end := now.Add(span); now.Before(end); now = now.Add(50 * time.Millisecond) {
+		if call := c.lease.Step(now, true); call != nil {
+			outcome, stored := s.call(*call)
+			c.lease.Answered(now, outcome, stored)
+		}
+	}
+	return now
+}
+
+func TestTakeover(t *testing.T) {
+	cases := []struct {
+		name      string
+		handBack  bool
+		pause     time.Duration
+		takeAfter time.Duration
+		order     time.Duration
+	}{
+		{"after a silent death, with a pause before orders", false, term, term, 2 * term},
+		{"after a silent death, servers check tokens", false, 0, term, term},
+		{"after it was handed back", true, 0, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := &store{}
+			settings := lease.DefaultSettings(term)
+			settings.OrderPause = c.pause
+			first := &candidate{lease: lease.New("first", "1", settings)}
+			second := &candidate{lease: lease.New("second", "1", settings)}
+			now := drive(first, s, time.Unix(1000, 0), 2*time.Second)
+			if _, may := first.lease.MayOrder(now); !may {
+				t.Fatal("the first candidate waits for nobody")
+			}
+			if c.handBack {
+				first.lease.Leave()
+				now = drive(first, s, now, 200*time.Millisecond)
+				if !first.lease.Left() {
+					t.Fatal("the lease was not handed back")
+				}
+			}
+			died := now
+			ordered := time.Time{}
+			taken := time.Time{}
+			for ; now.Before(died.Add(4 * term)); now = now.Add(50 * time.Millisecond) {
+				drive(second, s, now, 50*time.Millisecond)
+				if taken.IsZero() && second.lease.Held(now) {
+					taken = now
+				}
+				if _, may := second.lease.MayOrder(now); may && ordered.IsZero() {
+					ordered = now
+				}
+			}
+			const slack = 500 * time.Millisecond
+			if got := taken.Sub(died); taken.IsZero() || got < c.takeAfter || got > c.takeAfter+slack {
+				t.Errorf("taken after %v, want %v", got, c.takeAfter)
+			}
+			if got := ordered.Sub(died); ordered.IsZero() || got < c.order || got > c.order+slack {
+				t.Errorf("ordered after %v, want %v", got, c.order)
+			}
+		})
+	}
+}
+
+// TestHeardRenewalSavesTheWait covers a candidate that hears renewals from the
+// holder: the term runs from the last one, not from its own first look.
+func TestHeardRenewalSavesTheWait(t *testing.T) {
+	s := &store{}
+	first := newCandidate("first", 1)
+	now := drive(first, s, time.Unix(1000, 0), 2*time.Second)
+	second := newCandidate("second", 1)
+	second.lease.Heard(now, first.lease.Revision())
+	now = now.Add(term)
+	now = drive(second, s, now, 200*time.Millisecond)
+	if !second.lease.Held(now) {
+		t.Fatal("not taken a term after the last renewal that was heard")
+	}
+}
+
+func TestPausedHolderStops(t *testing.T) {
+	s := &store{}
+	holder := newCandidate("holder", 1)
+	now := drive(holder, s, time.Unix(1000, 0), time.Second)
+	if !holder.lease.Held(now) {
+		t.Fatal("not held")
+	}
+	if now = now.Add(term); holder.lease.Held(now) {
+		t.Fatal("held after a pause of a term")
+	}
+}
--- a/residency/book.go
+++ b/residency/book.go
@@ -68,12 +68,14 @@
 	known.report = report
 	known.reportAt = askedAt
 	known.sequence = max(known.sequence, report.Sequence)
+	if lost := known.unsettled; lost != nil && report.Sequence > lost.Expected {
+		// The sequence has moved, so the order was taken after all.
+		known.unsettled = nil
+		known.accepted = append(known.accepted, acceptedOrder{Order: *lost, sequence: lost.Expected + 1, at: known.unsettledAt})
+	}
 	known.accepted = slices.DeleteFunc(known.accepted, func(order acceptedOrder) bool {
 		return b.visible(askedAt, &report, order)
 	})
-	if known.unsettled != nil && report.Sequence > known.unsettled.Expected {
-		known.unsettled = nil
-	}
 }
 
 // visible reports whether a report already reflects an accepted order.
--- /dev/null
+++ b/residency/residency_test.go
@@ -0,0 +1,358 @@
+package residency_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wheatweir/wheatweir/fleet"
+	_ "github.com/wheatweir/wheatweir/internal/fixedseed"
+	"github.com/wheatweir/wheatweir/residency"
+)
+
+const service = "llm"
+
+func engine() *fleet.Engine {
+	return &fleet.Engine{
+		Slots: 32, MemoryTokens: 100000, WeightsMB: 200, AdapterSlots: 4, LoadsPerSecond: 1,
+		Models: []fleet.Model{
+			{Name: "big", WeightsMB: 90, Adapters: 6, AdapterMB: 2}, {Name: "mid", WeightsMB: 60, Adapters: 2, AdapterMB: 2},
+			{Name: "small", WeightsMB: 40}, {Name: "tiny", WeightsMB: 30}, {Name: "other", WeightsMB: 80},
+		},
+	}
+}
+
+// modelServer is the oracle: it holds what it was ordered to, in the order in
+// which orders arrive, and never agrees to hold more than fits.
+type modelServer struct {
+	id       string
+	models   map[string][]string
+	sequence uint64
+	busy     *residency.Order
+	late     []residency.Order
+}
+
+// accept takes an order as a server does.
+func (s *modelServer) accept(order residency.Order) residency.Answer {
+	if s.busy != nil || order.Expected != s.sequence {
+		return residency.AnswerBusy
+	}
+	s.sequence++
+	if order.Adapter == "" {
+		s.busy = &order
+		return residency.AnswerTaken
+	}
+	s.apply(order)
+	if order.Load {
+		return residency.AnswerTaken
+	}
+	return residency.AnswerDone
+}
+
+func (s *modelServer) apply(order residency.Order) {
+	switch {
+	case order.Adapter == "" && order.Load:
+		s.models[order.Model] = nil
+	case order.Adapter == "":
+		delete(s.models, order.Model)
+	case order.Load:
+		s.models[order.Model] = append(s.models[order.Model], order.Adapter)
+	default:
+		s.models[order.Model] = slices.DeleteFunc(s.models[order.Model], func(a string) bool { return a == order.Adapter })
+	}
+}
+
+// finish ends the order that is under way.
+func (s *modelServer) finish() {
+	if s.busy != nil {
+		s.apply(*s.busy)
+		s.busy = nil
+	}
+}
+
+func (s *modelServer) report() fleet.Report {
+	report := fleet.Report{Busy: s.busy != nil, Sequence: s.sequence}
+	for model, adapters := range s.models {
+		report.Residents = append(report.Residents, fleet.Resident{Model: model, Adapters: slices.Clone(adapters)})
+	}
+	return report
+}
+
+// check fails if a server holds more than fits, an order under way included.
+func (s *modelServer) check(t *rapid.T, e *fleet.Engine) {
+	used, adapters := 0.0, 0
+	for name, held := range s.models {
+		used += e.Model(name).WeightsMB + float64(len(held))*e.Model(name).AdapterMB
+		adapters += len(held)
+	}
+	if s.busy != nil && s.busy.Load {
+		used += e.Model(s.busy.Model).WeightsMB
+	}
+	if used > e.WeightsMB || adapters > e.AdapterSlots {
+		t.Fatalf("%s holds %v MB and %d adapters", s.id, used, adapters)
+	}
+}
+
+func instances(servers []*modelServer) []*fleet.Instance {
+	var all []*fleet.Instance
+	for i, s := range servers {
+		all = append(all, &fleet.Instance{ID: s.id, Service: service, Zone: fmt.Sprint("zone-", i%3), Slots: 32})
+	}
+	return all
+}
+
+// TestOrdersKeepEveryLimit plans for servers whose answers get lost, whose orders
+// come late and whose reports lag. Memory and places are never overcommitted, the
+// weight store's rate is kept, and no model loses its last replica.
+func TestOrdersKeepEveryLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := engine()
+		book := residency.NewBook(residency.DefaultSettings())
+		servers := []*modelServer{
+			{id: "s1", models: map[string][]string{"big": nil, "mid": nil}}, {id: "s2", models: map[string][]string{"big": nil, "small": nil}},
+			{id: "s3", models: map[string][]string{"tiny": nil, "other": nil}}, {id: "s4", models: map[string][]string{}},
+		}
+		book.Update(instances(servers))
+		now := time.Unix(1000, 0)
+		var loads []time.Time
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(20, 600).Draw(t, "pause")) * time.Millisecond)
+			for _, s := range servers {
+				if rapid.IntRange(0, 2).Draw(t, "finish") == 0 {
+					s.finish()
+				}
+				if len(s.late) > 0 && rapid.Bool().Draw(t, "late") {
+					s.accept(s.late[0])
+					s.late = s.late[1:]
+					s.check(t, e)
+				}
+				if rapid.Bool().Draw(t, "report") {
+					book.Report(now, s.id, s.report())
+				}
+			}
+			demand := map[string]residency.Demand{}
+			for _, model := range e.Models {
+				demand[model.Name] = residency.Demand{Concurrent: float64(rapid.IntRange(0, 60).Draw(t, "demand"))}
+			}
+			if rapid.Bool().Draw(t, "wanted") {
+				demand["big"] = residency.Demand{Concurrent: 3, Waiting: 1, Adapters: map[string]int{"a6": 1}}
+			}
+			before := reachable(servers)
+			orders := append(book.Resend(now), book.Plan(now, service, e, demand)...)
+			for _, order := range orders {
+				book.Sending(now, order)
+				if order.FromStore {
+					loads = append(loads, now)
+				}
+				book.Answered(now, order, deliver(t, find(servers, order.Instance), order))
+				find(servers, order.Instance).check(t, e)
+			}
+			checkRate(t, loads, e.LoadsPerSecond, now)
+			for model := range before {
+				if !reachable(servers)[model] {
+					t.Fatalf("%s has no replica any more", model)
+				}
+			}
+		}
+	})
+}
+
+// deliver hands an order to a server, loses it, its answer, or makes it late.
+func deliver(t *rapid.T, s *modelServer, order residency.Order) residency.Answer {
+	switch rapid.IntRange(0, 9).Draw(t, "fate") {
+	case 0:
+		return residency.AnswerNotSent
+	case 1:
+		s.accept(order)
+		return residency.AnswerUnknown
+	case 2:
+		s.late = append(s.late, order)
+		return residency.AnswerUnknown
+	default:
+		return s.accept(order)
+	}
+}
+
+func find(servers []*modelServer, id string) *modelServer {
+	for _, s := range servers {
+		if s.id == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// reachable lists models that a server holds and is not letting go.
+func reachable(servers []*modelServer) map[string]bool {
+	held := map[string]bool{}
+	for _, s := range servers {
+		for model := range s.models {
+			if s.busy == nil || s.busy.Load || s.busy.Model != model {
+				held[model] = true
+			}
+		}
+	}
+	return held
+}
+
+func checkRate(t *rapid.T, loads []time.Time, perSecond float64, now time.Time) {
+	const window = 5 * time.Second
+	count := 0
+	for _, at := range loads {
+		if now.Sub(at) <= window {
+			count++
+		}
+	}
+	if float64(count) > perSecond*window.Seconds() {
+		t.Fatalf("%d loads from the store within %v", count, window)
+	}
+}
+
+// calm is a book over servers that answer at once.
+type calm struct {
+	book    *residency.Book
+	engine  *fleet.Engine
+	servers []*modelServer
+	now     time.Time
+	orders  []residency.Order
+}
+
+func newCalm(servers ...*modelServer) *calm {
+	c := &calm{book: residency.NewBook(residency.DefaultSettings()), engine: engine(), servers: servers, now: time.Unix(1000, 0)}
+	c.book.Update(instances(servers))
+	return c
+}
+
+// run plans for a span with a constant demand; orders end within a step.
+func (c *calm) run(span time.Duration, demand map[string]residency.Demand) {
+	for end := c.now.Add(span); c.now.Before(end); c.now = c.now.Add(200 * time.Millisecond) {
+		for _, s := range c.servers {
+			s.finish()
+			c.book.Report(c.now, s.id, s.report())
+		}
+		for _, order := range append(c.book.Resend(c.now), c.book.Plan(c.now, service, c.engine, demand)...) {
+			c.orders = append(c.orders, order)
+			c.book.Sending(c.now, order)
+			c.book.Answered(c.now, order, find(c.servers, order.Instance).accept(order))
+		}
+	}
+	for _, s := range c.servers {
+		s.finish()
+	}
+}
+
+func (c *calm) replicas(model string) int {
+	count := 0
+	for _, s := range c.servers {
+		if _, held := s.models[model]; held {
+			count++
+		}
+	}
+	return count
+}
+
+func fourServers() []*modelServer {
+	var servers []*modelServer
+	for i := range 4 {
+		servers = append(servers, &modelServer{id: fmt.Sprint("s", i), models: map[string][]string{"big": nil}})
+	}
+	return servers
+}
+
+func TestEveryModelBecomesReachable(t *testing.T) {
+	c := newCalm(fourServers()...)
+	c.run(20*time.Second, nil)
+	for _, model := range c.engine.Models {
+		if c.replicas(model.Name) == 0 {
+			t.Errorf("%s has no replica", model.Name)
+		}
+	}
+}
+
+func TestEveryAdapterFindsAPlace(t *testing.T) {
+	c := newCalm(fourServers()...)
+	c.run(20*time.Second, nil)
+	held := map[string]bool{}
+	for _, s := range c.servers {
+		for model, adapters := range s.models {
+			for _, adapter := range adapters {
+				held[model+"/"+adapter] = true
+			}
+		}
+	}
+	if len(held) != 8 {
+		t.Fatalf("%d of 8 adapters are resident: %v", len(held), held)
+	}
+}
+
+func TestDemandMovesReplicas(t *testing.T) {
+	c := newCalm(fourServers()...)
+	c.run(20*time.Second, nil)
+	c.run(20*time.Second, map[string]residency.Demand{"other": {Concurrent: 60}})
+	if got := c.replicas("other"); got < 2 {
+		t.Fatalf("%d replicas under demand", got)
+	}
+	settled := len(c.orders)
+	c.run(20*time.Second, map[string]residency.Demand{"other": {Concurrent: 60}})
+	if more := len(c.orders) - settled; more > 2 {
+		t.Fatalf("%d orders under demand that does not change: %v", more, c.orders[settled:])
+	}
+}
+
+func TestOneRequestMovesNothing(t *testing.T) {
+	c := newCalm(fourServers()...)
+	c.run(30*time.Second, nil)
+	settled := len(c.orders)
+	c.run(10*time.Second, map[string]residency.Demand{"tiny": {Concurrent: 0.9}})
+	if len(c.orders) != settled {
+		t.Fatalf("orders %v", c.orders[settled:])
+	}
+}
+
+// TestRoomIsKeptForItsModel covers memory that was freed for one model and was
+// filled with the victim again before that model could be loaded.
+func TestRoomIsKeptForItsModel(t *testing.T) {
+	c := newCalm(fourServers()...)
+	c.run(20*time.Second, nil)
+	c.run(10*time.Second, map[string]residency.Demand{"other": {Concurrent: 80}})
+	for i, order := range c.orders {
+		if order.RoomFor == "" {
+			continue
+		}
+		for _, next := range c.orders[i+1:] {
+			if next.Instance == order.Instance && next.Load && next.Adapter == "" {
+				if next.Model != order.RoomFor {
+					t.Fatalf("room for %s on %s was filled with %s", order.RoomFor, order.Instance, next.Model)
+				}
+				break
+			}
+		}
+	}
+}
+
+// TestLateOrderIsMadeHarmless covers an order that is not answered and is carried
+// out seconds later: it is settled by sending it again under the same sequence.
+func TestLateOrderIsMadeHarmless(t *testing.T) {
+	server := &modelServer{id: "s0", models: map[string][]string{"big": nil}}
+	c := newCalm(server)
+	c.book.Report(c.now, "s0", server.report())
+	orders := c.book.Plan(c.now, service, c.engine, nil)
+	if len(orders) != 1 {
+		t.Fatalf("orders %v", orders)
+	}
+	c.book.Sending(c.now, orders[0])
+	c.book.Answered(c.now, orders[0], residency.AnswerUnknown)
+	if planned := c.book.Plan(c.now, service, c.engine, nil); len(planned) != 0 {
+		t.Fatalf("orders %v before the first one is settled", planned)
+	}
+	again := c.book.Resend(c.now.Add(time.Second))
+	if len(again) != 1 || again[0].Expected != orders[0].Expected || again[0].Model != orders[0].Model {
+		t.Fatalf("sent again: %v", again)
+	}
+	if server.accept(again[0]) != residency.AnswerTaken || server.accept(orders[0]) != residency.AnswerBusy {
+		t.Fatal("the late order was taken as well")
+	}
+}
