Tell a daemon that has just started what model servers hold; test coordination and the whole path

Cause, found by the whole-path test over the stand-ins: a daemon that joined after the holder had told of an adapter did not hear of it for up to three seconds, as the store's list does not tell of adapters, and refused requests for it. Also found: a first list of servers that is empty never came into force. Tests: takeover, hand-over, catching up by peers and reports in virtual time; whole path, changes, store away, planned stop under load over loopback.

--- a/coordination/node.go
+++ b/coordination/node.go
@@ -33,6 +33,7 @@
 	peers    map[string]peerState
 
 	sources     map[Source]*sourceState
+	listed      bool
 	shareDue    bool
 	lastHolder  time.Time
 	holderName  string
@@ -141,7 +142,12 @@
 }
 
 func (n *Node) takeLoad(now time.Time, from string, load Load) {
+	_, known := n.peers[from]
 	n.peers[from] = peerState{load: load, at: now}
+	if other, found := n.detector.Lookup(from); !known && found && n.held {
+		// It has just started, or was away: it missed what was told meanwhile.
+		n.do(SendPeer{Address: other.PeerAddress, Message: Message{From: n.self, Facts: n.allFacts(now)}})
+	}
 	n.noteVersions(from, load.Versions)
 	if load.Fence != 0 {
 		if n.holderName != from {
@@ -210,9 +216,11 @@
 			"revision", item.Revision)
 		n.listedAt[item.Name] = now
 	}
-	if len(changed) == 0 && n.instances.Known() {
+	if len(changed) == 0 && n.listed {
 		return
 	}
+	// The first list counts even if it is empty.
+	n.listed = n.instances.Known()
 	live := make([]*fleet.Instance, 0, len(changed))
 	for _, item := range n.instances.Items() {
 		live = append(live, item.Value)
@@ -250,6 +258,12 @@
 	return true
 }
 
+// KnowsReport reports whether a report of an instance is known here.
+func (n *Node) KnowsReport(instance string) bool {
+	_, found := n.facts[instance]
+	return found
+}
+
 // TakeView returns a new snapshot if anything has changed since the last one.
 func (n *Node) TakeView() (*fleet.View, bool) {
 	if !n.viewStale {
--- /dev/null
+++ b/coordination/node_test.go
@@ -0,0 +1,286 @@
+package coordination_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/coordination"
+	"github.com/wheatweir/wheatweir/feed"
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/lease"
+	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/residency"
+)
+
+const term = 3 * time.Second
+
+// world drives several nodes in virtual time over one lease record.
+type world struct {
+	now      time.Time
+	nodes    map[string]*coordination.Node
+	stored   lease.Stored
+	revision uint64
+	storeCut map[string]bool
+	dead     map[string]bool
+	orders   []sentOrder
+	refresh  map[string]int
+}
+
+type sentOrder struct {
+	node  string
+	fence uint64
+	at    time.Time
+	order residency.Order
+}
+
+func newWorld(count int) *world {
+	w := &world{now: time.Unix(1000, 0), nodes: map[string]*coordination.Node{}, storeCut: map[string]bool{}, dead: map[string]bool{}, refresh: map[string]int{}}
+	for i := range count {
+		name := fmt.Sprint("n", i)
+		self := member.Member{Name: name, Zone: "z", PeerAddress: name, CallerAddress: name, Incarnation: 1}
+		settings := coordination.DefaultSettings(term)
+		settings.Lease.OrderPause = 0
+		w.nodes[name] = coordination.New(w.now, self, settings, []string{"n0"}, rand.New(rand.NewPCG(uint64(i), 7)))
+	}
+	return w
+}
+
+func (w *world) names() []string {
+	var names []string
+	for i := range len(w.nodes) {
+		names = append(names, fmt.Sprint("n", i))
+	}
+	return names
+}
+
+func (w *world) run(span time.Duration) {
+	for end := w.now.Add(span); w.now.Before(end); w.now = w.now.Add(50 * time.Millisecond) {
+		for _, name := range w.names() {
+			if !w.dead[name] {
+				node := w.nodes[name]
+				w.perform(name, node.ObserveOwn(w.now, map[string]balance.Load{}, nil, coordination.UrgencyNone))
+				w.perform(name, node.Tick(w.now))
+			}
+		}
+	}
+}
+
+func (w *world) perform(name string, actions []coordination.Action) {
+	node := w.nodes[name]
+	for _, action := range actions {
+		switch action := action.(type) {
+		case coordination.SendPeer:
+			if other := w.nodes[action.Address]; other != nil && !w.dead[action.Address] {
+				w.perform(action.Address, other.Receive(w.now, action.Message))
+			}
+		case coordination.CallLease:
+			outcome, stored := w.callLease(name, action.Call)
+			w.perform(name, node.LeaseAnswered(w.now, outcome, stored))
+		case coordination.AskReport:
+			report := fleet.Report{Residents: []fleet.Resident{{Model: "m"}}, Sequence: 4}
+			w.perform(name, node.ReportAnswered(w.now, w.now, action.Instance, report, true))
+		case coordination.SendOrder:
+			w.orders = append(w.orders, sentOrder{name, action.Fence, w.now, action.Order})
+			w.perform(name, node.OrderAnswered(w.now, action.Order, residency.AnswerTaken))
+		case coordination.Refresh:
+			w.refresh[name]++
+		}
+	}
+}
+
+func (w *world) callLease(name string, call lease.Call) (lease.Outcome, lease.Stored) {
+	switch {
+	case w.storeCut[name]:
+		return lease.OutcomeFailed, lease.Stored{}
+	case call.Write == nil || call.IfRevision != w.stored.Revision:
+		return lease.OutcomeConflict, w.stored
+	}
+	w.revision++
+	w.stored = lease.Stored{Record: *call.Write, Revision: w.revision}
+	return lease.OutcomeDone, w.stored
+}
+
+func engineConfiguration(version uint64) *fleet.Configuration {
+	return &fleet.Configuration{Version: version, Services: []fleet.Service{{Name: "llm", Engine: &fleet.Engine{
+		Slots: 8, WeightsMB: 100, AdapterSlots: 2, LoadsPerSecond: 1,
+		Models: []fleet.Model{{Name: "m", WeightsMB: 40}, {Name: "n", WeightsMB: 40}},
+	}}}}
+}
+
+func listing(at uint64, ids ...string) feed.Batch[*fleet.Instance] {
+	batch := feed.Batch[*fleet.Instance]{At: at}
+	for _, id := range ids {
+		batch.Items = append(batch.Items, feed.Item[*fleet.Instance]{
+			Name: id, Revision: at, Value: &fleet.Instance{ID: id, Service: "llm", Address: id, Slots: 8, Residents: []fleet.Resident{{Model: "m"}}},
+		})
+	}
+	return batch
+}
+
+func (w *world) learn() {
+	for _, name := range w.names() {
+		w.perform(name, w.nodes[name].ConfigurationLearned(engineConfiguration(1)))
+		w.perform(name, w.nodes[name].InstancesListed(w.now, listing(5, "i1", "i2")))
+	}
+}
+
+func (w *world) holders() []string {
+	var holders []string
+	for _, name := range w.names() {
+		if !w.dead[name] && w.nodes[name].Holds(w.now) {
+			holders = append(holders, name)
+		}
+	}
+	return holders
+}
+
+func TestOneNodeSendsTheOrders(t *testing.T) {
+	w := newWorld(4)
+	w.learn()
+	w.run(3 * time.Second)
+	if len(w.holders()) != 1 || len(w.orders) == 0 {
+		t.Fatalf("holders %v, %d orders", w.holders(), len(w.orders))
+	}
+	for _, sent := range w.orders {
+		if sent.node != w.holders()[0] || sent.fence == 0 || sent.order.Expected < 4 {
+			t.Errorf("order %+v", sent)
+		}
+	}
+}
+
+// TestTakeover covers a holder that dies and one that is cut off from the store:
+// another node holds the lease a term after the last renewal, and never before.
+func TestTakeover(t *testing.T) {
+	for name, strike := range map[string]func(*world, string){
+		"dies":                 func(w *world, holder string) { w.dead[holder] = true },
+		"is cut off the store": func(w *world, holder string) { w.storeCut[holder] = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(4)
+			w.learn()
+			w.run(5 * time.Second)
+			first := w.holders()[0]
+			strike(w, first)
+			struck := w.now
+			for w.now.Sub(struck) < 4*term {
+				w.run(50 * time.Millisecond)
+				if holders := w.holders(); len(holders) > 1 {
+					t.Fatalf("holders %v", holders)
+				} else if len(holders) == 1 && holders[0] != first {
+					if took := w.now.Sub(struck); took > term+time.Second {
+						t.Fatalf("taken over after %v", took)
+					}
+					return
+				}
+			}
+			t.Fatal("nobody took over")
+		})
+	}
+}
+
+func TestStopHandsTheLeaseOver(t *testing.T) {
+	w := newWorld(3)
+	w.learn()
+	w.run(5 * time.Second)
+	first := w.holders()[0]
+	w.perform(first, w.nodes[first].Leave())
+	w.run(3 * time.Second)
+	if holders := w.holders(); len(holders) != 1 || holders[0] == first || !w.nodes[first].Left() {
+		t.Fatalf("holders %v", holders)
+	}
+}
+
+func TestConfigurationOnlyMovesForward(t *testing.T) {
+	w := newWorld(1)
+	node := w.nodes["n0"]
+	node.InstancesListed(w.now, listing(5, "i1"))
+	for _, version := range []uint64{4, 9, 7, 1} {
+		node.ConfigurationLearned(engineConfiguration(version))
+	}
+	view, changed := node.TakeView()
+	if !changed || view.Version() != 9 {
+		t.Fatalf("version %d", view.Version())
+	}
+	if _, again := node.TakeView(); again {
+		t.Error("a view is published without a change")
+	}
+}
+
+func TestNothingIsServedBeforeBothAreKnown(t *testing.T) {
+	w := newWorld(1)
+	node := w.nodes["n0"]
+	node.ConfigurationLearned(engineConfiguration(1))
+	if view, _ := node.TakeView(); view.Configuration() != nil {
+		t.Fatal("a configuration without instances is served")
+	}
+	node.InstancesListed(w.now, listing(5))
+	if view, _ := node.TakeView(); view.Configuration() == nil {
+		t.Fatal("nothing is served although both are known")
+	}
+}
+
+// TestNodeCatchesUpByItsPeers covers a node whose watch on the store hears nothing,
+// and one that the store turns away: both learn what others know.
+func TestNodeCatchesUpByItsPeers(t *testing.T) {
+	w := newWorld(3)
+	w.learn()
+	w.run(3 * time.Second)
+	for _, name := range []string{"n0", "n1"} {
+		w.perform(name, w.nodes[name].ConfigurationLearned(engineConfiguration(2)))
+		w.perform(name, w.nodes[name].InstancesChanged(w.now, listing(9, "i3")))
+		w.nodes[name].TakeView()
+	}
+	w.nodes["n2"].TakeView()
+	w.run(time.Second)
+	if w.refresh["n2"] == 0 {
+		t.Error("the node does not ask the store again")
+	}
+	if view, changed := w.nodes["n2"].TakeView(); changed && view.Version() == 2 {
+		t.Error("the node learned by its peers although the store answers")
+	}
+	w.perform("n2", w.nodes["n2"].SourceAvailable(coordination.SourceConfiguration, false))
+	w.perform("n2", w.nodes["n2"].SourceAvailable(coordination.SourceInstances, false))
+	w.run(2 * time.Second)
+	view, changed := w.nodes["n2"].TakeView()
+	if !changed || view.Version() != 2 || view.Instance("i3") == nil {
+		t.Fatal("the node did not learn by its peers")
+	}
+}
+
+// TestReportBeatsAnOldList covers what a server holds: its report is believed, and
+// all nodes hear of it.
+func TestReportBeatsAnOldList(t *testing.T) {
+	w := newWorld(2)
+	w.learn()
+	w.run(2 * time.Second)
+	holder := w.holders()[0]
+	report := fleet.Report{Residents: []fleet.Resident{{Model: "m"}, {Model: "n"}}, Sequence: 6}
+	w.perform(holder, w.nodes[holder].ReportAnswered(w.now, w.now, "i1", report, true))
+	for _, name := range w.names() {
+		view, _ := w.nodes[name].TakeView()
+		if view == nil || view.Instance("i1").Resident("n") == nil {
+			t.Errorf("%s does not know what i1 holds", name)
+		}
+	}
+}
+
+// TestNodeThatStartsLateHearsWhatServersHold covers a daemon that was not there
+// when the holder told of an adapter: the list of servers does not tell of it.
+func TestNodeThatStartsLateHearsWhatServersHold(t *testing.T) {
+	w := newWorld(3)
+	w.dead["n2"] = true
+	w.learn()
+	w.run(5 * time.Second)
+	w.dead["n2"] = false
+	w.run(800 * time.Millisecond)
+	view, _ := w.nodes["n2"].TakeView()
+	if view == nil || view.Instance("i1").Resident("m") == nil || len(w.holders()) != 1 {
+		t.Fatalf("view %v, holders %v", view, w.holders())
+	}
+	if !w.nodes["n2"].KnowsReport("i1") {
+		t.Fatal("no report is known")
+	}
+}
--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -210,6 +210,13 @@
 		return
 	}
 	n.factsSentAt = now
+	if facts := n.allFacts(now); len(facts) > 0 {
+		n.broadcast(Message{From: n.self, Facts: facts})
+	}
+}
+
+// allFacts lists what is known of all model servers.
+func (n *Node) allFacts(now time.Time) []Fact {
 	facts := make([]Fact, 0, len(n.facts))
 	for _, known := range n.facts {
 		told := known.Fact
@@ -217,9 +224,7 @@
 		facts = append(facts, told)
 	}
 	slices.SortFunc(facts, func(a, b Fact) int { return cmp.Compare(a.Instance, b.Instance) })
-	if len(facts) > 0 {
-		n.broadcast(Message{From: n.self, Facts: facts})
-	}
+	return facts
 }
 
 // broadcast sends a message to the other live daemons, or to some of them if
--- a/coordination/types.go
+++ b/coordination/types.go
@@ -178,7 +178,7 @@
 		ShareSoon:      10 * time.Millisecond,
 		ReportEvery:    time.Second,
 		ReportSoon:     120 * time.Millisecond,
-		FactsEvery:     3 * time.Second,
+		FactsEvery:     2 * time.Second,
 		RefreshAfter:   150 * time.Millisecond,
 		ChecksFence:    true,
 		PlanEvery:      200 * time.Millisecond,
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,305 @@
+package entry_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/entry"
+	"github.com/wheatweir/wheatweir/platform/standin"
+)
+
+// fleet is a deployment on loopback: a store, servers and entry daemons.
+type fleet struct {
+	store   *standin.Store
+	servers []*standin.Server
+	daemons []*entry.Daemon
+	all     []entry.Settings
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func putConfiguration(store *standin.Store, version int, routes ...string) {
+	specs := []map[string]any{
+		{"name": "stream", "host": "h.example", "pathPrefix": "/stream/", "kind": "stream", "timeoutMs": 10000, "targetLatencyMs": 1000, "maxAttempts": 1, "service": "llm"},
+		{"name": "plain", "host": "h.example", "pathPrefix": "/plain/", "kind": "unsafe", "timeoutMs": 5000, "targetLatencyMs": 150, "maxAttempts": 1, "service": "web"},
+	}
+	for _, name := range routes {
+		specs = append(specs, map[string]any{"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "kind": "safe", "timeoutMs": 5000, "maxAttempts": 2, "service": "web"})
+	}
+	store.Put("config", "main", map[string]any{
+		"version": version, "routes": specs,
+		"services": []map[string]any{
+			{"name": "llm", "maxConns": 100, "engine": map[string]any{
+				"slots": 8, "kvCapacity": 100000, "weightsMb": 200, "adapterSlots": 4, "loadsPerS": 5,
+				"models": []map[string]any{{"name": "m", "weightsMb": 60, "adapters": 2, "adapterMb": 1}, {"name": "n", "weightsMb": 60}},
+			}},
+			{"name": "web", "maxConns": 100},
+		},
+	})
+}
+
+func start(t *testing.T, count int) *fleet {
+	t.Helper()
+	store, err := standin.NewStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{store: store}
+	t.Cleanup(store.Close)
+	putConfiguration(store, 1)
+	for i := range 2 {
+		f.addServer(t, fmt.Sprint("llm", i), "llm", "m")
+		f.addServer(t, fmt.Sprint("web", i), "web")
+	}
+	seed := freeAddress(t)
+	for i := range count {
+		settings := entry.DefaultSettings()
+		settings.Name, settings.Zone, settings.DeploymentKey = fmt.Sprint("d", i), "z", "a key for these tests"
+		settings.FrontAddress, settings.ReadyAddress, settings.DirectoryAddress = freeAddress(t), freeAddress(t), freeAddress(t)
+		settings.PeerAddress = freeAddress(t)
+		if i == 0 {
+			settings.PeerAddress = seed
+		}
+		settings.StoreAddress, settings.Seeds, settings.ChecksFence = store.Address(), []string{seed}, true
+		settings.AddressKeep, settings.Grace = 200*time.Millisecond, 3*time.Second
+		f.all = append(f.all, settings)
+		f.daemons = append(f.daemons, f.startDaemon(t, settings))
+	}
+	return f
+}
+
+func (f *fleet) startDaemon(t *testing.T, settings entry.Settings) *entry.Daemon {
+	t.Helper()
+	daemon, err := entry.Start(settings, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(daemon.Kill)
+	return daemon
+}
+
+func (f *fleet) addServer(t *testing.T, id, service string, models ...string) *standin.Server {
+	t.Helper()
+	server, err := standin.NewServer(f.store, id, service, "z", models...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	f.servers = append(f.servers, server)
+	return server
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatal("never: " + what)
+}
+
+func get(address string) (int, string) {
+	response, err := http.Get("http://" + address)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(body)
+}
+
+func (f *fleet) waitReady(t *testing.T) {
+	t.Helper()
+	for i := range f.daemons {
+		eventually(t, "ready", func() bool { status, _ := get(f.all[i].ReadyAddress + "/ready"); return status == 200 })
+	}
+}
+
+var requestNumber atomic.Int64
+
+// post sends one request and returns its id, status and body.
+func post(address, path, model string) (string, int, string, error) {
+	id := fmt.Sprintf("%016x", requestNumber.Add(1))
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("prompt"))
+	if err != nil {
+		return id, 0, "", err
+	}
+	request.Host = "h.example"
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", "8000")
+	if model != "" {
+		request.Header.Set("X-Model", model)
+		request.Header.Set("X-Token-Count", "100,10")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return id, 0, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return id, response.StatusCode, string(body), err
+}
+
+func TestWholePath(t *testing.T) {
+	f := start(t, 3)
+	f.waitReady(t)
+	for _, settings := range f.all {
+		id, status, body, err := post(settings.FrontAddress, "/plain/x?y=%20", "")
+		if err != nil || status != 200 || !strings.HasPrefix(body, id+" from web") {
+			t.Errorf("plain: %d %q %v", status, body, err)
+		}
+		id, status, body, err = post(settings.FrontAddress, "/stream/x", "m")
+		if err != nil || status != 200 || strings.Count(body, "data: "+id) != 5 {
+			t.Errorf("stream: %d %q %v", status, body, err)
+		}
+		if _, status, _, _ = post(settings.FrontAddress, "/nowhere/x", ""); status != 404 {
+			t.Errorf("no route: %d", status)
+		}
+		// No server has these yet: the holder of the lease has them loaded.
+		for _, model := range []string{"n", "m/a2"} {
+			if id, status, body, err = post(settings.FrontAddress, "/stream/x", model); err != nil || status != 200 || strings.Count(body, id) != 5 {
+				t.Errorf("%s: %d %q %v", model, status, body, err)
+			}
+		}
+	}
+	eventually(t, "all daemons in the answer about addresses", func() bool {
+		_, body := get(f.all[1].DirectoryAddress + "/resolve?name=h.example&region=r&zone=z")
+		for _, settings := range f.all {
+			if !strings.Contains(body, settings.FrontAddress) {
+				return false
+			}
+		}
+		return strings.Contains(body, `"ttlS":0.2`)
+	})
+}
+
+func TestChangesComeIntoForce(t *testing.T) {
+	f := start(t, 2)
+	f.waitReady(t)
+	putConfiguration(f.store, 5, "added")
+	for _, settings := range f.all {
+		eventually(t, "the new route", func() bool { _, status, _, _ := post(settings.FrontAddress, "/added/x", ""); return status == 200 })
+	}
+	f.store.Forget()
+	putConfiguration(f.store, 6, "more")
+	for _, settings := range f.all {
+		eventually(t, "a route after the history was forgotten", func() bool { _, status, _, _ := post(settings.FrontAddress, "/more/x", ""); return status == 200 })
+	}
+	leaving := f.servers[1]
+	leaving.Drain()
+	eventually(t, "no more requests at a server that drains", func() bool {
+		before := len(leaving.Runs())
+		for range 10 {
+			_, _, _, _ = post(f.all[0].FrontAddress, "/plain/x", "")
+		}
+		return len(leaving.Runs()) == before
+	})
+}
+
+// TestServesWhileTheStoreIsAway restarts a daemon while the store answers nobody:
+// it learns what it needs from the other one.
+func TestServesWhileTheStoreIsAway(t *testing.T) {
+	f := start(t, 2)
+	f.waitReady(t)
+	f.store.SetFault(func(string, string) standin.Fault { return standin.FaultBusy })
+	f.daemons[1].Kill()
+	f.daemons[1] = f.startDaemon(t, f.all[1])
+	for _, settings := range f.all {
+		eventually(t, "served without the store", func() bool { _, status, _, _ := post(settings.FrontAddress, "/plain/x", ""); return status == 200 })
+	}
+}
+
+// TestPlannedStopCutsNothing stops a daemon under load: every request ends with a
+// whole answer or with a refusal that says that it has not run, and none runs twice.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f := start(t, 2)
+	f.waitReady(t)
+	for _, server := range f.servers {
+		server.EventPause = 20 * time.Millisecond
+	}
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var served atomic.Int64
+	for range 4 {
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id, status, body, err := post(f.all[0].FrontAddress, "/stream/x", "m")
+				switch {
+				case err != nil && status == 0:
+					// The listener is gone: nothing was read.
+					time.Sleep(5 * time.Millisecond)
+				case err != nil || status == 200 && strings.Count(body, id) != 5:
+					t.Errorf("cut: %d %q %v", status, body, err)
+				case status == 200:
+					served.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	f.daemons[0].Stop()
+	close(stop)
+	group.Wait()
+	if served.Load() == 0 {
+		t.Fatal("nothing was served")
+	}
+	seen := map[string]bool{}
+	for _, server := range f.servers {
+		for _, run := range server.Runs() {
+			if seen[run.ID] {
+				t.Errorf("%s ran twice", run.ID)
+			}
+			seen[run.ID] = true
+		}
+	}
+	eventually(t, "the stopped daemon leaves the answer about addresses", func() bool {
+		status, body := get(f.all[1].DirectoryAddress + "/resolve?name=h&zone=z")
+		return status == 200 && !strings.Contains(body, f.all[0].FrontAddress)
+	})
+}
+
+func TestSettings(t *testing.T) {
+	const valid = "[daemon]\nname = d\nzone = z\ndeployment_key = sixteen characters\n[listen]\nfront = 127.0.0.1:1\nready = 127.0.0.1:2\n" +
+		"directory = 127.0.0.1:3\npeers = 127.0.0.1:4\n[store]\naddress = 127.0.0.1:5\n[requests]\ngrace = 8s\n[orders]\nchecks_fence = true\nlease_term = 3000ms\n"
+	parsed, err := entry.ParseSettings("file.ini", []byte(valid))
+	if err != nil || !parsed.ChecksFence || parsed.LeaseTerm != 3*time.Second || parsed.MetricsAddress != "" {
+		t.Fatalf("%+v, error %v", parsed, err)
+	}
+	cases := []struct{ name, old, new, want string }{
+		{"missing", "zone = z\n", "", "file.ini:1: [daemon] zone is missing"},
+		{"not a time", "grace = 8s", "grace = 8 miles", "file.ini:13:"},
+		{"not an address", "front = 127.0.0.1:1", "front = here", "file.ini:6:"},
+		{"neither true nor false", "checks_fence = true", "checks_fence = perhaps", "true or false"},
+		{"unknown", "grace = 8s", "graze = 8s", `did you mean "grace"?`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := entry.ParseSettings("file.ini", []byte(strings.Replace(valid, c.old, c.new, 1)))
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("error %v lacks %q", err, c.want)
+			}
+		})
+	}
+}
