Decision log, metrics, the story of a request, and settings that are read again

Each step of a request is one line with the id, the inputs (candidates, load, prompts in wait, time left, version) and the outcome; lines wait in a bounded ring and are counted when dropped. Counters, histograms and gauges by tally on the metrics address; the exposition is shared with the native daemon. 'wheatweir explain ID' tells the story from logs and says what is torn, dropped or missing. SIGHUP and unsignalled changes of the settings file come into force, or are turned away whole. The budget of repeats is shared by the daemons that live (before, a fixed sixteenth each).

--- a/balance/picker.go
+++ b/balance/picker.go
@@ -30,6 +30,8 @@
 	Load Load
 	// Available says that nothing speaks against the instance at the moment.
 	Available bool
+	// Of is the number of candidates that it was chosen from.
+	Of int
 }
 
 // Filter tells whether a candidate may take a request at all.
@@ -69,17 +71,22 @@
 	statuses := p.tracker.statuses(now, ids, request.Model, request.Adapter, make([]status, 0, len(ids)))
 	var best *Candidate
 	bestScore := 0.0
+	allowed := 0
 	for i, instance := range instances {
 		candidate := Candidate{Instance: instance, Load: statuses[i].load, Available: statuses[i].available}
 		if statuses[i].missing || !p.allows(request, &candidate) {
 			continue
 		}
+		allowed++
 		score := p.score(request, &candidate)
 		if best == nil || better(&candidate, score, best, bestScore) {
 			chosen := candidate
 			best, bestScore = &chosen, score
 		}
 	}
+	if best != nil {
+		best.Of = allowed
+	}
 	return best
 }
 
--- a/cmd/wheatweir/main.go
+++ b/cmd/wheatweir/main.go
@@ -15,6 +15,7 @@
 	app.Version(version.Text)
 	app.HelpFlag.Short('h')
 	addOperatorCommands(app)
+	addExplain(app)
 	addLabCommands(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "wheatweir:", err)
--- a/cmd/wheatweird/main.go
+++ b/cmd/wheatweird/main.go
@@ -84,11 +84,13 @@
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	running, err := entry.Start(loaded, os.Stdout)
 	if err != nil {
 		return err
 	}
+	running.WatchSettings(path, hangups)
 	select {
 	case err := <-running.Failed():
 		return err
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -74,6 +74,9 @@
 	return node
 }
 
+// SetSeeds replaces the addresses to join through.
+func (n *Node) SetSeeds(addresses []string) { n.detector.SetSeeds(addresses) }
+
 // take returns the actions collected so far.
 func (n *Node) take() []Action {
 	actions := n.actions
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -34,6 +34,10 @@
 	ErrDuty = errs.Class("entry: duty")
 )
 
+// retryPart is the part of the deployment's budget for repeats that daemons spend:
+// they share it by numbers that may be out of date.
+const retryPart = 0.6
+
 const (
 	tickInterval   = 50 * time.Millisecond
 	eventRingSize  = 4096
@@ -48,7 +52,7 @@
 
 // Daemon is one running entry daemon.
 type Daemon struct {
-	settings Settings
+	settings atomic.Pointer[Settings]
 	log      *logBook
 	started  time.Time
 
@@ -63,6 +67,7 @@
 	upstream *platform.Upstream
 	front    *platform.Front
 	gateway  *gateway.Gateway
+	metrics  *metrics
 	tracker  *balance.Tracker
 	budget   *retry.Budget
 	wants    *wants
@@ -87,18 +92,18 @@
 	debug.SetMemoryLimit(int64(memoryHeadroom * float64(settings.MemoryLimitMB) * (1 << 20)))
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
-		settings: settings, log: newLogBook(settings.LogLevel, output), started: time.Now(),
+		log: newLogBook(settings.LogLevel, settings.Name, output), started: time.Now(),
 		events: ring.New[event](eventRingSize), leases: ring.New[coordination.CallLease](callRingSize),
 		reports: ring.New[coordination.AskReport](callRingSize), orders: ring.New[coordination.SendOrder](callRingSize),
 		store: platform.NewStore(settings.StoreAddress), engines: platform.NewEngines(), upstream: platform.NewUpstream(),
-		tracker: balance.NewTracker(), wants: newWants(), failed: make(chan error, 1), ctx: ctx, cancel: cancel,
+		metrics: newMetrics(), tracker: balance.NewTracker(), wants: newWants(), failed: make(chan error, 1), ctx: ctx, cancel: cancel,
 		refresh: map[coordination.Source]chan struct{}{
 			coordination.SourceConfiguration: make(chan struct{}, 1), coordination.SourceInstances: make(chan struct{}, 1),
 		},
 	}
+	d.settings.Store(&settings)
 	d.live.Store(1)
-	// Half of the slack is left to clients' own repeats that arrive twice.
-	d.budget = retry.NewBudget(settings.RetryShare/2, float64(settings.RetrySlack)/16)
+	d.budget = retry.NewBudget(retryPart*settings.RetryShare, 1)
 	d.gateway = gateway.New(gateway.Settings{
 		Zone: settings.Zone, RetryAfter: 200 * time.Millisecond, WaitShare: 0.5,
 		ShareOfConnections: func() float64 { return 1 / float64(max(1, d.live.Load())) },
@@ -115,13 +120,13 @@
 
 func (d *Daemon) listen() error {
 	var err error
-	d.front, err = platform.ListenFront(d.settings.FrontAddress, d.gateway, d.stopping.Load, func() bool { return !d.closing.Load() })
+	d.front, err = platform.ListenFront(d.current().FrontAddress, d.gateway, d.stopping.Load, func() bool { return !d.closing.Load() })
 	if err != nil {
 		return err
 	}
-	addresses := map[string]bool{d.settings.ReadyAddress: true, d.settings.DirectoryAddress: true}
-	if d.settings.MetricsAddress != "" {
-		addresses[d.settings.MetricsAddress] = true
+	addresses := map[string]bool{d.current().ReadyAddress: true, d.current().DirectoryAddress: true}
+	if d.current().MetricsAddress != "" {
+		addresses[d.current().MetricsAddress] = true
 	}
 	for address := range addresses {
 		server, listener, err := platform.ListenDirectory(address, d)
@@ -131,22 +136,22 @@
 		d.servers = append(d.servers, server)
 		d.startDuty("directory", func() { _ = server.Serve(listener) })
 	}
-	d.peers, err = peer.Listen(d.settings.PeerAddress, []byte(d.settings.DeploymentKey), d.receive)
+	d.peers, err = peer.Listen(d.current().PeerAddress, []byte(d.current().DeploymentKey), d.receive)
 	return err
 }
 
 func (d *Daemon) newNode() {
 	self := member.Member{
-		Name: d.settings.Name, Zone: d.settings.Zone, PeerAddress: d.settings.PeerAddress,
-		CallerAddress: d.settings.FrontAddress, Incarnation: uint64(d.started.UnixMilli()),
+		Name: d.current().Name, Zone: d.current().Zone, PeerAddress: d.current().PeerAddress,
+		CallerAddress: d.current().FrontAddress, Incarnation: uint64(d.started.UnixMilli()),
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	settings := coordination.DefaultSettings(d.settings.LeaseTerm)
-	if d.settings.ChecksFence {
+	settings := coordination.DefaultSettings(d.current().LeaseTerm)
+	if d.current().ChecksFence {
 		// Servers turn away what an earlier holder still sends.
 		settings.Lease.OrderPause = 0
 	}
-	d.node = coordination.New(d.started, self, settings, d.settings.Seeds, random)
+	d.node = coordination.New(d.started, self, settings, d.current().Seeds, random)
 }
 
 func (d *Daemon) startDuties() {
@@ -213,14 +218,11 @@
 }
 
 // Keep implements platform.Directory.
-func (d *Daemon) Keep() time.Duration { return d.settings.AddressKeep }
+func (d *Daemon) Keep() time.Duration { return d.current().AddressKeep }
 
 // Ready implements platform.Directory.
 func (d *Daemon) Ready() bool { return d.ready.Load() && !d.stopping.Load() }
 
-// Metrics implements platform.Directory.
-func (d *Daemon) Metrics() string { return "" }
-
 const (
 	// keptFactor is how much longer than allowed some clients keep an answer
 	// about addresses.
@@ -245,8 +247,8 @@
 	d.log.add("daemon", "Stop begins.", "requests", d.gateway.Active())
 	d.stopping.Store(true)
 	d.events.Put(d.ctx, func(node *coordination.Node, _ time.Time) []coordination.Action { return node.Leave() })
-	kept := min(keptFactor*d.settings.AddressKeep, d.settings.Grace/graceShare) - acceptMargin
-	for time.Since(begun) < d.settings.Grace-stopMargin {
+	kept := min(keptFactor*d.current().AddressKeep, d.current().Grace/graceShare) - acceptMargin
+	for time.Since(begun) < d.current().Grace-stopMargin {
 		if time.Since(begun) > kept {
 			d.closing.Store(true)
 			if d.gateway.Active() == 0 {
@@ -273,5 +275,6 @@
 		d.peers.Close()
 		d.group.Wait()
 		d.upstream.Close()
+		d.metrics.root.Close()
 	})
 }
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -39,6 +39,7 @@
 	view := d.gateway.View()
 	d.tracker.Forget(now, func(id string) bool { return view.Instance(id) != nil })
 	d.publishAddresses()
+	d.observeState(now)
 }
 
 // publish hands a new snapshot to the request path.
@@ -71,6 +72,7 @@
 		}
 	}
 	d.live.Store(max(1, live))
+	d.budget.SetLimit(max(1, retryPart*float64(d.current().RetrySlack)/float64(max(1, live))))
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	addresses = addresses[:min(len(addresses), maxAddresses)]
 	d.addresses.Store(&addresses)
@@ -207,7 +209,7 @@
 }
 
 func (f *follower[T]) watch(ctx context.Context) (feed.Batch[T], error) {
-	return f.source.Watch(ctx, f.at, f.daemon.settings.WatchWait)
+	return f.source.Watch(ctx, f.at, f.daemon.current().WatchWait)
 }
 
 // interruptible makes a call that ends early when the collection should be listed
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -5,9 +5,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -303,3 +306,39 @@
 		})
 	}
 }
+
+// TestSettingsAreReadAgain covers a signal, a change without a signal, and a file
+// that is not valid any more.
+func TestSettingsAreReadAgain(t *testing.T) {
+	f := start(t, 1)
+	f.waitReady(t)
+	text := func(keep string) string {
+		s := f.all[0]
+		return fmt.Sprintf("[daemon]\nname = %s\nzone = z\ndeployment_key = a key for these tests\n[listen]\nfront = %s\nready = %s\ndirectory = %s\npeers = %s\n"+
+			"[store]\naddress = %s\n[requests]\naddress_keep = %s\n", s.Name, s.FrontAddress, s.ReadyAddress, s.DirectoryAddress, s.PeerAddress, s.StoreAddress, keep)
+	}
+	path := filepath.Join(t.TempDir(), "node.ini")
+	write := func(keep string) {
+		if err := os.WriteFile(path, []byte(text(keep)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("200ms")
+	signals := make(chan os.Signal, 1)
+	f.daemons[0].WatchSettings(path, signals)
+	keeps := func(ttl string) bool {
+		_, body := get(f.all[0].DirectoryAddress + "/resolve?name=h")
+		return strings.Contains(body, `"ttlS":`+ttl+"}")
+	}
+	write("400ms")
+	signals <- syscall.SIGHUP
+	eventually(t, "the settings after a signal", func() bool { return keeps("0.4") })
+	write("600ms")
+	eventually(t, "the settings without a signal", func() bool { return keeps("0.6") })
+	write("six hundred")
+	signals <- syscall.SIGHUP
+	time.Sleep(50 * time.Millisecond)
+	if !keeps("0.6") {
+		t.Error("settings that are not valid changed something")
+	}
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/internal/exposition"
+)
+
+// metrics counts what an entry daemon does. Names of routes, models and clients
+// are no labels, so the number of series does not grow with what callers send.
+type metrics struct {
+	root *exposition.Root
+	// steps counts decisions by step, kind of route and reason.
+	mutex sync.Mutex
+	steps map[stepKey]tally.Counter
+	took  map[stepKey]tally.Histogram
+	// gauges
+	inProgress    tally.Gauge
+	configuration tally.Gauge
+	instances     tally.Gauge
+	daemons       tally.Gauge
+	leaseHeld     tally.Gauge
+	linesDropped  tally.Gauge
+	peersDropped  tally.Gauge
+}
+
+// stepKey names a series. All of its parts come from fixed lists.
+type stepKey struct{ step, kind, reason string }
+
+func newMetrics() *metrics {
+	root := exposition.NewRoot("wheatweir")
+	return &metrics{
+		root: root, steps: map[stepKey]tally.Counter{}, took: map[stepKey]tally.Histogram{},
+		inProgress: root.Gauge("requests_in_progress"), configuration: root.Gauge("configuration_version"),
+		instances: root.Gauge("instances"), daemons: root.Gauge("live_daemons"), leaseHeld: root.Gauge("lease_held"),
+		linesDropped: root.Gauge("log_lines_dropped"), peersDropped: root.Gauge("peer_messages_dropped"),
+	}
+}
+
+// finalSteps end a request.
+var finalSteps = map[string]bool{gateway.StepEnded: true, gateway.StepRefused: true, gateway.StepBrokenOff: true}
+
+// count takes in one decision.
+func (m *metrics) count(event *gateway.Event) {
+	key := stepKey{step: event.Step, kind: "none", reason: event.Reason}
+	if event.Route != nil {
+		key.kind = event.Route.Kind.String()
+	}
+	if key.reason == "" {
+		key.reason = "none"
+	}
+	counter, histogram := m.series(key)
+	counter.Inc(1)
+	if histogram != nil {
+		histogram.RecordDuration(time.Since(event.Request.Arrived))
+	}
+}
+
+func (m *metrics) series(key stepKey) (tally.Counter, tally.Histogram) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	counter, found := m.steps[key]
+	if !found {
+		tagged := m.root.Tagged(map[string]string{"step": key.step, "kind": key.kind, "reason": key.reason})
+		counter = tagged.Counter("request_decisions")
+		m.steps[key] = counter
+		if finalSteps[key.step] {
+			m.took[key] = tagged.Histogram("request_seconds", exposition.DurationBuckets())
+		}
+	}
+	return counter, m.took[key]
+}
+
+// Metrics implements platform.Directory.
+func (d *Daemon) Metrics() string {
+	var text strings.Builder
+	if err := d.metrics.root.Write(&text); err != nil {
+		d.log.add("metrics", "Not written.", "error", err)
+	}
+	return text.String()
+}
+
+// observeState sets the gauges.
+func (d *Daemon) observeState(now time.Time) {
+	view := d.gateway.View()
+	d.metrics.inProgress.Update(float64(d.gateway.Active()))
+	d.metrics.configuration.Update(float64(view.Version()))
+	d.metrics.instances.Update(float64(view.InstanceCount()))
+	d.metrics.daemons.Update(float64(d.live.Load()))
+	held := 0.0
+	if d.node.Holds(now) {
+		held = 1
+	}
+	d.metrics.leaseHeld.Update(held)
+	d.metrics.linesDropped.Update(float64(d.log.lines.Dropped()))
+	d.metrics.peersDropped.Update(float64(d.peers.Counts().Dropped))
+}
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -30,7 +30,7 @@
 	now    time.Time
 }
 
-func newLogBook(level string, output io.Writer) *logBook {
+func newLogBook(level, node string, output io.Writer) *logBook {
 	book := &logBook{lines: ring.New[line](logRingSize)}
 	book.logger = log.NewWithOptions(output, log.Options{
 		ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Formatter: log.LogfmtFormatter,
@@ -41,6 +41,7 @@
 		parsed = log.InfoLevel
 	}
 	book.logger.SetLevel(parsed)
+	book.logger = book.logger.With("node", node)
 	return book
 }
 
@@ -84,6 +85,7 @@
 
 // Observe implements gateway.Observer.
 func (d *Daemon) Observe(event gateway.Event) {
+	d.metrics.count(&event)
 	fields := []any{"request", event.Request.ID, "route", "", "step", event.Step}
 	if event.Route != nil {
 		fields[3] = event.Route.Name
@@ -94,8 +96,8 @@
 	if event.Instance != "" {
 		fields = append(fields, "instance", event.Instance, "attempt", event.Attempt)
 	}
-	if event.Step == "sent" {
-		fields = append(fields, "load", event.Load.Requests, "prompt_tokens", event.Load.PromptTokens)
+	if event.Step == gateway.StepSent {
+		fields = append(fields, "left_ms", event.Left.Milliseconds(), "candidates", event.Candidates, "load", event.Load.Requests, "prompt_tokens", event.Load.PromptTokens)
 	}
 	if event.Status != 0 {
 		fields = append(fields, "status", event.Status)
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -13,7 +13,7 @@
 	answer := residency.AnswerNotSent
 	var err error
 	if time.Now().Before(sent.Until) {
-		answer, err = d.engines.Order(d.ctx, sent.Order, d.settings.Name, sent.Fence)
+		answer, err = d.engines.Order(d.ctx, sent.Order, d.current().Name, sent.Fence)
 	}
 	if err != nil {
 		d.log.add("orders", "Failed.", "instance", sent.Order.Instance, "model", sent.Order.Model, "error", err)
--- /dev/null
+++ b/explain/explain.go
@@ -0,0 +1,261 @@
+// Package explain tells the story of one request from the logs of daemons.
+package explain
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+	"github.com/zeebo/errs"
+
+	"github.com/wheatweir/wheatweir/gateway"
+)
+
+// Classes of errors.
+var (
+	// ErrNotFound means that no line speaks of the request.
+	ErrNotFound = errs.Class("explain: not found")
+	// ErrRead means that a log could not be read.
+	ErrRead = errs.Class("explain: read")
+)
+
+// timeLayout is the form of times in the log.
+const timeLayout = "2006-01-02T15:04:05.000Z07:00"
+
+// lineStart is how each line of the log begins. Whatever stands before it, as in
+// the output of a tool that merges logs, is left out.
+const lineStart = "time="
+
+// maxLine bounds one line.
+const maxLine = 1 << 20
+
+// Field is one field of a line.
+type Field struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+// Step is one decision on the request.
+type Step struct {
+	At     time.Time `json:"at"`
+	Node   string    `json:"node"`
+	Name   string    `json:"step"`
+	Fields []Field   `json:"fields"`
+}
+
+// Value returns a field's value, or nothing.
+func (s *Step) Value(name string) string {
+	for _, field := range s.Fields {
+		if field.Name == name {
+			return field.Value
+		}
+	}
+	return ""
+}
+
+// Story is what the logs tell of one request.
+type Story struct {
+	Request string `json:"request"`
+	Steps   []Step `json:"steps"`
+	// Nodes lists the daemons that speak of the request.
+	Nodes []string `json:"nodes"`
+	// Torn counts lines of the logs that could not be read.
+	Torn int `json:"torn_lines"`
+	// Dropped counts lines that daemons say they dropped.
+	Dropped int `json:"dropped_lines"`
+	// Warnings tell what makes the story uncertain.
+	Warnings []string `json:"warnings,omitempty"`
+	Cause    string   `json:"cause"`
+}
+
+// Reader collects the lines of one request.
+type Reader struct {
+	request string
+	story   Story
+}
+
+// NewReader returns a reader for a request's id.
+func NewReader(request string) *Reader {
+	return &Reader{request: request, story: Story{Request: request}}
+}
+
+// Read takes in a log.
+func (r *Reader) Read(log io.Reader) error {
+	scanner := bufio.NewScanner(log)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		r.line(scanner.Text())
+	}
+	if err := scanner.Err(); err != nil {
+		return ErrRead.Wrap(err)
+	}
+	return nil
+}
+
+func (r *Reader) line(text string) {
+	start := strings.Index(text, lineStart)
+	if start < 0 {
+		if strings.TrimSpace(text) != "" && strings.Contains(text, r.request) {
+			r.story.Torn++
+		}
+		return
+	}
+	step, message, err := parse(text[start:])
+	switch {
+	case err != nil:
+		r.story.Torn++
+	case strings.HasPrefix(message, "log: Lines dropped"):
+		count := 0
+		_, _ = fmt.Sscan(step.Value("count"), &count)
+		r.story.Dropped += count
+	case step.Value("request") == r.request:
+		r.story.Steps = append(r.story.Steps, step)
+	}
+}
+
+// parse reads one line.
+func parse(text string) (Step, string, error) {
+	var step Step
+	message := ""
+	decoder := logfmt.NewDecoder(strings.NewReader(text))
+	for decoder.ScanRecord() {
+		for decoder.ScanKeyval() {
+			name, value := string(decoder.Key()), string(decoder.Value())
+			switch name {
+			case "time":
+				at, err := time.Parse(timeLayout, value)
+				if err != nil {
+					return step, "", ErrRead.Wrap(err)
+				}
+				step.At = at
+			case "msg":
+				message = value
+			case "level":
+			case "node":
+				step.Node = value
+			case "step":
+				step.Name = value
+			default:
+				step.Fields = append(step.Fields, Field{name, value})
+			}
+		}
+	}
+	if err := decoder.Err(); err != nil {
+		return step, "", ErrRead.Wrap(err)
+	}
+	if message == "" {
+		return step, "", ErrRead.New("a line without a message")
+	}
+	return step, message, nil
+}
+
+// final steps end a request.
+var final = map[string]bool{gateway.StepEnded: true, gateway.StepRefused: true, gateway.StepBrokenOff: true}
+
+// Story returns what was read, in the order of time.
+func (r *Reader) Story() (Story, error) {
+	story := r.story
+	if len(story.Steps) == 0 {
+		return story, ErrNotFound.New("no line speaks of request %q (%d torn lines, %d lines dropped by daemons)", r.request, story.Torn, story.Dropped)
+	}
+	slices.SortStableFunc(story.Steps, func(a, b Step) int { return a.At.Compare(b.At) })
+	for _, step := range story.Steps {
+		if !slices.Contains(story.Nodes, step.Node) {
+			story.Nodes = append(story.Nodes, step.Node)
+		}
+	}
+	slices.SortFunc(story.Nodes, cmp.Compare[string])
+	story.Warnings = warnings(&story)
+	story.Cause = cause(&story)
+	return story, nil
+}
+
+func warnings(story *Story) []string {
+	var warned []string
+	if len(story.Nodes) > 1 {
+		warned = append(warned, "several daemons speak of this id: their clocks may be apart, so the order between them is uncertain")
+	}
+	if story.Torn > 0 {
+		warned = append(warned, fmt.Sprintf("%d lines could not be read", story.Torn))
+	}
+	if story.Dropped > 0 {
+		warned = append(warned, fmt.Sprintf("daemons dropped %d lines; some may have been of this request", story.Dropped))
+	}
+	if !final[story.Steps[len(story.Steps)-1].Name] {
+		warned = append(warned, "the last line is missing: the process may have ended")
+	}
+	return warned
+}
+
+// reasons explain why a request ended as it did.
+var reasons = map[string]string{
+	gateway.ReasonStarting:    "the daemon did not know a configuration yet",
+	gateway.ReasonStopping:    "the daemon was stopping",
+	gateway.ReasonNoRoute:     "no route of the configuration begins its path",
+	gateway.ReasonNoInstance:  "no instance of the service could take it",
+	gateway.ReasonNoModel:     "no instance had its model in time",
+	gateway.ReasonNoAdapter:   "no instance had its adapter in time",
+	gateway.ReasonDeclined:    "the instance declined it, and no further attempt was allowed",
+	gateway.ReasonUnreached:   "no instance could be reached",
+	gateway.ReasonBroken:      "the instance failed after it may have run, and it may not run again",
+	gateway.ReasonTimeout:     "its time was over before the instance answered",
+	gateway.ReasonNeverSent:   "its time was over before it could be sent",
+	gateway.ReasonClientGone:  "the client left",
+	gateway.ReasonAnswered:    "the instance answered",
+	gateway.ReasonStreamBroke: "the stream broke off, and it may not be resumed",
+}
+
+// cause tells in one sentence why the request ended as it did.
+func cause(story *Story) string {
+	var last *Step
+	for i := range story.Steps {
+		if final[story.Steps[i].Name] {
+			last = &story.Steps[i]
+		}
+	}
+	if last == nil {
+		return "unknown: no line tells of its end"
+	}
+	text := reasons[last.Value("reason")]
+	if text == "" {
+		text = "reason " + last.Value("reason")
+	}
+	if status := last.Value("status"); status != "" {
+		text += " (status " + status + ")"
+	}
+	for i := len(story.Steps) - 1; i >= 0; i-- {
+		if failure := story.Steps[i].Value("error"); failure != "" {
+			return fmt.Sprintf("%s after %s ms; the last failure, at %s: %s", text, last.Value("took_ms"), story.Steps[i].Value("instance"), failure)
+		}
+	}
+	return fmt.Sprintf("%s after %s ms", text, last.Value("took_ms"))
+}
+
+// Write writes the story as text, a line for each step, the cause last.
+func (s *Story) Write(w io.Writer) error {
+	begin := s.Steps[0].At
+	for _, step := range s.Steps {
+		parts := make([]string, 0, len(step.Fields))
+		for _, field := range step.Fields {
+			if field.Name != "request" && field.Value != "" {
+				parts = append(parts, field.Name+"="+field.Value)
+			}
+		}
+		if _, err := fmt.Fprintf(w, "%s +%5dms %-16s %-14s %s\n", step.At.Format(timeLayout), step.At.Sub(begin).Milliseconds(),
+			step.Node, step.Name, strings.Join(parts, " ")); err != nil {
+			return ErrRead.Wrap(err)
+		}
+	}
+	for _, warning := range s.Warnings {
+		if _, err := fmt.Fprintln(w, "note:", warning); err != nil {
+			return ErrRead.Wrap(err)
+		}
+	}
+	_, err := fmt.Fprintln(w, "cause:", s.Cause)
+	return err
+}
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,85 @@
+package explain_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/wheatweir/wheatweir/explain"
+)
+
+const log = `  1.20 front-a time=2026-12-02T10:00:01.200Z level=info msg="request: Decided." node=a request=r1 route=p step=sent instance=i1 attempt=0 candidates=3 load=2 took_ms=0 configuration=7
+time=2026-12-02T10:00:01.250Z level=info msg="request: Decided." node=a request=r2 step=refused status=404 reason=no_route took_ms=0 configuration=7
+time=2026-12-02T10:00:01.900Z level=info msg="request: Decided." node=a request=r1 route=p step=attempt_failed instance=i1 attempt=1 error="connection reset" took_ms=700 configuration=7
+time=2026-12-02T10:00:01.901Z level=info msg="request: Decided." node=a request=r1 route=p step=refused status=502 reason=broken took_ms=701 configuration=7
+`
+
+func read(t *testing.T, id string, logs ...string) (explain.Story, error) {
+	t.Helper()
+	reader := explain.NewReader(id)
+	for _, text := range logs {
+		if err := reader.Read(strings.NewReader(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return reader.Story()
+}
+
+func TestStory(t *testing.T) {
+	story, err := read(t, "r1", log)
+	if err != nil || len(story.Steps) != 3 || len(story.Warnings) != 0 {
+		t.Fatalf("%+v, error %v", story, err)
+	}
+	var text bytes.Buffer
+	if err := story.Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(strings.TrimSpace(text.String()), "\n")
+	last := lines[len(lines)-1]
+	for _, want := range []string{"cause:", "may not run again", "status 502", "701 ms", "at i1: connection reset"} {
+		if !strings.Contains(last, want) {
+			t.Errorf("%q lacks %q", last, want)
+		}
+	}
+	if !strings.Contains(lines[0], "candidates=3") || !strings.Contains(lines[1], "+  700ms") {
+		t.Errorf("story:\n%s", text.String())
+	}
+}
+
+func TestUncertainStories(t *testing.T) {
+	cut := log[:strings.LastIndex(log, "time=")]
+	other := strings.ReplaceAll(log, "node=a", "node=b")
+	cases := []struct {
+		name string
+		logs []string
+		want string
+	}{
+		{"the last line is missing", []string{cut}, "the last line is missing"},
+		{"several daemons", []string{log, other}, "clocks may be apart"},
+		{"a torn line", []string{log + `time=2026-12-02T10:00:01.9 level="`}, "1 lines could not be read"},
+		{"dropped lines", []string{log + `time=2026-12-02T10:00:02.000Z level=info msg="log: Lines dropped." node=a count=12` + "\n"}, "dropped 12 lines"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			story, err := read(t, "r1", c.logs...)
+			if err != nil || !strings.Contains(strings.Join(story.Warnings, "\n"), c.want) {
+				t.Errorf("warnings %q, error %v", story.Warnings, err)
+			}
+		})
+	}
+}
+
+func TestUnknownRequest(t *testing.T) {
+	if _, err := read(t, "nobody", log); !explain.ErrNotFound.Has(err) {
+		t.Fatalf("error %v", err)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(log)
+	f.Fuzz(func(_ *testing.T, text string) {
+		reader := explain.NewReader("r1")
+		_ = reader.Read(strings.NewReader(text))
+		_, _ = reader.Story()
+	})
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -47,6 +47,8 @@
 	// reading says that the instance has not begun to answer.
 	reading     bool
 	resumeAfter string
+	// waitedFor is the last wait that was told.
+	waitedFor string
 }
 
 // verdict is what follows from an attempt.
@@ -119,14 +121,14 @@
 // giveUp gives the client its final answer, or breaks it off if a part is out.
 func (e *exchange) giveUp(ctx context.Context, reason string) {
 	if clientLeft(ctx) {
-		e.observe(Event{Step: "ended", Reason: ReasonClientGone})
+		e.observe(Event{Step: StepEnded, Reason: ReasonClientGone})
 		e.reply.Abort()
 		return
 	}
 	switch {
 	case e.begun:
 		e.reply.Abort()
-		e.observe(Event{Step: "broken_off", Reason: reason})
+		e.observe(Event{Step: StepBrokenOff, Reason: reason})
 	case e.mayHaveRun && ctx.Err() != nil:
 		e.gateway.refuse(e.reply, e.route, e.request, statusTimeout, ReasonTimeout)
 	case e.mayHaveRun:
@@ -138,6 +140,14 @@
 
 func clientLeft(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
 
+// observeOnce tells of the first wait of its kind.
+func (e *exchange) observeOnce(step, reason string) {
+	if e.waitedFor != step+reason {
+		e.waitedFor = step + reason
+		e.observe(Event{Step: step, Reason: reason})
+	}
+}
+
 func (e *exchange) observe(event Event) {
 	event.Request = e.request
 	event.Route = e.route
@@ -165,6 +175,7 @@
 			return candidate, ""
 		}
 		if candidate != nil && ctx.Err() == nil {
+			e.observeOnce(StepPaced, "")
 			sleep(ctx, crowdedPause)
 			continue
 		}
@@ -175,6 +186,7 @@
 		if len(e.sentTo) > 0 || wait <= 0 {
 			return nil, reason
 		}
+		e.observeOnce(StepWaiting, reason)
 		select {
 		case <-changed:
 		case <-time.After(doubtPause):
@@ -276,7 +288,7 @@
 	if outbound.Left <= 0 {
 		return verdictUnreached
 	}
-	e.observe(Event{Step: "sent", Instance: id, Load: candidate.Load})
+	e.observe(Event{Step: StepSent, Instance: id, Load: candidate.Load, Candidates: candidate.Of, Left: outbound.Left})
 	e.gateway.tracker.Begin(id, e.request.PromptTokens)
 	e.reading = true
 	response, err := e.gateway.upstream.Send(ctx, outbound)
@@ -309,13 +321,13 @@
 		}
 		e.passed = append(e.passed, id)
 		e.end(id, outcome)
-		e.observe(Event{Step: "unreached", Instance: id, Err: err})
+		e.observe(Event{Step: StepUnreached, Instance: id, Err: err})
 		return verdictUnreached
 	}
 	e.sentTo = append(e.sentTo, id)
 	e.mayHaveRun = true
 	e.end(id, blame(ctx))
-	e.observe(Event{Step: "attempt_failed", Instance: id, Err: err})
+	e.observe(Event{Step: StepAttemptFailed, Instance: id, Err: err})
 	return verdictBroken
 }
 
@@ -338,7 +350,7 @@
 		e.gateway.tracker.Missing(time.Now(), id, e.request.Model, e.request.Adapter, missingSpan)
 	}
 	e.end(id, outcome)
-	e.observe(Event{Step: "declined", Instance: id, Status: status})
+	e.observe(Event{Step: StepDeclined, Instance: id, Status: status})
 	return verdictDeclined
 }
 
@@ -359,6 +371,6 @@
 		siblings[i] = instance.ID
 	}
 	if e.gateway.tracker.End(time.Now(), id, outcome, siblings) {
-		e.observe(Event{Step: "ejected", Instance: id})
+		e.observe(Event{Step: StepEjected, Instance: id})
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,34 @@
 	ReasonStreamBroke = "stream_broke"
 )
 
+// Steps of a request, as they stand in logs and metrics. Each request ends with
+// exactly one of StepEnded, StepRefused and StepBrokenOff.
+const (
+	// StepWaiting says that no instance can take the request now.
+	StepWaiting = "waiting"
+	// StepPaced says that every instance has many prompts to read.
+	StepPaced = "paced"
+	// StepSent says that an instance was chosen.
+	StepSent = "sent"
+	// StepUnreached says that nothing could be sent to it.
+	StepUnreached = "unreached"
+	// StepDeclined says that the instance did not run the request.
+	StepDeclined = "declined"
+	// StepAttemptFailed says that the instance may have run it, without an answer
+	// that can be passed on.
+	StepAttemptFailed = "attempt_failed"
+	// StepStreamBroke says that a stream ended before its end.
+	StepStreamBroke = "stream_broke"
+	// StepEjected says that the instance gets no requests for a while.
+	StepEjected = "ejected"
+	// StepEnded, StepRefused and StepBrokenOff end a request: with the answer of
+	// an instance or because the client left, with an answer of our own, or in
+	// the middle of an answer.
+	StepEnded     = "ended"
+	StepRefused   = "refused"
+	StepBrokenOff = "broken_off"
+)
+
 // Settings of the request path.
 type Settings struct {
 	// Zone is the zone of this daemon.
@@ -71,6 +99,10 @@
 	Attempt  int
 	Status   int
 	Reason   string
+	// Candidates is the number of instances that could have been chosen.
+	Candidates int
+	// Left is what the instance may take.
+	Left time.Duration
 	// Load is what the instance was believed to have to do.
 	Load balance.Load
 	// Version is the configuration that decided.
@@ -188,5 +220,5 @@
 		retryAfter = g.settings.RetryAfter
 	}
 	reply.Refuse(status, reason, retryAfter)
-	g.observer.Observe(Event{Step: "refused", Request: request, Route: route, Status: status, Reason: reason, Version: g.view.Load().Version()})
+	g.observer.Observe(Event{Step: StepRefused, Request: request, Route: route, Status: status, Reason: reason, Version: g.view.Load().Version()})
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -34,7 +34,7 @@
 	body, err := io.ReadAll(io.LimitReader(response, maxWhole+1))
 	if err != nil {
 		e.end(id, blame(ctx))
-		e.observe(Event{Step: "attempt_failed", Instance: id, Status: response.Status(), Err: err})
+		e.observe(Event{Step: StepAttemptFailed, Instance: id, Status: response.Status(), Err: err})
 		return verdictBroken
 	}
 	if len(body) > maxWhole {
@@ -45,7 +45,7 @@
 	if response.Status() >= statusServerError || !genuine {
 		e.end(id, balance.Failed)
 		if !genuine || e.canRepeatFailure() {
-			e.observe(Event{Step: "attempt_failed", Instance: id, Status: response.Status()})
+			e.observe(Event{Step: StepAttemptFailed, Instance: id, Status: response.Status()})
 			return verdictBroken
 		}
 	} else {
@@ -58,7 +58,7 @@
 	if e.reply.Begin(response.Status(), response.Header(), int64(len(body))) != nil || e.reply.Write(body) != nil {
 		e.reply.Abort()
 	}
-	e.observe(Event{Step: "ended", Instance: id, Status: response.Status(), Reason: ReasonAnswered})
+	e.observe(Event{Step: StepEnded, Instance: id, Status: response.Status(), Reason: ReasonAnswered})
 	return verdictEnded
 }
 
@@ -96,7 +96,7 @@
 			return verdictEnded
 		}
 		if errors.Is(err, io.EOF) {
-			e.observe(Event{Step: "ended", Instance: id, Status: response.Status(), Reason: ReasonAnswered})
+			e.observe(Event{Step: StepEnded, Instance: id, Status: response.Status(), Reason: ReasonAnswered})
 			return verdictEnded
 		}
 		if err != nil {
@@ -123,7 +123,7 @@
 			}
 			if !e.forward(response, piece) {
 				e.end(id, balance.Abandoned)
-				e.observe(Event{Step: "ended", Instance: id, Reason: ReasonClientGone})
+				e.observe(Event{Step: StepEnded, Instance: id, Reason: ReasonClientGone})
 				e.reply.Abort()
 				return verdictEnded
 			}
@@ -138,7 +138,7 @@
 			return e.streamEnded(id, response, &events)
 		default:
 			e.end(id, blame(ctx))
-			e.observe(Event{Step: "stream_broke", Instance: id, Err: err})
+			e.observe(Event{Step: StepStreamBroke, Instance: id, Err: err})
 			return verdictBroken
 		}
 	}
@@ -154,7 +154,7 @@
 		e.begun = true
 		_ = e.reply.Begin(response.Status(), response.Header(), -1)
 	}
-	e.observe(Event{Step: "ended", Instance: id, Status: response.Status(), Reason: ReasonAnswered})
+	e.observe(Event{Step: StepEnded, Instance: id, Status: response.Status(), Reason: ReasonAnswered})
 	return verdictEnded
 }
 
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -22,6 +22,21 @@
 	return &Budget{tokens: limit, share: share, limit: limit}
 }
 
+// SetLimit changes the limit, for example because it is shared by more daemons.
+func (b *Budget) SetLimit(limit float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.limit = limit
+	b.tokens = min(b.tokens, limit)
+}
+
+// SetShare changes the share.
+func (b *Budget) SetShare(share float64) {
+	b.mutex.Lock()
+	b.share = share
+	b.mutex.Unlock()
+}
+
 // Succeeded notes a success.
 func (b *Budget) Succeeded() {
 	b.mutex.Lock()
