--- a/coordination/node_test.go
+++ b/coordination/node_test.go
@@ -284,3 +284,50 @@
 		t.Fatal("no report is known")
 	}
 }
+
+// TestStoreRateHoldsAcrossTakeover covers a holder that has just used up the weight
+// store's rate and dies: its successor does not begin with a fresh window.
+func TestStoreRateHoldsAcrossTakeover(t *testing.T) {
+	w := newWorld(3)
+	configuration := engineConfiguration(1)
+	engine := configuration.Services[0].Engine
+	for i := range 40 {
+		engine.Models = append(engine.Models, fleet.Model{Name: fmt.Sprint("x", i), WeightsMB: 1})
+	}
+	var ids []string
+	for i := range 30 {
+		ids = append(ids, fmt.Sprint("i", i))
+	}
+	for _, name := range w.names() {
+		w.perform(name, w.nodes[name].ConfigurationLearned(configuration))
+		w.perform(name, w.nodes[name].InstancesListed(w.now, listing(5, ids...)))
+	}
+	w.run(4 * time.Second)
+	first := w.holders()[0]
+	for before := len(w.orders); len(w.orders) < before+5; {
+		w.run(50 * time.Millisecond)
+	}
+	w.dead[first] = true
+	w.run(20 * time.Second)
+	const window = 5 * time.Second
+	var loads []sentOrder
+	for _, sent := range w.orders {
+		if sent.order.FromStore {
+			loads = append(loads, sent)
+		}
+	}
+	if len(loads) < 8 || loads[len(loads)-1].node == first {
+		t.Fatalf("%d loads, the last by %s", len(loads), loads[len(loads)-1].node)
+	}
+	for i := range loads {
+		count := 0
+		for _, other := range loads[i:] {
+			if other.at.Sub(loads[i].at) <= window {
+				count++
+			}
+		}
+		if float64(count) > engine.LoadsPerSecond*window.Seconds() {
+			t.Fatalf("%d loads within %v of %v", count, window, loads[i].at)
+		}
+	}
+}
--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -67,8 +67,8 @@
 	for id := range n.reports {
 		delete(n.reports, id)
 	}
-	// Without a predecessor nobody has loaded anything.
-	if !may {
+	// A predecessor may have used up the weight store's rate a moment ago.
+	if n.lease.Succeeded() {
 		for _, service := range n.services() {
 			if service.Engine != nil {
 				n.book.Inherit(now, service.Engine.LoadsPerSecond)
@@ -95,7 +95,7 @@
 func (n *Node) plan(now time.Time) {
 	n.plannedAt = now
 	fence, may := n.lease.MayOrder(now)
-	if !may {
+	if n.lease.Succeeded() {
 		return
 	}
 	orders := n.book.Resend(now)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -86,6 +86,7 @@
 	fence      uint64
 	validUntil time.Time
 	firstOrder time.Time // no order before this moment
+	succeeded  bool      // there was a holder before
 	calling    bool
 	calledAt   time.Time
 	pending    Call
@@ -213,6 +214,7 @@
 		return
 	}
 	if !l.held {
+		l.succeeded = previous.Revision != 0
 		l.begin(previous.Revision != 0 && previous.Record.Holder != l.self, stored.Revision)
 	}
 	l.validUntil = l.calledAt.Add(l.settings.Term - l.settings.Margin)
@@ -241,6 +243,7 @@
 		if fence == 0 {
 			fence = stored.Revision
 		}
+		l.succeeded = true
 		l.begin(true, fence)
 		l.firstOrder = now.Add(l.settings.OrderPause)
 		l.validUntil = l.calledAt
@@ -274,6 +277,9 @@
 // heardHolder stands for a holder whose record was not read.
 const heardHolder = "(heard)"
 
+// Succeeded reports whether there was a holder before this one, whatever it did.
+func (l *Lease) Succeeded() bool { return l.succeeded }
+
 // Lost makes this candidate give up the lease at once: a server told of a higher
 // fencing token.
 func (l *Lease) Lost() {
