--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -95,7 +95,7 @@
 func (n *Node) plan(now time.Time) {
 	n.plannedAt = now
 	fence, may := n.lease.MayOrder(now)
-	if n.lease.Succeeded() {
+	if !may {
 		return
 	}
 	orders := n.book.Resend(now)
