--- a/cmd/wheatweir/lab.go
+++ b/cmd/wheatweir/lab.go
@@ -40,7 +40,13 @@
 func addDemo(lab *kingpin.CmdClause) {
 	command := lab.Command("demo", "Serve a mixed load on embedded stand-ins and check every answer.")
 	path := command.Flag("log", "Write the daemons' log lines to a file.").PlaceHolder("FILE").String()
-	command.Action(func(*kingpin.ParseContext) error { return runWithLog(*path, demo.Run) })
+	protocol := command.Flag("protocol", "native, or platform for the forms of the users' platform.").Default("native").Enum("native", "platform")
+	command.Action(func(*kingpin.ParseContext) error {
+		if *protocol == "platform" {
+			return runWithLog(*path, demo.RunOnPlatform)
+		}
+		return runWithLog(*path, demo.Run)
+	})
 }
 
 // runWithLog runs something until it ends or is interrupted, with the daemons'
--- /dev/null
+++ b/lab/demo/platform.go
@@ -0,0 +1,272 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/zeebo/errs"
+
+	"github.com/wheatweir/wheatweir/entry"
+	"github.com/wheatweir/wheatweir/platform/standin"
+)
+
+// ErrPlatformDemo is the class of failures of the demo over the platform's forms.
+var ErrPlatformDemo = errs.Class("demo: platform")
+
+const (
+	platformDaemons  = 3
+	platformEngines  = 3
+	platformWorkers  = 6
+	platformRequests = 50
+	platformStart    = 20 * time.Second
+)
+
+// platformModels are the models of the demo; each engine starts with the first.
+var platformModels = []string{"summary", "translate", "glossary"}
+
+// RunOnPlatform serves a mixed load over the platform's published forms: stand-ins
+// for its store and servers, and entry daemons as they run there. Each answer is
+// checked, and no request may run twice.
+func RunOnPlatform(ctx context.Context, output, logs io.Writer) error {
+	deployment, err := startPlatform(logs)
+	if err != nil {
+		return err
+	}
+	defer deployment.close()
+	if err := deployment.waitReady(ctx); err != nil {
+		return err
+	}
+	fmt.Fprintf(output, "%d entry daemons before %d engines and 2 portals, over the platform's forms\n", platformDaemons, platformEngines)
+	counts := deployment.load(ctx)
+	fmt.Fprintf(output, "%d requests: %d whole answers, %d refused (not run), %d wrong\n",
+		counts.sent.Load(), counts.whole.Load(), counts.refused.Load(), counts.wrong.Load())
+	if twice := deployment.ranTwice(); twice > 0 || counts.wrong.Load() > 0 || counts.whole.Load() == 0 {
+		return ErrPlatformDemo.New("%d wrong answers, %d requests ran twice", counts.wrong.Load(), twice)
+	}
+	return nil
+}
+
+// platformDeployment is everything that the demo runs.
+type platformDeployment struct {
+	store    *standin.Store
+	servers  []*standin.Server
+	daemons  []*entry.Daemon
+	settings []entry.Settings
+}
+
+// platformCounts are the ends of the demo's requests.
+type platformCounts struct{ sent, whole, refused, wrong atomic.Int64 }
+
+func startPlatform(logs io.Writer) (*platformDeployment, error) {
+	store, err := standin.NewStore()
+	if err != nil {
+		return nil, ErrPlatformDemo.Wrap(err)
+	}
+	d := &platformDeployment{store: store}
+	store.Put("config", "main", platformConfiguration())
+	for number := range platformEngines {
+		if err := d.addServer(fmt.Sprint("engine-", number), "engines", platformModels[0]); err != nil {
+			return nil, err
+		}
+	}
+	for number := range 2 {
+		if err := d.addServer(fmt.Sprint("portal-", number), "portal"); err != nil {
+			return nil, err
+		}
+	}
+	return d, d.startDaemons(logs)
+}
+
+func platformConfiguration() map[string]any {
+	models := make([]map[string]any, 0, len(platformModels))
+	for _, name := range platformModels {
+		models = append(models, map[string]any{"name": name, "weightsMb": 60, "adapters": 2, "adapterMb": 1})
+	}
+	return map[string]any{
+		"version": 1,
+		"routes": []map[string]any{
+			{"name": "stream", "host": "demo.example", "pathPrefix": "/stream/", "kind": "stream", "timeoutMs": 10000, "targetLatencyMs": 1000, "maxAttempts": 1, "service": "engines"},
+			{"name": "portal", "host": "demo.example", "pathPrefix": "/portal/", "kind": "unsafe", "timeoutMs": 5000, "targetLatencyMs": 150, "maxAttempts": 1, "service": "portal"},
+		},
+		"services": []map[string]any{
+			{"name": "engines", "maxConns": 100, "engine": map[string]any{
+				"slots": 8, "kvCapacity": 100000, "weightsMb": 200, "adapterSlots": 6, "loadsPerS": 5, "models": models,
+			}},
+			{"name": "portal", "maxConns": 100},
+		},
+	}
+}
+
+func (d *platformDeployment) addServer(id, service string, models ...string) error {
+	server, err := standin.NewServer(d.store, id, service, "zone-1", models...)
+	if err != nil {
+		return ErrPlatformDemo.Wrap(err)
+	}
+	d.servers = append(d.servers, server)
+	return nil
+}
+
+func (d *platformDeployment) startDaemons(logs io.Writer) error {
+	addresses, err := loopbackAddresses(4 * platformDaemons)
+	if err != nil {
+		return err
+	}
+	var shared lockedWriter
+	shared.output = logs
+	for number := range platformDaemons {
+		own := addresses[4*number:]
+		settings := entry.DefaultSettings()
+		settings.Name, settings.Zone = fmt.Sprint("entry-", number), "zone-1"
+		settings.FrontAddress, settings.ReadyAddress, settings.DirectoryAddress, settings.PeerAddress = own[0], own[1], own[2], own[3]
+		settings.StoreAddress, settings.Seeds, settings.DeploymentKey = d.store.Address(), []string{addresses[3]}, "the demo's deployment"
+		settings.ChecksFence = true
+		daemon, err := entry.Start(settings, &shared)
+		if err != nil {
+			return err
+		}
+		d.daemons = append(d.daemons, daemon)
+		d.settings = append(d.settings, settings)
+	}
+	return nil
+}
+
+// lockedWriter lets several daemons write to one output.
+type lockedWriter struct {
+	mutex  sync.Mutex
+	output io.Writer
+}
+
+// Write implements io.Writer.
+func (w *lockedWriter) Write(content []byte) (int, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.output.Write(content)
+}
+
+// loopbackAddresses returns addresses that were free a moment ago.
+func loopbackAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, ErrPlatformDemo.Wrap(err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+func (d *platformDeployment) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, platformStart)
+	defer cancel()
+	for _, settings := range d.settings {
+		for !isReady(ctx, settings.ReadyAddress) {
+			select {
+			case <-ctx.Done():
+				return ErrPlatformDemo.New("%s is not ready", settings.Name)
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// load sends requests of both kinds from several workers.
+func (d *platformDeployment) load(ctx context.Context) *platformCounts {
+	var counts platformCounts
+	var group conc.WaitGroup
+	for worker := range platformWorkers {
+		group.Go(func() {
+			for number := range platformRequests {
+				d.request(ctx, &counts, worker, number)
+			}
+		})
+	}
+	group.Wait()
+	return &counts
+}
+
+func (d *platformDeployment) request(ctx context.Context, counts *platformCounts, worker, number int) {
+	id := fmt.Sprintf("%08x%08x", worker, number)
+	path, model, want := "/portal/x", "", 1
+	if number%3 != 0 {
+		path, model, want = "/stream/x", platformModels[number%len(platformModels)], standin.EventCount
+	}
+	counts.sent.Add(1)
+	address := d.settings[(worker+number)%len(d.settings)].FrontAddress
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader("prompt"))
+	if err != nil {
+		counts.wrong.Add(1)
+		return
+	}
+	request.Host = "demo.example"
+	request.Header.Set("X-Request-Id", id)
+	if model != "" {
+		request.Header.Set("X-Model", model)
+		request.Header.Set("X-Token-Count", "100,10")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		counts.wrong.Add(1)
+		return
+	}
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	switch {
+	case response.StatusCode == http.StatusServiceUnavailable:
+		counts.refused.Add(1)
+	case err != nil || response.StatusCode != http.StatusOK || strings.Count(string(body), id) != want:
+		counts.wrong.Add(1)
+	default:
+		counts.whole.Add(1)
+	}
+}
+
+// ranTwice counts requests that more than one server ran, or one ran twice.
+func (d *platformDeployment) ranTwice() int {
+	seen := map[string]int{}
+	for _, server := range d.servers {
+		for _, run := range server.Runs() {
+			seen[run.ID]++
+		}
+	}
+	twice := 0
+	for _, count := range seen {
+		if count > 1 {
+			twice++
+		}
+	}
+	return twice
+}
+
+func (d *platformDeployment) close() {
+	for _, daemon := range d.daemons {
+		daemon.Kill()
+	}
+	for _, server := range d.servers {
+		server.Close()
+	}
+	d.store.Close()
+}
