--- a/caller/server.go
+++ b/caller/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"strconv"
@@ -21,8 +22,10 @@
 var ErrServer = errs.Class("caller: server")
 
 const (
-	readTimeout = 30 * time.Second
+	readTimeout = 10 * time.Second
 	idleTimeout = 60 * time.Second
+	// maxConnections bounds the connections of all callers together.
+	maxConnections = 4096
 	// relayBufferBytes is the buffer of one streamed answer.
 	relayBufferBytes = 4 << 10
 	// maxCommandBytes bounds an operator's command.
@@ -66,6 +69,7 @@
 		BodyLimit:    maxBodyBytes,
 		ReadTimeout:  readTimeout,
 		IdleTimeout:  idleTimeout,
+		Concurrency:  maxConnections,
 		ErrorHandler: handleError,
 	})
 	server.routes()
@@ -105,7 +109,30 @@
 	return c.Status(status).JSON(errorBody{detailOf(result)})
 }
 
+// refuseTwoFramings ends a connection whose request gives a length as well as
+// chunks: what follows could be taken for a request that nobody sent.
+func refuseTwoFramings(c *fiber.Ctx) error {
+	head := c.Request().Header.RawHeaders()
+	if !hasField(head, fiber.HeaderContentLength) || !hasField(head, fiber.HeaderTransferEncoding) {
+		return c.Next()
+	}
+	c.Response().SetConnectionClose()
+	return fiber.NewError(fiber.StatusBadRequest, "the body has a length and comes in chunks")
+}
+
+// hasField reports whether raw header lines have a field of this name.
+func hasField(head []byte, name string) bool {
+	for _, line := range bytes.Split(head, []byte("\n")) {
+		field, _, _ := bytes.Cut(line, []byte(":"))
+		if bytes.EqualFold(bytes.TrimSpace(field), []byte(name)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Server) routes() {
+	s.app.Use(refuseTwoFramings)
 	s.app.Post("/v1/chat/completions", s.completion)
 	s.app.Post("/v1/completions", s.completion)
 	s.app.Get("/v1/models", s.models)
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -198,3 +198,24 @@
 		}
 	}
 }
+
+// TestBodyFramedTwiceIsRefused sends a length and chunks; behind the chunks stands
+// what a reader of the length takes for the body.
+func TestBodyFramedTwiceIsRefused(t *testing.T) {
+	calls := make(chan string, 4)
+	server := listen(t, func(ctx context.Context, call *caller.Call) (*caller.Answer, outcome.Result) {
+		calls <- call.ID
+		return echo(ctx, call)
+	})
+	conn, err := net.Dial("tcp", server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	inner := fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", 5+len(inner), inner)
+	text, _ := io.ReadAll(conn)
+	if !strings.HasPrefix(string(text), "HTTP/1.1 400") || len(calls) != 0 {
+		t.Fatalf("answer %q, %d calls", text, len(calls))
+	}
+}
--- a/cmd/wheatweir/verify.go
+++ b/cmd/wheatweir/verify.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"strings"
@@ -53,8 +54,7 @@
 
 func (f *verifyFlags) run() error {
 	if f.list {
-		listPromises()
-		return nil
+		return listPromises(f.format)
 	}
 	f.plan.Without = sim.Mechanism(f.without)
 	f.plan.Progress = os.Stderr
@@ -87,7 +87,12 @@
 	return nil
 }
 
-func listPromises() {
+func listPromises(format string) error {
+	if format == "json" {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(verify.Promises)
+	}
 	for _, promise := range verify.Promises {
 		fmt.Printf("%-14s %s\n", promise.Name, promise.Text)
 		var names []string
@@ -98,4 +103,5 @@
 			fmt.Printf("%-14s fails without: %s\n", "", strings.Join(names, ", "))
 		}
 	}
+	return nil
 }
--- a/lab/verify/promises.go
+++ b/lab/verify/promises.go
@@ -13,12 +13,12 @@
 
 // Promise is one of the promises that must always hold.
 type Promise struct {
-	Name string
+	Name string `json:"name"`
 	// Text says what is checked.
-	Text string
+	Text string `json:"text"`
 	// Mechanisms lists the mechanisms that the promise hangs on and that a
 	// run can be made without.
-	Mechanisms []sim.Mechanism
+	Mechanisms []sim.Mechanism `json:"mechanisms"`
 }
 
 // Promises lists all promises that runs check.
