Keep ordering while the store is away for all; take the own lease back after a restart

The last holder now goes on while every live daemon says that the store does not answer it (only where servers check tokens); a restarted holder takes its own lease back. Ruled out: taking over without the store.

--- a/coordination/demand.go
+++ b/coordination/demand.go
@@ -118,9 +118,9 @@
 	for _, load := range models {
 		n.demand.own[modelKey{load.Service, load.Model}] = load
 	}
-	load := Load{Requests: requests, Models: models, Versions: n.versions()}
+	load := Load{Requests: requests, Models: models, Versions: n.versions(), StoreAway: n.storeAway()}
 	if n.held {
-		load.Fence, _ = n.lease.MayOrder(now)
+		load.Fence, _, _ = n.mayOrder(now)
 		load.Lease = n.lease.Revision()
 	}
 	n.shareDue = n.shareDue || urgency != UrgencyNone
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -97,7 +97,10 @@
 func (n *Node) Members() []member.Member { return n.detector.Members() }
 
 // Holds reports whether this daemon holds the lease on orders.
-func (n *Node) Holds(now time.Time) bool { return n.lease.Held(now) }
+func (n *Node) Holds(now time.Time) bool {
+	_, _, ordering := n.mayOrder(now)
+	return n.lease.Held(now) || ordering
+}
 
 // Tick does what is due.
 func (n *Node) Tick(now time.Time) []Action {
--- a/coordination/node_test.go
+++ b/coordination/node_test.go
@@ -331,3 +331,38 @@
 		}
 	}
 }
+
+// TestHolderGoesOnWhileTheStoreIsAwayForAll covers an outage that is longer than the
+// term: the holder goes on as long as no live daemon reaches the store, and stops if
+// one does, since that one may take the lease over.
+func TestHolderGoesOnWhileTheStoreIsAwayForAll(t *testing.T) {
+	for _, reaches := range []bool{false, true} {
+		w := newWorld(3)
+		w.learn()
+		w.run(5 * time.Second)
+		first := w.holders()[0]
+		for _, name := range w.names() {
+			if reaches && name != first {
+				continue
+			}
+			w.storeCut[name] = true
+			for _, source := range []coordination.Source{coordination.SourceConfiguration, coordination.SourceInstances} {
+				w.perform(name, w.nodes[name].SourceAvailable(source, false))
+			}
+		}
+		cut := w.now
+		for w.now.Sub(cut) < 3*term {
+			w.run(50 * time.Millisecond)
+			holders := w.holders()
+			if len(holders) > 1 {
+				t.Fatalf("holders %v", holders)
+			}
+			if !reaches && (len(holders) != 1 || holders[0] != first) {
+				t.Fatalf("%v after the store went away, holders %v", w.now.Sub(cut), holders)
+			}
+		}
+		if holders := w.holders(); reaches && (len(holders) != 1 || holders[0] == first) {
+			t.Fatalf("holders %v although another daemon reaches the store", holders)
+		}
+	}
+}
--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -19,7 +19,8 @@
 	if !n.Known() {
 		return
 	}
-	held := n.lease.Held(now)
+	_, _, ordering := n.mayOrder(now)
+	held := n.lease.Held(now) || ordering
 	if held != n.held {
 		n.held = held
 		n.leaseChanged(now)
@@ -58,8 +59,8 @@
 }
 
 func (n *Node) leaseChanged(now time.Time) {
-	fence, may := n.lease.MayOrder(now)
-	n.decide("lease", "Changed.", "held", n.held, "fence", fence, "may_order", may)
+	fence, _, may := n.mayOrder(now)
+	n.decide("lease", "Changed.", "held", n.held, "fence", fence, "may_order", may, "store_away", n.storeAway())
 	if !n.held {
 		return
 	}
@@ -94,7 +95,7 @@
 // plan decides which orders to send, if this daemon may send any.
 func (n *Node) plan(now time.Time) {
 	n.plannedAt = now
-	fence, may := n.lease.MayOrder(now)
+	fence, until, may := n.mayOrder(now)
 	if !may {
 		return
 	}
@@ -113,7 +114,7 @@
 		}
 		n.decide("orders", "Sent.", "instance", order.Instance, "load", order.Load, "model", order.Model, "adapter", order.Adapter,
 			"expected", order.Expected, "fence", fence, "reason", order.Reason)
-		n.do(SendOrder{Order: order, Fence: fence, Until: n.lease.ValidUntil()})
+		n.do(SendOrder{Order: order, Fence: fence, Until: until})
 	}
 }
 
--- a/coordination/types.go
+++ b/coordination/types.go
@@ -35,6 +35,8 @@
 	Versions
 	// Fence is the fencing token if the sender holds the lease, else zero.
 	Fence uint64 `msgpack:"f,omitempty"`
+	// StoreAway says that the store does not answer the sender.
+	StoreAway bool `msgpack:"w,omitempty"`
 	// Lease is the revision of the sender's newest renewal.
 	Lease uint64 `msgpack:"l,omitempty"`
 	// Requests is the load by instance.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -80,6 +80,7 @@
 	boot     string
 
 	known      bool
+	read       bool // the store was asked at least once
 	stored     Stored
 	unchanged  time.Time // since when the stored record is known to be unchanged
 	held       bool
@@ -108,6 +109,10 @@
 	return l.held && now.Before(l.validUntil)
 }
 
+// Retained reports whether this candidate held the lease last, as far as it knows,
+// even if the term is over.
+func (l *Lease) Retained() (fence uint64, ok bool) { return l.fence, l.held }
+
 // ValidUntil is when the right of the holder ends unless it is renewed.
 func (l *Lease) ValidUntil() time.Time { return l.validUntil }
 
@@ -135,7 +140,12 @@
 		return l.call(now, Call{Write: &Record{Fence: l.fence, Renewals: l.stored.Record.Renewals + 1}, IfRevision: l.stored.Revision})
 	case l.held:
 		return l.renew(now)
-	case l.leaving || !eager:
+	case l.leaving:
+		return nil
+	case !l.read:
+		// Whoever held the lease before it restarted takes it back at once.
+		return l.call(now, Call{})
+	case !eager && !l.mine():
 		return nil
 	case !l.known:
 		return l.call(now, Call{})
@@ -159,10 +169,14 @@
 	return &Record{Holder: l.self, Boot: l.boot, Fence: l.fence, Renewals: l.stored.Record.Renewals + 1}
 }
 
+// mine reports whether the record names an earlier process of this candidate, which
+// has ended: two processes of one candidate do not run side by side.
+func (l *Lease) mine() bool { return l.known && l.stored.Record.Holder == l.self }
+
 // take tries to become the holder once the known record has been unchanged for
-// a term, or was handed back, or never existed.
+// a term, or was handed back, never existed or is our own.
 func (l *Lease) take(now time.Time) *Call {
-	free := l.stored.Revision == 0 || l.stored.Record.Holder == ""
+	free := l.stored.Revision == 0 || l.stored.Record.Holder == "" || l.mine()
 	if !free && now.Sub(l.unchanged) < l.settings.Term {
 		return nil
 	}
@@ -208,6 +222,7 @@
 // written takes in a write of our own that succeeded.
 func (l *Lease) written(stored Stored) {
 	previous := l.stored
+	l.read = true
 	l.learn(l.calledAt, stored)
 	if stored.Record.Holder != l.self || stored.Record.Boot != l.boot {
 		l.held = false
@@ -232,6 +247,7 @@
 // observe takes in a record that was read, or found in the way of a write.
 func (l *Lease) observe(now time.Time, stored Stored) {
 	l.learn(now, stored)
+	l.read = true
 	ours := stored.Record.Holder == l.self && stored.Record.Boot == l.boot
 	switch {
 	case l.held && !ours:
@@ -269,6 +285,7 @@
 	if l.held || revision <= l.stored.Revision {
 		return
 	}
+	l.read = true
 	l.stored = Stored{Record: Record{Holder: heardHolder}, Revision: revision}
 	l.unchanged = now
 	l.known = true
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -200,6 +200,33 @@
 	}
 }
 
+// TestRestartedHolderTakesItsLeaseBack covers a holder whose process is killed and
+// started again, while nobody else tries to take the lease.
+func TestRestartedHolderTakesItsLeaseBack(t *testing.T) {
+	s := &store{}
+	now := drive(newCandidate("holder", 1), s, time.Unix(1000, 0), time.Second)
+	again := newCandidate("holder", 2)
+	for range 4 {
+		if call := again.lease.Step(now, false); call != nil {
+			outcome, stored := s.call(*call)
+			again.lease.Answered(now, outcome, stored)
+		}
+	}
+	if fence, may := again.lease.MayOrder(now); !may || fence != s.revision || !again.lease.Succeeded() {
+		t.Fatalf("fence %d, may order %v at revision %d", fence, may, s.revision)
+	}
+	other := newCandidate("other", 1)
+	for range 4 {
+		if call := other.lease.Step(now, false); call != nil {
+			if call.Write != nil {
+				t.Fatal("a candidate that is not eager takes the lease of another")
+			}
+			outcome, stored := s.call(*call)
+			other.lease.Answered(now, outcome, stored)
+		}
+	}
+}
+
 func TestPausedHolderStops(t *testing.T) {
 	s := &store{}
 	holder := newCandidate("holder", 1)
