End watches in time to notice that they went deaf

When the store drops its history a watch may hear nothing any more without being cut. All daemons had begun theirs at the same event, so none learned of the next version until all watches ended together, 5.6 s later. Three daemons now end theirs within the contact time of the settings, at random moments; the others wait longer and hear of news by them (tried before: versions between daemons, which help only if one knows). Ruled out: stale reads (none are asked for).

--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -43,11 +43,12 @@
 		// At the first start there is nobody to wait for.
 		quiet = rankPause
 	}
-	return silence >= quiet+time.Duration(n.rank())*rankPause
+	return silence >= quiet+time.Duration(n.Rank())*rankPause
 }
 
-// rank is this daemon's place among the candidates.
-func (n *Node) rank() int {
+// Rank is this daemon's place among the live ones, in an order that all compute
+// alike.
+func (n *Node) Rank() int {
 	own := xxhash.Sum64String("lease/" + n.self)
 	rank := 0
 	for _, name := range n.detector.Live() {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -77,14 +77,16 @@
 
 	addresses atomic.Pointer[[]string]
 	live      atomic.Int64
-	ready     atomic.Bool
-	stopping  atomic.Bool
-	closing   atomic.Bool
-	failed    chan error
-	cancel    context.CancelFunc
-	ctx       context.Context
-	group     conc.WaitGroup
-	ended     sync.Once
+	// rank is this daemon's place among the live ones, in an order of all.
+	rank     atomic.Int64
+	ready    atomic.Bool
+	stopping atomic.Bool
+	closing  atomic.Bool
+	failed   chan error
+	cancel   context.CancelFunc
+	ctx      context.Context
+	group    conc.WaitGroup
+	ended    sync.Once
 }
 
 // Start starts a daemon. Logs go to output.
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -39,6 +39,7 @@
 	view := d.gateway.View()
 	d.tracker.Forget(now, func(id string) bool { return view.Instance(id) != nil })
 	d.publishAddresses()
+	d.rank.Store(int64(d.node.Rank()))
 	d.observeState(now)
 }
 
@@ -209,7 +210,30 @@
 }
 
 func (f *follower[T]) watch(ctx context.Context) (feed.Batch[T], error) {
-	return f.source.Watch(ctx, f.at, f.daemon.current().WatchWait)
+	wait := watchWait(f.daemon.current().WatchWait, int(f.daemon.rank.Load()), rand.Float64())
+	return f.source.Watch(ctx, f.at, wait)
+}
+
+const (
+	// shortWatchers is how many daemons end their watches in time to notice, by the
+	// list that follows, that a watch has gone deaf. The others hear of it by them.
+	shortWatchers = 3
+	// longWatch is how much longer the others' watches wait.
+	longWatch = 2.0
+	// leastWatch and mostWatch bound the random part of a wait: daemons that began
+	// at the same event must not all end at the same moment.
+	leastWatch = 0.45
+	mostWatch  = 0.85
+)
+
+// watchWait is how long one call waits for changes. Limit is the longest time that a
+// change may stay unheard.
+func watchWait(limit time.Duration, rank int, random float64) time.Duration {
+	part := leastWatch + (mostWatch-leastWatch)*random
+	if rank >= shortWatchers {
+		part *= longWatch
+	}
+	return time.Duration(part * float64(limit))
 }
 
 // interruptible makes a call that ends early when the collection should be listed
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -44,7 +44,7 @@
 	// all daemons, RetrySlack how many more in one window.
 	RetryShare float64
 	RetrySlack int
-	// WatchWait is how long one call waits for changes.
+	// WatchWait is how long a change may stay unheard if a watch goes deaf.
 	WatchWait time.Duration
 	// MemoryLimitMB is the memory of the process.
 	MemoryLimitMB int
@@ -54,7 +54,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		LogLevel: "info", AddressKeep: time.Second, Grace: 8 * time.Second, LeaseTerm: 3 * time.Second,
-		RetryShare: 0.2, RetrySlack: 20, WatchWait: 6 * time.Second, MemoryLimitMB: 256,
+		RetryShare: 0.2, RetrySlack: 20, WatchWait: 3 * time.Second, MemoryLimitMB: 256,
 	}
 }
 
