--- a/cmd/wheatweird/main.go
+++ b/cmd/wheatweird/main.go
@@ -31,20 +31,33 @@
 	if *path == "" {
 		app.Fatalf("--settings is missing")
 	}
-	start := run
+	start := startNative
 	if *asEntry {
-		start = runEntry
+		start = startEntry
 	}
-	if err := start(*path, *check); err != nil {
+	if err := run(*path, *check, start); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
+// runner is a daemon of either kind.
+type runner interface {
+	// Failed gives the error of a duty that failed.
+	Failed() <-chan error
+	// Stop ends the daemon without cutting off requests, unless ctx ends before.
+	Stop(ctx context.Context)
+}
+
+// starter reads settings and, unless they are only to be checked, starts a daemon.
+type starter func(path string, checkOnly bool) (runner, error)
+
 // run starts a daemon and stops it on the first SIGTERM or SIGINT without
 // cutting off requests; a second signal ends it at once.
-func run(path string, checkOnly bool) error {
-	loaded, err := settings.Read(path)
+func run(path string, checkOnly bool, start starter) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	running, err := start(path, checkOnly)
 	if err != nil {
 		return err
 	}
@@ -52,12 +65,6 @@
 		fmt.Printf("%s: settings are valid\n", path)
 		return nil
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	running, err := daemon.Start(loaded, os.Stderr)
-	if err != nil {
-		return err
-	}
 	select {
 	case err := <-running.Failed():
 		return err
@@ -72,30 +79,28 @@
 	return nil
 }
 
-// runEntry does the same for an entry daemon.
-func runEntry(path string, checkOnly bool) error {
-	loaded, err := entry.ReadSettings(path)
-	if err != nil {
-		return err
+// startNative starts a daemon that speaks wheatweir's own protocols.
+func startNative(path string, checkOnly bool) (runner, error) {
+	loaded, err := settings.Read(path)
+	if err != nil || checkOnly {
+		return nil, err
 	}
-	if checkOnly {
-		fmt.Printf("%s: settings are valid\n", path)
-		return nil
+	return daemon.Start(loaded, os.Stderr)
+}
+
+// startEntry starts an entry daemon on the users' platform. Its settings are read
+// again on SIGHUP and when the file changes.
+func startEntry(path string, checkOnly bool) (runner, error) {
+	loaded, err := entry.ReadSettings(path)
+	if err != nil || checkOnly {
+		return nil, err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	running, err := entry.Start(loaded, os.Stdout)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	running.WatchSettings(path, hangups)
-	select {
-	case err := <-running.Failed():
-		return err
-	case <-signals:
-	}
-	running.Stop()
-	return nil
+	return running, nil
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -243,14 +243,14 @@
 
 // Stop ends the daemon: it is no longer ready and leaves the answers about
 // addresses at once, goes on serving for as long as clients may keep an answer,
-// and then waits for its requests, within the grace.
-func (d *Daemon) Stop() {
+// and then waits for its requests, within the grace and until ctx ends.
+func (d *Daemon) Stop(ctx context.Context) {
 	begun := time.Now()
 	d.log.add("daemon", "Stop begins.", "requests", d.gateway.Active())
 	d.stopping.Store(true)
 	d.events.Put(d.ctx, func(node *coordination.Node, _ time.Time) []coordination.Action { return node.Leave() })
 	kept := min(keptFactor*d.current().AddressKeep, d.current().Grace/graceShare) - acceptMargin
-	for time.Since(begun) < d.current().Grace-stopMargin {
+	for ctx.Err() == nil && time.Since(begun) < d.current().Grace-stopMargin {
 		if time.Since(begun) > kept {
 			d.closing.Store(true)
 			if d.gateway.Active() == 0 {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -262,7 +263,7 @@
 		})
 	}
 	time.Sleep(200 * time.Millisecond)
-	f.daemons[0].Stop()
+	f.daemons[0].Stop(context.Background())
 	close(stop)
 	group.Wait()
 	if served.Load() == 0 {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/fleet"
 )
@@ -156,128 +153,6 @@
 	e.gateway.observer.Observe(event)
 }
 
-// candidate chooses an instance. It waits for one as long as that makes sense.
-func (e *exchange) candidate(ctx context.Context) (*balance.Candidate, string) {
-	var unwant func()
-	defer func() {
-		if unwant != nil {
-			unwant()
-		}
-	}()
-	wait := time.Duration(float64(time.Until(e.firstBy)) * e.gateway.settings.WaitShare)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		changed := *e.gateway.changed.Load()
-		view := e.gateway.view.Load()
-		candidate := e.pick(view)
-		if candidate != nil && !e.crowded(view, candidate) {
-			return candidate, ""
-		}
-		if candidate != nil && ctx.Err() == nil {
-			e.observeOnce(StepPaced, "")
-			sleep(ctx, crowdedPause)
-			continue
-		}
-		reason := e.lack(view)
-		if e.request.Model != "" && unwant == nil {
-			unwant = e.gateway.wants.Want(e.service, e.request.Model, e.request.Adapter)
-		}
-		if len(e.sentTo) > 0 || wait <= 0 {
-			return nil, reason
-		}
-		e.observeOnce(StepWaiting, reason)
-		select {
-		case <-changed:
-		case <-time.After(doubtPause):
-		case <-timer.C:
-			return nil, reason
-		case <-ctx.Done():
-			return nil, reason
-		}
-	}
-}
-
-const (
-	// crowdedPause is the pause between two looks for an instance with fewer
-	// prompts to read.
-	crowdedPause = 5 * time.Millisecond
-	// crowdedShare is the part of an instance's memory that prompts still to be
-	// read may take before further ones wait here.
-	crowdedShare = 1.0 / 40
-	// crowdedWait is the part of the target latency that a request may wait so.
-	crowdedWait = 0.3
-)
-
-// crowded reports whether a request should wait a little, because every instance
-// has many prompts to read: another one would hold up the streams that run there.
-// Less urgent requests wait sooner.
-func (e *exchange) crowded(view *fleet.View, candidate *balance.Candidate) bool {
-	limit := crowdedShare * float64(memoryTokens(view, e.service)) / float64(1+e.route.Priority)
-	if limit == 0 || candidate.Load.PromptTokens == 0 || e.waited() > crowdedWait {
-		return false
-	}
-	return float64(candidate.Load.PromptTokens+e.request.PromptTokens) > limit
-}
-
-// waited is the part of the target latency that has passed.
-func (e *exchange) waited() float64 {
-	if e.route.TargetLatency <= 0 {
-		return 1
-	}
-	return time.Since(e.request.Arrived).Seconds() / e.route.TargetLatency.Seconds()
-}
-
-func sleep(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// doubtPause is how often a waiting request looks again without a change, since
-// doubts about instances end by themselves.
-const doubtPause = 100 * time.Millisecond
-
-func (e *exchange) pick(view *fleet.View) *balance.Candidate {
-	request := balance.Request{
-		Model: e.request.Model, Adapter: e.request.Adapter, Zone: e.gateway.settings.Zone,
-		Affinity: e.affinity(), MemoryTokens: memoryTokens(view, e.service), Excluded: append(e.passed, e.sentTo...),
-	}
-	return e.gateway.picker.Pick(time.Now(), view.Instances(e.service), &request)
-}
-
-func memoryTokens(view *fleet.View, name string) int {
-	service := view.Service(name)
-	if service == nil || service.Engine == nil {
-		return 0
-	}
-	return service.Engine.MemoryTokens
-}
-
-// affinity is equal for requests that share the first part of their prompt.
-func (e *exchange) affinity() uint64 {
-	if len(e.request.Prompt) == 0 {
-		return rand.Uint64()
-	}
-	return xxhash.Sum64String(e.request.Model + "/" + e.request.Adapter + "/" + e.request.Prompt[0].ID)
-}
-
-// lack tells why there is no candidate.
-func (e *exchange) lack(view *fleet.View) string {
-	if e.request.Model == "" {
-		return ReasonNoInstance
-	}
-	for _, instance := range view.Instances(e.service) {
-		if !instance.Leaving && instance.Resident(e.request.Model) != nil {
-			return ReasonNoAdapter
-		}
-	}
-	return ReasonNoModel
-}
-
 // attempt sends the request to one instance and passes the answer on.
 func (e *exchange) attempt(ctx context.Context, candidate *balance.Candidate) verdict {
 	id := candidate.Instance.ID
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -19,7 +19,6 @@
 	stored   lease.Stored
 	revision uint64
 	fences   map[uint64]string
-	takeover int
 }
 
 func (s *store) call(call lease.Call) (lease.Outcome, lease.Stored) {
@@ -40,7 +39,6 @@
 	lease   *lease.Lease
 	paused  bool
 	pending *lease.Call
-	sentAt  time.Time
 }
 
 func newCandidate(name string, boot int) *candidate {
--- /dev/null
+++ b/residency/grow.go
@@ -0,0 +1,108 @@
+package residency
+
+import (
+	"math"
+
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+// grow gives replicas to the models whose requests gain the most, first with free
+// memory, then with memory of replicas whose loss costs less.
+func (p *plan) grow() {
+	for range p.slots {
+		model, gain := p.mostRelieved()
+		if model == nil || gain < p.settings.WarmCost || !p.addReplica(model, "demand", true) {
+			return
+		}
+	}
+}
+
+// mostRelieved is the model whose requests gain the most by one more replica.
+func (p *plan) mostRelieved() (*fleet.Model, float64) {
+	var best *fleet.Model
+	bestGain := 0.0
+	for i := range p.engine.Models {
+		model := &p.engine.Models[i]
+		if gain := p.gain(model.Name); p.replicas[model.Name] < len(p.slots) && gain > bestGain {
+			best, bestGain = model, gain
+		}
+	}
+	return best, bestGain
+}
+
+// gain is how many requests fewer each replica of a model has with one more.
+func (p *plan) gain(model string) float64 {
+	replicas := float64(max(1, p.replicas[model]))
+	return p.demand[model].Concurrent * (1/replicas - 1/(replicas+1))
+}
+
+// loss is how many requests more each replica of a model has with one fewer.
+func (p *plan) loss(model string) float64 {
+	replicas := float64(p.replicas[model])
+	return p.demand[model].Concurrent * (1/(replicas-1) - 1/replicas)
+}
+
+// loadCost is what a load on a server is worth.
+func (p *plan) loadCost(s *slot, model string) float64 {
+	if s.atHand[model] {
+		return p.settings.WarmCost
+	}
+	return p.settings.StoreCost
+}
+
+// makeRoom unloads the replica that is needed least, on a server where the model
+// then fits. It reports whether room is under way.
+func (p *plan) makeRoom(model *fleet.Model) bool {
+	var best *slot
+	var bestVictim string
+	bestCost := math.Inf(1)
+	for _, s := range p.slots {
+		if s.blocked || s.modelOrder || s.reservedFor != "" || s.models[model.Name] != nil {
+			continue
+		}
+		for name, held := range s.models {
+			cost, allowed := p.unloadCost(s, name, held, model)
+			if allowed && (cost < bestCost || cost == bestCost && name < bestVictim) {
+				best, bestVictim, bestCost = s, name, cost
+			}
+		}
+	}
+	if best == nil {
+		return false
+	}
+	p.send(best, Order{Model: bestVictim, RoomFor: model.Name, Reason: "room for " + model.Name})
+	best.modelOrder = true
+	best.reservedFor = model.Name
+	best.models[bestVictim].unloading = true
+	p.replicas[bestVictim]--
+	p.ready[bestVictim]--
+	p.replicas[model.Name]++
+	return true
+}
+
+// unloadCost rates the unload of a replica, lower is better. The last replica
+// that is ready is never unloaded.
+func (p *plan) unloadCost(s *slot, name string, held *holding, wanted *fleet.Model) (float64, bool) {
+	if !held.ready || held.unloading {
+		return 0, false
+	}
+	victim := p.engine.Model(name)
+	if victim == nil {
+		return -1, true
+	}
+	fits := s.freeMB+victim.WeightsMB+float64(len(held.adapters))*victim.AdapterMB >= wanted.WeightsMB
+	if !fits || p.ready[name] < 2 || p.replicas[name] < 2 {
+		return 0, false
+	}
+	if p.loadsLeft <= 0 && !s.atHand[wanted.Name] {
+		return 0, false
+	}
+	cost := p.loss(name)*p.settings.UnloadFactor + p.loadCost(s, wanted.Name) + adapterCost*float64(len(held.adapters))
+	if p.replicas[wanted.Name] > 0 && cost > p.gain(wanted.Name) {
+		return 0, false
+	}
+	return cost, true
+}
+
+// adapterCost is what a resident adapter is worth when its model is unloaded.
+const adapterCost = 0.1
