Let five daemons watch the store; the others hear of changes by them

Five daemons in an order that all compute alike watch now; the others are told what changed since the version they know, and watch themselves as soon as no watcher was heard for 0.7 s. Ruled out: three watchers (a cut of a third of nine machines could hit all of them).

--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -42,7 +42,7 @@
 
 func (n *Node) noteVersion(source Source, from string, version uint64) {
 	state := n.sources[source]
-	if version > state.newest {
+	if version >= state.newest && version > 0 {
 		state.newest, state.from = version, from
 	}
 }
@@ -71,22 +71,30 @@
 		if state.behindSince.IsZero() {
 			state.behindSince = now
 		}
-		if now.Sub(state.behindSince) < n.settings.RefreshAfter || now.Sub(state.actedAt) < refreshPause {
-			continue
-		}
-		state.actedAt = now
-		n.catchUp(source, state)
+		n.catchUp(now, source, state)
 	}
 }
 
-// refreshPause is the least time between two attempts to catch up.
+// refreshPause is the least time between two lists because of another daemon.
 const refreshPause = 500 * time.Millisecond
 
-func (n *Node) catchUp(source Source, state *sourceState) {
-	n.decide(string(source), "Behind another daemon.", "own", n.ownVersion(source), "other", state.newest, "daemon", state.from,
-		"store_available", !state.unavailable)
-	n.do(Refresh{Source: source})
-	if !state.unavailable {
+// catchUp asks the store again if this daemon watches it, and else another daemon.
+func (n *Node) catchUp(now time.Time, source Source, state *sourceState) {
+	ask := state.unavailable || !n.Watching(now)
+	pause, patience := refreshPause, n.settings.RefreshAfter
+	if ask {
+		pause, patience = n.settings.AskPause, 0
+	}
+	if now.Sub(state.behindSince) < patience || now.Sub(state.actedAt) < pause {
+		return
+	}
+	state.actedAt = now
+	if !ask || state.unavailable {
+		n.decide(string(source), "Behind another daemon.", "own", n.ownVersion(source), "other", state.newest, "daemon", state.from,
+			"store_available", !state.unavailable)
+		n.do(Refresh{Source: source})
+	}
+	if !ask {
 		return
 	}
 	if other, found := n.detector.Lookup(state.from); found {
@@ -95,6 +103,20 @@
 	}
 }
 
+// Watching reports whether this daemon should watch the store: it is one of the
+// first, or none that does was heard of lately.
+func (n *Node) Watching(now time.Time) bool {
+	if !n.Known() || n.Rank() < n.settings.Watchers {
+		return true
+	}
+	for _, other := range n.peers {
+		if other.load.Watching && !other.load.StoreAway && now.Sub(other.at) <= n.settings.WatcherSilence {
+			return false
+		}
+	}
+	return true
+}
+
 // answerAsk tells another daemon what it lacks.
 func (n *Node) answerAsk(from string, asked Versions) {
 	other, found := n.detector.Lookup(from)
@@ -106,15 +128,26 @@
 		answer.Configuration = n.configuration
 	}
 	if n.instances.Known() && n.instances.Newest() > asked.Instances {
-		answer.Instances = n.listing()
+		answer.Instances = n.listing(asked.Instances)
 	}
 	n.do(SendPeer{Address: other.PeerAddress, Message: answer})
 }
 
-func (n *Node) listing() *Listing {
-	listing := &Listing{At: n.instances.At()}
-	for _, item := range n.instances.Items() {
-		listing.Items = append(listing.Items, ListedInstance{Revision: item.Revision, Value: *item.Value})
+// listing is what changed after a version, or everything if that is not kept.
+func (n *Node) listing(since uint64) *Listing {
+	items, changes := n.instances.Since(since)
+	if !changes {
+		items = n.instances.Items()
+	}
+	listing := &Listing{At: n.instances.At(), Changes: changes}
+	for _, item := range items {
+		listed := ListedInstance{Revision: item.Revision, Gone: item.Gone}
+		if item.Gone {
+			listed.Value.ID = item.Name
+		} else {
+			listed.Value = *item.Value
+		}
+		listing.Items = append(listing.Items, listed)
 	}
 	return listing
 }
@@ -124,7 +157,16 @@
 	batch := feed.Batch[*fleet.Instance]{At: listing.At}
 	for i := range listing.Items {
 		item := &listing.Items[i]
-		batch.Items = append(batch.Items, feed.Item[*fleet.Instance]{Name: item.Value.ID, Revision: item.Revision, Value: &item.Value})
+		taken := feed.Item[*fleet.Instance]{Name: item.Value.ID, Revision: item.Revision, Gone: item.Gone}
+		if !item.Gone {
+			taken.Value = &item.Value
+		}
+		batch.Items = append(batch.Items, taken)
+	}
+	if listing.Changes {
+		batch.At = 0
+		n.instancesChanged(now, n.instances.Apply(batch))
+		return
 	}
 	n.instancesChanged(now, n.instances.Replace(batch))
 }
--- a/coordination/demand.go
+++ b/coordination/demand.go
@@ -118,7 +118,7 @@
 	for _, load := range models {
 		n.demand.own[modelKey{load.Service, load.Model}] = load
 	}
-	load := Load{Requests: requests, Models: models, Versions: n.versions(), StoreAway: n.storeAway()}
+	load := Load{Requests: requests, Models: models, Versions: n.versions(), StoreAway: n.storeAway(), Watching: n.Watching(now)}
 	if n.held {
 		load.Fence, _, _ = n.mayOrder(now)
 		load.Lease = n.lease.Revision()
--- a/coordination/node_test.go
+++ b/coordination/node_test.go
@@ -223,30 +223,112 @@
 }
 
 // TestNodeCatchesUpByItsPeers covers a node whose watch on the store hears nothing,
-// and one that the store turns away: both learn what others know.
+// one that does not watch, and one that the store turns away: all learn what others
+// know, also of instances that are gone.
 func TestNodeCatchesUpByItsPeers(t *testing.T) {
-	w := newWorld(3)
-	w.learn()
-	w.run(3 * time.Second)
-	for _, name := range []string{"n0", "n1"} {
-		w.perform(name, w.nodes[name].ConfigurationLearned(engineConfiguration(2)))
-		w.perform(name, w.nodes[name].InstancesChanged(w.now, listing(9, "i3")))
-		w.nodes[name].TakeView()
+	cases := []struct {
+		name      string
+		watching  bool
+		available bool
+		// asksStore says that the node lists again instead of being told.
+		asksStore bool
+	}{
+		{"a deaf watch", true, true, true},
+		{"no watch of its own", false, true, false},
+		{"turned away", true, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(3)
+			w.setWatchers(1)
+			w.learn()
+			w.run(3 * time.Second)
+			behind := w.pickByWatch(c.watching)
+			for _, source := range []coordination.Source{coordination.SourceConfiguration, coordination.SourceInstances} {
+				w.perform(behind, w.nodes[behind].SourceAvailable(source, c.available))
+			}
+			for _, name := range w.names() {
+				if name != behind {
+					w.perform(name, w.nodes[name].ConfigurationLearned(engineConfiguration(2)))
+					gone := listing(9, "i3")
+					gone.Items = append(gone.Items, feed.Item[*fleet.Instance]{Name: "i1", Revision: 9, Gone: true})
+					w.perform(name, w.nodes[name].InstancesChanged(w.now, gone))
+				}
+			}
+			w.nodes[behind].TakeView()
+			w.run(time.Second)
+			view, changed := w.nodes[behind].TakeView()
+			if c.asksStore {
+				if w.refresh[behind] == 0 || changed && view.Version() == 2 {
+					t.Fatalf("%d lists, told %v", w.refresh[behind], changed)
+				}
+				return
+			}
+			if !changed || view.Version() != 2 || view.Instance("i3") == nil || view.Instance("i1") != nil || view.Instance("i2") == nil {
+				t.Fatalf("the node did not learn by its peers")
+			}
+		})
 	}
-	w.nodes["n2"].TakeView()
-	w.run(time.Second)
-	if w.refresh["n2"] == 0 {
-		t.Error("the node does not ask the store again")
+}
+
+// setWatchers makes new nodes of which so many watch the store.
+func (w *world) setWatchers(count int) {
+	for i, name := range w.names() {
+		self := member.Member{Name: name, Zone: "z", PeerAddress: name, CallerAddress: name, Incarnation: 1}
+		settings := coordination.DefaultSettings(term)
+		settings.Watchers = count
+		w.nodes[name] = coordination.New(w.now, self, settings, []string{"n0"}, rand.New(rand.NewPCG(uint64(i), 7)))
+	}
+}
+
+func (w *world) pickByWatch(watching bool) string {
+	for _, name := range w.names() {
+		if w.nodes[name].Watching(w.now) == watching {
+			return name
+		}
 	}
-	if view, changed := w.nodes["n2"].TakeView(); changed && view.Version() == 2 {
-		t.Error("the node learned by its peers although the store answers")
+	return ""
+}
+
+func (w *world) watching() int {
+	count := 0
+	for _, name := range w.names() {
+		if !w.dead[name] && w.nodes[name].Watching(w.now) {
+			count++
+		}
 	}
-	w.perform("n2", w.nodes["n2"].SourceAvailable(coordination.SourceConfiguration, false))
-	w.perform("n2", w.nodes["n2"].SourceAvailable(coordination.SourceInstances, false))
-	w.run(2 * time.Second)
-	view, changed := w.nodes["n2"].TakeView()
-	if !changed || view.Version() != 2 || view.Instance("i3") == nil {
-		t.Fatal("the node did not learn by its peers")
+	return count
+}
+
+// TestSomebodyAlwaysWatches covers a watcher that dies, and one that the store turns
+// away: others watch within a second.
+func TestSomebodyAlwaysWatches(t *testing.T) {
+	for name, strike := range map[string]func(w *world, watcher string){
+		"dies": func(w *world, watcher string) { w.dead[watcher] = true },
+		"is turned away": func(w *world, watcher string) {
+			for _, source := range []coordination.Source{coordination.SourceConfiguration, coordination.SourceInstances} {
+				w.perform(watcher, w.nodes[watcher].SourceAvailable(source, false))
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(5)
+			w.setWatchers(1)
+			w.learn()
+			w.run(3 * time.Second)
+			if w.watching() != 1 {
+				t.Fatalf("%d nodes watch", w.watching())
+			}
+			strike(w, w.pickByWatch(true))
+			w.run(time.Second)
+			others := w.watching()
+			if name == "is turned away" {
+				others--
+			}
+			if others < 1 {
+				t.Fatal("nobody else watches")
+			}
+		})
 	}
 }
 
--- a/coordination/types.go
+++ b/coordination/types.go
@@ -35,6 +35,8 @@
 	Versions
 	// Fence is the fencing token if the sender holds the lease, else zero.
 	Fence uint64 `msgpack:"f,omitempty"`
+	// Watching says that the sender watches the store.
+	Watching bool `msgpack:"h,omitempty"`
 	// StoreAway says that the store does not answer the sender.
 	StoreAway bool `msgpack:"w,omitempty"`
 	// Lease is the revision of the sender's newest renewal.
@@ -49,19 +51,24 @@
 type Versions struct {
 	// Configuration is the version of the configuration, zero if none is known.
 	Configuration uint64 `msgpack:"c,omitempty"`
-	// Instances is the newest revision of any instance.
+	// Instances is the version of the newest change of the instances.
 	Instances uint64 `msgpack:"i,omitempty"`
 }
 
-// Listing is the list of all instances at a revision of the store.
+// Listing is the list of all instances at a revision of the store, or the changes
+// since the version that was asked for.
 type Listing struct {
-	At    uint64           `msgpack:"a"`
-	Items []ListedInstance `msgpack:"i"`
+	At uint64 `msgpack:"a"`
+	// Changes says that Items are changes only.
+	Changes bool             `msgpack:"c,omitempty"`
+	Items   []ListedInstance `msgpack:"i"`
 }
 
-// ListedInstance is one instance with the revision of its last change.
+// ListedInstance is one instance with the revision of its last change. Of one that
+// is gone only the ID is told.
 type ListedInstance struct {
 	Revision uint64         `msgpack:"r"`
+	Gone     bool           `msgpack:"g,omitempty"`
 	Value    fleet.Instance `msgpack:"v"`
 }
 
@@ -157,6 +164,13 @@
 	// RefreshAfter is how long this daemon may know less than another one before
 	// it lists again.
 	RefreshAfter time.Duration
+	// Watchers is how many daemons watch the store; the others hear of changes by
+	// them. WatcherSilence is how long none of them may be heard before another
+	// daemon watches too.
+	Watchers       int
+	WatcherSilence time.Duration
+	// AskPause is the least time between two questions to another daemon.
+	AskPause time.Duration
 	// ChecksFence says that servers turn away orders with a lower fencing token.
 	ChecksFence bool
 	// PlanEvery is the time between two plans without a cause.
@@ -182,6 +196,9 @@
 		ReportSoon:     120 * time.Millisecond,
 		FactsEvery:     2 * time.Second,
 		RefreshAfter:   150 * time.Millisecond,
+		Watchers:       5,
+		WatcherSilence: 700 * time.Millisecond,
+		AskPause:       100 * time.Millisecond,
 		ChecksFence:    true,
 		PlanEvery:      200 * time.Millisecond,
 		DemandHalfLife: 4 * time.Second,
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -78,7 +78,9 @@
 	addresses atomic.Pointer[[]string]
 	live      atomic.Int64
 	// rank is this daemon's place among the live ones, in an order of all.
-	rank     atomic.Int64
+	rank atomic.Int64
+	// watching says that this daemon watches the store.
+	watching atomic.Bool
 	ready    atomic.Bool
 	stopping atomic.Bool
 	closing  atomic.Bool
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -37,6 +37,7 @@
 	d.tracker.Forget(now, func(id string) bool { return view.Instance(id) != nil })
 	d.publishAddresses()
 	d.rank.Store(int64(d.node.Rank()))
+	d.watching.Store(d.node.Watching(now))
 	d.observeState(now)
 }
 
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -48,6 +48,10 @@
 
 // step makes one call and reports whether it succeeded.
 func (f *follower[T]) step() bool {
+	if f.known && !f.daemon.watching.Load() {
+		f.rest()
+		return true
+	}
 	take, call := f.listed, f.source.List
 	if f.known {
 		take, call = f.changed, f.watch
@@ -69,6 +73,17 @@
 	return true
 }
 
+// restPoll is the pause between two looks at whether this daemon should watch.
+const restPoll = 50 * time.Millisecond
+
+// rest waits while others watch the store. What was missed meanwhile is listed.
+func (f *follower[T]) rest() {
+	for !f.daemon.watching.Load() && f.daemon.ctx.Err() == nil {
+		sleep(f.daemon.ctx, restPoll)
+	}
+	f.known = false
+}
+
 func (f *follower[T]) watch(ctx context.Context) (feed.Batch[T], error) {
 	wait := watchWait(f.daemon.current().WatchWait, int(f.daemon.rank.Load()), rand.Float64())
 	return f.source.Watch(ctx, f.at, wait)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -47,19 +47,33 @@
 type Mirror[T any] struct {
 	items map[string]Item[T]
 	at    uint64
-	// newest is the newest revision of a live item that was taken in.
+	// newest is the version of the newest change that was taken in.
 	newest uint64
 	known  bool
+	// history holds the last changes, oldest first, with the version of each; it
+	// is complete after the version floor.
+	history []change[T]
+	floor   uint64
 }
 
+// change is one change with its version: the revision of the item, or for a
+// removal the revision at which it was told.
+type change[T any] struct {
+	item    Item[T]
+	version uint64
+}
+
+// historySize bounds the changes that are kept for Since.
+const historySize = 512
+
 // NewMirror returns an empty mirror.
 func NewMirror[T any]() *Mirror[T] { return &Mirror[T]{items: map[string]Item[T]{}} }
 
 // At returns the revision up to which the mirror is complete.
 func (m *Mirror[T]) At() uint64 { return m.at }
 
-// Newest returns the newest revision of an item that was taken in. Unlike At it is
-// the same for all mirrors that know the same items.
+// Newest returns the version of the newest change that was taken in. Unlike At it
+// does not move without a change.
 func (m *Mirror[T]) Newest() uint64 { return m.newest }
 
 // Known reports whether a list was taken in.
@@ -81,16 +95,23 @@
 		return nil
 	}
 	listed := make(map[string]bool, len(batch.Items))
-	changed := m.apply(batch.Items)
+	first := !m.known
+	changed := m.apply(batch)
 	for _, item := range batch.Items {
 		listed[item.Name] = true
 	}
 	for name, item := range m.items {
 		if !listed[name] && item.Revision <= batch.At {
 			delete(m.items, name)
-			changed = append(changed, Item[T]{Name: name, Revision: batch.At, Gone: true})
+			gone := Item[T]{Name: name, Revision: batch.At, Gone: true}
+			m.note(gone, batch.At)
+			changed = append(changed, gone)
 		}
 	}
+	if first {
+		// What came before the first list is not known here.
+		m.history, m.floor = nil, m.newest
+	}
 	m.at = batch.At
 	m.known = true
 	return changed
@@ -98,14 +119,37 @@
 
 // Apply takes in changes and returns those that were news.
 func (m *Mirror[T]) Apply(batch Batch[T]) []Item[T] {
-	changed := m.apply(batch.Items)
+	changed := m.apply(batch)
 	m.at = max(m.at, batch.At)
 	return changed
 }
 
-func (m *Mirror[T]) apply(items []Item[T]) []Item[T] {
+// Since returns the changes after a version, or false if some are not kept.
+func (m *Mirror[T]) Since(version uint64) ([]Item[T], bool) {
+	if !m.known || version < m.floor {
+		return nil, false
+	}
+	var items []Item[T]
+	for _, change := range m.history {
+		if change.version > version {
+			items = append(items, change.item)
+		}
+	}
+	return items, true
+}
+
+func (m *Mirror[T]) note(item Item[T], version uint64) {
+	m.newest = max(m.newest, version)
+	if len(m.history) == historySize {
+		m.floor = max(m.floor, m.history[0].version)
+		m.history = m.history[1:]
+	}
+	m.history = append(m.history, change[T]{item: item, version: version})
+}
+
+func (m *Mirror[T]) apply(batch Batch[T]) []Item[T] {
 	var changed []Item[T]
-	for _, item := range items {
+	for _, item := range batch.Items {
 		held, found := m.items[item.Name]
 		if found && item.Revision < held.Revision || found && !item.Gone && item.Revision == held.Revision {
 			continue
@@ -115,10 +159,11 @@
 				continue
 			}
 			delete(m.items, item.Name)
+			item.Revision = max(item.Revision, batch.At)
 		} else {
 			m.items[item.Name] = item
-			m.newest = max(m.newest, item.Revision)
 		}
+		m.note(item, item.Revision)
 		changed = append(changed, item)
 	}
 	return changed
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -75,3 +75,44 @@
 		t.Fatalf("the removal of an unknown item is reported: %v", changed)
 	}
 }
+
+func TestSince(t *testing.T) {
+	mirror := feed.NewMirror[string]()
+	if _, ok := mirror.Since(0); ok {
+		t.Error("changes of a mirror that knows nothing")
+	}
+	mirror.Replace(batch(5, item("a", 3, "x"), item("b", 4, "y")))
+	mirror.Apply(batch(7, item("a", 6, "z"), gone("b", 4)))
+	if _, ok := mirror.Since(3); ok {
+		t.Error("changes before the first list")
+	}
+	for version, want := range map[uint64][]string{4: {"a", "b"}, 6: {"b"}, 7: nil} {
+		items, ok := mirror.Since(version)
+		var names []string
+		for _, item := range items {
+			names = append(names, item.Name)
+		}
+		if !ok || len(names) != len(want) || len(want) > 0 && names[len(names)-1] != "b" {
+			t.Errorf("since %d: %v %v, want %v", version, names, ok, want)
+		}
+	}
+	if mirror.Newest() != 7 {
+		t.Errorf("newest %d", mirror.Newest())
+	}
+	other := feed.NewMirror[string]()
+	other.Replace(batch(5, item("a", 3, "x"), item("b", 4, "y")))
+	items, _ := mirror.Since(other.Newest())
+	other.Apply(feed.Batch[string]{At: 7, Items: items})
+	if len(other.Items()) != 1 || other.Newest() != mirror.Newest() {
+		t.Errorf("after the changes of another mirror: %v, newest %d", other.Items(), other.Newest())
+	}
+	for revision := uint64(10); revision < 2000; revision++ {
+		mirror.Apply(batch(revision, item("a", revision, "v")))
+	}
+	if _, ok := mirror.Since(8); ok {
+		t.Error("changes that are no longer kept")
+	}
+	if items, ok := mirror.Since(1990); !ok || len(items) != 9 {
+		t.Errorf("%d changes, %v", len(items), ok)
+	}
+}
