Gather changes of servers, tell changes of belief about daemons, test the log's bound

Watchers pause 150 ms after changes of the list of servers, so that one call returns several. A line tells each daemon that is seen, suspected, gone or leaving.

--- /dev/null
+++ b/coordination/members.go
@@ -0,0 +1,27 @@
+package coordination
+
+import "github.com/wheatweir/wheatweir/member"
+
+// memberBelief is what was last told of a daemon.
+type memberBelief struct {
+	state   member.State
+	leaving bool
+}
+
+// noteMembers tells of each change in what is believed of the other daemons.
+func (n *Node) noteMembers() {
+	revision := n.detector.Revision()
+	if revision == n.membersAt {
+		return
+	}
+	n.membersAt = revision
+	for _, other := range n.detector.Members() {
+		belief := memberBelief{state: other.State, leaving: other.Leaving}
+		if other.Name == n.self || n.members[other.Name] == belief && n.seen[other.Name] {
+			continue
+		}
+		n.members[other.Name], n.seen[other.Name] = belief, true
+		n.decide("daemons", "Changed.", "daemon", other.Name, "state", other.State.String(), "leaving", other.Leaving,
+			"incarnation", other.Incarnation)
+	}
+}
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -33,6 +33,9 @@
 	peers    map[string]peerState
 
 	sources     map[Source]*sourceState
+	members     map[string]memberBelief
+	seen        map[string]bool
+	membersAt   uint64
 	listed      bool
 	shareDue    bool
 	lastHolder  time.Time
@@ -68,6 +71,7 @@
 		instances: feed.NewMirror[*fleet.Instance](),
 		facts:     map[string]fact{}, reports: map[string]*reportState{}, listedAt: map[string]time.Time{}, peers: map[string]peerState{},
 		demand: newDemandState(), lastHolder: now,
+		members: map[string]memberBelief{}, seen: map[string]bool{},
 		sources: map[Source]*sourceState{SourceConfiguration: {}, SourceInstances: {}},
 	}
 	node.detector.SetSeeds(seeds)
@@ -107,6 +111,7 @@
 	for _, packet := range n.detector.Tick(now) {
 		n.sendProbe(packet)
 	}
+	n.noteMembers()
 	n.tickSources(now)
 	n.tickLease(now)
 	n.demand.tick(now, n.settings.DemandHalfLife, n.peers)
--- a/coordination/node_test.go
+++ b/coordination/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,6 +28,8 @@
 	dead     map[string]bool
 	orders   []sentOrder
 	refresh  map[string]int
+	// decisions holds the lines for the log, each after the node's name.
+	decisions []string
 }
 
 type sentOrder struct {
@@ -87,6 +90,8 @@
 			w.perform(name, node.OrderAnswered(w.now, action.Order, residency.AnswerTaken))
 		case coordination.Refresh:
 			w.refresh[name]++
+		case coordination.Decision:
+			w.decisions = append(w.decisions, name+" "+action.Part+" "+fmt.Sprintln(action.Fields...))
 		}
 	}
 }
@@ -448,3 +453,23 @@
 		}
 	}
 }
+
+// TestChangesOfBeliefAreTold looks for the lines that tell of another daemon, of the
+// lease, of the configuration and of an instance.
+func TestChangesOfBeliefAreTold(t *testing.T) {
+	w := newWorld(3)
+	w.learn()
+	w.run(4 * time.Second)
+	w.dead["n1"] = true
+	w.run(20 * time.Second)
+	for _, want := range []string{"n0 daemons daemon n1 state alive", "n0 daemons daemon n1 state suspect", "n0 daemons daemon n1 state dead",
+		"lease held true", "n0 configuration version 1", "n0 instances instance i1", "orders instance i"} {
+		found := false
+		for _, line := range w.decisions {
+			found = found || strings.Contains(line, want)
+		}
+		if !found {
+			t.Errorf("no line tells %q", want)
+		}
+	}
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -171,14 +171,14 @@
 	}
 	d.startDuty("configuration", func() {
 		source := d.store.Configurations()
-		follow(d, coordination.SourceConfiguration, source, d.configurationsLearned, d.configurationsLearned)
+		follow(d, coordination.SourceConfiguration, source, 0, d.configurationsLearned, d.configurationsLearned)
 	})
 	d.startDuty("instances", func() {
 		source := d.store.Servers()
 		source.Skipped = func(name string, err error) {
 			d.log.add("instances", "Not understood.", "instance", name, "error", err)
 		}
-		follow(d, coordination.SourceInstances, source, (*coordination.Node).InstancesListed, (*coordination.Node).InstancesChanged)
+		follow(d, coordination.SourceInstances, source, gatherInstances, (*coordination.Node).InstancesListed, (*coordination.Node).InstancesChanged)
 	})
 }
 
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -22,8 +22,15 @@
 	at        uint64
 	known     bool
 	available bool
+	// gather is the pause after changes, so that the next call returns several.
+	gather time.Duration
 }
 
+// gatherInstances is that pause for the list of instances: servers change it one by
+// one, and each call is priced. It is far below the time in which a server that
+// leaves has to be known.
+const gatherInstances = 150 * time.Millisecond
+
 // taker hands a batch to the node.
 type taker[T any] func(*coordination.Node, time.Time, feed.Batch[T]) []coordination.Action
 
@@ -32,8 +39,8 @@
 	lastPause  = 600 * time.Millisecond
 )
 
-func follow[T any](d *Daemon, name coordination.Source, source feed.Source[T], listed, changed taker[T]) {
-	f := &follower[T]{daemon: d, name: name, source: source, listed: listed, changed: changed, available: true}
+func follow[T any](d *Daemon, name coordination.Source, source feed.Source[T], gather time.Duration, listed, changed taker[T]) {
+	f := &follower[T]{daemon: d, name: name, source: source, gather: gather, listed: listed, changed: changed, available: true}
 	pause := firstPause
 	for d.ctx.Err() == nil {
 		if f.step() {
@@ -70,6 +77,9 @@
 	f.daemon.events.Put(f.daemon.ctx, func(node *coordination.Node, now time.Time) []coordination.Action {
 		return take(node, now, batch)
 	})
+	if len(batch.Items) > 0 {
+		sleep(f.daemon.ctx, f.gather)
+	}
 	return true
 }
 
--- /dev/null
+++ b/entry/log_test.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// gatedWriter blocks until its gate opens.
+type gatedWriter struct {
+	gate  chan struct{}
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+func (w *gatedWriter) Write(content []byte) (int, error) {
+	<-w.gate
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.text.Write(content)
+}
+
+// TestLogNeverBlocks fills the log while its output blocks: adding goes on at once,
+// what does not fit is dropped, and the number is told when the output works again.
+func TestLogNeverBlocks(t *testing.T) {
+	writer := &gatedWriter{gate: make(chan struct{})}
+	book := newLogBook("info", "n", writer)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		book.run(ctx)
+		close(ended)
+	}()
+	const lines = 3 * logRingSize
+	for range lines {
+		book.add("request", "Decided.", "request", "r1", "step", "sent")
+	}
+	if dropped := book.lines.Dropped(); dropped < logRingSize {
+		t.Fatalf("%d lines dropped of %d", dropped, lines)
+	}
+	close(writer.gate)
+	cancel()
+	<-ended
+	written := strings.Count(writer.text.String(), "request=r1")
+	if written > logRingSize+1 || written < logRingSize {
+		t.Errorf("%d lines written", written)
+	}
+	if !strings.Contains(writer.text.String(), "Lines dropped") || !strings.Contains(writer.text.String(), "node=n") {
+		t.Error("the log does not tell of dropped lines")
+	}
+}
+
+func BenchmarkLogLineDropped(b *testing.B) {
+	book := newLogBook("info", "n", &gatedWriter{gate: make(chan struct{})})
+	for b.Loop() {
+		book.lines.Offer(line{text: "request: Decided."})
+	}
+}
