--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,11 +16,12 @@
 	"time"
 
 	"github.com/wheatweir/wheatweir/entry"
+	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/platform/standin"
 )
 
-// fleet is a deployment on loopback: a store, servers and entry daemons.
-type fleet struct {
+// deployment is a deployment on loopback: a store, servers and entry daemons.
+type deployment struct {
 	store   *standin.Store
 	servers []*standin.Server
 	daemons []*entry.Daemon
@@ -37,33 +38,41 @@
 	return listener.Addr().String()
 }
 
-func putConfiguration(store *standin.Store, version int, routes ...string) {
-	specs := []map[string]any{
-		{"name": "stream", "host": "h.example", "pathPrefix": "/stream/", "kind": "stream", "timeoutMs": 10000, "targetLatencyMs": 1000, "maxAttempts": 1, "service": "llm"},
-		{"name": "plain", "host": "h.example", "pathPrefix": "/plain/", "kind": "unsafe", "timeoutMs": 5000, "targetLatencyMs": 150, "maxAttempts": 1, "service": "web"},
+func route(name string, kind fleet.RouteKind, timeout, target time.Duration, attempts int, service string) fleet.Route {
+	return fleet.Route{
+		Name: name, Host: "h.example", PathPrefix: "/" + name + "/", Kind: kind, Timeout: timeout, TargetLatency: target,
+		MaxAttempts: attempts, Targets: []fleet.Target{{Service: service, Weight: 1}},
 	}
-	for _, name := range routes {
-		specs = append(specs, map[string]any{"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "kind": "safe", "timeoutMs": 5000, "maxAttempts": 2, "service": "web"})
-	}
-	store.Put("config", "main", map[string]any{
-		"version": version, "routes": specs,
-		"services": []map[string]any{
-			{"name": "llm", "maxConns": 100, "engine": map[string]any{
-				"slots": 8, "kvCapacity": 100000, "weightsMb": 200, "adapterSlots": 4, "loadsPerS": 5,
-				"models": []map[string]any{{"name": "m", "weightsMb": 60, "adapters": 2, "adapterMb": 1}, {"name": "n", "weightsMb": 60}},
+}
+
+func putConfiguration(store *standin.Store, version uint64, added ...string) {
+	configuration := &fleet.Configuration{
+		Version: version,
+		Routes: []fleet.Route{
+			route("stream", fleet.KindStream, 10*time.Second, time.Second, 1, "llm"),
+			route("plain", fleet.KindUnsafe, 5*time.Second, 150*time.Millisecond, 1, "web"),
+		},
+		Services: []fleet.Service{
+			{Name: "llm", MaxConnections: 100, Engine: &fleet.Engine{
+				Slots: 8, MemoryTokens: 100000, WeightsMB: 200, AdapterSlots: 4, LoadsPerSecond: 5,
+				Models: []fleet.Model{{Name: "m", WeightsMB: 60, Adapters: 2, AdapterMB: 1}, {Name: "n", WeightsMB: 60}},
 			}},
-			{"name": "web", "maxConns": 100},
+			{Name: "web", MaxConnections: 100},
 		},
-	})
+	}
+	for _, name := range added {
+		configuration.Routes = append(configuration.Routes, route(name, fleet.KindSafe, 5*time.Second, 0, 2, "web"))
+	}
+	store.Configure(configuration)
 }
 
-func start(t *testing.T, count int) *fleet {
+func start(t *testing.T, count int) *deployment {
 	t.Helper()
 	store, err := standin.NewStore()
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fleet{store: store}
+	f := &deployment{store: store}
 	t.Cleanup(store.Close)
 	putConfiguration(store, 1)
 	for i := range 2 {
@@ -87,7 +96,7 @@
 	return f
 }
 
-func (f *fleet) startDaemon(t *testing.T, settings entry.Settings) *entry.Daemon {
+func (f *deployment) startDaemon(t *testing.T, settings entry.Settings) *entry.Daemon {
 	t.Helper()
 	daemon, err := entry.Start(settings, io.Discard)
 	if err != nil {
@@ -97,7 +106,7 @@
 	return daemon
 }
 
-func (f *fleet) addServer(t *testing.T, id, service string, models ...string) *standin.Server {
+func (f *deployment) addServer(t *testing.T, id, service string, models ...string) *standin.Server {
 	t.Helper()
 	server, err := standin.NewServer(f.store, id, service, "z", models...)
 	if err != nil {
@@ -119,20 +128,17 @@
 	t.Fatal("never: " + what)
 }
 
-func get(address string) (int, string) {
-	response, err := http.Get("http://" + address)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer response.Body.Close()
-	body, _ := io.ReadAll(response.Body)
-	return response.StatusCode, string(body)
+var client standin.Client
+
+func (f *deployment) resolve(daemon int) standin.Resolution {
+	resolution, _ := client.Resolve(context.Background(), f.all[daemon].DirectoryAddress, "h.example", "r", "z")
+	return resolution
 }
 
-func (f *fleet) waitReady(t *testing.T) {
+func (f *deployment) waitReady(t *testing.T) {
 	t.Helper()
 	for i := range f.daemons {
-		eventually(t, "ready", func() bool { status, _ := get(f.all[i].ReadyAddress + "/ready"); return status == 200 })
+		eventually(t, "ready", func() bool { return client.Ready(context.Background(), f.all[i].ReadyAddress) })
 	}
 }
 
@@ -141,24 +147,13 @@
 // post sends one request and returns its id, status and body.
 func post(address, path, model string) (string, int, string, error) {
 	id := fmt.Sprintf("%016x", requestNumber.Add(1))
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("prompt"))
-	if err != nil {
-		return id, 0, "", err
-	}
-	request.Host = "h.example"
-	request.Header.Set("X-Request-Id", id)
-	request.Header.Set("X-Deadline-Ms", "8000")
-	if model != "" {
-		request.Header.Set("X-Model", model)
-		request.Header.Set("X-Token-Count", "100,10")
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return id, 0, "", err
+	answer, err := client.Do(context.Background(), address, standin.ClientRequest{
+		ID: id, Host: "h.example", Path: path, Body: "prompt", Model: model, PromptTokens: 100, OutputTokens: 10, Patience: 8 * time.Second,
+	})
+	if err == nil && !answer.Complete {
+		err = io.ErrUnexpectedEOF
 	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return id, response.StatusCode, string(body), err
+	return id, answer.Status, answer.Body, err
 }
 
 func TestWholePath(t *testing.T) {
@@ -184,13 +179,13 @@
 		}
 	}
 	eventually(t, "all daemons in the answer about addresses", func() bool {
-		_, body := get(f.all[1].DirectoryAddress + "/resolve?name=h.example&region=r&zone=z")
+		resolution := f.resolve(1)
 		for _, settings := range f.all {
-			if !strings.Contains(body, settings.FrontAddress) {
+			if !slices.Contains(resolution.Addresses, settings.FrontAddress) {
 				return false
 			}
 		}
-		return strings.Contains(body, `"ttlS":0.2`)
+		return resolution.KeepS == 0.2
 	})
 }
 
@@ -279,8 +274,8 @@
 		}
 	}
 	eventually(t, "the stopped daemon leaves the answer about addresses", func() bool {
-		status, body := get(f.all[1].DirectoryAddress + "/resolve?name=h&zone=z")
-		return status == 200 && !strings.Contains(body, f.all[0].FrontAddress)
+		resolution := f.resolve(1)
+		return len(resolution.Addresses) > 0 && !slices.Contains(resolution.Addresses, f.all[0].FrontAddress)
 	})
 }
 
@@ -327,19 +322,16 @@
 	write("200ms")
 	signals := make(chan os.Signal, 1)
 	f.daemons[0].WatchSettings(path, signals)
-	keeps := func(ttl string) bool {
-		_, body := get(f.all[0].DirectoryAddress + "/resolve?name=h")
-		return strings.Contains(body, `"ttlS":`+ttl+"}")
-	}
+	keeps := func(seconds float64) bool { return f.resolve(0).KeepS == seconds }
 	write("400ms")
 	signals <- syscall.SIGHUP
-	eventually(t, "the settings after a signal", func() bool { return keeps("0.4") })
+	eventually(t, "the settings after a signal", func() bool { return keeps(0.4) })
 	write("600ms")
-	eventually(t, "the settings without a signal", func() bool { return keeps("0.6") })
+	eventually(t, "the settings without a signal", func() bool { return keeps(0.6) })
 	write("six hundred")
 	signals <- syscall.SIGHUP
 	time.Sleep(50 * time.Millisecond)
-	if !keeps("0.6") {
+	if !keeps(0.6) {
 		t.Error("settings that are not valid changed something")
 	}
 }
--- a/lab/demo/platform.go
+++ b/lab/demo/platform.go
@@ -15,6 +15,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/wheatweir/wheatweir/entry"
+	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/platform/standin"
 )
 
@@ -27,6 +28,7 @@
 	platformWorkers  = 6
 	platformRequests = 50
 	platformStart    = 20 * time.Second
+	platformHost     = "demo.example"
 )
 
 // platformModels are the models of the demo; each engine starts with the first.
@@ -71,7 +73,7 @@
 		return nil, ErrPlatformDemo.Wrap(err)
 	}
 	d := &platformDeployment{store: store}
-	store.Put("config", "main", platformConfiguration())
+	store.Configure(platformConfiguration())
 	for number := range platformEngines {
 		if err := d.addServer(fmt.Sprint("engine-", number), "engines", platformModels[0]); err != nil {
 			return nil, err
@@ -85,22 +87,26 @@
 	return d, d.startDaemons(logs)
 }
 
-func platformConfiguration() map[string]any {
-	models := make([]map[string]any, 0, len(platformModels))
+func platformConfiguration() *fleet.Configuration {
+	engine := &fleet.Engine{Slots: 8, MemoryTokens: 100000, WeightsMB: 200, AdapterSlots: 6, LoadsPerSecond: 5}
 	for _, name := range platformModels {
-		models = append(models, map[string]any{"name": name, "weightsMb": 60, "adapters": 2, "adapterMb": 1})
-	}
-	return map[string]any{
-		"version": 1,
-		"routes": []map[string]any{
-			{"name": "stream", "host": "demo.example", "pathPrefix": "/stream/", "kind": "stream", "timeoutMs": 10000, "targetLatencyMs": 1000, "maxAttempts": 1, "service": "engines"},
-			{"name": "portal", "host": "demo.example", "pathPrefix": "/portal/", "kind": "unsafe", "timeoutMs": 5000, "targetLatencyMs": 150, "maxAttempts": 1, "service": "portal"},
+		engine.Models = append(engine.Models, fleet.Model{Name: name, WeightsMB: 60, Adapters: 2, AdapterMB: 1})
+	}
+	return &fleet.Configuration{
+		Version: 1,
+		Routes: []fleet.Route{
+			{
+				Name: "stream", Host: platformHost, PathPrefix: "/stream/", Kind: fleet.KindStream, Timeout: 10 * time.Second,
+				TargetLatency: time.Second, MaxAttempts: 1, Targets: []fleet.Target{{Service: "engines", Weight: 1}},
+			},
+			{
+				Name: "portal", Host: platformHost, PathPrefix: "/portal/", Kind: fleet.KindUnsafe, Timeout: 5 * time.Second,
+				TargetLatency: 150 * time.Millisecond, MaxAttempts: 1, Targets: []fleet.Target{{Service: "portal", Weight: 1}},
+			},
 		},
-		"services": []map[string]any{
-			{"name": "engines", "maxConns": 100, "engine": map[string]any{
-				"slots": 8, "kvCapacity": 100000, "weightsMb": 200, "adapterSlots": 6, "loadsPerS": 5, "models": models,
-			}},
-			{"name": "portal", "maxConns": 100},
+		Services: []fleet.Service{
+			{Name: "engines", MaxConnections: 100, Engine: engine},
+			{Name: "portal", MaxConnections: 100},
 		},
 	}
 }
@@ -168,8 +174,9 @@
 func (d *platformDeployment) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, platformStart)
 	defer cancel()
+	var client standin.Client
 	for _, settings := range d.settings {
-		for !isReady(ctx, settings.ReadyAddress) {
+		for !client.Ready(ctx, settings.ReadyAddress) {
 			select {
 			case <-ctx.Done():
 				return ErrPlatformDemo.New("%s is not ready", settings.Name)
@@ -180,19 +187,6 @@
 	return nil
 }
 
-func isReady(ctx context.Context, address string) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/ready", nil)
-	if err != nil {
-		return false
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
 // load sends requests of both kinds from several workers.
 func (d *platformDeployment) load(ctx context.Context) *platformCounts {
 	var counts platformCounts
@@ -216,28 +210,13 @@
 	}
 	counts.sent.Add(1)
 	address := d.settings[(worker+number)%len(d.settings)].FrontAddress
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader("prompt"))
-	if err != nil {
-		counts.wrong.Add(1)
-		return
-	}
-	request.Host = "demo.example"
-	request.Header.Set("X-Request-Id", id)
-	if model != "" {
-		request.Header.Set("X-Model", model)
-		request.Header.Set("X-Token-Count", "100,10")
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		counts.wrong.Add(1)
-		return
-	}
-	body, err := io.ReadAll(response.Body)
-	_ = response.Body.Close()
+	sent := standin.ClientRequest{ID: id, Host: platformHost, Path: path, Body: "prompt", Model: model, PromptTokens: 100, OutputTokens: 10}
+	var client standin.Client
+	answer, err := client.Do(ctx, address, sent)
 	switch {
-	case response.StatusCode == http.StatusServiceUnavailable:
+	case err == nil && answer.PromisesNotRun():
 		counts.refused.Add(1)
-	case err != nil || response.StatusCode != http.StatusOK || strings.Count(string(body), id) != want:
+	case err != nil || !answer.Complete || answer.Status != http.StatusOK || strings.Count(answer.Body, id) != want:
 		counts.wrong.Add(1)
 	default:
 		counts.whole.Add(1)
