One loop for requests to models and to plain services; the failure detector in four files

Cause: daemon/requests.go held the loop of an exchange twice, and member/detector.go (490 lines) held the view, probing and merging at once.

Change: drive() carries both kinds of request, model.go and plainservice.go hold what differs. The detector's code is moved, not changed: view.go, probe.go, merge.go, and what is left in detector.go.

--- /dev/null
+++ b/member/probe.go
@@ -0,0 +1,229 @@
+package member
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// deadProbeEvery is how many probe intervals pass between two probes of a dead
+// member, which is how two halves of a healed partition find each other.
+const deadProbeEvery = 5
+
+// deadForgetIntervals is how many probe intervals a dead member is remembered.
+const deadForgetIntervals = 3600
+
+// probe is the direct probe under way.
+type probe struct {
+	name     string
+	sequence uint64
+	sentAt   time.Time
+	helped   bool
+	answered bool
+}
+
+// relay is a probe made for another member.
+type relay struct {
+	askedBy  string
+	sequence uint64
+	at       time.Time
+}
+
+// Tick advances the detector and returns the messages to send. It should be
+// called a few times in each probe timeout.
+func (d *Detector) Tick(now time.Time) []Packet {
+	var packets []Packet
+	packets = d.askHelpers(now, packets)
+	if now.Before(d.nextProbe) {
+		return packets
+	}
+	d.suspectUnanswered(now)
+	d.expireSuspects(now)
+	d.expireRelays(now)
+	d.nextProbe = now.Add(d.settings.ProbeInterval)
+	d.interval++
+	packets = d.startProbe(now, packets)
+	if d.interval%deadProbeEvery == 0 {
+		packets = d.probeDead(packets)
+	}
+	return d.probeSeed(packets)
+}
+
+func (d *Detector) askHelpers(now time.Time, packets []Packet) []Packet {
+	current := &d.probe
+	if current.name == "" || current.answered || current.helped {
+		return packets
+	}
+	if now.Sub(current.sentAt) < d.settings.ProbeTimeout {
+		return packets
+	}
+	current.helped = true
+	target, found := d.members[current.name]
+	if !found {
+		return packets
+	}
+	live := d.Live()
+	if len(live) <= 2 {
+		return packets
+	}
+	chosen := map[string]bool{current.name: true, d.self.Name: true}
+	for range 2 * d.settings.Helpers {
+		helper := live[d.random.IntN(len(live))]
+		if chosen[helper] || len(chosen) >= d.settings.Helpers+2 {
+			continue
+		}
+		chosen[helper] = true
+		message := d.message(PingRequest, current.sequence)
+		message.Target = target.PeerAddress
+		packets = append(packets, Packet{d.members[helper].PeerAddress, message})
+	}
+	return packets
+}
+
+func (d *Detector) suspectUnanswered(now time.Time) {
+	if d.probe.name == "" || d.probe.answered {
+		return
+	}
+	known, found := d.members[d.probe.name]
+	if !found || known.State >= Suspect {
+		return
+	}
+	suspected := known.Member
+	suspected.State = Suspect
+	d.merge(now, suspected)
+}
+
+func (d *Detector) suspicionTime() time.Duration {
+	scale := bits.Len(uint(len(d.members) + 1))
+	return time.Duration(d.settings.SuspicionIntervals*scale) * d.settings.ProbeInterval / 2
+}
+
+func (d *Detector) expireSuspects(now time.Time) {
+	limit := d.suspicionTime()
+	forget := deadForgetIntervals * d.settings.ProbeInterval
+	for _, name := range d.sortedMembers() {
+		known := d.members[name]
+		age := now.Sub(known.since)
+		switch {
+		case known.State == Suspect && age >= limit:
+			dead := known.Member
+			dead.State = Dead
+			d.merge(now, dead)
+		case known.State == Dead && age >= forget:
+			delete(d.members, name)
+			d.changed()
+		}
+	}
+}
+
+func (d *Detector) sortedMembers() []string {
+	names := make([]string, 0, len(d.members))
+	for name, known := range d.members {
+		if known.State >= Suspect {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (d *Detector) expireRelays(now time.Time) {
+	for sequence, asked := range d.relayed {
+		if now.Sub(asked.at) > 2*d.settings.ProbeInterval {
+			delete(d.relayed, sequence)
+		}
+	}
+}
+
+func (d *Detector) startProbe(now time.Time, packets []Packet) []Packet {
+	d.probe = probe{}
+	name := d.nextTarget()
+	if name == "" {
+		return packets
+	}
+	d.sequence++
+	d.probe = probe{name: name, sequence: d.sequence, sentAt: now}
+	return append(packets, Packet{d.members[name].PeerAddress, d.message(Ping, d.sequence)})
+}
+
+// nextTarget walks over all live members in a random order, and shuffles anew
+// after each round, so that each member is probed once a round.
+func (d *Detector) nextTarget() string {
+	for range 2 {
+		for len(d.probeOrder) > 0 {
+			name := d.probeOrder[len(d.probeOrder)-1]
+			d.probeOrder = d.probeOrder[:len(d.probeOrder)-1]
+			if known, found := d.members[name]; found && known.State != Dead {
+				return name
+			}
+		}
+		for _, name := range d.Live() {
+			if name != d.self.Name {
+				d.probeOrder = append(d.probeOrder, name)
+			}
+		}
+		d.random.Shuffle(len(d.probeOrder), func(i, j int) {
+			d.probeOrder[i], d.probeOrder[j] = d.probeOrder[j], d.probeOrder[i]
+		})
+	}
+	return ""
+}
+
+func (d *Detector) probeDead(packets []Packet) []Packet {
+	var dead []string
+	for _, name := range d.sortedMembers() {
+		if d.members[name].State == Dead {
+			dead = append(dead, name)
+		}
+	}
+	if len(dead) == 0 {
+		return packets
+	}
+	chosen := d.members[dead[d.random.IntN(len(dead))]]
+	d.sequence++
+	message := d.message(Ping, d.sequence)
+	// The member must hear that it is held for dead, or it cannot refute.
+	message.Members = append(message.Members, chosen.Member)
+	return append(packets, Packet{chosen.PeerAddress, message})
+}
+
+// probeSeed probes one seed address that no member has.
+func (d *Detector) probeSeed(packets []Packet) []Packet {
+	if len(d.seeds) == 0 {
+		return packets
+	}
+	address := d.seeds[d.random.IntN(len(d.seeds))]
+	if address == d.self.PeerAddress || d.hasAddress(address) {
+		return packets
+	}
+	d.sequence++
+	return append(packets, Packet{address, d.message(Ping, d.sequence)})
+}
+
+func (d *Detector) hasAddress(address string) bool {
+	for _, known := range d.members {
+		if known.PeerAddress == address {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Detector) message(kind MessageKind, sequence uint64) Message {
+	size := len(d.members) + 1
+	return Message{
+		Kind:     kind,
+		Sequence: sequence,
+		Sender:   d.self,
+		Digest:   d.currentDigest(),
+		Members:  d.memberNews.take(d.settings.NewsPerMessage, size),
+		BackEnds: d.backEndNews.take(d.settings.NewsPerMessage, size),
+	}
+}
+
+// Tell returns a direct probe of one member, which tells it of this daemon's
+// own state. Its acknowledgement comes like any other.
+func (d *Detector) Tell(name string) Packet {
+	d.sequence++
+	return Packet{d.members[name].PeerAddress, d.message(Ping, d.sequence)}
+}
