Cost at many daemons: what servers hold goes along a tree, plans and messages are bounded

A profile of 70 daemons before 100 servers in one process (trial, 46.3 s of samples) showed: the holder of the lease plans at every answer of every server (5.5 s), every daemon works out the demand at each tick (3.4 s), load goes to 16 daemons after each change (about 14 s), and each choice of an instance adds up all peers for all instances (2.3 s). Also, what a server holds reached 16 of 70 daemons at once and the others by a repetition every 2 s.

Ruled out: the log (no samples to speak of) and the store's watches (1.7%).

Change: the holder spreads new facts and its renewals along a tree with a fan-out of 8; a digest shows who missed something, and those ask. Plans come at most every 25 ms. Messages about load come less often the more daemons there are (the same as before up to 11). A choice filters first and reads sums that messages keep up to date. What an earlier holder says is dropped.

--- /dev/null
+++ b/balance/peers_test.go
@@ -0,0 +1,55 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+// TestPeersLoadsAddUp compares what a choice sees of an instance with a plain sum
+// over the peers that were heard lately, after any series of messages.
+func TestPeersLoadsAddUp(t *testing.T) {
+	const heardLately = 3 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		type heard struct {
+			at    time.Time
+			loads map[string]balance.Load
+		}
+		now := time.Unix(1000, 0)
+		tracker := balance.NewTracker()
+		picker := balance.NewPicker(tracker)
+		oracle := map[string]heard{}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			peer := fmt.Sprint("p", rapid.IntRange(0, 3).Draw(t, "peer"))
+			loads := map[string]balance.Load{}
+			for range rapid.IntRange(0, 3).Draw(t, "entries") {
+				id := fmt.Sprint("i", rapid.IntRange(0, 2).Draw(t, "instance"))
+				loads[id] = balance.Load{Requests: rapid.IntRange(1, 9).Draw(t, "requests"), PromptTokens: rapid.IntRange(0, 9).Draw(t, "tokens")}
+			}
+			tracker.SetPeer(now, peer, loads)
+			oracle[peer] = heard{now, loads}
+			// Old loads are looked for from time to time only.
+			now = now.Add(200 * time.Millisecond)
+			for number := range 3 {
+				id := fmt.Sprint("i", number)
+				want := balance.Load{}
+				for _, told := range oracle {
+					if now.Sub(told.at) <= heardLately {
+						want.Requests += told.loads[id].Requests
+						want.PromptTokens += told.loads[id].PromptTokens
+					}
+				}
+				chosen := picker.Pick(now, []*fleet.Instance{instance(id, "z")}, &balance.Request{})
+				if chosen.Load != want {
+					t.Fatalf("%s has %+v, want %+v", id, chosen.Load, want)
+				}
+			}
+		}
+	})
+}
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -34,9 +34,9 @@
 	Of int
 }
 
-// Filter tells whether a candidate may take a request at all.
+// Filter tells whether an instance may take a request at all.
 type Filter interface {
-	Allows(request *Request, candidate *Candidate) bool
+	Allows(request *Request, instance *fleet.Instance) bool
 }
 
 // Scorer rates a candidate; lower is better. A score of one is about the cost of
@@ -64,20 +64,21 @@
 // Pick returns the best candidate, or nil if no instance may take the request.
 // Candidates that something speaks against are used only if there is no other.
 func (p *Picker) Pick(now time.Time, instances []*fleet.Instance, request *Request) *Candidate {
-	ids := make([]string, len(instances))
-	for i, instance := range instances {
+	allowed := p.allowed(instances, request)
+	ids := make([]string, len(allowed))
+	for i, instance := range allowed {
 		ids[i] = instance.ID
 	}
 	statuses := p.tracker.statuses(now, ids, request.Model, request.Adapter, make([]status, 0, len(ids)))
 	var best *Candidate
 	bestScore := 0.0
-	allowed := 0
-	for i, instance := range instances {
-		candidate := Candidate{Instance: instance, Load: statuses[i].load, Available: statuses[i].available}
-		if statuses[i].missing || !p.allows(request, &candidate) {
+	count := 0
+	for i, instance := range allowed {
+		if statuses[i].missing {
 			continue
 		}
-		allowed++
+		count++
+		candidate := Candidate{Instance: instance, Load: statuses[i].load, Available: statuses[i].available}
 		score := p.score(request, &candidate)
 		if best == nil || better(&candidate, score, best, bestScore) {
 			chosen := candidate
@@ -85,11 +86,25 @@
 		}
 	}
 	if best != nil {
-		best.Of = allowed
+		best.Of = count
 	}
 	return best
 }
 
+// allowed returns the instances that all filters allow.
+func (p *Picker) allowed(instances []*fleet.Instance, request *Request) []*fleet.Instance {
+	allowed := make([]*fleet.Instance, 0, usualCandidates)
+	for _, instance := range instances {
+		if p.allows(request, instance) {
+			allowed = append(allowed, instance)
+		}
+	}
+	return allowed
+}
+
+// usualCandidates is how many instances room is made for at first.
+const usualCandidates = 8
+
 func better(a *Candidate, scoreA float64, b *Candidate, scoreB float64) bool {
 	if a.Available != b.Available {
 		return a.Available
@@ -97,9 +112,9 @@
 	return scoreA < scoreB
 }
 
-func (p *Picker) allows(request *Request, candidate *Candidate) bool {
+func (p *Picker) allows(request *Request, instance *fleet.Instance) bool {
 	for _, filter := range p.filters {
-		if !filter.Allows(request, candidate) {
+		if !filter.Allows(request, instance) {
 			return false
 		}
 	}
@@ -118,15 +133,15 @@
 type NotLeaving struct{}
 
 // Allows implements Filter.
-func (NotLeaving) Allows(_ *Request, candidate *Candidate) bool { return !candidate.Instance.Leaving }
+func (NotLeaving) Allows(_ *Request, instance *fleet.Instance) bool { return !instance.Leaving }
 
 // NotExcluded turns away instances that this request was sent to.
 type NotExcluded struct{}
 
 // Allows implements Filter.
-func (NotExcluded) Allows(request *Request, candidate *Candidate) bool {
+func (NotExcluded) Allows(request *Request, instance *fleet.Instance) bool {
 	for _, id := range request.Excluded {
-		if id == candidate.Instance.ID {
+		if id == instance.ID {
 			return false
 		}
 	}
@@ -137,11 +152,11 @@
 type HasModel struct{}
 
 // Allows implements Filter.
-func (HasModel) Allows(request *Request, candidate *Candidate) bool {
+func (HasModel) Allows(request *Request, instance *fleet.Instance) bool {
 	if request.Model == "" {
 		return true
 	}
-	resident := candidate.Instance.Resident(request.Model)
+	resident := instance.Resident(request.Model)
 	return resident != nil && resident.HasAdapter(request.Adapter)
 }
 
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -32,6 +32,8 @@
 	errorWeight = 0.2
 	// peerExpiry is how long the numbers of another daemon count.
 	peerExpiry = 3 * time.Second
+	// peerExpiryPause is the least time between two looks for such daemons.
+	peerExpiryPause = 100 * time.Millisecond
 	// declinedPause keeps requests for a while from an instance that declined.
 	declinedPause = 100 * time.Millisecond
 	// unreachedPause does the same after a failed connection.
@@ -60,6 +62,11 @@
 	l.PromptTokens += other.PromptTokens
 }
 
+func (l *Load) subtract(other Load) {
+	l.Requests -= other.Requests
+	l.PromptTokens -= other.PromptTokens
+}
+
 // instanceState is what is observed of one instance.
 type instanceState struct {
 	own        Load
@@ -87,7 +94,12 @@
 	mutex     sync.Mutex
 	instances map[string]*instanceState
 	peers     map[string]peerLoad
-	missing   map[missingKey]time.Time
+	// others is the sum of the peers' loads by instance: a choice looks at many
+	// instances, and must not look at every peer for each of them.
+	others  map[string]Load
+	missing map[missingKey]time.Time
+	// expiredAt is when peers were last looked through for old loads.
+	expiredAt time.Time
 	// changed tells that the own load has changed.
 	changed chan struct{}
 }
@@ -103,7 +115,7 @@
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
 	return &Tracker{
-		instances: map[string]*instanceState{}, peers: map[string]peerLoad{}, missing: map[missingKey]time.Time{},
+		instances: map[string]*instanceState{}, peers: map[string]peerLoad{}, others: map[string]Load{}, missing: map[missingKey]time.Time{},
 		changed: make(chan struct{}, 1),
 	}
 }
@@ -217,9 +229,42 @@
 func (t *Tracker) SetPeer(now time.Time, peer string, loads map[string]Load) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.dropPeer(peer)
+	for id, load := range loads {
+		sum := t.others[id]
+		sum.add(load)
+		t.others[id] = sum
+	}
 	t.peers[peer] = peerLoad{at: now, loads: loads}
 }
 
+// dropPeer forgets the load of another daemon.
+func (t *Tracker) dropPeer(peer string) {
+	for id, load := range t.peers[peer].loads {
+		sum := t.others[id]
+		sum.subtract(load)
+		if sum == (Load{}) {
+			delete(t.others, id)
+		} else {
+			t.others[id] = sum
+		}
+	}
+	delete(t.peers, peer)
+}
+
+// expirePeers forgets the load of daemons that were not heard of lately.
+func (t *Tracker) expirePeers(now time.Time) {
+	if now.Sub(t.expiredAt) < peerExpiryPause {
+		return
+	}
+	t.expiredAt = now
+	for peer, load := range t.peers {
+		if now.Sub(load.at) > peerExpiry {
+			t.dropPeer(peer)
+		}
+	}
+}
+
 // Own returns the load from here, by instance.
 func (t *Tracker) Own() map[string]Load {
 	t.mutex.Lock()
@@ -254,11 +299,7 @@
 			delete(t.missing, key)
 		}
 	}
-	for peer, load := range t.peers {
-		if now.Sub(load.at) > peerExpiry {
-			delete(t.peers, peer)
-		}
-	}
+	t.expirePeers(now)
 }
 
 // status is what the picker needs of one instance.
@@ -273,16 +314,13 @@
 func (t *Tracker) statuses(now time.Time, ids []string, model, adapter string, into []status) []status {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.expirePeers(now)
 	for _, id := range ids {
 		state := t.state(id)
 		available := !now.Before(state.ejectedTo) && !now.Before(state.pausedTo) && !state.stalled(now)
 		missing := now.Before(t.missing[missingKey{id, model, adapter}])
 		load := state.own
-		for _, peer := range t.peers {
-			if now.Sub(peer.at) <= peerExpiry {
-				load.add(peer.loads[id])
-			}
-		}
+		load.add(t.others[id])
 		into = append(into, status{load: load, available: available, missing: missing})
 	}
 	return into
--- a/coordination/demand.go
+++ b/coordination/demand.go
@@ -15,7 +15,7 @@
 
 // demandState holds the demand of all daemons for each model.
 type demandState struct {
-	own      map[modelKey]ModelLoad
+	own      []ModelLoad
 	smoothed map[modelKey]float64
 	current  map[string]map[string]residency.Demand
 	at       time.Time
@@ -23,7 +23,7 @@
 
 func newDemandState() demandState {
 	return demandState{
-		own: map[modelKey]ModelLoad{}, smoothed: map[modelKey]float64{}, current: map[string]map[string]residency.Demand{},
+		smoothed: map[modelKey]float64{}, current: map[string]map[string]residency.Demand{},
 	}
 }
 
@@ -114,10 +114,7 @@
 
 // ObserveOwn takes in what this daemon has in progress, and tells the others.
 func (n *Node) ObserveOwn(now time.Time, requests map[string]balance.Load, models []ModelLoad, urgency Urgency) []Action {
-	n.demand.own = map[modelKey]ModelLoad{}
-	for _, load := range models {
-		n.demand.own[modelKey{load.Service, load.Model}] = load
-	}
+	n.demand.own = models
 	load := Load{Requests: requests, Models: models, Versions: n.versions(), StoreAway: n.storeAway(), Watching: n.Watching(now)}
 	if n.held {
 		load.Fence, _, _ = n.mayOrder(now)
@@ -126,7 +123,7 @@
 	n.shareDue = n.shareDue || urgency != UrgencyNone
 	pause := n.settings.ShareEvery
 	if n.shareDue {
-		pause = n.settings.ShareSoon
+		pause = n.sharePause()
 	}
 	switch {
 	case now.Sub(n.sharedAt) >= pause:
@@ -139,8 +136,17 @@
 		}
 	}
 	if urgency == UrgencyWant && n.held {
-		n.demand.tick(now, n.settings.DemandHalfLife, n.peers)
-		n.plan(now)
+		n.planSoon(now)
 	}
 	return n.take()
 }
+
+// sharePause is the least time between two messages about load.
+func (n *Node) sharePause() time.Duration {
+	others := len(n.detector.Live()) - 1
+	if others <= n.settings.SharePeers {
+		return n.settings.ShareSoon
+	}
+	ratio := float64(others) / float64(n.settings.SharePeers)
+	return min(n.settings.ShareEvery, time.Duration(ratio*ratio*float64(n.settings.ShareSoon)))
+}
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -40,10 +40,13 @@
 	shareDue    bool
 	lastHolder  time.Time
 	holderName  string
+	holderFence uint64
 	held        bool
 	sharedAt    time.Time
 	plannedAt   time.Time
-	factsSentAt time.Time
+	planDue     bool
+	plans       uint64
+	spreading   spreadState
 	viewStale   bool
 	actions     []Action
 }
@@ -71,7 +74,8 @@
 		instances: feed.NewMirror[*fleet.Instance](),
 		facts:     map[string]fact{}, reports: map[string]*reportState{}, listedAt: map[string]time.Time{}, peers: map[string]peerState{},
 		demand: newDemandState(), lastHolder: now,
-		members: map[string]memberBelief{}, seen: map[string]bool{},
+		spreading: newSpreadState(random.Uint64()),
+		members:   map[string]memberBelief{}, seen: map[string]bool{},
 		sources: map[Source]*sourceState{SourceConfiguration: {}, SourceInstances: {}},
 	}
 	node.detector.SetSeeds(seeds)
@@ -114,11 +118,15 @@
 	n.noteMembers()
 	n.tickSources(now)
 	n.tickLease(now)
-	n.demand.tick(now, n.settings.DemandHalfLife, n.peers)
 	n.tickReports(now)
-	if now.Sub(n.plannedAt) >= n.settings.PlanEvery {
+	n.tickSpread(now)
+	if n.planDue || now.Sub(n.plannedAt) >= n.settings.PlanEvery {
 		n.plan(now)
 	}
+	if now.Sub(n.demand.at) >= n.settings.PlanEvery {
+		// Also without orders to send, so that a new holder knows the past demand.
+		n.demand.tick(now, n.settings.DemandHalfLife, n.peers)
+	}
 	return n.take()
 }
 
@@ -149,31 +157,52 @@
 	for _, told := range message.Facts {
 		n.learn(told, now.Add(-told.Age))
 	}
+	if message.AskFacts {
+		n.answerFacts(now, message.From)
+	}
+	if message.Spread != nil {
+		n.takeSpread(now, message)
+	}
 	return n.take()
 }
 
 func (n *Node) takeLoad(now time.Time, from string, load Load) {
 	_, known := n.peers[from]
 	n.peers[from] = peerState{load: load, at: now}
-	if other, found := n.detector.Lookup(from); !known && found && n.held {
+	if !known && n.held {
 		// It has just started, or was away: it missed what was told meanwhile.
-		n.do(SendPeer{Address: other.PeerAddress, Message: Message{From: n.self, Facts: n.allFacts(now)}})
+		n.answerFacts(now, from)
 	}
 	n.noteVersions(from, load.Versions)
 	if load.Fence != 0 {
-		if n.holderName != from {
-			n.decide("lease", "Holder heard.", "holder", from, "fence", load.Fence)
-		}
-		n.holderName = from
-		n.lastHolder = now
-		n.lease.Heard(now, load.Lease)
+		n.heardHolder(now, from, load.Fence, load.Lease)
 	}
 	if n.held && waits(load) {
-		n.demand.tick(now, n.settings.DemandHalfLife, n.peers)
-		n.plan(now)
+		n.planSoon(now)
 	}
 }
 
+// heardHolder takes in that another daemon holds the lease. What an earlier holder
+// said is dropped.
+func (n *Node) heardHolder(now time.Time, from string, fence, renewal uint64) {
+	if fence < n.holderFence {
+		return
+	}
+	n.holderFence = fence
+	if n.holderName != from {
+		n.decide("lease", "Holder heard.", "holder", from, "fence", fence)
+	}
+	n.holderName = from
+	n.lastHolder = now
+	n.lease.Heard(now, renewal)
+}
+
+// Plans returns how often this daemon has planned.
+func (n *Node) Plans() uint64 { return n.plans }
+
+// MembersRevision changes whenever what is known of the daemons changes.
+func (n *Node) MembersRevision() uint64 { return n.detector.Revision() }
+
 // waits reports whether requests wait for a model or adapter.
 func waits(load Load) bool {
 	for _, model := range load.Models {
@@ -269,6 +298,15 @@
 	return true
 }
 
+// FactOf returns what the newest report of an instance said, if one is known here.
+func (n *Node) FactOf(instance string) (Fact, bool) {
+	known, found := n.facts[instance]
+	return known.Fact, found
+}
+
+// HolderName is the daemon that was last heard to hold the lease on orders.
+func (n *Node) HolderName() string { return n.holderName }
+
 // KnowsReport reports whether a report of an instance is known here.
 func (n *Node) KnowsReport(instance string) bool {
 	_, found := n.facts[instance]
--- a/coordination/node_test.go
+++ b/coordination/node_test.go
@@ -28,6 +28,8 @@
 	dead     map[string]bool
 	orders   []sentOrder
 	refresh  map[string]int
+	// messages counts what each node sent to others.
+	messages map[string]int
 	// decisions holds the lines for the log, each after the node's name.
 	decisions []string
 }
@@ -40,7 +42,7 @@
 }
 
 func newWorld(count int) *world {
-	w := &world{now: time.Unix(1000, 0), nodes: map[string]*coordination.Node{}, storeCut: map[string]bool{}, dead: map[string]bool{}, refresh: map[string]int{}}
+	w := &world{now: time.Unix(1000, 0), nodes: map[string]*coordination.Node{}, storeCut: map[string]bool{}, dead: map[string]bool{}, refresh: map[string]int{}, messages: map[string]int{}}
 	for i := range count {
 		name := fmt.Sprint("n", i)
 		self := member.Member{Name: name, Zone: "z", PeerAddress: name, CallerAddress: name, Incarnation: 1}
@@ -76,9 +78,14 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case coordination.SendPeer:
+			w.messages[name]++
 			if other := w.nodes[action.Address]; other != nil && !w.dead[action.Address] {
 				w.perform(action.Address, other.Receive(w.now, action.Message))
 			}
+		case coordination.Broadcast:
+			for _, address := range action.Addresses {
+				w.perform(name, []coordination.Action{coordination.SendPeer{Address: address, Message: action.Message}})
+			}
 		case coordination.CallLease:
 			outcome, stored := w.callLease(name, action.Call)
 			w.perform(name, node.LeaseAnswered(w.now, outcome, stored))
--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -93,13 +93,25 @@
 	return n.take()
 }
 
+// planSoon plans now, or at the next tick if the last plan was a moment ago: reports
+// and answers of many servers come together, and each plan looks at all of them.
+func (n *Node) planSoon(now time.Time) {
+	if now.Sub(n.plannedAt) < n.settings.PlanPause {
+		n.planDue = true
+		return
+	}
+	n.plan(now)
+}
+
 // plan decides which orders to send, if this daemon may send any.
 func (n *Node) plan(now time.Time) {
-	n.plannedAt = now
+	n.plannedAt, n.planDue = now, false
+	n.plans++
 	fence, until, may := n.mayOrder(now)
 	if !may {
 		return
 	}
+	n.demand.tick(now, n.settings.DemandHalfLife, n.peers)
 	orders := n.book.Resend(now)
 	for i := range n.configuration.Services {
 		service := &n.configuration.Services[i]
@@ -111,7 +123,7 @@
 		n.book.Sending(now, order)
 		if !order.Load {
 			// Nobody sends requests any more for what is about to go.
-			n.tellFact(now, order.Instance, order.Expected)
+			n.tellFact(now, now, order.Instance, order.Expected)
 		}
 		n.decide("orders", "Sent.", "instance", order.Instance, "load", order.Load, "model", order.Model, "adapter", order.Adapter,
 			"expected", order.Expected, "fence", fence, "reason", order.Reason)
@@ -123,7 +135,7 @@
 func (n *Node) OrderAnswered(now time.Time, order residency.Order, answer residency.Answer) []Action {
 	n.book.Answered(now, order, answer)
 	if answer == residency.AnswerDone {
-		n.tellFact(now, order.Instance, order.Expected+1)
+		n.tellFact(now, now, order.Instance, order.Expected+1)
 	}
 	if answer != residency.AnswerTaken && answer != residency.AnswerDone {
 		n.decide("orders", "Not taken.", "instance", order.Instance, "model", order.Model, "adapter", order.Adapter, "answer", answer.String())
@@ -134,7 +146,7 @@
 	if state := n.reports[order.Instance]; state != nil {
 		state.next = now.Add(n.settings.ReportSoon)
 	}
-	n.plan(now)
+	n.planSoon(now)
 	return n.take()
 }
 
@@ -170,7 +182,6 @@
 			n.do(AskReport{Instance: instance.ID, Address: instance.Address})
 		}
 	}
-	n.tellAllFacts(now)
 }
 
 // ReportAnswered takes in a report, or that there was none.
@@ -188,13 +199,13 @@
 		state.next = now.Add(2 * n.settings.ReportSoon)
 	}
 	n.book.Report(askedAt, instance, report)
-	n.tellFact(askedAt, instance, report.Sequence)
-	n.plan(now)
+	n.tellFact(now, askedAt, instance, report.Sequence)
+	n.planSoon(now)
 	return n.take()
 }
 
 // tellFact tells the other daemons what a server serves, if that is news.
-func (n *Node) tellFact(at time.Time, instance string, sequence uint64) {
+func (n *Node) tellFact(now, at time.Time, instance string, sequence uint64) {
 	state := n.reports[instance]
 	told := Fact{Instance: instance, Sequence: sequence, Residents: n.book.Residents(instance)}
 	n.learn(told, at)
@@ -202,33 +213,30 @@
 		return
 	}
 	state.sent = told
-	n.broadcast(Message{From: n.self, Facts: []Fact{told}})
-}
-
-// tellAllFacts repeats everything from time to time, for daemons that missed a
-// message or have just started.
-func (n *Node) tellAllFacts(now time.Time) {
-	if now.Sub(n.factsSentAt) < n.settings.FactsEvery {
-		return
-	}
-	n.factsSentAt = now
-	if facts := n.allFacts(now); len(facts) > 0 {
-		n.broadcast(Message{From: n.self, Facts: facts})
+	n.spreading.due[instance] = true
+	if now.Sub(n.spreading.sentAt) >= n.settings.SpreadSoon {
+		n.spread(now)
 	}
 }
 
 // allFacts lists what is known of all model servers.
 func (n *Node) allFacts(now time.Time) []Fact {
 	facts := make([]Fact, 0, len(n.facts))
-	for _, known := range n.facts {
-		told := known.Fact
-		told.Age = now.Sub(known.at)
-		facts = append(facts, told)
+	for instance := range n.facts {
+		facts = append(facts, n.agedFact(now, instance))
 	}
 	slices.SortFunc(facts, func(a, b Fact) int { return cmp.Compare(a.Instance, b.Instance) })
 	return facts
 }
 
+// agedFact is a fact with its present age.
+func (n *Node) agedFact(now time.Time, instance string) Fact {
+	known := n.facts[instance]
+	told := known.Fact
+	told.Age = now.Sub(known.at)
+	return told
+}
+
 // broadcast sends a message to the other live daemons, or to some of them if
 // there are many.
 func (n *Node) broadcast(message Message) {
@@ -237,9 +245,18 @@
 		n.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 		names = names[:n.settings.MaxPeers]
 	}
+	n.sendAll(names, message)
+}
+
+// sendAll sends a message to several daemons.
+func (n *Node) sendAll(names []string, message Message) {
+	addresses := make([]string, 0, len(names))
 	for _, name := range names {
-		if other, found := n.detector.Lookup(name); found {
-			n.do(SendPeer{Address: other.PeerAddress, Message: message})
+		if other, found := n.detector.Lookup(name); found && name != n.self {
+			addresses = append(addresses, other.PeerAddress)
 		}
 	}
+	if len(addresses) > 0 {
+		n.do(Broadcast{Addresses: addresses, Message: message})
+	}
 }
--- /dev/null
+++ b/coordination/spread_test.go
@@ -0,0 +1,139 @@
+package coordination_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/coordination"
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+const manyNodes = 60
+
+// knowing counts the live nodes that know that an instance serves a model.
+func (w *world) knowing(instance, model string) int {
+	count := 0
+	for _, name := range w.names() {
+		if w.dead[name] {
+			continue
+		}
+		if told, known := w.nodes[name].FactOf(instance); known && len(told.Residents) > 0 && told.Residents[len(told.Residents)-1].Model == model {
+			count++
+		}
+	}
+	return count
+}
+
+// report gives the holder a report that the instance serves a model as well.
+func (w *world) report(holder, instance, model string, sequence uint64) {
+	report := fleet.Report{Residents: []fleet.Resident{{Model: "m"}, {Model: model}}, Sequence: sequence}
+	w.perform(holder, w.nodes[holder].ReportAnswered(w.now, w.now, instance, report, true))
+}
+
+// TestFactsReachManyNodes covers what a server holds: all of many nodes hear of a
+// change within one round, although each sends to a few only.
+func TestFactsReachManyNodes(t *testing.T) {
+	w := newWorld(manyNodes)
+	w.learn()
+	w.run(8 * time.Second)
+	w.report(w.holders()[0], "i1", "n", 9)
+	w.run(100 * time.Millisecond)
+	if known := w.knowing("i1", "n"); known != manyNodes {
+		t.Fatalf("%d of %d nodes know", known, manyNodes)
+	}
+}
+
+// TestNodeThatMissedAFactAsksForIt covers a message that is lost on its way down the
+// tree: those below catch up without another change.
+func TestNodeThatMissedAFactAsksForIt(t *testing.T) {
+	w := newWorld(manyNodes)
+	w.learn()
+	w.run(8 * time.Second)
+	holder := w.holders()[0]
+	for _, name := range w.names()[manyNodes/2:] {
+		w.dead[name] = name != holder
+	}
+	w.report(holder, "i1", "n", 9)
+	for _, name := range w.names() {
+		w.dead[name] = false
+	}
+	w.run(2500 * time.Millisecond)
+	if known := w.knowing("i1", "n"); known != manyNodes {
+		t.Fatalf("%d of %d nodes know", known, manyNodes)
+	}
+}
+
+// TestMessagesOfEachNodeAreBounded covers nodes whose load changes all the time: with
+// many of them each sends no more messages than with few.
+func TestMessagesOfEachNodeAreBounded(t *testing.T) {
+	const most = 400
+	for _, count := range []int{9, 20, manyNodes} {
+		w := newWorld(count)
+		w.learn()
+		w.run(8 * time.Second)
+		clear(w.messages)
+		for range 20 {
+			w.run(50 * time.Millisecond)
+			for _, name := range w.names() {
+				w.perform(name, w.nodes[name].ObserveOwn(w.now, map[string]balance.Load{}, nil, coordination.UrgencyLoad))
+			}
+		}
+		for name, sent := range w.messages {
+			if sent > most {
+				t.Errorf("%d nodes: %s sent %d messages in a second", count, name, sent)
+			}
+		}
+	}
+}
+
+// TestReportsThatComeTogetherArePlannedOnce covers the reports of many servers.
+func TestReportsThatComeTogetherArePlannedOnce(t *testing.T) {
+	w := newWorld(1)
+	w.learn()
+	w.run(4 * time.Second)
+	node := w.nodes["n0"]
+	before := node.Plans()
+	for i := range 100 {
+		w.report("n0", fmt.Sprint("i", 1+i%2), "n", uint64(10+i))
+	}
+	w.run(50 * time.Millisecond)
+	if plans := node.Plans() - before; plans < 1 || plans > 3 {
+		t.Fatalf("%d plans for 100 reports", plans)
+	}
+}
+
+// TestAnEarlierHolderIsNotBelieved covers a late message of a holder that was
+// replaced.
+func TestAnEarlierHolderIsNotBelieved(t *testing.T) {
+	w := newWorld(3)
+	w.learn()
+	w.run(5 * time.Second)
+	first := w.holders()[0]
+	stale := coordination.Load{Fence: 1, Lease: 1}
+	w.dead[first] = true
+	w.run(3 * term)
+	second := w.holders()[0]
+	for _, name := range w.names() {
+		if name != first && name != second {
+			w.perform(name, w.nodes[name].Receive(w.now, coordination.Message{From: first, Load: &stale}))
+			if holder := w.nodes[name].HolderName(); holder != second {
+				t.Errorf("%s believes that %s holds the lease", name, holder)
+			}
+		}
+	}
+}
+
+// TestManyNodesKnowEachOtherSoon covers many daemons that start at the same moment:
+// addresses and the tree of the holder depend on who is known.
+func TestManyNodesKnowEachOtherSoon(t *testing.T) {
+	w := newWorld(manyNodes)
+	w.learn()
+	w.run(8 * time.Second)
+	for _, name := range w.names() {
+		if known := len(w.nodes[name].Members()); known != manyNodes {
+			t.Errorf("%s knows %d of %d", name, known, manyNodes)
+		}
+	}
+}
--- a/coordination/types.go
+++ b/coordination/types.go
@@ -26,8 +26,29 @@
 	// Configuration and Instances answer that.
 	Configuration *fleet.Configuration `msgpack:"c,omitempty"`
 	Instances     *Listing             `msgpack:"i,omitempty"`
-	// Facts are reports of model servers, told by the holder of the lease.
+	// Facts are reports of model servers, told by the holder of the lease to one
+	// daemon that lacks them.
 	Facts []Fact `msgpack:"r,omitempty"`
+	// AskFacts asks the holder for all of them.
+	AskFacts bool `msgpack:"q,omitempty"`
+	// Spread is what the holder of the lease tells all daemons, passed on along a
+	// tree.
+	Spread *Spread `msgpack:"s,omitempty"`
+}
+
+// Spread is one message of the holder of the lease to all daemons.
+type Spread struct {
+	// Root is the holder, Boot its life, and Sequence the number of the message in
+	// that life: each daemon takes and passes on only what is newer.
+	Root     string `msgpack:"o"`
+	Boot     uint64 `msgpack:"b"`
+	Sequence uint64 `msgpack:"n"`
+	// Fence is the fencing token, Lease the revision of the newest renewal.
+	Fence uint64 `msgpack:"f"`
+	Lease uint64 `msgpack:"l"`
+	// Facts are new ones only; Digest is over all that the holder knows.
+	Facts  []Fact `msgpack:"r,omitempty"`
+	Digest uint64 `msgpack:"d"`
 }
 
 // Load is what one daemon has in progress and waits for.
@@ -111,6 +132,12 @@
 	Message Message
 }
 
+// Broadcast sends the same message to the daemons at several addresses.
+type Broadcast struct {
+	Addresses []string
+	Message   Message
+}
+
 // CallLease makes a call to the store; LeaseAnswered takes the answer.
 type CallLease struct{ Call lease.Call }
 
@@ -140,6 +167,7 @@
 }
 
 func (SendPeer) action()  {}
+func (Broadcast) action() {}
 func (Refresh) action()   {}
 func (CallLease) action() {}
 func (AskReport) action() {}
@@ -152,15 +180,26 @@
 	Lease     lease.Settings
 	Residency residency.Settings
 	// ShareEvery is the time between two messages about load, ShareSoon the
-	// least time after a change.
+	// least time after a change while there are at most SharePeers others. With
+	// more of them it grows with the square of their number, up to ShareEvery:
+	// each then has less load to tell of, and hears of more.
 	ShareEvery time.Duration
 	ShareSoon  time.Duration
+	SharePeers int
 	// ReportEvery is the time between two questions to a model server that is
 	// at rest, ReportSoon after an order.
 	ReportEvery time.Duration
 	ReportSoon  time.Duration
-	// FactsEvery is the time between two tellings of all facts.
-	FactsEvery time.Duration
+	// SpreadEvery is the time between two messages of the holder to all daemons,
+	// SpreadSoon the least time after a new fact.
+	SpreadEvery time.Duration
+	SpreadSoon  time.Duration
+	// FanOut is how many daemons each daemon passes such a message on to.
+	FanOut int
+	// FactsPatience is how long this daemon may know other facts than the holder
+	// before it asks, FactsPause the least time between two such questions.
+	FactsPatience time.Duration
+	FactsPause    time.Duration
 	// RefreshAfter is how long this daemon may know less than another one before
 	// it lists again.
 	RefreshAfter time.Duration
@@ -173,8 +212,10 @@
 	AskPause time.Duration
 	// ChecksFence says that servers turn away orders with a lower fencing token.
 	ChecksFence bool
-	// PlanEvery is the time between two plans without a cause.
+	// PlanEvery is the time between two plans without a cause, PlanPause the least
+	// time between two plans.
 	PlanEvery time.Duration
+	PlanPause time.Duration
 	// DemandHalfLife is how fast past demand is forgotten.
 	DemandHalfLife time.Duration
 	// MaxPeers bounds the daemons that one message about load goes to.
@@ -186,21 +227,28 @@
 	probes := member.DefaultSettings()
 	probes.ProbeInterval = 500 * time.Millisecond
 	probes.ProbeTimeout = 200 * time.Millisecond
+	probes.FullExchangeInterval = time.Second
 	return Settings{
 		Member:         probes,
 		Lease:          lease.DefaultSettings(term),
 		Residency:      residency.DefaultSettings(),
 		ShareEvery:     200 * time.Millisecond,
 		ShareSoon:      10 * time.Millisecond,
+		SharePeers:     10,
 		ReportEvery:    time.Second,
 		ReportSoon:     120 * time.Millisecond,
-		FactsEvery:     2 * time.Second,
+		SpreadEvery:    400 * time.Millisecond,
+		SpreadSoon:     10 * time.Millisecond,
+		FanOut:         8,
+		FactsPatience:  500 * time.Millisecond,
+		FactsPause:     2 * time.Second,
 		RefreshAfter:   150 * time.Millisecond,
 		Watchers:       5,
 		WatcherSilence: 700 * time.Millisecond,
 		AskPause:       100 * time.Millisecond,
 		ChecksFence:    true,
 		PlanEvery:      200 * time.Millisecond,
+		PlanPause:      25 * time.Millisecond,
 		DemandHalfLife: 4 * time.Second,
 		MaxPeers:       16,
 	}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -56,9 +56,11 @@
 // publishAddresses makes the answer about addresses: all daemons that live and
 // are not leaving.
 func (d *Daemon) publishAddresses() {
-	if !d.ready.Load() {
+	revision := d.node.MembersRevision()
+	if !d.ready.Load() || revision == d.publishedAt && time.Since(d.published) < addressRefresh {
 		return
 	}
+	d.publishedAt, d.published = revision, time.Now()
 	var addresses []string
 	live := int64(0)
 	for _, other := range d.node.Members() {
@@ -77,6 +79,10 @@
 	d.addresses.Store(&addresses)
 }
 
+// addressRefresh is how often the answer about addresses is made anew without a change
+// of the daemons, in another order.
+const addressRefresh = time.Second
+
 // maxAddresses bounds an answer about addresses.
 const maxAddresses = 64
 
@@ -86,6 +92,8 @@
 		switch action := action.(type) {
 		case coordination.SendPeer:
 			d.peers.Send(action.Address, action.Message)
+		case coordination.Broadcast:
+			d.peers.SendAll(action.Addresses, action.Message)
 		case coordination.CallLease:
 			d.leases.Offer(action)
 		case coordination.AskReport:
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -22,6 +22,7 @@
 	wait := time.Duration(float64(time.Until(e.firstBy)) * e.gateway.settings.WaitShare)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	paced := crowdedPause
 	for {
 		changed := *e.gateway.changed.Load()
 		view := e.gateway.view.Load()
@@ -31,7 +32,8 @@
 		}
 		if candidate != nil && ctx.Err() == nil {
 			e.observeOnce(StepPaced, "")
-			sleep(ctx, crowdedPause)
+			sleep(ctx, paced)
+			paced = min(2*paced, longestCrowdedPause)
 			continue
 		}
 		reason := e.lack(view)
@@ -57,6 +59,8 @@
 	// crowdedPause is the pause between two looks for an instance with fewer
 	// prompts to read.
 	crowdedPause = 5 * time.Millisecond
+	// longestCrowdedPause bounds that pause, which grows while a request waits.
+	longestCrowdedPause = 20 * time.Millisecond
 	// crowdedShare is the part of an instance's memory that prompts still to be
 	// read may take before further ones wait here.
 	crowdedShare = 1.0 / 40
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -115,13 +115,18 @@
 }
 
 // Send queues a message to a peer address.
-func (t *Transport[M]) Send(address string, message M) {
+func (t *Transport[M]) Send(address string, message M) { t.SendAll([]string{address}, message) }
+
+// SendAll queues a message to several peer addresses. It is encoded once.
+func (t *Transport[M]) SendAll(addresses []string, message M) {
 	body, err := msgpack.Marshal(&message)
 	if err != nil {
 		return
 	}
-	if !t.sender(address).frames.Offer(body) {
-		t.count(func(counts *Counts) { counts.Dropped++ })
+	for _, address := range addresses {
+		if !t.sender(address).frames.Offer(body) {
+			t.count(func(counts *Counts) { counts.Dropped++ })
+		}
 	}
 }
 
