Load a model elsewhere when only servers that answer nothing hold it

The platform's list forgets a server after three silent heartbeats, but not while the store is away, so the planner should not count its replicas for ever.

Ruled out: the routing (the address was retried as it should be, each time with the instance named), and a lost order (none was sent for the model).

Change: a server that leaves questions unanswered for 2.5 s counts for no model's reachability, gets no orders, and does not let the last other replica be unloaded. Growth still counts it, so a short darkness moves nothing else.

Before: TestModelOfASilentServerIsLoadedElsewhere fails. After: it passes, also that a silence of a second moves nothing.

--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -66,6 +66,7 @@
 		return
 	}
 	n.holderName = n.self
+	n.book.Resume()
 	for id := range n.reports {
 		delete(n.reports, id)
 	}
@@ -193,6 +194,7 @@
 	state.asking = false
 	state.next = now.Add(n.settings.ReportEvery)
 	if !ok {
+		n.book.Unanswered(askedAt, instance)
 		return n.take()
 	}
 	if report.Busy || len(report.Coming) > 0 {
--- a/residency/book.go
+++ b/residency/book.go
@@ -67,6 +67,7 @@
 	}
 	known.report = report
 	known.reportAt = askedAt
+	known.silentSince = time.Time{}
 	known.sequence = max(known.sequence, report.Sequence)
 	if lost := known.unsettled; lost != nil && report.Sequence > lost.Expected {
 		// The sequence has moved, so the order was taken after all.
@@ -78,6 +79,21 @@
 	})
 }
 
+// Unanswered takes in that a server did not answer a question.
+func (b *Book) Unanswered(askedAt time.Time, id string) {
+	if known := b.servers[id]; known != nil && known.silentSince.IsZero() {
+		known.silentSince = askedAt
+	}
+}
+
+// Resume forgets what servers did not answer before this daemon sends orders: it has
+// not asked them in between.
+func (b *Book) Resume() {
+	for _, known := range b.servers {
+		known.silentSince = time.Time{}
+	}
+}
+
 // visible reports whether a report already reflects an accepted order.
 func (b *Book) visible(askedAt time.Time, report *fleet.Report, order acceptedOrder) bool {
 	if report.Sequence < order.sequence {
--- a/residency/grow.go
+++ b/residency/grow.go
@@ -98,7 +98,7 @@
 		return 0, false
 	}
 	cost := p.loss(name)*p.settings.UnloadFactor + p.loadCost(s, wanted.Name) + adapterCost*float64(len(held.adapters))
-	if p.replicas[wanted.Name] > 0 && cost > p.gain(wanted.Name) {
+	if p.reachable[wanted.Name] > 0 && cost > p.gain(wanted.Name) {
 		return 0, false
 	}
 	return cost, true
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -17,7 +17,8 @@
 	slots    []*slot
 	// replicas counts, for each model, the servers that serve it or soon will.
 	replicas map[string]int
-	// ready counts those that serve it now.
+	// reachable counts those whose server answers, ready those that serve it now.
+	reachable map[string]int
 	ready     map[string]int
 	loadsLeft int
 	orders    []Order
@@ -28,7 +29,7 @@
 func (b *Book) Plan(now time.Time, service string, engine *fleet.Engine, demand map[string]Demand) []Order {
 	p := &plan{
 		now: now, settings: b.settings, engine: engine, demand: demand,
-		replicas: map[string]int{}, ready: map[string]int{},
+		replicas: map[string]int{}, reachable: map[string]int{}, ready: map[string]int{},
 		loadsLeft: b.storeLoadsLeft(now, engine.LoadsPerSecond),
 	}
 	for _, known := range b.servers {
@@ -60,12 +61,17 @@
 				continue
 			}
 			p.replicas[model]++
+			if s.silent {
+				continue
+			}
+			p.reachable[model]++
 			if held.ready {
 				p.ready[model]++
 			}
 		}
 		if s.reservedFor != "" && !s.serves(s.reservedFor) {
 			p.replicas[s.reservedFor]++
+			p.reachable[s.reservedFor]++
 		}
 	}
 }
@@ -95,10 +101,11 @@
 	s.freeMB -= model.WeightsMB
 }
 
-// reachAll gives every model that no server serves a first replica.
+// reachAll gives every model that no server serves, or only servers that answer
+// nothing, a replica.
 func (p *plan) reachAll() {
 	for _, model := range p.modelsByDemand() {
-		if p.replicas[model.Name] == 0 {
+		if p.reachable[model.Name] == 0 {
 			p.addReplica(model, "unreachable", true)
 		}
 	}
--- a/residency/residency_test.go
+++ b/residency/residency_test.go
@@ -33,6 +33,8 @@
 	sequence uint64
 	busy     *residency.Order
 	late     []residency.Order
+	// silent servers answer nothing.
+	silent bool
 }
 
 // accept takes an order as a server does.
@@ -230,6 +232,10 @@
 func (c *calm) run(span time.Duration, demand map[string]residency.Demand) {
 	for end := c.now.Add(span); c.now.Before(end); c.now = c.now.Add(200 * time.Millisecond) {
 		for _, s := range c.servers {
+			if s.silent {
+				c.book.Unanswered(c.now, s.id)
+				continue
+			}
 			s.finish()
 			c.book.Report(c.now, s.id, s.report())
 		}
@@ -272,6 +278,36 @@
 	}
 }
 
+// TestModelOfASilentServerIsLoadedElsewhere covers a server that answers nothing any
+// more while the list of servers still has it, as in an outage of the store: the
+// models that only it held become reachable again. A short silence moves nothing.
+func TestModelOfASilentServerIsLoadedElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		silence time.Duration
+		moves   bool
+	}{{time.Second, false}, {6 * time.Second, true}} {
+		deployment := newCalm(fourServers()...)
+		deployment.run(20*time.Second, nil)
+		var lost *modelServer
+		model := ""
+		for _, s := range deployment.servers {
+			for name := range s.models {
+				if deployment.replicas(name) == 1 {
+					lost, model = s, name
+				}
+			}
+		}
+		if lost == nil {
+			t.Fatal("every model has two replicas")
+		}
+		lost.silent = true
+		deployment.run(c.silence, nil)
+		if moved := deployment.replicas(model) > 1; moved != c.moves {
+			t.Errorf("silent for %v: loaded elsewhere %v", c.silence, moved)
+		}
+	}
+}
+
 func TestEveryAdapterFindsAPlace(t *testing.T) {
 	c := newCalm(fourServers()...)
 	c.run(20*time.Second, nil)
--- a/residency/slate.go
+++ b/residency/slate.go
@@ -24,8 +24,10 @@
 	// blocked that no order at all may be sent.
 	modelOrder bool
 	blocked    bool
-	atHand     map[string]bool
-	requests   int
+	// silent servers answer nothing: what they hold may be out of reach.
+	silent   bool
+	atHand   map[string]bool
+	requests int
 	// reservedFor is the model that free memory is kept for, or empty.
 	reservedFor string
 }
@@ -62,7 +64,8 @@
 		s.reservedFor = known.reservedFor
 	}
 	s.modelOrder = known.report.Busy
-	s.blocked = known.reportAt.IsZero() || known.sending != nil || known.unsettled != nil || now.Before(known.busyUntil)
+	s.silent = known.silent(now, settings.SilentAfter)
+	s.blocked = s.silent || known.reportAt.IsZero() || known.sending != nil || known.unsettled != nil || now.Before(known.busyUntil)
 	for _, order := range known.pending() {
 		s.reserve(order)
 	}
--- a/residency/types.go
+++ b/residency/types.go
@@ -96,6 +96,9 @@
 	// UnloadFactor is how much more than the loss at the victim an eviction has
 	// to gain.
 	UnloadFactor float64
+	// SilentAfter is how long a server may leave questions unanswered before its
+	// models get a replica elsewhere if no other server has them.
+	SilentAfter time.Duration
 }
 
 // DefaultSettings returns the settings used unless an operator changes them.
@@ -113,6 +116,7 @@
 		PriorPerReplica: 2,
 		PriorHalfLife:   10 * time.Second,
 		UnloadFactor:    1.5,
+		SilentAfter:     2500 * time.Millisecond,
 	}
 }
 
@@ -134,10 +138,19 @@
 	// reservedFor is the model that room was made for, until reservedUntil.
 	reservedFor   string
 	reservedUntil time.Time
+	// silentSince is when the server first left a question unanswered, of those
+	// since its last report; zero if it has answered.
+	silentSince time.Time
 	// busyUntil keeps orders away after the server said that it is busy.
 	busyUntil time.Time
 }
 
+// silent reports whether the server has answered nothing for so long that models
+// should not depend on it.
+func (s *server) silent(now time.Time, after time.Duration) bool {
+	return !s.silentSince.IsZero() && now.Sub(s.silentSince) >= after
+}
+
 type acceptedOrder struct {
 	Order
 	sequence uint64
