The holder tells all facts only to daemons that ask; a benchmark of the control traffic

A daemon that is heard only every 4 s, because each tells 16 of 319, expires after 3 s, so each message made it look new, and it was told all facts.

Ruled out: the tree (86 messages a second at the mean daemon at each size).

Change: the digest that goes along the tree decides; a daemon that knows no fact yet asks at once, others after half a second.

Before: TestHolderTellsAllFactsOnlyIfAsked fails.

--- a/coordination/node.go
+++ b/coordination/node.go
@@ -167,12 +167,7 @@
 }
 
 func (n *Node) takeLoad(now time.Time, from string, load Load) {
-	_, known := n.peers[from]
 	n.peers[from] = peerState{load: load, at: now}
-	if !known && n.held {
-		// It has just started, or was away: it missed what was told meanwhile.
-		n.answerFacts(now, from)
-	}
 	n.noteVersions(from, load.Versions)
 	if load.Fence != 0 {
 		n.heardHolder(now, from, load.Fence, load.Lease)
--- a/coordination/node_test.go
+++ b/coordination/node_test.go
@@ -30,6 +30,13 @@
 	refresh  map[string]int
 	// messages counts what each node sent to others.
 	messages map[string]int
+	// factMessages counts messages that tell one node all facts.
+	factMessages int
+	// encode makes messages cross as bytes; bytes and spent then count what each
+	// node sent and what its steps took.
+	encode bool
+	bytes  map[string]int
+	spent  map[string]time.Duration
 	// decisions holds the lines for the log, each after the node's name.
 	decisions []string
 }
@@ -42,7 +49,7 @@
 }
 
 func newWorld(count int) *world {
-	w := &world{now: time.Unix(1000, 0), nodes: map[string]*coordination.Node{}, storeCut: map[string]bool{}, dead: map[string]bool{}, refresh: map[string]int{}, messages: map[string]int{}}
+	w := &world{now: time.Unix(1000, 0), nodes: map[string]*coordination.Node{}, storeCut: map[string]bool{}, dead: map[string]bool{}, refresh: map[string]int{}, messages: map[string]int{}, bytes: map[string]int{}, spent: map[string]time.Duration{}}
 	for i := range count {
 		name := fmt.Sprint("n", i)
 		self := member.Member{Name: name, Zone: "z", PeerAddress: name, CallerAddress: name, Incarnation: 1}
@@ -67,7 +74,7 @@
 			if !w.dead[name] {
 				node := w.nodes[name]
 				w.perform(name, node.ObserveOwn(w.now, map[string]balance.Load{}, nil, coordination.UrgencyNone))
-				w.perform(name, node.Tick(w.now))
+				w.timed(name, func() []coordination.Action { return node.Tick(w.now) })
 			}
 		}
 	}
@@ -79,8 +86,12 @@
 		switch action := action.(type) {
 		case coordination.SendPeer:
 			w.messages[name]++
+			if len(action.Message.Facts) > 0 {
+				w.factMessages++
+			}
 			if other := w.nodes[action.Address]; other != nil && !w.dead[action.Address] {
-				w.perform(action.Address, other.Receive(w.now, action.Message))
+				arrived := w.carry(name, action.Address, action.Message)
+				w.timed(action.Address, func() []coordination.Action { return other.Receive(w.now, arrived) })
 			}
 		case coordination.Broadcast:
 			for _, address := range action.Addresses {
--- a/coordination/spread.go
+++ b/coordination/spread.go
@@ -107,7 +107,12 @@
 	if state.differsSince.IsZero() {
 		state.differsSince = now
 	}
-	if now.Sub(state.differsSince) < n.settings.FactsPatience || now.Sub(state.askedAt) < n.settings.FactsPause {
+	patience := n.settings.FactsPatience
+	if len(n.facts) == 0 {
+		// This daemon has just started.
+		patience = 0
+	}
+	if now.Sub(state.differsSince) < patience || now.Sub(state.askedAt) < n.settings.FactsPause {
 		return
 	}
 	state.askedAt = now
--- a/coordination/spread_test.go
+++ b/coordination/spread_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/member"
 )
 
 const manyNodes = 60
@@ -137,3 +139,23 @@
 		}
 	}
 }
+
+// TestHolderTellsAllFactsOnlyIfAsked covers daemons that are heard so seldom, because
+// there are so many, that each time they seem new.
+func TestHolderTellsAllFactsOnlyIfAsked(t *testing.T) {
+	w := newWorld(9)
+	for i, name := range w.names() {
+		settings := coordination.DefaultSettings(term)
+		settings.Lease.OrderPause = 0
+		settings.ShareEvery = 5 * time.Second
+		self := member.Member{Name: name, Zone: "z", PeerAddress: name, CallerAddress: name, Incarnation: 1}
+		w.nodes[name] = coordination.New(w.now, self, settings, []string{"n0"}, rand.New(rand.NewPCG(uint64(i), 7)))
+	}
+	w.learn()
+	w.run(10 * time.Second)
+	before := w.factMessages
+	w.run(30 * time.Second)
+	if told := w.factMessages - before; told > 0 {
+		t.Fatalf("all facts were told %d times although nothing changed", told)
+	}
+}
