In a large fleet tell the demand to the holder only; gather changes of servers longer

Change: above 11 daemons the demand for models goes to the holder of the lease, who alone places them, and not to the 16 others; loads go without field names; a daemon that watches gathers changes of servers for 350 ms instead of 150 ms, still far below the time in which a leaving server has to be known (2 s).

--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -51,10 +51,14 @@
 
 // Load is what one instance has to do.
 type Load struct {
+	// Many of these go in each message between daemons, so their fields go without
+	// names.
+	//lint:ignore U1000 the encoder looks at it
+	_msgpack struct{} `msgpack:",as_array"`
 	// Requests counts requests in progress.
-	Requests int `msgpack:"r"`
+	Requests int
 	// PromptTokens is the prompts of those that have not begun to answer.
-	PromptTokens int `msgpack:"t,omitempty"`
+	PromptTokens int
 }
 
 func (l *Load) add(other Load) {
--- a/coordination/demand.go
+++ b/coordination/demand.go
@@ -99,6 +99,12 @@
 // of returns the demand for the models of a service.
 func (d *demandState) of(service string) map[string]residency.Demand { return d.current[service] }
 
+// Demand returns the smoothed number of requests for a model, as far as it is known
+// here.
+func (n *Node) Demand(service, model string) float64 {
+	return n.demand.of(service)[model].Concurrent
+}
+
 // Urgency says why the own load is told.
 type Urgency uint8
 
@@ -129,11 +135,9 @@
 	case now.Sub(n.sharedAt) >= pause:
 		n.sharedAt = now
 		n.shareDue = false
-		n.broadcast(Message{From: n.self, Load: &load})
+		n.share(load)
 	case urgency == UrgencyWant && !n.held:
-		if holder, found := n.detector.Lookup(n.holderName); found {
-			n.do(SendPeer{Address: holder.PeerAddress, Message: Message{From: n.self, Load: &load}})
-		}
+		n.sendAll([]string{n.holderName}, Message{From: n.self, Load: &load})
 	}
 	if urgency == UrgencyWant && n.held {
 		n.planSoon(now)
@@ -141,6 +145,19 @@
 	return n.take()
 }
 
+// share tells other daemons the own load. In a large fleet the demand for models goes
+// to the holder of the lease only, who is the one that places them.
+func (n *Node) share(load Load) {
+	if _, known := n.detector.Lookup(n.holderName); !known || len(n.detector.Live())-1 <= n.settings.SharePeers {
+		n.broadcast(Message{From: n.self, Load: &load})
+		return
+	}
+	n.sendAll([]string{n.holderName}, Message{From: n.self, Load: &load})
+	told := load
+	told.Models, told.NoModels = nil, true
+	n.broadcast(Message{From: n.self, Load: &told}, n.holderName)
+}
+
 // sharePause is the least time between two messages about load.
 func (n *Node) sharePause() time.Duration {
 	others := len(n.detector.Live()) - 1
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -167,6 +167,9 @@
 }
 
 func (n *Node) takeLoad(now time.Time, from string, load Load) {
+	if load.NoModels {
+		load.Models = n.peers[from].load.Models
+	}
 	n.peers[from] = peerState{load: load, at: now}
 	n.noteVersions(from, load.Versions)
 	if load.Fence != 0 {
--- a/coordination/spread_test.go
+++ b/coordination/spread_test.go
@@ -159,3 +159,23 @@
 		t.Fatalf("all facts were told %d times although nothing changed", told)
 	}
 }
+
+// TestHolderHearsTheDemandOfManyNodes covers demand at daemons of a large fleet: the
+// holder places models for all of it, although the others are not told.
+func TestHolderHearsTheDemandOfManyNodes(t *testing.T) {
+	w := newWorld(30)
+	w.learn()
+	w.run(8 * time.Second)
+	models := []coordination.ModelLoad{{Service: "llm", Model: "m", Requests: 2}}
+	for range 100 {
+		for _, name := range w.names() {
+			w.perform(name, w.nodes[name].ObserveOwn(w.now, map[string]balance.Load{}, models, coordination.UrgencyNone))
+			w.perform(name, w.nodes[name].Tick(w.now))
+		}
+		w.now = w.now.Add(50 * time.Millisecond)
+	}
+	holder := w.holders()[0]
+	if demand := w.nodes[holder].Demand("llm", "m"); demand < 55 || demand > 65 {
+		t.Fatalf("the holder sees a demand of %.1f, all have 60", demand)
+	}
+}
--- a/coordination/types.go
+++ b/coordination/types.go
@@ -64,8 +64,10 @@
 	Lease uint64 `msgpack:"l,omitempty"`
 	// Requests is the load by instance.
 	Requests map[string]balance.Load `msgpack:"r,omitempty"`
-	// Models tells of the demand.
-	Models []ModelLoad `msgpack:"m,omitempty"`
+	// Models tells of the demand. In a large fleet only the holder of the lease is
+	// told; for others it is left out, which NoModels says.
+	Models   []ModelLoad `msgpack:"m,omitempty"`
+	NoModels bool        `msgpack:"n,omitempty"`
 }
 
 // Versions say how new a daemon's knowledge is.
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -29,7 +29,7 @@
 // gatherInstances is that pause for the list of instances: servers change it one by
 // one, and each call is priced. It is far below the time in which a server that
 // leaves has to be known.
-const gatherInstances = 150 * time.Millisecond
+const gatherInstances = 350 * time.Millisecond
 
 // taker hands a batch to the node.
 type taker[T any] func(*coordination.Node, time.Time, feed.Batch[T]) []coordination.Action
