Read large configurations from the store; bound what waits for a peer in bytes

Ruled out: the store (its link carries 1 Gbit/s) and the routing table itself (rebuilt at each change of a server, which is mended here as well: views of the same configuration share its routes).

Change: a daemon that is behind and knows more than 128 routes reads the configuration from the store, once; only if the store does not answer it asks another daemon, the less often the larger the answer. At most 1 MB waits for one peer.

--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -78,23 +78,53 @@
 // refreshPause is the least time between two lists because of another daemon.
 const refreshPause = 500 * time.Millisecond
 
-// catchUp asks the store again if this daemon watches it, and else another daemon.
+// largeConfiguration is the number of routes above which a daemon reads the
+// configuration from the store instead of from another daemon: one daemon's link does
+// not carry it to many others within the time in which it has to be in force.
+const largeConfiguration = 128
+
+// fromStore reports whether this daemon catches up by the store: it watches it, or
+// what it lacks is large.
+func (n *Node) fromStore(now time.Time, source Source, state *sourceState) bool {
+	if state.unavailable {
+		return false
+	}
+	return n.Watching(now) || source == SourceConfiguration && n.routeCount() > largeConfiguration
+}
+
+func (n *Node) routeCount() int {
+	if n.configuration == nil {
+		return 0
+	}
+	return len(n.configuration.Routes)
+}
+
+// askPause is the least time between two questions to another daemon. A large answer
+// takes its time, and a second one would only hold it up.
+func (n *Node) askPause(source Source) time.Duration {
+	if source != SourceConfiguration {
+		return n.settings.AskPause
+	}
+	return n.settings.AskPause * time.Duration(1+n.routeCount()/largeConfiguration)
+}
+
+// catchUp asks the store again, or another daemon.
 func (n *Node) catchUp(now time.Time, source Source, state *sourceState) {
-	ask := state.unavailable || !n.Watching(now)
-	pause, patience := refreshPause, n.settings.RefreshAfter
-	if ask {
-		pause, patience = n.settings.AskPause, 0
+	fromStore := n.fromStore(now, source, state)
+	pause, patience := n.askPause(source), time.Duration(0)
+	if fromStore {
+		pause, patience = refreshPause, n.settings.RefreshAfter
 	}
 	if now.Sub(state.behindSince) < patience || now.Sub(state.actedAt) < pause {
 		return
 	}
 	state.actedAt = now
-	if !ask || state.unavailable {
+	if fromStore || state.unavailable {
 		n.decide(string(source), "Behind another daemon.", "own", n.ownVersion(source), "other", state.newest, "daemon", state.from,
 			"store_available", !state.unavailable)
 		n.do(Refresh{Source: source})
 	}
-	if !ask {
+	if fromStore {
 		return
 	}
 	if other, found := n.detector.Lookup(state.from); found {
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -48,6 +48,7 @@
 	plans       uint64
 	spreading   spreadState
 	viewStale   bool
+	view        *fleet.View
 	actions     []Action
 }
 
@@ -74,6 +75,7 @@
 		instances: feed.NewMirror[*fleet.Instance](),
 		facts:     map[string]fact{}, reports: map[string]*reportState{}, listedAt: map[string]time.Time{}, peers: map[string]peerState{},
 		demand: newDemandState(), lastHolder: now,
+		view:      fleet.NewView(nil, nil),
 		spreading: newSpreadState(random.Uint64()),
 		members:   map[string]memberBelief{}, seen: map[string]bool{},
 		sources: map[Source]*sourceState{SourceConfiguration: {}, SourceInstances: {}},
@@ -325,7 +327,8 @@
 	if !n.instances.Known() {
 		configuration = nil
 	}
-	return fleet.NewView(configuration, instances), true
+	n.view = n.view.Next(configuration, instances)
+	return n.view, true
 }
 
 // listLag is how much older than a report the list may be when it arrives.
--- a/coordination/spread_test.go
+++ b/coordination/spread_test.go
@@ -179,3 +179,35 @@
 		t.Fatalf("the holder sees a demand of %.1f, all have 60", demand)
 	}
 }
+
+// TestLargeConfigurationIsReadFromTheStore covers a configuration with many routes that
+// another daemon knows: one that only listens to others reads a large one from the
+// store, once, and asks the other daemon for a small one.
+func TestLargeConfigurationIsReadFromTheStore(t *testing.T) {
+	for _, routes := range []int{3, 1500} {
+		w := newWorld(9)
+		w.setWatchers(1)
+		w.learn()
+		w.run(4 * time.Second)
+		large := engineConfiguration(2)
+		large.Routes = make([]fleet.Route, routes)
+		for _, name := range w.names() {
+			w.perform(name, w.nodes[name].ConfigurationLearned(large))
+		}
+		behind := w.pickByWatch(false)
+		next := *large
+		next.Version = 3
+		for _, name := range w.names() {
+			if name != behind {
+				w.perform(name, w.nodes[name].ConfigurationLearned(&next))
+			}
+		}
+		clear(w.refresh)
+		w.run(450 * time.Millisecond)
+		view, changed := w.nodes[behind].TakeView()
+		byPeer := changed && view.Version() == 3
+		if byStore := w.refresh[behind] == 1; byStore != (routes > 1000) || byPeer == byStore {
+			t.Errorf("%d routes: %d lists, learned by a peer %v", routes, w.refresh[behind], byPeer)
+		}
+	}
+}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -212,6 +212,24 @@
 	})
 }
 
+// TestLargeConfigurationReachesDaemonsThatDoNotWatch covers more daemons than watch
+// the store, and configurations in quick succession that are too large for peers.
+func TestLargeConfigurationReachesDaemonsThatDoNotWatch(t *testing.T) {
+	f := start(t, 8)
+	f.waitReady(t)
+	var routes []string
+	for number := range 300 {
+		routes = append(routes, fmt.Sprint("added-", number))
+	}
+	putConfiguration(f.store, 5, routes...)
+	for version := range uint64(10) {
+		putConfiguration(f.store, 6+version, append(routes, fmt.Sprint("newest-", version))...)
+	}
+	for _, settings := range f.all {
+		eventually(t, "the newest route", func() bool { _, status, _, _ := post(settings.FrontAddress, "/newest-9/x", ""); return status == 200 })
+	}
+}
+
 // TestServesWhileTheStoreIsAway restarts a daemon while the store answers nobody:
 // it learns what it needs from the other one.
 func TestServesWhileTheStoreIsAway(t *testing.T) {
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -86,12 +86,21 @@
 // restPoll is the pause between two looks at whether this daemon should watch.
 const restPoll = 50 * time.Millisecond
 
-// rest waits while others watch the store. What was missed meanwhile is listed.
+// rest waits while others watch the store, until this daemon should watch or list.
+// What was missed meanwhile is listed.
 func (f *follower[T]) rest() {
-	for !f.daemon.watching.Load() && f.daemon.ctx.Err() == nil {
-		sleep(f.daemon.ctx, restPoll)
-	}
+	ticker := time.NewTicker(restPoll)
+	defer ticker.Stop()
 	f.known = false
+	for !f.daemon.watching.Load() {
+		select {
+		case <-f.daemon.ctx.Done():
+			return
+		case <-f.daemon.refresh[f.name]:
+			return
+		case <-ticker.C:
+		}
+	}
 }
 
 func (f *follower[T]) watch(ctx context.Context) (feed.Batch[T], error) {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -11,24 +11,35 @@
 	configuration *Configuration
 	instances     map[string]*Instance
 	byService     map[string][]*Instance
-	routes        map[string][]*Route
-	services      map[string]*Service
+	// routes and services belong to the configuration, and are shared by all views
+	// of the same one.
+	routes   map[string][]*Route
+	services map[string]*Service
 }
 
 // NewView builds a snapshot. The configuration is nil until one is known.
 func NewView(configuration *Configuration, instances []*Instance) *View {
-	view := &View{
+	return (&View{}).Next(configuration, instances)
+}
+
+// Next builds the snapshot that follows. Configurations are large and change seldom,
+// so what was worked out for the same one is used again.
+func (v *View) Next(configuration *Configuration, instances []*Instance) *View {
+	next := &View{
 		configuration: configuration,
 		instances:     make(map[string]*Instance, len(instances)),
 		byService:     map[string][]*Instance{},
-		routes:        map[string][]*Route{},
-		services:      map[string]*Service{},
 	}
-	view.addInstances(instances)
+	next.addInstances(instances)
+	if configuration != nil && configuration == v.configuration {
+		next.routes, next.services = v.routes, v.services
+		return next
+	}
+	next.routes, next.services = map[string][]*Route{}, map[string]*Service{}
 	if configuration != nil {
-		view.addConfiguration(configuration)
+		next.addConfiguration(configuration)
 	}
-	return view
+	return next
 }
 
 func (v *View) addInstances(instances []*Instance) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -15,6 +15,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -35,8 +36,11 @@
 const (
 	// maxFrameBytes bounds one frame. A delta is bounded well under it.
 	maxFrameBytes = 4 << 20
-	// sendRingSize is how many messages wait for one peer.
-	sendRingSize = 64
+	// sendRingSize is how many messages wait for one peer, sendRingBytes how many
+	// bytes: a peer behind a slow link must not take this daemon's memory. A message
+	// that is larger alone still goes.
+	sendRingSize  = 64
+	sendRingBytes = 1 << 20
 	dialTimeout  = 2 * time.Second
 	// writeTimeout bounds the sending of one frame.
 	writeTimeout = 3 * time.Second
@@ -124,7 +128,7 @@
 		return
 	}
 	for _, address := range addresses {
-		if !t.sender(address).frames.Offer(body) {
+		if !t.sender(address).offer(body) {
 			t.count(func(counts *Counts) { counts.Dropped++ })
 		}
 	}
@@ -141,6 +145,18 @@
 type sender struct {
 	address string
 	frames  *ring.Ring[[]byte]
+	// waiting is the number of bytes in the ring.
+	waiting atomic.Int64
+}
+
+// offer queues a frame, unless too many wait already.
+func (s *sender) offer(body []byte) bool {
+	size := int64(len(body))
+	if before := s.waiting.Add(size) - size; before > 0 && before+size > sendRingBytes || !s.frames.Offer(body) {
+		s.waiting.Add(-size)
+		return false
+	}
+	return true
 }
 
 func (t *Transport[M]) sender(address string) *sender {
@@ -176,6 +192,7 @@
 		if !ok {
 			return
 		}
+		s.waiting.Add(-int64(len(body)))
 		if session == nil {
 			session = t.connect(s.address)
 		}
