Tell how large a configuration is; ask the store for it also when the old one was small

Change: versions that daemons tell carry the number of routes. TestLargeConfigurationIsReadFromTheStore now begins with a small one (it fails before).

--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -15,6 +15,8 @@
 	// newest is the newest version that another daemon told, and from whom.
 	newest uint64
 	from   string
+	// routes is the number of routes of that configuration.
+	routes int
 	// unavailable says that the store does not answer this daemon.
 	unavailable bool
 	// actedAt is when this daemon last tried to catch up.
@@ -36,6 +38,9 @@
 
 // noteVersions takes in how new another daemon's knowledge is.
 func (n *Node) noteVersions(from string, versions Versions) {
+	if versions.Configuration >= n.sources[SourceConfiguration].newest {
+		n.sources[SourceConfiguration].routes = versions.Routes
+	}
 	n.noteVersion(SourceConfiguration, from, versions.Configuration)
 	n.noteVersion(SourceInstances, from, versions.Instances)
 }
@@ -56,7 +61,11 @@
 
 // versions says how new this daemon's knowledge is.
 func (n *Node) versions() Versions {
-	return Versions{Configuration: n.configurationVersion(), Instances: n.instances.Newest()}
+	versions := Versions{Configuration: n.configurationVersion(), Instances: n.instances.Newest()}
+	if n.configuration != nil {
+		versions.Routes = len(n.configuration.Routes)
+	}
+	return versions
 }
 
 // tickSources catches up with what other daemons know: from the store, and from
@@ -85,33 +94,23 @@
 
 // fromStore reports whether this daemon catches up by the store: it watches it, or
 // what it lacks is large.
-func (n *Node) fromStore(now time.Time, source Source, state *sourceState) bool {
+func (n *Node) fromStore(now time.Time, state *sourceState) bool {
 	if state.unavailable {
 		return false
 	}
-	return n.Watching(now) || source == SourceConfiguration && n.routeCount() > largeConfiguration
-}
-
-func (n *Node) routeCount() int {
-	if n.configuration == nil {
-		return 0
-	}
-	return len(n.configuration.Routes)
+	return n.Watching(now) || state.routes > largeConfiguration
 }
 
 // askPause is the least time between two questions to another daemon. A large answer
 // takes its time, and a second one would only hold it up.
-func (n *Node) askPause(source Source) time.Duration {
-	if source != SourceConfiguration {
-		return n.settings.AskPause
-	}
-	return n.settings.AskPause * time.Duration(1+n.routeCount()/largeConfiguration)
+func (n *Node) askPause(state *sourceState) time.Duration {
+	return n.settings.AskPause * time.Duration(1+state.routes/largeConfiguration)
 }
 
 // catchUp asks the store again, or another daemon.
 func (n *Node) catchUp(now time.Time, source Source, state *sourceState) {
-	fromStore := n.fromStore(now, source, state)
-	pause, patience := n.askPause(source), time.Duration(0)
+	fromStore := n.fromStore(now, state)
+	pause, patience := n.askPause(state), time.Duration(0)
 	if fromStore {
 		pause, patience = refreshPause, n.settings.RefreshAfter
 	}
--- a/coordination/spread_test.go
+++ b/coordination/spread_test.go
@@ -189,17 +189,12 @@
 		w.setWatchers(1)
 		w.learn()
 		w.run(4 * time.Second)
-		large := engineConfiguration(2)
-		large.Routes = make([]fleet.Route, routes)
-		for _, name := range w.names() {
-			w.perform(name, w.nodes[name].ConfigurationLearned(large))
-		}
+		next := engineConfiguration(3)
+		next.Routes = make([]fleet.Route, routes)
 		behind := w.pickByWatch(false)
-		next := *large
-		next.Version = 3
 		for _, name := range w.names() {
 			if name != behind {
-				w.perform(name, w.nodes[name].ConfigurationLearned(&next))
+				w.perform(name, w.nodes[name].ConfigurationLearned(next))
 			}
 		}
 		clear(w.refresh)
--- a/coordination/types.go
+++ b/coordination/types.go
@@ -74,6 +74,9 @@
 type Versions struct {
 	// Configuration is the version of the configuration, zero if none is known.
 	Configuration uint64 `msgpack:"c,omitempty"`
+	// Routes is the number of routes of that configuration, which tells how large
+	// it is.
+	Routes int `msgpack:"o,omitempty"`
 	// Instances is the version of the newest change of the instances.
 	Instances uint64 `msgpack:"i,omitempty"`
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -41,7 +41,7 @@
 	// that is larger alone still goes.
 	sendRingSize  = 64
 	sendRingBytes = 1 << 20
-	dialTimeout  = 2 * time.Second
+	dialTimeout   = 2 * time.Second
 	// writeTimeout bounds the sending of one frame.
 	writeTimeout = 3 * time.Second
 	// idleTimeout is how long a connection without messages is kept. A daemon
