--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"math"
 	"time"
 
 	"github.com/wheatweir/wheatweir/feed"
@@ -127,11 +128,23 @@
 		return
 	}
 	if other, found := n.detector.Lookup(state.from); found {
-		own := n.versions()
-		n.do(SendPeer{Address: other.PeerAddress, Message: Message{From: n.self, Ask: &own}})
+		asked := n.askFor(source)
+		n.do(SendPeer{Address: other.PeerAddress, Message: Message{From: n.self, Ask: &asked}})
 	}
 }
 
+// askFor is a question about one collection only: the other one may be large, and on
+// its way already.
+func (n *Node) askFor(source Source) Versions {
+	asked := n.versions()
+	if source == SourceConfiguration {
+		asked.Instances = math.MaxUint64
+	} else {
+		asked.Configuration = math.MaxUint64
+	}
+	return asked
+}
+
 // Watching reports whether this daemon should watch the store: it is one of the
 // first, or none that does was heard of lately.
 func (n *Node) Watching(now time.Time) bool {
--- a/coordination/node_test.go
+++ b/coordination/node_test.go
@@ -32,6 +32,8 @@
 	messages map[string]int
 	// factMessages counts messages that tell one node all facts.
 	factMessages int
+	// configurations counts messages with a whole configuration.
+	configurations int
 	// encode makes messages cross as bytes; bytes and spent then count what each
 	// node sent and what its steps took.
 	encode bool
@@ -86,6 +88,9 @@
 		switch action := action.(type) {
 		case coordination.SendPeer:
 			w.messages[name]++
+			if action.Message.Configuration != nil {
+				w.configurations++
+			}
 			if len(action.Message.Facts) > 0 {
 				w.factMessages++
 			}
--- a/coordination/spread_test.go
+++ b/coordination/spread_test.go
@@ -206,3 +206,30 @@
 		}
 	}
 }
+
+// TestQuestionForInstancesBringsNoConfiguration covers a daemon that lacks both: what
+// it asks for the small one must not bring the large one each time.
+func TestQuestionForInstancesBringsNoConfiguration(t *testing.T) {
+	w := newWorld(9)
+	w.setWatchers(1)
+	w.learn()
+	w.run(4 * time.Second)
+	large := engineConfiguration(2)
+	large.Routes = make([]fleet.Route, 1500)
+	behind := w.pickByWatch(false)
+	w.configurations = 0
+	for _, name := range w.names() {
+		if name != behind {
+			w.perform(name, w.nodes[name].ConfigurationLearned(large))
+			w.perform(name, w.nodes[name].InstancesListed(w.now, listing(9, "i1", "i2", "i3")))
+		}
+	}
+	w.run(time.Second)
+	view, _ := w.nodes[behind].TakeView()
+	if view.Instance("i3") == nil {
+		t.Error("the instances were not learned")
+	}
+	if w.configurations > 0 {
+		t.Errorf("the configuration was sent %d times to one that reads it from the store", w.configurations)
+	}
+}
