--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -37,14 +38,25 @@
 	stopAt time.Time
 }
 
+// Ports of daemons lie below those that the kernel gives to connections: a daemon
+// that is started again must find its own free.
+const (
+	firstPort = 20000
+	lastPort  = 30000
+)
+
 // freeAddress returns an address that was free a moment ago.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", ErrSoak.Wrap(err)
+	for range lastPort - firstPort {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return address, nil
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", ErrSoak.New("no port between %d and %d is free", firstPort, lastPort)
 }
 
 func newDaemon(number int, binary, folder, store string) (*daemon, error) {
