--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -155,6 +155,8 @@
 type reportState struct {
 	next   time.Time
 	asking bool
+	// unanswered says that the last question was not answered.
+	unanswered bool
 	// sent is the last fact that was told to the other daemons.
 	sent Fact
 }
@@ -193,6 +195,10 @@
 	}
 	state.asking = false
 	state.next = now.Add(n.settings.ReportEvery)
+	if state.unanswered == ok {
+		state.unanswered = !ok
+		n.decide("instances", "Question to a model server.", "instance", instance, "answered", ok)
+	}
 	if !ok {
 		n.book.Unanswered(askedAt, instance)
 		return n.take()
--- a/coordination/spread_test.go
+++ b/coordination/spread_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -233,3 +234,23 @@
 		t.Errorf("the configuration was sent %d times to one that reads it from the store", w.configurations)
 	}
 }
+
+// TestSilenceOfAServerIsTold covers a model server that leaves several questions
+// unanswered and then answers: one line for the change each way.
+func TestSilenceOfAServerIsTold(t *testing.T) {
+	w := newWorld(1)
+	w.learn()
+	w.run(4 * time.Second)
+	for _, answered := range []bool{false, false, true, true} {
+		w.perform("n0", w.nodes["n0"].ReportAnswered(w.now, w.now, "i1", fleet.Report{Residents: []fleet.Resident{{Model: "m"}}, Sequence: 4}, answered))
+	}
+	told := 0
+	for _, line := range w.decisions {
+		if strings.Contains(line, "instance i1 answered") {
+			told++
+		}
+	}
+	if told != 2 {
+		t.Fatalf("%d lines", told)
+	}
+}
