Let the real-socket tests begin when all replicas serve

With one replica 80 calls fit into an engine, and TestEveryCallerGetsItsOwnWholeAnswer has 150 in progress ("queue is full").

Ruled out: engines that refuse without reason, claims that go astray, stale tables.

Change: the tests wait until as many engines serve each model as it was created with, as the daemons tell it. No assertion is changed.

--- a/lab/cluster/cluster_test.go
+++ b/lab/cluster/cluster_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -38,9 +40,41 @@
 	if err := demo.Setup(ctx, running, caller, io.Discard); err != nil {
 		t.Fatal(err)
 	}
+	if err := cluster.Wait(ctx, "all replicas serve", func() bool { return replicasServe(ctx, running, caller) }); err != nil {
+		t.Fatal(err)
+	}
 	return running, caller, ctx
 }
 
+// replicasServe reports whether every model is served by as many engines as it was
+// created with. The setup waits for one of them only, and a second one that is still
+// loading is neither room for many calls at once nor a way out when the first is lost.
+func replicasServe(ctx context.Context, running *cluster.Cluster, caller *client.Client) bool {
+	want, serving := map[string]int{}, map[string]map[string]bool{}
+	for _, address := range running.CallerAddresses() {
+		result, err := caller.Operator(ctx, address, "", "show models")
+		if err != nil {
+			return false
+		}
+		model, replicas, engines := slices.Index(result.Columns, "model"), slices.Index(result.Columns, "replicas"), slices.Index(result.Columns, "serving_on")
+		for _, row := range result.Rows {
+			want[row[model]], _ = strconv.Atoi(row[replicas])
+			if serving[row[model]] == nil {
+				serving[row[model]] = map[string]bool{}
+			}
+			for _, engine := range strings.FieldsFunc(row[engines], func(r rune) bool { return r == ',' }) {
+				serving[row[model]][engine] = true
+			}
+		}
+	}
+	for model, count := range want {
+		if count == 0 || len(serving[model]) < count {
+			return false
+		}
+	}
+	return len(want) > 0
+}
+
 // TestEveryCallerGetsItsOwnWholeAnswer runs many streams with distinct payloads
 // over shared connections, with some callers hanging up in the middle.
 func TestEveryCallerGetsItsOwnWholeAnswer(t *testing.T) {
