Place models for the requests on each replica, and ahead of where demand moves on to

Change: growth goes on with the other models; what counts is requests times requests on each replica; adapters come after demand; daemons tell how many requests begin each second, and 0.8 of that, with the run time of the model itself, is expected at the next two models; a host with little to do is preferred.

Ruled out: the store's rate of loads (16 a second, 7 used), the order in which servers answer.

--- a/coordination/demand.go
+++ b/coordination/demand.go
@@ -74,6 +74,7 @@
 	key := modelKey{load.Service, load.Model}
 	sum := sums[key]
 	sum.Requests += load.Requests
+	sum.PerSecond += load.PerSecond
 	sum.Waiting += load.Waiting
 	for adapter, count := range load.Adapters {
 		if sum.Adapters == nil {
@@ -91,7 +92,7 @@
 			d.current[key.service] = map[string]residency.Demand{}
 		}
 		d.current[key.service][key.model] = residency.Demand{
-			Concurrent: value, Waiting: sums[key].Waiting, Adapters: sums[key].Adapters,
+			Concurrent: value, PerSecond: float64(sums[key].PerSecond), Waiting: sums[key].Waiting, Adapters: sums[key].Adapters,
 		}
 	}
 }
--- a/coordination/types.go
+++ b/coordination/types.go
@@ -113,6 +113,9 @@
 	Model   string `msgpack:"m"`
 	// Requests counts requests in progress or waiting.
 	Requests int `msgpack:"r"`
+	// PerSecond is the number of requests that begin each second, averaged over the
+	// last seconds.
+	PerSecond float32 `msgpack:"b,omitempty"`
 	// Waiting counts requests that no instance can take.
 	Waiting int `msgpack:"w,omitempty"`
 	// Adapters counts requests that wait for an adapter.
--- a/entry/wants.go
+++ b/entry/wants.go
@@ -1,31 +1,55 @@
 package entry
 
 import (
+	"maps"
+	"math"
 	"sync"
+	"time"
 
 	"github.com/wheatweir/wheatweir/coordination"
 )
 
 type wantKey struct{ service, model string }
 
+// wanted is what requests at this daemon do with one model.
+type wanted struct {
+	coordination.ModelLoad
+	// perSecond is the number of requests that begin each second, as of ratedAt.
+	perSecond float64
+	ratedAt   time.Time
+}
+
+const (
+	// rateSpan is the time over which the requests that begin are averaged.
+	rateSpan = 2 * time.Second
+	// leastRate is the rate below which a model without requests is forgotten.
+	leastRate = 0.02
+)
+
+// fade brings the rate up to the present.
+func (w *wanted) fade(now time.Time) {
+	w.perSecond *= math.Exp(-now.Sub(w.ratedAt).Seconds() / rateSpan.Seconds())
+	w.ratedAt = now
+}
+
 // wants counts what requests at this daemon use and wait for. It implements
 // gateway.Wants.
 type wants struct {
 	mutex  sync.Mutex
-	models map[wantKey]*coordination.ModelLoad
+	models map[wantKey]*wanted
 	// urgent tells the control duty that a request began to wait.
 	urgent chan struct{}
 }
 
 func newWants() *wants {
-	return &wants{models: map[wantKey]*coordination.ModelLoad{}, urgent: make(chan struct{}, 1)}
+	return &wants{models: map[wantKey]*wanted{}, urgent: make(chan struct{}, 1)}
 }
 
-func (w *wants) load(service, model string) *coordination.ModelLoad {
+func (w *wants) load(service, model string) *wanted {
 	key := wantKey{service, model}
 	load := w.models[key]
 	if load == nil {
-		load = &coordination.ModelLoad{Service: service, Model: model}
+		load = &wanted{ModelLoad: coordination.ModelLoad{Service: service, Model: model}, ratedAt: time.Now()}
 		w.models[key] = load
 	}
 	return load
@@ -33,18 +57,19 @@
 
 // Enter implements gateway.Wants.
 func (w *wants) Enter(service, model string) func() {
-	w.add(service, model, 1)
-	return func() { w.add(service, model, -1) }
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	load := w.load(service, model)
+	load.Requests++
+	load.fade(time.Now())
+	load.perSecond += 1 / rateSpan.Seconds()
+	return func() { w.leave(service, model) }
 }
 
-func (w *wants) add(service, model string, change int) {
+func (w *wants) leave(service, model string) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	load := w.load(service, model)
-	load.Requests += change
-	if load.Requests == 0 {
-		delete(w.models, wantKey{service, model})
-	}
+	w.load(service, model).Requests--
 }
 
 // Want implements gateway.Wants.
@@ -78,13 +103,17 @@
 func (w *wants) all() []coordination.ModelLoad {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	now := time.Now()
 	loads := make([]coordination.ModelLoad, 0, len(w.models))
-	for _, load := range w.models {
-		copied := *load
-		copied.Adapters = make(map[string]int, len(load.Adapters))
-		for adapter, count := range load.Adapters {
-			copied.Adapters[adapter] = count
+	for key, load := range w.models {
+		load.fade(now)
+		if load.Requests == 0 && load.perSecond < leastRate {
+			delete(w.models, key)
+			continue
 		}
+		copied := load.ModelLoad
+		copied.PerSecond = float32(load.perSecond)
+		copied.Adapters = maps.Clone(load.Adapters)
 		loads = append(loads, copied)
 	}
 	return loads
--- a/residency/expect.go
+++ b/residency/expect.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/wheatweir/wheatweir/fleet"
 )
 
 // expectations turn the demand that is seen into the demand to place for.
@@ -15,14 +13,17 @@
 	// more replicas of the models that are busy, so until demand is seen these
 	// numbers stand for it.
 	first map[string]int
+	// demandSince is when requests were first seen.
+	demandSince time.Time
 }
 
 // firstSeenSpan is how long after the first plan servers still come up.
 const firstSeenSpan = 3 * time.Second
 
 // expect works out the demand to place for. Operators list models in the order in
-// which demand moves on from one to the next, so a part of a busy model's demand
-// is expected at the model after it.
+// which demand moves on from one to the next, so a part of a busy model's requests
+// is expected at the models after it. What is expected is requests, not how many are in
+// progress: the next model may run much longer.
 func (p *plan) expect(e *expectations) {
 	if e.since.IsZero() {
 		if len(p.slots) == 0 {
@@ -36,24 +37,68 @@
 			e.first[model] = max(e.first[model], ready)
 		}
 	}
-	fade := math.Exp2(-p.now.Sub(e.since).Seconds() / p.settings.PriorHalfLife.Seconds())
+	fade := p.fade(e)
 	expected := make(map[string]Demand, len(p.engine.Models))
 	for i := range p.engine.Models {
 		name := p.engine.Models[i].Name
 		demand := p.demand[name]
-		demand.Concurrent = max(demand.Concurrent, fade*p.settings.PriorPerReplica*float64(max(0, e.first[name]-1)))
+		demand.Concurrent = max(demand.Concurrent, fade*p.prior(e, name))
 		expected[name] = demand
 	}
-	for i := range p.engine.Models[1:] {
-		before, after := &p.engine.Models[i], &p.engine.Models[i+1]
-		demand := expected[after.Name]
-		demand.Concurrent = max(demand.Concurrent, p.settings.NextShare*p.seen(before, fade, e))
-		expected[after.Name] = demand
+	usual := p.usualRun()
+	for i := range p.engine.Models {
+		for next := i + 1; next <= i+p.settings.NextReach && next < len(p.engine.Models); next++ {
+			after := p.engine.Models[next].Name
+			demand := expected[after]
+			before := p.engine.Models[i].Name
+			run := p.demand[before].PerSecond * p.runOf(after, usual)
+			demand.Concurrent = max(demand.Concurrent, p.settings.NextShare*max(run, fade*p.prior(e, before)))
+			expected[after] = demand
+		}
 	}
 	p.demand = expected
 }
 
-// seen is the demand for a model without what is expected of the one before it.
-func (p *plan) seen(model *fleet.Model, fade float64, e *expectations) float64 {
-	return max(p.demand[model.Name].Concurrent, fade*p.settings.PriorPerReplica*float64(max(0, e.first[model.Name]-1)))
+// prior is the demand that the replicas of a model stand for that were there at first.
+func (p *plan) prior(e *expectations, model string) float64 {
+	return p.settings.PriorPerReplica * float64(max(0, e.first[model]-1))
+}
+
+// fade is how much the replicas that were there at first still say of the demand: all
+// until there is some, then ever less.
+func (p *plan) fade(e *expectations) float64 {
+	if e.demandSince.IsZero() {
+		if p.total().PerSecond < leastDemand {
+			return 1
+		}
+		e.demandSince = p.now
+	}
+	return math.Exp2(-p.now.Sub(e.demandSince).Seconds() / p.settings.PriorHalfLife.Seconds())
+}
+
+// leastDemand is how many requests a second say something about how long they run.
+const leastDemand = 1
+
+func (p *plan) total() Demand {
+	var total Demand
+	for _, demand := range p.demand {
+		total.Concurrent += demand.Concurrent
+		total.PerSecond += demand.PerSecond
+	}
+	return total
+}
+
+// usualRun is how many seconds a request is in progress, over all models.
+func (p *plan) usualRun() float64 {
+	total := p.total()
+	return total.Concurrent / max(total.PerSecond, leastDemand)
+}
+
+// runOf is how many seconds a request for a model is in progress.
+func (p *plan) runOf(model string, usual float64) float64 {
+	demand := p.demand[model]
+	if demand.PerSecond < leastDemand {
+		return usual
+	}
+	return demand.Concurrent / demand.PerSecond
 }
--- a/residency/grow.go
+++ b/residency/grow.go
@@ -7,39 +7,57 @@
 )
 
 // grow gives replicas to the models whose requests gain the most, first with free
-// memory, then with memory of replicas whose loss costs less.
+// memory, then with memory of replicas whose loss costs less. A model that finds no
+// place now holds up no other.
 func (p *plan) grow() {
-	for range p.slots {
-		model, gain := p.mostRelieved()
-		if model == nil || gain < p.settings.WarmCost || !p.addReplica(model, "demand", true) {
+	stuck := map[string]bool{}
+	for range len(p.slots) + len(p.engine.Models) {
+		model, gain := p.mostRelieved(stuck)
+		if model == nil || gain < p.settings.WarmCost {
 			return
 		}
+		if !p.addReplica(model, "demand", true) {
+			stuck[model.Name] = true
+		}
 	}
 }
 
-// mostRelieved is the model whose requests gain the most by one more replica.
-func (p *plan) mostRelieved() (*fleet.Model, float64) {
+// mostRelieved is the model whose requests gain the most by one more replica, of those
+// that are not stuck.
+func (p *plan) mostRelieved(stuck map[string]bool) (*fleet.Model, float64) {
 	var best *fleet.Model
 	bestGain := 0.0
 	for i := range p.engine.Models {
 		model := &p.engine.Models[i]
-		if gain := p.gain(model.Name); p.replicas[model.Name] < len(p.slots) && gain > bestGain {
+		if stuck[model.Name] || p.replicas[model.Name] >= len(p.slots) {
+			continue
+		}
+		if gain := p.gain(model.Name); gain > bestGain {
 			best, bestGain = model, gain
 		}
 	}
 	return best, bestGain
 }
 
-// gain is how many requests fewer each replica of a model has with one more.
+// gain is what the requests for a model gain by one more replica, loss what they lose
+// by one fewer. Each request is held up by those beside it, so the whole is the number
+// of requests times the requests on each replica; what counts is that no replica has
+// much more to do than others.
 func (p *plan) gain(model string) float64 {
 	replicas := float64(max(1, p.replicas[model]))
-	return p.demand[model].Concurrent * (1/replicas - 1/(replicas+1))
+	return p.heldUp(model, replicas) - p.heldUp(model, replicas+1)
 }
 
-// loss is how many requests more each replica of a model has with one fewer.
 func (p *plan) loss(model string) float64 {
 	replicas := float64(p.replicas[model])
-	return p.demand[model].Concurrent * (1/(replicas-1) - 1/replicas)
+	return p.heldUp(model, replicas-1) - p.heldUp(model, replicas)
+}
+
+// heldUp is the number of requests for a model times those on each of its replicas, in
+// units of ReplicaLoad.
+func (p *plan) heldUp(model string, replicas float64) float64 {
+	demand := p.demand[model].Concurrent
+	return demand * demand / replicas / p.settings.ReplicaLoad
 }
 
 // loadCost is what a load on a server is worth.
@@ -101,8 +119,8 @@
 	if p.reachable[wanted.Name] > 0 && cost > p.gain(wanted.Name) {
 		return 0, false
 	}
-	return cost, true
+	return cost + p.expectedLoad(s), true
 }
 
 // adapterCost is what a resident adapter is worth when its model is unloaded.
-const adapterCost = 0.1
+const adapterCost = 0.05
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -46,8 +46,8 @@
 	p.useRooms()
 	p.placeAdapters(true)
 	p.reachAll()
-	p.placeForAdapters()
 	p.grow()
+	p.placeForAdapters()
 	p.placeAdapters(false)
 	return p.orders
 }
@@ -158,13 +158,10 @@
 	return true
 }
 
-// betterHost prefers a server with a copy at hand, then another zone than the
-// replicas there are, then free memory, then little load.
+// betterHost prefers a server with a copy at hand and little to do, in another zone than
+// the replicas there are; then free places for adapters, then free memory.
 func (p *plan) betterHost(model *fleet.Model, a, b *slot) bool {
-	if a.atHand[model.Name] != b.atHand[model.Name] {
-		return a.atHand[model.Name]
-	}
-	if x, y := p.inZone(model.Name, a), p.inZone(model.Name, b); x != y {
+	if x, y := p.hostCost(model, a), p.hostCost(model, b); x != y {
 		return x < y
 	}
 	if model.Adapters > 0 && a.freeAdapters != b.freeAdapters {
@@ -176,6 +173,26 @@
 	return a.requests < b.requests
 }
 
+// sameZoneCost is what each replica of the model in the same zone counts against a host.
+const sameZoneCost = 0.1
+
+// hostCost rates a server as the host of one more replica; lower is better.
+func (p *plan) hostCost(model *fleet.Model, s *slot) float64 {
+	return p.loadCost(s, model.Name) + p.expectedLoad(s) + sameZoneCost*float64(p.inZone(model.Name, s))
+}
+
+// expectedLoad is the requests that a server has to carry if the replicas of each model
+// share its requests alike, in units of ReplicaLoad.
+func (p *plan) expectedLoad(s *slot) float64 {
+	total := 0.0
+	for name, held := range s.models {
+		if !held.unloading {
+			total += p.demand[name].Concurrent / float64(max(1, p.replicas[name]))
+		}
+	}
+	return total / p.settings.ReplicaLoad
+}
+
 func (p *plan) inZone(model string, host *slot) int {
 	count := 0
 	for _, s := range p.slots {
--- a/residency/types.go
+++ b/residency/types.go
@@ -64,6 +64,8 @@
 type Demand struct {
 	// Concurrent is the smoothed number of requests in progress and waiting.
 	Concurrent float64
+	// PerSecond is the smoothed number of requests that begin each second.
+	PerSecond float64
 	// Waiting is the number of requests that have no server to go to.
 	Waiting int
 	// Adapters counts requests that wait for an adapter.
@@ -86,9 +88,13 @@
 	// replica that it has to relieve: from a copy at hand, and from the store.
 	WarmCost  float64
 	StoreCost float64
-	// NextShare is the part of a model's demand that is expected at the model that
-	// follows it in the operator's list.
+	// ReplicaLoad is the number of requests that a replica has in progress when one more
+	// replica is worth one request for each.
+	ReplicaLoad float64
+	// NextShare is the part of a model's requests that is expected at each of the
+	// NextReach models that follow it in the operator's list.
 	NextShare float64
+	NextReach int
 	// PriorPerReplica is the demand that each replica beyond the first stands for
 	// at the start, and PriorHalfLife how fast that fades.
 	PriorPerReplica float64
@@ -109,9 +115,11 @@
 		Reserve:     6 * time.Second,
 		Settle:      3 * time.Second,
 		ResendAfter: 300 * time.Millisecond,
-		WarmCost:    0.5,
+		WarmCost:    0.3,
 		StoreCost:   0.8,
-		NextShare:   0.35,
+		ReplicaLoad: 8,
+		NextShare:   0.8,
+		NextReach:   2,
 
 		PriorPerReplica: 2,
 		PriorHalfLife:   10 * time.Second,
