Tell load to the own zone first; leave servers alone that decline what they get

With 68 daemons each told 16 others, drawn at random, every 200 ms, so what one knew of another was 840 ms old on the way, and the prompts in it long read: daemons chose the same server at once, and kept away from idle ones.

Change: in a large fleet load goes to the daemons of the own zone, every 72 ms at most, and to two others without its prompts; another zone counts 0.15 instead of 0.03 there, so that a zone uses the servers first that it knows about.

Change: the pause doubles with each further one, and daemons tell which servers they keep away from; two others' word counts like an own doubt, if there is another server.

Ruled out: pacing (waits of 60 to 200 ms are its bound), prefixes.

Tests: TestLoadIsFreshInTheOwnZone, TestAnInstanceThatDeclinesAllIsLeftAloneLonger (100 of 200 requests before, 8 at most now), two cases of TestPick.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -57,7 +57,14 @@
 		{"said that it lacks the model", []*fleet.Instance{instance("x", "z", model)}, balance.Request{Model: "m"}, func(t *balance.Tracker) {
 			t.Missing(now, "x", "m", "", time.Minute)
 		}, ""},
-		{"the same zone", []*fleet.Instance{instance("x", "far"), instance("y", "near")}, balance.Request{Zone: "near", Affinity: 3}, func(t *balance.Tracker) {
+		{"doubted by two other daemons", []*fleet.Instance{instance("x", "z"), instance("y", "z")}, balance.Request{}, func(t *balance.Tracker) {
+			t.SetPeer(now, "peer", map[string]balance.Load{"x": {Doubts: 1}, "y": {Requests: 5}})
+			t.SetPeer(now, "other", map[string]balance.Load{"x": {Doubts: 1}})
+		}, "y"},
+		{"doubted by one other daemon", []*fleet.Instance{instance("x", "z"), instance("y", "z")}, balance.Request{}, func(t *balance.Tracker) {
+			t.SetPeer(now, "peer", map[string]balance.Load{"x": {Doubts: 1}, "y": {Requests: 5}})
+		}, "x"},
+		{"the same zone", []*fleet.Instance{instance("x", "far"), instance("y", "near")}, balance.Request{Zone: "near", ZoneCost: 0.03, Affinity: 3}, func(t *balance.Tracker) {
 			t.SetPeer(now, "peer", map[string]balance.Load{"x": {Requests: 1}})
 		}, "y"},
 	}
@@ -152,3 +159,28 @@
 		picker.Pick(now, group, &request)
 	}
 }
+
+// TestAnInstanceThatDeclinesAllIsLeftAloneLonger covers one that declines whatever it
+// gets while others answer: it looks idle, and must not draw more requests for that.
+func TestAnInstanceThatDeclinesAllIsLeftAloneLonger(t *testing.T) {
+	tracker, now := balance.NewTracker(), time.Now()
+	declined := 0
+	for range 200 {
+		picked := balance.NewPicker(tracker).Pick(now, []*fleet.Instance{instance("x", "z"), instance("y", "z")}, &balance.Request{})
+		id := picked.Instance.ID
+		tracker.Begin(id, 0)
+		outcome := balance.Served
+		if id == "x" {
+			declined++
+			outcome = balance.Declined
+		}
+		tracker.End(now, id, outcome, []string{"x", "y"})
+		now = now.Add(50 * time.Millisecond)
+	}
+	if declined > 8 {
+		t.Errorf("%d of 200 requests in ten seconds went to an instance that declines all", declined)
+	}
+	if own := tracker.Own(now)["x"]; own.Doubts != 1 {
+		t.Errorf("the doubt is not told: %+v", own)
+	}
+}
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -12,8 +12,10 @@
 type Request struct {
 	Model   string
 	Adapter string
-	// Zone is the zone of this daemon.
-	Zone string
+	// Zone is the zone of this daemon, and ZoneCost what an instance of another zone
+	// counts against it, as part of a whole batch.
+	Zone     string
+	ZoneCost float64
 	// Affinity is equal for requests that share the start of their prompt; zero
 	// if that does not matter.
 	Affinity uint64
@@ -183,9 +185,6 @@
 	return float64(candidate.Load.PromptTokens) / (promptShare * float64(request.MemoryTokens))
 }
 
-// zonePenalty is what another zone costs: a little time, and priced bytes.
-const zonePenalty = 0.03
-
 // ZoneScorer prefers this daemon's zone.
 type ZoneScorer struct{}
 
@@ -194,7 +193,7 @@
 	if candidate.Instance.Zone == request.Zone {
 		return 0
 	}
-	return zonePenalty
+	return request.ZoneCost
 }
 
 // affinityWeight is what a kept prompt is worth at most.
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -34,8 +34,14 @@
 	peerExpiry = 3 * time.Second
 	// peerExpiryPause is the least time between two looks for such daemons.
 	peerExpiryPause = 100 * time.Millisecond
-	// declinedPause keeps requests for a while from an instance that declined.
-	declinedPause = 100 * time.Millisecond
+	// declinedPause keeps requests for a while from an instance that declined, and
+	// twice as long each further time without an answer in between, up to
+	// longestDeclinedPause: one that declines whatever it gets looks idle.
+	declinedPause        = 100 * time.Millisecond
+	longestDeclinedPause = 3200 * time.Millisecond
+	// doubtQuorum is how many other daemons have to doubt an instance before this one
+	// does so too. A single one may have trouble with its own links.
+	doubtQuorum = 2
 	// unreachedPause does the same after a failed connection.
 	unreachedPause = 500 * time.Millisecond
 	// ejectionBase and ejectionLimit bound how long an instance is ejected.
@@ -59,16 +65,21 @@
 	Requests int
 	// PromptTokens is the prompts of those that have not begun to answer.
 	PromptTokens int
+	// Doubts counts the daemons that keep requests away from the instance, because it
+	// failed or declined some.
+	Doubts int
 }
 
 func (l *Load) add(other Load) {
 	l.Requests += other.Requests
 	l.PromptTokens += other.PromptTokens
+	l.Doubts += other.Doubts
 }
 
 func (l *Load) subtract(other Load) {
 	l.Requests -= other.Requests
 	l.PromptTokens -= other.PromptTokens
+	l.Doubts -= other.Doubts
 }
 
 // instanceState is what is observed of one instance.
@@ -80,6 +91,7 @@
 	ejectedTo  time.Time
 	pausedTo   time.Time
 	unreached  int
+	declined   int
 	// heardAt is when the instance last sent something, or was given its first
 	// request after a rest.
 	heardAt time.Time
@@ -89,6 +101,11 @@
 // all before new requests avoid it: its machine may be dark, which no error tells.
 const stallAfter = 700 * time.Millisecond
 
+// doubted reports whether requests are kept away from the instance.
+func (s *instanceState) doubted(now time.Time) bool {
+	return now.Before(s.ejectedTo) || now.Before(s.pausedTo)
+}
+
 func (s *instanceState) stalled(now time.Time) bool {
 	return s.own.Requests > 0 && now.Sub(s.heardAt) > stallAfter
 }
@@ -159,7 +176,9 @@
 func (t *Tracker) Heard(id string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.state(id).heardAt = time.Now()
+	state := t.state(id)
+	state.heardAt = time.Now()
+	state.declined = 0
 }
 
 // Started notes that the instance has read the prompt of a request.
@@ -175,18 +194,20 @@
 func (t *Tracker) End(now time.Time, id string, outcome Outcome, siblings []string) (ejected bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	defer t.signal()
 	state := t.state(id)
 	state.own.Requests--
 	switch outcome {
 	case Served:
-		state.unreached = 0
+		state.unreached, state.declined = 0, 0
 		state.heardAt = now
 		state.observe(0)
 	case Failed:
 		state.observe(1)
 		return t.eject(now, state, siblings)
 	case Declined:
-		state.pausedTo = now.Add(declinedPause)
+		state.pausedTo = now.Add(min(declinedPause<<min(state.declined, 8), longestDeclinedPause))
+		state.declined++
 	case Unreached:
 		state.unreached++
 		state.pausedTo = now.Add(time.Duration(min(state.unreached, 8)) * unreachedPause)
@@ -269,14 +290,18 @@
 	}
 }
 
-// Own returns the load from here, by instance.
-func (t *Tracker) Own() map[string]Load {
+// Own returns the load and the doubts from here, by instance.
+func (t *Tracker) Own(now time.Time) map[string]Load {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	loads := map[string]Load{}
 	for id, state := range t.instances {
-		if state.own.Requests > 0 {
-			loads[id] = state.own
+		load := state.own
+		if state.doubted(now) {
+			load.Doubts = 1
+		}
+		if load.Requests > 0 || load.Doubts > 0 {
+			loads[id] = load
 		}
 	}
 	return loads
@@ -321,7 +346,7 @@
 	t.expirePeers(now)
 	for _, id := range ids {
 		state := t.state(id)
-		available := !now.Before(state.ejectedTo) && !now.Before(state.pausedTo) && !state.stalled(now)
+		available := !state.doubted(now) && !state.stalled(now) && t.others[id].Doubts < doubtQuorum
 		missing := now.Before(t.missing[missingKey{id, model, adapter}])
 		load := state.own
 		load.add(t.others[id])
--- a/coordination/demand.go
+++ b/coordination/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/wheatweir/wheatweir/balance"
@@ -147,24 +148,65 @@
 }
 
 // share tells other daemons the own load. In a large fleet the demand for models goes
-// to the holder of the lease only, who is the one that places them.
+// to the holder of the lease only, who is the one that places them, and the load to the
+// daemons of the own zone, which choose among the same servers first, and to a few others.
 func (n *Node) share(load Load) {
-	if _, known := n.detector.Lookup(n.holderName); !known || len(n.detector.Live())-1 <= n.settings.SharePeers {
-		n.broadcast(Message{From: n.self, Load: &load})
+	others := n.others()
+	if len(others) <= n.settings.SharePeers {
+		n.sendAll(others, Message{From: n.self, Load: &load})
 		return
 	}
-	n.sendAll([]string{n.holderName}, Message{From: n.self, Load: &load})
+	if _, known := n.detector.Lookup(n.holderName); known {
+		n.sendAll([]string{n.holderName}, Message{From: n.self, Load: &load})
+	}
+	near, far := n.sharePeers(others)
 	told := load
 	told.Models, told.NoModels = nil, true
-	n.broadcast(Message{From: n.self, Load: &told}, n.holderName)
+	n.sendAll(near, Message{From: n.self, Load: &told})
+	// By the time of the next message to the same daemon these prompts are read.
+	distant := told
+	distant.Requests = withoutPrompts(load.Requests)
+	n.sendAll(far, Message{From: n.self, Load: &distant})
+}
+
+// others are the live daemons but this one.
+func (n *Node) others() []string {
+	return slices.DeleteFunc(slices.Clone(n.detector.Live()), func(name string) bool { return name == n.self })
+}
+
+// sharePeers draws the daemons that one message about load goes to: of the own zone,
+// and of others.
+func (n *Node) sharePeers(others []string) (near, far []string) {
+	zone := n.detector.Self().Zone
+	n.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, name := range others {
+		other, _ := n.detector.Lookup(name)
+		switch {
+		case name == n.holderName:
+		case other.Zone == zone && len(near) < n.settings.MaxPeers:
+			near = append(near, name)
+		case other.Zone != zone && len(far) < n.settings.FarPeers:
+			far = append(far, name)
+		}
+	}
+	return near, far
+}
+
+func withoutPrompts(loads map[string]balance.Load) map[string]balance.Load {
+	stripped := make(map[string]balance.Load, len(loads))
+	for instance, load := range loads {
+		stripped[instance] = balance.Load{Requests: load.Requests}
+	}
+	return stripped
 }
 
-// sharePause is the least time between two messages about load.
+// sharePause is the least time between two messages about load: it grows with the
+// number of daemons that each message goes to.
 func (n *Node) sharePause() time.Duration {
 	others := len(n.detector.Live()) - 1
 	if others <= n.settings.SharePeers {
 		return n.settings.ShareSoon
 	}
-	ratio := float64(others) / float64(n.settings.SharePeers)
-	return min(n.settings.ShareEvery, time.Duration(ratio*ratio*float64(n.settings.ShareSoon)))
+	told := min(others, n.settings.MaxPeers+n.settings.FarPeers)
+	return min(n.settings.ShareEvery, time.Duration(told)*n.settings.ShareCost)
 }
--- a/coordination/node_test.go
+++ b/coordination/node_test.go
@@ -41,6 +41,8 @@
 	spent  map[string]time.Duration
 	// decisions holds the lines for the log, each after the node's name.
 	decisions []string
+	// heardLoad counts the messages about load by sender and receiver.
+	heardLoad map[[2]string]int
 }
 
 type sentOrder struct {
@@ -51,10 +53,10 @@
 }
 
 func newWorld(count int) *world {
-	w := &world{now: time.Unix(1000, 0), nodes: map[string]*coordination.Node{}, storeCut: map[string]bool{}, dead: map[string]bool{}, refresh: map[string]int{}, messages: map[string]int{}, bytes: map[string]int{}, spent: map[string]time.Duration{}}
+	w := &world{now: time.Unix(1000, 0), nodes: map[string]*coordination.Node{}, storeCut: map[string]bool{}, dead: map[string]bool{}, refresh: map[string]int{}, messages: map[string]int{}, bytes: map[string]int{}, spent: map[string]time.Duration{}, heardLoad: map[[2]string]int{}}
 	for i := range count {
 		name := fmt.Sprint("n", i)
-		self := member.Member{Name: name, Zone: "z", PeerAddress: name, CallerAddress: name, Incarnation: 1}
+		self := member.Member{Name: name, Zone: fmt.Sprint("z", i%4), PeerAddress: name, CallerAddress: name, Incarnation: 1}
 		settings := coordination.DefaultSettings(term)
 		settings.Lease.OrderPause = 0
 		w.nodes[name] = coordination.New(w.now, self, settings, []string{"n0"}, rand.New(rand.NewPCG(uint64(i), 7)))
@@ -88,6 +90,9 @@
 		switch action := action.(type) {
 		case coordination.SendPeer:
 			w.messages[name]++
+			if action.Message.Load != nil {
+				w.heardLoad[[2]string{name, action.Address}]++
+			}
 			if action.Message.Configuration != nil {
 				w.configurations++
 			}
@@ -302,7 +307,7 @@
 // setWatchers makes new nodes of which so many watch the store.
 func (w *world) setWatchers(count int) {
 	for i, name := range w.names() {
-		self := member.Member{Name: name, Zone: "z", PeerAddress: name, CallerAddress: name, Incarnation: 1}
+		self := member.Member{Name: name, Zone: fmt.Sprint("z", i%4), PeerAddress: name, CallerAddress: name, Incarnation: 1}
 		settings := coordination.DefaultSettings(term)
 		settings.Watchers = count
 		w.nodes[name] = coordination.New(w.now, self, settings, []string{"n0"}, rand.New(rand.NewPCG(uint64(i), 7)))
--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -245,19 +245,6 @@
 	return told
 }
 
-// broadcast sends a message to the other live daemons but those left out, or to some
-// of them if there are many.
-func (n *Node) broadcast(message Message, leftOut ...string) {
-	names := slices.DeleteFunc(slices.Clone(n.detector.Live()), func(name string) bool {
-		return name == n.self || slices.Contains(leftOut, name)
-	})
-	if len(names) > n.settings.MaxPeers {
-		n.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-		names = names[:n.settings.MaxPeers]
-	}
-	n.sendAll(names, message)
-}
-
 // sendAll sends a message to several daemons.
 func (n *Node) sendAll(names []string, message Message) {
 	addresses := make([]string, 0, len(names))
--- a/coordination/spread_test.go
+++ b/coordination/spread_test.go
@@ -91,6 +91,29 @@
 	}
 }
 
+// TestLoadIsFreshInTheOwnZone covers nodes of four zones whose load changes all the time:
+// each hears of every other one in its zone several times a second.
+func TestLoadIsFreshInTheOwnZone(t *testing.T) {
+	w := newWorld(manyNodes)
+	w.learn()
+	w.run(8 * time.Second)
+	clear(w.heardLoad)
+	for range 40 {
+		w.run(50 * time.Millisecond)
+		for _, name := range w.names() {
+			w.perform(name, w.nodes[name].ObserveOwn(w.now, map[string]balance.Load{}, nil, coordination.UrgencyLoad))
+		}
+	}
+	for i := range manyNodes {
+		for j := i % 4; j < manyNodes; j += 4 {
+			from, to := fmt.Sprint("n", i), fmt.Sprint("n", j)
+			if count := w.heardLoad[[2]string{from, to}]; i != j && count < 15 {
+				t.Errorf("%s heard %d times of %s in two seconds", to, count, from)
+			}
+		}
+	}
+}
+
 // TestReportsThatComeTogetherArePlannedOnce covers the reports of many servers.
 func TestReportsThatComeTogetherArePlannedOnce(t *testing.T) {
 	w := newWorld(1)
--- a/coordination/types.go
+++ b/coordination/types.go
@@ -187,13 +187,13 @@
 	Member    member.Settings
 	Lease     lease.Settings
 	Residency residency.Settings
-	// ShareEvery is the time between two messages about load, ShareSoon the
-	// least time after a change while there are at most SharePeers others. With
-	// more of them it grows with the square of their number, up to ShareEvery:
-	// each then has less load to tell of, and hears of more.
+	// ShareEvery is the time between two messages about load, ShareSoon the least time
+	// after a change while there are at most SharePeers others. With more of them that
+	// is ShareCost for each daemon that is told, up to ShareEvery.
 	ShareEvery time.Duration
 	ShareSoon  time.Duration
 	SharePeers int
+	ShareCost  time.Duration
 	// ReportEvery is the time between two questions to a model server that is
 	// at rest, ReportSoon after an order.
 	ReportEvery time.Duration
@@ -226,8 +226,10 @@
 	PlanPause time.Duration
 	// DemandHalfLife is how fast past demand is forgotten.
 	DemandHalfLife time.Duration
-	// MaxPeers bounds the daemons that one message about load goes to.
+	// MaxPeers bounds the daemons of the own zone, and FarPeers those of others, that
+	// one message about load goes to.
 	MaxPeers int
+	FarPeers int
 }
 
 // DefaultSettings returns settings for a lease term.
@@ -237,12 +239,14 @@
 	probes.ProbeTimeout = 200 * time.Millisecond
 	probes.FullExchangeInterval = time.Second
 	return Settings{
-		Member:         probes,
-		Lease:          lease.DefaultSettings(term),
-		Residency:      residency.DefaultSettings(),
-		ShareEvery:     200 * time.Millisecond,
-		ShareSoon:      10 * time.Millisecond,
-		SharePeers:     10,
+		Member:     probes,
+		Lease:      lease.DefaultSettings(term),
+		Residency:  residency.DefaultSettings(),
+		ShareEvery: 200 * time.Millisecond,
+		ShareSoon:  10 * time.Millisecond,
+		SharePeers: 10,
+		// A message costs its sender and its receiver about 50 us of a small core each.
+		ShareCost:      4 * time.Millisecond,
 		ReportEvery:    time.Second,
 		ReportSoon:     120 * time.Millisecond,
 		SpreadEvery:    400 * time.Millisecond,
@@ -259,5 +263,6 @@
 		PlanPause:      25 * time.Millisecond,
 		DemandHalfLife: 4 * time.Second,
 		MaxPeers:       16,
+		FarPeers:       2,
 	}
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -115,6 +115,7 @@
 	d.gateway = gateway.New(gateway.Settings{
 		Zone: settings.Zone, RetryAfter: 200 * time.Millisecond, WaitShare: 0.5,
 		ShareOfConnections: func() float64 { return 1 / float64(max(1, d.live.Load())) },
+		ZoneCost:           d.zoneCost,
 	}, d.upstream, d.tracker, d.budget, d.wants, d)
 	if err := d.listen(); err != nil {
 		cancel()
@@ -126,6 +127,22 @@
 	return d, nil
 }
 
+const (
+	// zoneCost is what a server of another zone counts against it: a little time, and
+	// priced bytes.
+	zoneCost = 0.03
+	// largeFleetZoneCost is the same in a fleet so large that daemons hear of the load
+	// of other zones late: while each zone uses its own servers, it knows what they do.
+	largeFleetZoneCost = 0.15
+)
+
+func (d *Daemon) zoneCost() float64 {
+	if int(d.live.Load())-1 > coordination.DefaultSettings(0).SharePeers {
+		return largeFleetZoneCost
+	}
+	return zoneCost
+}
+
 func (d *Daemon) listen() error {
 	var err error
 	d.front, err = platform.ListenFront(d.current().FrontAddress, d.gateway, d.stopping.Load, func() bool { return !d.closing.Load() })
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -22,16 +22,16 @@
 		case happened := <-d.events.Items():
 			d.perform(happened(d.node, time.Now()))
 		case <-d.wants.urgent:
-			d.perform(d.node.ObserveOwn(time.Now(), d.tracker.Own(), d.wants.all(), coordination.UrgencyWant))
+			d.perform(d.node.ObserveOwn(time.Now(), d.tracker.Own(time.Now()), d.wants.all(), coordination.UrgencyWant))
 		case <-d.tracker.Changed():
-			d.perform(d.node.ObserveOwn(time.Now(), d.tracker.Own(), d.wants.all(), coordination.UrgencyLoad))
+			d.perform(d.node.ObserveOwn(time.Now(), d.tracker.Own(time.Now()), d.wants.all(), coordination.UrgencyLoad))
 		}
 		d.publish()
 	}
 }
 
 func (d *Daemon) tick(now time.Time) {
-	d.perform(d.node.ObserveOwn(now, d.tracker.Own(), d.wants.all(), coordination.UrgencyNone))
+	d.perform(d.node.ObserveOwn(now, d.tracker.Own(time.Now()), d.wants.all(), coordination.UrgencyNone))
 	d.perform(d.node.Tick(now))
 	view := d.gateway.View()
 	d.tracker.Forget(now, func(id string) bool { return view.Instance(id) != nil })
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -102,7 +102,7 @@
 
 func (e *exchange) pick(view *fleet.View) *balance.Candidate {
 	request := balance.Request{
-		Model: e.request.Model, Adapter: e.request.Adapter, Zone: e.gateway.settings.Zone,
+		Model: e.request.Model, Adapter: e.request.Adapter, Zone: e.gateway.settings.Zone, ZoneCost: e.gateway.settings.zoneCost(),
 		Affinity: e.affinity(), MemoryTokens: memoryTokens(view, e.service), Excluded: append(e.passed, e.sentTo...),
 	}
 	return e.gateway.picker.Pick(time.Now(), view.Instances(e.service), &request)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,16 @@
 	// ShareOfConnections is this daemon's part of the connections that an
 	// instance takes; zero means no bound.
 	ShareOfConnections func() float64
+	// ZoneCost is what an instance of another zone counts against it; nil means
+	// nothing. See balance.Request.
+	ZoneCost func() float64
+}
+
+func (s *Settings) zoneCost() float64 {
+	if s.ZoneCost == nil {
+		return 0
+	}
+	return s.ZoneCost()
 }
 
 // Wants hears of what requests are waiting for.
