--- a/control/join.go
+++ b/control/join.go
@@ -11,9 +11,14 @@
 	caughtUp bool
 }
 
-// aloneFactor times JoinWait is how long a daemon that hears no other waits
-// before it relies on what the platform alone told it.
-const aloneFactor = 3
+const (
+	// aloneFactor times JoinWait is how long a daemon that hears no other waits
+	// before it relies on what the platform alone told it.
+	aloneFactor = 3
+	// silentFactor times JoinWait is how long a daemon waits for news of every engine:
+	// one that never answers anybody must not keep it from serving by the others.
+	silentFactor = 6
+)
 
 // tickJoin decides when this daemon knows enough to serve. A daemon that has
 // just started keeps nothing, and the platform's first answer may be stale, so
@@ -32,8 +37,21 @@
 	if len(n.detector.Live()) == 1 {
 		wait *= aloneFactor
 	}
+	joined := now.Sub(n.join.began)
 	through := n.store.Through()
-	n.join.caughtUp = now.Sub(n.join.began) >= wait && through > 0 && through >= n.join.heard
+	informed := n.knowsEngines() || joined >= silentFactor*n.settings.JoinWait
+	n.join.caughtUp = joined >= wait && informed && through > 0 && through >= n.join.heard
+}
+
+// knowsEngines reports whether there is news of every engine. Without it none of them
+// counts as up, and every request would be refused for want of a replica.
+func (n *Node) knowsEngines() bool {
+	for _, name := range n.catalog.engineNames() {
+		if _, heard := n.detector.BackEnd(name); !heard {
+			return false
+		}
+	}
+	return true
 }
 
 // CaughtUp reports whether this daemon knows at least what the others knew when
--- a/control/node_test.go
+++ b/control/node_test.go
@@ -90,6 +90,33 @@
 	}
 }
 
+// TestNodeServesOnceItHasNewsOfTheEngines covers a daemon that has its catalog and has
+// waited long enough, but has not heard yet whether the engine is up: it would refuse
+// every request. An engine of which nothing is ever heard holds it up for a while only.
+func TestNodeServesOnceItHasNewsOfTheEngines(t *testing.T) {
+	a := newAlone()
+	machine := api.Machine{Name: "e", Role: api.RoleEngine, Zone: "z", State: api.MachineLive, MemoryBytes: 100}
+	tick[control.Write](a, time.Second)
+	a.node.ChangesAnswered(a.now, control.ChangesAnswer{Delta: replica.Delta{Through: 2, Objects: []api.Object{
+		{Key: api.Key{Kind: api.KindMachine, Name: "e"}, Version: 1, Value: api.Encode(machine)},
+	}}})
+	tick[control.Write](a, 8*time.Second)
+	if a.node.CaughtUp(a.now) {
+		t.Fatal("a node without news of the engine claims to be caught up")
+	}
+	heard := newAlone()
+	tick[control.Write](heard, time.Second)
+	heard.learn()
+	tick[control.Write](heard, 8*time.Second)
+	if !heard.node.CaughtUp(heard.now) {
+		t.Fatal("a node with news of the engine does not serve")
+	}
+	tick[control.Write](a, 5*time.Second)
+	if !a.node.CaughtUp(a.now) {
+		t.Fatal("an engine that nobody hears keeps the node from serving for ever")
+	}
+}
+
 func TestLeavingBackEndIsNoCandidate(t *testing.T) {
 	a := newAlone()
 	tick[control.Write](a, time.Second)
