Weigh a load by how long it takes, and the loss of a model's last replicas

Change: a load costs 0.3 and 0.3 for each second that it takes (from the weight store, or from a copy at hand); what holds requests up counts the loss of their replica as well as the requests beside them; a replica is taken away only for four times its loss.

--- a/residency/grow.go
+++ b/residency/grow.go
@@ -13,7 +13,7 @@
 	stuck := map[string]bool{}
 	for range len(p.slots) + len(p.engine.Models) {
 		model, gain := p.mostRelieved(stuck)
-		if model == nil || gain < p.settings.WarmCost {
+		if model == nil || gain < p.settings.LoadCost {
 			return
 		}
 		if !p.addReplica(model, "demand", true) {
@@ -40,9 +40,7 @@
 }
 
 // gain is what the requests for a model gain by one more replica, loss what they lose
-// by one fewer. Each request is held up by those beside it, so the whole is the number
-// of requests times the requests on each replica; what counts is that no replica has
-// much more to do than others.
+// by one fewer.
 func (p *plan) gain(model string) float64 {
 	replicas := float64(max(1, p.replicas[model]))
 	return p.heldUp(model, replicas) - p.heldUp(model, replicas+1)
@@ -53,19 +51,20 @@
 	return p.heldUp(model, replicas-1) - p.heldUp(model, replicas)
 }
 
-// heldUp is the number of requests for a model times those on each of its replicas, in
-// units of ReplicaLoad.
+// heldUp is the sum over the requests for a model of what holds each up: the requests on
+// its replica, in units of ReplicaLoad, and, as one, the loss of its replica.
 func (p *plan) heldUp(model string, replicas float64) float64 {
 	demand := p.demand[model].Concurrent
-	return demand * demand / replicas / p.settings.ReplicaLoad
+	return demand / replicas * (1 + demand/p.settings.ReplicaLoad)
 }
 
 // loadCost is what a load on a server is worth.
-func (p *plan) loadCost(s *slot, model string) float64 {
-	if s.atHand[model] {
-		return p.settings.WarmCost
+func (p *plan) loadCost(s *slot, model *fleet.Model) float64 {
+	took := model.LoadTime
+	if s.atHand[model.Name] {
+		took = max(model.WarmTime, model.DiskTime)
 	}
-	return p.settings.StoreCost
+	return p.settings.LoadCost + p.settings.LoadSecondCost*took.Seconds()
 }
 
 // makeRoom unloads the replica that is needed least, on a server where the model
@@ -115,7 +114,7 @@
 	if p.loadsLeft <= 0 && !s.atHand[wanted.Name] {
 		return 0, false
 	}
-	cost := p.loss(name)*p.settings.UnloadFactor + p.loadCost(s, wanted.Name) + adapterCost*float64(len(held.adapters))
+	cost := p.loss(name)*p.settings.UnloadFactor + p.loadCost(s, wanted) + adapterCost*float64(len(held.adapters))
 	if p.reachable[wanted.Name] > 0 && cost > p.gain(wanted.Name) {
 		return 0, false
 	}
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -143,7 +143,7 @@
 		if s.reservedFor != "" || p.loadsLeft <= 0 && !s.atHand[model.Name] {
 			continue
 		}
-		if p.replicas[model.Name] > 0 && reason == "demand" && p.loadCost(s, model.Name) > p.gain(model.Name) {
+		if p.replicas[model.Name] > 0 && reason == "demand" && p.loadCost(s, model) > p.gain(model.Name) {
 			continue
 		}
 		if best == nil || p.betterHost(model, s, best) {
@@ -178,7 +178,7 @@
 
 // hostCost rates a server as the host of one more replica; lower is better.
 func (p *plan) hostCost(model *fleet.Model, s *slot) float64 {
-	return p.loadCost(s, model.Name) + p.expectedLoad(s) + sameZoneCost*float64(p.inZone(model.Name, s))
+	return p.loadCost(s, model) + p.expectedLoad(s) + sameZoneCost*float64(p.inZone(model.Name, s))
 }
 
 // expectedLoad is the requests that a server has to carry if the replicas of each model
--- a/residency/types.go
+++ b/residency/types.go
@@ -84,10 +84,11 @@
 	Settle time.Duration
 	// ResendAfter is how long an unanswered order waits before it is sent again.
 	ResendAfter time.Duration
-	// WarmCost and StoreCost are what a load is worth, in requests for each
-	// replica that it has to relieve: from a copy at hand, and from the store.
-	WarmCost  float64
-	StoreCost float64
+	// LoadCost is what a load is worth, in requests that it has to relieve, and
+	// LoadSecondCost what each second of it is worth on top: the memory serves nobody
+	// meanwhile.
+	LoadCost       float64
+	LoadSecondCost float64
 	// ReplicaLoad is the number of requests that a replica has in progress when one more
 	// replica is worth one request for each.
 	ReplicaLoad float64
@@ -110,20 +111,20 @@
 // DefaultSettings returns the settings used unless an operator changes them.
 func DefaultSettings() Settings {
 	return Settings{
-		Window:      5 * time.Second,
-		MaxComing:   4,
-		Reserve:     6 * time.Second,
-		Settle:      3 * time.Second,
-		ResendAfter: 300 * time.Millisecond,
-		WarmCost:    0.3,
-		StoreCost:   0.8,
-		ReplicaLoad: 8,
+		Window:         5 * time.Second,
+		MaxComing:      4,
+		Reserve:        6 * time.Second,
+		Settle:         3 * time.Second,
+		ResendAfter:    300 * time.Millisecond,
+		LoadCost:       0.3,
+		LoadSecondCost: 0.3,
+		ReplicaLoad: 16,
 		NextShare:   0.8,
-		NextReach:   2,
+		NextReach:      2,
 
 		PriorPerReplica: 2,
 		PriorHalfLife:   10 * time.Second,
-		UnloadFactor:    1.5,
+		UnloadFactor:    4,
 		SilentAfter:     2500 * time.Millisecond,
 	}
 }
