Large fleets: one dispatcher for each group of daemons chooses the instances

A prompt is read in 50 to 200 ms; a daemon heard of another one's choice 36 ms later in its own zone, at best, and about never of the other three quarters. 68 daemons that know nothing of each other's last 100 ms send at random, and bunches of four prompts are then common at 5 requests a second.

Ways: (a) tell all of every change: 39,000 messages a second; (b) faster gossip: five times the messages for half the age; (c) ask the server: a priced probe for each request, and 200 ms old; (d) one daemon of each group chooses for all of it, and the groups tell each other what they have in progress. Choice (d): a group is up to 24 daemons of a zone, its dispatcher the first of them in an order that all compute alike, so nobody elects or stores anything. A daemon tells its dispatcher each change (5 ms apart at the soonest) and asks it for an instance; the dispatcher counts what it granted until the other's load shows it; dispatchers tell each other the load of their groups every 20 ms. Without an answer in 40 ms a daemon chooses by itself, and goes on so for 250 ms; what it knows for that still comes by gossip, every 200 ms again. What it was told is checked against what it knows (leaving, models). Small fleets, where all tell all within 10 ms, have no groups.

--- a/balance/picker.go
+++ b/balance/picker.go
@@ -10,6 +10,9 @@
 
 // Request is what the choice of an instance depends on.
 type Request struct {
+	//lint:ignore U1000 the encoder looks at it
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Model   string
 	Adapter string
 	// Zone is the zone of this daemon, and ZoneCost what an instance of another zone
@@ -19,6 +22,11 @@
 	// Affinity is equal for requests that share the start of their prompt; zero
 	// if that does not matter.
 	Affinity uint64
+	// PromptTokens is the prompt of the request itself.
+	PromptTokens int
+	// PromptLimit is how many prompt tokens an instance may have to read, this prompt
+	// included, if it has any others; zero means no limit.
+	PromptLimit int
 	// MemoryTokens is the memory of each instance; zero if it is not known.
 	MemoryTokens int
 	// Excluded lists instances that were tried already.
@@ -34,6 +42,18 @@
 	Available bool
 	// Of is the number of candidates that it was chosen from.
 	Of int
+	// Crowded says that the request should wait a little, because even this instance
+	// has many prompts to read: one more would hold up the streams that run there.
+	Crowded bool
+	// By is the daemon that chose it, empty for this one.
+	By string
+}
+
+func (c *Candidate) crowded(request *Request) bool {
+	if request.PromptLimit == 0 || c.Load.PromptTokens == 0 {
+		return false
+	}
+	return c.Load.PromptTokens+request.PromptTokens > request.PromptLimit
 }
 
 // Filter tells whether an instance may take a request at all.
@@ -89,6 +109,7 @@
 	}
 	if best != nil {
 		best.Of = count
+		best.Crowded = best.crowded(request)
 	}
 	return best
 }
@@ -97,7 +118,7 @@
 func (p *Picker) allowed(instances []*fleet.Instance, request *Request) []*fleet.Instance {
 	allowed := make([]*fleet.Instance, 0, usualCandidates)
 	for _, instance := range instances {
-		if p.allows(request, instance) {
+		if p.Allows(request, instance) {
 			allowed = append(allowed, instance)
 		}
 	}
@@ -114,7 +135,8 @@
 	return scoreA < scoreB
 }
 
-func (p *Picker) allows(request *Request, instance *fleet.Instance) bool {
+// Allows reports whether an instance may take a request at all.
+func (p *Picker) Allows(request *Request, instance *fleet.Instance) bool {
 	for _, filter := range p.filters {
 		if !filter.Allows(request, instance) {
 			return false
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -119,6 +119,9 @@
 	// instances, and must not look at every peer for each of them.
 	others  map[string]Load
 	missing map[missingKey]time.Time
+	// granted are the choices made here for other daemons that their loads may not show
+	// yet.
+	granted []grant
 	// expiredAt is when peers were last looked through for old loads.
 	expiredAt time.Time
 	// changed tells that the own load has changed.
@@ -314,6 +317,55 @@
 	t.missing[missingKey{instance, model, adapter}] = now.Add(span)
 }
 
+// grantSpan is how long a choice made for another daemon counts here. By then the other
+// one has sent the request and told its load.
+const grantSpan = 30 * time.Millisecond
+
+type grant struct {
+	instance string
+	load     Load
+	until    time.Time
+}
+
+// Grant counts a request that another daemon is about to send to an instance.
+func (t *Tracker) Grant(now time.Time, instance string, promptTokens int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.granted = append(t.granted, grant{instance: instance, load: Load{Requests: 1, PromptTokens: promptTokens}, until: now.Add(grantSpan)})
+}
+
+// expireGrants drops old grants. They stand in the order in which they end.
+func (t *Tracker) expireGrants(now time.Time) {
+	ended := 0
+	for ended < len(t.granted) && !now.Before(t.granted[ended].until) {
+		ended++
+	}
+	t.granted = t.granted[ended:]
+}
+
+// Group returns the load of this daemon and of some others together, by instance.
+func (t *Tracker) Group(now time.Time, peers []string) map[string]Load {
+	total := t.Own(now)
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, peer := range peers {
+		for id, load := range t.peers[peer].loads {
+			sum := total[id]
+			sum.add(load)
+			total[id] = sum
+		}
+	}
+	return total
+}
+
+// DropPeers forgets what all other daemons told.
+func (t *Tracker) DropPeers() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	clear(t.peers)
+	clear(t.others)
+}
+
 // Forget drops the state of instances that are gone.
 func (t *Tracker) Forget(now time.Time, present func(id string) bool) {
 	t.mutex.Lock()
@@ -344,12 +396,18 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.expirePeers(now)
+	t.expireGrants(now)
 	for _, id := range ids {
 		state := t.state(id)
 		available := !state.doubted(now) && !state.stalled(now) && t.others[id].Doubts < doubtQuorum
 		missing := now.Before(t.missing[missingKey{id, model, adapter}])
 		load := state.own
 		load.add(t.others[id])
+		for i := range t.granted {
+			if t.granted[i].instance == id {
+				load.add(t.granted[i].load)
+			}
+		}
 		into = append(into, status{load: load, available: available, missing: missing})
 	}
 	return into
--- a/coordination/demand.go
+++ b/coordination/demand.go
@@ -128,6 +128,11 @@
 		load.Fence, _, _ = n.mayOrder(now)
 		load.Lease = n.lease.Revision()
 	}
+	n.tellDue = n.tellDue || urgency != UrgencyNone
+	if n.tellDue && now.Sub(n.toldAt) >= n.settings.TellPause {
+		n.toldAt, n.tellDue = now, false
+		n.tellDispatcher(load)
+	}
 	n.shareDue = n.shareDue || urgency != UrgencyNone
 	pause := n.settings.ShareEvery
 	if n.shareDue {
@@ -148,8 +153,8 @@
 }
 
 // share tells other daemons the own load. In a large fleet the demand for models goes
-// to the holder of the lease only, who is the one that places them, and the load to the
-// daemons of the own zone, which choose among the same servers first, and to a few others.
+// to the holder of the lease only, who is the one that places them, and the load to some
+// daemons of the own zone and a few others, which need it when no dispatcher answers.
 func (n *Node) share(load Load) {
 	others := n.others()
 	if len(others) <= n.settings.SharePeers {
@@ -200,13 +205,11 @@
 	return stripped
 }
 
-// sharePause is the least time between two messages about load: it grows with the
-// number of daemons that each message goes to.
+// sharePause is the least time between two messages about load to all, or to those that a
+// message goes to in a large fleet: there the dispatcher is told at once.
 func (n *Node) sharePause() time.Duration {
-	others := len(n.detector.Live()) - 1
-	if others <= n.settings.SharePeers {
+	if len(n.detector.Live())-1 <= n.settings.SharePeers {
 		return n.settings.ShareSoon
 	}
-	told := min(others, n.settings.MaxPeers+n.settings.FarPeers)
-	return min(n.settings.ShareEvery, time.Duration(told)*n.settings.ShareCost)
+	return n.settings.ShareEvery
 }
--- /dev/null
+++ b/coordination/groups.go
@@ -0,0 +1,108 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wheatweir/wheatweir/member"
+)
+
+// groupSize is the most daemons that one dispatcher chooses for. Each brings it a few
+// requests and a few dozen changes of load a second.
+const groupSize = 24
+
+// Group is this daemon's place in a large fleet. The daemons of a zone form groups; one
+// daemon of each, the dispatcher, chooses the instances for the requests of all. It hears
+// of every change of load in its group at once, and of those of the other groups through
+// their dispatchers, where a daemon alone would know what others did a second ago. In a
+// small fleet, where all tell all, there are no groups.
+type Group struct {
+	// Dispatcher is the name and Address the peer address of the one of this group;
+	// both are empty if there are no groups.
+	Dispatcher string
+	Address    string
+	// Dispatching says that it is this daemon. Members then are the others of the group,
+	// and Others the peer addresses of the other dispatchers.
+	Dispatching bool
+	Members     []string
+	Others      []string
+}
+
+// Leads reports whether this daemon is the dispatcher of another one.
+func (g *Group) Leads(name string) bool { return slices.Contains(g.Members, name) }
+
+// Group returns this daemon's place. The value must not be changed.
+func (n *Node) Group() *Group {
+	if revision := n.detector.Revision(); n.group == nil || revision != n.groupAt {
+		n.group, n.groupAt = n.newGroup(), revision
+	}
+	return n.group
+}
+
+func (n *Node) newGroup() *Group {
+	group := &Group{}
+	if len(n.others()) <= n.settings.SharePeers {
+		return group
+	}
+	self := n.detector.Self()
+	for zone, names := range n.byZone() {
+		// The first daemons in the order are the dispatchers of the zone's groups, which
+		// the daemons join by turns.
+		groups := (len(names) + groupSize - 1) / groupSize
+		own := -1
+		if zone == self.Zone {
+			own = max(0, slices.Index(names, n.self)) % groups
+			group.Dispatcher = names[own]
+		}
+		for place, name := range names {
+			switch {
+			case place < groups && place != own:
+				group.Others = append(group.Others, n.addressOf(name))
+			case place >= groups && place%groups == own && name != n.self:
+				group.Members = append(group.Members, name)
+			}
+		}
+	}
+	group.Dispatching = group.Dispatcher == n.self
+	if group.Dispatcher != "" {
+		group.Address = n.addressOf(group.Dispatcher)
+	}
+	if !group.Dispatching {
+		group.Members, group.Others = nil, nil
+	}
+	return group
+}
+
+func (n *Node) addressOf(name string) string {
+	known, _ := n.detector.Lookup(name)
+	return known.PeerAddress
+}
+
+// byZone lists the daemons that are alive and not leaving, by zone, in an order that all
+// compute alike.
+func (n *Node) byZone() map[string][]string {
+	zones := map[string][]string{}
+	for _, known := range n.detector.Members() {
+		if known.State == member.Alive && !known.Leaving {
+			zones[known.Zone] = append(zones[known.Zone], known.Name)
+		}
+	}
+	for _, names := range zones {
+		slices.SortFunc(names, func(a, b string) int {
+			return cmp.Compare(xxhash.Sum64String("dispatch/"+a), xxhash.Sum64String("dispatch/"+b))
+		})
+	}
+	return zones
+}
+
+// tellDispatcher tells the dispatcher of this group the own load as soon as it changes.
+func (n *Node) tellDispatcher(load Load) {
+	group := n.Group()
+	if group.Dispatcher == "" || group.Dispatching {
+		return
+	}
+	load.Models, load.NoModels = nil, true
+	n.do(SendPeer{Address: group.Address, Message: Message{From: n.self, Load: &load}})
+}
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -36,6 +36,10 @@
 	members     map[string]memberBelief
 	seen        map[string]bool
 	membersAt   uint64
+	group       *Group
+	groupAt     uint64
+	toldAt      time.Time
+	tellDue     bool
 	listed      bool
 	shareDue    bool
 	lastHolder  time.Time
--- a/coordination/types.go
+++ b/coordination/types.go
@@ -34,6 +34,30 @@
 	// Spread is what the holder of the lease tells all daemons, passed on along a
 	// tree.
 	Spread *Spread `msgpack:"s,omitempty"`
+	// Choose asks the dispatcher of a group for an instance, and Chosen answers.
+	Choose *ChoiceRequest `msgpack:"h,omitempty"`
+	Chosen *Choice        `msgpack:"k,omitempty"`
+	// Group is the load of a whole group, told by its dispatcher to the others.
+	Group map[string]balance.Load `msgpack:"g,omitempty"`
+}
+
+// ChoiceRequest asks for an instance for one request.
+type ChoiceRequest struct {
+	// ID pairs the answer with the question.
+	ID      uint64          `msgpack:"i"`
+	Service string          `msgpack:"s"`
+	Request balance.Request `msgpack:"r"`
+}
+
+// Choice is the instance for one request.
+type Choice struct {
+	ID uint64 `msgpack:"i"`
+	// Instance is empty if the dispatcher knows of none.
+	Instance string       `msgpack:"n,omitempty"`
+	Load     balance.Load `msgpack:"l"`
+	Of       int          `msgpack:"o,omitempty"`
+	// Crowded says that the request should wait a little instead.
+	Crowded bool `msgpack:"c,omitempty"`
 }
 
 // Spread is one message of the holder of the lease to all daemons.
@@ -188,12 +212,12 @@
 	Lease     lease.Settings
 	Residency residency.Settings
 	// ShareEvery is the time between two messages about load, ShareSoon the least time
-	// after a change while there are at most SharePeers others. With more of them that
-	// is ShareCost for each daemon that is told, up to ShareEvery.
+	// after a change while there are at most SharePeers others. With more of them the
+	// dispatcher is told of a change TellPause after the last one at the soonest.
 	ShareEvery time.Duration
 	ShareSoon  time.Duration
 	SharePeers int
-	ShareCost  time.Duration
+	TellPause  time.Duration
 	// ReportEvery is the time between two questions to a model server that is
 	// at rest, ReportSoon after an order.
 	ReportEvery time.Duration
@@ -239,14 +263,13 @@
 	probes.ProbeTimeout = 200 * time.Millisecond
 	probes.FullExchangeInterval = time.Second
 	return Settings{
-		Member:     probes,
-		Lease:      lease.DefaultSettings(term),
-		Residency:  residency.DefaultSettings(),
-		ShareEvery: 200 * time.Millisecond,
-		ShareSoon:  10 * time.Millisecond,
-		SharePeers: 10,
-		// A message costs its sender and its receiver about 50 us of a small core each.
-		ShareCost:      4 * time.Millisecond,
+		Member:         probes,
+		Lease:          lease.DefaultSettings(term),
+		Residency:      residency.DefaultSettings(),
+		ShareEvery:     200 * time.Millisecond,
+		ShareSoon:      10 * time.Millisecond,
+		SharePeers:     10,
+		TellPause:      5 * time.Millisecond,
 		ReportEvery:    time.Second,
 		ReportSoon:     120 * time.Millisecond,
 		SpreadEvery:    400 * time.Millisecond,
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -67,13 +67,16 @@
 	upstream *platform.Upstream
 	front    *platform.Front
 	gateway  *gateway.Gateway
-	metrics  *metrics
-	tracker  *balance.Tracker
-	budget   *retry.Budget
-	wants    *wants
-	refresh  map[coordination.Source]chan struct{}
-	peers    *peer.Transport[coordination.Message]
-	servers  []*http.Server
+	dispatch *dispatch
+	// peerAddresses are where the other daemons hear this one.
+	peerAddresses atomic.Pointer[addressBook]
+	metrics       *metrics
+	tracker       *balance.Tracker
+	budget        *retry.Budget
+	wants         *wants
+	refresh       map[coordination.Source]chan struct{}
+	peers         *peer.Transport[coordination.Message]
+	servers       []*http.Server
 
 	addresses atomic.Pointer[[]string]
 	// publishedAt is the members' revision that the addresses show, published when
@@ -117,6 +120,9 @@
 		ShareOfConnections: func() float64 { return 1 / float64(max(1, d.live.Load())) },
 		ZoneCost:           d.zoneCost,
 	}, d.upstream, d.tracker, d.budget, d.wants, d)
+	d.dispatch = newDispatch(d)
+	d.gateway.SetChooser(d.dispatch)
+	d.peerAddresses.Store(&addressBook{})
 	if err := d.listen(); err != nil {
 		cancel()
 		return nil, ErrStart.Wrap(err)
@@ -184,6 +190,7 @@
 	d.startDuty("front", d.front.Serve)
 	d.startDuty("control", d.runControl)
 	d.startDuty("lease", d.runLease)
+	d.startDuty("dispatch", d.dispatch.run)
 	for range reportWorkers {
 		d.startDuty("reports", d.runReports)
 	}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -61,9 +61,12 @@
 		return
 	}
 	d.publishedAt, d.published = revision, time.Now()
+	d.dispatch.setGroup(d.node.Group())
 	var addresses []string
 	live := int64(0)
+	book := addressBook{}
 	for _, other := range d.node.Members() {
+		book[other.Name] = other.PeerAddress
 		if other.State == member.Dead {
 			continue
 		}
@@ -72,6 +75,7 @@
 			addresses = append(addresses, other.CallerAddress)
 		}
 	}
+	d.peerAddresses.Store(&book)
 	d.live.Store(max(1, live))
 	d.budget.SetLimit(max(1, retryPart*float64(d.current().RetrySlack)/float64(max(1, live))))
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
@@ -79,6 +83,14 @@
 	d.addresses.Store(&addresses)
 }
 
+// addressBook maps the names of daemons to their peer addresses.
+type addressBook map[string]string
+
+func (b addressBook) of(name string) (string, bool) {
+	address, known := b[name]
+	return address, known
+}
+
 // addressRefresh is how often the answer about addresses is made anew without a change
 // of the daemons, in another order.
 const addressRefresh = time.Second
@@ -112,8 +124,18 @@
 }
 
 func (d *Daemon) receive(message coordination.Message) {
-	if message.Load != nil {
-		d.tracker.SetPeer(time.Now(), message.From, message.Load.Requests)
+	switch {
+	case message.Choose != nil:
+		d.dispatch.answer(message.From, message.Choose)
+		return
+	case message.Chosen != nil:
+		d.dispatch.chosen(message.Chosen)
+		return
+	case message.Group != nil:
+		d.dispatch.takeGroup(message.From, message.Group)
+		return
+	case message.Load != nil:
+		d.dispatch.takeLoad(message.From, message.Load.Requests)
 	}
 	d.events.Offer(func(node *coordination.Node, now time.Time) []coordination.Action {
 		return node.Receive(now, message)
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -98,6 +98,9 @@
 	}
 	if event.Step == gateway.StepSent {
 		fields = append(fields, "left_ms", event.Left.Milliseconds(), "candidates", event.Candidates, "load", event.Load.Requests, "prompt_tokens", event.Load.PromptTokens)
+		if event.ChosenBy != "" {
+			fields = append(fields, "chosen_by", event.ChosenBy)
+		}
 	}
 	if event.FirstEvent > 0 {
 		fields = append(fields, "first_ms", event.FirstEvent.Milliseconds(), "pause_ms", event.LongestPause.Milliseconds())
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -26,8 +26,8 @@
 	for {
 		changed := *e.gateway.changed.Load()
 		view := e.gateway.view.Load()
-		candidate := e.pick(view)
-		if candidate != nil && !e.crowded(view, candidate) {
+		candidate := e.pick(ctx, view)
+		if candidate != nil && !candidate.Crowded {
 			return candidate, ""
 		}
 		if candidate != nil && ctx.Err() == nil {
@@ -68,15 +68,14 @@
 	crowdedWait = 0.3
 )
 
-// crowded reports whether a request should wait a little, because every instance
-// has many prompts to read: another one would hold up the streams that run there.
-// Less urgent requests wait sooner.
-func (e *exchange) crowded(view *fleet.View, candidate *balance.Candidate) bool {
-	limit := crowdedShare * float64(memoryTokens(view, e.service)) / float64(1+e.route.Priority)
-	if limit == 0 || candidate.Load.PromptTokens == 0 || e.waited() > crowdedWait {
-		return false
+// promptLimit is how many prompt tokens an instance may have to read before this request
+// should wait a little: zero, for no limit, once it has waited enough. Less urgent
+// requests wait sooner.
+func (e *exchange) promptLimit(view *fleet.View) int {
+	if e.waited() > crowdedWait {
+		return 0
 	}
-	return float64(candidate.Load.PromptTokens+e.request.PromptTokens) > limit
+	return int(crowdedShare * float64(memoryTokens(view, e.service)) / float64(1+e.route.Priority))
 }
 
 // waited is the part of the target latency that has passed.
@@ -100,12 +99,13 @@
 // doubts about instances end by themselves.
 const doubtPause = 100 * time.Millisecond
 
-func (e *exchange) pick(view *fleet.View) *balance.Candidate {
+func (e *exchange) pick(ctx context.Context, view *fleet.View) *balance.Candidate {
 	request := balance.Request{
 		Model: e.request.Model, Adapter: e.request.Adapter, Zone: e.gateway.settings.Zone, ZoneCost: e.gateway.settings.zoneCost(),
-		Affinity: e.affinity(), MemoryTokens: memoryTokens(view, e.service), Excluded: append(e.passed, e.sentTo...),
+		Affinity: e.affinity(), PromptTokens: e.request.PromptTokens, PromptLimit: e.promptLimit(view),
+		MemoryTokens: memoryTokens(view, e.service), Excluded: append(e.passed, e.sentTo...),
 	}
-	return e.gateway.picker.Pick(time.Now(), view.Instances(e.service), &request)
+	return e.gateway.chooser.Choose(ctx, view, e.service, &request)
 }
 
 func memoryTokens(view *fleet.View, name string) int {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -168,7 +168,7 @@
 	if outbound.Left <= 0 {
 		return verdictUnreached
 	}
-	e.observe(Event{Step: StepSent, Instance: id, Load: candidate.Load, Candidates: candidate.Of, Left: outbound.Left})
+	e.observe(Event{Step: StepSent, Instance: id, Load: candidate.Load, Candidates: candidate.Of, ChosenBy: candidate.By, Left: outbound.Left})
 	e.gateway.tracker.Begin(id, e.request.PromptTokens)
 	e.reading = true
 	response, err := e.gateway.upstream.Send(ctx, outbound)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,6 +111,8 @@
 	Reason   string
 	// Candidates is the number of instances that could have been chosen.
 	Candidates int
+	// ChosenBy is the daemon that chose the instance, empty for this one.
+	ChosenBy string
 	// Left is what the instance may take.
 	Left time.Duration
 	// Load is what the instance was believed to have to do.
@@ -134,7 +136,7 @@
 	settings Settings
 	upstream Upstream
 	tracker  *balance.Tracker
-	picker   *balance.Picker
+	chooser  Chooser
 	budget   *retry.Budget
 	wants    Wants
 	observer Observer
@@ -146,7 +148,7 @@
 // New returns a gateway that knows nothing yet.
 func New(settings Settings, upstream Upstream, tracker *balance.Tracker, budget *retry.Budget, wants Wants, observer Observer) *Gateway {
 	g := &Gateway{
-		settings: settings, upstream: upstream, tracker: tracker, picker: balance.NewPicker(tracker),
+		settings: settings, upstream: upstream, tracker: tracker, chooser: ownChooser{balance.NewPicker(tracker)},
 		budget: budget, wants: wants, observer: observer,
 	}
 	g.view.Store(fleet.NewView(nil, nil))
@@ -155,6 +157,22 @@
 	return g
 }
 
+// Chooser chooses the instance that takes a request, or nil if none may.
+type Chooser interface {
+	Choose(ctx context.Context, view *fleet.View, service string, request *balance.Request) *balance.Candidate
+}
+
+// ownChooser chooses by what this daemon knows.
+type ownChooser struct{ picker *balance.Picker }
+
+// Choose implements Chooser.
+func (c ownChooser) Choose(_ context.Context, view *fleet.View, service string, request *balance.Request) *balance.Candidate {
+	return c.picker.Pick(time.Now(), view.Instances(service), request)
+}
+
+// SetChooser replaces the chooser. It must be called before the first request.
+func (g *Gateway) SetChooser(chooser Chooser) { g.chooser = chooser }
+
 // SetView replaces the snapshot, and wakes requests that wait for a change.
 func (g *Gateway) SetView(view *fleet.View) {
 	g.view.Store(view)
