Plan within the time that the holder's machine has; duties go to stronger machines first

The least time between two plans (25 ms) did not hold for those that the next tick caught up with.

Change: models are found by a map, not by a scan; at most four models that find no place are looked at in one plan; plans are 1 ms for each server apart, also those of a tick; the holder hears the demand of each of many daemons less often (6 ms for each daemon, 420 ms at 70); daemons tell the processor of their machine (cpu_share) and the lease, watching the store and choosing for a group go to the strongest first.

Ruled out: the store's rate of loads, orders that are lost (21 of 250).

TestDutiesGoToHeavierMachinesFirst.

--- a/coordination/demand.go
+++ b/coordination/demand.go
@@ -142,7 +142,7 @@
 	case now.Sub(n.sharedAt) >= pause:
 		n.sharedAt = now
 		n.shareDue = false
-		n.share(load)
+		n.share(now, load)
 	case urgency == UrgencyWant && !n.held:
 		n.sendAll([]string{n.holderName}, Message{From: n.self, Load: &load})
 	}
@@ -155,13 +155,14 @@
 // share tells other daemons the own load. In a large fleet the demand for models goes
 // to the holder of the lease only, who is the one that places them, and the load to some
 // daemons of the own zone and a few others, which need it when no dispatcher answers.
-func (n *Node) share(load Load) {
+func (n *Node) share(now time.Time, load Load) {
 	others := n.others()
 	if len(others) <= n.settings.SharePeers {
 		n.sendAll(others, Message{From: n.self, Load: &load})
 		return
 	}
-	if _, known := n.detector.Lookup(n.holderName); known {
+	if _, known := n.detector.Lookup(n.holderName); known && now.Sub(n.demandToldAt) >= n.demandPause(len(others)) {
+		n.demandToldAt = now
 		n.sendAll([]string{n.holderName}, Message{From: n.self, Load: &load})
 	}
 	near, far := n.sharePeers(others)
@@ -174,6 +175,12 @@
 	n.sendAll(far, Message{From: n.self, Load: &distant})
 }
 
+// demandPause is the least time between two messages to the holder about the demand,
+// which hears them from all daemons.
+func (n *Node) demandPause(others int) time.Duration {
+	return max(n.settings.ShareEvery, time.Duration(others)*n.settings.DemandCost)
+}
+
 // others are the live daemons but this one.
 func (n *Node) others() []string {
 	return slices.DeleteFunc(slices.Clone(n.detector.Live()), func(name string) bool { return name == n.self })
--- a/coordination/groups.go
+++ b/coordination/groups.go
@@ -1,11 +1,8 @@
 package coordination
 
 import (
-	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wheatweir/wheatweir/member"
 )
 
@@ -83,16 +80,18 @@
 // byZone lists the daemons that are alive and not leaving, by zone, in an order that all
 // compute alike.
 func (n *Node) byZone() map[string][]string {
-	zones := map[string][]string{}
-	for _, known := range n.detector.Members() {
-		if known.State == member.Alive && !known.Leaving {
-			zones[known.Zone] = append(zones[known.Zone], known.Name)
+	members := slices.DeleteFunc(n.detector.Members(), func(known member.Member) bool {
+		return known.State != member.Alive || known.Leaving
+	})
+	slices.SortFunc(members, func(a, b member.Member) int {
+		if a.Before(&b, "dispatch/") {
+			return -1
 		}
-	}
-	for _, names := range zones {
-		slices.SortFunc(names, func(a, b string) int {
-			return cmp.Compare(xxhash.Sum64String("dispatch/"+a), xxhash.Sum64String("dispatch/"+b))
-		})
+		return 1
+	})
+	zones := map[string][]string{}
+	for _, known := range members {
+		zones[known.Zone] = append(zones[known.Zone], known.Name)
 	}
 	return zones
 }
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -32,28 +32,30 @@
 	demand   demandState
 	peers    map[string]peerState
 
-	sources     map[Source]*sourceState
-	members     map[string]memberBelief
-	seen        map[string]bool
-	membersAt   uint64
-	group       *Group
-	groupAt     uint64
-	toldAt      time.Time
-	tellDue     bool
-	listed      bool
-	shareDue    bool
-	lastHolder  time.Time
-	holderName  string
-	holderFence uint64
-	held        bool
-	sharedAt    time.Time
-	plannedAt   time.Time
-	planDue     bool
-	plans       uint64
-	spreading   spreadState
-	viewStale   bool
-	view        *fleet.View
-	actions     []Action
+	sources   map[Source]*sourceState
+	members   map[string]memberBelief
+	seen      map[string]bool
+	membersAt uint64
+	group     *Group
+	groupAt   uint64
+	toldAt    time.Time
+	tellDue   bool
+
+	demandToldAt time.Time
+	listed       bool
+	shareDue     bool
+	lastHolder   time.Time
+	holderName   string
+	holderFence  uint64
+	held         bool
+	sharedAt     time.Time
+	plannedAt    time.Time
+	planDue      bool
+	plans        uint64
+	spreading    spreadState
+	viewStale    bool
+	view         *fleet.View
+	actions      []Action
 }
 
 // fact is the newest report of a model server that is known here.
@@ -126,7 +128,7 @@
 	n.tickLease(now)
 	n.tickReports(now)
 	n.tickSpread(now)
-	if n.planDue || now.Sub(n.plannedAt) >= n.settings.PlanEvery {
+	if n.planDue && now.Sub(n.plannedAt) >= n.planPause() || now.Sub(n.plannedAt) >= n.settings.PlanEvery {
 		n.plan(now)
 	}
 	if now.Sub(n.demand.at) >= n.settings.PlanEvery {
--- a/coordination/node_test.go
+++ b/coordination/node_test.go
@@ -55,13 +55,20 @@
 func newWorld(count int) *world {
 	w := &world{now: time.Unix(1000, 0), nodes: map[string]*coordination.Node{}, storeCut: map[string]bool{}, dead: map[string]bool{}, refresh: map[string]int{}, messages: map[string]int{}, bytes: map[string]int{}, spent: map[string]time.Duration{}, heardLoad: map[[2]string]int{}}
 	for i := range count {
-		name := fmt.Sprint("n", i)
+		w.nodes[fmt.Sprint("n", i)] = nil
+	}
+	w.rebuild(func(_ int, _ *member.Member, settings *coordination.Settings) { settings.Lease.OrderPause = 0 })
+	return w
+}
+
+// rebuild makes all nodes anew, each with what adjust does to it.
+func (w *world) rebuild(adjust func(i int, self *member.Member, settings *coordination.Settings)) {
+	for i, name := range w.names() {
 		self := member.Member{Name: name, Zone: fmt.Sprint("z", i%4), PeerAddress: name, CallerAddress: name, Incarnation: 1}
 		settings := coordination.DefaultSettings(term)
-		settings.Lease.OrderPause = 0
+		adjust(i, &self, &settings)
 		w.nodes[name] = coordination.New(w.now, self, settings, []string{"n0"}, rand.New(rand.NewPCG(uint64(i), 7)))
 	}
-	return w
 }
 
 func (w *world) names() []string {
@@ -306,12 +313,7 @@
 
 // setWatchers makes new nodes of which so many watch the store.
 func (w *world) setWatchers(count int) {
-	for i, name := range w.names() {
-		self := member.Member{Name: name, Zone: fmt.Sprint("z", i%4), PeerAddress: name, CallerAddress: name, Incarnation: 1}
-		settings := coordination.DefaultSettings(term)
-		settings.Watchers = count
-		w.nodes[name] = coordination.New(w.now, self, settings, []string{"n0"}, rand.New(rand.NewPCG(uint64(i), 7)))
-	}
+	w.rebuild(func(_ int, _ *member.Member, settings *coordination.Settings) { settings.Watchers = count })
 }
 
 func (w *world) pickByWatch(watching bool) string {
--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/lease"
 	"github.com/wheatweir/wheatweir/residency"
@@ -49,10 +47,10 @@
 // Rank is this daemon's place among the live ones, in an order that all compute
 // alike.
 func (n *Node) Rank() int {
-	own := xxhash.Sum64String("lease/" + n.self)
+	self := n.detector.Self()
 	rank := 0
 	for _, name := range n.detector.Live() {
-		if name != n.self && xxhash.Sum64String("lease/"+name) < own {
+		if other, _ := n.detector.Lookup(name); name != n.self && other.Before(&self, "lease/") {
 			rank++
 		}
 	}
@@ -97,13 +95,19 @@
 // planSoon plans now, or at the next tick if the last plan was a moment ago: reports
 // and answers of many servers come together, and each plan looks at all of them.
 func (n *Node) planSoon(now time.Time) {
-	if now.Sub(n.plannedAt) < n.settings.PlanPause {
+	if now.Sub(n.plannedAt) < n.planPause() {
 		n.planDue = true
 		return
 	}
 	n.plan(now)
 }
 
+// planPause is the least time between two plans: each looks at all servers, and with many
+// of them there is always a report to plan for.
+func (n *Node) planPause() time.Duration {
+	return max(n.settings.PlanPause, time.Duration(len(n.reports))*n.settings.PlanServerPause)
+}
+
 // plan decides which orders to send, if this daemon may send any.
 func (n *Node) plan(now time.Time) {
 	n.plannedAt, n.planDue = now, false
--- a/coordination/spread_test.go
+++ b/coordination/spread_test.go
@@ -155,6 +155,34 @@
 	}
 }
 
+// TestDutiesGoToHeavierMachinesFirst covers a fleet of unlike machines: the lease on orders
+// and the choices for each group go to the few strong ones.
+func TestDutiesGoToHeavierMachinesFirst(t *testing.T) {
+	w := newWorld(manyNodes)
+	strong := func(i int) bool { return i%4 == i/4%4 && i < 16 }
+	w.rebuild(func(i int, self *member.Member, settings *coordination.Settings) {
+		settings.Lease.OrderPause = 0
+		self.Weight = 192
+		if strong(i) {
+			self.Weight = 800
+		}
+	})
+	w.learn()
+	w.run(12 * time.Second)
+	holders := w.holders()
+	if len(holders) != 1 {
+		t.Fatalf("holders %v", holders)
+	}
+	for i, name := range w.names() {
+		if name == holders[0] && !strong(i) {
+			t.Errorf("%s holds the lease", name)
+		}
+		if w.nodes[name].Group().Dispatching && !strong(i) {
+			t.Errorf("%s is a dispatcher", name)
+		}
+	}
+}
+
 // TestSmallFleetHasNoGroups: there all tell all.
 func TestSmallFleetHasNoGroups(t *testing.T) {
 	w := newWorld(9)
--- a/coordination/types.go
+++ b/coordination/types.go
@@ -218,6 +218,9 @@
 	ShareSoon  time.Duration
 	SharePeers int
 	TellPause  time.Duration
+	// DemandCost times the number of daemons is the least time between two messages of
+	// one of them to the holder about the demand for models.
+	DemandCost time.Duration
 	// ReportEvery is the time between two questions to a model server that is
 	// at rest, ReportSoon after an order.
 	ReportEvery time.Duration
@@ -245,9 +248,11 @@
 	// ChecksFence says that servers turn away orders with a lower fencing token.
 	ChecksFence bool
 	// PlanEvery is the time between two plans without a cause, PlanPause the least
-	// time between two plans.
-	PlanEvery time.Duration
-	PlanPause time.Duration
+	// time between two plans, and PlanServerPause that time for each server if that is
+	// more.
+	PlanEvery       time.Duration
+	PlanPause       time.Duration
+	PlanServerPause time.Duration
 	// DemandHalfLife is how fast past demand is forgotten.
 	DemandHalfLife time.Duration
 	// MaxPeers bounds the daemons of the own zone, and FarPeers those of others, that
@@ -263,29 +268,31 @@
 	probes.ProbeTimeout = 200 * time.Millisecond
 	probes.FullExchangeInterval = time.Second
 	return Settings{
-		Member:         probes,
-		Lease:          lease.DefaultSettings(term),
-		Residency:      residency.DefaultSettings(),
-		ShareEvery:     200 * time.Millisecond,
-		ShareSoon:      10 * time.Millisecond,
-		SharePeers:     10,
-		TellPause:      5 * time.Millisecond,
-		ReportEvery:    time.Second,
-		ReportSoon:     120 * time.Millisecond,
-		SpreadEvery:    400 * time.Millisecond,
-		SpreadSoon:     10 * time.Millisecond,
-		FanOut:         8,
-		FactsPatience:  500 * time.Millisecond,
-		FactsPause:     2 * time.Second,
-		RefreshAfter:   150 * time.Millisecond,
-		Watchers:       5,
-		WatcherSilence: 700 * time.Millisecond,
-		AskPause:       100 * time.Millisecond,
-		ChecksFence:    true,
-		PlanEvery:      200 * time.Millisecond,
-		PlanPause:      25 * time.Millisecond,
-		DemandHalfLife: 4 * time.Second,
-		MaxPeers:       16,
-		FarPeers:       2,
+		Member:          probes,
+		Lease:           lease.DefaultSettings(term),
+		Residency:       residency.DefaultSettings(),
+		ShareEvery:      200 * time.Millisecond,
+		ShareSoon:       10 * time.Millisecond,
+		SharePeers:      10,
+		TellPause:       5 * time.Millisecond,
+		DemandCost:      6 * time.Millisecond,
+		ReportEvery:     time.Second,
+		ReportSoon:      120 * time.Millisecond,
+		SpreadEvery:     400 * time.Millisecond,
+		SpreadSoon:      10 * time.Millisecond,
+		FanOut:          8,
+		FactsPatience:   500 * time.Millisecond,
+		FactsPause:      2 * time.Second,
+		RefreshAfter:    150 * time.Millisecond,
+		Watchers:        5,
+		WatcherSilence:  700 * time.Millisecond,
+		AskPause:        100 * time.Millisecond,
+		ChecksFence:     true,
+		PlanEvery:       200 * time.Millisecond,
+		PlanPause:       25 * time.Millisecond,
+		PlanServerPause: time.Millisecond,
+		DemandHalfLife:  4 * time.Second,
+		MaxPeers:        16,
+		FarPeers:        2,
 	}
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -175,6 +175,7 @@
 	self := member.Member{
 		Name: d.current().Name, Zone: d.current().Zone, PeerAddress: d.current().peersReachAt(),
 		CallerAddress: d.current().FrontAddress, Incarnation: uint64(d.started.UnixMilli()),
+		Weight: int(1000 * d.current().CPUShare),
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	settings := coordination.DefaultSettings(d.current().LeaseTerm)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -51,6 +51,8 @@
 	WatchWait time.Duration
 	// MemoryLimitMB is the memory of the process.
 	MemoryLimitMB int
+	// CPUShare is the processor of the machine, in cores; zero if it is not known.
+	CPUShare float64
 }
 
 // DefaultSettings returns the settings before a file is read.
@@ -69,6 +71,7 @@
 		inifile.Choice("daemon", "log_level", &s.LogLevel, "debug", "info", "warn", "error"),
 		inifile.Secret("daemon", "deployment_key", &s.DeploymentKey),
 		inifile.Integer("daemon", "memory_limit_mb", &s.MemoryLimitMB, 16, 1<<20),
+		optional(inifile.Number("daemon", "cpu_share", &s.CPUShare, 0, 4096)),
 
 		inifile.Address("listen", "front", &s.FrontAddress),
 		inifile.Address("listen", "ready", &s.ReadyAddress),
--- a/member/types.go
+++ b/member/types.go
@@ -1,6 +1,10 @@
 package member
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // State is the state of a member as far as this daemon knows. A higher state
 // wins over a lower one at the same incarnation.
@@ -33,6 +37,18 @@
 	// there. It is kept apart from State, since a member that is leaving may
 	// be suspected as well, and it never ends within an incarnation.
 	Leaving bool `msgpack:"l,omitempty"`
+	// Weight is the processor of its machine, in thousandths of a core; zero if it is
+	// not known. Duties that weigh go to heavier members first.
+	Weight int `msgpack:"w,omitempty"`
+}
+
+// Before orders members for duties that some of them have for all: heavier ones first,
+// and in a common order that depends on the duty among equals.
+func (m *Member) Before(other *Member, duty string) bool {
+	if m.Weight != other.Weight {
+		return m.Weight > other.Weight
+	}
+	return xxhash.Sum64String(duty+m.Name) < xxhash.Sum64String(duty+other.Name)
 }
 
 // BackEndState is the health of a back end. A higher state wins over a lower
--- a/residency/grow.go
+++ b/residency/grow.go
@@ -6,12 +6,16 @@
 	"github.com/wheatweir/wheatweir/fleet"
 )
 
+// maxStuck bounds the models that find no place in one plan: each looks at all servers,
+// and those that gain less than they do seldom find one.
+const maxStuck = 4
+
 // grow gives replicas to the models whose requests gain the most, first with free
 // memory, then with memory of replicas whose loss costs less. A model that finds no
 // place now holds up no other.
 func (p *plan) grow() {
 	stuck := map[string]bool{}
-	for range len(p.slots) + len(p.engine.Models) {
+	for len(stuck) < maxStuck {
 		model, gain := p.mostRelieved(stuck)
 		if model == nil || gain < p.settings.LoadCost {
 			return
@@ -58,13 +62,22 @@
 	return demand / replicas * (1 + demand/p.settings.ReplicaLoad)
 }
 
-// loadCost is what a load on a server is worth.
+// loadCost is what a load on a server is worth, into free memory.
 func (p *plan) loadCost(s *slot, model *fleet.Model) float64 {
+	if s.atHand[model.Name] {
+		return p.settings.LoadCost
+	}
+	return 2 * p.settings.LoadCost
+}
+
+// swapCost is what it is worth that memory serves nobody while a model is loaded in the
+// place of another one.
+func (p *plan) swapCost(s *slot, model *fleet.Model) float64 {
 	took := model.LoadTime
 	if s.atHand[model.Name] {
 		took = max(model.WarmTime, model.DiskTime)
 	}
-	return p.settings.LoadCost + p.settings.LoadSecondCost*took.Seconds()
+	return p.settings.LoadSecondCost * took.Seconds()
 }
 
 // makeRoom unloads the replica that is needed least, on a server where the model
@@ -103,7 +116,7 @@
 	if !held.ready || held.unloading {
 		return 0, false
 	}
-	victim := p.engine.Model(name)
+	victim := p.models[name]
 	if victim == nil {
 		return -1, true
 	}
@@ -114,7 +127,7 @@
 	if p.loadsLeft <= 0 && !s.atHand[wanted.Name] {
 		return 0, false
 	}
-	cost := p.loss(name)*p.settings.UnloadFactor + p.loadCost(s, wanted) + adapterCost*float64(len(held.adapters))
+	cost := p.loss(name)*p.settings.UnloadFactor + p.loadCost(s, wanted) + p.swapCost(s, wanted) + adapterCost*float64(len(held.adapters))
 	if p.reachable[wanted.Name] > 0 && cost > p.gain(wanted.Name) {
 		return 0, false
 	}
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -13,6 +13,7 @@
 	now      time.Time
 	settings Settings
 	engine   *fleet.Engine
+	models   map[string]*fleet.Model
 	demand   map[string]Demand
 	slots    []*slot
 	// replicas counts, for each model, the servers that serve it or soon will.
@@ -28,13 +29,13 @@
 // are those of one service with this engine.
 func (b *Book) Plan(now time.Time, service string, engine *fleet.Engine, demand map[string]Demand) []Order {
 	p := &plan{
-		now: now, settings: b.settings, engine: engine, demand: demand,
+		now: now, settings: b.settings, engine: engine, models: modelsByName(engine), demand: demand,
 		replicas: map[string]int{}, reachable: map[string]int{}, ready: map[string]int{},
 		loadsLeft: b.storeLoadsLeft(now, engine.LoadsPerSecond),
 	}
 	for _, known := range b.servers {
 		if known.instance.Service == service && !known.instance.Leaving {
-			p.slots = append(p.slots, newSlot(now, known, engine, b.settings))
+			p.slots = append(p.slots, newSlot(now, known, engine, p.models, b.settings))
 		}
 	}
 	slices.SortFunc(p.slots, func(a, b *slot) int { return cmp.Compare(a.id(), b.id()) })
@@ -52,6 +53,14 @@
 	return p.orders
 }
 
+func modelsByName(engine *fleet.Engine) map[string]*fleet.Model {
+	models := make(map[string]*fleet.Model, len(engine.Models))
+	for i := range engine.Models {
+		models[engine.Models[i].Name] = &engine.Models[i]
+	}
+	return models
+}
+
 func (s *slot) id() string { return s.server.instance.ID }
 
 func (p *plan) count() {
@@ -79,7 +88,7 @@
 // useRooms loads the models that room was made for.
 func (p *plan) useRooms() {
 	for _, s := range p.slots {
-		model := p.engine.Model(s.reservedFor)
+		model := p.models[s.reservedFor]
 		if model == nil || s.blocked || s.modelOrder || s.models[model.Name] != nil || s.freeMB < model.WeightsMB {
 			continue
 		}
--- a/residency/shift_test.go
+++ b/residency/shift_test.go
@@ -224,13 +224,18 @@
 	}
 }
 
-func (f *shiftedFleet) plan() {
+// demand is what the daemons see.
+func (f *shiftedFleet) demand() map[string]residency.Demand {
 	demand := map[string]residency.Demand{}
 	for i := range f.engine.Models {
 		name := f.engine.Models[i].Name
 		demand[name] = residency.Demand{Concurrent: f.smoothed[name], PerSecond: f.perSecond * f.share(i)}
 	}
-	for _, order := range f.book.Plan(f.now, service, f.engine, demand) {
+	return demand
+}
+
+func (f *shiftedFleet) plan() {
+	for _, order := range f.book.Plan(f.now, service, f.engine, f.demand()) {
 		f.book.Sending(f.now, order)
 		f.book.Answered(f.now, order, f.order(order))
 	}
--- a/residency/slate.go
+++ b/residency/slate.go
@@ -41,7 +41,7 @@
 }
 
 // newSlot works out what a server holds.
-func newSlot(now time.Time, known *server, engine *fleet.Engine, settings Settings) *slot {
+func newSlot(now time.Time, known *server, engine *fleet.Engine, models map[string]*fleet.Model, settings Settings) *slot {
 	s := &slot{
 		server: known, models: map[string]*holding{}, freeMB: engine.WeightsMB, freeAdapters: engine.AdapterSlots,
 		next: known.sequence, atHand: map[string]bool{}, requests: known.report.Running + known.report.Waiting,
@@ -69,7 +69,7 @@
 	for _, order := range known.pending() {
 		s.reserve(order)
 	}
-	s.account(engine)
+	s.account(models)
 	return s
 }
 
@@ -106,9 +106,9 @@
 }
 
 // account works out the free memory and places.
-func (s *slot) account(engine *fleet.Engine) {
+func (s *slot) account(models map[string]*fleet.Model) {
 	for name, held := range s.models {
-		model := engine.Model(name)
+		model := models[name]
 		if model == nil {
 			// A model that left the configuration: its size is not known, so
 			// nothing more is loaded beside it until it is unloaded.
--- a/residency/types.go
+++ b/residency/types.go
@@ -84,9 +84,9 @@
 	Settle time.Duration
 	// ResendAfter is how long an unanswered order waits before it is sent again.
 	ResendAfter time.Duration
-	// LoadCost is what a load is worth, in requests that it has to relieve, and
-	// LoadSecondCost what each second of it is worth on top: the memory serves nobody
-	// meanwhile.
+	// LoadCost is what a load from a copy at hand is worth, in requests that it has to
+	// relieve; one from the weight store is worth twice as much. LoadSecondCost is what
+	// each second of a load is worth on top in the place of another model.
 	LoadCost       float64
 	LoadSecondCost float64
 	// ReplicaLoad is the number of requests that a replica has in progress when one more
@@ -116,7 +116,7 @@
 		Reserve:        6 * time.Second,
 		Settle:         3 * time.Second,
 		ResendAfter:    300 * time.Millisecond,
-		LoadCost:       0.3,
+		LoadCost:       0.15,
 		LoadSecondCost: 0.3,
 		ReplicaLoad: 16,
 		NextShare:   0.8,
