--- /dev/null
+++ b/balance/filters.go
@@ -0,0 +1,34 @@
+package balance
+
+import "github.com/wheatweir/wheatweir/fleet"
+
+// NotLeaving turns away instances that are leaving.
+type NotLeaving struct{}
+
+// Allows implements Filter.
+func (NotLeaving) Allows(_ *Request, instance *fleet.Instance) bool { return !instance.Leaving }
+
+// NotExcluded turns away instances that this request was sent to.
+type NotExcluded struct{}
+
+// Allows implements Filter.
+func (NotExcluded) Allows(request *Request, instance *fleet.Instance) bool {
+	for _, id := range request.Excluded {
+		if id == instance.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// HasModel turns away instances without the model or adapter.
+type HasModel struct{}
+
+// Allows implements Filter.
+func (HasModel) Allows(request *Request, instance *fleet.Instance) bool {
+	if request.Model == "" {
+		return true
+	}
+	resident := instance.Resident(request.Model)
+	return resident != nil && resident.HasAdapter(request.Adapter)
+}
--- /dev/null
+++ b/balance/outcome.go
@@ -0,0 +1,112 @@
+package balance
+
+import "time"
+
+// Outcome is how an attempt at an instance ended, as far as the instance is to
+// blame.
+type Outcome uint8
+
+// Outcomes of attempts.
+const (
+	// Served means that the instance gave a proper answer.
+	Served Outcome = iota
+	// Failed means that the instance failed the request or broke off.
+	Failed
+	// Declined means that the instance said that it did not run the request.
+	Declined
+	// Unreached means that no connection could be made.
+	Unreached
+	// Abandoned means that this side gave up; the instance is not to blame.
+	Abandoned
+)
+
+const (
+	// errorWeight is the weight of the newest outcome in the error share.
+	errorWeight = 0.2
+	// declinedPause keeps requests for a while from an instance that declined, and
+	// twice as long each further time without an answer in between, up to
+	// longestDeclinedPause: one that declines whatever it gets looks idle.
+	declinedPause        = 100 * time.Millisecond
+	longestDeclinedPause = 3200 * time.Millisecond
+	// unreachedPause does the same after a failed connection.
+	unreachedPause = 500 * time.Millisecond
+	// ejectionBase and ejectionLimit bound how long an instance is ejected.
+	ejectionBase  = time.Second
+	ejectionLimit = 8 * time.Second
+	// ejectErrorShare is the least error share for an ejection, and
+	// ejectRatio how many times the share of all siblings it has to be.
+	ejectErrorShare = 0.3
+	ejectRatio      = 2
+	// ejectSamples is the least number of outcomes before an ejection.
+	ejectSamples = 4
+)
+
+// doubted reports whether requests are kept away from the instance.
+func (s *instanceState) doubted(now time.Time) bool {
+	return now.Before(s.ejectedTo) || now.Before(s.pausedTo)
+}
+
+func (s *instanceState) stalled(now time.Time) bool {
+	return s.own.Requests > 0 && now.Sub(s.heardAt) > stallAfter
+}
+
+// End counts the end of a request, and what it says about the instance.
+// Siblings are the instances of the same service.
+func (t *Tracker) End(now time.Time, id string, outcome Outcome, siblings []string) (ejected bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	defer t.signal()
+	state := t.state(id)
+	state.own.Requests--
+	switch outcome {
+	case Served:
+		state.unreached, state.declined = 0, 0
+		state.heardAt = now
+		state.observe(0)
+	case Failed:
+		state.observe(1)
+		return t.eject(now, state, siblings)
+	case Declined:
+		state.pausedTo = now.Add(min(declinedPause<<min(state.declined, 8), longestDeclinedPause))
+		state.declined++
+	case Unreached:
+		state.unreached++
+		state.pausedTo = now.Add(time.Duration(min(state.unreached, 8)) * unreachedPause)
+	case Abandoned:
+	}
+	return false
+}
+
+func (s *instanceState) observe(failure float64) {
+	s.samples++
+	s.errorShare += errorWeight * (failure - s.errorShare)
+	if failure == 0 && s.errorShare < ejectErrorShare/2 {
+		s.ejections = 0
+	}
+}
+
+// eject takes an instance out for a while if it fails much more often than its
+// siblings do. If all fail alike, none is taken out.
+func (t *Tracker) eject(now time.Time, state *instanceState, siblings []string) bool {
+	if state.samples < ejectSamples || state.errorShare < ejectErrorShare || now.Before(state.ejectedTo) {
+		return false
+	}
+	total, count, out := 0.0, 0, 0
+	for _, id := range siblings {
+		sibling := t.state(id)
+		if now.Before(sibling.ejectedTo) {
+			out++
+		}
+		if sibling != state {
+			total += sibling.errorShare
+			count++
+		}
+	}
+	if count == 0 || state.errorShare < ejectRatio*total/float64(count) || 2*(out+1) > count+1 {
+		return false
+	}
+	state.ejections++
+	state.ejectedTo = now.Add(min(ejectionBase<<min(state.ejections-1, 8), ejectionLimit))
+	// After its return, one more failure is enough to eject it again.
+	return true
+}
--- /dev/null
+++ b/balance/peers.go
@@ -0,0 +1,107 @@
+package balance
+
+import "time"
+
+const (
+	// peerExpiry is how long the numbers of another daemon count.
+	peerExpiry = 3 * time.Second
+	// peerExpiryPause is the least time between two looks for such daemons.
+	peerExpiryPause = 100 * time.Millisecond
+	// doubtQuorum is how many other daemons have to doubt an instance before this one
+	// does so too. A single one may have trouble with its own links.
+	doubtQuorum = 2
+)
+
+type peerLoad struct {
+	at    time.Time
+	loads map[string]Load
+}
+
+// SetPeer takes in the load that another daemon puts on instances.
+func (t *Tracker) SetPeer(now time.Time, peer string, loads map[string]Load) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.dropPeer(peer)
+	for id, load := range loads {
+		sum := t.others[id]
+		sum.add(load)
+		t.others[id] = sum
+	}
+	t.peers[peer] = peerLoad{at: now, loads: loads}
+}
+
+// dropPeer forgets the load of another daemon.
+func (t *Tracker) dropPeer(peer string) {
+	for id, load := range t.peers[peer].loads {
+		sum := t.others[id]
+		sum.subtract(load)
+		if sum == (Load{}) {
+			delete(t.others, id)
+		} else {
+			t.others[id] = sum
+		}
+	}
+	delete(t.peers, peer)
+}
+
+// expirePeers forgets the load of daemons that were not heard of lately.
+func (t *Tracker) expirePeers(now time.Time) {
+	if now.Sub(t.expiredAt) < peerExpiryPause {
+		return
+	}
+	t.expiredAt = now
+	for peer, load := range t.peers {
+		if now.Sub(load.at) > peerExpiry {
+			t.dropPeer(peer)
+		}
+	}
+}
+
+// grantSpan is how long a choice made for another daemon counts here. By then the other
+// one has sent the request and told its load.
+const grantSpan = 30 * time.Millisecond
+
+type grant struct {
+	instance string
+	load     Load
+	until    time.Time
+}
+
+// Grant counts a request that another daemon is about to send to an instance.
+func (t *Tracker) Grant(now time.Time, instance string, promptTokens int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.granted = append(t.granted, grant{instance: instance, load: Load{Requests: 1, PromptTokens: promptTokens}, until: now.Add(grantSpan)})
+}
+
+// expireGrants drops old grants. They stand in the order in which they end.
+func (t *Tracker) expireGrants(now time.Time) {
+	ended := 0
+	for ended < len(t.granted) && !now.Before(t.granted[ended].until) {
+		ended++
+	}
+	t.granted = t.granted[ended:]
+}
+
+// Group returns the load of this daemon and of some others together, by instance.
+func (t *Tracker) Group(now time.Time, peers []string) map[string]Load {
+	total := t.Own(now)
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, peer := range peers {
+		for id, load := range t.peers[peer].loads {
+			sum := total[id]
+			sum.add(load)
+			total[id] = sum
+		}
+	}
+	return total
+}
+
+// DropPeers forgets what all other daemons told.
+func (t *Tracker) DropPeers() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	clear(t.peers)
+	clear(t.others)
+}
--- /dev/null
+++ b/coordination/settings.go
@@ -0,0 +1,100 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/wheatweir/wheatweir/lease"
+	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/residency"
+)
+
+// Settings of a node.
+type Settings struct {
+	Member    member.Settings
+	Lease     lease.Settings
+	Residency residency.Settings
+	// ShareEvery is the time between two messages about load, ShareSoon the least time
+	// after a change while there are at most SharePeers others. With more of them the
+	// dispatcher is told of a change TellPause after the last one at the soonest.
+	ShareEvery time.Duration
+	ShareSoon  time.Duration
+	SharePeers int
+	TellPause  time.Duration
+	// DemandCost times the number of daemons is the least time between two messages of
+	// one of them to the holder about the demand for models.
+	DemandCost time.Duration
+	// ReportEvery is the time between two questions to a model server that is
+	// at rest, ReportSoon after an order.
+	ReportEvery time.Duration
+	ReportSoon  time.Duration
+	// SpreadEvery is the time between two messages of the holder to all daemons,
+	// SpreadSoon the least time after a new fact.
+	SpreadEvery time.Duration
+	SpreadSoon  time.Duration
+	// FanOut is how many daemons each daemon passes such a message on to.
+	FanOut int
+	// FactsPatience is how long this daemon may know other facts than the holder
+	// before it asks, FactsPause the least time between two such questions.
+	FactsPatience time.Duration
+	FactsPause    time.Duration
+	// RefreshAfter is how long this daemon may know less than another one before
+	// it lists again.
+	RefreshAfter time.Duration
+	// Watchers is how many daemons watch the store; the others hear of changes by
+	// them. WatcherSilence is how long none of them may be heard before another
+	// daemon watches too.
+	Watchers       int
+	WatcherSilence time.Duration
+	// AskPause is the least time between two questions to another daemon.
+	AskPause time.Duration
+	// ChecksFence says that servers turn away orders with a lower fencing token.
+	ChecksFence bool
+	// PlanEvery is the time between two plans without a cause, PlanPause the least
+	// time between two plans, and PlanServerPause that time for each server if that is
+	// more.
+	PlanEvery       time.Duration
+	PlanPause       time.Duration
+	PlanServerPause time.Duration
+	// DemandHalfLife is how fast past demand is forgotten.
+	DemandHalfLife time.Duration
+	// MaxPeers bounds the daemons of the own zone, and FarPeers those of others, that
+	// one message about load goes to.
+	MaxPeers int
+	FarPeers int
+}
+
+// DefaultSettings returns settings for a lease term.
+func DefaultSettings(term time.Duration) Settings {
+	probes := member.DefaultSettings()
+	probes.ProbeInterval = 500 * time.Millisecond
+	probes.ProbeTimeout = 200 * time.Millisecond
+	probes.FullExchangeInterval = time.Second
+	return Settings{
+		Member:          probes,
+		Lease:           lease.DefaultSettings(term),
+		Residency:       residency.DefaultSettings(),
+		ShareEvery:      200 * time.Millisecond,
+		ShareSoon:       10 * time.Millisecond,
+		SharePeers:      10,
+		TellPause:       5 * time.Millisecond,
+		DemandCost:      6 * time.Millisecond,
+		ReportEvery:     time.Second,
+		ReportSoon:      120 * time.Millisecond,
+		SpreadEvery:     400 * time.Millisecond,
+		SpreadSoon:      10 * time.Millisecond,
+		FanOut:          8,
+		FactsPatience:   500 * time.Millisecond,
+		FactsPause:      2 * time.Second,
+		RefreshAfter:    150 * time.Millisecond,
+		Watchers:        5,
+		WatcherSilence:  700 * time.Millisecond,
+		AskPause:        100 * time.Millisecond,
+		ChecksFence:     true,
+		PlanEvery:       200 * time.Millisecond,
+		PlanPause:       25 * time.Millisecond,
+		PlanServerPause: time.Millisecond,
+		DemandHalfLife:  4 * time.Second,
+		MaxPeers:        16,
+		FarPeers:        2,
+	}
+}
--- a/coordination/spread_test.go
+++ b/coordination/spread_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/coordination"
+	"github.com/wheatweir/wheatweir/feed"
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/member"
 )
@@ -209,6 +210,37 @@
 	}
 }
 
+// TestManyServersArePlannedForSeldom covers reports of many servers that come one after
+// the other, with ticks between: a plan looks at all servers, so the more there are, the
+// fewer plans are made.
+func TestManyServersArePlannedForSeldom(t *testing.T) {
+	const servers = 120
+	w := newWorld(1)
+	w.learn()
+	var batch feed.Batch[*fleet.Instance]
+	for i := range servers {
+		id := fmt.Sprint("many", i)
+		batch.Items = append(batch.Items, feed.Item[*fleet.Instance]{
+			Name: id, Revision: uint64(100 + i), Value: &fleet.Instance{ID: id, Service: "llm", Address: id},
+		})
+	}
+	batch.At = 1000
+	node := w.nodes["n0"]
+	w.perform("n0", node.InstancesListed(w.now, batch))
+	w.run(4 * time.Second)
+	before := node.Plans()
+	for i := range 1000 {
+		w.report("n0", fmt.Sprint("many", i%servers), fmt.Sprint("x", i), uint64(10+i))
+		w.now = w.now.Add(2 * time.Millisecond)
+		if i%25 == 0 {
+			w.perform("n0", node.Tick(w.now))
+		}
+	}
+	if plans := node.Plans() - before; plans < 5 || plans > 20 {
+		t.Errorf("%d plans in two seconds for %d servers", plans, servers)
+	}
+}
+
 // TestAnEarlierHolderIsNotBelieved covers a late message of a holder that was
 // replaced.
 func TestAnEarlierHolderIsNotBelieved(t *testing.T) {
