In a large fleet hear of the store's watchers by others; begin to watch by turns

Cause: a daemon watches the store if it has heard none that does for 0.7 s. In a large fleet it hears a daemon of another zone every few seconds only, so daemons of zones without a watcher began and ended to watch all the time, each with a priced list; and when the watchers were lost, all began at once, heard each other, ended, and so on.

Change: daemons tell how long ago they heard a watcher themselves (what is told at second hand is not told on); who begins goes on for 2 s, and later the later its place in the order (20 ms each).

--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -145,18 +145,45 @@
 	return asked
 }
 
+// substituteSpan is how long a daemon watches the store that began because none that does
+// was heard. substituteRankPause is how much later each further daemon begins: the first
+// ones are then heard by the others.
+const (
+	substituteSpan      = 2 * time.Second
+	substituteRankPause = 20 * time.Millisecond
+)
+
 // Watching reports whether this daemon should watch the store: it is one of the
 // first, or none that does was heard of lately.
 func (n *Node) Watching(now time.Time) bool {
-	if !n.Known() || n.Rank() < n.settings.Watchers {
+	rank := n.Rank()
+	if !n.Known() || rank < n.settings.Watchers {
 		return true
 	}
-	for _, other := range n.peers {
-		if other.load.Watching && !other.load.StoreAway && now.Sub(other.at) <= n.settings.WatcherSilence {
-			return false
-		}
+	if now.Sub(n.watcherAt) > n.settings.WatcherSilence+time.Duration(rank)*substituteRankPause {
+		n.watchUntil = now.Add(substituteSpan)
+	}
+	return now.Before(n.watchUntil)
+}
+
+// hearOfWatcher takes in that another daemon watches the store, or has heard of one that
+// does. In a large fleet most daemons seldom hear a watcher itself. What is told at second
+// hand is not told on, so that such news cannot go round for ever.
+func (n *Node) hearOfWatcher(now time.Time, load *Load) {
+	switch {
+	case load.Watching && !load.StoreAway:
+		n.watcherAt, n.watcherHeardAt = now, now
+	case load.Watched > 0 && now.Add(-load.Watched).After(n.watcherAt):
+		n.watcherAt = now.Add(-load.Watched)
+	}
+}
+
+// watched is what this daemon tells of the watchers that it heard.
+func (n *Node) watched(now time.Time) time.Duration {
+	if age := now.Sub(n.watcherHeardAt); age <= n.settings.WatcherSilence {
+		return max(age, time.Nanosecond)
 	}
-	return true
+	return 0
 }
 
 // answerAsk tells another daemon what it lacks.
--- a/coordination/demand.go
+++ b/coordination/demand.go
@@ -123,7 +123,7 @@
 // ObserveOwn takes in what this daemon has in progress, and tells the others.
 func (n *Node) ObserveOwn(now time.Time, requests map[string]balance.Load, models []ModelLoad, urgency Urgency) []Action {
 	n.demand.own = models
-	load := Load{Requests: requests, Models: models, Versions: n.versions(), StoreAway: n.storeAway(), Watching: n.Watching(now)}
+	load := Load{Requests: requests, Models: models, Versions: n.versions(), StoreAway: n.storeAway(), Watching: n.Watching(now), Watched: n.watched(now)}
 	if n.held {
 		load.Fence, _, _ = n.mayOrder(now)
 		load.Lease = n.lease.Revision()
--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -76,6 +76,9 @@
 	Fence uint64 `msgpack:"f,omitempty"`
 	// Watching says that the sender watches the store.
 	Watching bool `msgpack:"h,omitempty"`
+	// Watched is how long ago the sender itself heard from a daemon that watches the
+	// store; zero if that is too long ago, or if it watches.
+	Watched time.Duration `msgpack:"e,omitempty"`
 	// StoreAway says that the store does not answer the sender.
 	StoreAway bool `msgpack:"w,omitempty"`
 	// Lease is the revision of the sender's newest renewal.
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -42,20 +42,25 @@
 	tellDue   bool
 
 	demandToldAt time.Time
-	listed       bool
-	shareDue     bool
-	lastHolder   time.Time
-	holderName   string
-	holderFence  uint64
-	held         bool
-	sharedAt     time.Time
-	plannedAt    time.Time
-	planDue      bool
-	plans        uint64
-	spreading    spreadState
-	viewStale    bool
-	view         *fleet.View
-	actions      []Action
+	// watcherAt is when a daemon that watches the store was last heard of, and
+	// watcherHeardAt when one was heard itself.
+	watcherAt      time.Time
+	watchUntil     time.Time
+	watcherHeardAt time.Time
+	listed         bool
+	shareDue       bool
+	lastHolder     time.Time
+	holderName     string
+	holderFence    uint64
+	held           bool
+	sharedAt       time.Time
+	plannedAt      time.Time
+	planDue        bool
+	plans          uint64
+	spreading      spreadState
+	viewStale      bool
+	view           *fleet.View
+	actions        []Action
 }
 
 // peerState is what another daemon told last.
@@ -173,6 +178,7 @@
 		load.Models = n.peers[from].load.Models
 	}
 	n.peers[from] = peerState{load: load, at: now}
+	n.hearOfWatcher(now, &load)
 	n.noteVersions(from, load.Versions)
 	if load.Fence != 0 {
 		n.heardHolder(now, from, load.Fence, load.Lease)
--- a/coordination/spread_test.go
+++ b/coordination/spread_test.go
@@ -210,6 +210,22 @@
 	}
 }
 
+// TestFewNodesWatchInALargeFleet covers nodes that seldom hear those that watch the store
+// themselves: they hear of them by others, and do not begin to watch too, as each watch is
+// priced.
+func TestFewNodesWatchInALargeFleet(t *testing.T) {
+	w := newWorld(manyNodes)
+	w.learn()
+	w.run(8 * time.Second)
+	most := coordination.DefaultSettings(term).Watchers
+	for range 100 {
+		w.run(50 * time.Millisecond)
+		if watching := w.watching(); watching > most {
+			t.Fatalf("%d nodes watch the store, %d are enough", watching, most)
+		}
+	}
+}
+
 // TestManyServersArePlannedForSeldom covers reports of many servers that come one after
 // the other, with ticks between: a plan looks at all servers, so the more there are, the
 // fewer plans are made.
--- a/residency/types.go
+++ b/residency/types.go
@@ -118,13 +118,13 @@
 		ResendAfter:    300 * time.Millisecond,
 		LoadCost:       0.15,
 		LoadSecondCost: 0.3,
-		ReplicaLoad: 16,
+		ReplicaLoad: 8,
 		NextShare:   0.8,
 		NextReach:      2,
 
 		PriorPerReplica: 2,
 		PriorHalfLife:   10 * time.Second,
-		UnloadFactor:    4,
+		UnloadFactor:    6,
 		SilentAfter:     2500 * time.Millisecond,
 	}
 }
