--- a/coordination/node.go
+++ b/coordination/node.go
@@ -39,6 +39,8 @@
 	group     *Group
 	groupAt   uint64
 	toldAt    time.Time
+	rank      int
+	rankAt    uint64
 	tellDue   bool
 
 	demandToldAt time.Time
