Dispatch test: wait until the newest word of all daemons names one dispatcher

Seen once beside load: the test took the first daemon that ever believed to be the dispatcher, which may be one that did not know all others yet, and waited for all to follow it.

--- a/entry/dispatch_test.go
+++ b/entry/dispatch_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"testing"
+
+	"github.com/wheatweir/wheatweir/entry"
 )
 
 // lockedBuffer takes the logs of several daemons.
@@ -25,7 +27,28 @@
 	return b.text.String()
 }
 
-var leads = regexp.MustCompile(`dispatch: Changed\." node=(d\d+) dispatcher=(d\d+) own=true`)
+var followed = regexp.MustCompile(`dispatch: Changed\." node=(d\d+) dispatcher=(d\d+) `)
+
+// commonDispatcher is the dispatcher that the newest lines of all daemons name, but for
+// the one that is off, or empty if they don't agree.
+func commonDispatcher(logs string, daemons []entry.Settings, off string) string {
+	newest := map[string]string{}
+	for _, found := range followed.FindAllStringSubmatch(logs, -1) {
+		newest[found[1]] = found[2]
+	}
+	common := ""
+	for i := range daemons {
+		name := daemons[i].Name
+		switch {
+		case name == off:
+		case newest[name] == "" || common != "" && newest[name] != common:
+			return ""
+		default:
+			common = newest[name]
+		}
+	}
+	return common
+}
 
 // TestDispatcherChoosesForItsGroup runs a fleet that is large enough for groups: the
 // daemons ask their dispatcher, which chooses for all, and serve on by themselves, without
@@ -34,11 +57,11 @@
 	logs := &lockedBuffer{}
 	f := startWithLogs(t, 13, logs)
 	f.waitReady(t)
+	dispatcher := ""
 	eventually(t, "all daemons follow one dispatcher", func() bool {
-		found := leads.FindStringSubmatch(logs.String())
-		return found != nil && strings.Count(logs.String(), "dispatcher="+found[2]+" own=false") >= len(f.daemons)-1
+		dispatcher = commonDispatcher(logs.String(), f.all, "")
+		return dispatcher != ""
 	})
-	dispatcher := leads.FindStringSubmatch(logs.String())[2]
 	send := func() {
 		for i := range f.daemons {
 			if f.daemons[i] == nil {
@@ -62,11 +85,7 @@
 	send()
 	eventually(t, "another dispatcher takes over", func() bool {
 		send()
-		for _, found := range leads.FindAllStringSubmatch(logs.String(), -1) {
-			if found[2] != dispatcher && strings.Contains(logs.String(), "chosen_by="+found[2]) {
-				return true
-			}
-		}
-		return false
+		next := commonDispatcher(logs.String(), f.all, dispatcher)
+		return next != "" && next != dispatcher && strings.Contains(logs.String(), "chosen_by="+next)
 	})
 }
