Soak: ask all daemons at once whether they serve again after all faults

The check asked one daemon after the other, 58 probes of 0.2 s, and its bound of 12 s was over half way through. Ruled out: a daemon that does not serve (each probe of the log but those of the first second is answered at once).

Change: each daemon is asked by a goroutine of its own within the same bound, so each one has to serve all models within 12 s, also the last one. The promise and its bound are as before.

--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/platform/standin"
 )
@@ -147,28 +150,46 @@
 func (d *deployment) checkRecovery(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, d.record.recoveryTime())
 	defer cancel()
+	// All daemons at once: one after the other, a large deployment would use up the time
+	// with the probes themselves.
+	var group conc.WaitGroup
+	var missed atomic.Bool
+	for number, daemon := range d.daemons {
+		group.Go(func() {
+			if !d.recovered(ctx, number, daemon) {
+				missed.Store(true)
+			}
+		})
+	}
+	group.Wait()
+	if !missed.Load() {
+		d.record.recovered()
+	}
+}
+
+// recovered reports whether one daemon serves every model before ctx ends, and notes if it
+// does not.
+func (d *deployment) recovered(ctx context.Context, number int, daemon *daemon) bool {
 	probe := standin.Client{HTTP: &http.Client{Timeout: 3 * time.Second}}
-	number := 0
-	for _, daemon := range d.daemons {
-		for model := range modelCount {
-			for served := false; !served; number++ {
-				sent := &sentRequest{
-					ClientRequest: standin.ClientRequest{
-						ID: fmt.Sprintf("ffff%08x", number), Host: host, Path: "/stream/x", Body: "probe", Patience: 2 * time.Second,
-						Model: modelName(model), PromptTokens: 100, OutputTokens: 10,
-					},
-					daemon: daemon, life: daemon.currentLife(), at: time.Now(), kind: fleet.KindStream,
-				}
-				d.record.sending(sent)
-				answer, err := probe.Do(ctx, daemon.front, sent.ClientRequest)
-				d.record.ended(sent, answer, err)
-				served = err == nil && answer.Status == http.StatusOK && answer.Complete
-				if ctx.Err() != nil {
-					d.record.missedRecovery(sent, answer, err)
-					return
-				}
+	attempt := 0
+	for model := range modelCount {
+		for served := false; !served; attempt++ {
+			sent := &sentRequest{
+				ClientRequest: standin.ClientRequest{
+					ID: fmt.Sprintf("ff%02x%08x", number, attempt), Host: host, Path: "/stream/x", Body: "probe", Patience: 2 * time.Second,
+					Model: modelName(model), PromptTokens: 100, OutputTokens: 10,
+				},
+				daemon: daemon, life: daemon.currentLife(), at: time.Now(), kind: fleet.KindStream,
+			}
+			d.record.sending(sent)
+			answer, err := probe.Do(ctx, daemon.front, sent.ClientRequest)
+			d.record.ended(sent, answer, err)
+			served = err == nil && answer.Status == http.StatusOK && answer.Complete
+			if !served && ctx.Err() != nil {
+				d.record.missedRecovery(sent, answer, err)
+				return false
 			}
 		}
 	}
-	d.record.recovered()
+	return true
 }
