--- a/entry/log_test.go
+++ b/entry/log_test.go
@@ -57,3 +57,20 @@
 		book.lines.Offer(line{text: "request: Decided."})
 	}
 }
+
+// TestLogTellsOfDroppedLinesAtItsEnd covers lines that were dropped before the writer ever
+// ran: a daemon that is stopped under load still says that lines are missing.
+func TestLogTellsOfDroppedLinesAtItsEnd(t *testing.T) {
+	writer := &gatedWriter{gate: make(chan struct{})}
+	close(writer.gate)
+	book := newLogBook("info", "n", writer)
+	for range 2 * logRingSize {
+		book.add("request", "Decided.", "request", "r1", "step", "sent")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	book.run(ctx)
+	if !strings.Contains(writer.text.String(), "Lines dropped") {
+		t.Error("the log does not tell of dropped lines")
+	}
+}
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -28,6 +28,8 @@
 	lines  *ring.Ring[line]
 	logger *log.Logger
 	now    time.Time
+	// dropped is the number of dropped lines that was told.
+	dropped uint64
 }
 
 func newLogBook(level, node string, output io.Writer) *logBook {
@@ -52,7 +54,6 @@
 
 // run writes lines until ctx ends, then those that are left.
 func (b *logBook) run(ctx context.Context) {
-	var dropped uint64
 	for {
 		next, ok := b.lines.Take(ctx)
 		if !ok {
@@ -60,10 +61,7 @@
 			return
 		}
 		b.write(next)
-		if total := b.lines.Dropped(); total != dropped {
-			b.write(line{at: time.Now(), text: "log: Lines dropped.", fields: []any{"count", total - dropped}})
-			dropped = total
-		}
+		b.tellDropped()
 	}
 }
 
@@ -73,11 +71,20 @@
 		case next := <-b.lines.Items():
 			b.write(next)
 		default:
+			b.tellDropped()
 			return
 		}
 	}
 }
 
+// tellDropped says how many lines were dropped since it last said so.
+func (b *logBook) tellDropped() {
+	if total := b.lines.Dropped(); total != b.dropped {
+		b.write(line{at: time.Now(), text: "log: Lines dropped.", fields: []any{"count", total - b.dropped}})
+		b.dropped = total
+	}
+}
+
 func (b *logBook) write(next line) {
 	b.now = next.at
 	b.logger.Info(next.text, next.fields...)
