Expect more at the models that follow busy ones at the start; take replicas away less readily

Change: at the models that follow, those replicas stand for three times as much; a replica is taken away only for eight times its loss.

--- a/residency/expect.go
+++ b/residency/expect.go
@@ -52,7 +52,7 @@
 			demand := expected[after]
 			before := p.engine.Models[i].Name
 			run := p.demand[before].PerSecond * p.runOf(after, usual)
-			demand.Concurrent = max(demand.Concurrent, p.settings.NextShare*max(run, fade*p.prior(e, before)))
+			demand.Concurrent = max(demand.Concurrent, p.settings.NextShare*max(run, fade*p.settings.NextPrior*p.prior(e, before)))
 			expected[after] = demand
 		}
 	}
--- a/residency/types.go
+++ b/residency/types.go
@@ -98,8 +98,11 @@
 	NextReach int
 	// PriorPerReplica is the demand that each replica beyond the first stands for
 	// at the start, and PriorHalfLife how fast that fades.
+	// NextPrior is how many times that it stands for at the models that follow: models
+	// that were placed often may run much faster than those.
 	PriorPerReplica float64
 	PriorHalfLife   time.Duration
+	NextPrior       float64
 	// UnloadFactor is how much more than the loss at the victim an eviction has
 	// to gain.
 	UnloadFactor float64
@@ -118,13 +121,14 @@
 		ResendAfter:    300 * time.Millisecond,
 		LoadCost:       0.15,
 		LoadSecondCost: 0.3,
-		ReplicaLoad: 8,
-		NextShare:   0.8,
+		ReplicaLoad:    8,
+		NextShare:      0.8,
 		NextReach:      2,
 
 		PriorPerReplica: 2,
 		PriorHalfLife:   10 * time.Second,
-		UnloadFactor:    6,
+		NextPrior:       3,
+		UnloadFactor:    8,
 		SilentAfter:     2500 * time.Millisecond,
 	}
 }
