Tests, demo and soak take ports that the kernel gives to nobody else

A port was found free by listening on port 0 and closing; the kernel may give it out again at once.

Change: internal/loopback gives out ports below the kernel's range, from blocks that each process claims by holding the first port of a block. The four copies of the old way are gone.

A daemon is told everything at its first ping that shows it knows less

The others had heard of its start by its answer to their own ping, counted it as known, and sent everything each 20 s at most.

Change: each member's entry notes the incarnation that was last sent everything.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -17,6 +16,7 @@
 
 	"github.com/wheatweir/wheatweir/entry"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/internal/loopback"
 	"github.com/wheatweir/wheatweir/platform/standin"
 )
 
@@ -32,12 +32,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func route(name string, kind fleet.RouteKind, timeout, target time.Duration, attempts int, service string) fleet.Route {
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -6,13 +6,13 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"github.com/wheatweir/wheatweir/api"
 	"github.com/wheatweir/wheatweir/daemon"
+	"github.com/wheatweir/wheatweir/internal/loopback"
 	"github.com/wheatweir/wheatweir/lab/standin/engine"
 	"github.com/wheatweir/wheatweir/lab/standin/objectstore"
 	"github.com/wheatweir/wheatweir/lab/standin/service"
@@ -137,12 +137,9 @@
 }
 
 func (c *Cluster) startDaemons() error {
-	for range c.options.Daemons {
-		address, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		c.peers = append(c.peers, address)
+	var err error
+	if c.peers, err = loopback.Addresses(c.options.Daemons); err != nil {
+		return err
 	}
 	for index := range c.options.Daemons {
 		started, err := c.StartDaemon(index)
@@ -169,16 +166,6 @@
 	return daemon.Start(s, c.options.Log)
 }
 
-// freeAddress finds a free port, for addresses that must be known early.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
 // Close ends all parts at once.
 func (c *Cluster) Close() {
 	for _, running := range c.Daemons {
--- a/lab/demo/platform.go
+++ b/lab/demo/platform.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -16,6 +15,7 @@
 
 	"github.com/wheatweir/wheatweir/entry"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/internal/loopback"
 	"github.com/wheatweir/wheatweir/platform/standin"
 )
 
@@ -121,7 +121,7 @@
 }
 
 func (d *platformDeployment) startDaemons(logs io.Writer) error {
-	addresses, err := loopbackAddresses(4 * platformDaemons)
+	addresses, err := loopback.Addresses(4 * platformDaemons)
 	if err != nil {
 		return err
 	}
@@ -157,20 +157,6 @@
 	return w.output.Write(content)
 }
 
-// loopbackAddresses returns addresses that were free a moment ago.
-func loopbackAddresses(count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, ErrPlatformDemo.Wrap(err)
-		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
-
 func (d *platformDeployment) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, platformStart)
 	defer cancel()
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -2,14 +2,14 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/wheatweir/wheatweir/internal/loopback"
 )
 
 // daemon is one real daemon as a process of its own, with the proxies in front of
@@ -38,32 +38,11 @@
 	stopAt time.Time
 }
 
-// Ports of daemons lie below those that the kernel gives to connections: a daemon
-// that is started again must find its own free.
-const (
-	firstPort = 20000
-	lastPort  = 30000
-)
-
-// freeAddress returns an address that was free a moment ago.
-func freeAddress() (string, error) {
-	for range lastPort - firstPort {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = listener.Close()
-		return address, nil
-	}
-	return "", ErrSoak.New("no port between %d and %d is free", firstPort, lastPort)
-}
-
 func newDaemon(number int, binary, folder, store string) (*daemon, error) {
 	d := &daemon{number: number, name: fmt.Sprint("entry-", number), binary: binary}
 	for _, address := range []*string{&d.front, &d.ready, &d.directory, &d.peers} {
 		var err error
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = loopback.Address(); err != nil {
 			return nil, err
 		}
 	}
--- a/member/detector.go
+++ b/member/detector.go
@@ -39,6 +39,8 @@
 type entry struct {
 	Member
 	since time.Time
+	// informed is the incarnation that was last sent everything that is known here.
+	informed uint64
 }
 
 // NewDetector returns a detector that knows only itself.
--- a/member/detector_test.go
+++ b/member/detector_test.go
@@ -315,3 +315,31 @@
 		}
 	}
 }
+
+// TestJoinerIsToldEverythingByItsFirstPing covers a daemon that starts anew and that
+// the others hear of before its own ping reaches them: by its answer to a ping of
+// theirs. It must be told of the back ends all the same, and at once, also while the
+// others have just exchanged everything among each other.
+func TestJoinerIsToldEverythingByItsFirstPing(t *testing.T) {
+	g := newGroup(3, 7)
+	g.run(2 * time.Second)
+	for engine := range 20 {
+		g.detectors[0].ObserveBackEnd(fmt.Sprint("engine-", engine), "b1", member.BackEndUp)
+	}
+	g.run(30 * time.Second)
+	g.detectors[2] = g.newDetector(2)
+	g.run(3 * time.Second)
+	joiner := g.newDetector(1)
+	greeting := member.Message{Kind: member.Ping, Sequence: 1 << 40, Sender: g.detectors[0].Self()}
+	for _, answer := range joiner.Receive(g.now, greeting) {
+		g.detectors[0].Receive(g.now, answer.Message)
+	}
+	g.detectors[1] = joiner
+	g.cut[[2]int{1, 2}] = true
+	g.run(2 * time.Second)
+	for engine := range 20 {
+		if _, heard := joiner.BackEnd(fmt.Sprint("engine-", engine)); !heard {
+			t.Errorf("the joiner was not told of engine-%d", engine)
+		}
+	}
+}
--- a/member/merge.go
+++ b/member/merge.go
@@ -8,7 +8,6 @@
 
 // Receive takes in a message and returns the messages to send in answer.
 func (d *Detector) Receive(now time.Time, message Message) []Packet {
-	stranger := d.isStranger(message.Sender)
 	d.merge(now, message.Sender)
 	for _, news := range message.Members {
 		d.merge(now, news)
@@ -18,7 +17,7 @@
 	}
 	switch message.Kind {
 	case Ping:
-		return []Packet{{message.Sender.PeerAddress, d.ackFor(now, message, stranger)}}
+		return []Packet{{message.Sender.PeerAddress, d.ackFor(now, message)}}
 	case PingRequest:
 		d.sequence++
 		d.relayed[d.sequence] = relay{message.Sender.PeerAddress, message.Sequence, now}
@@ -29,22 +28,17 @@
 	return nil
 }
 
-func (d *Detector) isStranger(sender Member) bool {
-	known, found := d.members[sender.Name]
-	return !found || known.Incarnation < sender.Incarnation
-}
-
-// ackFor answers a ping. A sender that just joined, or whose digest shows that
-// it knows something else, gets everything, since the news that it lacks may no
-// longer be going round.
-func (d *Detector) ackFor(now time.Time, message Message, stranger bool) Message {
+// ackFor answers a ping. A sender whose digest shows that it knows something else gets
+// everything, since the news that it lacks may no longer be going round: at once if it
+// was not sent everything since it joined, else when the last such answer is some time
+// ago. That it joined may have been heard here before its first ping came.
+func (d *Detector) ackFor(now time.Time, message Message) Message {
 	ack := d.message(Ack, message.Sequence)
 	ack.KnowsLeaving = d.members[message.Sender.Name].Leaving
 	if known := d.members[message.Sender.Name]; known.State >= Suspect {
 		ack.Members = append(ack.Members, known.Member)
 	}
-	differs := message.Digest != ack.Digest && now.Sub(d.lastExchange) >= d.settings.FullExchangeInterval
-	if stranger || differs {
+	if message.Digest != ack.Digest && d.mayInform(now, message.Sender) {
 		d.lastExchange = now
 		ack.Members = d.Members()
 		ack.BackEnds = d.allBackEnds()
@@ -52,6 +46,16 @@
 	return ack
 }
 
+// mayInform reports whether a member may be sent everything now, and notes that it is.
+func (d *Detector) mayInform(now time.Time, receiver Member) bool {
+	known := d.members[receiver.Name]
+	if known != nil && known.informed < receiver.Incarnation {
+		known.informed = receiver.Incarnation
+		return true
+	}
+	return now.Sub(d.lastExchange) >= d.settings.FullExchangeInterval
+}
+
 func (d *Detector) allBackEnds() []BackEnd {
 	all := make([]BackEnd, 0, len(d.backEnds))
 	for _, news := range d.backEnds {
@@ -97,11 +101,14 @@
 			}
 		}
 	}
-	since := now
-	if found && news.State == known.State {
-		since = known.since
+	fresh := &entry{Member: news, since: now}
+	if found {
+		fresh.informed = known.informed
+		if news.State == known.State {
+			fresh.since = known.since
+		}
 	}
-	d.members[news.Name] = &entry{Member: news, since: since}
+	d.members[news.Name] = fresh
 	// Who has just been heard of for the first time matters less than what has changed
 	// at a known member.
 	d.memberNews.add(news.Name, news, found)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/wheatweir/wheatweir/internal/loopback"
 	"github.com/wheatweir/wheatweir/upstream"
 )
 
@@ -68,11 +69,10 @@
 }
 
 func TestFaults(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, err := loopback.Address()
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = closed.Close()
 	cases := []struct {
 		name    string
 		address string
@@ -80,7 +80,7 @@
 		sent    bool
 		want    string
 	}{
-		{"nobody listens", closed.Addr().String(), true, false, ""},
+		{"nobody listens", closed, true, false, ""},
 		{"closed before the first byte", server(t, write("")), false, true, ""},
 		{"broken head", server(t, write("HTTP/1.1 2")), false, true, ""},
 		{"not HTTP", server(t, write("hello\r\n\r\n")), false, true, ""},
