Leave instances alone that end connections without an answer, and tell the other daemons

Cause: a server that goes down and up (srv_flap) takes connections, reads a request and resets it. Each daemon sends one server a few requests a second and ejected it only after four failures of its own; the word of others counted only once they had ejected it.

Ruled out: kept connections that had died (the connections were reset after the request was read), slow news of the list of servers (it does not change), the dispatcher alone (it is told of doubts within milliseconds, but there were none to tell).

Change: a connection that ends without an answer keeps requests away for 0.3 s, twice as long each further time; daemons tell each other, and what two of them met keeps all away for 0.5 s and longer. An answer with an error, a cut answer and a time limit count as before.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -184,3 +184,31 @@
 		t.Errorf("the doubt is not told: %+v", own)
 	}
 }
+
+// TestAnInstanceWithoutAnswersIsLeftAlone covers a server that takes connections and
+// resets them: the first one is enough to keep the next requests away for a while, and
+// for longer if it goes on.
+func TestAnInstanceWithoutAnswersIsLeftAlone(t *testing.T) {
+	now := time.Now()
+	tracker := balance.NewTracker()
+	group := []*fleet.Instance{instance("x", ""), instance("y", "")}
+	picks := func(at time.Time) string {
+		tracker.SetPeer(at, "peer", map[string]balance.Load{"y": {Requests: 9}})
+		return balance.NewPicker(tracker).Pick(at, group, &balance.Request{}).Instance.ID
+	}
+	fail(tracker, now, "x", balance.Broken, 2)
+	if picks(now.Add(250*time.Millisecond)) == "x" {
+		t.Error("picked 0.25 s after it ended two connections")
+	}
+	again := now.Add(350 * time.Millisecond)
+	if picks(again) != "x" {
+		t.Fatal("not tried again after 0.35 s")
+	}
+	fail(tracker, again, "x", balance.Broken, 1)
+	if picks(again.Add(500*time.Millisecond)) == "x" {
+		t.Error("picked 0.5 s after it failed again")
+	}
+	if picks(again.Add(650*time.Millisecond)) != "x" {
+		t.Error("not tried again after 0.65 s")
+	}
+}
--- a/balance/load.go
+++ b/balance/load.go
@@ -13,16 +13,21 @@
 	// Doubts counts the daemons that keep requests away from the instance, because it
 	// failed or declined some.
 	Doubts int
+	// Broken counts the daemons at which the instance lately ended a connection without
+	// an answer.
+	Broken int
 }
 
 func (l *Load) add(other Load) {
 	l.Requests += other.Requests
 	l.PromptTokens += other.PromptTokens
 	l.Doubts += other.Doubts
+	l.Broken += other.Broken
 }
 
 func (l *Load) subtract(other Load) {
 	l.Requests -= other.Requests
 	l.PromptTokens -= other.PromptTokens
 	l.Doubts -= other.Doubts
+	l.Broken -= other.Broken
 }
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -10,8 +10,10 @@
 const (
 	// Served means that the instance gave a proper answer.
 	Served Outcome = iota
-	// Failed means that the instance failed the request or broke off.
+	// Failed means that the instance failed the request or broke off its answer.
 	Failed
+	// Broken means that the instance ended the connection without any answer.
+	Broken
 	// Declined means that the instance said that it did not run the request.
 	Declined
 	// Unreached means that no connection could be made.
@@ -30,6 +32,14 @@
 	longestDeclinedPause = 3200 * time.Millisecond
 	// unreachedPause does the same after a failed connection.
 	unreachedPause = 500 * time.Millisecond
+	// brokenPause does the same after a connection that ended without an answer, and
+	// longer each further time, see backoff.
+	brokenPause        = 300 * time.Millisecond
+	longestBrokenPause = 4800 * time.Millisecond
+	// distrustPause is how long an instance is left alone at which several daemons got
+	// no answers, and longer each further time.
+	distrustPause        = 500 * time.Millisecond
+	longestDistrustPause = 4 * time.Second
 	// ejectionBase and ejectionLimit bound how long an instance is ejected.
 	ejectionBase  = time.Second
 	ejectionLimit = 8 * time.Second
@@ -43,7 +53,7 @@
 
 // doubted reports whether requests are kept away from the instance.
 func (s *instanceState) doubted(now time.Time) bool {
-	return now.Before(s.ejectedTo) || now.Before(s.pausedTo)
+	return now.Before(s.ejectedTo) || now.Before(s.pausedTo) || s.broken.active(now)
 }
 
 func (s *instanceState) stalled(now time.Time) bool {
@@ -66,6 +76,11 @@
 	case Failed:
 		state.observe(1)
 		return t.eject(now, state, siblings)
+	case Broken:
+		state.observe(1)
+		state.broken.extend(now, brokenPause, longestBrokenPause)
+		t.distrust(now, id)
+		return t.eject(now, state, siblings)
 	case Declined:
 		state.pausedTo = now.Add(min(declinedPause<<min(state.declined, 8), longestDeclinedPause))
 		state.declined++
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -28,6 +28,24 @@
 		t.others[id] = sum
 	}
 	t.peers[peer] = peerLoad{at: now, loads: loads}
+	for id, load := range loads {
+		if load.Broken > 0 {
+			t.distrust(now, id)
+		}
+	}
+}
+
+// distrust leaves an instance alone for a while if several daemons get no answers from
+// it. Each of them sends it few requests, and would find out by itself only slowly.
+func (t *Tracker) distrust(now time.Time, id string) {
+	state := t.state(id)
+	count := t.others[id].Broken
+	if state.broken.active(now) {
+		count++
+	}
+	if count >= doubtQuorum {
+		state.distrust.extend(now, distrustPause, longestDistrustPause)
+	}
 }
 
 // dropPeer forgets the load of another daemon.
--- a/balance/peers_test.go
+++ b/balance/peers_test.go
@@ -53,3 +53,40 @@
 		}
 	})
 }
+
+// TestAnInstanceWithoutAnswersForSeveralIsLeftAlone covers a large fleet: each daemon
+// sends a server few requests, so what two of them met keeps the others away, also
+// when the word of these two has ended.
+func TestAnInstanceWithoutAnswersForSeveralIsLeftAlone(t *testing.T) {
+	now := time.Now()
+	tracker := balance.NewTracker()
+	group := []*fleet.Instance{instance("x", ""), instance("y", "")}
+	told := func(at time.Time, broken int) string {
+		load := map[string]balance.Load{"y": {Requests: 9}}
+		if broken > 0 {
+			load["x"] = balance.Load{Doubts: broken, Broken: broken}
+		}
+		tracker.SetPeer(at, "group/a", load)
+		return balance.NewPicker(tracker).Pick(at, group, &balance.Request{}).Instance.ID
+	}
+	if told(now, 1) != "x" {
+		t.Error("the word of one daemon keeps the others away")
+	}
+	if told(now, 2) == "x" {
+		t.Error("picked although two daemons get no answers")
+	}
+	if told(now.Add(400*time.Millisecond), 0) == "x" {
+		t.Error("picked again 0.4 s later")
+	}
+	again := now.Add(600 * time.Millisecond)
+	if told(again, 0) != "x" {
+		t.Error("not tried again after 0.6 s")
+	}
+	told(again, 2)
+	if told(again.Add(800*time.Millisecond), 0) == "x" {
+		t.Error("the second pause is not longer")
+	}
+	if told(again.Add(1200*time.Millisecond), 0) != "x" {
+		t.Error("not tried again after the second pause")
+	}
+}
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -19,6 +19,10 @@
 	pausedTo   time.Time
 	unreached  int
 	declined   int
+	// broken is the pause after connections that ended without an answer here, distrust
+	// the one after several daemons had such.
+	broken   backoff
+	distrust backoff
 	// heardAt is when the instance last sent something, or was given its first
 	// request after a rest.
 	heardAt time.Time
@@ -115,6 +119,9 @@
 		if state.doubted(now) {
 			load.Doubts = 1
 		}
+		if state.broken.active(now) {
+			load.Broken = 1
+		}
 		if load.Requests > 0 || load.Doubts > 0 {
 			loads[id] = load
 		}
@@ -162,7 +169,7 @@
 	t.expireGrants(now)
 	for _, id := range ids {
 		state := t.state(id)
-		available := !state.doubted(now) && !state.stalled(now) && t.others[id].Doubts < doubtQuorum
+		available := !state.doubted(now) && !state.stalled(now) && !state.distrust.active(now) && t.others[id].Doubts < doubtQuorum
 		missing := now.Before(t.missing[missingKey{id, model, adapter}])
 		load := state.own
 		load.add(t.others[id])
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -206,18 +206,22 @@
 	}
 	e.sentTo = append(e.sentTo, id)
 	e.mayHaveRun = true
-	e.end(id, blame(ctx))
+	outcome := balance.Broken
+	if ctx.Err() != nil {
+		outcome = balance.Failed
+	}
+	e.end(id, blame(ctx, outcome))
 	e.observe(Event{Step: StepAttemptFailed, Instance: id, Err: err})
 	return verdictBroken
 }
 
-// blame tells whether an instance is to blame for an attempt that ended without
-// an answer: it is not if the client left.
-func blame(ctx context.Context) balance.Outcome {
+// blame returns the outcome of an attempt that ended without a whole answer: the
+// instance is not to blame if the client left.
+func blame(ctx context.Context, outcome balance.Outcome) balance.Outcome {
 	if clientLeft(ctx) {
 		return balance.Abandoned
 	}
-	return balance.Failed
+	return outcome
 }
 
 func (e *exchange) declined(id string, response Response) verdict {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -152,8 +152,12 @@
 }
 
 func newGateway(upstream gateway.Upstream, wants gateway.Wants) *gateway.Gateway {
+	return trackedGateway(upstream, wants, balance.NewTracker())
+}
+
+func trackedGateway(upstream gateway.Upstream, wants gateway.Wants, tracker *balance.Tracker) *gateway.Gateway {
 	settings := gateway.Settings{RetryAfter: 200 * time.Millisecond, WaitShare: 0.5, ShareOfConnections: func() float64 { return 1 }}
-	return gateway.New(settings, upstream, balance.NewTracker(), retry.NewBudget(0.2, 10), wants, silent{})
+	return gateway.New(settings, upstream, tracker, retry.NewBudget(0.2, 10), wants, silent{})
 }
 
 func request(route string) *gateway.Request {
@@ -379,3 +383,36 @@
 		}
 	})
 }
+
+// TestOnlyAConnectionThatEndsWithoutAnAnswerCountsAsBroken covers what the other daemons
+// are told of an instance after an attempt there.
+func TestOnlyAConnectionThatEndsWithoutAnAnswerCountsAsBroken(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer answer
+		broken int
+	}{
+		{"reset before an answer", answer{err: gateway.ErrUnknown.New("reset")}, 1},
+		{"no answer until the time limit", answer{hang: true}, 0},
+		{"an answer that tells of a failure", answer{status: 500, body: "error"}, 0},
+		{"an answer that breaks off", answer{status: 200, body: "half", cut: true}, 0},
+		{"not sent at all", answer{err: gateway.ErrNotSent.New("refused")}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tracker := balance.NewTracker()
+				g := trackedGateway(&script{answers: []answer{c.answer}}, &noWants{}, tracker)
+				g.SetView(view())
+				g.Serve(t.Context(), request("once"), &client{})
+				broken := 0
+				for _, load := range tracker.Own(time.Now()) {
+					broken += load.Broken
+				}
+				if broken != c.broken {
+					t.Errorf("broken at %d instances, want %d", broken, c.broken)
+				}
+			})
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -34,7 +34,7 @@
 func (e *exchange) passWhole(ctx context.Context, id string, response Response) verdict {
 	body, err := io.ReadAll(io.LimitReader(response, maxWhole+1))
 	if err != nil {
-		e.end(id, blame(ctx))
+		e.end(id, blame(ctx, balance.Failed))
 		e.observe(Event{Step: StepAttemptFailed, Instance: id, Status: response.Status(), Err: err})
 		return verdictBroken
 	}
@@ -138,7 +138,7 @@
 		case errors.Is(err, io.EOF):
 			return e.streamEnded(id, response, &events)
 		default:
-			e.end(id, blame(ctx))
+			e.end(id, blame(ctx, balance.Failed))
 			e.observe(Event{Step: StepStreamBroke, Instance: id, Err: err})
 			return verdictBroken
 		}
