Views and digests follow changes instead of being made anew

A profile of the hollow fleet shows where a daemon's share goes: each news of one server made the whole view anew (maps, sorting, a copy of each instance with its report), the digest over all facts was summed at each message of the holder, and each daemon took the whole list into the planner's book that only the holder uses.

Change: a view takes changes on the one before (2 lists copied, nothing sorted); the digest is kept as facts come and go; the book takes single instances. The end of a request no longer copies the IDs of all instances of the service, and instances that are gone are looked for once a second instead of 20 times.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -47,12 +47,12 @@
 		}, "y"},
 		{"unreached a moment ago", []*fleet.Instance{instance("x", "z"), instance("y", "z")}, balance.Request{}, func(t *balance.Tracker) {
 			t.Begin("x", 0)
-			t.End(now, "x", balance.Unreached, []string{"x", "y"})
+			t.End(now, "x", balance.Unreached, siblings("x", "y"))
 			t.SetPeer(now, "peer", map[string]balance.Load{"y": {Requests: 9}})
 		}, "y"},
 		{"unreached, but the only one", []*fleet.Instance{instance("x", "z")}, balance.Request{}, func(t *balance.Tracker) {
 			t.Begin("x", 0)
-			t.End(now, "x", balance.Unreached, []string{"x"})
+			t.End(now, "x", balance.Unreached, siblings("x"))
 		}, "x"},
 		{"said that it lacks the model", []*fleet.Instance{instance("x", "z", model)}, balance.Request{Model: "m"}, func(t *balance.Tracker) {
 			t.Missing(now, "x", "m", "", time.Minute)
@@ -86,12 +86,20 @@
 	}
 }
 
+func siblings(ids ...string) []*fleet.Instance {
+	var all []*fleet.Instance
+	for _, id := range ids {
+		all = append(all, instance(id, ""))
+	}
+	return all
+}
+
 // fail ends a number of requests at an instance with an outcome.
 func fail(tracker *balance.Tracker, now time.Time, id string, outcome balance.Outcome, count int) bool {
 	ejected := false
 	for range count {
 		tracker.Begin(id, 0)
-		ejected = tracker.End(now, id, outcome, []string{"x", "y", "z"}) || ejected
+		ejected = tracker.End(now, id, outcome, siblings("x", "y", "z")) || ejected
 	}
 	return ejected
 }
@@ -174,7 +182,7 @@
 			declined++
 			outcome = balance.Declined
 		}
-		tracker.End(now, id, outcome, []string{"x", "y"})
+		tracker.End(now, id, outcome, siblings("x", "y"))
 		now = now.Add(50 * time.Millisecond)
 	}
 	if declined > 8 {
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/wheatweir/wheatweir/fleet"
+)
 
 // Outcome is how an attempt at an instance ended, as far as the instance is to
 // blame.
@@ -62,7 +66,7 @@
 
 // End counts the end of a request, and what it says about the instance.
 // Siblings are the instances of the same service.
-func (t *Tracker) End(now time.Time, id string, outcome Outcome, siblings []string) (ejected bool) {
+func (t *Tracker) End(now time.Time, id string, outcome Outcome, siblings []*fleet.Instance) (ejected bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	defer t.signal()
@@ -102,20 +106,24 @@
 
 // eject takes an instance out for a while if it fails much more often than its
 // siblings do. If all fail alike, none is taken out.
-func (t *Tracker) eject(now time.Time, state *instanceState, siblings []string) bool {
+func (t *Tracker) eject(now time.Time, state *instanceState, siblings []*fleet.Instance) bool {
 	if state.samples < ejectSamples || state.errorShare < ejectErrorShare || now.Before(state.ejectedTo) {
 		return false
 	}
 	total, count, out := 0.0, 0, 0
-	for _, id := range siblings {
-		sibling := t.state(id)
+	for _, instance := range siblings {
+		sibling := t.instances[instance.ID]
+		if sibling == state {
+			continue
+		}
+		count++
+		if sibling == nil {
+			continue
+		}
+		total += sibling.errorShare
 		if now.Before(sibling.ejectedTo) {
 			out++
 		}
-		if sibling != state {
-			total += sibling.errorShare
-			count++
-		}
 	}
 	if count == 0 || state.errorShare < ejectRatio*total/float64(count) || 2*(out+1) > count+1 {
 		return false
--- a/coordination/facts.go
+++ b/coordination/facts.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wheatweir/wheatweir/fleet"
 )
 
@@ -12,15 +14,39 @@
 	at time.Time
 }
 
+// factBook holds the newest fact of each instance.
+type factBook struct {
+	byInstance map[string]fact
+	// digest is equal at daemons that know the same facts.
+	digest uint64
+}
+
+func newFactBook() factBook { return factBook{byInstance: map[string]fact{}} }
+
+func (b *factBook) put(told fact) {
+	b.drop(told.Instance)
+	b.byInstance[told.Instance] = told
+	b.digest ^= told.hash()
+}
+
+func (b *factBook) drop(instance string) {
+	if known, found := b.byInstance[instance]; found {
+		b.digest ^= known.hash()
+		delete(b.byInstance, instance)
+	}
+}
+
+func (f *fact) hash() uint64 { return xxhash.Sum64String(f.Instance) * (2*f.Sequence + 1) }
+
 // learn takes in a fact about a model server.
 func (n *Node) learn(told Fact, at time.Time) {
-	known, found := n.facts[told.Instance]
+	known, found := n.facts.byInstance[told.Instance]
 	if found && (told.Sequence < known.Sequence || told.Sequence == known.Sequence && at.Before(known.at)) {
 		return
 	}
-	n.facts[told.Instance] = fact{Fact: told, at: at}
+	n.facts.put(fact{Fact: told, at: at})
 	if !found || !sameResidents(known.Residents, told.Residents) {
-		n.viewStale = true
+		n.changed[told.Instance] = true
 	}
 }
 
@@ -43,32 +69,40 @@
 
 // FactOf returns what the newest report of an instance said, if one is known here.
 func (n *Node) FactOf(instance string) (Fact, bool) {
-	known, found := n.facts[instance]
+	known, found := n.facts.byInstance[instance]
 	return known.Fact, found
 }
 
 // KnowsReport reports whether a report of an instance is known here.
 func (n *Node) KnowsReport(instance string) bool {
-	_, found := n.facts[instance]
+	_, found := n.facts.byInstance[instance]
 	return found
 }
 
 // TakeView returns a new snapshot if anything has changed since the last one.
 func (n *Node) TakeView() (*fleet.View, bool) {
-	if !n.viewStale {
-		return nil, false
+	before := n.view
+	if n.instances.Known() {
+		n.view = n.view.WithConfiguration(n.configuration)
 	}
-	n.viewStale = false
-	instances := make([]*fleet.Instance, 0)
-	for _, item := range n.instances.Items() {
-		instances = append(instances, n.merged(item.Value))
+	if len(n.changed) > 0 {
+		n.view = n.view.WithInstances(n.takeChanged())
 	}
-	configuration := n.configuration
-	if !n.instances.Known() {
-		configuration = nil
+	return n.view, n.view != before
+}
+
+// takeChanged returns the instances that changed since the last snapshot, and the IDs of
+// those that are gone.
+func (n *Node) takeChanged() (changed []*fleet.Instance, gone []string) {
+	for id := range n.changed {
+		if listed, found := n.instances.Get(id); found {
+			changed = append(changed, n.merged(listed))
+		} else {
+			gone = append(gone, id)
+		}
 	}
-	n.view = n.view.Next(configuration, instances)
-	return n.view, true
+	clear(n.changed)
+	return changed, gone
 }
 
 // listLag is how much older than a report the list may be when it arrives.
@@ -77,7 +111,7 @@
 // merged is an instance with what its newest report says it holds. A report is
 // believed over the list unless the list told something new well after it.
 func (n *Node) merged(listed *fleet.Instance) *fleet.Instance {
-	known, found := n.facts[listed.ID]
+	known, found := n.facts.byInstance[listed.ID]
 	if !found || known.at.Add(listLag).Before(n.listedAt[listed.ID]) {
 		return listed
 	}
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -25,7 +25,7 @@
 	book          *residency.Book
 	instances     *feed.Mirror[*fleet.Instance]
 	configuration *fleet.Configuration
-	facts         map[string]fact
+	facts         factBook
 	reports       map[string]*reportState
 	// listedAt is when the list last told something new of an instance.
 	listedAt map[string]time.Time
@@ -49,7 +49,6 @@
 	watcherAt      time.Time
 	watchUntil     time.Time
 	watcherHeardAt time.Time
-	listed         bool
 	shareDue       bool
 	lastHolder     time.Time
 	holderName     string
@@ -60,9 +59,10 @@
 	planDue        bool
 	plans          uint64
 	spreading      spreadState
-	viewStale      bool
-	view           *fleet.View
-	actions        []Action
+	// changed holds the instances that the view does not show as they are.
+	changed map[string]bool
+	view    *fleet.View
+	actions []Action
 }
 
 // peerState is what another daemon told last.
@@ -80,7 +80,7 @@
 		lease:     lease.New(self.Name, boot, settings.Lease),
 		book:      residency.NewBook(settings.Residency),
 		instances: feed.NewMirror[*fleet.Instance](),
-		facts:     map[string]fact{}, reports: map[string]*reportState{}, listedAt: map[string]time.Time{}, peers: map[string]peerState{},
+		facts:     newFactBook(), changed: map[string]bool{}, reports: map[string]*reportState{}, listedAt: map[string]time.Time{}, peers: map[string]peerState{},
 		demand: newDemandState(), lastHolder: now,
 		view:      fleet.NewView(nil, nil),
 		spreading: newSpreadState(random.Uint64()),
@@ -232,7 +232,6 @@
 		return
 	}
 	n.configuration = configuration
-	n.viewStale = true
 	n.decide("configuration", "In force.", "version", configuration.Version, "routes", len(configuration.Routes), "services", len(configuration.Services))
 }
 
@@ -253,28 +252,20 @@
 
 func (n *Node) instancesChanged(now time.Time, changed []feed.Item[*fleet.Instance]) {
 	for _, item := range changed {
+		n.changed[item.Name] = true
 		if item.Gone {
-			delete(n.facts, item.Name)
+			n.facts.drop(item.Name)
 			delete(n.reports, item.Name)
 			delete(n.listedAt, item.Name)
+			n.book.Remove(item.Name)
 			n.decide("instances", "Gone.", "instance", item.Name, "revision", item.Revision)
 			continue
 		}
 		n.decide("instances", "Seen.", "instance", item.Name, "service", item.Value.Service, "leaving", item.Value.Leaving,
 			"revision", item.Revision)
 		n.listedAt[item.Name] = now
+		n.book.Put(item.Value)
 	}
-	if len(changed) == 0 && n.listed {
-		return
-	}
-	// The first list counts even if it is empty.
-	n.listed = n.instances.Known()
-	live := make([]*fleet.Instance, 0, len(changed))
-	for _, item := range n.instances.Items() {
-		live = append(live, item.Value)
-	}
-	n.book.Update(live)
-	n.viewStale = true
 }
 
 // HolderName is the daemon that was last heard to hold the lease on orders.
--- a/coordination/node_test.go
+++ b/coordination/node_test.go
@@ -38,6 +38,8 @@
 	// node sent and what its steps took.
 	encode bool
 	bytes  map[string]int
+	// byKind counts the bytes by what messages are for.
+	byKind map[string]int
 	spent  map[string]time.Duration
 	// decisions holds the lines for the log, each after the node's name.
 	decisions []string
@@ -53,7 +55,7 @@
 }
 
 func newWorld(count int) *world {
-	w := &world{now: time.Unix(1000, 0), nodes: map[string]*coordination.Node{}, storeCut: map[string]bool{}, dead: map[string]bool{}, refresh: map[string]int{}, messages: map[string]int{}, bytes: map[string]int{}, spent: map[string]time.Duration{}, heardLoad: map[[2]string]int{}}
+	w := &world{now: time.Unix(1000, 0), nodes: map[string]*coordination.Node{}, storeCut: map[string]bool{}, dead: map[string]bool{}, refresh: map[string]int{}, messages: map[string]int{}, bytes: map[string]int{}, byKind: map[string]int{}, spent: map[string]time.Duration{}, heardLoad: map[[2]string]int{}}
 	for i := range count {
 		w.nodes[fmt.Sprint("n", i)] = nil
 	}
--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -240,8 +240,8 @@
 
 // allFacts lists what is known of all model servers.
 func (n *Node) allFacts(now time.Time) []Fact {
-	facts := make([]Fact, 0, len(n.facts))
-	for instance := range n.facts {
+	facts := make([]Fact, 0, len(n.facts.byInstance))
+	for instance := range n.facts.byInstance {
 		facts = append(facts, n.agedFact(now, instance))
 	}
 	slices.SortFunc(facts, func(a, b Fact) int { return cmp.Compare(a.Instance, b.Instance) })
@@ -250,7 +250,7 @@
 
 // agedFact is a fact with its present age.
 func (n *Node) agedFact(now time.Time, instance string) Fact {
-	known := n.facts[instance]
+	known := n.facts.byInstance[instance]
 	told := known.Fact
 	told.Age = now.Sub(known.at)
 	return told
--- a/coordination/scale_bench_test.go
+++ b/coordination/scale_bench_test.go
@@ -23,6 +23,7 @@
 			w.encode = true
 			clear(w.messages)
 			clear(w.bytes)
+			clear(w.byKind)
 			clear(w.spent)
 			b.ResetTimer()
 			for range b.N {
@@ -76,6 +77,9 @@
 		longest = max(longest, w.spent[name])
 	}
 	daemons := float64(len(w.nodes))
+	for kind, total := range w.byKind {
+		b.ReportMetric(float64(total)/daemons/seconds, kind+"-B/daemon-s")
+	}
 	b.ReportMetric(float64(messages)/daemons/seconds, "messages/daemon-s")
 	b.ReportMetric(float64(bytes)/daemons/seconds, "B/daemon-s")
 	b.ReportMetric(float64(most)/seconds, "B/busiest-s")
@@ -83,6 +87,20 @@
 	b.ReportMetric(longest.Seconds()/seconds*100, "%core/busiest")
 }
 
+// kindOf names what a message is for.
+func kindOf(message *coordination.Message) string {
+	switch {
+	case message.Probe != nil:
+		return "probe"
+	case message.Load != nil:
+		return "load"
+	case message.Spread != nil:
+		return "spread"
+	default:
+		return "other"
+	}
+}
+
 // carry encodes a message as the transport does, and decodes it at the other side.
 func (w *world) carry(from, to string, message coordination.Message) coordination.Message {
 	if !w.encode {
@@ -95,6 +113,7 @@
 		panic(err)
 	}
 	w.bytes[from] += len(body)
+	w.byKind[kindOf(&message)] += len(body)
 	begun = time.Now()
 	var arrived coordination.Message
 	if err := msgpack.Unmarshal(body, &arrived); err != nil {
--- a/coordination/spread.go
+++ b/coordination/spread.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // spreadState is what the holder of the lease has to tell all daemons, and what this
@@ -52,9 +50,9 @@
 	state := &n.spreading
 	state.sentAt = now
 	state.sequence++
-	message := &Spread{Root: n.self, Boot: state.boot, Sequence: state.sequence, Fence: fence, Lease: n.lease.Revision(), Digest: n.factsDigest()}
+	message := &Spread{Root: n.self, Boot: state.boot, Sequence: state.sequence, Fence: fence, Lease: n.lease.Revision(), Digest: n.facts.digest}
 	for instance := range state.due {
-		if _, known := n.facts[instance]; known {
+		if _, known := n.facts.byInstance[instance]; known {
 			message.Facts = append(message.Facts, n.agedFact(now, instance))
 		}
 	}
@@ -100,7 +98,7 @@
 // while: a message was lost, or it has just started.
 func (n *Node) compareFacts(now time.Time, told *Spread) {
 	state := &n.spreading
-	if told.Digest == n.factsDigest() {
+	if told.Digest == n.facts.digest {
 		state.differsSince = time.Time{}
 		return
 	}
@@ -108,7 +106,7 @@
 		state.differsSince = now
 	}
 	patience := n.settings.FactsPatience
-	if len(n.facts) == 0 {
+	if len(n.facts.byInstance) == 0 {
 		// This daemon has just started.
 		patience = 0
 	}
@@ -127,12 +125,3 @@
 		n.do(SendPeer{Address: other.PeerAddress, Message: Message{From: n.self, Facts: n.allFacts(now)}})
 	}
 }
-
-// factsDigest is equal at daemons that know the same facts.
-func (n *Node) factsDigest() uint64 {
-	digest := uint64(0)
-	for instance := range n.facts {
-		digest ^= xxhash.Sum64String(instance) * (2*n.facts[instance].Sequence + 1)
-	}
-	return digest
-}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -82,8 +82,10 @@
 	// publishedAt is the members' revision that the addresses show, published when
 	// they were made; only the control duty touches them.
 	publishedAt uint64
-	published   time.Time
-	live        atomic.Int64
+	// forgotAt is when the tracker last forgot instances that are gone.
+	forgotAt  time.Time
+	published time.Time
+	live      atomic.Int64
 	// rank is this daemon's place among the live ones, in an order of all.
 	rank atomic.Int64
 	// watching says that this daemon watches the store.
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -30,11 +30,18 @@
 	}
 }
 
+// forgetPause is the time between two looks for instances that are gone: each is at all
+// that were ever used.
+const forgetPause = time.Second
+
 func (d *Daemon) tick(now time.Time) {
 	d.perform(d.node.ObserveOwn(now, d.tracker.Own(time.Now()), d.wants.all(), coordination.UrgencyNone))
 	d.perform(d.node.Tick(now))
-	view := d.gateway.View()
-	d.tracker.Forget(now, func(id string) bool { return view.Instance(id) != nil })
+	if now.Sub(d.forgotAt) >= forgetPause {
+		d.forgotAt = now
+		view := d.gateway.View()
+		d.tracker.Forget(now, func(id string) bool { return view.Instance(id) != nil })
+	}
 	d.publishAddresses()
 	d.rank.Store(int64(d.node.Rank()))
 	d.watching.Store(d.node.Watching(now))
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -79,6 +79,12 @@
 // Known reports whether a list was taken in.
 func (m *Mirror[T]) Known() bool { return m.known }
 
+// Get returns the value of a live item.
+func (m *Mirror[T]) Get(name string) (T, bool) {
+	item, found := m.items[name]
+	return item.Value, found
+}
+
 // Items returns the live items in no particular order.
 func (m *Mirror[T]) Items() []Item[T] {
 	items := make([]Item[T], 0, len(m.items))
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -248,12 +248,7 @@
 
 func (e *exchange) end(id string, outcome balance.Outcome) {
 	e.started(id)
-	view := e.gateway.view.Load()
-	instances := view.Instances(e.service)
-	siblings := make([]string, len(instances))
-	for i, instance := range instances {
-		siblings[i] = instance.ID
-	}
+	siblings := e.gateway.view.Load().Instances(e.service)
 	if e.gateway.tracker.End(time.Now(), id, outcome, siblings) {
 		e.observe(Event{Step: StepEjected, Instance: id})
 	}
--- a/residency/book.go
+++ b/residency/book.go
@@ -37,28 +37,22 @@
 	}
 }
 
-// Update takes in the instances that are known now and forgets all others.
-func (b *Book) Update(instances []*fleet.Instance) {
-	present := make(map[string]bool, len(instances))
-	for _, instance := range instances {
-		present[instance.ID] = true
-		known := b.servers[instance.ID]
-		if known == nil {
-			known = &server{}
-			b.servers[instance.ID] = known
-		}
-		known.instance = instance
-		if known.reportAt.IsZero() {
-			known.report = fleet.Report{Residents: instance.Residents}
-		}
+// Put takes in an instance that is new or has changed.
+func (b *Book) Put(instance *fleet.Instance) {
+	known := b.servers[instance.ID]
+	if known == nil {
+		known = &server{}
+		b.servers[instance.ID] = known
 	}
-	for id := range b.servers {
-		if !present[id] {
-			delete(b.servers, id)
-		}
+	known.instance = instance
+	if known.reportAt.IsZero() {
+		known.report = fleet.Report{Residents: instance.Residents}
 	}
 }
 
+// Remove forgets an instance that is gone.
+func (b *Book) Remove(id string) { delete(b.servers, id) }
+
 // Report takes in what a server said when it was asked at the given time.
 func (b *Book) Report(askedAt time.Time, id string, report fleet.Report) {
 	known := b.servers[id]
--- a/residency/residency_test.go
+++ b/residency/residency_test.go
@@ -117,7 +117,7 @@
 			{id: "s1", models: map[string][]string{"big": nil, "mid": nil}}, {id: "s2", models: map[string][]string{"big": nil, "small": nil}},
 			{id: "s3", models: map[string][]string{"tiny": nil, "other": nil}}, {id: "s4", models: map[string][]string{}},
 		}
-		book.Update(instances(servers))
+		putAll(book, instances(servers))
 		now := time.Unix(1000, 0)
 		var loads []time.Time
 		for range rapid.IntRange(20, 150).Draw(t, "steps") {
@@ -224,7 +224,7 @@
 
 func newCalm(servers ...*modelServer) *calm {
 	c := &calm{book: residency.NewBook(residency.DefaultSettings()), engine: engine(), servers: servers, now: time.Unix(1000, 0)}
-	c.book.Update(instances(servers))
+	putAll(c.book, instances(servers))
 	return c
 }
 
@@ -392,3 +392,10 @@
 		t.Fatal("the late order was taken as well")
 	}
 }
+
+// putAll takes in the instances that are known, which in these tests are never gone.
+func putAll(book *residency.Book, instances []*fleet.Instance) {
+	for _, instance := range instances {
+		book.Put(instance)
+	}
+}
--- a/residency/shift_test.go
+++ b/residency/shift_test.go
@@ -125,7 +125,7 @@
 	for _, s := range f.servers {
 		all = append(all, s.instance)
 	}
-	f.book.Update(all)
+	putAll(f.book, all)
 }
 
 // crash takes a share of the servers down for a while. They come back empty, as new
