Tell changes of load only, and loads in a large fleet to dispatchers only

Each message held the loads at all instances, though one or two had changed; in a large fleet each daemon told 18 others five times a second, only for the case that its dispatcher does not answer; and dispatchers told each other all loads 50 times a second.

Change: balance.Teller tells what has changed, and everything each second; small fleets and dispatchers alike. In a large fleet gossip says only how new each daemon's knowledge is, to five others at rest and to 18 with news. While its dispatcher does not answer, a daemon asks that of another group (TestAnotherDispatcherChoosesMeanwhile), and chooses alone only after that. With more than four other groups dispatchers tell each other less often.

--- a/balance/peers.go
+++ b/balance/peers.go
@@ -19,22 +19,49 @@
 
 // SetPeer takes in the load that another daemon puts on instances.
 func (t *Tracker) SetPeer(now time.Time, peer string, loads map[string]Load) {
+	t.TakePeer(now, peer, loads, false)
+}
+
+// TakePeer takes in what another daemon told of its load: all of it, or only what has
+// changed, see Teller.
+func (t *Tracker) TakePeer(now time.Time, peer string, told map[string]Load, changes bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.dropPeer(peer)
-	for id, load := range loads {
-		sum := t.others[id]
-		sum.add(load)
-		t.others[id] = sum
+	if !changes {
+		t.dropPeer(peer)
+	}
+	known := t.peers[peer].loads
+	if known == nil {
+		known = make(map[string]Load, len(told))
+	}
+	for id, load := range told {
+		t.shift(id, known[id], load)
+		if load == (Load{}) {
+			delete(known, id)
+		} else {
+			known[id] = load
+		}
 	}
-	t.peers[peer] = peerLoad{at: now, loads: loads}
-	for id, load := range loads {
+	t.peers[peer] = peerLoad{at: now, loads: known}
+	for id, load := range told {
 		if load.Broken > 0 {
 			t.distrust(now, id)
 		}
 	}
 }
 
+// shift replaces what one daemon counts for in the sum over all others.
+func (t *Tracker) shift(id string, before, after Load) {
+	sum := t.others[id]
+	sum.subtract(before)
+	sum.add(after)
+	if sum == (Load{}) {
+		delete(t.others, id)
+	} else {
+		t.others[id] = sum
+	}
+}
+
 // distrust leaves an instance alone for a while if several daemons get no answers from
 // it. Each of them sends it few requests, and would find out by itself only slowly.
 func (t *Tracker) distrust(now time.Time, id string) {
@@ -51,13 +78,7 @@
 // dropPeer forgets the load of another daemon.
 func (t *Tracker) dropPeer(peer string) {
 	for id, load := range t.peers[peer].loads {
-		sum := t.others[id]
-		sum.subtract(load)
-		if sum == (Load{}) {
-			delete(t.others, id)
-		} else {
-			t.others[id] = sum
-		}
+		t.shift(id, load, Load{})
 	}
 	delete(t.peers, peer)
 }
--- a/coordination/demand.go
+++ b/coordination/demand.go
@@ -2,10 +2,8 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
-	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/residency"
 )
 
@@ -106,117 +104,3 @@
 func (n *Node) Demand(service, model string) float64 {
 	return n.demand.of(service)[model].Concurrent
 }
-
-// Urgency says why the own load is told.
-type Urgency uint8
-
-// Urgencies, least first.
-const (
-	// UrgencyNone is a regular telling.
-	UrgencyNone Urgency = iota
-	// UrgencyLoad says that the load has changed.
-	UrgencyLoad
-	// UrgencyWant says that a request has begun to wait for a model or adapter.
-	UrgencyWant
-)
-
-// ObserveOwn takes in what this daemon has in progress, and tells the others.
-func (n *Node) ObserveOwn(now time.Time, requests map[string]balance.Load, models []ModelLoad, urgency Urgency) []Action {
-	n.demand.own = models
-	load := Load{Requests: requests, Models: models, Versions: n.versions(), StoreAway: n.storeAway(), Watching: n.Watching(now), Watched: n.watched(now)}
-	if n.held {
-		load.Fence, _, _ = n.mayOrder(now)
-		load.Lease = n.lease.Revision()
-	}
-	n.tellDue = n.tellDue || urgency != UrgencyNone
-	if n.tellDue && now.Sub(n.toldAt) >= n.settings.TellPause {
-		n.toldAt, n.tellDue = now, false
-		n.tellDispatcher(load)
-	}
-	n.shareDue = n.shareDue || urgency != UrgencyNone
-	pause := n.settings.ShareEvery
-	if n.shareDue {
-		pause = n.sharePause()
-	}
-	switch {
-	case now.Sub(n.sharedAt) >= pause:
-		n.sharedAt = now
-		n.shareDue = false
-		n.share(now, load)
-	case urgency == UrgencyWant && !n.held:
-		n.sendAll([]string{n.holderName}, Message{From: n.self, Load: &load})
-	}
-	if urgency == UrgencyWant && n.held {
-		n.planSoon(now)
-	}
-	return n.take()
-}
-
-// share tells other daemons the own load. In a large fleet the demand for models goes
-// to the holder of the lease only, who is the one that places them, and the load to some
-// daemons of the own zone and a few others, which need it when no dispatcher answers.
-func (n *Node) share(now time.Time, load Load) {
-	others := n.others()
-	if len(others) <= n.settings.SharePeers {
-		n.sendAll(others, Message{From: n.self, Load: &load})
-		return
-	}
-	if _, known := n.detector.Lookup(n.holderName); known && now.Sub(n.demandToldAt) >= n.demandPause(len(others)) {
-		n.demandToldAt = now
-		n.sendAll([]string{n.holderName}, Message{From: n.self, Load: &load})
-	}
-	near, far := n.sharePeers(others)
-	told := load
-	told.Models, told.NoModels = nil, true
-	n.sendAll(near, Message{From: n.self, Load: &told})
-	// By the time of the next message to the same daemon these prompts are read.
-	distant := told
-	distant.Requests = withoutPrompts(load.Requests)
-	n.sendAll(far, Message{From: n.self, Load: &distant})
-}
-
-// demandPause is the least time between two messages to the holder about the demand,
-// which hears them from all daemons.
-func (n *Node) demandPause(others int) time.Duration {
-	return max(n.settings.ShareEvery, time.Duration(others)*n.settings.DemandCost)
-}
-
-// others are the live daemons but this one.
-func (n *Node) others() []string {
-	return slices.DeleteFunc(slices.Clone(n.detector.Live()), func(name string) bool { return name == n.self })
-}
-
-// sharePeers draws the daemons that one message about load goes to: of the own zone,
-// and of others.
-func (n *Node) sharePeers(others []string) (near, far []string) {
-	zone := n.detector.Self().Zone
-	n.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, name := range others {
-		other, _ := n.detector.Lookup(name)
-		switch {
-		case name == n.holderName:
-		case other.Zone == zone && len(near) < n.settings.MaxPeers:
-			near = append(near, name)
-		case other.Zone != zone && len(far) < n.settings.FarPeers:
-			far = append(far, name)
-		}
-	}
-	return near, far
-}
-
-func withoutPrompts(loads map[string]balance.Load) map[string]balance.Load {
-	stripped := make(map[string]balance.Load, len(loads))
-	for instance, load := range loads {
-		stripped[instance] = balance.Load{Requests: load.Requests}
-	}
-	return stripped
-}
-
-// sharePause is the least time between two messages about load to all, or to those that a
-// message goes to in a large fleet: there the dispatcher is told at once.
-func (n *Node) sharePause() time.Duration {
-	if len(n.detector.Live())-1 <= n.settings.SharePeers {
-		return n.settings.ShareSoon
-	}
-	return n.settings.ShareEvery
-}
--- a/coordination/groups.go
+++ b/coordination/groups.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/rendezvous"
 )
 
 // groupSize is the most daemons that one dispatcher chooses for. Each brings it a few
@@ -20,6 +21,10 @@
 	// both are empty if there are no groups.
 	Dispatcher string
 	Address    string
+	// Backup is the dispatcher of another group, which is asked while the own one does
+	// not answer, and BackupAddress its peer address; empty if there is none.
+	Backup        string
+	BackupAddress string
 	// Dispatching says that it is this daemon. Members then are the others of the group,
 	// and Others the peer addresses of the other dispatchers.
 	Dispatching bool
@@ -44,6 +49,7 @@
 		return group
 	}
 	self := n.detector.Self()
+	var elsewhere []string
 	for zone, names := range n.byZone() {
 		// The first daemons in the order are the dispatchers of the zone's groups, which
 		// the daemons join by turns.
@@ -57,6 +63,7 @@
 			switch {
 			case place < groups && place != own:
 				group.Others = append(group.Others, n.addressOf(name))
+				elsewhere = append(elsewhere, name)
 			case place >= groups && place%groups == own && name != n.self:
 				group.Members = append(group.Members, name)
 			}
@@ -69,6 +76,11 @@
 	if !group.Dispatching {
 		group.Members, group.Others = nil, nil
 	}
+	// By the name, so that the daemons of a group that lost its dispatcher go to several.
+	if len(elsewhere) > 0 && !group.Dispatching {
+		group.Backup = rendezvous.NewSet(elsewhere).Owner("backup/" + n.self)
+		group.BackupAddress = n.addressOf(group.Backup)
+	}
 	return group
 }
 
@@ -95,13 +107,3 @@
 	}
 	return zones
 }
-
-// tellDispatcher tells the dispatcher of this group the own load as soon as it changes.
-func (n *Node) tellDispatcher(load Load) {
-	group := n.Group()
-	if group.Dispatcher == "" || group.Dispatching {
-		return
-	}
-	load.Models, load.NoModels = nil, true
-	n.do(SendPeer{Address: group.Address, Message: Message{From: n.self, Load: &load}})
-}
--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -32,7 +32,13 @@
 	Choose *ChoiceRequest `msgpack:"h,omitempty"`
 	Chosen *Choice        `msgpack:"k,omitempty"`
 	// Group is the load of a whole group, told by its dispatcher to the others.
-	Group map[string]balance.Load `msgpack:"g,omitempty"`
+	Group *GroupLoad `msgpack:"g,omitempty"`
+}
+
+// GroupLoad is the load of a group by instance, or with Changes what has changed of it.
+type GroupLoad struct {
+	Loads   map[string]balance.Load `msgpack:"r,omitempty"`
+	Changes bool                    `msgpack:"d,omitempty"`
 }
 
 // ChoiceRequest asks for an instance for one request.
@@ -83,8 +89,10 @@
 	StoreAway bool `msgpack:"w,omitempty"`
 	// Lease is the revision of the sender's newest renewal.
 	Lease uint64 `msgpack:"l,omitempty"`
-	// Requests is the load by instance.
+	// Requests is the load by instance, or with Changes what has changed of it, see
+	// balance.Teller.
 	Requests map[string]balance.Load `msgpack:"r,omitempty"`
+	Changes  bool                    `msgpack:"d,omitempty"`
 	// Models tells of the demand. In a large fleet only the holder of the lease is
 	// told; for others it is left out, which NoModels says.
 	Models   []ModelLoad `msgpack:"m,omitempty"`
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -30,6 +30,7 @@
 	// listedAt is when the list last told something new of an instance.
 	listedAt map[string]time.Time
 	demand   demandState
+	sharing  shareState
 	peers    map[string]peerState
 
 	sources   map[Source]*sourceState
@@ -38,23 +39,18 @@
 	membersAt uint64
 	group     *Group
 	groupAt   uint64
-	toldAt    time.Time
 	rank      int
 	rankAt    uint64
-	tellDue   bool
 
-	demandToldAt time.Time
 	// watcherAt is when a daemon that watches the store was last heard of, and
 	// watcherHeardAt when one was heard itself.
 	watcherAt      time.Time
 	watchUntil     time.Time
 	watcherHeardAt time.Time
-	shareDue       bool
 	lastHolder     time.Time
 	holderName     string
 	holderFence    uint64
 	held           bool
-	sharedAt       time.Time
 	plannedAt      time.Time
 	planDue        bool
 	plans          uint64
--- a/coordination/scale_bench_test.go
+++ b/coordination/scale_bench_test.go
@@ -49,12 +49,13 @@
 
 // runLoaded runs a second in which each daemon's load changes ten times.
 func (w *world) runLoaded(servers int) {
-	load := map[string]balance.Load{}
-	for i := range 12 {
-		load[fmt.Sprintf("i-%08x", (i*7)%servers)] = balance.Load{Requests: 1, PromptTokens: 1000}
-	}
 	models := []coordination.ModelLoad{{Service: "llm", Model: "m", Requests: 12}}
-	for range 10 {
+	for round := range 10 {
+		load := map[string]balance.Load{}
+		for i := range 12 {
+			// Two of them change in each round: a request ends, another one begins.
+			load[fmt.Sprintf("i-%08x", (i*7)%servers)] = balance.Load{Requests: 1 + (i+round)%12/11, PromptTokens: 1000}
+		}
 		for _, name := range w.names() {
 			w.timed(name, func() []coordination.Action {
 				return w.nodes[name].ObserveOwn(w.now, load, models, coordination.UrgencyLoad)
--- a/coordination/settings.go
+++ b/coordination/settings.go
@@ -58,9 +58,11 @@
 	// DemandHalfLife is how fast past demand is forgotten.
 	DemandHalfLife time.Duration
 	// MaxPeers bounds the daemons of the own zone, and FarPeers those of others, that
-	// one message about load goes to.
-	MaxPeers int
-	FarPeers int
+	// this one tells about itself at once in a large fleet if it has news. At rest it
+	// tells RestPeers of its zone, and one other.
+	MaxPeers  int
+	FarPeers  int
+	RestPeers int
 }
 
 // DefaultSettings returns settings for a lease term.
@@ -96,5 +98,6 @@
 		DemandHalfLife:  4 * time.Second,
 		MaxPeers:        16,
 		FarPeers:        2,
+		RestPeers:       4,
 	}
 }
--- /dev/null
+++ b/coordination/share.go
@@ -0,0 +1,172 @@
+package coordination
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+)
+
+// shareState is what this daemon has told of itself, and what it still has to tell.
+type shareState struct {
+	// due says that the load has changed since all were told, dispatcherDue since the
+	// dispatcher was.
+	due           bool
+	dispatcherDue bool
+	// wanted says that a request has begun to wait for a model since then.
+	wanted       bool
+	at           time.Time
+	dispatcherAt time.Time
+	modelsAt     time.Time
+	versions     Versions
+	all          balance.Teller
+	dispatcher   balance.Teller
+}
+
+// Urgency says why the own load is told.
+type Urgency uint8
+
+// Urgencies, least first.
+const (
+	// UrgencyNone is a regular telling.
+	UrgencyNone Urgency = iota
+	// UrgencyLoad says that the load has changed.
+	UrgencyLoad
+	// UrgencyWant says that a request has begun to wait for a model or adapter.
+	UrgencyWant
+)
+
+// ObserveOwn takes in what this daemon has in progress, and tells the others. The
+// requests must not be changed afterwards.
+func (n *Node) ObserveOwn(now time.Time, requests map[string]balance.Load, models []ModelLoad, urgency Urgency) []Action {
+	n.demand.own = models
+	load := Load{Requests: requests, Models: models, Versions: n.versions(), StoreAway: n.storeAway(), Watching: n.Watching(now), Watched: n.watched(now)}
+	if n.held {
+		load.Fence, _, _ = n.mayOrder(now)
+		load.Lease = n.lease.Revision()
+	}
+	state := &n.sharing
+	state.due = state.due || urgency != UrgencyNone
+	state.dispatcherDue = state.dispatcherDue || urgency != UrgencyNone
+	state.wanted = state.wanted || urgency == UrgencyWant
+	n.tellDispatcher(now, load)
+	pause := n.settings.ShareEvery
+	if state.due {
+		pause = n.sharePause()
+	}
+	switch {
+	case now.Sub(state.at) >= pause:
+		n.share(now, load)
+		state.at, state.due, state.wanted = now, false, false
+	case urgency == UrgencyWant && !n.held:
+		demand := load
+		demand.Requests, demand.Changes = nil, true
+		n.sendAll([]string{n.holderName}, Message{From: n.self, Load: &demand})
+	}
+	if urgency == UrgencyWant && n.held {
+		n.planSoon(now)
+	}
+	return n.take()
+}
+
+// tellDispatcher tells the dispatcher of this group the own load as soon as it changes.
+func (n *Node) tellDispatcher(now time.Time, load Load) {
+	group, state := n.Group(), &n.sharing
+	if group.Dispatcher == "" || group.Dispatching {
+		return
+	}
+	if !state.dispatcher.Due(now) && (!state.dispatcherDue || now.Sub(state.dispatcherAt) < n.settings.TellPause) {
+		return
+	}
+	state.dispatcherAt, state.dispatcherDue = now, false
+	load.Models, load.NoModels = nil, true
+	load.Requests, load.Changes = state.dispatcher.Next(now, group.Address, load.Requests)
+	if load.Changes && len(load.Requests) == 0 {
+		return
+	}
+	n.do(SendPeer{Address: group.Address, Message: Message{From: n.self, Load: &load}})
+}
+
+// share tells other daemons about this one. In a small fleet all tell all their loads. In
+// a large one the demand for models goes to the holder of the lease only, who is the one
+// that places them, and loads to dispatchers; what the others need to hear is how new each
+// other's knowledge is, and that some daemons watch the store.
+func (n *Node) share(now time.Time, load Load) {
+	others := n.others()
+	if len(others) <= n.settings.SharePeers {
+		n.shareWithAll(now, others, load)
+		return
+	}
+	load.Requests, load.Changes = nil, true
+	if _, known := n.detector.Lookup(n.holderName); known && now.Sub(n.sharing.modelsAt) >= n.demandPause(len(others)) {
+		n.sharing.modelsAt = now
+		demand := load
+		n.sendAll([]string{n.holderName}, Message{From: n.self, Load: &demand})
+	}
+	near, far := n.settings.RestPeers, 1
+	if load.Watching || load.Versions != n.sharing.versions {
+		near, far = n.settings.MaxPeers, n.settings.FarPeers
+	}
+	n.sharing.versions = load.Versions
+	load.Models, load.NoModels = nil, true
+	n.sendAll(n.sharePeers(others, near, far), Message{From: n.self, Load: &load})
+}
+
+// shareWithAll tells all daemons of a small fleet what has changed of the own load. The
+// demand for models changes less, and goes with it from time to time or if a request has
+// begun to wait.
+func (n *Node) shareWithAll(now time.Time, others []string, load Load) {
+	state := &n.sharing
+	receivers := strconv.FormatUint(n.detector.Revision(), 16)
+	load.Requests, load.Changes = state.all.Next(now, receivers, load.Requests)
+	if state.wanted || now.Sub(state.modelsAt) >= n.settings.ShareEvery {
+		state.modelsAt = now
+	} else {
+		load.Models, load.NoModels = nil, true
+	}
+	n.sendAll(others, Message{From: n.self, Load: &load})
+}
+
+// demandPause is the least time between two messages to the holder about the demand,
+// which hears them from all daemons.
+func (n *Node) demandPause(others int) time.Duration {
+	return max(n.settings.ShareEvery, time.Duration(others)*n.settings.DemandCost)
+}
+
+// others are the live daemons but this one.
+func (n *Node) others() []string {
+	return slices.DeleteFunc(slices.Clone(n.detector.Live()), func(name string) bool { return name == n.self })
+}
+
+// sharePeers draws the daemons that one message goes to: up to a number of the own zone,
+// and of others.
+func (n *Node) sharePeers(others []string, near, far int) []string {
+	zone := n.detector.Self().Zone
+	n.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	var drawn []string
+	for _, name := range others {
+		if near == 0 && far == 0 {
+			break
+		}
+		other, _ := n.detector.Lookup(name)
+		left := &far
+		if other.Zone == zone {
+			left = &near
+		}
+		if name != n.holderName && *left > 0 {
+			*left--
+			drawn = append(drawn, name)
+		}
+	}
+	return drawn
+}
+
+// sharePause is the least time between two messages to all, or to those that a message
+// goes to in a large fleet: there the dispatcher is told at once.
+func (n *Node) sharePause() time.Duration {
+	if len(n.detector.Live())-1 <= n.settings.SharePeers {
+		return n.settings.ShareSoon
+	}
+	return n.settings.ShareEvery
+}
--- a/coordination/spread_test.go
+++ b/coordination/spread_test.go
@@ -102,10 +102,11 @@
 	clear(w.heardLoad)
 	clear(w.messages)
 	const changes = 40
-	for range changes {
+	for change := range changes {
 		w.run(50 * time.Millisecond)
 		for _, name := range w.names() {
-			w.perform(name, w.nodes[name].ObserveOwn(w.now, map[string]balance.Load{}, nil, coordination.UrgencyLoad))
+			load := map[string]balance.Load{"i": {Requests: 1 + change}}
+			w.perform(name, w.nodes[name].ObserveOwn(w.now, load, nil, coordination.UrgencyLoad))
 		}
 	}
 	dispatchers := 0
@@ -122,6 +123,9 @@
 		if leader == nil || !leader.Group().Dispatching || !leader.Group().Leads(name) {
 			t.Fatalf("%s follows %q, which does not lead it", name, group.Dispatcher)
 		}
+		if backup := w.nodes[group.Backup]; backup == nil || !backup.Group().Dispatching || group.Backup == group.Dispatcher {
+			t.Errorf("%s asks %q while %s does not answer", name, group.Backup, group.Dispatcher)
+		}
 		var place int
 		if _, err := fmt.Sscanf(group.Dispatcher, "n%d", &place); err != nil || place%4 != i%4 {
 			t.Errorf("%s follows %s of another zone", name, group.Dispatcher)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,76 +17,105 @@
 	// choiceTimeout is how long the dispatcher may take. It answers within a
 	// millisecond or two unless it is overloaded or gone.
 	choiceTimeout = 40 * time.Millisecond
-	// choiceRest is how long this daemon chooses by itself after that.
+	// choiceRest is how long a dispatcher that did not answer is not asked again.
 	choiceRest = 250 * time.Millisecond
-	// groupEvery is the time between two messages of a dispatcher to the others.
-	groupEvery = 20 * time.Millisecond
+	// groupEvery is the least time between two messages of a dispatcher to the others,
+	// usualGroups how many others it tells so often.
+	groupEvery  = 20 * time.Millisecond
+	usualGroups = 4
 	// groupPrefix marks the load of a whole group in the tracker.
 	groupPrefix = "group/"
 )
 
 // dispatch chooses instances in a large fleet: it asks the dispatcher of this daemon's
-// group, or answers the others if it is the dispatcher. Without an answer in time it
-// chooses by what this daemon knows. It implements gateway.Chooser.
+// group, or answers the others if it is the dispatcher. Without an answer in time it asks
+// the dispatcher of another group, and then chooses by what this daemon knows. It
+// implements gateway.Chooser.
 type dispatch struct {
 	daemon *Daemon
 	picker *balance.Picker
 	group  atomic.Pointer[coordination.Group]
-	// restUntil is until when the dispatcher is not asked (Unix nanoseconds).
-	restUntil atomic.Int64
 
 	mutex   sync.Mutex
 	last    uint64
 	waiting map[uint64]chan *coordination.Choice
+	// restUntil is until when a dispatcher that did not answer is not asked.
+	restUntil map[string]time.Time
 }
 
 func newDispatch(daemon *Daemon) *dispatch {
-	d := &dispatch{daemon: daemon, picker: balance.NewPicker(daemon.tracker), waiting: map[uint64]chan *coordination.Choice{}}
+	d := &dispatch{daemon: daemon, picker: balance.NewPicker(daemon.tracker), waiting: map[uint64]chan *coordination.Choice{}, restUntil: map[string]time.Time{}}
 	d.group.Store(&coordination.Group{})
 	return d
 }
 
 // Choose implements gateway.Chooser.
 func (d *dispatch) Choose(ctx context.Context, view *fleet.View, service string, request *balance.Request) *balance.Candidate {
-	group := d.group.Load()
-	asks := request.Model != "" && group.Dispatcher != "" && !group.Dispatching && time.Now().UnixNano() >= d.restUntil.Load()
-	if asks {
-		if candidate := d.ask(ctx, group, view, service, request); candidate != nil {
-			return candidate
+	if group := d.group.Load(); request.Model != "" && !group.Dispatching {
+		for _, asked := range []dispatcher{{group.Dispatcher, group.Address}, {group.Backup, group.BackupAddress}} {
+			if asked.name == "" || d.rests(asked.name) {
+				continue
+			}
+			choice := d.ask(ctx, asked, service, request)
+			if choice == nil {
+				continue
+			}
+			if candidate := d.candidate(asked.name, view, request, choice); candidate != nil {
+				return candidate
+			}
+			break
 		}
 	}
 	return d.picker.Pick(time.Now(), view.Instances(service), request)
 }
 
-// ask returns the dispatcher's choice, or nil if there is none that this daemon may use.
-func (d *dispatch) ask(ctx context.Context, group *coordination.Group, view *fleet.View, service string, request *balance.Request) *balance.Candidate {
+// dispatcher is a daemon that chooses for others, and where it hears them.
+type dispatcher struct{ name, address string }
+
+// ask returns a dispatcher's choice, or nil if there was no answer in time.
+func (d *dispatch) ask(ctx context.Context, asked dispatcher, service string, request *balance.Request) *coordination.Choice {
 	id, answers := d.expect()
 	defer d.forget(id)
 	question := &coordination.ChoiceRequest{ID: id, Service: service, Request: *request}
-	d.daemon.peers.Send(group.Address, coordination.Message{From: d.daemon.current().Name, Choose: question})
+	d.daemon.peers.Send(asked.address, coordination.Message{From: d.daemon.current().Name, Choose: question})
 	timer := time.NewTimer(choiceTimeout)
 	defer timer.Stop()
 	select {
 	case choice := <-answers:
-		return d.candidate(group, view, request, choice)
+		return choice
 	case <-timer.C:
-		d.restUntil.Store(time.Now().Add(choiceRest).UnixNano())
-		d.daemon.log.add("dispatch", "No answer in time.", "daemon", group.Dispatcher, "rest_ms", choiceRest.Milliseconds())
+		d.rest(asked.name)
+		d.daemon.log.add("dispatch", "No answer in time.", "daemon", asked.name, "rest_ms", choiceRest.Milliseconds())
 		return nil
 	case <-ctx.Done():
 		return nil
 	}
 }
 
+// rest keeps questions from a dispatcher for a while.
+func (d *dispatch) rest(name string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(d.restUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	d.restUntil[name] = now.Add(choiceRest)
+}
+
+func (d *dispatch) rests(name string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return time.Now().Before(d.restUntil[name])
+}
+
 // candidate checks a choice against what this daemon knows: the dispatcher may not have
 // heard yet that the instance is leaving.
-func (d *dispatch) candidate(group *coordination.Group, view *fleet.View, request *balance.Request, choice *coordination.Choice) *balance.Candidate {
+func (d *dispatch) candidate(by string, view *fleet.View, request *balance.Request, choice *coordination.Choice) *balance.Candidate {
 	instance := view.Instance(choice.Instance)
 	if instance == nil || !d.picker.Allows(request, instance) {
 		return nil
 	}
 	return &balance.Candidate{
-		Instance: instance, Load: choice.Load, Available: true, Of: choice.Of, Crowded: choice.Crowded, By: group.Dispatcher,
+		Instance: instance, Load: choice.Load, Available: true, Of: choice.Of, Crowded: choice.Crowded, By: by,
 	}
 }
 
@@ -138,18 +168,19 @@
 
 // takeLoad takes in the load of another daemon. A dispatcher counts the daemons of its
 // group by themselves and all others by the loads of their groups.
-func (d *dispatch) takeLoad(from string, loads map[string]balance.Load) {
+func (d *dispatch) takeLoad(from string, load *coordination.Load) {
 	group := d.group.Load()
-	if group.Dispatching && !group.Leads(from) {
+	tellsNothing := load.Changes && len(load.Requests) == 0
+	if tellsNothing || group.Dispatching && !group.Leads(from) {
 		return
 	}
-	d.daemon.tracker.SetPeer(time.Now(), from, loads)
+	d.daemon.tracker.TakePeer(time.Now(), from, load.Requests, load.Changes)
 }
 
 // takeGroup takes in the load of another group.
-func (d *dispatch) takeGroup(from string, loads map[string]balance.Load) {
+func (d *dispatch) takeGroup(from string, told *coordination.GroupLoad) {
 	if d.group.Load().Dispatching {
-		d.daemon.tracker.SetPeer(time.Now(), groupPrefix+from, loads)
+		d.daemon.tracker.TakePeer(time.Now(), groupPrefix+from, told.Loads, told.Changes)
 	}
 }
 
@@ -164,11 +195,17 @@
 	d.daemon.tracker.DropPeers()
 }
 
+// groupPause is the time between two messages of a dispatcher to the others: the more of
+// them there are, the longer, so that a dispatcher's messages don't grow as the fleet does.
+func groupPause(others int) time.Duration {
+	return groupEvery * time.Duration(max(1, others/usualGroups))
+}
+
 // run tells the other dispatchers the load of this daemon's group, when it has changed.
 func (d *dispatch) run() {
 	ticker := time.NewTicker(groupEvery)
 	defer ticker.Stop()
-	var told map[string]balance.Load
+	var teller balance.Teller
 	var toldAt time.Time
 	for {
 		select {
@@ -176,15 +213,16 @@
 			return
 		case now := <-ticker.C:
 			group := d.group.Load()
-			if !group.Dispatching || len(group.Others) == 0 {
+			if !group.Dispatching || len(group.Others) == 0 || now.Sub(toldAt) < groupPause(len(group.Others)) {
 				continue
 			}
-			loads := d.daemon.tracker.Group(now, group.Members)
-			if maps.Equal(loads, told) && now.Sub(toldAt) < time.Second {
+			toldAt = now
+			loads, changes := teller.Next(now, strings.Join(group.Others, " "), d.daemon.tracker.Group(now, group.Members))
+			if changes && len(loads) == 0 {
 				continue
 			}
-			told, toldAt = loads, now
-			d.daemon.peers.SendAll(group.Others, coordination.Message{From: d.daemon.current().Name, Group: loads})
+			told := &coordination.GroupLoad{Loads: loads, Changes: changes}
+			d.daemon.peers.SendAll(group.Others, coordination.Message{From: d.daemon.current().Name, Group: told})
 		}
 	}
 }
--- a/entry/dispatch_test.go
+++ b/entry/dispatch_test.go
@@ -32,10 +32,7 @@
 // commonDispatcher is the dispatcher that the newest lines of all daemons name, but for
 // the one that is off, or empty if they don't agree.
 func commonDispatcher(logs string, daemons []entry.Settings, off string) string {
-	newest := map[string]string{}
-	for _, found := range followed.FindAllStringSubmatch(logs, -1) {
-		newest[found[1]] = found[2]
-	}
+	newest := dispatchers(logs)
 	common := ""
 	for i := range daemons {
 		name := daemons[i].Name
@@ -50,6 +47,50 @@
 	return common
 }
 
+// dispatchers returns the dispatcher that each daemon's newest line names.
+func dispatchers(logs string) map[string]string {
+	newest := map[string]string{}
+	for _, found := range followed.FindAllStringSubmatch(logs, -1) {
+		newest[found[1]] = found[2]
+	}
+	return newest
+}
+
+// TestAnotherDispatcherChoosesMeanwhile covers a dispatcher that is gone and not yet
+// missed: the daemons of its group ask that of another zone.
+func TestAnotherDispatcherChoosesMeanwhile(t *testing.T) {
+	logs := &lockedBuffer{}
+	f := startInZones(t, 14, 2, logs)
+	f.waitReady(t)
+	eventually(t, "each zone follows one dispatcher", func() bool {
+		followed := dispatchers(logs.String())
+		for i := range f.all {
+			if name := followed[f.all[i].Name]; name == "" || name != followed[f.all[i%2].Name] {
+				return false
+			}
+		}
+		return followed["d0"] != followed["d1"]
+	})
+	lost, backup := dispatchers(logs.String())["d0"], dispatchers(logs.String())["d1"]
+	for i := range f.all {
+		if f.all[i].Name == lost {
+			f.daemons[i].Kill()
+			f.daemons[i] = nil
+		}
+	}
+	eventually(t, "the other dispatcher chose", func() bool {
+		for i := 0; i < len(f.all); i += 2 {
+			if f.daemons[i] == nil {
+				continue
+			}
+			if id, status, _, err := post(f.all[i].FrontAddress, "/stream/x", "m"); err != nil || status != 200 {
+				t.Errorf("request %s at %s: status %d, %v", id, f.all[i].Name, status, err)
+			}
+		}
+		return regexp.MustCompile(`node=d\d*[02468] .*chosen_by=` + backup + ` `).MatchString(logs.String())
+	})
+}
+
 // TestDispatcherChoosesForItsGroup runs a fleet that is large enough for groups: the
 // daemons ask their dispatcher, which chooses for all, and serve on by themselves, without
 // a failed request, when it is killed.
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -142,7 +142,7 @@
 		d.dispatch.takeGroup(message.From, message.Group)
 		return
 	case message.Load != nil:
-		d.dispatch.takeLoad(message.From, message.Load.Requests)
+		d.dispatch.takeLoad(message.From, message.Load)
 	}
 	d.events.Offer(func(node *coordination.Node, now time.Time) []coordination.Action {
 		return node.Receive(now, message)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -70,6 +70,13 @@
 func start(t *testing.T, count int) *deployment { return startWithLogs(t, count, io.Discard) }
 
 func startWithLogs(t *testing.T, count int, output io.Writer) *deployment {
+	t.Helper()
+	return startInZones(t, count, 1, output)
+}
+
+// startInZones starts daemons that take turns in the zones z, z1, z2 and so on; the
+// servers are in z.
+func startInZones(t *testing.T, count, zones int, output io.Writer) *deployment {
 	t.Helper()
 	store, err := standin.NewStore()
 	if err != nil {
@@ -86,6 +93,9 @@
 	for i := range count {
 		settings := entry.DefaultSettings()
 		settings.Name, settings.Zone, settings.DeploymentKey = fmt.Sprint("d", i), "z", "a key for these tests"
+		if zone := i % zones; zone > 0 {
+			settings.Zone = fmt.Sprint("z", zone)
+		}
 		settings.FrontAddress, settings.ReadyAddress, settings.DirectoryAddress = freeAddress(t), freeAddress(t), freeAddress(t)
 		settings.PeerAddress = freeAddress(t)
 		if i == 0 {
