Watch the store only once the others are known; later watchers gather changes for longer

Each of 71 daemons took itself for one of the five that watch until it had heard of the others, and listed again when it began to watch later.

Ruled out: lists that other daemons cause (1 in 20 of the calls), the lease (136 calls).

--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -154,10 +154,14 @@
 )
 
 // Watching reports whether this daemon should watch the store: it is one of the
-// first, or none that does was heard of lately.
+// first, or none that does was heard of lately. One that has just started hears of the
+// others first: it has listed, and may watch from there a moment later.
 func (n *Node) Watching(now time.Time) bool {
+	if now.Sub(n.started) < n.settings.WatchAfter {
+		return false
+	}
 	rank := n.Rank()
-	if !n.Known() || rank < n.settings.Watchers {
+	if rank < n.settings.Watchers {
 		return true
 	}
 	if now.Sub(n.watcherAt) > n.settings.WatcherSilence+time.Duration(rank)*substituteRankPause {
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -77,7 +77,7 @@
 		book:      residency.NewBook(settings.Residency),
 		instances: feed.NewMirror[*fleet.Instance](),
 		facts:     newFactBook(), changed: map[string]bool{}, reports: map[string]*reportState{}, listedAt: map[string]time.Time{}, peers: map[string]peerState{},
-		demand: newDemandState(), lastHolder: now,
+		demand: newDemandState(), lastHolder: now, watcherAt: now.Add(settings.WatchAfter),
 		view:      fleet.NewView(nil, nil),
 		spreading: newSpreadState(random.Uint64()),
 		members:   map[string]memberBelief{}, seen: map[string]bool{},
--- a/coordination/node_test.go
+++ b/coordination/node_test.go
@@ -369,6 +369,27 @@
 	}
 }
 
+// TestNoNodeWatchesBeforeItKnowsTheOthers covers the start of many daemons at the same
+// moment: each takes itself for the first one until it has heard of the others.
+func TestNoNodeWatchesBeforeItKnowsTheOthers(t *testing.T) {
+	w := newWorld(12)
+	w.learn()
+	most := 0
+	for range 40 {
+		w.run(50 * time.Millisecond)
+		most = max(most, w.watching())
+	}
+	if limit := coordination.DefaultSettings(term).Watchers; most > limit || w.watching() != limit {
+		t.Errorf("up to %d nodes watched, %d do after two seconds; %d should", most, w.watching(), limit)
+	}
+	alone := newWorld(1)
+	alone.learn()
+	alone.run(2 * time.Second)
+	if alone.watching() != 1 {
+		t.Error("a node without others does not watch")
+	}
+}
+
 // TestReportBeatsAnOldList covers what a server holds: its report is believed, and
 // all nodes hear of it.
 func TestReportBeatsAnOldList(t *testing.T) {
--- a/coordination/settings.go
+++ b/coordination/settings.go
@@ -40,6 +40,8 @@
 	// RefreshAfter is how long this daemon may know less than another one before
 	// it lists again.
 	RefreshAfter time.Duration
+	// WatchAfter is how long after its start a daemon does not watch the store.
+	WatchAfter time.Duration
 	// Watchers is how many daemons watch the store; the others hear of changes by
 	// them. WatcherSilence is how long none of them may be heard before another
 	// daemon watches too.
@@ -88,6 +90,7 @@
 		FactsPatience:   500 * time.Millisecond,
 		FactsPause:      2 * time.Second,
 		RefreshAfter:    150 * time.Millisecond,
+		WatchAfter:      700 * time.Millisecond,
 		Watchers:        5,
 		WatcherSilence:  700 * time.Millisecond,
 		AskPause:        100 * time.Millisecond,
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -28,8 +28,12 @@
 
 // gatherInstances is that pause for the list of instances: servers change it one by
 // one, and each call is priced. It is far below the time in which a server that
-// leaves has to be known.
-const gatherInstances = 350 * time.Millisecond
+// leaves has to be known. Twice as long for the daemons that watch in case that the
+// first ones, firstWatchers in number, are cut off or frozen.
+const (
+	gatherInstances = 350 * time.Millisecond
+	firstWatchers   = 2
+)
 
 // taker hands a batch to the node.
 type taker[T any] func(*coordination.Node, time.Time, feed.Batch[T]) []coordination.Action
@@ -78,29 +82,42 @@
 		return take(node, now, batch)
 	})
 	if len(batch.Items) > 0 {
-		sleep(f.daemon.ctx, f.gather)
+		sleep(f.daemon.ctx, gatherPause(f.gather, int(f.daemon.rank.Load())))
 	}
 	return true
 }
 
+// gatherPause is the pause after changes at a daemon of a rank.
+func gatherPause(gather time.Duration, rank int) time.Duration {
+	if rank >= firstWatchers {
+		return 2 * gather
+	}
+	return gather
+}
+
 // restPoll is the pause between two looks at whether this daemon should watch.
 const restPoll = 50 * time.Millisecond
 
+// shortRest is how long a rest may be for the store to have the history since: the
+// changes meanwhile are then watched for, else everything is listed.
+const shortRest = 5 * time.Second
+
 // rest waits while others watch the store, until this daemon should watch or list.
-// What was missed meanwhile is listed.
 func (f *follower[T]) rest() {
 	ticker := time.NewTicker(restPoll)
 	defer ticker.Stop()
-	f.known = false
+	began := time.Now()
 	for !f.daemon.watching.Load() {
 		select {
 		case <-f.daemon.ctx.Done():
 			return
 		case <-f.daemon.refresh[f.name]:
+			f.known = false
 			return
 		case <-ticker.C:
 		}
 	}
+	f.known = time.Since(began) < shortRest
 }
 
 func (f *follower[T]) watch(ctx context.Context) (feed.Batch[T], error) {
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -5,6 +5,16 @@
 	"time"
 )
 
+// TestFirstWatchersHearOfChangesSooner covers what a change costs: each daemon that
+// watches makes a call for the next ones, and only the first have to be quick.
+func TestFirstWatchersHearOfChangesSooner(t *testing.T) {
+	for rank, want := range []time.Duration{time.Second, time.Second, 2 * time.Second, 2 * time.Second} {
+		if got := gatherPause(time.Second, rank); got != want {
+			t.Errorf("rank %d gathers for %v, want %v", rank, got, want)
+		}
+	}
+}
+
 // TestWatchesEndInTime covers watches that all go deaf at once: some daemons end
 // theirs within the limit, and not all at the same moment.
 func TestWatchesEndInTime(t *testing.T) {
