A new holder of the lease waits for the demand, and goes on with the loads that are left

Change: the holder tells with each message which loads it has ordered lately, before these orders go out; its successor counts them, and for the time in which it did not hear the holder the full rate. One that knows nothing, because it has restarted, is told by others. In a large fleet a new holder hears all daemons twice before it plans.

--- a/coordination/demand.go
+++ b/coordination/demand.go
@@ -18,6 +18,8 @@
 	smoothed map[modelKey]float64
 	current  map[string]map[string]residency.Demand
 	at       time.Time
+	// adopting says that the next average is what is heard then.
+	adopting bool
 }
 
 func newDemandState() demandState {
@@ -56,6 +58,9 @@
 	for key, value := range d.smoothed {
 		target := float64(sums[key].Requests)
 		steps := elapsed
+		if d.adopting {
+			steps = math.Inf(1)
+		}
 		if target > value {
 			steps *= riseFactor
 		}
@@ -66,9 +71,13 @@
 		}
 		d.smoothed[key] = value
 	}
+	d.adopting = false
 	d.publish(sums)
 }
 
+// adopt makes the next average what is heard then, instead of a step towards it.
+func (d *demandState) adopt() { d.adopting = true }
+
 func addLoad(sums map[modelKey]ModelLoad, load ModelLoad) {
 	key := modelKey{load.Service, load.Model}
 	sum := sums[key]
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -54,11 +54,15 @@
 	// heard at releasedAt.
 	releasedFence uint64
 	releasedAt    time.Time
-	held          bool
-	plannedAt     time.Time
-	planDue       bool
-	plans         uint64
-	spreading     spreadState
+	// demandDueAt is until when a new holder waits for the demand for models; zero if it
+	// does not wait.
+	demandDueAt time.Time
+	held        bool
+	plannedAt   time.Time
+	planDue     bool
+	plans       uint64
+	spreading   spreadState
+	inheriting  inheritState
 	// changed holds the instances that the view does not show as they are.
 	changed map[string]bool
 	view    *fleet.View
@@ -169,6 +173,9 @@
 	if message.AskFacts {
 		n.answerFacts(now, message.From)
 	}
+	if message.Predecessor != nil {
+		n.takePredecessor(now, message.Predecessor)
+	}
 	if message.Spread != nil {
 		n.takeSpread(now, message)
 	}
--- a/coordination/node_test.go
+++ b/coordination/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -495,6 +496,21 @@
 // TestHolderGoesOnWhileTheStoreIsAwayForAll covers an outage that is longer than the
 // term: the holder goes on as long as no live daemon reaches the store, and stops if
 // one does, since that one may take the lease over.
+// TestLoadsGoOnAfterAPlannedStop covers a new holder whose predecessor told that it has
+// ordered few loads: it need not wait until these are out of the window.
+func TestLoadsGoOnAfterAPlannedStop(t *testing.T) {
+	w := newWorld(3)
+	w.learn()
+	w.run(8 * time.Second)
+	first := w.holders()[0]
+	w.perform(first, w.nodes[first].Leave())
+	w.run(time.Second)
+	loaded := slices.ContainsFunc(w.orders, func(sent sentOrder) bool { return sent.order.FromStore && sent.node != first })
+	if !loaded {
+		t.Errorf("a second after %s left, its successor has ordered no load: %v", first, w.orders)
+	}
+}
+
 func TestHolderGoesOnWhileTheStoreIsAwayForAll(t *testing.T) {
 	for _, reaches := range []bool{false, true} {
 		w := newWorld(3)
--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -84,12 +84,49 @@
 	}
 	// A predecessor may have used up the weight store's rate a moment ago.
 	if n.lease.Succeeded() {
-		for _, service := range n.services() {
-			if service.Engine != nil {
-				n.book.Inherit(now, service.Engine.LoadsPerSecond)
-			}
+		n.demandDueAt = now.Add(n.demandWait())
+		n.inherit(now)
+	}
+}
+
+// demandWait is how long a new holder waits for the demand for models. In a small fleet
+// it has heard all along; in a large one daemons tell it the holder only, and a plan without
+// demand would take away the replicas that are needed most.
+func (n *Node) demandWait() time.Duration {
+	others := len(n.others())
+	if others <= n.settings.SharePeers {
+		return 0
+	}
+	return demandRounds * n.demandPause(others)
+}
+
+// demandRounds is how many times each daemon tells of its demand in that time: one message
+// may be lost, or have gone to the holder before.
+const demandRounds = 2
+
+// hearsDemand reports whether a new holder has heard the demand. It then counts in full:
+// what was seen so far is not a trend.
+func (n *Node) hearsDemand(now time.Time) bool {
+	if n.demandDueAt.IsZero() {
+		return true
+	}
+	if now.Before(n.demandDueAt) {
+		return false
+	}
+	n.demandDueAt = time.Time{}
+	n.demand.adopt()
+	return true
+}
+
+// loadsPerSecond is the rate of the weight store.
+func (n *Node) loadsPerSecond() float64 {
+	rate := 0.0
+	for _, service := range n.services() {
+		if service.Engine != nil {
+			rate = max(rate, service.Engine.LoadsPerSecond)
 		}
 	}
+	return rate
 }
 
 func (n *Node) services() []fleet.Service {
@@ -131,7 +168,7 @@
 	n.plannedAt, n.planDue = now, false
 	n.plans++
 	fence, until, may := n.mayOrder(now)
-	if !may {
+	if !may || !n.hearsDemand(now) {
 		return
 	}
 	n.demand.tick(now, n.settings.DemandHalfLife, n.peers)
@@ -144,6 +181,12 @@
 	}
 	for _, order := range orders {
 		n.book.Sending(now, order)
+	}
+	if slices.ContainsFunc(orders, func(order residency.Order) bool { return order.FromStore }) {
+		// All hear of these loads before they begin, see hearLoads.
+		n.spread(now)
+	}
+	for _, order := range orders {
 		if !order.Load {
 			// Nobody sends requests any more for what is about to go.
 			n.tellFact(now, now, order.Instance, order.Expected)
--- a/coordination/spread_test.go
+++ b/coordination/spread_test.go
@@ -335,6 +335,32 @@
 	}
 }
 
+// TestNewHolderPlansOnceItHearsTheDemand covers a large fleet, where daemons tell the
+// demand for models to the holder only: one that takes over has not heard of it yet.
+func TestNewHolderPlansOnceItHearsTheDemand(t *testing.T) {
+	w := newWorld(manyNodes)
+	w.learn()
+	w.run(8 * time.Second)
+	tell := func() {
+		for _, name := range w.names() {
+			models := []coordination.ModelLoad{{Service: "llm", Model: "m", Requests: 2}}
+			w.perform(name, w.nodes[name].ObserveOwn(w.now, nil, models, coordination.UrgencyLoad))
+		}
+	}
+	first := w.holders()[0]
+	w.perform(first, w.nodes[first].Leave())
+	for before := len(w.orders); len(w.orders) == before; tell() {
+		w.run(50 * time.Millisecond)
+		if w.now.Sub(time.Unix(1000, 0)) > time.Minute {
+			t.Fatal("the new holder sends no orders")
+		}
+	}
+	holder := w.orders[len(w.orders)-1].node
+	if demand := w.nodes[holder].Demand("llm", "m"); holder == first || demand < 2*(manyNodes-2) {
+		t.Errorf("%s sends its first order at a demand of %.1f, all have %d", holder, demand, 2*manyNodes)
+	}
+}
+
 // TestLargeConfigurationIsReadFromTheStore covers a configuration with many routes that
 // another daemon knows: one that only listens to others reads a large one from the
 // store, once, and asks the other daemon for a small one.
--- a/residency/book.go
+++ b/residency/book.go
@@ -16,8 +16,7 @@
 type Book struct {
 	settings Settings
 	servers  map[string]*server
-	// storeLoads are the times of loads that count against the weight store.
-	storeLoads []time.Time
+	loads    storeLoads
 	// expectations are kept by service.
 	expectations map[string]*expectations
 }
@@ -27,16 +26,6 @@
 	return &Book{settings: settings, servers: map[string]*server{}, expectations: map[string]*expectations{}}
 }
 
-// Inherit makes the book assume that the weight store's rate was used up until
-// now by another sender of orders.
-func (b *Book) Inherit(now time.Time, loadsPerSecond float64) {
-	count := int(loadsPerSecond * b.settings.Window.Seconds())
-	b.storeLoads = b.storeLoads[:0]
-	for range count {
-		b.storeLoads = append(b.storeLoads, now)
-	}
-}
-
 // Put takes in an instance that is new or has changed.
 func (b *Book) Put(instance *fleet.Instance) {
 	known := b.servers[instance.ID]
@@ -125,7 +114,7 @@
 		known.reservedFor = ""
 	}
 	if order.FromStore {
-		b.storeLoads = append(b.storeLoads, now)
+		b.loads.add(now)
 	}
 }
 
@@ -192,14 +181,6 @@
 	return orders
 }
 
-// storeLoadsLeft returns how many loads from the weight store may begin now.
-func (b *Book) storeLoadsLeft(now time.Time, loadsPerSecond float64) int {
-	b.storeLoads = slices.DeleteFunc(b.storeLoads, func(at time.Time) bool {
-		return now.Sub(at) > b.settings.Window
-	})
-	return int(loadsPerSecond*b.settings.Window.Seconds()) - len(b.storeLoads)
-}
-
 // Residents returns what a server serves, as far as its last report tells,
 // without what it was ordered to unload.
 func (b *Book) Residents(id string) []fleet.Resident {
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -31,7 +31,7 @@
 	p := &plan{
 		now: now, settings: b.settings, engine: engine, models: modelsByName(engine), demand: demand,
 		replicas: map[string]int{}, reachable: map[string]int{}, ready: map[string]int{},
-		loadsLeft: b.storeLoadsLeft(now, engine.LoadsPerSecond),
+		loadsLeft: b.loads.left(now, engine.LoadsPerSecond, b.settings.Window),
 	}
 	for _, known := range b.servers {
 		if known.instance.Service == service && !known.instance.Leaving {
