--- a/coordination/facts.go
+++ b/coordination/facts.go
@@ -1,7 +1,9 @@
 package coordination
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -138,3 +140,36 @@
 	copied.Residents = known.Residents
 	return &copied
 }
+
+// tellFact tells the other daemons what a server serves, if that is news.
+func (n *Node) tellFact(now, at time.Time, instance string, sequence uint64) {
+	state := n.reports[instance]
+	told := Fact{Instance: instance, Sequence: sequence, Residents: n.book.Residents(instance)}
+	n.learn(told, at)
+	if state == nil || told.Sequence == state.sent.Sequence && sameResidents(told.Residents, state.sent.Residents) {
+		return
+	}
+	state.sent = told
+	n.spreading.due[instance] = true
+	if now.Sub(n.spreading.sentAt) >= n.settings.SpreadSoon {
+		n.spread(now)
+	}
+}
+
+// allFacts lists what is known of all model servers.
+func (n *Node) allFacts(now time.Time) []Fact {
+	facts := make([]Fact, 0, len(n.facts.byInstance))
+	for instance := range n.facts.byInstance {
+		facts = append(facts, n.agedFact(now, instance))
+	}
+	slices.SortFunc(facts, func(a, b Fact) int { return cmp.Compare(a.Instance, b.Instance) })
+	return facts
+}
+
+// agedFact is a fact with its present age.
+func (n *Node) agedFact(now time.Time, instance string) Fact {
+	known := n.facts.byInstance[instance]
+	told := known.Fact
+	told.Age = now.Sub(known.at)
+	return told
+}
--- /dev/null
+++ b/coordination/holder.go
@@ -0,0 +1,126 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/wheatweir/wheatweir/lease"
+)
+
+// rankPause is how much later each further candidate tries to take the lease.
+const rankPause = 300 * time.Millisecond
+
+// releasedRankPause is the same for a lease that was handed back: nobody has to be waited
+// for, and two that try at once do no harm.
+const releasedRankPause = 60 * time.Millisecond
+
+func (n *Node) tickLease(now time.Time) {
+	if !n.Known() {
+		return
+	}
+	_, _, ordering := n.mayOrder(now)
+	held := n.lease.Held(now) || ordering
+	if held != n.held {
+		n.held = held
+		n.leaseChanged(now)
+	}
+	if held {
+		n.lastHolder = now
+	}
+	if call := n.lease.Step(now, n.eager(now)); call != nil {
+		n.do(CallLease{Call: *call})
+	}
+}
+
+// eager reports whether this daemon should try to take the lease: nobody was
+// heard to hold it for a while. The candidates try one after the other, in an
+// order that all compute alike.
+func (n *Node) eager(now time.Time) bool {
+	if n.releasedFence > 0 && n.releasedFence >= n.holderFence {
+		return now.Sub(n.releasedAt) >= time.Duration(n.Rank())*releasedRankPause
+	}
+	silence := now.Sub(n.lastHolder)
+	quiet := n.settings.Lease.Term / 2
+	if n.holderName == "" {
+		// At the first start there is nobody to wait for.
+		quiet = rankPause
+	}
+	return silence >= quiet+time.Duration(n.Rank())*rankPause
+}
+
+// Rank is this daemon's place among the live ones, in an order that all compute
+// alike.
+func (n *Node) Rank() int {
+	if revision := n.detector.Revision(); revision != n.rankAt {
+		n.rank, n.rankAt = n.newRank(), revision
+	}
+	return n.rank
+}
+
+func (n *Node) newRank() int {
+	self := n.detector.Self()
+	rank := 0
+	for _, name := range n.detector.Live() {
+		if other, _ := n.detector.Lookup(name); name != n.self && other.Before(&self, "lease/") {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (n *Node) leaseChanged(now time.Time) {
+	fence, _, may := n.mayOrder(now)
+	n.decide("lease", "Changed.", "held", n.held, "fence", fence, "may_order", may, "store_away", n.storeAway())
+	if !n.held {
+		return
+	}
+	n.holderName = n.self
+	n.book.Resume()
+	for id := range n.reports {
+		delete(n.reports, id)
+	}
+	// A predecessor may have used up the weight store's rate a moment ago.
+	if n.lease.Succeeded() {
+		n.demandDueAt = now.Add(n.demandWait())
+		n.inherit(now)
+	}
+}
+
+// LeaseAnswered takes in the end of a call for the lease.
+func (n *Node) LeaseAnswered(now time.Time, outcome lease.Outcome, stored lease.Stored) []Action {
+	left := n.lease.Left()
+	n.lease.Answered(now, outcome, stored)
+	if !left && n.lease.Left() && n.lease.Released() {
+		n.spreadReleased(now)
+	}
+	n.tickLease(now)
+	return n.take()
+}
+
+// demandWait is how long a new holder waits for the demand for models. In a small fleet
+// it has heard all along; in a large one daemons tell it the holder only, and a plan without
+// demand would take away the replicas that are needed most.
+func (n *Node) demandWait() time.Duration {
+	others := len(n.others())
+	if others <= n.settings.SharePeers {
+		return 0
+	}
+	return demandRounds * n.demandPause(others)
+}
+
+// demandRounds is how many times each daemon tells of its demand in that time: one message
+// may be lost, or have gone to the holder before.
+const demandRounds = 2
+
+// hearsDemand reports whether a new holder has heard the demand. It then counts in full:
+// what was seen so far is not a trend.
+func (n *Node) hearsDemand(now time.Time) bool {
+	if n.demandDueAt.IsZero() {
+		return true
+	}
+	if now.Before(n.demandDueAt) {
+		return false
+	}
+	n.demandDueAt = time.Time{}
+	n.demand.adopt()
+	return true
+}
--- /dev/null
+++ b/coordination/holder_test.go
@@ -0,0 +1,184 @@
+package coordination_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/coordination"
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+func TestOneNodeSendsTheOrders(t *testing.T) {
+	w := newWorld(4)
+	w.learn()
+	w.run(3 * time.Second)
+	if len(w.holders()) != 1 || len(w.orders) == 0 {
+		t.Fatalf("holders %v, %d orders", w.holders(), len(w.orders))
+	}
+	for _, sent := range w.orders {
+		if sent.node != w.holders()[0] || sent.fence == 0 || sent.order.Expected < 4 {
+			t.Errorf("order %+v", sent)
+		}
+	}
+}
+
+// TestTakeover covers a holder that dies and one that is cut off from the store:
+// another node holds the lease a term after the last renewal, and never before.
+func TestTakeover(t *testing.T) {
+	for name, strike := range map[string]func(*world, string){
+		"dies":                 func(w *world, holder string) { w.dead[holder] = true },
+		"is cut off the store": func(w *world, holder string) { w.storeCut[holder] = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(4)
+			w.learn()
+			w.run(5 * time.Second)
+			first := w.holders()[0]
+			strike(w, first)
+			struck := w.now
+			for w.now.Sub(struck) < 4*term {
+				w.run(50 * time.Millisecond)
+				if holders := w.holders(); len(holders) > 1 {
+					t.Fatalf("holders %v", holders)
+				} else if len(holders) == 1 && holders[0] != first {
+					if took := w.now.Sub(struck); took > term+time.Second {
+						t.Fatalf("taken over after %v", took)
+					}
+					return
+				}
+			}
+			t.Fatal("nobody took over")
+		})
+	}
+}
+
+func TestStopHandsTheLeaseOver(t *testing.T) {
+	w := newWorld(3)
+	w.learn()
+	w.run(5 * time.Second)
+	first := w.holders()[0]
+	w.perform(first, w.nodes[first].Leave())
+	w.run(3 * time.Second)
+	if holders := w.holders(); len(holders) != 1 || holders[0] == first || !w.nodes[first].Left() {
+		t.Fatalf("holders %v", holders)
+	}
+}
+
+// TestLeaseThatWasHandedBackIsTakenAtOnce covers planned stops, in small and large fleets:
+// nobody waits until the holder has been silent for a while.
+func TestLeaseThatWasHandedBackIsTakenAtOnce(t *testing.T) {
+	for _, size := range []int{3, manyNodes} {
+		w := newWorld(size)
+		w.learn()
+		w.run(8 * time.Second)
+		for stop := range 2 {
+			first := w.holders()[0]
+			w.perform(first, w.nodes[first].Leave())
+			w.run(600 * time.Millisecond)
+			if holders := w.holders(); len(holders) != 1 || holders[0] == first {
+				t.Errorf("%d nodes, stop %d: 0.6 s after %s left the holders are %v", size, stop, first, holders)
+			}
+			w.dead[first] = true
+			w.run(2 * time.Second)
+		}
+	}
+}
+
+// TestStoreRateHoldsAcrossTakeover covers a holder that has just used up the weight
+// store's rate and dies: its successor does not begin with a fresh window.
+func TestStoreRateHoldsAcrossTakeover(t *testing.T) {
+	w := newWorld(3)
+	configuration := engineConfiguration(1)
+	engine := configuration.Services[0].Engine
+	for i := range 40 {
+		engine.Models = append(engine.Models, fleet.Model{Name: fmt.Sprint("x", i), WeightsMB: 1})
+	}
+	var ids []string
+	for i := range 30 {
+		ids = append(ids, fmt.Sprint("i", i))
+	}
+	for _, name := range w.names() {
+		w.perform(name, w.nodes[name].ConfigurationLearned(configuration))
+		w.perform(name, w.nodes[name].InstancesListed(w.now, listing(5, ids...)))
+	}
+	w.run(4 * time.Second)
+	first := w.holders()[0]
+	for before := len(w.orders); len(w.orders) < before+5; {
+		w.run(50 * time.Millisecond)
+	}
+	w.dead[first] = true
+	w.run(20 * time.Second)
+	const window = 5 * time.Second
+	var loads []sentOrder
+	for _, sent := range w.orders {
+		if sent.order.FromStore {
+			loads = append(loads, sent)
+		}
+	}
+	if len(loads) < 8 || loads[len(loads)-1].node == first {
+		t.Fatalf("%d loads, the last by %s", len(loads), loads[len(loads)-1].node)
+	}
+	for i := range loads {
+		count := 0
+		for _, other := range loads[i:] {
+			if other.at.Sub(loads[i].at) <= window {
+				count++
+			}
+		}
+		if float64(count) > engine.LoadsPerSecond*window.Seconds() {
+			t.Fatalf("%d loads within %v of %v", count, window, loads[i].at)
+		}
+	}
+}
+
+// TestHolderGoesOnWhileTheStoreIsAwayForAll covers an outage that is longer than the
+// term: the holder goes on as long as no live daemon reaches the store, and stops if
+// one does, since that one may take the lease over.
+// TestLoadsGoOnAfterAPlannedStop covers a new holder whose predecessor told that it has
+// ordered few loads: it need not wait until these are out of the window.
+func TestLoadsGoOnAfterAPlannedStop(t *testing.T) {
+	w := newWorld(3)
+	w.learn()
+	w.run(8 * time.Second)
+	first := w.holders()[0]
+	w.perform(first, w.nodes[first].Leave())
+	w.run(time.Second)
+	loaded := slices.ContainsFunc(w.orders, func(sent sentOrder) bool { return sent.order.FromStore && sent.node != first })
+	if !loaded {
+		t.Errorf("a second after %s left, its successor has ordered no load: %v", first, w.orders)
+	}
+}
+
+func TestHolderGoesOnWhileTheStoreIsAwayForAll(t *testing.T) {
+	for _, reaches := range []bool{false, true} {
+		w := newWorld(3)
+		w.learn()
+		w.run(5 * time.Second)
+		first := w.holders()[0]
+		for _, name := range w.names() {
+			if reaches && name != first {
+				continue
+			}
+			w.storeCut[name] = true
+			for _, source := range []coordination.Source{coordination.SourceConfiguration, coordination.SourceInstances} {
+				w.perform(name, w.nodes[name].SourceAvailable(source, false))
+			}
+		}
+		cut := w.now
+		for w.now.Sub(cut) < 3*term {
+			w.run(50 * time.Millisecond)
+			holders := w.holders()
+			if len(holders) > 1 {
+				t.Fatalf("holders %v", holders)
+			}
+			if !reaches && (len(holders) != 1 || holders[0] != first) {
+				t.Fatalf("%v after the store went away, holders %v", w.now.Sub(cut), holders)
+			}
+		}
+		if holders := w.holders(); reaches && (len(holders) != 1 || holders[0] == first) {
+			t.Fatalf("holders %v although another daemon reaches the store", holders)
+		}
+	}
+}
--- a/coordination/members.go
+++ b/coordination/members.go
@@ -25,3 +25,16 @@
 			"incarnation", other.Incarnation)
 	}
 }
+
+// sendAll sends a message to several daemons.
+func (n *Node) sendAll(names []string, message Message) {
+	addresses := make([]string, 0, len(names))
+	for _, name := range names {
+		if other, found := n.detector.Lookup(name); found && name != n.self {
+			addresses = append(addresses, other.PeerAddress)
+		}
+	}
+	if len(addresses) > 0 {
+		n.do(Broadcast{Addresses: addresses, Message: message})
+	}
+}
--- /dev/null
+++ b/coordination/reports.go
@@ -0,0 +1,68 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+// reportState is when to ask one model server next.
+type reportState struct {
+	next   time.Time
+	asking bool
+	// unanswered says that the last question was not answered.
+	unanswered bool
+	// sent is the last fact that was told to the other daemons.
+	sent Fact
+}
+
+// tickReports asks model servers, if this daemon sends the orders.
+func (n *Node) tickReports(now time.Time) {
+	if !n.held {
+		return
+	}
+	engines := map[string]bool{}
+	for _, service := range n.services() {
+		engines[service.Name] = service.Engine != nil
+	}
+	for _, item := range n.instances.Items() {
+		instance := item.Value
+		if !engines[instance.Service] {
+			continue
+		}
+		state := n.reports[instance.ID]
+		if state == nil {
+			state = &reportState{}
+			n.reports[instance.ID] = state
+		}
+		if !state.asking && !now.Before(state.next) {
+			state.asking = true
+			n.do(AskReport{Instance: instance.ID, Address: instance.Address})
+		}
+	}
+}
+
+// ReportAnswered takes in a report, or that there was none.
+func (n *Node) ReportAnswered(askedAt, now time.Time, instance string, report fleet.Report, ok bool) []Action {
+	state := n.reports[instance]
+	if state == nil {
+		return n.take()
+	}
+	state.asking = false
+	state.next = now.Add(n.settings.ReportEvery)
+	if state.unanswered == ok {
+		state.unanswered = !ok
+		n.decide("instances", "Question to a model server.", "instance", instance, "answered", ok)
+	}
+	if !ok {
+		n.book.Unanswered(askedAt, instance)
+		return n.take()
+	}
+	if report.Busy || len(report.Coming) > 0 {
+		state.next = now.Add(2 * n.settings.ReportSoon)
+	}
+	n.book.Report(askedAt, instance, report)
+	n.tellFact(now, askedAt, instance, report.Sequence)
+	n.planSoon(now)
+	return n.take()
+}
--- /dev/null
+++ b/coordination/world_test.go
@@ -0,0 +1,202 @@
+package coordination_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/coordination"
+	"github.com/wheatweir/wheatweir/feed"
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/lease"
+	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/residency"
+)
+
+const term = 3 * time.Second
+
+// world drives several nodes in virtual time over one lease record.
+type world struct {
+	now      time.Time
+	nodes    map[string]*coordination.Node
+	stored   lease.Stored
+	revision uint64
+	storeCut map[string]bool
+	dead     map[string]bool
+	orders   []sentOrder
+	refresh  map[string]int
+	// messages counts what each node sent to others.
+	messages map[string]int
+	// factMessages counts messages that tell one node all facts.
+	factMessages int
+	// configurations counts messages with a whole configuration.
+	configurations int
+	// encode makes messages cross as bytes; bytes and spent then count what each
+	// node sent and what its steps took.
+	encode bool
+	bytes  map[string]int
+	// byKind counts the bytes by what messages are for.
+	byKind map[string]int
+	spent  map[string]time.Duration
+	// decisions holds the lines for the log, each after the node's name.
+	decisions []string
+	// heardLoad counts the messages about load by sender and receiver.
+	heardLoad map[[2]string]int
+}
+
+type sentOrder struct {
+	node  string
+	fence uint64
+	at    time.Time
+	order residency.Order
+}
+
+func newWorld(count int) *world {
+	w := &world{now: time.Unix(1000, 0), nodes: map[string]*coordination.Node{}, storeCut: map[string]bool{}, dead: map[string]bool{}, refresh: map[string]int{}, messages: map[string]int{}, bytes: map[string]int{}, byKind: map[string]int{}, spent: map[string]time.Duration{}, heardLoad: map[[2]string]int{}}
+	for i := range count {
+		w.nodes[fmt.Sprint("n", i)] = nil
+	}
+	w.rebuild(func(_ int, _ *member.Member, settings *coordination.Settings) { settings.Lease.OrderPause = 0 })
+	return w
+}
+
+// rebuild makes all nodes anew, each with what adjust does to it.
+func (w *world) rebuild(adjust func(i int, self *member.Member, settings *coordination.Settings)) {
+	for i, name := range w.names() {
+		self := member.Member{Name: name, Zone: fmt.Sprint("z", i%4), PeerAddress: name, CallerAddress: name, Incarnation: 1}
+		settings := coordination.DefaultSettings(term)
+		adjust(i, &self, &settings)
+		w.nodes[name] = coordination.New(w.now, self, settings, []string{"n0"}, rand.New(rand.NewPCG(uint64(i), 7)))
+	}
+}
+
+func (w *world) names() []string {
+	var names []string
+	for i := range len(w.nodes) {
+		names = append(names, fmt.Sprint("n", i))
+	}
+	return names
+}
+
+func (w *world) run(span time.Duration) {
+	for end := w.now.Add(span); w.now.Before(end); w.now = w.now.Add(50 * time.Millisecond) {
+		for _, name := range w.names() {
+			if !w.dead[name] {
+				node := w.nodes[name]
+				w.perform(name, node.ObserveOwn(w.now, map[string]balance.Load{}, nil, coordination.UrgencyNone))
+				w.timed(name, func() []coordination.Action { return node.Tick(w.now) })
+			}
+		}
+	}
+}
+
+func (w *world) perform(name string, actions []coordination.Action) {
+	node := w.nodes[name]
+	for _, action := range actions {
+		switch action := action.(type) {
+		case coordination.SendPeer:
+			w.messages[name]++
+			if action.Message.Load != nil {
+				w.heardLoad[[2]string{name, action.Address}]++
+			}
+			if action.Message.Configuration != nil {
+				w.configurations++
+			}
+			if len(action.Message.Facts) > 0 {
+				w.factMessages++
+			}
+			if other := w.nodes[action.Address]; other != nil && !w.dead[action.Address] {
+				arrived := w.carry(name, action.Address, action.Message)
+				w.timed(action.Address, func() []coordination.Action { return other.Receive(w.now, arrived) })
+			}
+		case coordination.Broadcast:
+			for _, address := range action.Addresses {
+				w.perform(name, []coordination.Action{coordination.SendPeer{Address: address, Message: action.Message}})
+			}
+		case coordination.CallLease:
+			outcome, stored := w.callLease(name, action.Call)
+			w.perform(name, node.LeaseAnswered(w.now, outcome, stored))
+		case coordination.AskReport:
+			report := fleet.Report{Residents: []fleet.Resident{{Model: "m"}}, Sequence: 4}
+			w.perform(name, node.ReportAnswered(w.now, w.now, action.Instance, report, true))
+		case coordination.SendOrder:
+			w.orders = append(w.orders, sentOrder{name, action.Fence, w.now, action.Order})
+			w.perform(name, node.OrderAnswered(w.now, action.Order, residency.AnswerTaken))
+		case coordination.Refresh:
+			w.refresh[name]++
+		case coordination.Decision:
+			w.decisions = append(w.decisions, name+" "+action.Part+" "+fmt.Sprintln(action.Fields...))
+		}
+	}
+}
+
+func (w *world) callLease(name string, call lease.Call) (lease.Outcome, lease.Stored) {
+	switch {
+	case w.storeCut[name]:
+		return lease.OutcomeFailed, lease.Stored{}
+	case call.Write == nil || call.IfRevision != w.stored.Revision:
+		return lease.OutcomeConflict, w.stored
+	}
+	w.revision++
+	w.stored = lease.Stored{Record: *call.Write, Revision: w.revision}
+	return lease.OutcomeDone, w.stored
+}
+
+func engineConfiguration(version uint64) *fleet.Configuration {
+	return &fleet.Configuration{Version: version, Services: []fleet.Service{{Name: "llm", Engine: &fleet.Engine{
+		Slots: 8, WeightsMB: 100, AdapterSlots: 2, LoadsPerSecond: 1,
+		Models: []fleet.Model{{Name: "m", WeightsMB: 40}, {Name: "n", WeightsMB: 40}},
+	}}}}
+}
+
+func listing(at uint64, ids ...string) feed.Batch[*fleet.Instance] {
+	batch := feed.Batch[*fleet.Instance]{At: at}
+	for _, id := range ids {
+		batch.Items = append(batch.Items, feed.Item[*fleet.Instance]{
+			Name: id, Revision: at, Value: &fleet.Instance{ID: id, Service: "llm", Address: id, Slots: 8, Residents: []fleet.Resident{{Model: "m"}}},
+		})
+	}
+	return batch
+}
+
+func (w *world) learn() {
+	for _, name := range w.names() {
+		w.perform(name, w.nodes[name].ConfigurationLearned(engineConfiguration(1)))
+		w.perform(name, w.nodes[name].InstancesListed(w.now, listing(5, "i1", "i2")))
+	}
+}
+
+func (w *world) holders() []string {
+	var holders []string
+	for _, name := range w.names() {
+		if !w.dead[name] && w.nodes[name].Holds(w.now) {
+			holders = append(holders, name)
+		}
+	}
+	return holders
+}
+
+// setWatchers makes new nodes of which so many watch the store.
+func (w *world) setWatchers(count int) {
+	w.rebuild(func(_ int, _ *member.Member, settings *coordination.Settings) { settings.Watchers = count })
+}
+
+func (w *world) pickByWatch(watching bool) string {
+	for _, name := range w.names() {
+		if w.nodes[name].Watching(w.now) == watching {
+			return name
+		}
+	}
+	return ""
+}
+
+func (w *world) watching() int {
+	count := 0
+	for _, name := range w.names() {
+		if !w.dead[name] && w.nodes[name].Watching(w.now) {
+			count++
+		}
+	}
+	return count
+}
