Learn by how many places demand moves on; leave the loads after a takeover as they were

A holder that took over at 11.2 s took the replicas that it found for demand, as at the start of the system, and kept 12 of a model with 0.6 requests a second.

Change: the rates of the models are compared with those of 4 s ago; the number of places that explains the change best is where requests are expected from then on. A planner whose first plan finds demand does not count replicas as demand.

Reverted: the loads that a new holder may order at once. The budget of the weight store was spent in the seconds after the takeover and missing when 28 servers came back empty.

--- a/coordination/holder.go
+++ b/coordination/holder.go
@@ -81,7 +81,7 @@
 	// A predecessor may have used up the weight store's rate a moment ago.
 	if n.lease.Succeeded() {
 		n.demandDueAt = now.Add(n.demandWait())
-		n.inherit(now)
+		n.book.Inherit(now, n.loadsPerSecond())
 	}
 }
 
--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -6,7 +6,6 @@
 	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/member"
-	"github.com/wheatweir/wheatweir/residency"
 )
 
 // Message is what entry daemons tell each other.
@@ -29,8 +28,6 @@
 	// Spread is what the holder of the lease tells all daemons, passed on along a
 	// tree.
 	Spread *Spread `msgpack:"s,omitempty"`
-	// Predecessor tells a new holder of the lease what the one before it told of its loads.
-	Predecessor *HeardLoads `msgpack:"o,omitempty"`
 	// Choose asks the dispatcher of a group for an instance, and Chosen answers.
 	Choose *ChoiceRequest `msgpack:"h,omitempty"`
 	Chosen *Choice        `msgpack:"k,omitempty"`
@@ -76,25 +73,11 @@
 	// Released says that the holder has handed the lease back: Lease is the revision of
 	// that write.
 	Released bool `msgpack:"e,omitempty"`
-	// StoreLoads are the loads from the weight store that the holder ordered lately: its
-	// successor must not exceed the rate together with it.
-	StoreLoads residency.LoadCounts `msgpack:"w,omitempty"`
 	// Facts are new ones only; Digest is over all that the holder knows.
 	Facts  []Fact `msgpack:"r,omitempty"`
 	Digest uint64 `msgpack:"d"`
 }
 
-// HeardLoads is what a holder of the lease told of its loads from the weight store.
-type HeardLoads struct {
-	// Fence is its fencing token.
-	Fence uint64 `msgpack:"f"`
-	// Age is how long ago it told.
-	Age    time.Duration        `msgpack:"a"`
-	Counts residency.LoadCounts `msgpack:"c,omitempty"`
-	// Released says that it then handed the lease back, and stopped.
-	Released bool `msgpack:"e,omitempty"`
-}
-
 // Load is what one daemon has in progress and waits for.
 type Load struct {
 	Versions
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -62,7 +62,6 @@
 	planDue     bool
 	plans       uint64
 	spreading   spreadState
-	inheriting  inheritState
 	// changed holds the instances that the view does not show as they are.
 	changed map[string]bool
 	view    *fleet.View
@@ -173,9 +172,6 @@
 	if message.AskFacts {
 		n.answerFacts(now, message.From)
 	}
-	if message.Predecessor != nil {
-		n.takePredecessor(now, message.Predecessor)
-	}
 	if message.Spread != nil {
 		n.takeSpread(now, message)
 	}
--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"slices"
 	"time"
 
 	"github.com/wheatweir/wheatweir/fleet"
@@ -60,12 +59,6 @@
 	}
 	for _, order := range orders {
 		n.book.Sending(now, order)
-	}
-	if slices.ContainsFunc(orders, func(order residency.Order) bool { return order.FromStore }) {
-		// All hear of these loads before they begin, see hearLoads.
-		n.spread(now)
-	}
-	for _, order := range orders {
 		if !order.Load {
 			// Nobody sends requests any more for what is about to go.
 			n.tellFact(now, now, order.Instance, order.Expected)
--- a/coordination/spread.go
+++ b/coordination/spread.go
@@ -62,9 +62,8 @@
 	state.sequence++
 	message := &Spread{
 		Root: n.self, Boot: state.boot, Sequence: state.sequence, Fence: fence, Lease: n.lease.Revision(),
-		Released: released, StoreLoads: n.book.StoreLoads(now), Digest: n.facts.digest,
+		Released: released, Digest: n.facts.digest,
 	}
-	n.hearLoads(now, message)
 	for instance := range state.due {
 		if _, known := n.facts.byInstance[instance]; known {
 			message.Facts = append(message.Facts, n.agedFact(now, instance))
@@ -103,7 +102,6 @@
 	for _, fact := range told.Facts {
 		n.learn(fact, now.Add(-fact.Age))
 	}
-	n.hearLoads(now, told)
 	if told.Released {
 		n.heardReleased(now, told.Root, told.Fence, told.Lease)
 	} else {
--- a/residency/expect.go
+++ b/residency/expect.go
@@ -13,6 +13,9 @@
 	// more replicas of the models that are busy, so until demand is seen these
 	// numbers stand for it.
 	first map[string]int
+	// fromStart says that plans were made here before there was any demand.
+	fromStart bool
+	drift     drift
 	// demandSince is when requests were first seen.
 	demandSince time.Time
 }
@@ -31,6 +34,7 @@
 		}
 		e.since = p.now
 		e.first = map[string]int{}
+		e.fromStart = true
 	}
 	if p.now.Sub(e.since) < firstSeenSpan {
 		for model, ready := range p.ready {
@@ -45,9 +49,11 @@
 		demand.Concurrent = max(demand.Concurrent, fade*p.prior(e, name))
 		expected[name] = demand
 	}
+	e.drift.observe(p.now, p.rates())
+	nearest, farthest := p.reach(e)
 	usual := p.usualRun()
 	for i := range p.engine.Models {
-		for next := i + 1; next <= i+p.settings.NextReach && next < len(p.engine.Models); next++ {
+		for next := i + nearest; next <= i+farthest && next < len(p.engine.Models); next++ {
 			after := p.engine.Models[next].Name
 			demand := expected[after]
 			before := p.engine.Models[i].Name
@@ -59,6 +65,24 @@
 	p.demand = expected
 }
 
+// rates lists the requests that begin each second for the models.
+func (p *plan) rates() []float64 {
+	present := make([]float64, len(p.engine.Models))
+	for i := range p.engine.Models {
+		present[i] = p.demand[p.engine.Models[i].Name].PerSecond
+	}
+	return present
+}
+
+// reach returns how many places further on a model's requests are expected: at any of the
+// next ones until demand was seen to move on, then where it moved.
+func (p *plan) reach(e *expectations) (nearest, farthest int) {
+	if e.drift.step > 0 {
+		return e.drift.step, e.drift.step
+	}
+	return 1, p.settings.NextReach
+}
+
 // prior is the demand that the replicas of a model stand for that were there at first.
 func (p *plan) prior(e *expectations, model string) float64 {
 	return p.settings.PriorPerReplica * float64(max(0, e.first[model]-1))
@@ -71,8 +95,16 @@
 		if p.total().PerSecond < leastDemand {
 			return 1
 		}
+		if e.since.Equal(p.now) {
+			// The first plan here, but the demand was there before: another daemon has
+			// placed for it, and expected what did not come.
+			e.fromStart = false
+		}
 		e.demandSince = p.now
 	}
+	if !e.fromStart {
+		return 0
+	}
 	return math.Exp2(-p.now.Sub(e.demandSince).Seconds() / p.settings.PriorHalfLife.Seconds())
 }
 
