--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -45,6 +45,9 @@
 	// requests is the number of calls of the load.
 	requests    = 600
 	concurrency = 48
+	// serviceDropEvery makes the service run every n-th booking and lose its answer: what
+	// the caller is then told must not be "not run".
+	serviceDropEvery = 25
 )
 
 // Run runs the demo and returns an error unless every request got its own
@@ -52,7 +55,7 @@
 func Run(ctx context.Context, output, logs io.Writer) error {
 	began := time.Now()
 	options := cluster.DefaultOptions(logs)
-	options.ServiceDropEvery = 25
+	options.ServiceDropEvery = serviceDropEvery
 	running, err := cluster.Start(options)
 	if err != nil {
 		return err
@@ -227,6 +230,7 @@
 		fmt.Fprintf(output, "  %-40s %d\n", name, s.outcomes[name])
 	}
 	fmt.Fprintf(output, "  %-40s %d\n", "wrong or missing answers", len(s.wrong))
+	fmt.Fprintf(output, "  (the service loses the answer to every %dth booking on purpose)\n", serviceDropEvery)
 	printQuantiles(output, "first token", s.firstToken)
 	printQuantiles(output, "per token", s.perToken)
 }
