--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -52,23 +52,27 @@
 // Choose implements gateway.Chooser.
 func (d *dispatch) Choose(ctx context.Context, view *fleet.View, service string, request *balance.Request) *balance.Candidate {
 	if group := d.group.Load(); request.Model != "" && !group.Dispatching {
-		for _, asked := range []dispatcher{{group.Dispatcher, group.Address}, {group.Backup, group.BackupAddress}} {
-			if asked.name == "" || d.rests(asked.name) {
-				continue
-			}
-			choice := d.ask(ctx, asked, service, request)
-			if choice == nil {
-				continue
-			}
-			if candidate := d.candidate(asked.name, view, request, choice); candidate != nil {
-				return candidate
-			}
-			break
+		if candidate := d.delegate(ctx, group, view, service, request); candidate != nil {
+			return candidate
 		}
 	}
 	return d.picker.Pick(time.Now(), view.Instances(service), request)
 }
 
+// delegate asks the dispatcher of this daemon's group, and that of another one if it does not
+// answer. It returns nil if there is no choice that this daemon may use.
+func (d *dispatch) delegate(ctx context.Context, group *coordination.Group, view *fleet.View, service string, request *balance.Request) *balance.Candidate {
+	for _, asked := range []dispatcher{{group.Dispatcher, group.Address}, {group.Backup, group.BackupAddress}} {
+		if asked.name == "" || d.rests(asked.name) {
+			continue
+		}
+		if choice := d.ask(ctx, asked, service, request); choice != nil {
+			return d.candidate(asked.name, view, request, choice)
+		}
+	}
+	return nil
+}
+
 // dispatcher is a daemon that chooses for others, and where it hears them.
 type dispatcher struct{ name, address string }
 
