What daemons tell again of a broken instance does not make the pause longer

Cause: all loads are told each second, and each time that two daemons still kept away from an instance counted as new trouble; the pause here grew to 4 s without any. Ruled out: changes alone (they name an instance once). Change: only a daemon that had not told of the trouble before counts. TestDoubtsThatAreToldAgainAreNoNews fails before, passes after.

--- a/balance/peers.go
+++ b/balance/peers.go
@@ -27,6 +27,7 @@
 func (t *Tracker) TakePeer(now time.Time, peer string, told map[string]Load, changes bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	fresh := newlyBroken(t.peers[peer].loads, told)
 	if !changes {
 		t.dropPeer(peer)
 	}
@@ -43,11 +44,21 @@
 		}
 	}
 	t.peers[peer] = peerLoad{at: now, loads: known}
+	for _, id := range fresh {
+		t.distrust(now, id)
+	}
+}
+
+// newlyBroken lists the instances with trouble that a daemon had not told before. What it
+// tells again is no news.
+func newlyBroken(before, told map[string]Load) []string {
+	var fresh []string
 	for id, load := range told {
-		if load.Broken > 0 {
-			t.distrust(now, id)
+		if load.Broken > before[id].Broken {
+			fresh = append(fresh, id)
 		}
 	}
+	return fresh
 }
 
 // shift replaces what one daemon counts for in the sum over all others.
--- a/balance/peers_test.go
+++ b/balance/peers_test.go
@@ -90,3 +90,32 @@
 		t.Error("not tried again after the second pause")
 	}
 }
+
+// TestDoubtsThatAreToldAgainAreNoNews covers daemons that tell all their loads each second:
+// that two of them still keep away from an instance says nothing new about it, and must not
+// make the pause here longer.
+func TestDoubtsThatAreToldAgainAreNoNews(t *testing.T) {
+	now := time.Now()
+	tracker := balance.NewTracker()
+	group := []*fleet.Instance{instance("x", ""), instance("y", "")}
+	broken := balance.Load{Doubts: 1, Broken: 1}
+	for second := range 4 {
+		for _, peer := range []string{"a", "b"} {
+			at := now.Add(time.Duration(second) * time.Second)
+			tracker.TakePeer(at, peer, map[string]balance.Load{"x": broken, "y": {Requests: 5}}, false)
+		}
+	}
+	later := now.Add(3500 * time.Millisecond)
+	for _, peer := range []string{"a", "b"} {
+		tracker.TakePeer(later, peer, map[string]balance.Load{"x": {}}, true)
+	}
+	if got := balance.NewPicker(tracker).Pick(later, group, &balance.Request{}).Instance.ID; got != "x" {
+		t.Error("left alone although nobody keeps away any more")
+	}
+	for _, peer := range []string{"a", "b"} {
+		tracker.TakePeer(later, peer, map[string]balance.Load{"x": broken}, true)
+	}
+	if got := balance.NewPicker(tracker).Pick(later.Add(10*time.Millisecond), group, &balance.Request{}).Instance.ID; got == "x" {
+		t.Error("picked although two daemons have just met trouble again")
+	}
+}
