Daemons of another form of messages do not talk to each other

Ruled out: an error by the decoder (there is none). Change: MessageForm goes into the key that daemons prove to each other; during an upgrade both forms get along by the store. Left: the fleet has two memberships during an upgrade, each with its own groups; the lease is still one.

--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -8,6 +8,12 @@
 	"github.com/wheatweir/wheatweir/member"
 )
 
+// MessageForm names the form of Message and all that it holds. It goes into the key that
+// daemons prove to each other, so that during an upgrade those of the old and the new form
+// do not talk: fields that are not understood are passed over, and a list of instances
+// without their IDs would leave no instance. Both get along by the store meanwhile.
+const MessageForm = "2"
+
 // Message is what entry daemons tell each other.
 type Message struct {
 	From string `msgpack:"f"`
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -169,10 +169,15 @@
 		d.servers = append(d.servers, server)
 		d.startDuty("directory", func() { _ = server.Serve(listener) })
 	}
-	d.peers, err = peer.Listen(d.current().PeerAddress, []byte(d.current().DeploymentKey), d.receive)
+	d.peers, err = peer.Listen(d.current().PeerAddress, peerKey(d.current().DeploymentKey), d.receive)
 	return err
 }
 
+// peerKey is what daemons of one deployment that speak the same form of messages share.
+func peerKey(deploymentKey string) []byte {
+	return []byte(deploymentKey + " messages " + coordination.MessageForm)
+}
+
 func (d *Daemon) newNode() {
 	self := member.Member{
 		Name: d.current().Name, Zone: d.current().Zone, PeerAddress: d.current().peersReachAt(),
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -14,9 +14,11 @@
 	"testing"
 	"time"
 
+	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/entry"
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/internal/loopback"
+	"github.com/wheatweir/wheatweir/peer"
 	"github.com/wheatweir/wheatweir/platform/standin"
 )
 
@@ -109,6 +111,26 @@
 	return f
 }
 
+// TestDaemonsOfAnotherMessageFormAreStrangers covers an upgrade: a list of instances in the
+// form of another version, whose fields this one does not know, must not empty its own.
+func TestDaemonsOfAnotherMessageFormAreStrangers(t *testing.T) {
+	f := start(t, 1)
+	f.waitReady(t)
+	old, err := peer.Listen(freeAddress(t), []byte(f.all[0].DeploymentKey), func(coordination.Message) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer old.Close()
+	listing := &coordination.Listing{At: 1 << 40, Items: []coordination.ListedInstance{{Revision: 1 << 40}}}
+	eventually(t, "the old one is turned away", func() bool {
+		old.Send(f.all[0].PeerAddress, coordination.Message{From: "old", Instances: listing})
+		return old.Counts().Dropped > 1
+	})
+	if id, status, _, err := post(f.all[0].FrontAddress, "/stream/x", "m"); err != nil || status != 200 {
+		t.Errorf("request %s: status %d, %v", id, status, err)
+	}
+}
+
 func (f *deployment) startDaemon(t *testing.T, settings entry.Settings) *entry.Daemon {
 	t.Helper()
 	daemon, err := entry.Start(settings, f.output)
