Refuse at once what cannot begin in time; hold patient requests here; come back later in a long shortage

Cause: nothing knew how long the first token takes.

Change: balance.Forecaster learns from own outcomes how long answers run and how fast prompts are read; a request whose forecast at the best instance is past its target is refused at once. Requests of less urgent routes wait here, up to the present 0.3 of the target, while the batch is full.

Ruled out: a bound on requests at an instance (would fit one engine's speed and one target).

--- /dev/null
+++ b/balance/forecast_test.go
@@ -0,0 +1,85 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+const forecastSlots = 10
+
+func engineInstance(id string) *fleet.Instance {
+	return &fleet.Instance{ID: id, Service: "svc", Slots: forecastSlots}
+}
+
+// learned returns a forecaster that saw answers of one second, and 10,000 prompt tokens read
+// in 200 ms, at one instance.
+func learned(id string) *balance.Forecaster {
+	f := balance.NewForecaster()
+	for range 20 {
+		f.Run(engineInstance(id), time.Second)
+		f.First(engineInstance(id), balance.Load{Requests: 2, PromptTokens: 9000}, 1000, 200*time.Millisecond)
+	}
+	return f
+}
+
+func TestFirstToken(t *testing.T) {
+	cases := []struct {
+		name   string
+		load   balance.Load
+		prompt int
+		want   time.Duration
+	}{
+		{"nothing to do", balance.Load{}, 1000, 20 * time.Millisecond},
+		{"prompts before it", balance.Load{Requests: 3, PromptTokens: 9000}, 1000, 200 * time.Millisecond},
+		{"the last place", balance.Load{Requests: forecastSlots - 1}, 1000, 20 * time.Millisecond},
+		{"first in line", balance.Load{Requests: forecastSlots}, 1000, 120 * time.Millisecond},
+		{"five in line", balance.Load{Requests: forecastSlots + 5}, 1000, 620 * time.Millisecond},
+		{"prompts take longer than the line", balance.Load{Requests: forecastSlots, PromptTokens: 99000}, 1000, 2 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := learned("x").FirstToken(engineInstance("x"), c.load, c.prompt)
+			if (got - c.want).Abs() > time.Millisecond {
+				t.Errorf("predicted %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestNothingLearnedPredictsNothing(t *testing.T) {
+	if got := balance.NewForecaster().FirstToken(engineInstance("x"), balance.Load{Requests: 100}, 1000); got != 0 {
+		t.Errorf("predicted %v", got)
+	}
+}
+
+func TestAnInstanceWithoutSamplesIsLikeItsService(t *testing.T) {
+	line := balance.Load{Requests: forecastSlots}
+	f := learned("x")
+	if known, other := f.FirstToken(engineInstance("x"), line, 1000), f.FirstToken(engineInstance("y"), line, 1000); known != other {
+		t.Errorf("predicted %v for an unknown instance, %v for the known one", other, known)
+	}
+	for range 20 {
+		f.Run(engineInstance("slow"), 5*time.Second)
+	}
+	if got := f.FirstToken(engineInstance("slow"), line, 1000); got < 500*time.Millisecond {
+		t.Errorf("predicted %v at an instance whose answers run five times as long", got)
+	}
+	f.Forget(func(id string) bool { return id != "slow" })
+	if got := f.FirstToken(engineInstance("slow"), line, 1000); got > 400*time.Millisecond {
+		t.Errorf("predicted %v from what was forgotten", got)
+	}
+}
+
+func TestAFullBatchTeachesNothingAboutReading(t *testing.T) {
+	f := learned("x")
+	before := f.FirstToken(engineInstance("x"), balance.Load{}, 1000)
+	for range 50 {
+		f.First(engineInstance("x"), balance.Load{Requests: forecastSlots, PromptTokens: 5000}, 1000, 3*time.Second)
+	}
+	if after := f.FirstToken(engineInstance("x"), balance.Load{}, 1000); after != before {
+		t.Errorf("predicted %v before and %v after", before, after)
+	}
+}
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -7,6 +7,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/wheatweir/wheatweir/fleet"
 )
 
 // instanceState is what is observed of one instance.
@@ -45,7 +47,8 @@
 	// yet.
 	granted []grant
 	// expiredAt is when peers were last looked through for old loads.
-	expiredAt time.Time
+	expiredAt  time.Time
+	forecaster *Forecaster
 	// changed tells that the own load has changed.
 	changed chan struct{}
 }
@@ -57,7 +60,7 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		instances: map[string]*instanceState{}, peers: map[string]peerLoad{}, others: map[string]Load{}, missing: map[missingKey]time.Time{},
-		changed: make(chan struct{}, 1),
+		forecaster: NewForecaster(), changed: make(chan struct{}, 1),
 	}
 }
 
@@ -109,6 +112,27 @@
 	t.signal()
 }
 
+// First learns how long the first token of a request took, see Forecaster.
+func (t *Tracker) First(instance *fleet.Instance, load Load, promptTokens int, took time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.forecaster.First(instance, load, promptTokens, took)
+}
+
+// Run learns how long an answer ran from its first token on.
+func (t *Tracker) Run(instance *fleet.Instance, took time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.forecaster.Run(instance, took)
+}
+
+// FirstToken predicts how long the first token of a request takes, see Forecaster.
+func (t *Tracker) FirstToken(instance *fleet.Instance, load Load, promptTokens int) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.forecaster.FirstToken(instance, load, promptTokens)
+}
+
 // Own returns the load and the doubts from here, by instance.
 func (t *Tracker) Own(now time.Time) map[string]Load {
 	t.mutex.Lock()
@@ -150,6 +174,7 @@
 			delete(t.missing, key)
 		}
 	}
+	t.forecaster.Forget(present)
 	t.expirePeers(now)
 }
 
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -109,6 +109,12 @@
 			fields = append(fields, "chosen_by", event.ChosenBy)
 		}
 	}
+	if event.Forecast > 0 {
+		fields = append(fields, "forecast_ms", event.Forecast.Milliseconds())
+	}
+	if event.RetryAfter > 0 {
+		fields = append(fields, "retry_after_ms", event.RetryAfter.Milliseconds())
+	}
 	if event.FirstEvent > 0 {
 		fields = append(fields, "first_ms", event.FirstEvent.Milliseconds(), "pause_ms", event.LongestPause.Milliseconds())
 	}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -198,6 +198,7 @@
 	gateway.ReasonStopping:    "the daemon was stopping",
 	gateway.ReasonNoRoute:     "no route of the configuration begins its path",
 	gateway.ReasonNoInstance:  "no instance of the service could take it",
+	gateway.ReasonOverloaded:  "no instance with its model would have begun to answer in time",
 	gateway.ReasonNoModel:     "no instance had its model in time",
 	gateway.ReasonNoAdapter:   "no instance had its adapter in time",
 	gateway.ReasonDeclined:    "the instance declined it, and no further attempt was allowed",
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -9,6 +9,7 @@
 
 	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/internal/mechanism"
 )
 
 // candidate chooses an instance. It waits for one as long as that makes sense.
@@ -27,7 +28,10 @@
 		changed := *e.gateway.changed.Load()
 		view := e.gateway.view.Load()
 		candidate := e.pick(ctx, view)
-		if candidate != nil && !candidate.Crowded {
+		if candidate != nil && e.hopeless(candidate) {
+			return nil, ReasonOverloaded
+		}
+		if candidate != nil && !candidate.Crowded && !e.shouldHold(candidate) {
 			return candidate, ""
 		}
 		if candidate != nil && ctx.Err() == nil {
@@ -86,6 +90,32 @@
 	return time.Since(e.request.Arrived).Seconds() / e.route.TargetLatency.Seconds()
 }
 
+// lateShare is the least part of the target latency that a forecast has to reach before a
+// request is refused for it. One that has waited here for other reasons, and finds an instance
+// that answers soon, is served although it is late.
+const lateShare = 0.5
+
+// hopeless reports whether even the best instance will begin to answer too late: the request
+// would take up a place there, make those behind it late as well, and the client would leave.
+func (e *exchange) hopeless(candidate *balance.Candidate) bool {
+	continues := e.begun || len(e.sentTo) > 0 || e.resumeAfter != ""
+	if e.request.Model == "" || e.route.TargetLatency <= 0 || continues || !mechanism.Enabled(mechanism.Forecast) {
+		return false
+	}
+	e.forecast = e.gateway.tracker.FirstToken(candidate.Instance, candidate.Load, e.request.PromptTokens)
+	left := e.route.TargetLatency - time.Since(e.request.Arrived)
+	return e.forecast > max(left, time.Duration(lateShare*float64(e.route.TargetLatency)))
+}
+
+// shouldHold reports whether a less urgent request should wait here while the batch of its
+// instance is full: there it would stand in the way of more urgent ones.
+func (e *exchange) shouldHold(candidate *balance.Candidate) bool {
+	if e.request.Model == "" || e.route.Priority == 0 || e.waited() > crowdedWait || !mechanism.Enabled(mechanism.Hold) {
+		return false
+	}
+	return candidate.Load.Requests >= candidate.Instance.Slots
+}
+
 func sleep(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -47,6 +47,11 @@
 	pace        pace
 	// waitedFor is the last wait that was told.
 	waitedFor string
+	// forecast is the last prediction of the first token's time; zero if there is none.
+	forecast time.Duration
+	// sentAt is when the last attempt began, startedAt when its first piece came.
+	sentAt    time.Time
+	startedAt time.Time
 }
 
 // verdict is what follows from an attempt.
@@ -151,6 +156,7 @@
 	event.Route = e.route
 	event.Version = e.version
 	event.Attempt = len(e.sentTo)
+	event.Forecast = e.forecast
 	if !e.pace.firstAt.IsZero() {
 		event.FirstEvent = e.pace.firstAt.Sub(e.request.Arrived)
 		event.LongestPause = e.pace.longest
@@ -170,7 +176,7 @@
 	}
 	e.observe(Event{Step: StepSent, Instance: id, Load: candidate.Load, Candidates: candidate.Of, ChosenBy: candidate.By, Left: outbound.Left})
 	e.gateway.tracker.Begin(id, e.request.PromptTokens)
-	e.reading = true
+	e.reading, e.sentAt, e.startedAt = true, time.Now(), time.Time{}
 	response, err := e.gateway.upstream.Send(ctx, outbound)
 	if err != nil {
 		return e.failedSend(ctx, id, err)
@@ -180,8 +186,7 @@
 		return e.declined(id, response)
 	}
 	e.mayHaveRun = true
-	result := e.pass(ctx, id, response)
-	return result
+	return e.pass(ctx, candidate, response)
 }
 
 // connections is this daemon's part of the connections to one instance.
@@ -238,6 +243,25 @@
 	return verdictDeclined
 }
 
+// answering notes a piece of an answer, and learns from the first one.
+func (e *exchange) answering(candidate *balance.Candidate) {
+	id := candidate.Instance.ID
+	e.started(id)
+	e.gateway.tracker.Heard(id)
+	if !e.startedAt.IsZero() || e.request.Model == "" {
+		return
+	}
+	e.startedAt = time.Now()
+	e.gateway.tracker.First(candidate.Instance, candidate.Load, e.request.PromptTokens, e.startedAt.Sub(e.sentAt))
+}
+
+// answered learns from a whole answer.
+func (e *exchange) answered(candidate *balance.Candidate) {
+	if !e.startedAt.IsZero() {
+		e.gateway.tracker.Run(candidate.Instance, time.Since(e.startedAt))
+	}
+}
+
 // started notes that the instance has begun to answer.
 func (e *exchange) started(id string) {
 	if e.reading {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/internal/mechanism"
 	"github.com/wheatweir/wheatweir/retry"
 )
 
@@ -25,6 +26,7 @@
 	ReasonStopping    = "stopping"
 	ReasonNoRoute     = "no_route"
 	ReasonNoInstance  = "no_instance"
+	ReasonOverloaded  = "overloaded"
 	ReasonNoModel     = "no_model"
 	ReasonNoAdapter   = "no_adapter"
 	ReasonDeclined    = "declined"
@@ -117,6 +119,11 @@
 	Left time.Duration
 	// Load is what the instance was believed to have to do.
 	Load balance.Load
+	// Forecast is the predicted time of the first token after the choice; zero if there is
+	// no prediction.
+	Forecast time.Duration
+	// RetryAfter is when a refused client was told to come back.
+	RetryAfter time.Duration
 	// FirstEvent is how long the client waited for the first event of a stream, and
 	// LongestPause the longest time between two of its pieces; zero if none came.
 	FirstEvent   time.Duration
@@ -143,13 +150,15 @@
 	view     atomic.Pointer[fleet.View]
 	changed  atomic.Pointer[chan struct{}]
 	active   atomic.Int64
+	// shortages are the models that requests were refused for.
+	shortages *shortages
 }
 
 // New returns a gateway that knows nothing yet.
 func New(settings Settings, upstream Upstream, tracker *balance.Tracker, budget *retry.Budget, wants Wants, observer Observer) *Gateway {
 	g := &Gateway{
 		settings: settings, upstream: upstream, tracker: tracker, chooser: ownChooser{balance.NewPicker(tracker)},
-		budget: budget, wants: wants, observer: observer,
+		budget: budget, wants: wants, observer: observer, shortages: newShortages(),
 	}
 	g.view.Store(fleet.NewView(nil, nil))
 	first := make(chan struct{})
@@ -249,8 +258,22 @@
 func (g *Gateway) refuse(reply Reply, route *fleet.Route, request *Request, status int, reason string) {
 	retryAfter := time.Duration(0)
 	if status == statusUnavailable {
-		retryAfter = g.settings.RetryAfter
+		retryAfter = g.retryAfter(request, reason)
 	}
 	reply.Refuse(status, reason, retryAfter)
-	g.observer.Observe(Event{Step: StepRefused, Request: request, Route: route, Status: status, Reason: reason, Version: g.view.Load().Version()})
+	g.observer.Observe(Event{Step: StepRefused, Request: request, Route: route, Status: status, Reason: reason, RetryAfter: retryAfter, Version: g.view.Load().Version()})
+}
+
+// retryAfter is when a client that is refused for a reason should come back: when its model
+// has room again, as far as that can be told.
+func (g *Gateway) retryAfter(request *Request, reason string) time.Duration {
+	switch reason {
+	case ReasonOverloaded, ReasonDeclined, ReasonNoModel, ReasonNoAdapter:
+	default:
+		return g.settings.RetryAfter
+	}
+	if request.Model == "" || !mechanism.Enabled(mechanism.ReturnLater) {
+		return g.settings.RetryAfter
+	}
+	return g.shortages.refused(time.Now(), request.Model, g.settings.RetryAfter)
 }
--- /dev/null
+++ b/gateway/overload_test.go
@@ -0,0 +1,89 @@
+package gateway_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+// busyTracker knows that answers run for a second, and that the only instance of the model
+// has a number of requests from another daemon.
+func busyTracker(requests int) *balance.Tracker {
+	tracker := balance.NewTracker()
+	for range 20 {
+		tracker.Run(&fleet.Instance{ID: "i1", Service: "svc", Slots: 4}, time.Second)
+	}
+	tracker.SetPeer(time.Now(), "peer", map[string]balance.Load{"i1": {Requests: requests}})
+	return tracker
+}
+
+// oneInstance holds the model on a single instance with four places.
+func oneInstance(priority int) *fleet.View {
+	routes := configuration()
+	for i := range routes.Routes {
+		routes.Routes[i].Priority = priority
+	}
+	return fleet.NewView(routes, []*fleet.Instance{{ID: "i1", Service: "svc", Slots: 4, Residents: []fleet.Resident{{Model: "m"}}}})
+}
+
+// TestWhatCannotBeginInTimeIsRefusedAtOnce has requests in line at the only instance; each
+// place in its batch comes free after a quarter of a second, and the target is a second.
+func TestWhatCannotBeginInTimeIsRefusedAtOnce(t *testing.T) {
+	cases := []struct {
+		name     string
+		requests int
+		waited   time.Duration
+		resumes  string
+		served   bool
+	}{
+		{"a free place", 3, 0, "", true},
+		{"in time behind two", 5, 0, "", true},
+		{"too late behind eight", 12, 0, "", false},
+		{"too late after a wait", 6, 600 * time.Millisecond, "", false},
+		{"late after a wait, but begins soon", 3, 990 * time.Millisecond, "", true},
+		{"a stream that goes on", 12, 0, "7", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				upstream := &script{answers: []answer{{status: 200, body: "id: 1\n\n"}}}
+				g := trackedGateway(upstream, &noWants{}, busyTracker(c.requests))
+				g.SetView(oneInstance(0))
+				sent := request("stream")
+				sent.Model, sent.ResumeAfter, sent.Arrived = "m", c.resumes, time.Now().Add(-c.waited)
+				got, begun := &client{}, time.Now()
+				g.Serve(context.Background(), sent, got)
+				if served := got.status == 200; served != c.served {
+					t.Fatalf("status %d (%s), want served %v", got.status, got.reason, c.served)
+				}
+				if !c.served && (got.at != begun || got.retryAfter == 0 || len(upstream.sent) > 0) {
+					t.Errorf("refused after %v, come back after %v, sent %d times", got.at.Sub(begun), got.retryAfter, len(upstream.sent))
+				}
+			})
+		})
+	}
+}
+
+// TestPatientRequestsWaitHereWhileABatchIsFull looks at when a request reaches an instance
+// whose batch is full.
+func TestPatientRequestsWaitHereWhileABatchIsFull(t *testing.T) {
+	for priority, want := range map[int]time.Duration{0: 0, 1: 300 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			upstream := &script{answers: []answer{{status: 200, body: "id: 1\n\n"}}}
+			g := trackedGateway(upstream, &noWants{}, busyTracker(4))
+			g.SetView(oneInstance(priority))
+			sent := request("stream")
+			sent.Model = "m"
+			got := &client{}
+			g.Serve(context.Background(), sent, got)
+			took := got.at.Sub(sent.Arrived)
+			if got.status != 200 || took < want || took > want+50*time.Millisecond {
+				t.Errorf("priority %d: status %d after %v, want 200 after %v", priority, got.status, took, want)
+			}
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -21,12 +21,12 @@
 )
 
 // pass hands an answer on to the client.
-func (e *exchange) pass(ctx context.Context, id string, response Response) verdict {
+func (e *exchange) pass(ctx context.Context, candidate *balance.Candidate, response Response) verdict {
 	defer response.Close()
 	if e.route.Kind == fleet.KindStream && response.Status() == statusOK && response.Signed() {
-		return e.passStream(ctx, id, response)
+		return e.passStream(ctx, candidate, response)
 	}
-	return e.passWhole(ctx, id, response)
+	return e.passWhole(ctx, candidate.Instance.ID, response)
 }
 
 // passWhole takes in the whole answer before the client sees any of it, so that
@@ -110,14 +110,14 @@
 // passStream hands on the events of a stream as they come. For a stream that may
 // be resumed only whole events are passed on, so that another instance can go on
 // after the last one.
-func (e *exchange) passStream(ctx context.Context, id string, response Response) verdict {
+func (e *exchange) passStream(ctx context.Context, candidate *balance.Candidate, response Response) verdict {
+	id := candidate.Instance.ID
 	buffer := make([]byte, pieceSize)
 	var events eventCutter
 	for {
 		count, err := response.Read(buffer)
 		if count > 0 {
-			e.started(id)
-			e.gateway.tracker.Heard(id)
+			e.answering(candidate)
 			piece := buffer[:count]
 			if e.route.Resumable {
 				piece = events.whole(piece)
@@ -136,6 +136,7 @@
 		case err == nil:
 			continue
 		case errors.Is(err, io.EOF):
+			e.answered(candidate)
 			return e.streamEnded(id, response, &events)
 		default:
 			e.end(id, blame(ctx, balance.Failed))
--- /dev/null
+++ b/internal/mechanism/mechanism.go
@@ -0,0 +1,39 @@
+// Package mechanism names the policies that the lab can switch off one by one, to measure
+// what each is worth. The switch is a variable that only the linker can set:
+//
+//	go build -ldflags "-X github.com/wheatweir/wheatweir/internal/mechanism.off=forecast" ./cmd/...
+//
+// No setting, argument or environment variable reaches it, so it cannot be off in production.
+package mechanism
+
+import (
+	"slices"
+	"strings"
+)
+
+// Name is one mechanism.
+type Name string
+
+// All mechanisms that can be switched off.
+const (
+	// Forecast refuses at once what cannot begin in time.
+	Forecast Name = "forecast"
+	// Hold keeps less urgent requests here while the batch of their instance is full.
+	Hold Name = "hold"
+	// ReturnLater tells clients to come back later the longer a model has been short of
+	// capacity.
+	ReturnLater Name = "return-later"
+)
+
+// Names lists all mechanisms.
+func Names() []Name { return []Name{Forecast, Hold, ReturnLater} }
+
+// off is set by the linker: names with commas between them.
+var off string
+
+// Enabled reports whether a mechanism is in use.
+func Enabled(name Name) bool { return enabled(off, name) }
+
+func enabled(off string, name Name) bool {
+	return off == "" || !slices.Contains(strings.Split(off, ","), string(name))
+}
