Planner: a server that stops answering keeps no room; expected requests count for models without a replica; second homes for adapters

Models of the next shift that were lost in a crash stayed away for 16 s, since only requests that were there counted for them. Adapters of a hot model were away for 3 s after a crash: each had one home, and the other servers of their model were loading and took no order meanwhile.

--- a/cmd/wheatweir/lab.go
+++ b/cmd/wheatweir/lab.go
@@ -28,6 +28,7 @@
 	addReport(lab)
 	addLoad(lab)
 	addSoak(lab)
+	addMechanisms(lab)
 }
 
 // openLog opens a log file, or drops logs if no path is given.
--- a/entry/wants.go
+++ b/entry/wants.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/wheatweir/wheatweir/coordination"
-	"github.com/wheatweir/wheatweir/internal/mechanism"
 )
 
 type wantKey struct{ service, model string }
@@ -17,28 +16,19 @@
 	coordination.ModelLoad
 	// perSecond is the number of requests that begin each second, as of ratedAt.
 	perSecond float64
-	// missed is what refused requests count for, as of ratedAt: each as a request in progress
-	// that ends after about missedSpan.
-	missed  float64
-	ratedAt time.Time
+	ratedAt   time.Time
 }
 
 const (
 	// rateSpan is the time over which the requests that begin are averaged.
 	rateSpan = 2 * time.Second
-	// missedSpan is how long a refused request counts as one in progress, on average: about
-	// as long as an answer runs. Without it a model whose requests are refused at once would
-	// look as if it had little to do.
-	missedSpan = 1500 * time.Millisecond
 	// leastRate is the rate below which a model without requests is forgotten.
 	leastRate = 0.02
 )
 
-// fade brings the averages up to the present.
+// fade brings the rate up to the present.
 func (w *wanted) fade(now time.Time) {
-	passed := now.Sub(w.ratedAt)
-	w.perSecond *= math.Exp(-passed.Seconds() / rateSpan.Seconds())
-	w.missed *= math.Exp(-passed.Seconds() / missedSpan.Seconds())
+	w.perSecond *= math.Exp(-now.Sub(w.ratedAt).Seconds() / rateSpan.Seconds())
 	w.ratedAt = now
 }
 
@@ -82,18 +72,6 @@
 	w.load(service, model).Requests--
 }
 
-// Missed implements gateway.Wants.
-func (w *wants) Missed(service, model string) {
-	if model == "" || !mechanism.Enabled(mechanism.CountMissed) {
-		return
-	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	load := w.load(service, model)
-	load.fade(time.Now())
-	load.missed++
-}
-
 // Want implements gateway.Wants.
 func (w *wants) Want(service, model, adapter string) func() {
 	w.wait(service, model, adapter, 1)
@@ -135,7 +113,6 @@
 		}
 		copied := load.ModelLoad
 		copied.PerSecond = float32(load.perSecond)
-		copied.Requests += int(math.Round(load.missed))
 		copied.Adapters = maps.Clone(load.Adapters)
 		loads = append(loads, copied)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -128,9 +128,6 @@
 		e.reply.Abort()
 		return
 	}
-	if reason == ReasonOverloaded || reason == ReasonDeclined {
-		e.gateway.wants.Missed(e.service, e.request.Model)
-	}
 	switch {
 	case e.begun:
 		e.reply.Abort()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,9 +98,6 @@
 	Want(service, model, adapter string) func()
 	// Enter notes that a request for a model began; the function ends it.
 	Enter(service, model string) func()
-	// Missed notes that a request was refused because the instances of its model had too
-	// much to do.
-	Missed(service, model string)
 }
 
 // Event is one decision on a request, for the log and the metrics.
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -23,14 +23,16 @@
 	// ReturnLater tells clients to come back later the longer a model has been short of
 	// capacity.
 	ReturnLater Name = "return-later"
-	// CountMissed counts refused requests as demand for their model.
-	CountMissed Name = "count-missed"
 	// PricedReach bounds what may be unloaded to make a model reachable again.
 	PricedReach Name = "priced-reach"
+	// SecondHomes keeps the adapters of models that are asked for on two servers.
+	SecondHomes Name = "second-homes"
 )
 
 // Names lists all mechanisms.
-func Names() []Name { return []Name{Forecast, Hold, ReturnLater, CountMissed, PricedReach} }
+func Names() []Name {
+	return []Name{Forecast, Hold, ReturnLater, PricedReach, SecondHomes}
+}
 
 // off is set by the linker: names with commas between them.
 var off string
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/internal/mechanism"
 )
 
 // placeForAdapters adds replicas of models whose adapters do not all have a
@@ -44,19 +45,25 @@
 	}
 }
 
-func (p *plan) missingAdapters(model *fleet.Model, wanted bool) []string {
-	present := map[string]bool{}
+// homes counts the servers that hold each adapter of a model, or soon will.
+func (p *plan) homes(model string) map[string]int {
+	homes := map[string]int{}
 	for _, s := range p.slots {
-		if held := s.models[model.Name]; held != nil && !held.unloading {
+		if held := s.models[model]; held != nil && !held.unloading && !s.silent {
 			for adapter := range held.adapters {
-				present[adapter] = true
+				homes[adapter]++
 			}
 		}
 	}
+	return homes
+}
+
+func (p *plan) missingAdapters(model *fleet.Model, wanted bool) []string {
+	homes := p.homes(model.Name)
 	var missing []string
 	if wanted {
 		for adapter := range p.demand[model.Name].Adapters {
-			if !present[adapter] {
+			if homes[adapter] == 0 {
 				missing = append(missing, adapter)
 			}
 		}
@@ -64,21 +71,77 @@
 		return missing
 	}
 	for number := 1; number <= model.Adapters; number++ {
-		if adapter := fmt.Sprintf("a%d", number); !present[adapter] {
+		if adapter := adapterName(number); homes[adapter] == 0 {
 			missing = append(missing, adapter)
 		}
 	}
 	return missing
 }
 
+// adapterName is how the platform names the adapters of a model.
+func adapterName(number int) string { return fmt.Sprintf("a%d", number) }
+
+// spareAdapterPlaces is the number of places that each server keeps free for adapters that
+// have no home.
+const spareAdapterPlaces = 1
+
+// placeSecondHomes gives the adapters of models that are asked for a second home, in places
+// that are free. A server that is lost, or that loads a model for seconds and takes no other
+// order meanwhile, then leaves none of them without a home.
+func (p *plan) placeSecondHomes() {
+	if !mechanism.Enabled(mechanism.SecondHomes) {
+		return
+	}
+	for i := range p.engine.Models {
+		model := &p.engine.Models[i]
+		if model.Adapters == 0 || !p.wanted(model.Name) || p.ready[model.Name] < 2 {
+			continue
+		}
+		homes := p.homes(model.Name)
+		for number := 1; number <= model.Adapters; number++ {
+			if adapter := adapterName(number); homes[adapter] == 1 {
+				p.placeSecondHome(model, adapter)
+			}
+		}
+	}
+}
+
+func (p *plan) placeSecondHome(model *fleet.Model, adapter string) {
+	var best *slot
+	for _, s := range p.slots {
+		if !p.takesAdapters(s, model) || s.models[model.Name].adapters[adapter] || s.freeAdapters <= spareAdapterPlaces || s.freeMB < model.AdapterMB {
+			continue
+		}
+		if best == nil || betterAdapterHost(adapter, s, best) {
+			best = s
+		}
+	}
+	if best != nil {
+		p.loadAdapter(best, model, adapter, "second home")
+	}
+}
+
+// takesAdapters reports whether a server can be ordered now to load an adapter of a model.
+func (p *plan) takesAdapters(s *slot, model *fleet.Model) bool {
+	held := s.models[model.Name]
+	return held != nil && held.ready && !held.unloading && !s.blocked && !s.modelOrder && s.coming < p.settings.MaxComing
+}
+
+func (p *plan) loadAdapter(s *slot, model *fleet.Model, adapter, reason string) {
+	s.coming++
+	s.models[model.Name].adapters[adapter] = true
+	s.freeAdapters--
+	s.freeMB -= model.AdapterMB
+	p.send(s, Order{Load: true, Model: model.Name, Adapter: adapter, Reason: reason})
+}
+
 // placeAdapter loads an adapter on the server of its model with the most free
 // places; if none is free and makeRoom is set, it unloads one that another server
 // has too, or that nothing waits for.
 func (p *plan) placeAdapter(model *fleet.Model, adapter string, makeRoom bool) {
 	var best, full *slot
 	for _, s := range p.slots {
-		held := s.models[model.Name]
-		if held == nil || !held.ready || held.unloading || s.blocked || s.modelOrder || s.coming >= p.settings.MaxComing {
+		if !p.takesAdapters(s, model) {
 			continue
 		}
 		if s.freeAdapters <= 0 || s.freeMB < model.AdapterMB {
@@ -92,11 +155,7 @@
 		}
 	}
 	if best != nil {
-		best.coming++
-		best.models[model.Name].adapters[adapter] = true
-		best.freeAdapters--
-		best.freeMB -= model.AdapterMB
-		p.send(best, Order{Load: true, Model: model.Name, Adapter: adapter, Reason: "adapter"})
+		p.loadAdapter(best, model, adapter, "adapter")
 		return
 	}
 	if !makeRoom {
@@ -121,23 +180,36 @@
 	return xxhash.Sum64String(adapter+a.id()) > xxhash.Sum64String(adapter+b.id())
 }
 
-// unloadAdapter frees a place on a server. Adapters that nothing waits for go
-// first, in a pseudo-random order, so that no adapter is always the victim.
+// unloadAdapter frees a place on a server. Adapters that have another home go first, then
+// those that nothing waits for, in a pseudo-random order, so that no adapter is always the
+// victim.
 func (p *plan) unloadAdapter(s *slot, salt string) {
-	var victimModel, victim string
-	var bestRank uint64
+	var best adapterVictim
 	for name, held := range s.models {
+		homes := p.homes(name)
 		for adapter := range held.adapters {
-			if p.demand[name].Adapters[adapter] > 0 {
-				continue
-			}
-			rank := xxhash.Sum64String(salt + name + adapter)
-			if victim == "" || rank > bestRank {
-				victimModel, victim, bestRank = name, adapter, rank
+			victim := adapterVictim{model: name, adapter: adapter, spare: homes[adapter] > 1, rank: xxhash.Sum64String(salt + name + adapter)}
+			if (victim.spare || p.demand[name].Adapters[adapter] == 0) && victim.before(&best) {
+				best = victim
 			}
 		}
 	}
-	if victim != "" {
-		p.send(s, Order{Model: victimModel, Adapter: victim, Reason: "room for adapter " + salt})
+	if best.adapter != "" {
+		p.send(s, Order{Model: best.model, Adapter: best.adapter, Reason: "room for adapter " + salt})
+	}
+}
+
+// adapterVictim is an adapter that may give way on a server.
+type adapterVictim struct {
+	model, adapter string
+	// spare says that another server has it too.
+	spare bool
+	rank  uint64
+}
+
+func (v *adapterVictim) before(other *adapterVictim) bool {
+	if other.adapter == "" || v.spare != other.spare {
+		return other.adapter == "" || v.spare
 	}
+	return v.rank > other.rank
 }
--- a/residency/grow.go
+++ b/residency/grow.go
@@ -45,14 +45,14 @@
 }
 
 // worth is what one more replica of a model is worth: what its requests gain by it, or that
-// the model can be reached again.
+// the model can be reached again, by those that wait and those that are expected.
 func (p *plan) worth(model string) float64 {
 	if p.reachable[model] > 0 {
 		return p.gain(model)
 	}
 	seen := p.observed[model]
 	asking := max(float64(seen.Waiting), seen.Concurrent)
-	return p.settings.ReachWorth * (1 + asking*(1+p.unserved.span(p.now, model).Seconds()))
+	return p.settings.ReachWorth*(1+asking*(1+p.unserved.span(p.now, model).Seconds())) + p.heldUp(model, 1)
 }
 
 // gain is what the requests for a model gain by one more replica, loss what they lose by one
--- a/residency/grow_test.go
+++ b/residency/grow_test.go
@@ -92,3 +92,28 @@
 		}
 	}
 }
+
+// TestRoomOnAServerThatDiedIsMadeElsewhere has the server on which room was made stop
+// answering: the model that requests wait for gets room elsewhere well before that server
+// counts as silent.
+func TestRoomOnAServerThatDiedIsMadeElsewhere(t *testing.T) {
+	short := shortOfMemory(1)
+	for _, s := range short.servers {
+		short.book.Report(short.now, s.id, s.report())
+	}
+	demand := map[string]residency.Demand{"lost": {Waiting: 5}}
+	room := short.book.Plan(short.now, service, short.engine, demand)
+	if len(room) != 1 || room[0].RoomFor != "lost" {
+		t.Fatalf("orders %+v", room)
+	}
+	short.book.Sending(short.now, room[0])
+	short.book.Answered(short.now, room[0], residency.AnswerTaken)
+	find(short.servers, room[0].Instance).silent = true
+	empty := &modelServer{id: "s2", models: map[string][]string{}}
+	short.servers = append(short.servers, empty)
+	putAll(short.book, instances(short.servers))
+	short.run(1500*time.Millisecond, demand)
+	if _, loaded := empty.models["lost"]; !loaded {
+		t.Errorf("the empty server holds %v", empty.models)
+	}
+}
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -60,6 +60,7 @@
 		p.placeForAdapters()
 	}
 	p.placeAdapters(false)
+	p.placeSecondHomes()
 	return p.orders
 }
 
@@ -80,7 +81,7 @@
 				continue
 			}
 			p.replicas[model]++
-			if s.silent {
+			if s.silent || s.quiet && !held.ready {
 				continue
 			}
 			p.reachable[model]++
@@ -88,7 +89,7 @@
 				p.ready[model]++
 			}
 		}
-		if s.reservedFor != "" && !s.serves(s.reservedFor) {
+		if s.reservedFor != "" && !s.serves(s.reservedFor) && !s.quiet {
 			p.replicas[s.reservedFor]++
 			p.reachable[s.reservedFor]++
 		}
@@ -108,7 +109,7 @@
 		switch {
 		case ready && (p.loadsLeft > 0 || s.atHand[model.Name]):
 			p.load(s, model, "room was made")
-		case !s.atHand[model.Name]:
+		case !s.atHand[model.Name] && !s.quiet:
 			waiting++
 		}
 	}
--- a/residency/slate.go
+++ b/residency/slate.go
@@ -24,10 +24,11 @@
 	// blocked that no order at all may be sent.
 	modelOrder bool
 	blocked    bool
-	// silent servers answer nothing: what they hold may be out of reach.
-	silent   bool
-	atHand   map[string]bool
-	requests int
+	// silent servers answer nothing: what they hold may be out of reach. Quiet ones have
+	// just begun not to answer: what is on its way to them may not come.
+	silent, quiet bool
+	atHand        map[string]bool
+	requests      int
 	// reservedFor is the model that free memory is kept for, or empty.
 	reservedFor string
 }
@@ -65,6 +66,7 @@
 	}
 	s.modelOrder = known.report.Busy
 	s.silent = known.silent(now, settings.SilentAfter)
+	s.quiet = known.silent(now, settings.QuietAfter)
 	s.blocked = s.silent || known.reportAt.IsZero() || known.sending != nil || known.unsettled != nil || now.Before(known.busyUntil)
 	for _, order := range known.pending() {
 		s.reserve(order)
--- a/residency/types.go
+++ b/residency/types.go
@@ -116,6 +116,9 @@
 	// SilentAfter is how long a server may leave questions unanswered before its
 	// models get a replica elsewhere if no other server has them.
 	SilentAfter time.Duration
+	// QuietAfter is the same for models that are not ready there yet: nobody is served by
+	// them, so waiting is worth less. It is shorter than the pause between two questions.
+	QuietAfter time.Duration
 }
 
 // DefaultSettings returns the settings used unless an operator changes them.
@@ -139,6 +142,7 @@
 		ReachWorth:      40,
 		PressingGain:    8,
 		SilentAfter:     2500 * time.Millisecond,
+		QuietAfter:      800 * time.Millisecond,
 	}
 }
 
