--- a/cmd/wheatweir/main.go
+++ b/cmd/wheatweir/main.go
@@ -16,6 +16,7 @@
 	app.HelpFlag.Short('h')
 	addOperatorCommands(app)
 	addExplain(app)
+	addLosses(app)
 	addLabCommands(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "wheatweir:", err)
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -118,6 +118,9 @@
 	if event.FirstEvent > 0 {
 		fields = append(fields, "first_ms", event.FirstEvent.Milliseconds(), "pause_ms", event.LongestPause.Milliseconds())
 	}
+	if late := event.Late(time.Now()); late != gateway.OnTime {
+		fields = append(fields, "late", string(late))
+	}
 	if event.Status != 0 {
 		fields = append(fields, "status", event.Status)
 	}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -85,11 +86,14 @@
 }
 
 // Read takes in a log.
-func (r *Reader) Read(log io.Reader) error {
+func (r *Reader) Read(log io.Reader) error { return eachLine(log, r.line) }
+
+// eachLine hands on the lines of a log.
+func eachLine(log io.Reader, take func(text string)) error {
 	scanner := bufio.NewScanner(log)
 	scanner.Buffer(nil, maxLine)
 	for scanner.Scan() {
-		r.line(scanner.Text())
+		take(scanner.Text())
 	}
 	if err := scanner.Err(); err != nil {
 		return ErrRead.Wrap(err)
@@ -110,14 +114,21 @@
 	case err != nil:
 		r.story.Torn++
 	case strings.HasPrefix(message, "log: Lines dropped"):
-		count := 0
-		_, _ = fmt.Sscan(step.Value("count"), &count)
-		r.story.Dropped += count
+		r.story.Dropped += droppedCount(&step)
 	case step.Value("request") == r.request:
 		r.story.Steps = append(r.story.Steps, step)
 	}
 }
 
+// droppedCount is how many lines a daemon says it dropped; one that does not say counts as one.
+func droppedCount(step *Step) int {
+	count, err := strconv.Atoi(step.Value("count"))
+	if err != nil {
+		return 1
+	}
+	return count
+}
+
 // parse reads one line.
 func parse(text string) (Step, string, error) {
 	var step Step
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,6 +133,36 @@
 	Err     error
 }
 
+// Lateness is why an answer that was served to its end was late.
+type Lateness string
+
+// Ways of being late. A stream whose first event is late counts as that, whatever follows.
+const (
+	OnTime     Lateness = ""
+	LateFirst  Lateness = "first"
+	LatePause  Lateness = "pause"
+	LateAnswer Lateness = "answer"
+)
+
+// Late tells whether the answer that the event ends came later than its route's targets,
+// which count from the arrival of the request here: what its client had waited before, in
+// earlier attempts, is not known.
+func (e *Event) Late(now time.Time) Lateness {
+	switch {
+	case e.Step != StepEnded || e.Reason != ReasonAnswered || e.Route == nil || e.Route.TargetLatency <= 0:
+		return OnTime
+	case e.Route.Kind != fleet.KindStream:
+		if now.Sub(e.Request.Arrived) > e.Route.TargetLatency {
+			return LateAnswer
+		}
+	case e.FirstEvent > e.Route.TargetLatency:
+		return LateFirst
+	case e.Route.TargetGap > 0 && e.LongestPause > e.Route.TargetGap:
+		return LatePause
+	}
+	return OnTime
+}
+
 // Observer hears of each decision. It must not block.
 type Observer interface {
 	Observe(event Event)
