Split three test files and the simulator's requests; every line stays

Checked by comparing all lines but imports before and after; no test is changed. Nothing that runs in a daemon is touched.

--- a/coordination/spread_test.go
+++ b/coordination/spread_test.go
@@ -119,112 +119,6 @@
 	}
 }
 
-// TestDispatchersHearOfEveryChange covers nodes of four zones whose load changes all the
-// time: each has a live dispatcher in its zone, which hears of it at each change; all
-// agree who leads whom; the others tell only some nodes, and less often.
-func TestDispatchersHearOfEveryChange(t *testing.T) {
-	w := newWorld(manyNodes)
-	w.learn()
-	w.run(8 * time.Second)
-	clear(w.heardLoad)
-	clear(w.messages)
-	const changes = 40
-	for change := range changes {
-		w.run(50 * time.Millisecond)
-		for _, name := range w.names() {
-			load := map[string]balance.Load{"i": {Requests: 1 + change}}
-			w.perform(name, w.nodes[name].ObserveOwn(w.now, load, nil, coordination.UrgencyLoad))
-		}
-	}
-	dispatchers := 0
-	for i, name := range w.names() {
-		group := w.nodes[name].Group()
-		if group.Dispatching {
-			dispatchers++
-			if len(group.Others) != 3 {
-				t.Errorf("%s knows %d other dispatchers", name, len(group.Others))
-			}
-			continue
-		}
-		leader := w.nodes[group.Dispatcher]
-		if leader == nil || !leader.Group().Dispatching || !leader.Group().Leads(name) {
-			t.Fatalf("%s follows %q, which does not lead it", name, group.Dispatcher)
-		}
-		if backup := w.nodes[group.Backup]; backup == nil || !backup.Group().Dispatching || group.Backup == group.Dispatcher {
-			t.Errorf("%s asks %q while %s does not answer", name, group.Backup, group.Dispatcher)
-		}
-		var place int
-		if _, err := fmt.Sscanf(group.Dispatcher, "n%d", &place); err != nil || place%4 != i%4 {
-			t.Errorf("%s follows %s of another zone", name, group.Dispatcher)
-		}
-		if heard := w.heardLoad[[2]string{name, group.Dispatcher}]; heard < changes {
-			t.Errorf("%s heard %d times of %s at %d changes", group.Dispatcher, heard, name, changes)
-		}
-		if sent := w.messages[name]; sent > 500 {
-			t.Errorf("%s sent %d messages in two seconds", name, sent)
-		}
-	}
-	if dispatchers != 4 {
-		t.Errorf("%d dispatchers for four zones of 15", dispatchers)
-	}
-}
-
-// TestLostDispatcherIsReplaced covers a dispatcher that goes off.
-func TestLostDispatcherIsReplaced(t *testing.T) {
-	w := newWorld(manyNodes)
-	w.learn()
-	w.run(8 * time.Second)
-	lost := w.nodes["n0"].Group().Dispatcher
-	w.dead[lost] = true
-	w.run(4 * time.Second)
-	for i, name := range w.names() {
-		if i%4 != 0 || name == lost {
-			continue
-		}
-		if now := w.nodes[name].Group().Dispatcher; now == lost || now == "" {
-			t.Errorf("%s follows %q after %s went off", name, now, lost)
-		}
-	}
-}
-
-// TestDutiesGoToHeavierMachinesFirst covers a fleet of unlike machines: the lease on orders
-// and the choices for each group go to the few strong ones.
-func TestDutiesGoToHeavierMachinesFirst(t *testing.T) {
-	w := newWorld(manyNodes)
-	strong := func(i int) bool { return i%4 == i/4%4 && i < 16 }
-	w.rebuild(func(i int, self *member.Member, settings *coordination.Settings) {
-		settings.Lease.OrderPause = 0
-		self.Weight = 192
-		if strong(i) {
-			self.Weight = 800
-		}
-	})
-	w.learn()
-	w.run(12 * time.Second)
-	holders := w.holders()
-	if len(holders) != 1 {
-		t.Fatalf("holders %v", holders)
-	}
-	for i, name := range w.names() {
-		if name == holders[0] && !strong(i) {
-			t.Errorf("%s holds the lease", name)
-		}
-		if w.nodes[name].Group().Dispatching && !strong(i) {
-			t.Errorf("%s is a dispatcher", name)
-		}
-	}
-}
-
-// TestSmallFleetHasNoGroups: there all tell all.
-func TestSmallFleetHasNoGroups(t *testing.T) {
-	w := newWorld(9)
-	w.learn()
-	w.run(8 * time.Second)
-	if group := w.nodes["n0"].Group(); group.Dispatcher != "" || group.Dispatching {
-		t.Fatalf("%+v", group)
-	}
-}
-
 // TestReportsThatComeTogetherArePlannedOnce covers the reports of many servers.
 func TestReportsThatComeTogetherArePlannedOnce(t *testing.T) {
 	w := newWorld(1)
@@ -241,22 +135,6 @@
 	}
 }
 
-// TestFewNodesWatchInALargeFleet covers nodes that seldom hear those that watch the store
-// themselves: they hear of them by others, and do not begin to watch too, as each watch is
-// priced.
-func TestFewNodesWatchInALargeFleet(t *testing.T) {
-	w := newWorld(manyNodes)
-	w.learn()
-	w.run(8 * time.Second)
-	most := coordination.DefaultSettings(term).Watchers
-	for range 100 {
-		w.run(50 * time.Millisecond)
-		if watching := w.watching(); watching > most {
-			t.Fatalf("%d nodes watch the store, %d are enough", watching, most)
-		}
-	}
-}
-
 // TestManyServersArePlannedForSeldom covers reports of many servers that come one after
 // the other, with ticks between: a plan looks at all servers, so the more there are, the
 // fewer plans are made.
--- /dev/null
+++ b/gateway/fakes_test.go
@@ -0,0 +1,160 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/retry"
+)
+
+// answer is what a scripted instance does with one request.
+type answer struct {
+	err         error
+	status      int
+	unsigned    bool
+	declined    bool
+	misdirected bool
+	body        string
+	// cut ends the body with an error.
+	cut bool
+	// hang answers only when the request's context ends.
+	hang bool
+}
+
+// script is an Upstream that answers by a list.
+type script struct {
+	mutex   sync.Mutex
+	answers []answer
+	sent    []gateway.Outbound
+	left    []time.Duration
+}
+
+func (s *script) Send(ctx context.Context, outbound *gateway.Outbound) (gateway.Response, error) {
+	s.mutex.Lock()
+	next := answer{status: 200, body: "default"}
+	if len(s.answers) > 0 {
+		next, s.answers = s.answers[0], s.answers[1:]
+	}
+	s.sent = append(s.sent, *outbound)
+	s.left = append(s.left, outbound.Left)
+	s.mutex.Unlock()
+	if next.hang {
+		<-ctx.Done()
+		return nil, gateway.ErrUnknown.Wrap(ctx.Err())
+	}
+	if next.err != nil {
+		return nil, next.err
+	}
+	return &response{answer: next, reader: strings.NewReader(next.body)}, nil
+}
+
+type response struct {
+	answer
+	reader *strings.Reader
+}
+
+var errCut = errors.New("connection reset")
+
+func (r *response) Status() int             { return r.status }
+func (r *response) Header() []gateway.Field { return nil }
+func (r *response) Length() int64           { return -1 }
+func (r *response) Executed() bool          { return !r.declined && !r.misdirected }
+func (r *response) Misdirected() bool       { return r.misdirected }
+func (r *response) Signed() bool            { return !r.unsigned }
+func (r *response) Close()                  {}
+
+func (r *response) Read(buffer []byte) (int, error) {
+	count, err := r.reader.Read(buffer)
+	if err == io.EOF && r.cut {
+		return count, errCut
+	}
+	return count, err
+}
+
+// client is a Reply that keeps what it gets.
+type client struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+	body       bytes.Buffer
+	begun      bool
+	aborted    bool
+	at         time.Time
+}
+
+func (c *client) Begin(status int, _ []gateway.Field, _ int64) error {
+	c.begun, c.status, c.at = true, status, time.Now()
+	return nil
+}
+
+func (c *client) Write(piece []byte) error {
+	c.body.Write(piece)
+	return nil
+}
+
+func (c *client) Refuse(status int, reason string, retryAfter time.Duration) {
+	c.status, c.reason, c.retryAfter, c.at = status, reason, retryAfter, time.Now()
+}
+
+func (c *client) Abort() { c.aborted, c.at = true, time.Now() }
+
+type noWants struct{ wanted []string }
+
+func (w *noWants) Want(_, model, adapter string) func() {
+	w.wanted = append(w.wanted, model+"/"+adapter)
+	return func() {}
+}
+func (w *noWants) Enter(_, _ string) func() { return func() {} }
+
+type silent struct{}
+
+func configuration() *fleet.Configuration {
+	route := func(name string, kind fleet.RouteKind, attempts int, resumable bool) fleet.Route {
+		return fleet.Route{
+			Name: name, Host: "host", PathPrefix: "/" + name + "/", Kind: kind, Timeout: 5 * time.Second,
+			TargetLatency: time.Second, MaxAttempts: attempts, Resumable: resumable,
+			Targets: []fleet.Target{{Service: "svc", Weight: 1}},
+		}
+	}
+	return &fleet.Configuration{
+		Version: 1,
+		Routes: []fleet.Route{
+			route("unsafe", fleet.KindUnsafe, 2, false), route("safe", fleet.KindSafe, 2, false),
+			route("once", fleet.KindUnsafe, 1, false), route("stream", fleet.KindStream, 2, false),
+			route("resume", fleet.KindStream, 2, true),
+		},
+		Services: []fleet.Service{{Name: "svc"}},
+	}
+}
+
+func view(models ...string) *fleet.View {
+	var residents []fleet.Resident
+	for _, model := range models {
+		residents = append(residents, fleet.Resident{Model: model})
+	}
+	return fleet.NewView(configuration(), []*fleet.Instance{
+		{ID: "i1", Service: "svc", Slots: 4, Residents: residents}, {ID: "i2", Service: "svc", Slots: 4, Residents: residents},
+		{ID: "i3", Service: "svc", Slots: 4, Residents: residents},
+	})
+}
+
+func newGateway(upstream gateway.Upstream, wants gateway.Wants) *gateway.Gateway {
+	return trackedGateway(upstream, wants, balance.NewTracker())
+}
+
+func trackedGateway(upstream gateway.Upstream, wants gateway.Wants, tracker *balance.Tracker) *gateway.Gateway {
+	settings := gateway.Settings{RetryAfter: 200 * time.Millisecond, WaitShare: 0.5, ShareOfConnections: func() float64 { return 1 }}
+	return gateway.New(settings, upstream, tracker, retry.NewBudget(0.2, 10), wants, silent{})
+}
+
+func request(route string) *gateway.Request {
+	return &gateway.Request{ID: "r", Method: "POST", URI: "/" + route + "/x", Path: "/" + route + "/x", RouteHost: "host", Arrived: time.Now()}
+}
