Logs tell who ended a request, the client or this daemon, and in which phase

Change: the front ends its requests with a cause of its own before it closes; last lines carry the reason stopping and the phase; Stopped. also counts connections that are busy with a request that is being read or an answer that is being written. No request ends otherwise than before. Measured: TestLogTellsWhoEndedARequestAndWhere fails on the code before (no such cause); an attempt that the daemon's end breaks off is not held against the instance, as before.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -297,7 +297,7 @@
 		}
 		time.Sleep(stopPoll)
 	}
-	d.log.add("daemon", "Stopped.", "requests_cut", d.gateway.Active())
+	d.log.add("daemon", "Stopped.", "requests_cut", d.gateway.Active(), "connections_busy", d.front.Busy())
 	d.Kill()
 }
 
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -121,6 +121,9 @@
 	if late := event.Late(time.Now()); late != gateway.OnTime {
 		fields = append(fields, "late", string(late))
 	}
+	if finalSteps[event.Step] && event.Reason != gateway.ReasonAnswered && event.Phase != "" {
+		fields = append(fields, "phase", string(event.Phase))
+	}
 	if event.Status != 0 {
 		fields = append(fields, "status", event.Status)
 	}
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -27,6 +27,7 @@
 	for {
 		changed := *e.gateway.changed.Load()
 		view := e.gateway.view.Load()
+		e.phase = PhaseChoosing
 		candidate := e.pick(ctx, view)
 		if candidate != nil && e.hopeless(candidate) {
 			return nil, ReasonOverloaded
@@ -35,6 +36,7 @@
 			return candidate, ""
 		}
 		if candidate != nil && ctx.Err() == nil {
+			e.phase = PhasePaced
 			e.observeOnce(StepPaced, "")
 			sleep(ctx, paced)
 			paced = min(2*paced, longestCrowdedPause)
@@ -47,6 +49,7 @@
 		if len(e.sentTo) > 0 || wait <= 0 {
 			return nil, reason
 		}
+		e.phase = PhaseWaiting
 		e.observeOnce(StepWaiting, reason)
 		select {
 		case <-changed:
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/wheatweir/wheatweir/balance"
@@ -43,6 +42,7 @@
 	begun bool
 	// reading says that the instance has not begun to answer.
 	reading     bool
+	phase       Phase
 	resumeAfter string
 	pace        pace
 	// waitedFor is the last wait that was told.
@@ -123,8 +123,8 @@
 
 // giveUp gives the client its final answer, or breaks it off if a part is out.
 func (e *exchange) giveUp(ctx context.Context, reason string) {
-	if clientLeft(ctx) {
-		e.observe(Event{Step: StepEnded, Reason: ReasonClientGone})
+	if clientLeft(ctx) || stopped(ctx) {
+		e.observe(Event{Step: StepEnded, Reason: endOf(ctx)})
 		e.reply.Abort()
 		return
 	}
@@ -141,8 +141,6 @@
 	}
 }
 
-func clientLeft(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
-
 // observeOnce tells of the first wait of its kind.
 func (e *exchange) observeOnce(step, reason string) {
 	if e.waitedFor != step+reason {
@@ -156,6 +154,7 @@
 	event.Route = e.route
 	event.Version = e.version
 	event.Attempt = len(e.sentTo)
+	event.Phase = e.phase
 	event.Forecast = e.forecast
 	if !e.pace.firstAt.IsZero() {
 		event.FirstEvent = e.pace.firstAt.Sub(e.request.Arrived)
@@ -175,6 +174,7 @@
 		return verdictUnreached
 	}
 	e.observe(Event{Step: StepSent, Instance: id, Load: candidate.Load, Candidates: candidate.Of, ChosenBy: candidate.By, Left: outbound.Left})
+	e.phase = PhaseAttempt
 	e.gateway.tracker.Begin(id, e.request.PromptTokens)
 	e.reading, e.sentAt, e.startedAt = true, time.Now(), time.Time{}
 	response, err := e.gateway.upstream.Send(ctx, outbound)
@@ -186,6 +186,7 @@
 		return e.declined(id, response)
 	}
 	e.mayHaveRun = true
+	e.phase = PhaseAnswering
 	return e.pass(ctx, candidate, response)
 }
 
@@ -221,9 +222,9 @@
 }
 
 // blame returns the outcome of an attempt that ended without a whole answer: the
-// instance is not to blame if the client left.
+// instance is not to blame if the client left or this daemon ends.
 func blame(ctx context.Context, outcome balance.Outcome) balance.Outcome {
-	if clientLeft(ctx) {
+	if clientLeft(ctx) || stopped(ctx) {
 		return balance.Abandoned
 	}
 	return outcome
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,8 +60,8 @@
 	// StepEjected says that the instance gets no requests for a while.
 	StepEjected = "ejected"
 	// StepEnded, StepRefused and StepBrokenOff end a request: with the answer of
-	// an instance or because the client left, with an answer of our own, or in
-	// the middle of an answer.
+	// an instance or because the client left or the daemon ended, with an answer
+	// of our own, or in the middle of an answer.
 	StepEnded     = "ended"
 	StepRefused   = "refused"
 	StepBrokenOff = "broken_off"
@@ -111,6 +111,8 @@
 	Attempt  int
 	Status   int
 	Reason   string
+	// Phase is how far the request had come.
+	Phase Phase
 	// Candidates is the number of instances that could have been chosen.
 	Candidates int
 	// ChosenBy is the daemon that chose the instance, empty for this one.
--- /dev/null
+++ b/gateway/phase_test.go
@@ -0,0 +1,51 @@
+package gateway_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/retry"
+)
+
+func observedGateway(upstream gateway.Upstream, observer gateway.Observer) *gateway.Gateway {
+	settings := gateway.Settings{RetryAfter: 200 * time.Millisecond, WaitShare: 0.5, ShareOfConnections: func() float64 { return 1 }}
+	return gateway.New(settings, upstream, balance.NewTracker(), retry.NewBudget(0.2, 10), &noWants{}, observer)
+}
+
+// TestLogTellsWhoEndedARequestAndWhere ends requests in two phases, by their client and by
+// the daemon.
+func TestLogTellsWhoEndedARequestAndWhere(t *testing.T) {
+	cases := []struct {
+		name   string
+		model  string
+		cause  error
+		reason string
+		phase  gateway.Phase
+	}{
+		{"the client leaves while it waits for a model", "absent", context.Canceled, gateway.ReasonClientGone, gateway.PhaseWaiting},
+		{"the daemon ends while it waits for a model", "absent", gateway.ErrStopped.New("test"), gateway.ReasonStopping, gateway.PhaseWaiting},
+		{"the client leaves a silent instance", "m", context.Canceled, gateway.ReasonClientGone, gateway.PhaseAttempt},
+		{"the daemon ends before an instance answers", "m", gateway.ErrStopped.New("test"), gateway.ReasonStopping, gateway.PhaseAttempt},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				observer := &recorder{}
+				g := observedGateway(&script{answers: []answer{{hang: true}}}, observer)
+				g.SetView(view("m"))
+				ctx, cancel := context.WithCancelCause(context.Background())
+				time.AfterFunc(500*time.Millisecond, func() { cancel(c.cause) })
+				sent := request("stream")
+				sent.Model = c.model
+				g.Serve(ctx, sent, &client{})
+				if got := observer.events[len(observer.events)-1]; got.Reason != c.reason || got.Phase != c.phase {
+					t.Errorf("reason %q in phase %q, want %q in %q", got.Reason, got.Phase, c.reason, c.phase)
+				}
+			})
+		})
+	}
+}
