--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -93,24 +93,32 @@
 	}
 	seed := freeAddress(t)
 	for i := range count {
-		settings := entry.DefaultSettings()
-		settings.Name, settings.Zone, settings.DeploymentKey = fmt.Sprint("d", i), "z", "a key for these tests"
+		settings := f.daemonSettings(t, i, seed)
 		if zone := i % zones; zone > 0 {
 			settings.Zone = fmt.Sprint("z", zone)
 		}
-		settings.FrontAddress, settings.ReadyAddress, settings.DirectoryAddress = freeAddress(t), freeAddress(t), freeAddress(t)
-		settings.PeerAddress = freeAddress(t)
-		if i == 0 {
-			settings.PeerAddress = seed
-		}
-		settings.StoreAddress, settings.Seeds, settings.ChecksFence = store.Address(), []string{seed}, true
-		settings.AddressKeep, settings.Grace = 200*time.Millisecond, 3*time.Second
 		f.all = append(f.all, settings)
 		f.daemons = append(f.daemons, f.startDaemon(t, settings))
 	}
 	return f
 }
 
+// daemonSettings returns the settings of the daemon with a number. The first one listens to
+// the others at the seed.
+func (f *deployment) daemonSettings(t *testing.T, number int, seed string) entry.Settings {
+	t.Helper()
+	settings := entry.DefaultSettings()
+	settings.Name, settings.Zone, settings.DeploymentKey = fmt.Sprint("d", number), "z", "a key for these tests"
+	settings.FrontAddress, settings.ReadyAddress, settings.DirectoryAddress = freeAddress(t), freeAddress(t), freeAddress(t)
+	settings.PeerAddress = freeAddress(t)
+	if number == 0 {
+		settings.PeerAddress = seed
+	}
+	settings.StoreAddress, settings.Seeds, settings.ChecksFence = f.store.Address(), []string{seed}, true
+	settings.AddressKeep, settings.Grace = 200*time.Millisecond, 3*time.Second
+	return settings
+}
+
 // TestDaemonsOfAnotherMessageFormAreStrangers covers an upgrade: a list of instances in the
 // form of another version, whose fields this one does not know, must not empty its own.
 func TestDaemonsOfAnotherMessageFormAreStrangers(t *testing.T) {
--- /dev/null
+++ b/entry/stop_test.go
@@ -0,0 +1,110 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/platform/standin"
+)
+
+// stopGrace is the grace of the daemons that these tests stop: far less than their requests
+// would wait.
+const stopGrace = 1500 * time.Millisecond
+
+// startToStop starts one daemon with a short grace, and routes whose clients are patient.
+func startToStop(t *testing.T) *deployment {
+	t.Helper()
+	f := start(t, 0)
+	f.store.Configure(&fleet.Configuration{
+		Version: 2,
+		Routes: []fleet.Route{
+			route("stream", fleet.KindStream, 20*time.Second, 5*time.Second, 2, "llm"),
+			route("unsafe", fleet.KindUnsafe, 20*time.Second, 5*time.Second, 2, "web"),
+			route("safe", fleet.KindSafe, 20*time.Second, 5*time.Second, 2, "web"),
+		},
+		Services: []fleet.Service{
+			{Name: "llm", MaxConnections: 1, Engine: &fleet.Engine{
+				Slots: 8, MemoryTokens: 100000, WeightsMB: 200, AdapterSlots: 4, LoadsPerSecond: 5,
+				Models: []fleet.Model{{Name: "m", WeightsMB: 60}, {Name: "too-large", WeightsMB: 500}},
+			}},
+			{Name: "web", MaxConnections: 100},
+		},
+	})
+	settings := f.daemonSettings(t, 0, freeAddress(t))
+	settings.Grace = stopGrace
+	f.all = append(f.all, settings)
+	f.daemons = append(f.daemons, f.startDaemon(t, settings))
+	f.waitReady(t)
+	return f
+}
+
+// TestStopAnswersRequestsThatHaveNotBegun stops a daemon while a request has no byte of an
+// answer: its client gets a whole answer within the grace, and one that says whether the request
+// may have run.
+func TestStopAnswersRequestsThatHaveNotBegun(t *testing.T) {
+	cases := []struct {
+		name    string
+		path    string
+		model   string
+		behaves standin.Behaviour
+		// before is a request that is sent ahead of the one in question.
+		before string
+		status int
+	}{
+		{name: "it waits for a model that no instance has", path: "/stream/x", model: "too-large", status: http.StatusServiceUnavailable},
+		{name: "it waits for a connection", path: "/stream/x", model: "m", behaves: standin.BehaviourSilent, before: "m", status: http.StatusServiceUnavailable},
+		{name: "its stream has not begun", path: "/stream/x", model: "m", behaves: standin.BehaviourSilent, status: http.StatusBadGateway},
+		{name: "its instance says nothing", path: "/unsafe/x", behaves: standin.BehaviourSilent, status: http.StatusBadGateway},
+		{name: "its instance says nothing, and it may be repeated", path: "/safe/x", behaves: standin.BehaviourSilent, status: http.StatusBadGateway},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := startToStop(t)
+			for _, server := range f.servers {
+				server.Behave(c.behaves)
+			}
+			if c.before != "" {
+				for range f.servers {
+					go func() {
+						_, _ = client.Do(context.Background(), f.all[0].FrontAddress, patientRequest(c.path, c.before))
+					}()
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			answers := make(chan error, 1)
+			go func() { answers <- wantAnswer(f.all[0].FrontAddress, patientRequest(c.path, c.model), c.status) }()
+			time.Sleep(100 * time.Millisecond)
+			f.daemons[0].Stop(context.Background())
+			if err := <-answers; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+func patientRequest(path, model string) standin.ClientRequest {
+	return standin.ClientRequest{
+		ID: fmt.Sprintf("%016x", requestNumber.Add(1)), Host: "h.example", Path: path, Body: "prompt", Model: model,
+		PromptTokens: 100, OutputTokens: 10, Patience: 20 * time.Second,
+	}
+}
+
+// wantAnswer sends a request and compares its answer with what it should be. A refusal that
+// promises that the request has not run tells when to come back.
+func wantAnswer(address string, sent standin.ClientRequest, status int) error {
+	answer, err := client.Do(context.Background(), address, sent)
+	switch {
+	case err != nil:
+		return fmt.Errorf("no answer: %w", err)
+	case !answer.Complete || answer.Status != status:
+		return fmt.Errorf("status %d, complete %t; want %d", answer.Status, answer.Complete, status)
+	case answer.PromisesNotRun() && answer.RetryAfter == 0:
+		return fmt.Errorf("status %d does not tell when to come back", answer.Status)
+	}
+	return nil
+}
