A planned stop gives every request its final answer before it closes connections

Cause: nothing connected the end of a daemon with what its requests were doing. A request that waits for a model, an adapter or a connection waits for up to half of its client's time (15 s of 30), one at a silent instance until its deadline; the stop waited for them until the grace was nearly over and then closed all connections. A request whose body was still arriving did not even hold the stop up. Change: the gateway has a lifetime. When the daemon takes no new requests any more it is drained: a request that no instance may have run is refused at once, as not run, with the Retry-After of a daemon that stops, also between two attempts. Shortly before the grace is over it ends: 502 for what may have run and has no byte of an answer, a broken connection only for streams in the middle. Nothing is said of silence before that.

--- /dev/null
+++ b/entry/stop.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/wheatweir/wheatweir/coordination"
+)
+
+const (
+	// keptFactor is how much longer than allowed some clients keep an answer
+	// about addresses, as the platform's pages tell.
+	keptFactor = 3
+	// graceShare bounds how long a stopping daemon takes new requests: a stream
+	// that begins later may not end within the grace.
+	graceShare = 2
+	// acceptMargin is how much sooner than clients' answers expire the daemon
+	// stops taking requests, so that none is on its way at that moment.
+	acceptMargin = 100 * time.Millisecond
+	// stopPoll is the pause between two looks at whether a stop is safe.
+	stopPoll = 50 * time.Millisecond
+	// stopMargin is how long before the end of the grace requests get their last
+	// answer. The platform kills the process at the end of the grace.
+	stopMargin = 400 * time.Millisecond
+	// answerMargin bounds the time for writing those answers. It leaves the process
+	// half of stopMargin for its own end.
+	answerMargin = 200 * time.Millisecond
+)
+
+// Stop ends the daemon: it is no longer ready and leaves the answers about
+// addresses at once, goes on serving for as long as clients may keep an answer,
+// then lets no request begin, and waits for those that have begun, within the grace
+// and until ctx ends. What is left then gets its final answer.
+func (d *Daemon) Stop(ctx context.Context) {
+	begun := time.Now()
+	d.log.add("daemon", "Stop begins.", "requests", d.gateway.Active())
+	d.stopping.Store(true)
+	d.events.Put(d.ctx, func(node *coordination.Node, _ time.Time) []coordination.Action { return node.Leave() })
+	grace := d.current().Grace
+	kept := min(keptFactor*d.current().AddressKeep, grace/graceShare) - acceptMargin
+	waitUntil(ctx, begun.Add(kept), never)
+	d.closing.Store(true)
+	d.gateway.Drain()
+	d.log.add("daemon", "Requests no longer begin.", "requests", d.gateway.Active())
+	waitUntil(ctx, begun.Add(grace-stopMargin), d.idle)
+	d.log.add("daemon", "Requests end.", "requests_cut", d.gateway.Active())
+	d.gateway.End()
+	waitUntil(context.Background(), time.Now().Add(answerMargin), d.idle)
+	d.log.add("daemon", "Stopped.", "connections_busy", d.front.Busy())
+	d.Kill()
+}
+
+// idle reports whether no request is being read, served or answered.
+func (d *Daemon) idle() bool { return d.front.Busy() == 0 && d.gateway.Active() == 0 }
+
+func never() bool { return false }
+
+// waitUntil waits until a condition holds, a moment has come or ctx ends.
+func waitUntil(ctx context.Context, moment time.Time, holds func() bool) {
+	for ctx.Err() == nil && time.Now().Before(moment) && !holds() {
+		time.Sleep(min(stopPoll, time.Until(moment)))
+	}
+}
+
+// Kill ends the daemon at once.
+func (d *Daemon) Kill() {
+	d.ended.Do(func() {
+		d.gateway.End()
+		shutdown, cancel := context.WithTimeout(context.Background(), stopPoll)
+		defer cancel()
+		d.front.Shutdown(shutdown)
+		d.front.Close()
+		for _, server := range d.servers {
+			_ = server.Close()
+		}
+		d.cancel()
+		d.peers.Close()
+		d.group.Wait()
+		d.upstream.Close()
+		d.metrics.root.Close()
+	})
+}
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -1,8 +1,11 @@
 package entry_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -108,3 +111,43 @@
 	}
 	return nil
 }
+
+// TestStopAnswersARequestThatIsStillBeingRead sends the rest of a body when the daemon no longer
+// takes requests: nothing else is in progress, and the client is still told that it has not run.
+func TestStopAnswersARequestThatIsStillBeingRead(t *testing.T) {
+	f := startToStop(t)
+	conn, err := net.Dial("tcp", f.all[0].FrontAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	head := "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nContent-Length: 6\r\n\r\n"
+	if _, err := io.WriteString(conn, head+"pro"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		f.daemons[0].Stop(context.Background())
+	}()
+	// Clients keep answers about addresses for three times 200 ms at most.
+	time.Sleep(750 * time.Millisecond)
+	if _, err := io.WriteString(conn, "mpt"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, header %v", response.StatusCode, response.Header)
+	}
+	<-stopped
+	for _, server := range f.servers {
+		if runs := server.Runs(); len(runs) > 0 {
+			t.Errorf("%s ran it: %+v", server.ID, runs)
+		}
+	}
+}
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -27,6 +27,9 @@
 	for {
 		changed := *e.gateway.changed.Load()
 		view := e.gateway.view.Load()
+		if e.drained() {
+			return nil, ReasonStopping
+		}
 		e.phase = PhaseChoosing
 		candidate := e.pick(ctx, view)
 		if candidate != nil && e.hopeless(candidate) {
@@ -53,6 +56,7 @@
 		e.observeOnce(StepWaiting, reason)
 		select {
 		case <-changed:
+		case <-e.gateway.lifetime.starts.Done():
 		case <-time.After(doubtPause):
 		case <-timer.C:
 			return nil, reason
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/wheatweir/wheatweir/balance"
@@ -123,8 +124,11 @@
 
 // giveUp gives the client its final answer, or breaks it off if a part is out.
 func (e *exchange) giveUp(ctx context.Context, reason string) {
-	if clientLeft(ctx) || stopped(ctx) {
-		e.observe(Event{Step: StepEnded, Reason: endOf(ctx)})
+	if stopped(ctx) {
+		reason = ReasonStopping
+	}
+	if clientLeft(ctx) {
+		e.observe(Event{Step: StepEnded, Reason: ReasonClientGone})
 		e.reply.Abort()
 		return
 	}
@@ -132,15 +136,20 @@
 	case e.begun:
 		e.reply.Abort()
 		e.observe(Event{Step: StepBrokenOff, Reason: reason})
-	case e.mayHaveRun && ctx.Err() != nil:
-		e.gateway.refuse(e.reply, e.route, e.request, statusTimeout, ReasonTimeout)
+	case e.mayHaveRun && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		e.refuse(statusTimeout, ReasonTimeout)
 	case e.mayHaveRun:
-		e.gateway.refuse(e.reply, e.route, e.request, statusBadGateway, reason)
+		e.refuse(statusBadGateway, reason)
 	default:
-		e.gateway.refuse(e.reply, e.route, e.request, statusUnavailable, reason)
+		e.refuse(statusUnavailable, reason)
 	}
 }
 
+// refuse gives the client an answer of our own.
+func (e *exchange) refuse(status int, reason string) {
+	e.observe(e.gateway.refuse(e.reply, e.request, status, reason))
+}
+
 // observeOnce tells of the first wait of its kind.
 func (e *exchange) observeOnce(step, reason string) {
 	if e.waitedFor != step+reason {
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -27,6 +27,17 @@
 	cut bool
 	// hang answers only when the request's context ends.
 	hang bool
+	// stall reads no more after the body until the request's context ends.
+	stall bool
+	// after is how long the head of the answer, or the error, takes.
+	after time.Duration
+}
+
+// crowded is a Chooser whose only instance has many prompts to read.
+type crowded struct{}
+
+func (crowded) Choose(_ context.Context, view *fleet.View, service string, _ *balance.Request) *balance.Candidate {
+	return &balance.Candidate{Instance: view.Instances(service)[0], Available: true, Crowded: true, Of: 1}
 }
 
 // script is an Upstream that answers by a list.
@@ -50,15 +61,17 @@
 		<-ctx.Done()
 		return nil, gateway.ErrUnknown.Wrap(ctx.Err())
 	}
+	time.Sleep(next.after)
 	if next.err != nil {
 		return nil, next.err
 	}
-	return &response{answer: next, reader: strings.NewReader(next.body)}, nil
+	return &response{answer: next, reader: strings.NewReader(next.body), ctx: ctx}, nil
 }
 
 type response struct {
 	answer
 	reader *strings.Reader
+	ctx    context.Context
 }
 
 var errCut = errors.New("connection reset")
@@ -73,6 +86,10 @@
 
 func (r *response) Read(buffer []byte) (int, error) {
 	count, err := r.reader.Read(buffer)
+	if err == io.EOF && r.stall {
+		<-r.ctx.Done()
+		return count, r.ctx.Err()
+	}
 	if err == io.EOF && r.cut {
 		return count, errCut
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -182,6 +182,7 @@
 	view     atomic.Pointer[fleet.View]
 	changed  atomic.Pointer[chan struct{}]
 	active   atomic.Int64
+	lifetime lifetime
 	// shortages are the models that requests were refused for.
 	shortages *shortages
 }
@@ -190,7 +191,7 @@
 func New(settings Settings, upstream Upstream, tracker *balance.Tracker, budget *retry.Budget, wants Wants, observer Observer) *Gateway {
 	g := &Gateway{
 		settings: settings, upstream: upstream, tracker: tracker, chooser: ownChooser{balance.NewPicker(tracker)},
-		budget: budget, wants: wants, observer: observer, shortages: newShortages(),
+		budget: budget, wants: wants, observer: observer, shortages: newShortages(), lifetime: newLifetime(),
 	}
 	g.view.Store(fleet.NewView(nil, nil))
 	first := make(chan struct{})
@@ -233,18 +234,20 @@
 	defer g.active.Add(-1)
 	view := g.view.Load()
 	if view.Configuration() == nil {
-		g.refuse(reply, nil, request, statusUnavailable, ReasonStarting)
+		g.observer.Observe(g.refuse(reply, request, statusUnavailable, ReasonStarting))
 		return
 	}
 	route := view.Route(request.RouteHost, request.Path)
 	if route == nil {
-		g.refuse(reply, nil, request, statusNotFound, ReasonNoRoute)
+		g.observer.Observe(g.refuse(reply, request, statusNotFound, ReasonNoRoute))
 		return
 	}
 	held := route.Timeout
 	if request.Patience > 0 {
 		held = min(held, request.Patience)
 	}
+	ctx, release := g.lifetime.bind(ctx)
+	defer release()
 	ctx, cancel := context.WithDeadline(ctx, request.Arrived.Add(held))
 	defer cancel()
 	e := &exchange{
@@ -287,19 +290,22 @@
 	return route.Targets[0].Service
 }
 
-func (g *Gateway) refuse(reply Reply, route *fleet.Route, request *Request, status int, reason string) {
+// refuse gives the client an answer of our own and returns what the observer should hear.
+func (g *Gateway) refuse(reply Reply, request *Request, status int, reason string) Event {
 	retryAfter := time.Duration(0)
 	if status == statusUnavailable {
 		retryAfter = g.retryAfter(request, reason)
 	}
 	reply.Refuse(status, reason, retryAfter)
-	g.observer.Observe(Event{Step: StepRefused, Request: request, Route: route, Status: status, Reason: reason, RetryAfter: retryAfter, Version: g.view.Load().Version()})
+	return Event{Step: StepRefused, Request: request, Status: status, Reason: reason, RetryAfter: retryAfter, Version: g.view.Load().Version()}
 }
 
 // retryAfter is when a client that is refused for a reason should come back: when its model
 // has room again, as far as that can be told.
 func (g *Gateway) retryAfter(request *Request, reason string) time.Duration {
 	switch reason {
+	case ReasonStopping:
+		return StoppingRetryAfter
 	case ReasonOverloaded, ReasonDeclined, ReasonNoModel, ReasonNoAdapter:
 	default:
 		return g.settings.RetryAfter
--- a/gateway/phase.go
+++ b/gateway/phase.go
@@ -3,13 +3,8 @@
 import (
 	"context"
 	"errors"
-
-	"github.com/zeebo/errs"
 )
 
-// ErrStopped is the cause with which a daemon that ends ends the contexts of its requests.
-var ErrStopped = errs.Class("gateway: daemon stopped")
-
 // Phase is how far a request has come.
 type Phase string
 
@@ -33,11 +28,3 @@
 
 // stopped reports whether a request's context ended because this daemon ends.
 func stopped(ctx context.Context) bool { return ErrStopped.Has(context.Cause(ctx)) }
-
-// endOf is the reason of a request whose context was cancelled.
-func endOf(ctx context.Context) string {
-	if stopped(ctx) {
-		return ReasonStopping
-	}
-	return ReasonClientGone
-}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -124,7 +124,7 @@
 			}
 			if !e.forward(response, piece) {
 				e.end(id, balance.Abandoned)
-				e.observe(Event{Step: StepEnded, Instance: id, Reason: endOf(ctx)})
+				e.observe(Event{Step: StepEnded, Instance: id, Reason: ReasonClientGone})
 				e.reply.Abort()
 				return verdictEnded
 			}
