A request waits for a connection to an instance instead of giving the instance up

The log said no_adapter, and the placement was told that its adapter (it names none) is missing. Change: the upstream says whether a connection is free before an attempt. Without one the request waits as for any other change, looks again every 20 ms, and the log says no_connection once; the instance is not blamed and the placement hears nothing. A request waits for up to half of its time over all attempts, where each attempt began that anew. A client that leaves while an instance is being chosen ends its request before it is sent.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -205,21 +205,22 @@
 
 // reasons explain why a request ended as it did.
 var reasons = map[string]string{
-	gateway.ReasonStarting:    "the daemon did not know a configuration yet",
-	gateway.ReasonStopping:    "the daemon was stopping",
-	gateway.ReasonNoRoute:     "no route of the configuration begins its path",
-	gateway.ReasonNoInstance:  "no instance of the service could take it",
-	gateway.ReasonOverloaded:  "no instance with its model would have begun to answer in time",
-	gateway.ReasonNoModel:     "no instance had its model in time",
-	gateway.ReasonNoAdapter:   "no instance had its adapter in time",
-	gateway.ReasonDeclined:    "the instance declined it, and no further attempt was allowed",
-	gateway.ReasonUnreached:   "no instance could be reached",
-	gateway.ReasonBroken:      "the instance failed after it may have run, and it may not run again",
-	gateway.ReasonTimeout:     "its time was over before the instance answered",
-	gateway.ReasonNeverSent:   "its time was over before it could be sent",
-	gateway.ReasonClientGone:  "the client left",
-	gateway.ReasonAnswered:    "the instance answered",
-	gateway.ReasonStreamBroke: "the stream broke off, and it may not be resumed",
+	gateway.ReasonStarting:     "the daemon did not know a configuration yet",
+	gateway.ReasonStopping:     "the daemon was stopping",
+	gateway.ReasonNoRoute:      "no route of the configuration begins its path",
+	gateway.ReasonNoInstance:   "no instance of the service could take it",
+	gateway.ReasonOverloaded:   "no instance with its model would have begun to answer in time",
+	gateway.ReasonNoModel:      "no instance had its model in time",
+	gateway.ReasonNoAdapter:    "no instance had its adapter in time",
+	gateway.ReasonNoConnection: "all connections to the instances that could take it were in use",
+	gateway.ReasonDeclined:     "the instance declined it, and no further attempt was allowed",
+	gateway.ReasonUnreached:    "no instance could be reached",
+	gateway.ReasonBroken:       "the instance failed after it may have run, and it may not run again",
+	gateway.ReasonTimeout:      "its time was over before the instance answered",
+	gateway.ReasonNeverSent:    "its time was over before it could be sent",
+	gateway.ReasonClientGone:   "the client left",
+	gateway.ReasonAnswered:     "the instance answered",
+	gateway.ReasonStreamBroke:  "the stream broke off, and it may not be resumed",
 }
 
 // cause tells in one sentence why the request ended as it did.
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,16 +15,12 @@
 
 // candidate chooses an instance. It waits for one as long as that makes sense.
 func (e *exchange) candidate(ctx context.Context) (*balance.Candidate, string) {
-	var unwant func()
-	defer func() {
-		if unwant != nil {
-			unwant()
-		}
-	}()
-	wait := time.Duration(float64(time.Until(e.firstBy)) * e.gateway.settings.WaitShare)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	paced := crowdedPause
+	if e.waitUntil.IsZero() {
+		left := time.Until(e.firstBy)
+		e.waitUntil = time.Now().Add(time.Duration(float64(left) * e.gateway.settings.WaitShare))
+	}
+	wait := &candidateWait{exchange: e, paced: crowdedPause}
+	defer wait.end()
 	for {
 		changed := *e.gateway.changed.Load()
 		view := e.gateway.view.Load()
@@ -32,40 +29,87 @@
 		}
 		e.phase = PhaseChoosing
 		candidate := e.pick(ctx, view)
-		if candidate != nil && e.hopeless(candidate) {
+		switch {
+		case ctx.Err() != nil:
+			return nil, ReasonNeverSent
+		case candidate == nil:
+			if reason, waited := wait.forChange(ctx, view, changed); !waited {
+				return nil, reason
+			}
+		case e.hopeless(candidate):
 			return nil, ReasonOverloaded
-		}
-		if candidate != nil && !candidate.Crowded && !e.shouldHold(candidate) {
+		case candidate.Crowded || e.shouldHold(candidate):
+			wait.pace(ctx)
+		case e.hasConnection(candidate):
 			return candidate, ""
-		}
-		if candidate != nil && ctx.Err() == nil {
-			e.phase = PhasePaced
-			e.observeOnce(StepPaced, "")
-			sleep(ctx, paced)
-			paced = min(2*paced, longestCrowdedPause)
-			continue
-		}
-		reason := e.lack(view)
-		if e.request.Model != "" && unwant == nil {
-			unwant = e.gateway.wants.Want(e.service, e.request.Model, e.request.Adapter)
-		}
-		if len(e.sentTo) > 0 || wait <= 0 {
-			return nil, reason
-		}
-		e.phase = PhaseWaiting
-		e.observeOnce(StepWaiting, reason)
-		select {
-		case <-changed:
-		case <-e.gateway.lifetime.starts.Done():
-		case <-time.After(doubtPause):
-		case <-timer.C:
-			return nil, reason
-		case <-ctx.Done():
-			return nil, reason
+		default:
+			e.saturated = append(e.saturated, candidate.Instance.ID)
 		}
 	}
 }
 
+// candidateWait is the wait of a request for an instance.
+type candidateWait struct {
+	exchange *exchange
+	// paced is the next pause while all instances have much to do.
+	paced time.Duration
+	// unwant ends what the placement was told of this request; nil if it was told nothing.
+	unwant func()
+}
+
+func (w *candidateWait) end() {
+	if w.unwant != nil {
+		w.unwant()
+	}
+}
+
+// pace waits a little while all instances have much to do.
+func (w *candidateWait) pace(ctx context.Context) {
+	w.exchange.phase = PhasePaced
+	w.exchange.observeOnce(StepPaced, "")
+	sleep(ctx, w.paced)
+	w.paced = min(2*w.paced, longestCrowdedPause)
+}
+
+// forChange waits until there may be an instance that can take the request. It returns why there
+// is none, and whether it makes sense to look again.
+func (w *candidateWait) forChange(ctx context.Context, view *fleet.View, changed <-chan struct{}) (reason string, again bool) {
+	e := w.exchange
+	reason, pause := w.lack(view)
+	left := time.Until(e.waitUntil)
+	if len(e.sentTo) > 0 || left <= 0 {
+		return reason, false
+	}
+	e.phase = PhaseWaiting
+	e.observeOnce(StepWaiting, reason)
+	select {
+	case <-changed:
+	case <-e.gateway.lifetime.starts.Done():
+	case <-time.After(min(pause, left)):
+	case <-ctx.Done():
+	}
+	return reason, ctx.Err() == nil && time.Now().Before(e.waitUntil)
+}
+
+// lack tells why there is no candidate and when to look again without a change. The placement
+// hears of models and adapters that no instance has.
+func (w *candidateWait) lack(view *fleet.View) (reason string, pause time.Duration) {
+	e := w.exchange
+	if len(e.saturated) > 0 {
+		e.saturated = nil
+		return ReasonNoConnection, longestCrowdedPause
+	}
+	if e.request.Model != "" && w.unwant == nil {
+		w.unwant = e.gateway.wants.Want(e.service, e.request.Model, e.request.Adapter)
+	}
+	return e.lack(view), doubtPause
+}
+
+// hasConnection reports whether the request can be sent to the candidate now.
+func (e *exchange) hasConnection(candidate *balance.Candidate) bool {
+	return e.gateway.upstream.HasConnection(candidate.Instance.ID, e.connections())
+}
+
 const (
 	// crowdedPause is the pause between two looks for an instance with fewer
 	// prompts to read.
@@ -140,7 +184,7 @@
 	request := balance.Request{
 		Model: e.request.Model, Adapter: e.request.Adapter, Zone: e.gateway.settings.Zone, ZoneCost: e.gateway.settings.zoneCost(),
 		Affinity: e.affinity(), PromptTokens: e.request.PromptTokens, PromptLimit: e.promptLimit(view),
-		MemoryTokens: memoryTokens(view, e.service), Excluded: append(e.passed, e.sentTo...),
+		MemoryTokens: memoryTokens(view, e.service), Excluded: slices.Concat(e.passed, e.saturated, e.sentTo),
 	}
 	return e.gateway.chooser.Choose(ctx, view, e.service, &request)
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -37,6 +37,10 @@
 	sentTo []string
 	// passed lists instances that could not be reached; nothing was sent there.
 	passed []string
+	// saturated lists instances that have no connection free for this request now.
+	saturated []string
+	// waitUntil is how long the request waits for an instance, over all its attempts.
+	waitUntil time.Time
 	// mayHaveRun says that an instance may have run the request.
 	mayHaveRun bool
 	// begun says that the client has a part of an answer.
@@ -211,10 +215,12 @@
 func (e *exchange) failedSend(ctx context.Context, id string, err error) verdict {
 	if ErrNotSent.Has(err) {
 		outcome := balance.Unreached
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || ErrNoConnection.Has(err) {
 			outcome = balance.Abandoned
 		}
-		e.passed = append(e.passed, id)
+		if !ErrNoConnection.Has(err) {
+			e.passed = append(e.passed, id)
+		}
 		e.end(id, outcome)
 		e.observe(Event{Step: StepUnreached, Instance: id, Err: err})
 		return verdictUnreached
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -46,8 +46,13 @@
 	answers []answer
 	sent    []gateway.Outbound
 	left    []time.Duration
+	// connectionsFreeAt is until when all connections are in use.
+	connectionsFreeAt time.Time
 }
 
+// HasConnection implements gateway.Upstream.
+func (s *script) HasConnection(string, int) bool { return !time.Now().Before(s.connectionsFreeAt) }
+
 func (s *script) Send(ctx context.Context, outbound *gateway.Outbound) (gateway.Response, error) {
 	s.mutex.Lock()
 	next := answer{status: 200, body: "default"}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,21 +22,24 @@
 
 // Reasons of outcomes, as they stand in logs and metrics.
 const (
-	ReasonStarting    = "starting"
-	ReasonStopping    = "stopping"
-	ReasonNoRoute     = "no_route"
-	ReasonNoInstance  = "no_instance"
-	ReasonOverloaded  = "overloaded"
-	ReasonNoModel     = "no_model"
-	ReasonNoAdapter   = "no_adapter"
-	ReasonDeclined    = "declined"
-	ReasonUnreached   = "unreached"
-	ReasonBroken      = "broken"
-	ReasonTimeout     = "timeout"
-	ReasonNeverSent   = "never_sent"
-	ReasonClientGone  = "client_gone"
-	ReasonAnswered    = "answered"
-	ReasonStreamBroke = "stream_broke"
+	ReasonStarting   = "starting"
+	ReasonStopping   = "stopping"
+	ReasonNoRoute    = "no_route"
+	ReasonNoInstance = "no_instance"
+	ReasonOverloaded = "overloaded"
+	ReasonNoModel    = "no_model"
+	ReasonNoAdapter  = "no_adapter"
+	// ReasonNoConnection says that instances have what the request needs, and all
+	// connections to them that this daemon may have are in use.
+	ReasonNoConnection = "no_connection"
+	ReasonDeclined     = "declined"
+	ReasonUnreached    = "unreached"
+	ReasonBroken       = "broken"
+	ReasonTimeout      = "timeout"
+	ReasonNeverSent    = "never_sent"
+	ReasonClientGone   = "client_gone"
+	ReasonAnswered     = "answered"
+	ReasonStreamBroke  = "stream_broke"
 )
 
 // Steps of a request, as they stand in logs and metrics. Each request ends with
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -206,6 +206,8 @@
 	pause  time.Duration
 }
 
+func (p *pausing) HasConnection(string, int) bool { return true }
+
 func (p *pausing) Send(context.Context, *gateway.Outbound) (gateway.Response, error) { return p, nil }
 
 func (p *pausing) Read(buffer []byte) (int, error) {
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -20,6 +20,9 @@
 	ErrNotSent = errs.Class("gateway: not sent")
 	// ErrUnknown means that the instance may have run the request.
 	ErrUnknown = errs.Class("gateway: unknown outcome")
+	// ErrNoConnection means that all connections that this daemon may have to the instance
+	// are in use. It says nothing about the instance.
+	ErrNoConnection = errs.Class("gateway: no connection")
 )
 
 // Field is one header field. The name is as it was received.
@@ -102,6 +105,9 @@
 	// Send returns when the head of the answer has arrived. The answer is broken
 	// off when ctx ends.
 	Send(ctx context.Context, outbound *Outbound) (Response, error)
+	// HasConnection reports whether there is an unused connection to an instance, or room
+	// for a new one among the most that are allowed; zero means no bound.
+	HasConnection(instance string, most int) bool
 }
 
 // Reply is the client's side of one request.
