A stop waits for no duty, and a failed duty ends the daemon as a stop does

Change: the news goes out beside the stop; a failed duty leads to the same stop as a signal, and the process then ends with that duty's error.

--- a/cmd/wheatweird/main.go
+++ b/cmd/wheatweird/main.go
@@ -52,8 +52,8 @@
 // starter reads settings and, unless they are only to be checked, starts a daemon.
 type starter func(path string, checkOnly bool) (runner, error)
 
-// run starts a daemon and stops it on the first SIGTERM or SIGINT without
-// cutting off requests. A further SIGINT, from somebody at a terminal, ends it at
+// run starts a daemon and stops it on the first SIGTERM or SIGINT, or when one of its
+// duties fails, without cutting off requests. A further SIGINT, from somebody at a terminal, ends it at
 // once; a further SIGTERM changes nothing, since platforms repeat it.
 func run(path string, checkOnly bool, start starter) error {
 	signals := make(chan os.Signal, 2)
@@ -66,16 +66,16 @@
 		fmt.Printf("%s: settings are valid\n", path)
 		return nil
 	}
+	var failed error
 	select {
-	case err := <-running.Failed():
-		return err
+	case failed = <-running.Failed():
 	case <-signals:
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go cancelOnInterrupt(ctx, signals, cancel)
 	running.Stop(ctx)
-	return nil
+	return failed
 }
 
 // cancelOnInterrupt cancels on SIGINT, and passes over other signals, until ctx ends.
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -35,7 +35,7 @@
 	begun := time.Now()
 	d.log.add("daemon", "Stop begins.", "requests", d.gateway.Active())
 	d.stopping.Store(true)
-	d.events.Put(d.ctx, func(node *coordination.Node, _ time.Time) []coordination.Action { return node.Leave() })
+	d.startDuty("leave", d.leave)
 	grace := d.current().Grace
 	kept := min(keptFactor*d.current().AddressKeep, grace/graceShare) - acceptMargin
 	waitUntil(ctx, begun.Add(kept), never)
@@ -50,6 +50,12 @@
 	d.Kill()
 }
 
+// leave has the others told that this daemon leaves. It waits for the control duty, which
+// must not hold up the stop.
+func (d *Daemon) leave() {
+	d.events.Put(d.ctx, func(node *coordination.Node, _ time.Time) []coordination.Action { return node.Leave() })
+}
+
 // idle reports whether no request is being read, served or answered.
 func (d *Daemon) idle() bool { return d.front.Busy() == 0 && d.gateway.Active() == 0 }
 
