Steps, reasons and phases of requests are types

Nothing is decided otherwise; logs, metrics and JSON read as before (their tests are unchanged but for the types).

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -30,7 +30,11 @@
 }
 
 // stepKey names a series. All of its parts come from fixed lists.
-type stepKey struct{ step, kind, reason string }
+type stepKey struct {
+	step   gateway.Step
+	kind   string
+	reason gateway.Reason
+}
 
 func newMetrics() *metrics {
 	root := exposition.NewRoot("wheatweir")
@@ -42,9 +46,6 @@
 	}
 }
 
-// finalSteps end a request.
-var finalSteps = map[string]bool{gateway.StepEnded: true, gateway.StepRefused: true, gateway.StepBrokenOff: true}
-
 // count takes in one decision.
 func (m *metrics) count(event *gateway.Event) {
 	key := stepKey{step: event.Step, kind: "none", reason: event.Reason}
@@ -66,10 +67,10 @@
 	defer m.mutex.Unlock()
 	counter, found := m.steps[key]
 	if !found {
-		tagged := m.root.Tagged(map[string]string{"step": key.step, "kind": key.kind, "reason": key.reason})
+		tagged := m.root.Tagged(map[string]string{"step": string(key.step), "kind": key.kind, "reason": string(key.reason)})
 		counter = tagged.Counter("request_decisions")
 		m.steps[key] = counter
-		if finalSteps[key.step] {
+		if key.step.Final() {
 			m.took[key] = tagged.Histogram("request_seconds", exposition.DurationBuckets())
 		}
 	}
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -93,7 +93,7 @@
 // Observe implements gateway.Observer.
 func (d *Daemon) Observe(event gateway.Event) {
 	d.metrics.count(&event)
-	fields := []any{"request", event.Request.ID, "route", "", "step", event.Step}
+	fields := []any{"request", event.Request.ID, "route", "", "step", string(event.Step)}
 	if event.Route != nil {
 		fields[3] = event.Route.Name
 	}
@@ -121,14 +121,14 @@
 	if late := event.Late(time.Now()); late != gateway.OnTime {
 		fields = append(fields, "late", string(late))
 	}
-	if finalSteps[event.Step] && event.Reason != gateway.ReasonAnswered && event.Phase != "" {
+	if event.Step.Final() && event.Reason != gateway.ReasonAnswered && event.Phase != "" {
 		fields = append(fields, "phase", string(event.Phase))
 	}
 	if event.Status != 0 {
 		fields = append(fields, "status", event.Status)
 	}
 	if event.Reason != "" {
-		fields = append(fields, "reason", event.Reason)
+		fields = append(fields, "reason", string(event.Reason))
 	}
 	if event.Err != nil {
 		fields = append(fields, "error", strings.ReplaceAll(event.Err.Error(), "\n", " "))
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -43,10 +43,10 @@
 
 // Step is one decision on the request.
 type Step struct {
-	At     time.Time `json:"at"`
-	Node   string    `json:"node"`
-	Name   string    `json:"step"`
-	Fields []Field   `json:"fields"`
+	At     time.Time    `json:"at"`
+	Node   string       `json:"node"`
+	Name   gateway.Step `json:"step"`
+	Fields []Field      `json:"fields"`
 }
 
 // Value returns a field's value, or nothing.
@@ -150,7 +150,7 @@
 			case "node":
 				step.Node = value
 			case "step":
-				step.Name = value
+				step.Name = gateway.Step(value)
 			default:
 				step.Fields = append(step.Fields, Field{name, value})
 			}
@@ -165,9 +165,6 @@
 	return step, message, nil
 }
 
-// final steps end a request.
-var final = map[string]bool{gateway.StepEnded: true, gateway.StepRefused: true, gateway.StepBrokenOff: true}
-
 // Story returns what was read, in the order of time.
 func (r *Reader) Story() (Story, error) {
 	story := r.story
@@ -197,14 +194,14 @@
 	if story.Dropped > 0 {
 		warned = append(warned, fmt.Sprintf("daemons dropped %d lines; some may have been of this request", story.Dropped))
 	}
-	if !final[story.Steps[len(story.Steps)-1].Name] {
+	if !story.Steps[len(story.Steps)-1].Name.Final() {
 		warned = append(warned, "the last line is missing: the process may have ended")
 	}
 	return warned
 }
 
 // reasons explain why a request ended as it did.
-var reasons = map[string]string{
+var reasons = map[gateway.Reason]string{
 	gateway.ReasonStarting:     "the daemon did not know a configuration yet",
 	gateway.ReasonStopping:     "the daemon was stopping",
 	gateway.ReasonNoRoute:      "no route of the configuration begins its path",
@@ -227,14 +224,14 @@
 func cause(story *Story) string {
 	var last *Step
 	for i := range story.Steps {
-		if final[story.Steps[i].Name] {
+		if story.Steps[i].Name.Final() {
 			last = &story.Steps[i]
 		}
 	}
 	if last == nil {
 		return "unknown: no line tells of its end"
 	}
-	text := reasons[last.Value("reason")]
+	text := reasons[gateway.Reason(last.Value("reason"))]
 	if text == "" {
 		text = "reason " + last.Value("reason")
 	}
--- a/explain/losses.go
+++ b/explain/losses.go
@@ -129,7 +129,7 @@
 			r.torn++
 		}
 	}
-	if final[step.Name] {
+	if step.Name.Final() {
 		known.ended, known.cause = true, lossCause(step)
 	}
 }
@@ -138,9 +138,9 @@
 func lossCause(step *Step) string {
 	reason := step.Value("reason")
 	if step.Name != gateway.StepEnded {
-		return step.Name + " " + reason
+		return string(step.Name) + " " + reason
 	}
-	if reason == gateway.ReasonAnswered {
+	if gateway.Reason(reason) == gateway.ReasonAnswered {
 		if late := step.Value("late"); late != "" {
 			return "late " + late
 		}
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -14,7 +14,7 @@
 )
 
 // candidate chooses an instance. It waits for one as long as that makes sense.
-func (e *exchange) candidate(ctx context.Context) (*balance.Candidate, string) {
+func (e *exchange) candidate(ctx context.Context) (*balance.Candidate, Reason) {
 	if e.waitUntil.IsZero() {
 		left := time.Until(e.firstBy)
 		e.waitUntil = time.Now().Add(time.Duration(float64(left) * e.gateway.settings.WaitShare))
@@ -73,7 +73,7 @@
 
 // forChange waits until there may be an instance that can take the request. It returns why there
 // is none, and whether it makes sense to look again.
-func (w *candidateWait) forChange(ctx context.Context, view *fleet.View, changed <-chan struct{}) (reason string, again bool) {
+func (w *candidateWait) forChange(ctx context.Context, view *fleet.View, changed <-chan struct{}) (reason Reason, again bool) {
 	e := w.exchange
 	reason, pause := w.lack(view)
 	left := time.Until(e.waitUntil)
@@ -93,7 +93,7 @@
 
 // lack tells why there is no candidate and when to look again without a change. The placement
 // hears of models and adapters that no instance has.
-func (w *candidateWait) lack(view *fleet.View) (reason string, pause time.Duration) {
+func (w *candidateWait) lack(view *fleet.View) (reason Reason, pause time.Duration) {
 	e := w.exchange
 	if len(e.saturated) > 0 {
 		e.saturated = nil
@@ -206,7 +206,7 @@
 }
 
 // lack tells why there is no candidate.
-func (e *exchange) lack(view *fleet.View) string {
+func (e *exchange) lack(view *fleet.View) Reason {
 	if e.request.Model == "" {
 		return ReasonNoInstance
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -50,8 +50,9 @@
 	phase       Phase
 	resumeAfter string
 	pace        pace
-	// waitedFor is the last wait that was told.
-	waitedFor string
+	// toldStep and toldReason are the last wait that was told.
+	toldStep   Step
+	toldReason Reason
 	// forecast is the last prediction of the first token's time; zero if there is none.
 	forecast time.Duration
 	// sentAt is when the last attempt began, startedAt when its first piece came.
@@ -98,7 +99,7 @@
 	}
 }
 
-func reasonOf(last verdict) string {
+func reasonOf(last verdict) Reason {
 	switch last {
 	case verdictDeclined:
 		return ReasonDeclined
@@ -127,7 +128,7 @@
 }
 
 // giveUp gives the client its final answer, or breaks it off if a part is out.
-func (e *exchange) giveUp(ctx context.Context, reason string) {
+func (e *exchange) giveUp(ctx context.Context, reason Reason) {
 	if stopped(ctx) {
 		reason = ReasonStopping
 	}
@@ -150,14 +151,14 @@
 }
 
 // refuse gives the client an answer of our own.
-func (e *exchange) refuse(status int, reason string) {
+func (e *exchange) refuse(status int, reason Reason) {
 	e.observe(e.gateway.refuse(e.reply, e.request, status, reason))
 }
 
 // observeOnce tells of the first wait of its kind.
-func (e *exchange) observeOnce(step, reason string) {
-	if e.waitedFor != step+reason {
-		e.waitedFor = step + reason
+func (e *exchange) observeOnce(step Step, reason Reason) {
+	if e.toldStep != step || e.toldReason != reason {
+		e.toldStep, e.toldReason = step, reason
 		e.observe(Event{Step: step, Reason: reason})
 	}
 }
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -104,7 +104,7 @@
 // client is a Reply that keeps what it gets.
 type client struct {
 	status     int
-	reason     string
+	reason     gateway.Reason
 	retryAfter time.Duration
 	body       bytes.Buffer
 	begun      bool
@@ -122,7 +122,7 @@
 	return nil
 }
 
-func (c *client) Refuse(status int, reason string, retryAfter time.Duration) {
+func (c *client) Refuse(status int, reason gateway.Reason, retryAfter time.Duration) {
 	c.status, c.reason, c.retryAfter, c.at = status, reason, retryAfter, time.Now()
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,56 +20,6 @@
 	statusTimeout     = 504
 )
 
-// Reasons of outcomes, as they stand in logs and metrics.
-const (
-	ReasonStarting   = "starting"
-	ReasonStopping   = "stopping"
-	ReasonNoRoute    = "no_route"
-	ReasonNoInstance = "no_instance"
-	ReasonOverloaded = "overloaded"
-	ReasonNoModel    = "no_model"
-	ReasonNoAdapter  = "no_adapter"
-	// ReasonNoConnection says that instances have what the request needs, and all
-	// connections to them that this daemon may have are in use.
-	ReasonNoConnection = "no_connection"
-	ReasonDeclined     = "declined"
-	ReasonUnreached    = "unreached"
-	ReasonBroken       = "broken"
-	ReasonTimeout      = "timeout"
-	ReasonNeverSent    = "never_sent"
-	ReasonClientGone   = "client_gone"
-	ReasonAnswered     = "answered"
-	ReasonStreamBroke  = "stream_broke"
-)
-
-// Steps of a request, as they stand in logs and metrics. Each request ends with
-// exactly one of StepEnded, StepRefused and StepBrokenOff.
-const (
-	// StepWaiting says that no instance can take the request now.
-	StepWaiting = "waiting"
-	// StepPaced says that every instance has many prompts to read.
-	StepPaced = "paced"
-	// StepSent says that an instance was chosen.
-	StepSent = "sent"
-	// StepUnreached says that nothing could be sent to it.
-	StepUnreached = "unreached"
-	// StepDeclined says that the instance did not run the request.
-	StepDeclined = "declined"
-	// StepAttemptFailed says that the instance may have run it, without an answer
-	// that can be passed on.
-	StepAttemptFailed = "attempt_failed"
-	// StepStreamBroke says that a stream ended before its end.
-	StepStreamBroke = "stream_broke"
-	// StepEjected says that the instance gets no requests for a while.
-	StepEjected = "ejected"
-	// StepEnded, StepRefused and StepBrokenOff end a request: with the answer of
-	// an instance or because the client left or the daemon ended, with an answer
-	// of our own, or in the middle of an answer.
-	StepEnded     = "ended"
-	StepRefused   = "refused"
-	StepBrokenOff = "broken_off"
-)
-
 // Settings of the request path.
 type Settings struct {
 	// Zone is the zone of this daemon.
@@ -103,76 +53,6 @@
 	Enter(service, model string) func()
 }
 
-// Event is one decision on a request, for the log and the metrics.
-type Event struct {
-	// Step names the decision: refused, sent, retried, resumed, ended, ...
-	Step    string
-	Request *Request
-	Route   *fleet.Route
-	// Instance is empty if none was chosen.
-	Instance string
-	Attempt  int
-	Status   int
-	Reason   string
-	// Phase is how far the request had come.
-	Phase Phase
-	// Candidates is the number of instances that could have been chosen.
-	Candidates int
-	// ChosenBy is the daemon that chose the instance, empty for this one.
-	ChosenBy string
-	// Left is what the instance may take.
-	Left time.Duration
-	// Load is what the instance was believed to have to do.
-	Load balance.Load
-	// Forecast is the predicted time of the first token after the choice; zero if there is
-	// no prediction.
-	Forecast time.Duration
-	// RetryAfter is when a refused client was told to come back.
-	RetryAfter time.Duration
-	// FirstEvent is how long the client waited for the first event of a stream, and
-	// LongestPause the longest time between two of its pieces; zero if none came.
-	FirstEvent   time.Duration
-	LongestPause time.Duration
-	// Version is the configuration that decided.
-	Version uint64
-	Err     error
-}
-
-// Lateness is why an answer that was served to its end was late.
-type Lateness string
-
-// Ways of being late. A stream whose first event is late counts as that, whatever follows.
-const (
-	OnTime     Lateness = ""
-	LateFirst  Lateness = "first"
-	LatePause  Lateness = "pause"
-	LateAnswer Lateness = "answer"
-)
-
-// Late tells whether the answer that the event ends came later than its route's targets,
-// which count from the arrival of the request here: what its client had waited before, in
-// earlier attempts, is not known.
-func (e *Event) Late(now time.Time) Lateness {
-	switch {
-	case e.Step != StepEnded || e.Reason != ReasonAnswered || e.Route == nil || e.Route.TargetLatency <= 0:
-		return OnTime
-	case e.Route.Kind != fleet.KindStream:
-		if now.Sub(e.Request.Arrived) > e.Route.TargetLatency {
-			return LateAnswer
-		}
-	case e.FirstEvent > e.Route.TargetLatency:
-		return LateFirst
-	case e.Route.TargetGap > 0 && e.LongestPause > e.Route.TargetGap:
-		return LatePause
-	}
-	return OnTime
-}
-
-// Observer hears of each decision. It must not block.
-type Observer interface {
-	Observe(event Event)
-}
-
 // Gateway serves requests. It is safe for concurrent use.
 type Gateway struct {
 	settings Settings
@@ -294,7 +174,7 @@
 }
 
 // refuse gives the client an answer of our own and returns what the observer should hear.
-func (g *Gateway) refuse(reply Reply, request *Request, status int, reason string) Event {
+func (g *Gateway) refuse(reply Reply, request *Request, status int, reason Reason) Event {
 	retryAfter := time.Duration(0)
 	if status == statusUnavailable {
 		retryAfter = g.retryAfter(request, reason)
@@ -305,7 +185,7 @@
 
 // retryAfter is when a client that is refused for a reason should come back: when its model
 // has room again, as far as that can be told.
-func (g *Gateway) retryAfter(request *Request, reason string) time.Duration {
+func (g *Gateway) retryAfter(request *Request, reason Reason) time.Duration {
 	switch reason {
 	case ReasonStopping:
 		return StoppingRetryAfter
--- a/gateway/phase_test.go
+++ b/gateway/phase_test.go
@@ -23,7 +23,7 @@
 		name   string
 		model  string
 		cause  error
-		reason string
+		reason gateway.Reason
 		phase  gateway.Phase
 	}{
 		{"the client leaves while it waits for a model", "absent", context.Canceled, gateway.ReasonClientGone, gateway.PhaseWaiting},
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -58,3 +59,11 @@
 func (e *exchange) drained() bool {
 	return !e.mayHaveRun && e.gateway.lifetime.starts.Err() != nil
 }
+
+// clientLeft reports whether a request's context ended because its client left.
+func clientLeft(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.Canceled)
+}
+
+// stopped reports whether a request's context ended because this daemon ends.
+func stopped(ctx context.Context) bool { return ErrStopped.Has(context.Cause(ctx)) }
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -27,8 +27,8 @@
 		aborted bool
 		sent    int
 		at      time.Duration
-		step    string
-		reason  string
+		step    gateway.Step
+		reason  gateway.Reason
 	}{
 		{"waiting for a model", "stream", "absent", nil, 503, "", false, 0, drainAt, gateway.StepRefused, gateway.ReasonStopping},
 		{"an attempt is declined after requests no longer begin", "unsafe", "", []answer{declined, served}, 503, "", false, 1, 500 * time.Millisecond, gateway.StepRefused, gateway.ReasonStopping},
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -118,7 +118,7 @@
 	Write(piece []byte) error
 	// Refuse sends an answer of our own. RetryAfter is when to come back; zero
 	// says nothing.
-	Refuse(status int, reason string, retryAfter time.Duration)
+	Refuse(status int, reason Reason, retryAfter time.Duration)
 	// Abort breaks the answer off so that it looks broken to the client.
 	Abort()
 }
