--- a/cmd/wheatweird/main.go
+++ b/cmd/wheatweird/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -52,6 +53,10 @@
 // starter reads settings and, unless they are only to be checked, starts a daemon.
 type starter func(path string, checkOnly bool) (runner, error)
 
+// failedStopLimit bounds the stop after a failed duty, for which nobody waits with a limit of
+// their own: most answers end within some seconds.
+const failedStopLimit = 5 * time.Second
+
 // run starts a daemon and stops it on the first SIGTERM or SIGINT, or when one of its
 // duties fails, without cutting off requests. A further SIGINT, from somebody at a terminal, ends it at
 // once; a further SIGTERM changes nothing, since platforms repeat it.
@@ -66,13 +71,14 @@
 		fmt.Printf("%s: settings are valid\n", path)
 		return nil
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	var failed error
 	select {
 	case failed = <-running.Failed():
+		time.AfterFunc(failedStopLimit, cancel)
 	case <-signals:
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	go cancelOnInterrupt(ctx, signals, cancel)
 	running.Stop(ctx)
 	return failed
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -93,11 +93,13 @@
 	ready    atomic.Bool
 	stopping atomic.Bool
 	closing  atomic.Bool
-	failed   chan error
-	cancel   context.CancelFunc
-	ctx      context.Context
-	group    conc.WaitGroup
-	ended    sync.Once
+	// lacksDuty says that a duty has failed.
+	lacksDuty atomic.Bool
+	failed    chan error
+	cancel    context.CancelFunc
+	ctx       context.Context
+	group     conc.WaitGroup
+	ended     sync.Once
 }
 
 // Start starts a daemon. Logs go to output.
@@ -226,6 +228,7 @@
 		catcher.Try(duty)
 		if recovered := catcher.Recovered(); recovered != nil {
 			d.ready.Store(false)
+			d.lacksDuty.Store(true)
 			select {
 			case d.failed <- ErrDuty.New("%s: %v", name, recovered.AsError()):
 			default:
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -28,8 +28,8 @@
 )
 
 // Stop ends the daemon: it is no longer ready and leaves the answers about
-// addresses at once, goes on serving for as long as clients may keep an answer,
-// then lets no request begin, and waits for those that have begun, within the grace
+// addresses at once, goes on serving for as long as clients may keep an answer unless a duty
+// has failed, then lets no request begin, and waits for those that have begun, within the grace
 // and until ctx ends. What is left then gets its final answer.
 func (d *Daemon) Stop(ctx context.Context) {
 	begun := time.Now()
@@ -38,7 +38,8 @@
 	d.startDuty("leave", d.leave)
 	grace := d.current().Grace
 	kept := min(keptFactor*d.current().AddressKeep, grace/graceShare) - acceptMargin
-	waitUntil(ctx, begun.Add(kept), never)
+	// Without one of its duties a daemon may decide by what has long changed.
+	waitUntil(ctx, begun.Add(kept), d.lacksDuty.Load)
 	d.closing.Store(true)
 	d.gateway.Drain()
 	d.log.add("daemon", "Requests no longer begin.", "requests", d.gateway.Active())
@@ -59,8 +60,6 @@
 // idle reports whether no request is being read, served or answered.
 func (d *Daemon) idle() bool { return d.front.Busy() == 0 && d.gateway.Active() == 0 }
 
-func never() bool { return false }
-
 // waitUntil waits until a condition holds, a moment has come or ctx ends.
 func waitUntil(ctx context.Context, moment time.Time, holds func() bool) {
 	for ctx.Err() == nil && time.Now().Before(moment) && !holds() {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -18,8 +18,8 @@
 // would wait.
 const stopGrace = 1500 * time.Millisecond
 
-// startToStop starts one daemon with a short grace, and routes whose clients are patient.
-func startToStop(t *testing.T) *deployment {
+// startToStop starts one daemon with a grace, and routes whose clients are patient.
+func startToStop(t *testing.T, grace time.Duration) *deployment {
 	t.Helper()
 	f := start(t, 0)
 	f.store.Configure(&fleet.Configuration{
@@ -38,7 +38,7 @@
 		},
 	})
 	settings := f.daemonSettings(t, 0, freeAddress(t))
-	settings.Grace = stopGrace
+	settings.Grace = grace
 	f.all = append(f.all, settings)
 	f.daemons = append(f.daemons, f.startDaemon(t, settings))
 	f.waitReady(t)
@@ -67,7 +67,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			f := startToStop(t)
+			f := startToStop(t, stopGrace)
 			for _, server := range f.servers {
 				server.Behave(c.behaves)
 			}
@@ -81,7 +81,12 @@
 			}
 			answers := make(chan error, 1)
 			go func() { answers <- wantAnswer(f.all[0].FrontAddress, patientRequest(c.path, c.model), c.status) }()
-			time.Sleep(100 * time.Millisecond)
+			if c.status == http.StatusBadGateway {
+				eventually(t, "the request at a server", func() bool { return f.runs() == 1 })
+			} else {
+				// One that comes later than the stop is refused in the same way.
+				time.Sleep(100 * time.Millisecond)
+			}
 			f.daemons[0].Stop(context.Background())
 			if err := <-answers; err != nil {
 				t.Error(err)
@@ -90,6 +95,26 @@
 	}
 }
 
+// instances returns how many servers a service has.
+func (f *deployment) instances(service string) int {
+	count := 0
+	for _, server := range f.servers {
+		if server.Service == service {
+			count++
+		}
+	}
+	return count
+}
+
+// runs returns how many requests servers have begun to work on.
+func (f *deployment) runs() int {
+	count := 0
+	for _, server := range f.servers {
+		count += len(server.Runs())
+	}
+	return count
+}
+
 func patientRequest(path, model string) standin.ClientRequest {
 	return standin.ClientRequest{
 		ID: fmt.Sprintf("%016x", requestNumber.Add(1)), Host: "h.example", Path: path, Body: "prompt", Model: model,
@@ -115,39 +140,58 @@
 // TestStopAnswersARequestThatIsStillBeingRead sends the rest of a body when the daemon no longer
 // takes requests: nothing else is in progress, and the client is still told that it has not run.
 func TestStopAnswersARequestThatIsStillBeingRead(t *testing.T) {
-	f := startToStop(t)
-	conn, err := net.Dial("tcp", f.all[0].FrontAddress)
-	if err != nil {
-		t.Fatal(err)
+	f := startToStop(t, 30*time.Second)
+	head := "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nContent-Length: 6\r\n\r\npro"
+	half, other := dialFront(t, f), dialFront(t, f)
+	send(t, half, fmt.Sprintf(head, "r1"))
+	send(t, other, fmt.Sprintf(head, "r2"))
+	// Both heads were read once a third connection is answered after them.
+	if _, status, _, err := post(f.all[0].FrontAddress, "/unsafe/x", ""); err != nil || status != http.StatusOK {
+		t.Fatalf("status %d, error %v", status, err)
 	}
-	defer conn.Close()
-	head := "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nContent-Length: 6\r\n\r\n"
-	if _, err := io.WriteString(conn, head+"pro"); err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(50 * time.Millisecond)
+	before := f.runs()
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
 		f.daemons[0].Stop(context.Background())
 	}()
-	// Clients keep answers about addresses for three times 200 ms at most.
-	time.Sleep(750 * time.Millisecond)
-	if _, err := io.WriteString(conn, "mpt"); err != nil {
-		t.Fatal(err)
+	eventually(t, "new requests are refused", func() bool {
+		_, status, _, _ := post(f.all[0].FrontAddress, "/unsafe/x", "")
+		if status == http.StatusOK {
+			before++
+		}
+		return status == http.StatusServiceUnavailable
+	})
+	for _, conn := range []net.Conn{half, other} {
+		send(t, conn, "mpt")
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+			t.Errorf("status %d, header %v", response.StatusCode, response.Header)
+		}
+	}
+	<-stopped
+	if after := f.runs(); after != before {
+		t.Errorf("%d of the requests ran", after-before)
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+}
+
+func dialFront(t *testing.T, f *deployment) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", f.all[0].FrontAddress)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
-		t.Errorf("status %d, header %v", response.StatusCode, response.Header)
-	}
-	<-stopped
-	for _, server := range f.servers {
-		if runs := server.Runs(); len(runs) > 0 {
-			t.Errorf("%s ran it: %+v", server.ID, runs)
-		}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func send(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
 	}
 }
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -27,87 +27,114 @@
 		if e.drained() {
 			return nil, ReasonStopping
 		}
+		if !wait.isTurn() {
+			if !wait.forTurn(ctx) {
+				return nil, ReasonNoConnection
+			}
+			continue
+		}
 		e.phase = PhaseChoosing
-		candidate := e.pick(ctx, view)
-		switch {
-		case ctx.Err() != nil:
+		candidate, found := e.find(ctx, view, wait.place != nil)
+		switch found {
+		case foundReady:
+			return candidate, ""
+		case foundHopeless:
+			return nil, ReasonOverloaded
+		case foundNoTime:
 			return nil, ReasonNeverSent
-		case candidate == nil:
-			if reason, waited := wait.forChange(ctx, view, changed); !waited {
+		case foundCrowded:
+			wait.pace(ctx)
+		case foundNoConnection:
+			if !wait.forConnection(ctx) {
+				return nil, ReasonNoConnection
+			}
+		case foundNone:
+			if reason, again := wait.forChange(ctx, view, changed); !again {
 				return nil, reason
 			}
-		case e.hopeless(candidate):
-			return nil, ReasonOverloaded
-		case candidate.Crowded || e.shouldHold(candidate):
-			wait.pace(ctx)
-		case e.hasConnection(candidate):
-			return candidate, ""
-		default:
-			e.saturated = append(e.saturated, candidate.Instance.ID)
 		}
 	}
 }
 
-// candidateWait is the wait of a request for an instance.
-type candidateWait struct {
-	exchange *exchange
-	// paced is the next pause while all instances have much to do.
-	paced time.Duration
-	// unwant ends what the placement was told of this request; nil if it was told nothing.
-	unwant func()
-}
+// found is what a look for an instance comes to.
+type found uint8
 
-func (w *candidateWait) end() {
-	if w.unwant != nil {
-		w.unwant()
-	}
-}
+const (
+	// foundReady means that the request can be sent now.
+	foundReady found = iota
+	// foundNone means that no instance may take it.
+	foundNone
+	// foundCrowded means that all instances have much to do.
+	foundCrowded
+	// foundHopeless means that even the best instance would begin to answer too late.
+	foundHopeless
+	// foundNoConnection means that all connections of this daemon to the instances that are
+	// best for it are in use.
+	foundNoConnection
+	// foundNoTime means that the request has ended meanwhile.
+	foundNoTime
+)
 
-// pace waits a little while all instances have much to do.
-func (w *candidateWait) pace(ctx context.Context) {
-	w.exchange.phase = PhasePaced
-	w.exchange.observeOnce(StepPaced, "")
-	sleep(ctx, w.paced)
-	w.paced = min(2*w.paced, longestCrowdedPause)
+// find looks for an instance. Of a request that waits for a connection it is known that it
+// probably finds none, so connections are looked at first: the choice may be a message to
+// another daemon, which then counts on the request.
+func (e *exchange) find(ctx context.Context, view *fleet.View, waits bool) (*balance.Candidate, found) {
+	var saturated []string
+	if waits {
+		var free bool
+		if saturated, free = e.saturated(view); !free {
+			return nil, foundNoConnection
+		}
+	}
+	for {
+		candidate := e.pick(ctx, view, saturated)
+		switch {
+		case ctx.Err() != nil:
+			return nil, foundNoTime
+		case candidate == nil && len(saturated) > 0:
+			return nil, foundNoConnection
+		case candidate == nil:
+			return nil, foundNone
+		case e.hopeless(candidate):
+			return nil, unlessSaturated(saturated, foundHopeless)
+		case candidate.Crowded || e.shouldHold(candidate):
+			return nil, unlessSaturated(saturated, foundCrowded)
+		case e.hasConnection(candidate.Instance):
+			return candidate, foundReady
+		case slices.Contains(saturated, candidate.Instance.ID):
+			return nil, foundNoConnection
+		}
+		saturated, _ = e.saturated(view)
+		saturated = append(saturated, candidate.Instance.ID)
+	}
 }
 
-// forChange waits until there may be an instance that can take the request. It returns why there
-// is none, and whether it makes sense to look again.
-func (w *candidateWait) forChange(ctx context.Context, view *fleet.View, changed <-chan struct{}) (reason Reason, again bool) {
-	e := w.exchange
-	reason, pause := w.lack(view)
-	left := time.Until(e.waitUntil)
-	if len(e.sentTo) > 0 || left <= 0 {
-		return reason, false
-	}
-	e.phase = PhaseWaiting
-	e.observeOnce(StepWaiting, reason)
-	select {
-	case <-changed:
-	case <-e.gateway.lifetime.starts.Done():
-	case <-time.After(min(pause, left)):
-	case <-ctx.Done():
+// unlessSaturated says what the second choice comes to: nothing that the first one, which lacks
+// a connection only, would have to be given up for.
+func unlessSaturated(saturated []string, second found) found {
+	if len(saturated) > 0 {
+		return foundNoConnection
 	}
-	return reason, ctx.Err() == nil && time.Now().Before(e.waitUntil)
+	return second
 }
 
-// lack tells why there is no candidate and when to look again without a change. The placement
-// hears of models and adapters that no instance has.
-func (w *candidateWait) lack(view *fleet.View) (reason Reason, pause time.Duration) {
-	e := w.exchange
-	if len(e.saturated) > 0 {
-		e.saturated = nil
-		return ReasonNoConnection, longestCrowdedPause
-	}
-	if e.request.Model != "" && w.unwant == nil {
-		w.unwant = e.gateway.wants.Want(e.service, e.request.Model, e.request.Adapter)
+// saturated lists the instances without a free connection, and reports whether another one has
+// what the request needs.
+func (e *exchange) saturated(view *fleet.View) (saturated []string, free bool) {
+	for _, instance := range view.Instances(e.service) {
+		switch {
+		case !e.hasConnection(instance):
+			saturated = append(saturated, instance.ID)
+		case !instance.Leaving && (e.request.Model == "" || instance.Resident(e.request.Model) != nil):
+			free = true
+		}
 	}
-	return e.lack(view), doubtPause
+	return saturated, free
 }
 
-// hasConnection reports whether the request can be sent to the candidate now.
-func (e *exchange) hasConnection(candidate *balance.Candidate) bool {
-	return e.gateway.upstream.HasConnection(candidate.Instance.ID, e.connections())
+// hasConnection reports whether the request can be sent to an instance now.
+func (e *exchange) hasConnection(instance *fleet.Instance) bool {
+	return e.gateway.upstream.HasConnection(instance.ID, e.connections())
 }
 
 const (
@@ -180,11 +207,12 @@
 // doubts about instances end by themselves.
 const doubtPause = 100 * time.Millisecond
 
-func (e *exchange) pick(ctx context.Context, view *fleet.View) *balance.Candidate {
+// pick chooses among the instances that were not tried and are not saturated.
+func (e *exchange) pick(ctx context.Context, view *fleet.View, saturated []string) *balance.Candidate {
 	request := balance.Request{
 		Model: e.request.Model, Adapter: e.request.Adapter, Zone: e.gateway.settings.Zone, ZoneCost: e.gateway.settings.zoneCost(),
 		Affinity: e.affinity(), PromptTokens: e.request.PromptTokens, PromptLimit: e.promptLimit(view),
-		MemoryTokens: memoryTokens(view, e.service), Excluded: slices.Concat(e.passed, e.saturated, e.sentTo),
+		MemoryTokens: memoryTokens(view, e.service), Excluded: slices.Concat(e.passed, saturated, e.sentTo),
 	}
 	return e.gateway.chooser.Choose(ctx, view, e.service, &request)
 }
--- a/gateway/connections_test.go
+++ b/gateway/connections_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,17 +17,27 @@
 // longestPause is the longest time between two looks for a connection.
 const longestPause = 20 * time.Millisecond
 
+// freeAfter says that all connections to an instance are in use for a while from now on.
+func freeAfter(instance string, span time.Duration) map[string]time.Time {
+	return map[string]time.Time{instance: time.Now().Add(span)}
+}
+
+// modelRequest is a request for a stream of the model m.
+func modelRequest(route string) *gateway.Request {
+	sent := request(route)
+	sent.Model = "m"
+	return sent
+}
+
 // TestRequestWaitsForAConnection has all connections to the only instance of a model in use for a
-// while: the request is served there when one is free, in virtual time, and the instance is not
-// taken for one that cannot be reached.
+// while: the request is served there when one is free.
 func TestRequestWaitsForAConnection(t *testing.T) {
 	const freeAt = 300 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
-		upstream, observer, got := &script{connectionsFreeAt: time.Now().Add(freeAt)}, &recorder{}, &client{}
+		upstream, observer, got := &script{connectionsFreeAt: freeAfter("i1", freeAt)}, &recorder{}, &client{}
 		g := observedGateway(upstream, observer)
 		g.SetView(oneInstance(0))
-		sent := request("stream")
-		sent.Model = "m"
+		sent := modelRequest("stream")
 		g.Serve(context.Background(), sent, got)
 		if got.status != 200 || len(upstream.sent) != 1 {
 			t.Errorf("status %d after %d attempts", got.status, len(upstream.sent))
@@ -39,14 +52,13 @@
 }
 
 // TestRequestIsRefusedWithoutAConnection never has a connection: the client hears why, after the
-// usual wait.
+// usual wait, and the placement hears nothing, since nothing has to be loaded.
 func TestRequestIsRefusedWithoutAConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		upstream, observer, got := &script{connectionsFreeAt: time.Now().Add(time.Hour)}, &recorder{}, &client{}
-		g := observedGateway(upstream, observer)
+		wants, got := &noWants{}, &client{}
+		g := newGateway(&script{connectionsFreeAt: freeAfter("i1", time.Hour)}, wants)
 		g.SetView(oneInstance(0))
-		sent := request("stream")
-		sent.Model = "m"
+		sent := modelRequest("stream")
 		g.Serve(context.Background(), sent, got)
 		if got.status != 503 || got.reason != gateway.ReasonNoConnection || got.retryAfter == 0 {
 			t.Errorf("status %d reason %q, come back after %v", got.status, got.reason, got.retryAfter)
@@ -55,6 +67,234 @@
 		if took := time.Since(sent.Arrived); took > 2*time.Second+longestPause {
 			t.Errorf("refused after %v", took)
 		}
+		if len(wants.wanted) > 0 {
+			t.Errorf("the placement is told of %v", wants.wanted)
+		}
+	})
+}
+
+// preferring is a Chooser that takes the first instance that is not excluded and counts how often
+// it is asked. Instances after the first one are crowded, or have many requests.
+type preferring struct {
+	asked   int
+	crowded bool
+	load    balance.Load
+}
+
+func (p *preferring) Choose(_ context.Context, view *fleet.View, service string, request *balance.Request) *balance.Candidate {
+	p.asked++
+	for at, instance := range view.Instances(service) {
+		if slices.Contains(request.Excluded, instance.ID) {
+			continue
+		}
+		if at == 0 {
+			return &balance.Candidate{Instance: instance, Available: true, Of: 1}
+		}
+		return &balance.Candidate{Instance: instance, Available: true, Of: 1, Crowded: p.crowded, Load: p.load}
+	}
+	return nil
+}
+
+// TestASecondChoiceDoesNotReplaceOneThatLacksAConnection has a connection to the best instance
+// free after 10 ms, while the next best one is crowded or would begin to answer too late.
+func TestASecondChoiceDoesNotReplaceOneThatLacksAConnection(t *testing.T) {
+	for name, chooser := range map[string]*preferring{
+		"the other one is crowded": {crowded: true}, "the other one is late": {load: balance.Load{Requests: 100}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				upstream, got := &script{connectionsFreeAt: freeAfter("i1", 10*time.Millisecond)}, &client{}
+				g := trackedGateway(upstream, &noWants{}, busyTracker(0))
+				g.SetView(view("m"))
+				g.SetChooser(chooser)
+				sent := modelRequest("stream")
+				g.Serve(context.Background(), sent, got)
+				if got.status != 200 || len(upstream.sent) != 1 || upstream.sent[0].Instance.ID != "i1" {
+					t.Fatalf("status %d reason %q, sent %v", got.status, got.reason, upstream.sent)
+				}
+				if took := time.Since(sent.Arrived); took > 10*time.Millisecond+longestPause {
+					t.Errorf("served after %v", took)
+				}
+			})
+		})
+	}
+}
+
+// TestAnInstanceThatLackedAConnectionIsTriedLater has another instance decline the request after
+// 300 ms; by then a connection to the first one has been free for long.
+func TestAnInstanceThatLackedAConnectionIsTriedLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		declined := answer{status: 503, declined: true, after: 300 * time.Millisecond}
+		upstream, got := &script{answers: []answer{declined}, connectionsFreeAt: freeAfter("i1", 10*time.Millisecond)}, &client{}
+		g := newGateway(upstream, &noWants{})
+		g.SetView(view("m"))
+		g.SetChooser(&preferring{})
+		g.Serve(context.Background(), modelRequest("stream"), got)
+		if got.status != 200 || len(upstream.sent) != 2 || upstream.sent[1].Instance.ID != "i1" {
+			t.Errorf("status %d reason %q, sent %v", got.status, got.reason, upstream.sent)
+		}
+	})
+}
+
+// TestWaitingForAConnectionAsksLittle counts how often a choice is asked for, which may be a
+// message to another daemon that then counts on the request.
+func TestWaitingForAConnectionAsksLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		never := time.Now().Add(time.Hour)
+		chooser := &preferring{}
+		g := newGateway(&script{connectionsFreeAt: map[string]time.Time{"i1": never, "i2": never, "i3": never}}, &noWants{})
+		g.SetView(view("m"))
+		g.SetChooser(chooser)
+		g.Serve(context.Background(), modelRequest("stream"), &client{})
+		if chooser.asked > 2 {
+			t.Errorf("asked %d times while nothing was free", chooser.asked)
+		}
+	})
+}
+
+// oneAtATime is an Upstream with a single connection that is in use for a while for each request.
+type oneAtATime struct {
+	script
+	inUse sync.Mutex
+	span  time.Duration
+}
+
+func (o *oneAtATime) HasConnection(string, int) bool {
+	free := o.inUse.TryLock()
+	if free {
+		o.inUse.Unlock()
+	}
+	return free
+}
+
+func (o *oneAtATime) Send(ctx context.Context, outbound *gateway.Outbound) (gateway.Response, error) {
+	if !o.inUse.TryLock() {
+		return nil, gateway.ErrNotSent.Wrap(gateway.ErrNoConnection.New("in use"))
+	}
+	defer o.inUse.Unlock()
+	time.Sleep(o.span)
+	return o.script.Send(ctx, outbound)
+}
+
+// TestRequestsWaitForAConnectionInOrder has new requests arrive as fast as the only connection
+// serves them: one that waits already comes before those that arrive later, unless they are more
+// urgent.
+func TestRequestsWaitForAConnectionInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const span, count = 9 * time.Millisecond, 50
+		g := newGateway(&oneAtATime{span: span}, &noWants{})
+		routes := configuration()
+		for at := range routes.Routes {
+			if routes.Routes[at].Name == "stream" {
+				routes.Routes[at].Priority = 1
+			}
+		}
+		g.SetView(fleet.NewView(routes, []*fleet.Instance{{ID: "i1", Service: "svc", Slots: 400, Residents: []fleet.Resident{{Model: "m"}}}}))
+		served := make([]time.Time, count)
+		statuses := make([]int, count)
+		urgent := make(chan time.Duration, 1)
+		var group sync.WaitGroup
+		for number := range count {
+			group.Go(func() {
+				got := &client{}
+				g.Serve(context.Background(), modelRequest("stream"), got)
+				served[number], statuses[number] = time.Now(), got.status
+			})
+			if number == count/2 {
+				group.Go(func() {
+					began := time.Now()
+					g.Serve(context.Background(), modelRequest("resume"), &client{})
+					urgent <- time.Since(began)
+				})
+			}
+			time.Sleep(span / 2)
+		}
+		group.Wait()
+		for number := range count {
+			if statuses[number] != 200 {
+				t.Errorf("request %d: status %d", number, statuses[number])
+			}
+			if number > 0 && served[number].Before(served[number-1]) {
+				t.Errorf("request %d was served before the one ahead of it", number)
+			}
+		}
+		if took := <-urgent; took > 2*span+longestPause {
+			t.Errorf("the more urgent request took %v", took)
+		}
+	})
+}
+
+// TestLosingAConnectionToAnotherRequestBlamesNobody has the connection taken between the look
+// and the attempt.
+func TestLosingAConnectionToAnotherRequestBlamesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lost := answer{err: gateway.ErrNotSent.Wrap(gateway.ErrNoConnection.New("in use"))}
+		upstream, got := &script{answers: []answer{lost, lost, lost, lost}}, &client{}
+		tracker := balance.NewTracker()
+		tracker.SetPeer(time.Now(), "peer", map[string]balance.Load{"i2": {Requests: 3}, "i3": {Requests: 3}})
+		g := trackedGateway(upstream, &noWants{}, tracker)
+		g.SetView(view("m"))
+		sent := modelRequest("stream")
+		g.Serve(context.Background(), sent, got)
+		if got.status != 200 || len(upstream.sent) != 5 {
+			t.Errorf("status %d reason %q after %d attempts", got.status, got.reason, len(upstream.sent))
+		}
+		for _, attempt := range upstream.sent {
+			if attempt.Instance.ID != "i1" {
+				t.Errorf("sent to %s, which has more to do", attempt.Instance.ID)
+			}
+		}
+		if took := time.Since(sent.Arrived); took > 4*longestPause {
+			t.Errorf("the instance was left alone for %v", took)
+		}
+	})
+}
+
+// TestWaitsOfAllAttemptsTogetherAreBounded has an instance that cannot be reached take most of
+// the time, and no other one.
+func TestWaitsOfAllAttemptsTogetherAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		notSent := answer{err: gateway.ErrNotSent.New("refused"), after: 1500 * time.Millisecond}
+		got := &client{}
+		g := newGateway(&script{answers: []answer{notSent}}, &noWants{})
+		g.SetView(oneInstance(0))
+		sent := modelRequest("stream")
+		g.Serve(context.Background(), sent, got)
+		// Half of the four seconds that clients of this route wait for a first event.
+		if took := time.Since(sent.Arrived); got.status != 503 || took != 2*time.Second {
+			t.Errorf("status %d after %v", got.status, took)
+		}
+	})
+}
+
+// ejections is an Observer that counts instances that are ejected.
+type ejections struct{ count atomic.Int64 }
+
+func (e *ejections) Observe(event gateway.Event) {
+	if event.Step == gateway.StepEjected {
+		e.count.Add(1)
+	}
+}
+
+// TestTheEndOfTheDaemonIsNotHeldAgainstAnInstance ends a daemon while an instance works on several
+// requests: it must not count as one that fails.
+func TestTheEndOfTheDaemonIsNotHeldAgainstAnInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 10
+		observer := &ejections{}
+		g := observedGateway(&script{answers: slices.Repeat([]answer{{status: 200, stall: true}}, count)}, observer)
+		g.SetView(view("m"))
+		g.SetChooser(&preferring{})
+		time.AfterFunc(time.Second, g.End)
+		var group sync.WaitGroup
+		for range count {
+			group.Go(func() { g.Serve(context.Background(), modelRequest("stream"), &client{}) })
+			synctest.Wait()
+		}
+		group.Wait()
+		if observer.count.Load() > 0 {
+			t.Error("the instance is ejected")
+		}
 	})
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -37,8 +37,6 @@
 	sentTo []string
 	// passed lists instances that could not be reached; nothing was sent there.
 	passed []string
-	// saturated lists instances that have no connection free for this request now.
-	saturated []string
 	// waitUntil is how long the request waits for an instance, over all its attempts.
 	waitUntil time.Time
 	// mayHaveRun says that an instance may have run the request.
@@ -92,6 +90,10 @@
 			e.giveUp(ctx, ReasonTimeout)
 			return
 		}
+		if e.drained() {
+			e.giveUp(ctx, ReasonStopping)
+			return
+		}
 		if !e.mayTryAgain(last) {
 			e.giveUp(ctx, reasonOf(last))
 			return
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -46,12 +46,14 @@
 	answers []answer
 	sent    []gateway.Outbound
 	left    []time.Duration
-	// connectionsFreeAt is until when all connections are in use.
-	connectionsFreeAt time.Time
+	// connectionsFreeAt is until when all connections to an instance are in use.
+	connectionsFreeAt map[string]time.Time
 }
 
 // HasConnection implements gateway.Upstream.
-func (s *script) HasConnection(string, int) bool { return !time.Now().Before(s.connectionsFreeAt) }
+func (s *script) HasConnection(instance string, _ int) bool {
+	return !time.Now().Before(s.connectionsFreeAt[instance])
+}
 
 func (s *script) Send(ctx context.Context, outbound *gateway.Outbound) (gateway.Response, error) {
 	s.mutex.Lock()
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -32,6 +32,7 @@
 	}{
 		{"waiting for a model", "stream", "absent", nil, 503, "", false, 0, drainAt, gateway.StepRefused, gateway.ReasonStopping},
 		{"an attempt is declined after requests no longer begin", "unsafe", "", []answer{declined, served}, 503, "", false, 1, 500 * time.Millisecond, gateway.StepRefused, gateway.ReasonStopping},
+		{"an attempt is declined and no other one is left", "once", "", []answer{declined}, 503, "", false, 1, 500 * time.Millisecond, gateway.StepRefused, gateway.ReasonStopping},
 		{"nothing was sent", "unsafe", "", []answer{notSent, served}, 503, "", false, 1, 500 * time.Millisecond, gateway.StepRefused, gateway.ReasonStopping},
 		{"a safe request that may have run is repeated", "safe", "", []answer{broken, served}, 200, "ok", false, 2, 500 * time.Millisecond, gateway.StepEnded, gateway.ReasonAnswered},
 		{"the instance says nothing", "unsafe", "", []answer{{hang: true}}, 502, "", false, 1, endAt, gateway.StepRefused, gateway.ReasonStopping},
