A planned stop of the native daemon answers every call before it closes connections

Nothing connected the end of the daemon with the state of its calls: the context of a call ended only with its caller, so that a call waiting for an admission, at an engine or service that says nothing, or in the middle of a stream learned nothing of the end of the drain limit; its connection was closed by the end of the process. What counted as in progress was the handler alone: neither a body that arrives nor an answer that is written held the stop up. Ruled out: that a deadline of the calls themselves bounds the wait (60 s unless the caller says; the drain limit may be 1 s, a deadline an hour, and one attempt may be silent for 60 s). Change: caller.Server has a lifetime. Once callers may no longer be sent here, or at half of the drain limit, it is drained: new calls are refused as not run. 0.4 s before the end of the limit it ends: contexts of calls end with a cause of their own, reads of bodies fail, waiting claims of keys are abandoned, and each caller is told "stopping" with whether the call may have run (503 not run, 502 otherwise; the last event of a stream that has begun is an error). The stop waits for connections that are being read or written, too. Stop and Kill have a file of their own. Failed once: with the claims ended by the ledger's context, a claim was answered before the end had reached the context of its call and told its own reason; also, a call that was admitted at that moment would have waited for a claim that nobody makes. Claims are abandoned again and again instead, until no call is left. Left: calls that wait are refused at the end of the limit and not as soon as calls no longer begin, and a call without a key that is admitted at that moment may be told "unknown" although it has not run; their line in the log says caller_gone. Both need a look at the drain in daemon/requests.go and daemon/model.go.

--- a/caller/errors.go
+++ b/caller/errors.go
@@ -43,6 +43,7 @@
 	outcome.ReasonRefused:        fiber.StatusServiceUnavailable,
 	outcome.ReasonBroken:         fiber.StatusBadGateway,
 	outcome.ReasonCallerGone:     statusClientClosedRequest,
+	ReasonStopping:               fiber.StatusServiceUnavailable,
 }
 
 // statusClientClosedRequest is the status that proxies log for a caller that
@@ -78,10 +79,6 @@
 }
 
 func writeError(c *fiber.Ctx, result outcome.Result) error {
-	status, known := statusOf[result.Reason]
-	if !known {
-		status = fiber.StatusInternalServerError
-	}
 	c.Set(HeaderOutcome, result.Kind.String())
 	if result.Kind == outcome.NotRun {
 		c.Set(HeaderNotRun, "true")
@@ -90,7 +87,17 @@
 		seconds := int(math.Ceil(result.RetryAfter.Seconds()))
 		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(seconds))
 	}
-	return c.Status(status).JSON(errorBody{detailOf(result)})
+	return c.Status(statusFor(result)).JSON(errorBody{detailOf(result)})
+}
+
+func statusFor(result outcome.Result) int {
+	if result.Reason == ReasonStopping && result.Kind != outcome.NotRun {
+		return fiber.StatusBadGateway
+	}
+	if status, known := statusOf[result.Reason]; known {
+		return status
+	}
+	return fiber.StatusInternalServerError
 }
 
 // errorEvent is a server-sent event that ends a broken stream. No "[DONE]"
--- a/caller/server.go
+++ b/caller/server.go
@@ -34,16 +34,18 @@
 
 // Server takes calls over HTTP.
 type Server struct {
-	app      *fiber.App
-	handler  Handler
-	listener net.Listener
-	hangups  *hangupWatch
-	cancel   context.CancelFunc
-	group    conc.WaitGroup
-	idPrefix string
-	nextID   atomic.Uint64
-	active   atomic.Int64
-	lastCall atomic.Int64
+	app         *fiber.App
+	handler     Handler
+	listener    net.Listener
+	hangups     *hangupWatch
+	lifetime    lifetime
+	connections busyConnections
+	cancel      context.CancelFunc
+	group       conc.WaitGroup
+	idPrefix    string
+	nextID      atomic.Uint64
+	active      atomic.Int64
+	lastCall    atomic.Int64
 }
 
 // Listen starts a server on an "IP:port" address. The name makes request
@@ -61,6 +63,7 @@
 		cancel:   cancel,
 		idPrefix: name + "-" + strconv.FormatInt(time.Now().UnixMilli(), 36) + "-",
 	}
+	server.lifetime.begin()
 	server.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		// Strings must stay valid after the handler has returned, because
@@ -70,8 +73,9 @@
 		ReadTimeout:  readTimeout,
 		IdleTimeout:  idleTimeout,
 		Concurrency:  maxConnections,
-		ErrorHandler: handleError,
+		ErrorHandler: server.handleError,
 	})
+	server.app.Server().ConnState = server.connections.note
 	server.routes()
 	server.group.Go(func() { server.hangups.run(ctx) })
 	server.group.Go(func() { _ = server.app.Listener(server.listener) })
@@ -98,7 +102,7 @@
 
 // handleError gives errors of the library, such as an oversized body, the same
 // form as our own.
-func handleError(c *fiber.Ctx, err error) error {
+func (s *Server) handleError(c *fiber.Ctx, err error) error {
 	status := fiber.StatusInternalServerError
 	if known, ok := err.(*fiber.Error); ok {
 		status = known.Code
@@ -106,6 +110,9 @@
 	if status == fiber.StatusRequestEntityTooLarge || status == fiber.StatusRequestHeaderFieldsTooLarge {
 		leftUnread(c.Context().Conn())
 	}
+	if status == fiber.StatusRequestTimeout && s.lifetime.serving.Err() != nil {
+		return writeError(c, refuseStopping())
+	}
 	result := badRequest("%v", err)
 	c.Set(HeaderOutcome, result.Kind.String())
 	c.Set(HeaderNotRun, "true")
@@ -191,18 +198,24 @@
 
 // serve runs a call and sends its answer.
 func (s *Server) serve(c *fiber.Ctx, call *Call) error {
+	c.Set(HeaderRequestID, call.ID)
+	if s.lifetime.draining.Load() {
+		return writeError(c, refuseStopping())
+	}
 	s.active.Add(1)
 	s.lastCall.Store(call.ArrivedAt.UnixNano())
-	ctx, release := s.hangups.add(c.Context().Conn())
+	watched, release := s.hangups.add(c.Context().Conn())
+	ctx, unbind := s.lifetime.bind(watched)
 	end := func() {
+		unbind()
 		release()
 		s.active.Add(-1)
 	}
-	c.Set(HeaderRequestID, call.ID)
 	answer, result := s.handler.Serve(ctx, call)
 	if answer == nil {
+		told := s.lifetime.tell(ctx, result)
 		end()
-		return writeError(c, result)
+		return writeError(c, told)
 	}
 	c.Status(answer.Status)
 	c.Set(fiber.HeaderContentType, answer.ContentType)
@@ -214,14 +227,14 @@
 	stream := answer.Stream
 	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer end()
-		relay(w, stream)
+		relay(w, stream, func(result outcome.Result) outcome.Result { return s.lifetime.tell(ctx, result) })
 	})
 	return nil
 }
 
 // relay copies a stream to the caller and flushes whenever the source has
-// nothing more at hand.
-func relay(w *bufio.Writer, stream Stream) {
+// nothing more at hand. Tell turns the result into what the caller is told.
+func relay(w *bufio.Writer, stream Stream, tell func(outcome.Result) outcome.Result) {
 	buffer := make([]byte, relayBufferBytes)
 	var deliveryError error
 	for deliveryError == nil {
@@ -236,7 +249,7 @@
 			deliveryError = w.Flush()
 		}
 	}
-	result := stream.Finish(deliveryError)
+	result := tell(stream.Finish(deliveryError))
 	if result.Kind != outcome.Answered && deliveryError == nil {
 		_, _ = w.Write(errorEvent(result))
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -194,48 +194,6 @@
 // PeerAddress returns the address that hears other daemons.
 func (d *Daemon) PeerAddress() string { return d.transport.Address() }
 
-// Stop ends the daemon without cutting off a request: it leaves the answers
-// about addresses, waits until every live daemon knows of that and kept answers
-// have run out, and then until no request is in progress. Ctx and the drain
-// limit bound the wait.
-func (d *Daemon) Stop(ctx context.Context) {
-	d.logger.Info("Stop begins.", "part", "daemon")
-	d.stopping.Store(true)
-	d.events.Put(ctx, func(node *control.Node, _ time.Time) []control.Action { return node.Leave() })
-	ctx, cancel := context.WithTimeout(ctx, d.settings.Requests.DrainLimit)
-	defer cancel()
-	for ctx.Err() == nil && !d.mayStop(ctx) {
-		sleep(ctx, stopPoll)
-	}
-	cut := d.server.Active()
-	d.Kill()
-	d.logger.Info("Stopped.", "part", "daemon", "requests_cut", cut)
-}
-
-// stopPoll is the pause between two looks at whether a stop is safe.
-const stopPoll = 50 * time.Millisecond
-
-// mayStop reports whether no caller may still be sent here and no request is
-// in progress. An answer about addresses that another daemon gave just before
-// it learned of the stop may be kept for AddressKeep.
-func (d *Daemon) mayStop(ctx context.Context) bool {
-	var knownFor time.Duration
-	d.ask(ctx, func(node *control.Node) { knownFor = node.LeaveKnownFor(time.Now()) })
-	return knownFor > d.settings.Requests.AddressKeep && d.server.Active() == 0 &&
-		d.server.QuietFor() > d.settings.Requests.AddressKeep
-}
-
-// Kill ends the daemon at once.
-func (d *Daemon) Kill() {
-	d.stopping.Store(true)
-	d.server.Close()
-	d.cancel()
-	d.transport.Close()
-	d.group.Wait()
-	d.engines.Close()
-	d.services.Close()
-}
-
 func sleep(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
--- a/lab/standin/engine/server.go
+++ b/lab/standin/engine/server.go
@@ -36,6 +36,7 @@
 	streams map[string]chan Event
 	wake    chan struct{}
 	closed  chan struct{}
+	silent  bool
 }
 
 // Listen starts a server on an "IP:port" address.
@@ -81,6 +82,13 @@
 	change(time.Now(), s.core)
 }
 
+// Silence makes the engine run requests and hand out no tokens from now on.
+func (s *Server) Silence() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silent = true
+}
+
 // idleWait is how long the batch loop sleeps when there is no step under way.
 const idleWait = time.Second
 
@@ -91,7 +99,7 @@
 	for {
 		s.mutex.Lock()
 		for _, event := range s.core.Advance(time.Now()) {
-			if stream := s.streams[event.ID]; stream != nil {
+			if stream := s.streams[event.ID]; stream != nil && !s.silent {
 				stream <- event
 			}
 		}
--- a/lab/standin/service/service.go
+++ b/lab/standin/service/service.go
@@ -26,6 +26,8 @@
 	// dropAfter makes every n-th call run and then lose its answer.
 	dropEvery int
 	calls     int
+	silent    bool
+	closed    chan struct{}
 }
 
 // Listen starts a server. With dropEvery n > 0, every n-th call runs and its
@@ -36,7 +38,7 @@
 		return nil, ErrServer.Wrap(err)
 	}
 	server := &Server{
-		listener: listener, executions: map[string]int{}, dropEvery: dropEvery,
+		listener: listener, executions: map[string]int{}, dropEvery: dropEvery, closed: make(chan struct{}),
 		app: fiber.New(fiber.Config{DisableStartupMessage: true, Immutable: true}),
 	}
 	server.app.All("/*", server.run)
@@ -49,10 +51,18 @@
 
 // Close ends the server.
 func (s *Server) Close() {
+	close(s.closed)
 	_ = s.app.ShutdownWithTimeout(100 * time.Millisecond)
 	s.group.Wait()
 }
 
+// Silence makes the server run calls and answer none of them from now on.
+func (s *Server) Silence() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silent = true
+}
+
 // Executions returns how often each body was run.
 func (s *Server) Executions() map[string]int {
 	s.mutex.Lock()
@@ -70,7 +80,12 @@
 	s.executions[body]++
 	s.calls++
 	drop := s.dropEvery > 0 && s.calls%s.dropEvery == 0
+	silent := s.silent
 	s.mutex.Unlock()
+	if silent {
+		<-s.closed
+		return c.Context().Conn().Close()
+	}
 	if drop {
 		return c.Context().Conn().Close()
 	}
