The soak finds a planned stop that leaves a request without an answer

Cause that it had not: its clients waited for 8 s and its routes for 6 s, so that no request was ever in progress for longer than a stop takes, and the check of planned stops looked only at requests that a server ran and only where no fault had been near for 3 s. Ruled out: that faults elsewhere explain a connection that a stopping daemon closes without an answer. It has an answer for whatever it waits for, so only its own death, or a pause of its process during the stop, is an excuse. Change: a third as many patient clients, who wait for 24 s (three graces) at servers of their own that never answer or for a model that no server has room for; the promise "answer at a planned stop": a request in progress when its daemon is told to stop gets a whole answer, or the head of one if it asks for a stream. It is checked without bounds of time, too. Only a pause after the stop began counts now.

--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -95,6 +95,7 @@
 	defer r.mutex.Unlock()
 	sent.ended, sent.endedAt, sent.answer, sent.failed = true, time.Now(), answer, failure != nil
 	r.checkPlannedStop(sent)
+	r.checkStopAnswers(sent)
 	if failure != nil {
 		return
 	}
@@ -174,6 +175,22 @@
 	}
 }
 
+// checkStopAnswers checks that a request that was in progress when its daemon was told to stop
+// got a whole answer, or at least the head of one if it asked for a stream. No fault elsewhere
+// excuses a daemon from that: what it waits for may fail, and then it says so. Only its own death
+// does, or a pause of its process during the stop, which may fall into the time for answers. This
+// holds on a busy machine, too.
+func (r *record) checkStopAnswers(sent *sentRequest) {
+	stopAt := sent.daemon.stopOf(sent.life)
+	if stopAt.IsZero() || !sent.at.Before(stopAt) || sent.endedAt.Before(stopAt) || sent.daemon.struckSince(sent.at, stopAt) {
+		return
+	}
+	r.checked[promiseStopAnswers]++
+	if sent.failed || sent.kind != fleet.KindStream && !sent.answer.Complete {
+		r.violate(promiseStopAnswers, sent.ID, "%s was told to stop %v before and gave no whole answer to %s", sent.daemon.name, sent.endedAt.Sub(stopAt), sent.Path)
+	}
+}
+
 // checkAtEnd checks what only the whole run shows.
 func (r *record) checkAtEnd() {
 	r.mutex.Lock()
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -17,7 +17,7 @@
 }
 
 func newScene() *scene {
-	calm := &daemon{name: "entry-0", life: 1, process: nil}
+	calm := &daemon{name: "entry-0", life: 1, process: nil, stops: map[int]time.Time{}}
 	return &scene{record: newRecord(false, func(Violation) {}), daemon: calm}
 }
 
@@ -45,6 +45,12 @@
 	s.daemon.touched = time.Now().Add(-time.Hour)
 }
 
+// waitThroughStop returns a request that was sent a second before its daemon was told to stop.
+func (s *scene) waitThroughStop(kind fleet.RouteKind) *sentRequest {
+	s.daemon.stops[1] = time.Now().Add(-time.Second)
+	return s.request("a", kind, 0, 2*time.Second)
+}
+
 // TestEachPromiseCanBeBroken feeds observations that break one promise each, and the
 // nearest ones that break none.
 func TestEachPromiseCanBeBroken(t *testing.T) {
@@ -155,6 +161,52 @@
 			s.run("a", "s1")
 			s.ended(sent, standin.ClientAnswer{}, ErrSoak.New("cut"))
 		}},
+		{"a planned stop gives no answer", promiseStopAnswers, func(s *scene) {
+			sent := s.waitThroughStop(fleet.KindUnsafe)
+			s.ended(sent, standin.ClientAnswer{}, ErrSoak.New("closed"))
+		}},
+		{"a planned stop gives no answer beside a fault elsewhere", promiseStopAnswers, func(s *scene) {
+			sent := s.waitThroughStop(fleet.KindStream)
+			s.disturb()
+			s.ended(sent, standin.ClientAnswer{}, ErrSoak.New("closed"))
+		}},
+		{"a planned stop cuts an answer that is no stream", promiseStopAnswers, func(s *scene) {
+			sent := s.waitThroughStop(fleet.KindUnsafe)
+			s.ended(sent, standin.ClientAnswer{Status: 200}, nil)
+		}},
+		{"a planned stop cuts a stream that has begun", "", func(s *scene) {
+			sent := s.waitThroughStop(fleet.KindStream)
+			s.ended(sent, standin.ClientAnswer{Status: 200}, nil)
+		}},
+		{"a planned stop ends a wait with an answer", "", func(s *scene) {
+			sent := s.waitThroughStop(fleet.KindUnsafe)
+			s.ended(sent, standin.ClientAnswer{Status: 502, Complete: true}, nil)
+		}},
+		{"a daemon that stops is killed", "", func(s *scene) {
+			sent := s.waitThroughStop(fleet.KindUnsafe)
+			s.daemon.killedAt = time.Now()
+			s.ended(sent, standin.ClientAnswer{}, ErrSoak.New("closed"))
+		}},
+		{"a daemon is frozen in the midst of a stop", "", func(s *scene) {
+			sent := s.waitThroughStop(fleet.KindUnsafe)
+			s.daemon.frozenAt = time.Now()
+			s.ended(sent, standin.ClientAnswer{}, ErrSoak.New("closed"))
+		}},
+		{"a daemon was frozen before its stop", promiseStopAnswers, func(s *scene) {
+			sent := s.waitThroughStop(fleet.KindUnsafe)
+			s.daemon.frozenAt = time.Now().Add(-1500 * time.Millisecond)
+			s.ended(sent, standin.ClientAnswer{}, ErrSoak.New("closed"))
+		}},
+		{"a request that came after the stop began", "", func(s *scene) {
+			s.waitThroughStop(fleet.KindUnsafe)
+			sent := s.request("b", fleet.KindUnsafe, 0, 0)
+			s.ended(sent, standin.ClientAnswer{}, ErrSoak.New("nobody listens"))
+		}},
+		{"another life was told to stop", "", func(s *scene) {
+			sent := s.waitThroughStop(fleet.KindUnsafe)
+			sent.life = 2
+			s.ended(sent, standin.ClientAnswer{}, ErrSoak.New("closed"))
+		}},
 		{"no recovery", promiseRecovery, func(s *scene) {
 			s.missedRecovery(s.request("a", fleet.KindStream, 0, 0), standin.ClientAnswer{Status: 503}, nil)
 		}},
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -29,19 +29,21 @@
 type client struct {
 	deployment *deployment
 	number     int
-	sent       int
-	random     *rand.Rand
-	standin    standin.Client
-	addresses  []string
-	until      time.Time
+	// patient says that the client waits longer than a planned stop takes.
+	patient   bool
+	sent      int
+	random    *rand.Rand
+	standin   standin.Client
+	addresses []string
+	until     time.Time
 }
 
 // runClient sends one request after the other until ctx ends.
-func (d *deployment) runClient(ctx context.Context, number int) {
+func (d *deployment) runClient(ctx context.Context, number int, patient bool) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2}
 	defer transport.CloseIdleConnections()
 	c := &client{
-		deployment: d, number: number, random: rand.New(rand.NewPCG(d.options.Seed, uint64(number))),
+		deployment: d, number: number, patient: patient, random: rand.New(rand.NewPCG(d.options.Seed, uint64(number))),
 		standin: standin.Client{HTTP: &http.Client{Transport: transport}},
 	}
 	for ctx.Err() == nil {
@@ -94,12 +96,17 @@
 		},
 		daemon: daemon, life: daemon.currentLife(), at: time.Now(),
 	}
-	c.draw(sent)
-	patience := clientPatience
+	waits := clientPatience
+	if c.patient {
+		c.drawPatient(sent)
+		waits, sent.Patience = patience, patience
+	} else {
+		c.draw(sent)
+	}
 	if c.random.Float64() < leaveShare {
-		patience = leavePatience
+		waits = leavePatience
 	}
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	ctx, cancel := context.WithTimeout(ctx, waits)
 	defer cancel()
 	c.deployment.record.sending(sent)
 	answer, err := c.standin.Do(ctx, daemon.front, sent.ClientRequest)
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -60,6 +60,8 @@
 	store   *standin.Store
 	engine  *fleet.Engine
 	places  []*place
+	// silent are the servers that patient clients wait for.
+	silent  []*standin.Server
 	daemons []*daemon
 	group   conc.WaitGroup
 	faults  int
@@ -88,6 +90,9 @@
 			return nil, err
 		}
 	}
+	if err := d.startSilentServers(); err != nil {
+		return nil, err
+	}
 	return d, d.startDaemons()
 }
 
@@ -177,6 +182,7 @@
 	for version := uint64(2); version <= d.version; version++ {
 		configuration.Routes = append(configuration.Routes, soakRoute(markName(version), fleet.KindSafe, 2, portalService))
 	}
+	addPatience(configuration)
 	d.store.Configure(configuration)
 	d.record.configured(d.version)
 }
@@ -220,5 +226,8 @@
 		place.proxy.close()
 		place.current().Close()
 	}
+	for _, server := range d.silent {
+		server.Close()
+	}
 	d.store.Close()
 }
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -36,10 +36,14 @@
 	touched time.Time
 	// stopAt is when the last planned stop began; zero if there was none.
 	stopAt time.Time
+	// stops is when each life was told to stop first.
+	stops map[int]time.Time
+	// killedAt and frozenAt are when the process was last killed and frozen.
+	killedAt, frozenAt time.Time
 }
 
 func newDaemon(number int, binary, folder, store string) (*daemon, error) {
-	d := &daemon{number: number, name: fmt.Sprint("entry-", number), binary: binary}
+	d := &daemon{number: number, name: fmt.Sprint("entry-", number), binary: binary, stops: map[int]time.Time{}}
 	for _, address := range []*string{&d.front, &d.ready, &d.directory, &d.peers} {
 		var err error
 		if *address, err = loopback.Address(); err != nil {
@@ -137,12 +141,17 @@
 		return
 	}
 	switch sent {
+	case syscall.SIGKILL:
+		d.killedAt = time.Now()
 	case syscall.SIGSTOP:
-		d.frozen = true
+		d.frozen, d.frozenAt = true, time.Now()
 	case syscall.SIGCONT:
 		d.frozen = false
 	case syscall.SIGTERM:
 		d.stopAt = time.Now()
+		if d.stops[d.life].IsZero() {
+			d.stops[d.life] = d.stopAt
+		}
 	}
 	if sent != syscall.SIGHUP {
 		d.touched = time.Now()
@@ -176,6 +185,20 @@
 	return d.stopAt
 }
 
+// stopOf returns when a life was told to stop; zero if it was not.
+func (d *daemon) stopOf(life int) time.Time {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.stops[life]
+}
+
+// struckSince reports whether the process was killed since a moment, or frozen since a later one.
+func (d *daemon) struckSince(killed, frozen time.Time) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.killedAt.After(killed) || d.frozenAt.After(frozen)
+}
+
 // end ends the process for good.
 func (d *daemon) end() {
 	d.mutex.Lock()
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -23,6 +23,7 @@
 	promiseLoadCeiling = "load ceiling"
 	promiseRetryBudget = "retry budget"
 	promisePlannedStop = "planned stop"
+	promiseStopAnswers = "answer at a planned stop"
 	promiseRecovery    = "recovery"
 )
 
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -129,8 +129,9 @@
 	d.tell("seed %d: %d daemons, logs in %s", d.options.Seed, len(d.daemons), d.folder)
 	clients, stopClients := context.WithCancel(ctx)
 	for number := range d.options.Clients {
-		d.group.Go(func() { d.runClient(clients, number) })
+		d.group.Go(func() { d.runClient(clients, number, false) })
 	}
+	d.runPatientClients(clients)
 	faults, stopFaults := context.WithTimeout(ctx, d.options.Duration)
 	random := rand.New(rand.NewPCG(d.options.Seed, 0x50a1c))
 	d.runFaults(faults, random)
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -20,6 +20,9 @@
 		// A daemon is told to stop twice within 1.3 s: the second SIGTERM ended it at
 		// once and cut a stream.
 		318,
+		// A request that waits for what never comes is in progress at a daemon that is
+		// told to stop: its connection was closed without an answer.
+		7101,
 	}
 	for _, seed := range seeds {
 		options := soak.DefaultOptions()
