A native daemon that stops refuses waiting calls as soon as calls no longer begin

Cause: the drain concerned new calls only. One that waited for an admission, a claim or its next attempt went on until the end of the drain limit, could still begin in its last moment, and stood in the log as given up by its caller. Ruled out: that ending the contexts of calls at the drain would do; it would also cut calls that a back end works on. Change: waits of calls that no back end was sent end with the drain (caller.WhileItMayBegin), also a claim, which no context ended before; no attempt begins after the drain if none may have run, nor with a context that has ended. What the caller is told and what the log says come from one place (caller.Told). Changed check: in TestStopAnswersEveryCall the call that waits for an admission has no key any more. It had one because without it the call could be admitted in the last moment and be told "unknown"; the test is stricter now.

--- a/caller/server.go
+++ b/caller/server.go
@@ -111,7 +111,7 @@
 		leftUnread(c.Context().Conn())
 	}
 	if status == fiber.StatusRequestTimeout && s.lifetime.serving.Err() != nil {
-		return writeError(c, refuseStopping())
+		return writeError(c, RefuseStopping())
 	}
 	result := badRequest("%v", err)
 	c.Set(HeaderOutcome, result.Kind.String())
@@ -199,8 +199,8 @@
 // serve runs a call and sends its answer.
 func (s *Server) serve(c *fiber.Ctx, call *Call) error {
 	c.Set(HeaderRequestID, call.ID)
-	if s.lifetime.draining.Load() {
-		return writeError(c, refuseStopping())
+	if s.lifetime.starts.Err() != nil {
+		return writeError(c, RefuseStopping())
 	}
 	s.active.Add(1)
 	s.lastCall.Store(call.ArrivedAt.UnixNano())
@@ -213,7 +213,7 @@
 	}
 	answer, result := s.handler.Serve(ctx, call)
 	if answer == nil {
-		told := s.lifetime.tell(ctx, result)
+		told := Told(ctx, result)
 		end()
 		return writeError(c, told)
 	}
@@ -227,7 +227,7 @@
 	stream := answer.Stream
 	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer end()
-		relay(w, stream, func(result outcome.Result) outcome.Result { return s.lifetime.tell(ctx, result) })
+		relay(w, stream, func(result outcome.Result) outcome.Result { return Told(ctx, result) })
 	})
 	return nil
 }
--- a/caller/stop.go
+++ b/caller/stop.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -23,34 +22,64 @@
 // takes the call at once.
 const stoppingRetryAfter = 10 * time.Millisecond
 
-func refuseStopping() outcome.Result {
+// RefuseStopping is the refusal of a call that has not run by a daemon that stops.
+func RefuseStopping() outcome.Result {
 	return outcome.Refuse(ReasonStopping, stoppingRetryAfter)
 }
 
-// lifetime is how far the end of a server has come.
+// lifetime is how far the end of a server has come. Both contexts end once and for all.
 type lifetime struct {
-	draining   atomic.Bool
+	// starts ends when no call may be sent to a back end for the first time any more.
+	starts     context.Context
+	endStarts  context.CancelCauseFunc
 	serving    context.Context
 	endServing context.CancelCauseFunc
 }
 
+// lifetimeKey is where the context of a call holds the lifetime of its server.
+type lifetimeKey struct{}
+
 func (l *lifetime) begin() {
 	l.serving, l.endServing = context.WithCancelCause(context.Background())
+	l.starts, l.endStarts = context.WithCancelCause(l.serving)
 }
 
 // bind returns a context that also ends, with ErrStopped, when the server ends its calls. The
 // function releases it.
 func (l *lifetime) bind(ctx context.Context) (context.Context, func()) {
+	return endWith(context.WithValue(ctx, lifetimeKey{}, l), l.serving)
+}
+
+// endWith returns a context that also ends with another one, for its cause.
+func endWith(ctx, other context.Context) (context.Context, func()) {
 	bound, end := context.WithCancelCause(ctx)
-	unbind := context.AfterFunc(l.serving, func() { end(context.Cause(l.serving)) })
+	unbind := context.AfterFunc(other, func() { end(context.Cause(other)) })
 	return bound, func() {
 		unbind()
 		end(nil)
 	}
 }
 
-// Drain refuses every call that comes from now on, as not run.
-func (s *Server) Drain() { s.lifetime.draining.Store(true) }
+// WhileItMayBegin returns a context for the waits of a call that no back end was sent: it also
+// ends, with ErrStopped, when calls no longer begin. The function releases it.
+func WhileItMayBegin(ctx context.Context) (context.Context, func()) {
+	if l, ok := ctx.Value(lifetimeKey{}).(*lifetime); ok {
+		return endWith(ctx, l.starts)
+	}
+	return ctx, func() {}
+}
+
+// Draining reports whether a call that no back end was sent may no longer begin.
+func Draining(ctx context.Context) bool {
+	l, ok := ctx.Value(lifetimeKey{}).(*lifetime)
+	return ok && l.starts.Err() != nil
+}
+
+// Drain refuses every call that comes from now on, as not run, and ends the waits of those that
+// no back end was sent.
+func (s *Server) Drain() {
+	s.lifetime.endStarts(ErrStopped.New("calls no longer begin"))
+}
 
 // End ends all calls now: their contexts end with ErrStopped, and a call that is still being
 // read is refused. Who has no byte of an answer gets one that says whether the call may have run;
@@ -64,11 +93,11 @@
 // Idle reports whether no call is being read, served or answered.
 func (s *Server) Idle() bool { return s.Active() == 0 && s.connections.count() == 0 }
 
-// tell returns what a caller is told of a result. A handler takes the end of a context for a
-// caller that hung up or a back end that broke; if the server ended it, neither is true. Ctx
-// comes from bind.
-func (l *lifetime) tell(ctx context.Context, result outcome.Result) outcome.Result {
-	if l.serving.Err() != nil {
+// Told returns what is told of a result, to the caller and in the log. What a call waits for takes
+// the end of a context for a caller that hung up or a back end that broke; if the daemon ended it,
+// neither is true. Ctx is that of the call, or of a wait.
+func Told(ctx context.Context, result outcome.Result) outcome.Result {
+	if l, ok := ctx.Value(lifetimeKey{}).(*lifetime); ok && l.serving.Err() != nil {
 		// The end passes on to ctx from another goroutine.
 		<-ctx.Done()
 	}
--- a/daemon/ledger.go
+++ b/daemon/ledger.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// claim claims a key and waits for the answer.
-func (l *keyLedger) claim(key string) exchange.Claim {
+// claim claims a key and waits for the answer, until ctx ends.
+func (l *keyLedger) claim(ctx context.Context, key string) exchange.Claim {
 	duty := l.duty(ledger.ShardOf(key))
 	holder := fmt.Sprintf("%s/%d", l.holder, l.next.Add(1))
 	answered := make(chan ledger.Answer, 1)
@@ -70,7 +70,16 @@
 	duty.waiting[holder] = answered
 	duty.mutex.Unlock()
 	duty.signal()
-	switch <-answered {
+	select {
+	case answer := <-answered:
+		return claimOf(answer)
+	case <-ctx.Done():
+		return exchange.ClaimUnavailable
+	}
+}
+
+func claimOf(answer ledger.Answer) exchange.Claim {
+	switch answer {
 	case ledger.Granted:
 		return exchange.ClaimGranted
 	case ledger.Used:
--- a/daemon/model.go
+++ b/daemon/model.go
@@ -52,7 +52,11 @@
 	d.interests.Offer(model.Spec.Name)
 	gate := d.gate(model)
 	ticket := &admit.Ticket{Priority: call.Priority, Deadline: d.deadline(call)}
-	if refusal, admitted := gate.Enter(ctx, ticket); !admitted {
+	waiting, release := caller.WhileItMayBegin(ctx)
+	refusal, admitted := gate.Enter(waiting, ticket)
+	refusal = caller.Told(waiting, refusal)
+	release()
+	if !admitted {
 		d.logger.Info("Request refused.", "part", "admit", "request", call.ID, "model", model.Spec.Name,
 			"priority", call.Priority, "reason", string(refusal.Reason), "retry_after", refusal.RetryAfter)
 		return nil, refusal
@@ -119,7 +123,8 @@
 		defer load.End()
 		return d.wholeAnswer(ctx, response)
 	}
-	stream := &modelStream{daemon: d, call: call, response: response, leave: leave, load: load}
+	stream := &modelStream{daemon: d, call: call, response: response, leave: leave, load: load,
+		told: func(result outcome.Result) outcome.Result { return caller.Told(ctx, result) }}
 	if result, ok := stream.readFirst(ctx); !ok {
 		load.End()
 		return nil, result
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -37,6 +37,7 @@
 	} else {
 		answer, result = d.serveModel(ctx, call)
 	}
+	result = caller.Told(ctx, result)
 	if answer == nil || answer.Stream == nil {
 		d.settle(call, result)
 	}
@@ -83,11 +84,25 @@
 	for {
 		switch step {
 		case exchange.StepClaim:
-			step = machine.ClaimAnswered(time.Now(), d.ledger.claim(call.Key))
+			waiting, release := caller.WhileItMayBegin(ctx)
+			claim := d.ledger.claim(waiting, call.Key)
+			release()
+			step = machine.ClaimAnswered(time.Now(), claim)
+			if claim == exchange.ClaimUnavailable && caller.Draining(ctx) {
+				step = refuseBegin(machine)
+			}
 		case exchange.StepFinish:
 			return nil, machine.Result
 		case exchange.StepAttempt:
 			d.pauseBeforeRetry(ctx, machine.Attempts())
+			switch {
+			case caller.Draining(ctx) && !machine.MayHaveRun():
+				step = refuseBegin(machine)
+				continue
+			case ctx.Err() != nil:
+				step = machine.NoBackEnd(outcome.ReasonCallerGone, 0)
+				continue
+			}
 			if !d.knowsEnough() {
 				step = machine.NoBackEnd(outcome.ReasonStarting, startingRetry)
 				continue
@@ -97,6 +112,7 @@
 				step = machine.NoBackEnd(outcome.ReasonNoReplica, noReplicaRetry)
 				continue
 			}
+			result = caller.Told(ctx, result)
 			if answer == nil {
 				d.noteFailure(call, backEnd, request, result)
 			}
@@ -108,6 +124,12 @@
 	}
 }
 
+// refuseBegin ends an exchange whose call may no longer begin.
+func refuseBegin(machine *exchange.Exchange) exchange.Step {
+	refusal := caller.RefuseStopping()
+	return machine.NoBackEnd(refusal.Reason, refusal.RetryAfter)
+}
+
 func (d *Daemon) newExchange(call *caller.Call) *exchange.Exchange {
 	return exchange.New(d.exchange, d.budget, exchange.Request{
 		Repeatable: call.Repeatable, HasKey: call.Key != "", Deadline: d.deadline(call),
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -22,8 +22,8 @@
 )
 
 // Stop ends the daemon: it leaves the answers about addresses, takes calls until every live
-// daemon knows of that and kept answers have run out, then refuses new ones, and waits until no
-// call is in progress. Ctx and the drain limit bound the wait; calls that are left then get their
+// daemon knows of that and kept answers have run out, then refuses those that no back end was
+// sent, and waits until no call is in progress. Ctx and the drain limit bound the wait; calls that are left then get their
 // last answer.
 func (d *Daemon) Stop(ctx context.Context) {
 	begun := time.Now()
@@ -37,10 +37,7 @@
 	d.waitUntil(ctx, begun.Add(limit-stopMargin), d.idle)
 	cut := d.server.Active()
 	d.server.End()
-	d.waitUntil(context.Background(), time.Now().Add(answerMargin), func(ctx context.Context) bool {
-		d.ledger.abandon()
-		return d.idle(ctx)
-	})
+	d.waitUntil(context.Background(), time.Now().Add(answerMargin), d.idle)
 	d.Kill()
 	d.logger.Info("Stopped.", "part", "daemon", "requests_cut", cut)
 }
@@ -64,16 +61,6 @@
 
 func (d *Daemon) idle(context.Context) bool { return d.server.Idle() }
 
-// abandon ends the claims that wait for an answer, which no context ends. Their calls have not
-// run.
-func (l *keyLedger) abandon() {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for _, duty := range l.shards {
-		duty.abandonAll()
-	}
-}
-
 // Kill ends the daemon at once.
 func (d *Daemon) Kill() {
 	d.stopping.Store(true)
--- a/daemon/stream.go
+++ b/daemon/stream.go
@@ -37,9 +37,11 @@
 	response *upstream.Response
 	leave    func()
 	load     *route.Load
-	first    []byte
-	tail     []byte
-	ended    error
+	// told turns the result into what the log and the caller are told.
+	told  func(outcome.Result) outcome.Result
+	first []byte
+	tail  []byte
+	ended error
 }
 
 func (s *modelStream) readFirst(ctx context.Context) (outcome.Result, bool) {
@@ -97,6 +99,7 @@
 	case !bytes.Contains(s.tail, doneMarker):
 		result = outcome.Result{Kind: outcome.Failed, Reason: outcome.ReasonBroken, Err: ErrStream.New("no end marker")}
 	}
+	result = s.told(result)
 	s.response.Close()
 	s.load.End()
 	s.leave()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -79,6 +79,11 @@
 // Attempts returns the number of attempts begun.
 func (e *Exchange) Attempts() int { return e.attempts }
 
+// MayHaveRun reports whether a back end may have run the request.
+func (e *Exchange) MayHaveRun() bool {
+	return e.Result.Kind == outcome.Unknown || e.Result.Kind == outcome.Failed
+}
+
 // Start returns the first step.
 func (e *Exchange) Start() Step {
 	if e.request.HasKey {
@@ -130,7 +135,7 @@
 		return e.finish(result)
 	}
 	// An earlier attempt that may have run makes the whole request so.
-	if e.Result.Kind == outcome.Unknown || e.Result.Kind == outcome.Failed {
+	if e.MayHaveRun() {
 		if result.Kind == outcome.NotRun {
 			result.Kind = e.Result.Kind
 		}
--- a/lab/cluster/stop_test.go
+++ b/lab/cluster/stop_test.go
@@ -8,6 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,15 +30,15 @@
 
 // startToStop starts a cluster of one daemon with a short drain limit, at which one call of each
 // model runs at a time and nothing else ends a wait early.
-func startToStop(t *testing.T) (*cluster.Cluster, *client.Client, context.Context) {
+func startToStop(t *testing.T, drainLimit time.Duration, log io.Writer) (*cluster.Cluster, *client.Client, context.Context) {
 	t.Helper()
 	return start(t, func(o *cluster.Options) {
 		adjust := o.Adjust
-		o.Daemons = 1
+		o.Daemons, o.Log = 1, log
 		o.Adjust = func(s *settings.Settings) {
 			adjust(s)
 			s.Requests.AddressKeep = 200 * time.Millisecond
-			s.Requests.DrainLimit = stopDrainLimit
+			s.Requests.DrainLimit = drainLimit
 			s.Requests.ClaimTimeout = patience
 			s.Requests.SlotOvercommit = 0.001
 			s.Requests.MaxAttempts = 1
@@ -52,7 +55,12 @@
 // TestStopAnswersEveryCall stops a daemon while calls are in each state. Each caller gets an
 // answer, and one that says truthfully whether its call may have run.
 func TestStopAnswersEveryCall(t *testing.T) {
-	running, caller, ctx := startToStop(t)
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.Close()
+	running, caller, ctx := startToStop(t, stopDrainLimit, log)
 	address := running.Daemons[0].CallerAddress()
 	silence := func() {
 		for _, engine := range running.Engines {
@@ -73,7 +81,7 @@
 		{"a whole answer that an engine works on", nil, client.Request{Model: "lecture-summary", Tokens: unending}, 502, "unknown"},
 		{"an engine that says nothing", silence, client.Request{Model: "glossary", Tokens: 5}, 502, "unknown"},
 		{"an engine that says nothing about a stream", nil, client.Request{Model: "chapter-notes", Tokens: 5, Stream: true}, 502, "unknown"},
-		{"waiting for an admission", nil, client.Request{Model: "glossary", Tokens: 5, Key: "k-0"}, 503, "not_run"},
+		{"waiting for an admission", nil, client.Request{Model: "glossary", Tokens: 5}, 503, "not_run"},
 		{"a service that says nothing", nil, client.Request{Service: "berths"}, 502, "unknown"},
 		{"a service that says nothing, at most once", nil, client.Request{Service: "berths", Key: "k-1"}, 502, "unknown"},
 		{"waiting for a key claim", func() { running.Store.SetFaults(objectstore.Faults{Delay: patience}) }, client.Request{Service: "berths", Key: "k-2"}, 503, "not_run"},
@@ -112,6 +120,68 @@
 			}
 		})
 	}
+	text, err := os.ReadFile(log.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ended := strings.Count(string(text), "reason=stopping"); ended < len(cases) || strings.Contains(string(text), "reason=caller_gone") {
+		t.Errorf("the log names the stop as the reason %d times for %d calls, or a caller", ended, len(cases))
+	}
+}
+
+// TestDrainRefusesCallsThatWait stops a daemon whose drain limit is far off while a call is at an
+// engine that says nothing. Calls that no back end was sent are refused long before the stop ends.
+func TestDrainRefusesCallsThatWait(t *testing.T) {
+	running, caller, ctx := startToStop(t, 10*patience, io.Discard)
+	address := running.Daemons[0].CallerAddress()
+	for _, engine := range running.Engines {
+		engine.Silence()
+	}
+	send := func(request client.Request) chan told {
+		request.Prompt, request.Deadline = "x", 10*patience
+		answers := make(chan told, 1)
+		go func() {
+			answer, err := caller.DoAt(ctx, address, request)
+			answers <- told{answer, err}
+		}()
+		time.Sleep(300 * time.Millisecond)
+		return answers
+	}
+	first := send(client.Request{Model: "glossary", Tokens: 5})
+	admission := send(client.Request{Model: "glossary", Tokens: 5})
+	running.Store.SetFaults(objectstore.Faults{Delay: patience})
+	claim := send(client.Request{Service: "berths", Key: "k"})
+	stopping, end := context.WithCancel(ctx)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		running.Daemons[0].Stop(stopping)
+	}()
+	for name, answers := range map[string]chan told{"an admission": admission, "a claim": claim} {
+		select {
+		case got := <-answers:
+			if got.err != nil || got.answer.Status != 503 || got.answer.Outcome != "not_run" || got.answer.Reason != "stopping" || got.answer.RetryAfter == 0 {
+				t.Errorf("waiting for %s: %+v, %v", name, got.answer, got.err)
+			}
+		case <-first:
+			t.Errorf("waiting for %s: the call that holds the stop up ended sooner", name)
+		case <-time.After(patience / 2):
+			t.Errorf("waiting for %s: no answer", name)
+		}
+	}
+	select {
+	case <-stopped:
+		t.Error("the stop ended although a call was in progress")
+	default:
+	}
+	end()
+	<-stopped
+	if got := <-first; got.answer.Status != 502 || got.answer.Outcome != "unknown" {
+		t.Errorf("the call at the engine: %+v, %v", got.answer, got.err)
+	}
+	if ran := runs(running, "x"); ran > 0 {
+		t.Errorf("the booking ran %d times", ran)
+	}
 }
 
 // runs returns how often the services ran a body.
@@ -126,7 +196,7 @@
 // TestStopAnswersACallThatIsStillBeingRead stops a daemon while the body of a call is arriving:
 // its rest comes after the daemon takes no calls any more, or never.
 func TestStopAnswersACallThatIsStillBeingRead(t *testing.T) {
-	running, _, ctx := startToStop(t)
+	running, _, ctx := startToStop(t, stopDrainLimit, io.Discard)
 	const body = "booking"
 	send := func() net.Conn {
 		conn, err := net.Dial("tcp", running.Daemons[0].CallerAddress())
