A back end that was not reached takes no request while one that refused is left

Calls on kept connections to the dead engine (60 EOF within 10 ms at one daemon) end as unknown and did not count against it at all. Change: a load takes in how each attempt ended. An engine of which no byte came (not connected, or cut off before the answer began) is in worse standing than one that refused by its own word, until it answers anything or 2 s have passed; the choice of a service's machine follows the same order. The simulator uses the same function.

--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -97,6 +97,7 @@
 				step = machine.NoBackEnd(outcome.ReasonNoReplica, noReplicaRetry)
 				continue
 			}
+			backEnd.Load.NoteResult(time.Now(), result)
 			if answer == nil {
 				d.noteFailure(call, backEnd, request, result)
 			}
@@ -124,13 +125,9 @@
 	sleep(ctx, retryBackoff(random, attempt-2))
 }
 
-// noteFailure keeps the request from the back end that failed it, and other
-// requests for a while if the back end was not reached or turned this one away.
+// noteFailure keeps the request from the back end that failed it.
 func (d *Daemon) noteFailure(call *caller.Call, backEnd *route.BackEnd, request *route.Request, result outcome.Result) {
 	request.Exclude(backEnd.Load)
-	if result.Kind == outcome.NotRun {
-		backEnd.Load.Refused(time.Now())
-	}
 	d.logger.Info("Attempt failed.", "part", "route", "request", call.ID, "back_end", backEnd.Name,
 		"outcome", result.Kind, "reason", string(result.Reason), "error", result.Err)
 }
--- a/lab/sim/flight.go
+++ b/lab/sim/flight.go
@@ -98,8 +98,8 @@
 			f.cancel = nil
 			load.End()
 			f.request.Exclude(load)
-			if result.Kind == outcome.NotRun {
-				load.Refused(w.Now)
+			if result.Kind == outcome.Answered || f.first.IsZero() {
+				load.NoteResult(w.Now, result)
 			}
 			if w.Settings.Without == MechanismOutcomeKinds && result.Kind == outcome.Unknown {
 				result.Kind = outcome.NotRun
--- a/route/load.go
+++ b/route/load.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/wheatweir/wheatweir/outcome"
 )
 
 // Load is what this daemon knows of the load of one back end: its own requests
@@ -18,19 +20,59 @@
 	reportedAt atomic.Int64
 	slots      atomic.Int64
 	refusedAt  atomic.Int64
+	// unreachedAt is when the last attempt got no byte of an answer, or zero.
+	unreachedAt atomic.Int64
 }
 
-// refusalMemory is how long a back end that turned a request away, or could not
-// be reached, is used only if nothing else is left. It bridges the time until
+// troubleMemory is how long a back end that turned a request away, or could not
+// be reached, is used only if nothing better is left. It bridges the time until
 // the group knows that the back end is down.
-const refusalMemory = 2 * time.Second
+const troubleMemory = 2 * time.Second
 
-// Refused notes that the back end turned a request away or was not reached.
+// NoteResult takes in how an attempt at the back end ended. A back end of which no
+// byte came is in worse standing than one that turned the request away by its own
+// word: that one may still take others.
+func (l *Load) NoteResult(now time.Time, result outcome.Result) {
+	switch {
+	case result.Reason == outcome.ReasonRefused:
+		l.Refused(now)
+		l.unreachedAt.Store(0)
+	case result.Reason == outcome.ReasonCallerGone:
+	case result.Kind == outcome.Answered || result.Status != 0:
+		l.unreachedAt.Store(0)
+	case result.Reason == outcome.ReasonConnect || result.Reason == outcome.ReasonBroken:
+		l.unreachedAt.Store(now.UnixNano())
+	}
+}
+
+// Refused notes that the back end turned a request away.
 func (l *Load) Refused(now time.Time) { l.refusedAt.Store(now.UnixNano()) }
 
-// RefusedLately reports whether that was a short while ago.
-func (l *Load) RefusedLately(now time.Time) bool {
-	return now.UnixNano()-l.refusedAt.Load() < int64(refusalMemory)
+// standing says what the last attempts of this daemon showed of a back end; a
+// higher one is better.
+type standing int
+
+const (
+	// unreached means that the last attempt got no byte of an answer.
+	unreached standing = iota
+	// refused means that a request was turned away a short while ago.
+	refused
+	good
+)
+
+func (l *Load) standing(now time.Time) standing {
+	switch {
+	case lately(now, &l.unreachedAt):
+		return unreached
+	case lately(now, &l.refusedAt):
+		return refused
+	default:
+		return good
+	}
+}
+
+func lately(now time.Time, at *atomic.Int64) bool {
+	return now.UnixNano()-at.Load() < int64(troubleMemory)
 }
 
 // SetReport takes in a report: the requests at the back end and its batch
--- a/route/picker.go
+++ b/route/picker.go
@@ -45,16 +45,22 @@
 const (
 	// notObserved means that no report shows the replica; it may still load.
 	notObserved trust = iota
+	// unreachedLately means that it serves as far as known, but that the last
+	// attempt did not reach it.
+	unreachedLately
 	// refusedLately means that it serves but turned a request away.
 	refusedLately
 	trusted
 )
 
 func trustOf(now time.Time, candidate *Candidate) trust {
-	switch {
-	case !candidate.Observed:
+	if !candidate.Observed {
 		return notObserved
-	case candidate.BackEnd.Load.RefusedLately(now):
+	}
+	switch candidate.BackEnd.Load.standing(now) {
+	case unreached:
+		return unreachedLately
+	case refused:
 		return refusedLately
 	default:
 		return trusted
@@ -111,7 +117,7 @@
 
 // PickMachine returns the machine of a service with the fewest own requests in
 // progress that was not excluded, or nil. One that turned a request away lately
-// is picked only if no other is left.
+// is picked only if no better is left, and one that was not reached after that.
 func PickMachine(now time.Time, service *Service, request *Request) *BackEnd {
 	count := len(service.Machines)
 	var best *BackEnd
@@ -128,9 +134,9 @@
 }
 
 func betterMachine(now time.Time, machine, best *BackEnd) bool {
-	refused, bestRefused := machine.Load.RefusedLately(now), best.Load.RefusedLately(now)
-	if refused != bestRefused {
-		return bestRefused
+	standing, bestStanding := machine.Load.standing(now), best.Load.standing(now)
+	if standing != bestStanding {
+		return standing > bestStanding
 	}
 	return machine.Load.InFlight() < best.Load.InFlight()
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -5,9 +5,20 @@
 	"testing"
 	"time"
 
+	"github.com/wheatweir/wheatweir/outcome"
 	"github.com/wheatweir/wheatweir/route"
 )
 
+// Ends of an attempt, as the clients of back ends give them.
+var (
+	notReached = outcome.Result{Kind: outcome.NotRun, Reason: outcome.ReasonConnect}
+	cutOff     = outcome.Result{Kind: outcome.Unknown, Reason: outcome.ReasonBroken}
+	turnedAway = outcome.Result{Kind: outcome.NotRun, Reason: outcome.ReasonRefused, Status: 503}
+	serverFail = outcome.Result{Kind: outcome.Failed, Reason: outcome.ReasonBroken, Status: 500}
+	callerGone = outcome.Result{Kind: outcome.Unknown, Reason: outcome.ReasonCallerGone}
+	answered   = outcome.Result{Kind: outcome.Answered, Status: 200}
+)
+
 func newBackEnd(loads *route.Loads, name, zone string, requests, slots int, at time.Time) *route.BackEnd {
 	load := loads.Get(name)
 	load.SetReport(requests, slots, at)
@@ -81,6 +92,47 @@
 			a.BackEnd.Load.Refused(now.Add(-time.Minute))
 			b.BackEnd.Load.SetReport(9, 10, now)
 		}, "a"},
+		{"a back end that was not reached takes less than one that refused", func(a, b *route.Candidate, _ *route.Request, _ *route.PrefixIndex) {
+			a.BackEnd.Load.NoteResult(now, notReached)
+			b.BackEnd.Load.NoteResult(now, turnedAway)
+			b.BackEnd.Load.SetReport(40, 10, now)
+		}, "b"},
+		{"a back end that cut a request off before its answer began is avoided", func(a, b *route.Candidate, _ *route.Request, _ *route.PrefixIndex) {
+			a.BackEnd.Load.NoteResult(now, cutOff)
+			b.BackEnd.Load.SetReport(40, 10, now)
+		}, "b"},
+		{"a back end that was not reached wins over one that still loads", func(a, b *route.Candidate, _ *route.Request, _ *route.PrefixIndex) {
+			a.Observed = false
+			b.BackEnd.Load.NoteResult(now, notReached)
+		}, "b"},
+		{"an answer shows that the back end is reached again", func(a, b *route.Candidate, _ *route.Request, _ *route.PrefixIndex) {
+			a.BackEnd.Load.NoteResult(now, notReached)
+			a.BackEnd.Load.NoteResult(now, answered)
+			b.BackEnd.Load.SetReport(40, 10, now)
+		}, "a"},
+		{"a refusal shows that the back end is reached again", func(a, b *route.Candidate, _ *route.Request, _ *route.PrefixIndex) {
+			a.BackEnd.Load.NoteResult(now, notReached)
+			a.BackEnd.Load.NoteResult(now, turnedAway)
+			b.BackEnd.Load.NoteResult(now, notReached)
+			a.BackEnd.Load.SetReport(40, 10, now)
+		}, "a"},
+		{"an answer does not undo a refusal", func(a, b *route.Candidate, _ *route.Request, _ *route.PrefixIndex) {
+			a.BackEnd.Load.NoteResult(now, turnedAway)
+			a.BackEnd.Load.NoteResult(now, answered)
+			b.BackEnd.Load.SetReport(40, 10, now)
+		}, "b"},
+		{"an error of its own does not count as not reached", func(a, b *route.Candidate, _ *route.Request, _ *route.PrefixIndex) {
+			a.BackEnd.Load.NoteResult(now, serverFail)
+			b.BackEnd.Load.SetReport(9, 10, now)
+		}, "a"},
+		{"a caller that left says nothing about the back end", func(a, b *route.Candidate, _ *route.Request, _ *route.PrefixIndex) {
+			a.BackEnd.Load.NoteResult(now, callerGone)
+			b.BackEnd.Load.SetReport(9, 10, now)
+		}, "a"},
+		{"that a back end was not reached is forgotten", func(a, b *route.Candidate, _ *route.Request, _ *route.PrefixIndex) {
+			a.BackEnd.Load.NoteResult(now.Add(-time.Minute), notReached)
+			b.BackEnd.Load.SetReport(9, 10, now)
+		}, "a"},
 		{"nothing left", func(a, b *route.Candidate, request *route.Request, _ *route.PrefixIndex) {
 			request.Exclude(a.BackEnd.Load)
 			request.Exclude(b.BackEnd.Load)
@@ -105,6 +157,37 @@
 	}
 }
 
+// TestPickMachine chooses among the machines of a service by what the last attempts
+// at them showed.
+func TestPickMachine(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cases := []struct {
+		name string
+		a, b []outcome.Result
+		want string
+	}{
+		{"fewer own requests win", nil, nil, "a"},
+		{"a refusal is avoided", []outcome.Result{turnedAway}, nil, "b"},
+		{"a machine that was not reached takes less than one that refused", []outcome.Result{notReached}, []outcome.Result{turnedAway}, "b"},
+		{"a machine that was not reached and then answered", []outcome.Result{notReached, answered}, []outcome.Result{turnedAway}, "a"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			loads := route.NewLoads()
+			machines := []*route.BackEnd{{Name: "a", Load: loads.Get("a")}, {Name: "b", Load: loads.Get("b")}}
+			machines[1].Load.Begin()
+			for index, results := range [][]outcome.Result{c.a, c.b} {
+				for _, result := range results {
+					machines[index].Load.NoteResult(now, result)
+				}
+			}
+			if picked := route.PickMachine(now, &route.Service{Machines: machines}, &route.Request{}); picked.Name != c.want {
+				t.Fatalf("picked %q, want %q", picked.Name, c.want)
+			}
+		})
+	}
+}
+
 func TestPickAllocatesNothing(t *testing.T) {
 	table, picker := newTable(60)
 	request := route.Request{Zone: "z1"}
