A daemon whose poll gets no answer has others poll the engine

Cause: a daemon that polls an engine and is itself cut off from it hears nothing, and the others take its silence for no change. Ruled out: to count the engine as down after fewer polls, which would take replicas away at each lost answer. Change: at each failed poll before the verdict, a few others (as many as help to probe a member) are asked to poll the engine and send its report back. A report fetched by another that says "leaving" is told to the group; that an engine is up or down is still told by own polls only. A question a moment after a poll is answered by that poll.

--- a/control/backends.go
+++ b/control/backends.go
@@ -24,6 +24,8 @@
 	failures   int
 	orders     map[orderKey]time.Time
 	share      shareState
+	// askers are the peer addresses that wait for this daemon's next poll.
+	askers []string
 }
 
 type orderKey struct {
@@ -70,6 +72,7 @@
 	machine, found := n.catalog.machines[answer.BackEnd]
 	acting := found && n.actsForBackEnd(answer.BackEnd, machine.Zone)
 	if answer.Err != CallOK {
+		state.askers = nil
 		if acting {
 			n.pollFailed(answer.BackEnd, state)
 		}
@@ -77,6 +80,7 @@
 	}
 	state.failures = 0
 	n.takeReport(now, answer.Report)
+	n.answerAskers(state)
 	if acting {
 		n.observeHealth(&answer.Report)
 		n.reconcile(now, answer.BackEnd, machine, state)
@@ -86,10 +90,12 @@
 }
 
 // pollFailed counts polls that failed in a row. Only the daemon that acts for a back
-// end holds it for down: others may be cut off from it.
+// end holds it for down: others may be cut off from it. Until then it has others poll
+// it too, as it may be this daemon that is cut off.
 func (n *Node) pollFailed(name string, state *backEndState) {
 	state.failures++
 	if state.failures < n.settings.PollFailures {
+		n.askOthers(name)
 		return
 	}
 	news, heard := n.detector.BackEnd(name)
@@ -99,11 +105,12 @@
 	}
 }
 
-// takeReport takes in a report if it is newer than the known one.
-func (n *Node) takeReport(now time.Time, report api.Report) {
+// takeReport takes in a report if it is newer than the known one, and returns
+// whether it is.
+func (n *Node) takeReport(now time.Time, report api.Report) bool {
 	state := n.backEnd(report.BackEnd)
 	if state.known && !reportNewer(&report, &state.report) {
-		return
+		return false
 	}
 	if !state.known || state.aged || !sameStructure(&state.report, &report) {
 		n.revision++
@@ -113,6 +120,7 @@
 	state.known = true
 	state.aged = false
 	n.noteLoad(now, state)
+	return true
 }
 
 // observeHealth tells the group what a poll of this daemon's own showed.
--- a/control/events.go
+++ b/control/events.go
@@ -24,6 +24,9 @@
 	// of for a while, from the daemon that acts for them.
 	Subscribe []string      `msgpack:"s,omitempty"`
 	Demand    []ModelDemand `msgpack:"m,omitempty"`
+	// Ask names back ends that the receiver is to poll for the sender, which acts
+	// for them and got no answer.
+	Ask []string `msgpack:"a,omitempty"`
 }
 
 // LoadReport is the part of a report that changes often. It adds to the last
--- a/control/inquiry.go
+++ b/control/inquiry.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/wheatweir/wheatweir/api"
 	"github.com/wheatweir/wheatweir/member"
 	"github.com/wheatweir/wheatweir/placement"
 )
@@ -62,3 +63,53 @@
 		}
 	}
 }
+
+// askOthers has a few other daemons poll a back end that gave this one no answer.
+func (n *Node) askOthers(name string) {
+	others := slices.DeleteFunc(slices.Clone(n.detector.Live()), func(other string) bool { return other == n.detector.Self().Name })
+	n.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, other := range others[:min(len(others), n.settings.Member.Helpers)] {
+		n.send(n.address(other), Message{Ask: []string{name}})
+	}
+}
+
+// asked polls a back end for another daemon. A poll that was made a moment ago is not
+// repeated; what it told is the answer.
+func (n *Node) asked(now time.Time, address, name string) {
+	if _, found := n.catalog.machines[name]; !found {
+		return
+	}
+	n.pollIfDue(now, name)
+	state := n.backEnd(name)
+	if !slices.Contains(state.askers, address) {
+		state.askers = append(state.askers, address)
+	}
+	if !state.polling {
+		n.answerAskers(state)
+	}
+}
+
+// answerAskers passes the newest report on to the daemons that asked for it.
+func (n *Node) answerAskers(state *backEndState) {
+	for _, address := range state.askers {
+		if state.known {
+			n.send(address, Message{Reports: []api.Report{state.report}})
+		}
+	}
+	state.askers = nil
+}
+
+// passOnLeaving tells the group that a back end that this daemon acts for is leaving,
+// as it hears from one that polled it. That it is up is told only by own polls: this
+// daemon's orders may not reach it.
+func (n *Node) passOnLeaving(now time.Time, name string) {
+	state := n.backEnd(name)
+	machine, found := n.catalog.machines[name]
+	if !found || !state.report.Leaving || !n.actsForBackEnd(name, machine.Zone) {
+		return
+	}
+	if news, heard := n.detector.BackEnd(name); heard && news.State == member.BackEndUp {
+		n.observeHealth(&state.report)
+		n.shareReport(now, name, state)
+	}
+}
--- a/control/inquiry_test.go
+++ b/control/inquiry_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -186,3 +187,104 @@
 		t.Fatalf("asked %d times, %d candidates", asked, b.candidates())
 	}
 }
+
+// newNear returns a node that acts for the engine itself, which is in its own zone.
+func newNear() *besides {
+	b := &besides{alone: newAlone()}
+	b.hear(control.Message{})
+	tick[control.Write](b.alone, time.Second)
+	b.learn()
+	b.heard = 1
+	return b
+}
+
+// sent returns what the node sends to the other daemon within a span.
+func (b *besides) sent(span time.Duration) []control.Message {
+	var messages []control.Message
+	for _, action := range tick[control.SendPeer](b.alone, span) {
+		b.acknowledge(action)
+		messages = append(messages, action.Message)
+	}
+	return messages
+}
+
+// asks counts the messages among actions that ask for the engine.
+func asks(actions []control.Action) int {
+	count := 0
+	for _, action := range actions {
+		if sent, ok := action.(control.SendPeer); ok && slices.Equal(sent.Message.Ask, []string{"e"}) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestOthersAreAskedWhenAnEngineGivesNoAnswer covers the daemon that acts for an
+// engine and is cut off from it: others poll it instead, until it is held for down.
+func TestOthersAreAskedWhenAnEngineGivesNoAnswer(t *testing.T) {
+	b := newNear()
+	failed := control.PollAnswer{BackEnd: "e", Err: control.CallUnknown}
+	for failure := 1; failure < control.DefaultSettings().PollFailures; failure++ {
+		if count := asks(b.node.PollAnswered(b.now, failed)); count != 1 {
+			t.Fatalf("failure %d: %d messages to one other daemon", failure, count)
+		}
+	}
+	if count := asks(b.node.PollAnswered(b.now, failed)); count != 0 {
+		t.Fatalf("%d messages about an engine that is held for down", count)
+	}
+}
+
+// TestLeavingIsPassedOnFromAnotherDaemon covers the answer of the daemon that was asked.
+func TestLeavingIsPassedOnFromAnotherDaemon(t *testing.T) {
+	b := newNear()
+	b.node.PollAnswered(b.now, control.PollAnswer{BackEnd: "e", Err: control.CallUnknown})
+	report := b.report()
+	report.Leaving = true
+	b.hear(control.Message{Reports: []api.Report{report}})
+	for _, message := range b.sent(3 * time.Second) {
+		if message.Probe == nil {
+			continue
+		}
+		for _, news := range message.Probe.BackEnds {
+			if news.Name == "e" && news.State == member.BackEndLeaving {
+				return
+			}
+		}
+	}
+	t.Fatal("the group is not told that the engine is leaving")
+}
+
+// TestDaemonPollsForAnother covers the daemon that is asked. A second question a moment
+// later is answered with what the first poll told.
+func TestDaemonPollsForAnother(t *testing.T) {
+	b := newBesides()
+	question := func() []control.Action {
+		return b.send(control.Message{Ask: []string{"e"}, Probe: &member.Message{Kind: member.Ping}})
+	}
+	answers := func(actions []control.Action) (reports, polls int) {
+		for _, action := range actions {
+			switch action := action.(type) {
+			case control.Poll:
+				polls++
+			case control.SendPeer:
+				if action.Address == "other" {
+					reports += len(action.Message.Reports)
+				}
+			}
+		}
+		return reports, polls
+	}
+	if reports, polls := answers(question()); reports != 0 || polls != 1 {
+		t.Fatalf("%d reports and %d polls at the first question", reports, polls)
+	}
+	if reports, polls := answers(question()); reports != 0 || polls != 0 {
+		t.Fatalf("%d reports and %d polls while the poll is under way", reports, polls)
+	}
+	done := b.node.PollAnswered(b.now, control.PollAnswer{BackEnd: "e", Report: b.report()})
+	if reports, _ := answers(done); reports != 1 {
+		t.Fatalf("%d reports for one daemon that asked twice", reports)
+	}
+	if reports, polls := answers(question()); reports != 1 || polls != 0 {
+		t.Fatalf("%d reports and %d polls a moment later", reports, polls)
+	}
+}
--- a/control/node.go
+++ b/control/node.go
@@ -127,7 +127,12 @@
 	}
 	n.exchange(message)
 	for _, report := range message.Reports {
-		n.takeReport(now, report)
+		if n.takeReport(now, report) {
+			n.passOnLeaving(now, report.BackEnd)
+		}
+	}
+	for _, name := range message.Ask {
+		n.asked(now, message.From, name)
 	}
 	for _, load := range message.Loads {
 		n.takeLoad(now, load)
--- a/lab/sim/leaving_test.go
+++ b/lab/sim/leaving_test.go
@@ -105,3 +105,31 @@
 	}
 	t.Fatal("the bound was kept without asking")
 }
+
+// TestLeavingEngineIsFoundOutThoughItsPollerIsCutOff lets engines leave whose polling
+// daemon is well but cannot reach them, while the platform is down.
+func TestLeavingEngineIsFoundOutThoughItsPollerIsCutOff(t *testing.T) {
+	for seed := range uint64(2) {
+		for _, back := range []bool{false, true} {
+			w := newFleet(seed, control.DefaultSettings().NewsAge)
+			w.Platform.SetDown(true)
+			for index, e := range w.Engines {
+				if index%zones != zones-1 {
+					continue
+				}
+				w.Network.Cut(e.Name, w.Daemons[zones-1].Name)
+				if back {
+					w.Network.Cut(w.Daemons[zones-1].Name, e.Name)
+				}
+				e.Leave()
+			}
+			w.Run(lossTime)
+			if w.Oracle.WorkAtLeaving == 0 {
+				t.Fatalf("seed %d: the engines were not in use", seed)
+			}
+			if late := w.Oracle.LatestWorkAtLeaving; late > leavingBound {
+				t.Errorf("seed %d, cut both ways %v: work reached a leaving engine after %s", seed, back, late)
+			}
+		}
+	}
+}
