Two versions of a model on one engine count as one engine that serves

The plan counts replicas, so this engine alone counts as the two that must serve before another replica is released. It released the replica on a drained engine 0.7 s after the one with both versions had been killed, while the load on a third had been lost. Ruled out: that reports fetched by another daemon showed a replica that was not there (the order to load it was repeated 3 s later, so it was neither loading nor resident). Change: the engines that serve without the replica that goes are counted, each once. An engine that keeps another version counts on, so an old version may go from the engine that serves the new one, which frees its memory first. The price: where two engines hold the old version, only one has the new one and nothing else has room, the old one stays; before, it was released and the model was on one engine meanwhile.

--- a/lab/verify/verify_test.go
+++ b/lab/verify/verify_test.go
@@ -32,6 +32,7 @@
 		seed  uint64
 		cause string
 	}{
+		{38, "two versions of a model on one engine count as two engines that serve it, and that engine is killed"},
 		{46, "an engine leaves while nobody polls it: the daemon that did is dead, the zones are cut from each other and the platform is down"},
 	}
 	for _, c := range cases {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -80,6 +80,10 @@
 		b.Report = nil
 		return b
 	}
+	loading := func(b placement.BackEnd) placement.BackEnd {
+		b.Report.Loading, b.Report.Residents = b.Report.Residents, nil
+		return b
+	}
 	deleted := model("m", "v1", 1)
 	deleted.Deleted = true
 	cases := []struct {
@@ -100,6 +104,16 @@
 		{"a replaced version is marked first", []placement.BackEnd{backEnd("a", "1", held(v1, 20*gib)), backEnd("b", "2", held(v2, 20*gib))}, model("m", "v2", 1), "mark_moving m@v1@a;"},
 		{"a replaced version goes once the new one serves", []placement.BackEnd{backEnd("a", "1", moving(held(v1, 20*gib))), backEnd("b", "2", held(v2, 20*gib))}, model("m", "v2", 1), "release m@v1@a;"},
 		{"a drained replica stays until others serve", []placement.BackEnd{drained(backEnd("a", "1", moving(held(v1, 20*gib)))), backEnd("b", "2")}, model("m", "v1", 1), "add m@v1@b;"},
+		{"two versions on one engine are one engine", []placement.BackEnd{
+			backEnd("a", "1", held(v2, 20*gib), moving(held(v1, 20*gib))), drained(backEnd("b", "2", moving(held(v2, 20*gib)))),
+			loading(backEnd("c", "3", held(v2, 20*gib))),
+		}, model("m", "v2", 2), "release m@v1@a;"},
+		{"an old version is kept while its engine is one of the two that serve", []placement.BackEnd{
+			backEnd("a", "1", held(v2, 20*gib)), backEnd("b", "2", moving(held(v1, 20*gib))), loading(backEnd("c", "3", held(v2, 20*gib))),
+		}, model("m", "v2", 2), ""},
+		{"an old version goes from an engine that serves the new one", []placement.BackEnd{
+			backEnd("a", "1", held(v2, 20*gib), moving(held(v1, 20*gib))), backEnd("b", "2", moving(held(v1, 20*gib))), loading(backEnd("c", "3", held(v2, 20*gib))),
+		}, model("m", "v2", 2), "release m@v1@a;"},
 		{"a replica marked to go is kept if it is needed", []placement.BackEnd{backEnd("a", "1", moving(held(v1, 20*gib)))}, model("m", "v1", 1), "keep m@v1@a;"},
 		{"replicas in one zone are spread", []placement.BackEnd{backEnd("a", "1", held(v1, 20*gib)), backEnd("b", "1", held(v1, 20*gib)), backEnd("c", "2")}, model("m", "v1", 2), "add m@v1@c;"},
 		{"the anchor too many goes from the crowded zone", []placement.BackEnd{backEnd("a", "1", held(v1, 20*gib)), backEnd("b", "1", held(v1, 20*gib)), backEnd("c", "2", held(v1, 20*gib))}, model("m", "v1", 2), "mark_moving m@v1@b;"},
--- a/placement/retire.go
+++ b/placement/retire.go
@@ -50,7 +50,7 @@
 		})
 		return
 	}
-	relied, serving := p.servingWithout(view, held.backEnd)
+	relied, serving := p.servingWithout(view, held)
 	if relied == "" || serving < view.model.Model.MinReplicas || view.released {
 		return
 	}
@@ -62,29 +62,33 @@
 	})
 }
 
-// servingWithout counts the replicas observed to serve, other than those on
-// one back end, and names an anchor among them that is there to stay. Replicas
-// that are to go count while they serve, so that an old version can make room
-// for a new one step by step.
-func (p *plan) servingWithout(view *modelView, except int) (string, int) {
-	name, count := "", 0
+// servingWithout counts the engines observed to serve the model without one of its
+// replicas, and names one of them whose anchor is there to stay. Replicas that are to
+// go count while they serve, so that an old version can make room for a new one step
+// by step; two versions on one engine are lost together and count once.
+func (p *plan) servingWithout(view *modelView, without holding) (string, int) {
+	name, serving := "", map[int]bool{}
 	for _, replica := range view.replicas {
 		backEnd := &p.backEnds[replica.backEnd]
-		if replica.backEnd == except || !backEnd.serves(view.weights) {
+		if sameReplica(replica, without) || !backEnd.serves(view.weights) {
 			continue
 		}
-		count++
+		serving[replica.backEnd] = true
 		if replica.entry.Anchor {
 			name = backEnd.Name
 		}
 	}
 	for _, held := range view.retiring {
 		backEnd := &p.backEnds[held.backEnd]
-		if held.backEnd != except && backEnd.Health == Up && backEnd.serves(held.entry.Artifact) {
-			count++
+		if !sameReplica(held, without) && backEnd.Health == Up && backEnd.serves(held.entry.Artifact) {
+			serving[held.backEnd] = true
 		}
 	}
-	return name, count
+	return name, len(serving)
+}
+
+func sameReplica(a, b holding) bool {
+	return a.backEnd == b.backEnd && a.entry.Artifact == b.entry.Artifact
 }
 
 // releaseAdapters releases adapters that are no longer configured, at most one
