--- a/control/node.go
+++ b/control/node.go
@@ -39,6 +39,7 @@
 	actions     []Action
 	join        joinState
 	leave       leaveState
+	inquiry     inquiryState
 	// revision changes with everything that routing depends on.
 	revision uint64
 }
@@ -100,6 +101,7 @@
 	n.tickLeave(now)
 	n.tickWatch(now)
 	n.tickPolls(now)
+	n.tickInquiries(now)
 	n.tickSubscriptions(now)
 	n.tickDemand(now)
 	n.tickWrites(now)
@@ -125,7 +127,12 @@
 	}
 	n.exchange(message)
 	for _, report := range message.Reports {
-		n.takeReport(now, report)
+		if n.takeReport(now, report) {
+			n.passOnLeaving(now, report.BackEnd)
+		}
+	}
+	for _, name := range message.Ask {
+		n.asked(now, message.From, name)
 	}
 	for _, load := range message.Loads {
 		n.takeLoad(now, load)
