A daemon that the store does not answer asks others to look at the store

It falls silent to all five, on new connections too, from 2.3 to 11.5 s, and serves the others. Those leave the watching to the five until each has waited out its watch (up to 1.7 times the contact time, and 1 s) and its lists. A version that the store takes meanwhile is heard too late.

Change: watch_wait is the bound of configurations now. The first three daemons end their watches after 0.35, 0.6 and 0.85 of it. An answer that is 0.15 of it overdue makes the daemon call again with hardly a wait, and ask the other watchers and six daemons by chance for what it lacks. A daemon that is asked and knows no more looks at the store itself, at most each 0.5 s, and answers if it finds something within a second. No new field in messages. feed.Source.Watch takes how long the answer may be overdue, and says if it was; a long answer that has begun is not.

Conclusion: the daemons that watch can all be turned away at once, so hearing nothing has to make others ask. Not covered: the store ignores all watchers and all that they ask as well.

--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -20,8 +20,10 @@
 	routes int
 	// unavailable says that the store does not answer this daemon.
 	unavailable bool
-	// actedAt is when this daemon last tried to catch up.
-	actedAt time.Time
+	// actedAt is when this daemon last tried to catch up, and lookedAt when it last looked
+	// at the store for another one.
+	actedAt  time.Time
+	lookedAt time.Time
 }
 
 // SourceAvailable notes whether the store answers this daemon for a collection.
@@ -135,14 +137,16 @@
 
 // askFor is a question about one collection only: the other one may be large, and on
 // its way already.
-func (n *Node) askFor(source Source) Versions {
-	asked := n.versions()
+func (n *Node) askFor(source Source) Versions { return n.versions().onlyAbout(source) }
+
+// onlyAbout leaves the other collection out of a question.
+func (v Versions) onlyAbout(source Source) Versions {
 	if source == SourceConfiguration {
-		asked.Instances = math.MaxUint64
+		v.Instances = math.MaxUint64
 	} else {
-		asked.Configuration = math.MaxUint64
+		v.Configuration = math.MaxUint64
 	}
-	return asked
+	return v
 }
 
 // substituteSpan is how long a daemon watches the store that began because none that does
--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -21,7 +21,8 @@
 	Probe *member.Message `msgpack:"p,omitempty"`
 	// Load is what the sender has in progress.
 	Load *Load `msgpack:"l,omitempty"`
-	// Ask asks for what the sender lacks while it can't reach the store.
+	// Ask asks for what the sender lacks. A receiver that knows no more looks at the store
+	// and answers if it finds something new.
 	Ask *Versions `msgpack:"a,omitempty"`
 	// Configuration and Instances answer that.
 	Configuration *fleet.Configuration `msgpack:"c,omitempty"`
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -34,6 +34,7 @@
 	peers    map[string]peerState
 
 	sources   map[Source]*sourceState
+	questions []question
 	members   map[string]memberBelief
 	seen      map[string]bool
 	membersAt uint64
@@ -129,6 +130,7 @@
 	}
 	n.noteMembers()
 	n.tickSources(now)
+	n.tickQuestions(now)
 	n.tickLease(now)
 	n.tickReports(now)
 	n.tickSpread(now)
@@ -159,6 +161,7 @@
 	}
 	if message.Ask != nil {
 		n.answerAsk(message.From, *message.Ask)
+		n.lookFor(now, message.From, *message.Ask)
 	}
 	if message.Configuration != nil {
 		n.learnConfiguration(message.Configuration)
--- a/coordination/settings.go
+++ b/coordination/settings.go
@@ -48,6 +48,9 @@
 	// daemon watches too.
 	Watchers       int
 	WatcherSilence time.Duration
+	// Witnesses is how many daemons that do not watch the store are asked to look at it by
+	// one that does and gets no answer.
+	Witnesses int
 	// AskPause is the least time between two questions to another daemon.
 	AskPause time.Duration
 	// ChecksFence says that servers turn away orders with a lower fencing token.
@@ -95,6 +98,7 @@
 		WatchAfter:      700 * time.Millisecond,
 		Watchers:        5,
 		WatcherSilence:  700 * time.Millisecond,
+		Witnesses:       6,
 		AskPause:        100 * time.Millisecond,
 		ChecksFence:     true,
 		PlanEvery:       200 * time.Millisecond,
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -22,6 +22,9 @@
 	at        uint64
 	known     bool
 	available bool
+	// doubtful says that the last watch may have gone deaf, or that another daemon knows
+	// more: the next call asks for the changes so far.
+	doubtful bool
 	// gather is the pause after changes, so that the next call returns several.
 	gather time.Duration
 }
@@ -63,15 +66,18 @@
 		f.rest()
 		return true
 	}
+	f.noteRefresh()
 	take, call := f.listed, f.source.List
 	if f.known {
 		take, call = f.changed, f.watch
 	}
 	batch, err := f.interruptible(call)
-	if errRefresh.Has(err) {
-		f.known = false
+	overdue := f.known && !f.doubtful && feed.ErrOverdue.Has(err)
+	if errRefresh.Has(err) || overdue {
+		f.doubt(overdue)
 		return true
 	}
+	f.doubtful = false
 	if err != nil {
 		f.failed(err)
 		return false
@@ -87,6 +93,28 @@
 	return true
 }
 
+// doubt makes the next call ask for the changes so far. Of an overdue answer the others are
+// told: the store may turn away this daemon alone.
+func (f *follower[T]) doubt(overdue bool) {
+	f.doubtful = true
+	if !overdue {
+		return
+	}
+	f.daemon.events.Put(f.daemon.ctx, func(node *coordination.Node, _ time.Time) []coordination.Action {
+		return node.SourceDoubted(f.name)
+	})
+}
+
+// noteRefresh takes in that another daemon has come to know more since the last call: the
+// next one asks for just that.
+func (f *follower[T]) noteRefresh() {
+	select {
+	case <-f.daemon.refresh[f.name]:
+		f.doubtful = true
+	default:
+	}
+}
+
 // gatherPause is the pause after changes at a daemon of a rank.
 func gatherPause(gather time.Duration, rank int) time.Duration {
 	if rank >= firstWatchers {
@@ -120,37 +148,63 @@
 	f.known = time.Since(began) < shortRest
 }
 
+// watch asks for changes. Without an answer in time the connection is taken for silent.
 func (f *follower[T]) watch(ctx context.Context) (feed.Batch[T], error) {
-	wait := watchWait(f.daemon.current().WatchWait, int(f.daemon.rank.Load()), rand.Float64())
-	return f.source.Watch(ctx, f.at, wait)
+	limit := f.daemon.current().WatchWait
+	wait, patience := watchWait(limit, int(f.daemon.rank.Load()), rand.Float64()), answerPatience(limit)
+	if f.doubtful {
+		wait, patience = lookWait, lookPatience
+	}
+	return f.source.Watch(ctx, f.at, wait, patience)
 }
 
 const (
-	// shortWatchers is how many daemons end their watches in time to notice, by the
-	// list that follows, that a watch has gone deaf. The others hear of it by them.
-	shortWatchers = 3
-	// longWatch is how much longer the others' watches wait.
-	longWatch = 2.0
-	// leastWatch and mostWatch bound the random part of a wait: daemons that began
-	// at the same event must not all end at the same moment.
-	leastWatch = 0.45
-	mostWatch  = 0.85
+	// lookWait is the wait of a call for the changes so far, and lookPatience how long its
+	// answer may take: a call that goes unanswered as well says that the store is away.
+	lookWait     = time.Millisecond
+	lookPatience = 700 * time.Millisecond
+)
+
+// watchParts are the waits of the first daemons, as parts of the time that a change may
+// stay unheard. When all watches go deaf at one moment, the first of these to end finds
+// out, by the call that follows, and the other daemons hear of it by that one. What is
+// left of the limit after the first wait is for an answer that is overdue, the call that
+// follows, and the news to reach all daemons, which takes 0.8 s with 71 of them. The
+// second and third stand in for daemons before them that are lost at the same moment.
+var watchParts = [...]float64{0.35, 0.6, 0.85}
+
+const (
+	// longWatchPart is the same for all further daemons.
+	longWatchPart = 1.75
+	// shortWatchers is how many daemons end their watches in time.
+	shortWatchers = len(watchParts)
+	// answerPart is how long an answer may be overdue before its connection is taken for
+	// silent, as a part of the limit.
+	answerPart = 0.15
+	// leastDraw is the least that chance leaves of a wait: daemons of one rank, which
+	// there may be while they know each other badly, must not all end at the same moment.
+	leastDraw = 0.9
 )
 
 // watchWait is how long one call waits for changes. Limit is the longest time that a
 // change may stay unheard.
 func watchWait(limit time.Duration, rank int, random float64) time.Duration {
-	part := leastWatch + (mostWatch-leastWatch)*random
-	if rank >= shortWatchers {
-		part *= longWatch
+	part := longWatchPart
+	if rank < shortWatchers {
+		part = watchParts[rank]
 	}
-	return time.Duration(part * float64(limit))
+	return time.Duration(part * (leastDraw + (1-leastDraw)*random) * float64(limit))
+}
+
+// answerPatience is how long after its wait a call may be answered.
+func answerPatience(limit time.Duration) time.Duration {
+	return time.Duration(answerPart * float64(limit))
 }
 
-// interruptible makes a call that ends early when the collection should be listed
-// again.
+// interruptible makes a call that ends early when another daemon knows more, unless it is
+// one that is answered at once.
 func (f *follower[T]) interruptible(call func(context.Context) (feed.Batch[T], error)) (feed.Batch[T], error) {
-	if !f.known {
+	if !f.known || f.doubtful {
 		return call(f.daemon.ctx)
 	}
 	ctx, cancel := context.WithCancelCause(f.daemon.ctx)
@@ -171,7 +225,7 @@
 	return batch, err
 }
 
-// errRefresh ends a watch because the collection should be listed again.
+// errRefresh ends a watch because another daemon knows more.
 var errRefresh = errs.Class("entry: refresh")
 
 // failed makes the next call a list, which is answered at once or not at all: a
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -47,7 +47,8 @@
 	// all daemons, RetrySlack how many more in one window.
 	RetryShare float64
 	RetrySlack int
-	// WatchWait is how long a change may stay unheard if a watch goes deaf.
+	// WatchWait is the time within which a change that the store has taken has to be known
+	// to all daemons, also if all watches go deaf.
 	WatchWait time.Duration
 	// MemoryLimitMB is the memory of the process.
 	MemoryLimitMB int
@@ -59,7 +60,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		LogLevel: "info", AddressKeep: time.Second, Grace: 8 * time.Second, LeaseTerm: 3 * time.Second,
-		RetryShare: 0.2, RetrySlack: 20, WatchWait: 3 * time.Second, MemoryLimitMB: 256,
+		RetryShare: 0.2, RetrySlack: 20, WatchWait: 2 * time.Second, MemoryLimitMB: 256,
 	}
 }
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -17,6 +17,8 @@
 	ErrHistoryGone = errs.Class("feed: history gone")
 	// ErrUnavailable means that the store did not answer, or turned the call away.
 	ErrUnavailable = errs.Class("feed: unavailable")
+	// ErrOverdue means that its answer did not begin in time.
+	ErrOverdue = errs.Class("feed: overdue")
 )
 
 // Item is one object of a collection.
@@ -39,8 +41,9 @@
 type Source[T any] interface {
 	// List returns all items.
 	List(ctx context.Context) (Batch[T], error)
-	// Watch returns the changes after a revision, waiting for the first.
-	Watch(ctx context.Context, since uint64, wait time.Duration) (Batch[T], error)
+	// Watch returns the changes after a revision, waiting for the first. Patience is how
+	// long after the wait the answer may begin.
+	Watch(ctx context.Context, since uint64, wait, patience time.Duration) (Batch[T], error)
 }
 
 // Mirror is the copy of one collection. It is not safe for concurrent use.
