--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -72,12 +72,12 @@
 				server.Behave(c.behaves)
 			}
 			if c.before != "" {
-				for range f.servers {
+				for number := range f.instances("llm") {
 					go func() {
 						_, _ = client.Do(context.Background(), f.all[0].FrontAddress, patientRequest(c.path, c.before))
 					}()
+					eventually(t, "a connection in use", func() bool { return f.runs() == number+1 })
 				}
-				time.Sleep(100 * time.Millisecond)
 			}
 			answers := make(chan error, 1)
 			go func() { answers <- wantAnswer(f.all[0].FrontAddress, patientRequest(c.path, c.model), c.status) }()
