A list of a large collection goes on at the page that failed

Change: feed.Listing puts a list together from pages and keeps those that it has for up to 10 s; what changed since the first page comes by the watch that follows, as before. The store's client returns single pages and no longer decides what follows.

--- a/entry/deaf_test.go
+++ b/entry/deaf_test.go
@@ -137,10 +137,11 @@
 	return feed.Batch[T]{At: revision, Items: []feed.Item[T]{{Name: "main", Revision: revision, Value: s.item(revision)}}}, nil
 }
 
-func (s *deafSource[T]) List(ctx context.Context) (feed.Batch[T], error) {
+func (s *deafSource[T]) ListPage(ctx context.Context, _ string) (feed.Page[T], error) {
 	ctx, cancel := context.WithTimeout(ctx, listLimit)
 	defer cancel()
-	return s.batch(s.store.wait(ctx, s.caller, 0, 0))
+	listed, err := s.batch(s.store.wait(ctx, s.caller, 0, 0))
+	return feed.Page[T]{Batch: listed}, err
 }
 
 func (s *deafSource[T]) Watch(ctx context.Context, since uint64, wait, patience time.Duration) (feed.Batch[T], error) {
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -27,6 +27,8 @@
 	doubtful bool
 	// gather is the pause after changes, so that the next call returns several.
 	gather time.Duration
+	// listing is the list in progress.
+	listing feed.Listing[T]
 }
 
 // gatherInstances is that pause for the list of instances: servers change it one by
@@ -67,7 +69,7 @@
 		return true
 	}
 	f.noteRefresh()
-	take, call := f.listed, f.source.List
+	take, call := f.listed, f.list
 	if f.known {
 		take, call = f.changed, f.watch
 	}
@@ -93,6 +95,10 @@
 	return true
 }
 
+func (f *follower[T]) list(ctx context.Context) (feed.Batch[T], error) {
+	return f.listing.List(ctx, f.source)
+}
+
 // doubt makes the next call ask for the changes so far. Of an overdue answer the others are
 // told: the store may turn away this daemon alone.
 func (f *follower[T]) doubt(overdue bool) {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -39,8 +39,8 @@
 
 // Source is one collection of the store.
 type Source[T any] interface {
-	// List returns all items.
-	List(ctx context.Context) (Batch[T], error)
+	// ListPage returns a page of all items: the first one, or what comes after a name.
+	ListPage(ctx context.Context, after string) (Page[T], error)
 	// Watch returns the changes after a revision, waiting for the first. Patience is how
 	// long after the wait the answer may begin.
 	Watch(ctx context.Context, since uint64, wait, patience time.Duration) (Batch[T], error)
--- /dev/null
+++ b/feed/listing.go
@@ -0,0 +1,50 @@
+package feed
+
+import (
+	"context"
+	"time"
+)
+
+// Page is a part of a list.
+type Page[T any] struct {
+	Batch[T]
+	// Next is where the next page begins; it is empty after the last one.
+	Next string
+}
+
+// Listing puts a list together from its pages. After a page that failed it goes on at that
+// page: when many daemons list a large collection at once, a store that limits its rate turns
+// some page of each of them away, and none would come to the end of a list that it begins anew.
+type Listing[T any] struct {
+	batch Batch[T]
+	next  string
+	begun time.Time
+}
+
+// listingSpan is how old the first page may be when a list goes on. Changes since then come by
+// the watch that follows, so it is well below the 20 s for which stores keep their history.
+const listingSpan = 10 * time.Second
+
+// List returns the whole list, or the error of the page that failed.
+func (l *Listing[T]) List(ctx context.Context, source Source[T]) (Batch[T], error) {
+	if time.Since(l.begun) > listingSpan {
+		*l = Listing[T]{begun: time.Now()}
+	}
+	for {
+		page, err := source.ListPage(ctx, l.next)
+		if err != nil {
+			return Batch[T]{}, err
+		}
+		l.batch.Items = append(l.batch.Items, page.Items...)
+		if l.batch.At == 0 {
+			// Later pages may be newer; what they miss comes with the watch.
+			l.batch.At = page.At
+		}
+		l.next = page.Next
+		if l.next == "" {
+			whole := l.batch
+			*l = Listing[T]{}
+			return whole, nil
+		}
+	}
+}
