Every request that was read has its last line in the log, also those that the front refuses

Change: the gateway refuses what comes after requests no longer begin, so that the front decides nothing and one flag of the daemon goes; the front hands its other refusals and unread bodies to the gateway, which tells of them (phase reading). Answers are as before. Measured: TestEveryEndOfARequestIsTold; the front's tests of answers are unchanged and pass.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -92,7 +92,6 @@
 	watching atomic.Bool
 	ready    atomic.Bool
 	stopping atomic.Bool
-	closing  atomic.Bool
 	// lacksDuty says that a duty has failed.
 	lacksDuty atomic.Bool
 	failed    chan error
@@ -155,7 +154,7 @@
 
 func (d *Daemon) listen() error {
 	var err error
-	d.front, err = platform.ListenFront(d.current().FrontAddress, d.gateway, d.stopping.Load, func() bool { return !d.closing.Load() })
+	d.front, err = platform.ListenFront(d.current().FrontAddress, d.gateway, d.stopping.Load)
 	if err != nil {
 		return err
 	}
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -40,7 +40,6 @@
 	kept := min(keptFactor*d.current().AddressKeep, grace/graceShare) - acceptMargin
 	// Without one of its duties a daemon may decide by what has long changed.
 	waitUntil(ctx, begun.Add(kept), d.lacksDuty.Load)
-	d.closing.Store(true)
 	d.gateway.Drain()
 	d.log.add("daemon", "Requests no longer begin.", "requests", d.gateway.Active())
 	waitUntil(ctx, begun.Add(grace-stopMargin), d.idle)
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -30,6 +30,9 @@
 	ReasonClientGone   Reason = "client_gone"
 	ReasonAnswered     Reason = "answered"
 	ReasonStreamBroke  Reason = "stream_broke"
+	// ReasonBodyTooLarge and ReasonBodyFramedTwice say what is wrong with the body.
+	ReasonBodyTooLarge    Reason = "body_too_large"
+	ReasonBodyFramedTwice Reason = "body_framed_twice"
 )
 
 // Step is one decision on a request, as it stands in logs and metrics. Each request ends with
@@ -70,6 +73,8 @@
 type Phase string
 
 const (
+	// PhaseReading says that the request's body arrives.
+	PhaseReading Phase = "reading"
 	// PhaseChoosing says that an instance is being chosen, here or at the dispatcher.
 	PhaseChoosing Phase = "choosing"
 	// PhaseWaiting says that no instance can take the request now.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,13 +117,17 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	view := g.view.Load()
+	if g.lifetime.starts.Err() != nil {
+		g.Refuse(request, reply, statusUnavailable, ReasonStopping)
+		return
+	}
 	if view.Configuration() == nil {
-		g.observer.Observe(g.refuse(reply, request, statusUnavailable, ReasonStarting))
+		g.Refuse(request, reply, statusUnavailable, ReasonStarting)
 		return
 	}
 	route := view.Route(request.RouteHost, request.Path)
 	if route == nil {
-		g.observer.Observe(g.refuse(reply, request, statusNotFound, ReasonNoRoute))
+		g.Refuse(request, reply, statusNotFound, ReasonNoRoute)
 		return
 	}
 	held := route.Timeout
@@ -174,6 +178,21 @@
 	return route.Targets[0].Service
 }
 
+// Refuse answers a request that is not to be served.
+func (g *Gateway) Refuse(request *Request, reply Reply, status int, reason Reason) {
+	g.observer.Observe(g.refuse(reply, request, status, reason))
+}
+
+// NotRead ends a request whose body did not arrive: its client left, or this daemon ended.
+func (g *Gateway) NotRead(request *Request, reply Reply) {
+	reason := ReasonClientGone
+	if g.lifetime.serving.Err() != nil {
+		reason = ReasonStopping
+	}
+	reply.Abort()
+	g.observer.Observe(Event{Step: StepEnded, Request: request, Reason: reason, Phase: PhaseReading, Version: g.view.Load().Version()})
+}
+
 // refuse gives the client an answer of our own and returns what the observer should hear.
 func (g *Gateway) refuse(reply Reply, request *Request, status int, reason Reason) Event {
 	retryAfter := time.Duration(0)
--- /dev/null
+++ b/gateway/refuse_test.go
@@ -0,0 +1,49 @@
+package gateway_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/wheatweir/wheatweir/gateway"
+)
+
+// TestEveryEndOfARequestIsTold covers requests that end before a route is chosen: each one has
+// its line in the log.
+func TestEveryEndOfARequestIsTold(t *testing.T) {
+	cases := []struct {
+		name   string
+		end    func(g *gateway.Gateway, sent *gateway.Request, reply gateway.Reply)
+		status int
+		step   gateway.Step
+		reason gateway.Reason
+	}{
+		{"requests no longer begin", func(g *gateway.Gateway, sent *gateway.Request, reply gateway.Reply) {
+			g.Drain()
+			g.Serve(context.Background(), sent, reply)
+		}, 503, gateway.StepRefused, gateway.ReasonStopping},
+		{"its body is too large", func(g *gateway.Gateway, sent *gateway.Request, reply gateway.Reply) {
+			g.Refuse(sent, reply, 413, gateway.ReasonBodyTooLarge)
+		}, 413, gateway.StepRefused, gateway.ReasonBodyTooLarge},
+		{"its client left within the body", func(g *gateway.Gateway, sent *gateway.Request, reply gateway.Reply) {
+			g.NotRead(sent, reply)
+		}, 0, gateway.StepEnded, gateway.ReasonClientGone},
+		{"the daemon ended within the body", func(g *gateway.Gateway, sent *gateway.Request, reply gateway.Reply) {
+			g.End()
+			g.NotRead(sent, reply)
+		}, 0, gateway.StepEnded, gateway.ReasonStopping},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			upstream, observer, got := &script{}, &recorder{}, &client{}
+			g := observedGateway(upstream, observer)
+			g.SetView(view("m"))
+			c.end(g, request("unsafe"), got)
+			if got.status != c.status || got.aborted != (c.status == 0) || len(upstream.sent) > 0 {
+				t.Errorf("status %d, aborted %t, %d attempts", got.status, got.aborted, len(upstream.sent))
+			}
+			if len(observer.events) != 1 || observer.events[0].Step != c.step || observer.events[0].Reason != c.reason {
+				t.Errorf("told %+v", observer.events)
+			}
+		})
+	}
+}
