The weight store's rate holds where loads begin: a load counts until it cannot begin any more

Cause: a load was counted from the plan that decided it and forgotten after exactly one window, while the rate is kept where loads begin, at the servers. Each order takes its own time from the decision to its server, so two batches that were decided just over a window apart begin less than a window apart (6 + 4 + 6 loads in 4.998 s of the record, 10 in a window planned). Loads whose orders are carried out late, or are sent again after a lost answer, began after their count had run out: the same cause.

Ruled out: a takeover (one holder in the record); a second load by an order that is sent again (it keeps its sequence, so a server takes one of the copies); a load taken for one from a copy at hand that is gone (a report tells of copies and of orders taken at one moment, and no order goes out before the last one shows; in the test disks drop copies and reports lag by 200 ms).

Change: a load counts while its answer is outstanding; an answer that it was taken, or a report that shows its sequence taken, starts its window; without either it counts for as long as the order may still be carried out (Lateness, 12 s) and one window more. After that it is not sent again, but planned and counted anew. Silent servers are sent nothing again, and a server that left its last question unanswered is given no load from the store: its order would hold the rate for long. The log says which loads come from the store.

Tests: Book.Report takes the moment of the answer too, so its calls in the tests name it; nothing that they check has changed.

--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -64,7 +64,7 @@
 			n.tellFact(now, now, order.Instance, order.Expected)
 		}
 		n.decide("orders", "Sent.", "instance", order.Instance, "load", order.Load, "model", order.Model, "adapter", order.Adapter,
-			"expected", order.Expected, "fence", fence, "reason", order.Reason)
+			"from_store", order.FromStore, "expected", order.Expected, "fence", fence, "reason", order.Reason)
 		n.do(SendOrder{Order: order, Fence: fence, Until: until})
 	}
 }
--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -61,7 +61,7 @@
 	if report.Busy || len(report.Coming) > 0 {
 		state.next = now.Add(2 * n.settings.ReportSoon)
 	}
-	n.book.Report(askedAt, instance, report)
+	n.book.Report(askedAt, now, instance, report)
 	n.tellFact(now, askedAt, instance, report.Sequence)
 	n.planSoon(now)
 	return n.take()
--- a/residency/book.go
+++ b/residency/book.go
@@ -44,8 +44,9 @@
 // Remove forgets an instance that is gone.
 func (b *Book) Remove(id string) { delete(b.servers, id) }
 
-// Report takes in what a server said when it was asked at the given time.
-func (b *Book) Report(askedAt time.Time, id string, report fleet.Report) {
+// Report takes in what a server said now when it was asked at the given time.
+func (b *Book) Report(askedAt, now time.Time, id string, report fleet.Report) {
+	b.loads.reported(now, id, report.Sequence)
 	known := b.servers[id]
 	if known == nil || askedAt.Before(known.reportAt) || report.Sequence < known.report.Sequence {
 		return
@@ -104,6 +105,7 @@
 
 // Sending notes that an order is on its way.
 func (b *Book) Sending(now time.Time, order Order) {
+	b.loads.sending(now, &order)
 	known := b.servers[order.Instance]
 	if known == nil {
 		return
@@ -115,13 +117,11 @@
 	if order.Load && order.Model == known.reservedFor {
 		known.reservedFor = ""
 	}
-	if order.FromStore {
-		b.loads.add(now)
-	}
 }
 
 // Answered takes in the end of an order.
 func (b *Book) Answered(now time.Time, order Order, answer Answer) {
+	b.loads.answered(now, &order, answer, b.settings.Lateness)
 	known := b.servers[order.Instance]
 	if known == nil {
 		return
@@ -136,6 +136,7 @@
 		known.unsettled = nil
 		known.apply(order)
 	case AnswerUnknown:
+		order.FromStore = order.FromStore || known.unsettled != nil && known.unsettled.FromStore
 		known.unsettled = &order
 		known.unsettledAt = now
 	case AnswerBusy, AnswerRejected, AnswerFenced, AnswerNotSent:
@@ -168,17 +169,25 @@
 	s.report.Residents = residents
 }
 
-// Resend returns unanswered orders that should be sent again as they were.
+// Resend returns unanswered orders that should be sent again as they were. A server that
+// answers nothing is left alone.
 func (b *Book) Resend(now time.Time) []Order {
 	var orders []Order
 	for _, known := range b.servers {
-		due := known.unsettled != nil && known.sending == nil && now.Sub(known.unsettledAt) >= b.settings.ResendAfter
-		if due && !now.Before(known.busyUntil) {
-			again := *known.unsettled
-			// The load was counted when it was sent first.
-			again.FromStore = false
-			orders = append(orders, again)
+		lost := known.unsettled
+		due := lost != nil && known.sending == nil && now.Sub(known.unsettledAt) >= b.settings.ResendAfter
+		if !due || now.Before(known.busyUntil) || known.silent(now, b.settings.SilentAfter) {
+			continue
+		}
+		if lost.FromStore && b.loads.spent(now, lost) {
+			// It will not come any more; a new one is for the next plan to decide.
+			known.unsettled = nil
+			continue
 		}
+		again := *lost
+		// The load is counted already.
+		again.FromStore = false
+		orders = append(orders, again)
 	}
 	return orders
 }
--- a/residency/grow.go
+++ b/residency/grow.go
@@ -134,7 +134,7 @@
 		return -1, true
 	}
 	fits := s.freeMB+victim.WeightsMB+float64(len(held.adapters))*victim.AdapterMB >= wanted.WeightsMB
-	if !fits || p.loadsLeft <= 0 && !s.atHand[wanted.Name] {
+	if !fits || !p.mayLoad(s, wanted) {
 		return 0, false
 	}
 	if p.ready[name] < 2 || p.replicas[name] < 2 {
--- a/residency/grow_test.go
+++ b/residency/grow_test.go
@@ -60,7 +60,7 @@
 	short.servers = append(short.servers, empty)
 	putAll(short.book, instances(short.servers))
 	for _, s := range short.servers {
-		short.book.Report(short.now, s.id, s.report())
+		short.book.Report(short.now, short.now, s.id, s.report())
 	}
 	demand := map[string]residency.Demand{"hot": {Concurrent: 50, PerSecond: 30}, "lost": {Waiting: 2}}
 	for _, order := range short.book.Plan(short.now, service, short.engine, demand) {
@@ -76,7 +76,7 @@
 	short := shortOfMemory(0.2)
 	empty := &modelServer{id: "s2", models: map[string][]string{}}
 	for _, s := range short.servers {
-		short.book.Report(short.now, s.id, s.report())
+		short.book.Report(short.now, short.now, s.id, s.report())
 	}
 	room := short.book.Plan(short.now, service, short.engine, nil)
 	if len(room) != 1 || room[0].RoomFor != "lost" {
@@ -85,7 +85,7 @@
 	short.book.Sending(short.now, room[0])
 	short.book.Answered(short.now, room[0], residency.AnswerTaken)
 	putAll(short.book, instances(append(short.servers, empty))[2:])
-	short.book.Report(short.now, empty.id, empty.report())
+	short.book.Report(short.now, short.now, empty.id, empty.report())
 	for _, order := range short.book.Plan(short.now, service, short.engine, map[string]residency.Demand{"hot": {Concurrent: 50, PerSecond: 30}}) {
 		if order.Load {
 			t.Errorf("order %+v uses the load that room was made for", order)
@@ -99,7 +99,7 @@
 func TestRoomOnAServerThatDiedIsMadeElsewhere(t *testing.T) {
 	short := shortOfMemory(1)
 	for _, s := range short.servers {
-		short.book.Report(short.now, s.id, s.report())
+		short.book.Report(short.now, short.now, s.id, s.report())
 	}
 	demand := map[string]residency.Demand{"lost": {Waiting: 5}}
 	room := short.book.Plan(short.now, service, short.engine, demand)
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -107,7 +107,7 @@
 		}
 		ready := !s.blocked && !s.modelOrder && s.freeMB >= model.WeightsMB
 		switch {
-		case ready && (p.loadsLeft > 0 || s.atHand[model.Name]):
+		case ready && p.mayLoad(s, model):
 			p.load(s, model, "room was made")
 		case !s.atHand[model.Name] && !s.quiet:
 			waiting++
@@ -116,6 +116,13 @@
 	p.loadsLeft -= waiting
 }
 
+// mayLoad reports whether a server may load a model as far as the weight store goes. One
+// that left its last question unanswered may not answer the order either, and the load
+// would count against the store's rate for long.
+func (p *plan) mayLoad(s *slot, model *fleet.Model) bool {
+	return s.atHand[model.Name] || p.loadsLeft > 0 && s.server.silentSince.IsZero()
+}
+
 // load orders a server to load a model.
 func (p *plan) load(s *slot, model *fleet.Model, reason string) {
 	fromStore := !s.atHand[model.Name]
@@ -175,7 +182,7 @@
 		if s.blocked || s.modelOrder || s.models[model.Name] != nil || s.freeMB < model.WeightsMB {
 			continue
 		}
-		if s.reservedFor != "" || p.loadsLeft <= 0 && !s.atHand[model.Name] {
+		if s.reservedFor != "" || !p.mayLoad(s, model) {
 			continue
 		}
 		if p.replicas[model.Name] > 0 && reason == "demand" && p.loadCost(s, model) > p.gain(model.Name) {
--- a/residency/residency_test.go
+++ b/residency/residency_test.go
@@ -36,7 +36,7 @@
 					s.check(t, e)
 				}
 				if rapid.Bool().Draw(t, "report") {
-					book.Report(now, s.id, s.report())
+					book.Report(now, now, s.id, s.report())
 				}
 			}
 			demand := map[string]residency.Demand{}
@@ -209,7 +209,7 @@
 func TestLateOrderIsMadeHarmless(t *testing.T) {
 	server := &modelServer{id: "s0", models: map[string][]string{"big": nil}}
 	c := newCalm(server)
-	c.book.Report(c.now, "s0", server.report())
+	c.book.Report(c.now, c.now, "s0", server.report())
 	orders := c.book.Plan(c.now, service, c.engine, nil)
 	if len(orders) != 1 {
 		t.Fatalf("orders %v", orders)
--- a/residency/shift_test.go
+++ b/residency/shift_test.go
@@ -211,7 +211,7 @@
 			for name := range s.copies {
 				report.AtHand = append(report.AtHand, name)
 			}
-			f.book.Report(f.now, s.id, report)
+			f.book.Report(f.now, f.now, s.id, report)
 			s.nextAsk = f.now.Add(time.Second)
 			if s.busy != nil {
 				s.nextAsk = f.now.Add(240 * time.Millisecond)
--- a/residency/types.go
+++ b/residency/types.go
@@ -84,6 +84,9 @@
 	Settle time.Duration
 	// ResendAfter is how long an unanswered order waits before it is sent again.
 	ResendAfter time.Duration
+	// Lateness is how long after it was sent an order without an answer may still be
+	// carried out: servers of the users' platform are up to 12 s late.
+	Lateness time.Duration
 	// LoadCost is what a load from a copy at hand is worth, in requests that it has to
 	// relieve; one from the weight store is worth twice as much. LoadSecondCost is what
 	// each second of a load is worth on top in the place of another model.
@@ -129,6 +132,7 @@
 		Reserve:        6 * time.Second,
 		Settle:         3 * time.Second,
 		ResendAfter:    300 * time.Millisecond,
+		Lateness:       12 * time.Second,
 		LoadCost:       0.15,
 		LoadSecondCost: 0.3,
 		ReplicaLoad:    8,
--- a/residency/world_test.go
+++ b/residency/world_test.go
@@ -137,7 +137,7 @@
 				continue
 			}
 			s.finish()
-			c.book.Report(c.now, s.id, s.report())
+			c.book.Report(c.now, c.now, s.id, s.report())
 		}
 		for _, order := range append(c.book.Resend(c.now), c.book.Plan(c.now, service, c.engine, demand)...) {
 			c.orders = append(c.orders, order)
@@ -150,6 +150,15 @@
 	}
 }
 
+// plan plans once for no demand and notes the orders as on their way.
+func (c *calm) plan() []residency.Order {
+	orders := c.book.Plan(c.now, service, c.engine, nil)
+	for _, order := range orders {
+		c.book.Sending(c.now, order)
+	}
+	return orders
+}
+
 func (c *calm) replicas(model string) int {
 	count := 0
 	for _, s := range c.servers {
