One package for what both kinds of daemons need of a stop; a body that never comes whole gets an answer too

With it the entry daemon does what the native one did already: after all requests that it serves have their last answers, it ends the wait for bodies that are not whole, whose clients are told that nothing has run, where their connection was closed. Ruled out: to end those reads together with the requests; to one that is served it would look as if its client had left, and it would get no answer.

--- a/caller/server.go
+++ b/caller/server.go
@@ -12,9 +12,11 @@
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 
 	"github.com/wheatweir/wheatweir/api"
+	"github.com/wheatweir/wheatweir/internal/drain"
 	"github.com/wheatweir/wheatweir/outcome"
 )
 
@@ -38,8 +40,8 @@
 	handler     Handler
 	listener    net.Listener
 	hangups     *hangupWatch
-	lifetime    lifetime
-	connections busyConnections
+	lifetime    *drain.Lifetime
+	connections drain.Connections
 	cancel      context.CancelFunc
 	group       conc.WaitGroup
 	idPrefix    string
@@ -60,10 +62,10 @@
 		handler:  handler,
 		listener: listener{raw},
 		hangups:  newHangupWatch(),
+		lifetime: drain.NewLifetime(),
 		cancel:   cancel,
 		idPrefix: name + "-" + strconv.FormatInt(time.Now().UnixMilli(), 36) + "-",
 	}
-	server.lifetime.begin()
 	server.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		// Strings must stay valid after the handler has returned, because
@@ -75,13 +77,17 @@
 		Concurrency:  maxConnections,
 		ErrorHandler: server.handleError,
 	})
-	server.app.Server().ConnState = server.connections.note
+	server.app.Server().ConnState = server.noteState
 	server.routes()
 	server.group.Go(func() { server.hangups.run(ctx) })
 	server.group.Go(func() { _ = server.app.Listener(server.listener) })
 	return server, nil
 }
 
+func (s *Server) noteState(conn net.Conn, state fasthttp.ConnState) {
+	s.connections.Note(conn, state == fasthttp.StateActive)
+}
+
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
@@ -110,7 +116,7 @@
 	if status == fiber.StatusRequestEntityTooLarge || status == fiber.StatusRequestHeaderFieldsTooLarge {
 		leftUnread(c.Context().Conn())
 	}
-	if status == fiber.StatusRequestTimeout && s.lifetime.serving.Err() != nil {
+	if status == fiber.StatusRequestTimeout && s.lifetime.Ended() {
 		return writeError(c, RefuseStopping())
 	}
 	result := badRequest("%v", err)
@@ -199,13 +205,13 @@
 // serve runs a call and sends its answer.
 func (s *Server) serve(c *fiber.Ctx, call *Call) error {
 	c.Set(HeaderRequestID, call.ID)
-	if s.lifetime.starts.Err() != nil {
+	if s.lifetime.Drained() {
 		return writeError(c, RefuseStopping())
 	}
 	s.active.Add(1)
 	s.lastCall.Store(call.ArrivedAt.UnixNano())
 	watched, release := s.hangups.add(c.Context().Conn())
-	ctx, unbind := s.lifetime.bind(watched)
+	ctx, unbind := s.bind(watched)
 	end := func() {
 		unbind()
 		release()
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -22,9 +22,11 @@
 	// stopMargin is how long before the end of the grace requests get their last
 	// answer. The platform kills the process at the end of the grace.
 	stopMargin = 400 * time.Millisecond
-	// answerMargin bounds the time for writing those answers. It leaves the process
-	// half of stopMargin for its own end.
-	answerMargin = 200 * time.Millisecond
+	// answerMargin bounds the time for writing those answers, and readMargin that for the
+	// answers to requests whose body has not arrived. They leave the process half of
+	// stopMargin for its own end.
+	answerMargin = 150 * time.Millisecond
+	readMargin   = 50 * time.Millisecond
 )
 
 // Stop ends the daemon: it is no longer ready and leaves the answers about
@@ -45,7 +47,11 @@
 	waitUntil(ctx, begun.Add(grace-stopMargin), d.idle)
 	d.log.add("daemon", "Requests end.", "requests_cut", d.gateway.Active())
 	d.gateway.End()
-	waitUntil(context.Background(), time.Now().Add(answerMargin), d.idle)
+	waitUntil(context.Background(), time.Now().Add(answerMargin), d.answered)
+	if d.answered() {
+		d.front.EndReads()
+	}
+	waitUntil(context.Background(), time.Now().Add(readMargin), d.idle)
 	d.log.add("daemon", "Stopped.", "connections_busy", d.front.Busy())
 	d.Kill()
 }
@@ -56,13 +62,16 @@
 	d.events.Put(d.ctx, func(node *coordination.Node, _ time.Time) []coordination.Action { return node.Leave() })
 }
 
+// answered reports whether no request is being served.
+func (d *Daemon) answered() bool { return d.gateway.Active() == 0 }
+
 // idle reports whether no request is being read, served or answered.
-func (d *Daemon) idle() bool { return d.front.Busy() == 0 && d.gateway.Active() == 0 }
+func (d *Daemon) idle() bool { return d.front.Busy() == 0 && d.answered() }
 
 // waitUntil waits until a condition holds, a moment has come or ctx ends.
 func waitUntil(ctx context.Context, moment time.Time, holds func() bool) {
 	for ctx.Err() == nil && time.Now().Before(moment) && !holds() {
-		time.Sleep(min(stopPoll, time.Until(moment)))
+		time.Sleep(min(stopPoll, max(0, time.Until(moment))))
 	}
 }
 
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -179,6 +179,26 @@
 	}
 }
 
+// TestStopAnswersARequestThatNeverArrivesWhole has a body of which the rest never comes: its client
+// is told at the end of the grace that the request has not run.
+func TestStopAnswersARequestThatNeverArrivesWhole(t *testing.T) {
+	f := startToStop(t, stopGrace)
+	conn := dialFront(t, f)
+	send(t, conn, "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nContent-Length: 6\r\n\r\npro")
+	f.daemons[0].Stop(context.Background())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, header %v", response.StatusCode, response.Header)
+	}
+	if runs := f.runs(); runs > 0 {
+		t.Errorf("%d requests ran", runs)
+	}
+}
+
 func dialFront(t *testing.T, f *deployment) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", f.all[0].FrontAddress)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/internal/drain"
 )
 
 const (
@@ -131,7 +132,7 @@
 
 // giveUp gives the client its final answer, or breaks it off if a part is out.
 func (e *exchange) giveUp(ctx context.Context, reason Reason) {
-	if stopped(ctx) {
+	if drain.Stopped(ctx) {
 		reason = ReasonStopping
 	}
 	if clientLeft(ctx) {
@@ -242,7 +243,7 @@
 // blame returns the outcome of an attempt that ended without a whole answer: the
 // instance is not to blame if the client left or this daemon ends.
 func blame(ctx context.Context, outcome balance.Outcome) balance.Outcome {
-	if clientLeft(ctx) || stopped(ctx) {
+	if clientLeft(ctx) || drain.Stopped(ctx) {
 		return balance.Abandoned
 	}
 	return outcome
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/internal/drain"
 	"github.com/wheatweir/wheatweir/internal/mechanism"
 	"github.com/wheatweir/wheatweir/retry"
 )
@@ -65,7 +66,7 @@
 	view     atomic.Pointer[fleet.View]
 	changed  atomic.Pointer[chan struct{}]
 	active   atomic.Int64
-	lifetime lifetime
+	lifetime *drain.Lifetime
 	// shortages are the models that requests were refused for.
 	shortages *shortages
 	queues    *connectionQueues
@@ -75,7 +76,7 @@
 func New(settings Settings, upstream Upstream, tracker *balance.Tracker, budget *retry.Budget, wants Wants, observer Observer) *Gateway {
 	g := &Gateway{
 		settings: settings, upstream: upstream, tracker: tracker, chooser: ownChooser{balance.NewPicker(tracker)},
-		budget: budget, wants: wants, observer: observer, shortages: newShortages(), lifetime: newLifetime(), queues: newConnectionQueues(),
+		budget: budget, wants: wants, observer: observer, shortages: newShortages(), lifetime: drain.NewLifetime(), queues: newConnectionQueues(),
 	}
 	g.view.Store(fleet.NewView(nil, nil))
 	first := make(chan struct{})
@@ -117,7 +118,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	view := g.view.Load()
-	if g.lifetime.starts.Err() != nil {
+	if g.lifetime.Drained() {
 		g.Refuse(request, reply, statusUnavailable, ReasonStopping)
 		return
 	}
@@ -134,7 +135,7 @@
 	if request.Patience > 0 {
 		held = min(held, request.Patience)
 	}
-	ctx, release := g.lifetime.bind(ctx)
+	ctx, release := g.lifetime.Bind(ctx)
 	defer release()
 	ctx, cancel := context.WithDeadline(ctx, request.Arrived.Add(held))
 	defer cancel()
@@ -183,14 +184,14 @@
 	g.observer.Observe(g.refuse(reply, request, status, reason))
 }
 
-// NotRead ends a request whose body did not arrive: its client left, or this daemon ended.
+// NotRead ends a request whose body did not arrive: its client left, or this daemon ends.
 func (g *Gateway) NotRead(request *Request, reply Reply) {
-	reason := ReasonClientGone
-	if g.lifetime.serving.Err() != nil {
-		reason = ReasonStopping
+	if g.lifetime.Ended() {
+		g.Refuse(request, reply, statusUnavailable, ReasonStopping)
+		return
 	}
 	reply.Abort()
-	g.observer.Observe(Event{Step: StepEnded, Request: request, Reason: reason, Phase: PhaseReading, Version: g.view.Load().Version()})
+	g.observer.Observe(Event{Step: StepEnded, Request: request, Reason: ReasonClientGone, Phase: PhaseReading, Version: g.view.Load().Version()})
 }
 
 // refuse gives the client an answer of our own and returns what the observer should hear.
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -87,7 +87,7 @@
 	defer timer.Stop()
 	select {
 	case <-signal:
-	case <-e.gateway.lifetime.starts.Done():
+	case <-e.gateway.lifetime.Starts.Done():
 	case <-timer.C:
 	case <-ctx.Done():
 	}
