Test of phases: the end comes between two looks of a waiting request

Traced: it ended the request after 500 ms, the very moment of the fifth look each 100 ms, and in virtual time either may come first; a request that looks is in fact choosing. What is checked is the same.

--- a/gateway/phase_test.go
+++ b/gateway/phase_test.go
@@ -39,7 +39,8 @@
 				g := observedGateway(&script{answers: []answer{{hang: true}}}, observer)
 				g.SetView(view("m"))
 				ctx, cancel := context.WithCancelCause(context.Background())
-				time.AfterFunc(500*time.Millisecond, func() { cancel(c.cause) })
+				// Not at a moment at which a waiting request looks again.
+				time.AfterFunc(450*time.Millisecond, func() { cancel(c.cause) })
 				sent := request("stream")
 				sent.Model = c.model
 				g.Serve(ctx, sent, &client{})
