A wait for a connection ends with the instance that it is for

Cause, read in the diff: while a request waits for a connection, all instances of the service without a free one counted, also those without its model. If the instance with the model goes away meanwhile, the request went on waiting with the reason no_connection, and the placement did not hear that the model is missing. Change: only instances that have what the request needs count. Measured: TestWaitForAConnectionEndsWithItsInstance fails before; the package passes 20 of 20 with the race detector.

--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -77,7 +77,7 @@
 	var saturated []string
 	if waits {
 		var free bool
-		if saturated, free = e.saturated(view); !free {
+		if saturated, free = e.saturated(view); len(saturated) > 0 && !free {
 			return nil, foundNoConnection
 		}
 	}
@@ -113,20 +113,30 @@
 	return second
 }
 
-// saturated lists the instances without a free connection, and reports whether another one has
-// the model. That one may still be excluded or have much to do.
+// saturated lists the instances that have what the request needs and no free connection, and
+// reports whether another one has it. That one may still be excluded or have much to do.
 func (e *exchange) saturated(view *fleet.View) (saturated []string, free bool) {
 	for _, instance := range view.Instances(e.service) {
 		switch {
-		case !e.hasConnection(instance):
-			saturated = append(saturated, instance.ID)
-		case !instance.Leaving && (e.request.Model == "" || instance.Resident(e.request.Model) != nil):
+		case instance.Leaving || !e.has(instance):
+		case e.hasConnection(instance):
 			free = true
+		default:
+			saturated = append(saturated, instance.ID)
 		}
 	}
 	return saturated, free
 }
 
+// has reports whether an instance has the model and adapter of the request.
+func (e *exchange) has(instance *fleet.Instance) bool {
+	if e.request.Model == "" {
+		return true
+	}
+	resident := instance.Resident(e.request.Model)
+	return resident != nil && (e.request.Adapter == "" || resident.HasAdapter(e.request.Adapter))
+}
+
 // hasConnection reports whether the request can be sent to an instance now.
 func (e *exchange) hasConnection(instance *fleet.Instance) bool {
 	return e.gateway.upstream.HasConnection(instance.ID, e.connections())
--- a/gateway/connections_test.go
+++ b/gateway/connections_test.go
@@ -106,6 +106,26 @@
 	}
 }
 
+// TestWaitForAConnectionEndsWithItsInstance takes the instance away whose connections are in use,
+// while those of one without the model are too: now the model is missing, and the placement hears
+// of it.
+func TestWaitForAConnectionEndsWithItsInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		never := time.Now().Add(time.Hour)
+		wants, got := &noWants{}, &client{}
+		g := newGateway(&script{connectionsFreeAt: map[string]time.Time{"i1": never, "i2": never}}, wants)
+		other := &fleet.Instance{ID: "i2", Service: "svc", Slots: 4, Residents: []fleet.Resident{{Model: "n"}}}
+		g.SetView(fleet.NewView(configuration(), []*fleet.Instance{
+			{ID: "i1", Service: "svc", Slots: 4, Residents: []fleet.Resident{{Model: "m"}}}, other,
+		}))
+		time.AfterFunc(500*time.Millisecond, func() { g.SetView(fleet.NewView(configuration(), []*fleet.Instance{other})) })
+		g.Serve(context.Background(), modelRequest("stream"), got)
+		if got.reason != gateway.ReasonNoModel || len(wants.wanted) != 1 {
+			t.Errorf("reason %q, the placement hears of %v", got.reason, wants.wanted)
+		}
+	})
+}
+
 // preferring is a Chooser that takes the first instance that is not excluded and counts how often
 // it is asked. Instances after the first one are crowded, or have many requests.
 type preferring struct {
