Soak: an address has one server at a time

Ruled out: an unload of the model (no such order), a stale list (the entry was renewed), the daemon's choice (each connection to that address reaches the newer server). Change: a fault that ends starts a server only in the place of the one that it struck. Faults and their order are unchanged.

--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -103,13 +103,18 @@
 	}
 	p := &place{proxy: proxy, service: service, zone: fmt.Sprint("zone-", number%zones+1)}
 	d.places = append(d.places, p)
-	return d.startServer(p, number)
+	return d.startServer(p, number, nil)
 }
 
-// startServer starts the next server at a place.
-func (d *deployment) startServer(p *place, number int) error {
+// startServer starts the next server at a place, after the one that has ended or as the first one.
+// It does nothing if another fault that struck the same server has done so: an address has one
+// server at a time.
+func (d *deployment) startServer(p *place, number int, ended *standin.Server) error {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.server != ended {
+		return nil
+	}
 	p.serial++
 	options := standin.Options{
 		ID: fmt.Sprintf("%s-%d-%d", p.service, number, p.serial), Service: p.service, Zone: p.zone,
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -244,7 +244,7 @@
 		time.Sleep(silentBeats)
 		d.store.Delete("servers", crashed.ID)
 	})
-	return func() { d.restart(place, number) }
+	return func() { d.restart(place, number, crashed) }
 }
 
 // drainServer takes a server away as planned and starts another one at its address.
@@ -257,12 +257,13 @@
 	return func() {
 		time.Sleep(2 * drainTime)
 		leaving.Close()
-		d.restart(place, number)
+		d.restart(place, number, leaving)
 	}
 }
 
-func (d *deployment) restart(place *place, number int) {
-	if err := d.startServer(place, number); err != nil {
+// restart starts a server in the place of one that has ended.
+func (d *deployment) restart(place *place, number int, ended *standin.Server) {
+	if err := d.startServer(place, number, ended); err != nil {
 		d.tell("server: %v", err)
 	}
 }
