--- a/entry/deaf_large_test.go
+++ b/entry/deaf_large_test.go
@@ -11,7 +11,8 @@
 // Fleets of this size in one synctest bubble crash the race detector itself (a failed check or a
 // segmentation fault within its runtime), so these tests are built without it; CI runs them apart.
 
-// TestChangesAreKnownInTimeInALargeFleetWhenAllWatchesGoDeaf is the same with 71 daemons.
+// TestChangesAreKnownInTimeInALargeFleetWhenAllWatchesGoDeaf is
+// TestChangesAreKnownInTimeWhenAllWatchesGoDeaf with 71 daemons.
 func TestChangesAreKnownInTimeInALargeFleetWhenAllWatchesGoDeaf(t *testing.T) {
 	testDeafFleets(t, []deafCase{
 		{"silent connections, many daemons", 71, 3 * time.Second, silence},
@@ -19,8 +20,8 @@
 	})
 }
 
-// TestCallsOfWatchesDoNotGrowWithTheFleet covers the price of noticing it: the calls a
-// second while nothing changes, and while something changes each second.
+// TestCallsOfWatchesDoNotGrowWithTheFleet covers what it costs to notice that watches have gone
+// deaf: the calls a second while nothing changes, and while something changes each second.
 func TestCallsOfWatchesDoNotGrowWithTheFleet(t *testing.T) {
 	const limit, span = 2 * time.Second, 10 * time.Second
 	for _, daemons := range []int{8, 71, 300} {
