All tests of fleets whose watches go deaf are built without the race detector

Nothing that is checked changes. What is lost: races in the follower of the store in these tests; whole daemons follow a store with the detector on.

--- a/entry/deaf_large_test.go
+++ b/entry/deaf_large_test.go
@@ -8,9 +8,6 @@
 	"time"
 )
 
-// Fleets of this size in one synctest bubble crash the race detector itself (a failed check or a
-// segmentation fault within its runtime), so these tests are built without it; CI runs them apart.
-
 // TestChangesAreKnownInTimeInALargeFleetWhenAllWatchesGoDeaf is
 // TestChangesAreKnownInTimeWhenAllWatchesGoDeaf with 71 daemons.
 func TestChangesAreKnownInTimeInALargeFleetWhenAllWatchesGoDeaf(t *testing.T) {
--- a/entry/deaf_test.go
+++ b/entry/deaf_test.go
@@ -1,3 +1,9 @@
+//go:build !race
+
+// Fleets of daemons in one synctest bubble crash the race detector itself (a failed check or a
+// segmentation fault within its runtime), so these tests are built without it; CI runs them apart.
+// Daemons that follow a store run with the detector in the tests of whole daemons.
+
 package entry
 
 import (
