Settings take fractions of the retry slack and of the memory limit

Ruled out: the other bounds, which are times or numbers already. The memory limit is taken as a fraction too, as it comes from the same tables.

Test: TestSettingsTakeFractions does not compile against the code before (whole-number fields).

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -103,7 +103,7 @@
 
 // Start starts a daemon. Logs go to output.
 func Start(settings Settings, output io.Writer) (*Daemon, error) {
-	debug.SetMemoryLimit(int64(memoryHeadroom * float64(settings.MemoryLimitMB) * (1 << 20)))
+	debug.SetMemoryLimit(int64(memoryHeadroom * settings.MemoryLimitMB * (1 << 20)))
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
 		log: newLogBook(settings.LogLevel, settings.Name, output), started: time.Now(),
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -84,7 +84,7 @@
 	}
 	d.peerAddresses.Store(&book)
 	d.live.Store(max(1, live))
-	d.budget.SetLimit(max(1, retryPart*float64(d.current().RetrySlack)/float64(max(1, live))))
+	d.budget.SetLimit(max(1, retryPart*d.current().RetrySlack/float64(max(1, live))))
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	addresses = addresses[:min(len(addresses), maxAddresses)]
 	d.addresses.Store(&addresses)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -364,6 +364,22 @@
 	}
 }
 
+// TestSettingsTakeFractions reads the settings of a deployment at a fraction of its size: the
+// platform scales its bounds with it, and they are whole no longer.
+func TestSettingsTakeFractions(t *testing.T) {
+	const scaled = "[daemon]\nname = d\nzone = z\ndeployment_key = sixteen characters\nmemory_limit_mb = 183.5\n" +
+		"[listen]\nfront = 127.0.0.1:1\nready = 127.0.0.1:2\ndirectory = 127.0.0.1:3\npeers = 127.0.0.1:4\n" +
+		"[store]\naddress = 127.0.0.1:5\nwatch_wait = 2000.5ms\n[requests]\ngrace = 8.5s\nretry_share = 0.2\nretry_slack = 33.1578947368421\n" +
+		"[orders]\nchecks_fence = true\nlease_term = 3000.25ms\n"
+	parsed, err := entry.ParseSettings("file.ini", []byte(scaled))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if parsed.RetrySlack < 33.1 || parsed.RetrySlack > 33.2 || parsed.MemoryLimitMB != 183.5 || parsed.Grace != 8500*time.Millisecond {
+		t.Errorf("settings %+v", parsed)
+	}
+}
+
 // TestSettingsAreReadAgain covers a signal, a change without a signal, and a file
 // that is not valid any more.
 func TestSettingsAreReadAgain(t *testing.T) {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -44,14 +44,15 @@
 	// ChecksFence says that model servers turn away orders with a lower token.
 	ChecksFence bool
 	// RetryShare is the share of requests that may be sent a second time over
-	// all daemons, RetrySlack how many more in one window.
+	// all daemons, RetrySlack how many more in one window. A fraction is valid:
+	// platforms scale it with the deployment.
 	RetryShare float64
-	RetrySlack int
+	RetrySlack float64
 	// WatchWait is the time within which a change that the store has taken has to be known
 	// to all daemons, also if all watches go deaf.
 	WatchWait time.Duration
 	// MemoryLimitMB is the memory of the process.
-	MemoryLimitMB int
+	MemoryLimitMB float64
 	// CPUShare is the processor of the machine, in cores; zero if it is not known.
 	CPUShare float64
 }
@@ -71,7 +72,7 @@
 		inifile.Word("daemon", "region", &s.Region, false),
 		inifile.Choice("daemon", "log_level", &s.LogLevel, "debug", "info", "warn", "error"),
 		inifile.Secret("daemon", "deployment_key", &s.DeploymentKey),
-		inifile.Integer("daemon", "memory_limit_mb", &s.MemoryLimitMB, 16, 1<<20),
+		inifile.Number("daemon", "memory_limit_mb", &s.MemoryLimitMB, 16, 1<<20),
 		optional(inifile.Number("daemon", "cpu_share", &s.CPUShare, 0, 4096)),
 
 		inifile.Address("listen", "front", &s.FrontAddress),
@@ -88,7 +89,7 @@
 		inifile.Duration("requests", "address_keep", &s.AddressKeep, 100*time.Millisecond, time.Hour),
 		inifile.Duration("requests", "grace", &s.Grace, time.Second, time.Hour),
 		inifile.Number("requests", "retry_share", &s.RetryShare, 0, 1),
-		inifile.Integer("requests", "retry_slack", &s.RetrySlack, 0, 1000000),
+		inifile.Number("requests", "retry_slack", &s.RetrySlack, 0, 1000000),
 		inifile.Boolean("orders", "checks_fence", &s.ChecksFence),
 		inifile.Duration("orders", "lease_term", &s.LeaseTerm, 100*time.Millisecond, time.Hour),
 	}
