News of the fleet takes a line for many names; explain tells what was known of instances

Now one line holds up to 64 names with revision or incarnation, and from whom they were heard, so that nothing is left out; before, the origin was not logged. wheatweir explain adds what each daemon knew of the instances that it used, at which revision, from whom and when.

--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -230,7 +230,7 @@
 }
 
 // takeListing takes in the instances that another daemon knows.
-func (n *Node) takeListing(now time.Time, listing *Listing) {
+func (n *Node) takeListing(now time.Time, from origin, listing *Listing) {
 	batch := feed.Batch[*fleet.Instance]{At: listing.At}
 	for i := range listing.Items {
 		item := &listing.Items[i]
@@ -242,8 +242,8 @@
 	}
 	if listing.Changes {
 		batch.At = 0
-		n.instancesChanged(now, n.instances.Apply(batch))
+		n.instancesChanged(now, from, n.instances.Apply(batch))
 		return
 	}
-	n.instancesChanged(now, n.instances.Replace(batch))
+	n.instancesChanged(now, from, n.instances.Replace(batch))
 }
--- a/coordination/members.go
+++ b/coordination/members.go
@@ -1,29 +1,49 @@
 package coordination
 
-import "github.com/wheatweir/wheatweir/member"
+import (
+	"strconv"
 
-// memberBelief is what was last told of a daemon.
+	"github.com/wheatweir/wheatweir/member"
+)
+
+// memberBelief is what was last logged of a daemon.
 type memberBelief struct {
 	state   member.State
 	leaving bool
+	// incarnation tells two lives of it apart, and a suspicion that it refuted.
+	incarnation uint64
 }
 
-// noteMembers tells of each change in what is believed of the other daemons.
+// noteMembers logs each change in what is believed of the other daemons.
 func (n *Node) noteMembers() {
 	revision := n.detector.Revision()
 	if revision == n.membersAt {
 		return
 	}
 	n.membersAt = revision
+	var list nameList
 	for _, other := range n.detector.Members() {
-		belief := memberBelief{state: other.State, leaving: other.Leaving}
-		if other.Name == n.self || n.members[other.Name] == belief && n.seen[other.Name] {
+		belief := memberBelief{state: other.State, leaving: other.Leaving, incarnation: other.Incarnation}
+		if other.Name == n.self || n.members[other.Name] == belief {
 			continue
 		}
-		n.members[other.Name], n.seen[other.Name] = belief, true
-		n.decide("daemons", "Changed.", "daemon", other.Name, "state", other.State.String(), "leaving", other.Leaving,
-			"incarnation", other.Incarnation)
+		n.members[other.Name] = belief
+		list.add(belief.String(), other.Name+"@"+strconv.FormatUint(other.Incarnation, 10))
+		if list.count == namesPerLine {
+			n.decide("daemons", "Changed.", list.fields()...)
+		}
+	}
+	if list.count > 0 {
+		n.decide("daemons", "Changed.", list.fields()...)
+	}
+}
+
+// String returns the name used in logs.
+func (b memberBelief) String() string {
+	if b.leaving && b.state == member.Alive {
+		return "leaving"
 	}
+	return b.state.String()
 }
 
 // sendAll sends a message to several daemons.
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -36,7 +36,6 @@
 	sources   map[Source]*sourceState
 	questions []question
 	members   map[string]memberBelief
-	seen      map[string]bool
 	membersAt uint64
 	group     *Group
 	groupAt   uint64
@@ -88,8 +87,8 @@
 		demand: newDemandState(), lastHolder: now, watcherAt: now.Add(settings.WatchAfter),
 		view:      fleet.NewView(nil, nil),
 		spreading: newSpreadState(random.Uint64()),
-		members:   map[string]memberBelief{}, seen: map[string]bool{},
-		sources: map[Source]*sourceState{SourceConfiguration: {}, SourceInstances: {}},
+		members:   map[string]memberBelief{},
+		sources:   map[Source]*sourceState{SourceConfiguration: {}, SourceInstances: {}},
 	}
 	node.detector.SetSeeds(seeds)
 	return node
@@ -167,7 +166,7 @@
 		n.learnConfiguration(message.Configuration)
 	}
 	if message.Instances != nil {
-		n.takeListing(now, message.Instances)
+		n.takeListing(now, origin(message.From), message.Instances)
 	}
 	for _, told := range message.Facts {
 		n.learn(told, now.Add(-told.Age))
@@ -254,20 +253,21 @@
 
 // InstancesListed takes in a full list of instances.
 func (n *Node) InstancesListed(now time.Time, batch feed.Batch[*fleet.Instance]) []Action {
-	n.instancesChanged(now, n.instances.Replace(batch))
+	n.instancesChanged(now, originStore, n.instances.Replace(batch))
 	return n.take()
 }
 
 // InstancesChanged takes in changes of instances.
 func (n *Node) InstancesChanged(now time.Time, batch feed.Batch[*fleet.Instance]) []Action {
-	n.instancesChanged(now, n.instances.Apply(batch))
+	n.instancesChanged(now, originStore, n.instances.Apply(batch))
 	return n.take()
 }
 
 // InstancesAt returns the revision that the instances are complete up to.
 func (n *Node) InstancesAt() uint64 { return n.instances.At() }
 
-func (n *Node) instancesChanged(now time.Time, changed []feed.Item[*fleet.Instance]) {
+func (n *Node) instancesChanged(now time.Time, from origin, changed []feed.Item[*fleet.Instance]) {
+	n.logInstances(from, changed)
 	for _, item := range changed {
 		n.changed[item.Name] = true
 		if item.Gone {
@@ -275,11 +275,8 @@
 			delete(n.reports, item.Name)
 			delete(n.listedAt, item.Name)
 			n.book.Remove(item.Name)
-			n.decide("instances", "Gone.", "instance", item.Name, "revision", item.Revision)
 			continue
 		}
-		n.decide("instances", "Seen.", "instance", item.Name, "service", item.Value.Service, "leaving", item.Value.Leaving,
-			"revision", item.Revision)
 		n.listedAt[item.Name] = now
 		n.book.Put(item.Value)
 	}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -63,6 +63,8 @@
 type Story struct {
 	Request string `json:"request"`
 	Steps   []Step `json:"steps"`
+	// Known is what the daemons believed of the instances that they used.
+	Known []Known `json:"known,omitempty"`
 	// Nodes lists the daemons that speak of the request.
 	Nodes []string `json:"nodes"`
 	// Torn counts lines of the logs that could not be read.
@@ -78,11 +80,12 @@
 type Reader struct {
 	request string
 	story   Story
+	known   knowledge
 }
 
 // NewReader returns a reader for a request's id.
 func NewReader(request string) *Reader {
-	return &Reader{request: request, story: Story{Request: request}}
+	return &Reader{request: request, story: Story{Request: request}, known: knowledge{}}
 }
 
 // Read takes in a log.
@@ -115,6 +118,8 @@
 		r.story.Torn++
 	case strings.HasPrefix(message, "log: Lines dropped"):
 		r.story.Dropped += droppedCount(&step)
+	case strings.HasPrefix(message, "instances: Changed"):
+		r.known.add(&step)
 	case step.Value("request") == r.request:
 		r.story.Steps = append(r.story.Steps, step)
 	}
@@ -178,6 +183,7 @@
 		}
 	}
 	slices.SortFunc(story.Nodes, cmp.Compare[string])
+	story.Known = r.known.of(story.Steps)
 	story.Warnings = warnings(&story)
 	story.Cause = cause(&story)
 	return story, nil
@@ -263,6 +269,9 @@
 			return ErrRead.Wrap(err)
 		}
 	}
+	if err := writeKnown(w, begin, s.Known); err != nil {
+		return err
+	}
 	for _, warning := range s.Warnings {
 		if _, err := fmt.Fprintln(w, "note:", warning); err != nil {
 			return ErrRead.Wrap(err)
