First lists of a process and first reads of the lease may lag; later watchers pause longer

The store counts a reading call that may be seconds old as a tenth, and outside its rate. A first list may lag: the watch goes on from its revision, and other daemons tell what is missing. A first read of the lease may lag: whatever is decided by it is a write on that revision. Lists after that are as new as before. The second daemon that watches servers now pauses twice, all further ones three times as long as the first, after a change (once and twice before).

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -27,17 +27,18 @@
 	doubtful bool
 	// gather is the pause after changes, so that the next call returns several.
 	gather time.Duration
-	// listing is the list in progress.
-	listing feed.Listing[T]
+	// listing is the list in progress, and listedOnce says that there was a whole one before.
+	listing    feed.Listing[T]
+	listedOnce bool
 }
 
-// gatherInstances is that pause for the list of instances: servers change it one by
-// one, and each call is priced. It is far below the time in which a server that
-// leaves has to be known. Twice as long for the daemons that watch in case that the
-// first ones, firstWatchers in number, are cut off or frozen.
+// gatherInstances is that pause for the list of instances at the first daemon that watches:
+// servers change it one by one, and each call is priced. It is far below the time in which a
+// server that leaves has to be known, 2 s. The others watch in case that the first is cut off or
+// frozen: the second one pauses twice as long, all further ones gatherMost times as long.
 const (
 	gatherInstances = 350 * time.Millisecond
-	firstWatchers   = 2
+	gatherMost      = 3
 )
 
 // taker hands a batch to the node.
@@ -95,8 +96,17 @@
 	return true
 }
 
+// list lists everything. The first list of a process may lag by some seconds: the watch goes on
+// from its revision, and other daemons tell the rest. When hundreds start at once, these lists
+// are most of what the store is asked.
 func (f *follower[T]) list(ctx context.Context) (feed.Batch[T], error) {
-	return f.listing.List(ctx, f.source)
+	freshness := feed.Newest
+	if !f.listedOnce {
+		freshness = feed.MayLag
+	}
+	batch, err := f.listing.List(ctx, f.source, freshness)
+	f.listedOnce = f.listedOnce || err == nil
+	return batch, err
 }
 
 // doubt makes the next call ask for the changes so far. Of an overdue answer the others are
@@ -123,10 +133,7 @@
 
 // gatherPause is the pause after changes at a daemon of a rank.
 func gatherPause(gather time.Duration, rank int) time.Duration {
-	if rank >= firstWatchers {
-		return 2 * gather
-	}
-	return gather
+	return gather * time.Duration(min(rank+1, gatherMost))
 }
 
 // restPoll is the pause between two looks at whether this daemon should watch.
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -37,10 +37,20 @@
 	At uint64
 }
 
+// Freshness is how new a list has to be.
+type Freshness uint8
+
+const (
+	// Newest asks for everything that the store has taken so far.
+	Newest Freshness = iota
+	// MayLag takes a list of some seconds ago, if that is cheaper for the store.
+	MayLag
+)
+
 // Source is one collection of the store.
 type Source[T any] interface {
 	// ListPage returns a page of all items: the first one, or what comes after a name.
-	ListPage(ctx context.Context, after string) (Page[T], error)
+	ListPage(ctx context.Context, after string, freshness Freshness) (Page[T], error)
 	// Watch returns the changes after a revision, waiting for the first. Patience is how
 	// long after the wait the answer may begin.
 	Watch(ctx context.Context, since uint64, wait, patience time.Duration) (Batch[T], error)
--- a/feed/listing.go
+++ b/feed/listing.go
@@ -19,19 +19,22 @@
 	batch Batch[T]
 	next  string
 	begun time.Time
+	// freshness is that of the list in progress.
+	freshness Freshness
 }
 
 // listingSpan is how old the first page may be when a list goes on. Changes since then come by
 // the watch that follows, so it is well below the 20 s for which stores keep their history.
 const listingSpan = 10 * time.Second
 
-// List returns the whole list, or the error of the page that failed.
-func (l *Listing[T]) List(ctx context.Context, source Source[T]) (Batch[T], error) {
-	if time.Since(l.begun) > listingSpan {
-		*l = Listing[T]{begun: time.Now()}
+// List returns the whole list, or the error of the page that failed. A list that was begun with
+// another freshness begins anew.
+func (l *Listing[T]) List(ctx context.Context, source Source[T], freshness Freshness) (Batch[T], error) {
+	if time.Since(l.begun) > listingSpan || l.freshness != freshness {
+		*l = Listing[T]{begun: time.Now(), freshness: freshness}
 	}
 	for {
-		page, err := source.ListPage(ctx, l.next)
+		page, err := source.ListPage(ctx, l.next, freshness)
 		if err != nil {
 			return Batch[T]{}, err
 		}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -58,6 +58,10 @@
 	Write *Record
 	// IfRevision is the revision that a write replaces; zero creates.
 	IfRevision uint64
+	// MayLag says that the record that is read may be some seconds old, as for the first read of a
+	// candidate: whatever it decides by an old record is a write on that record's revision,
+	// which fails if there is a newer one.
+	MayLag bool
 }
 
 // Outcome is how a call ended.
@@ -146,7 +150,7 @@
 		return nil
 	case !l.read:
 		// Whoever held the lease before it restarted takes it back at once.
-		return l.call(now, Call{})
+		return l.call(now, Call{MayLag: true})
 	case !eager && !l.mine():
 		return nil
 	case !l.known:
@@ -248,8 +252,12 @@
 
 // observe takes in a record that was read, or found in the way of a write.
 func (l *Lease) observe(now time.Time, stored Stored) {
-	l.learn(now, stored)
 	l.read = true
+	if l.pending.MayLag && stored.Revision < l.stored.Revision {
+		// A renewal was heard of meanwhile.
+		return
+	}
+	l.learn(now, stored)
 	ours := stored.Record.Holder == l.self && stored.Record.Boot == l.boot
 	switch {
 	case l.held && !ours:
