What the holder tells all daemons crosses between two zones once

Now the root tells one daemon of each other zone, and each zone is a tree of its own, heavier machines first. A second tree with the places in reverse takes each other message, so that a daemon that is frozen holds up half of the messages at most; in the one tree before it held up all of those below it. Small fleets are told by the root, as before.

Tests: TestMessageReachesEachMemberOnce (1 to 295 daemons, 1 to 20 zones, each as the root: once each, zones - 1 crossings), TestSilentMemberHoldsUpFewMessages, TestHeavyMachinesPassOnMore, TestDeadMembersAreLeftOut.

During an upgrade, daemons of the two versions pass on by different trees: what is missed is asked for after a second, as always.

--- a/coordination/node.go
+++ b/coordination/node.go
@@ -39,8 +39,11 @@
 	membersAt uint64
 	group     *Group
 	groupAt   uint64
-	rank      int
-	rankAt    uint64
+	// forwarding is the fleet at the members' revision forwardingAt.
+	forwarding   *forwarding
+	forwardingAt uint64
+	rank         int
+	rankAt       uint64
 
 	// watcherAt is when a daemon that watches the store was last heard of, and
 	// watcherHeardAt when one was heard itself.
--- a/coordination/spread.go
+++ b/coordination/spread.go
@@ -1,9 +1,6 @@
 package coordination
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // spreadState is what the holder of the lease has to tell all daemons, and what this
 // daemon has heard of other holders.
@@ -73,20 +70,12 @@
 	n.passOn(message)
 }
 
-// passOn sends a message to the daemons below this one in the tree of its root. All
-// compute the tree alike, from the sorted names of live daemons.
+// passOn sends a message to the daemons below this one in the tree of its root.
 func (n *Node) passOn(message *Spread) {
-	live := n.detector.Live()
-	root, found := slices.BinarySearch(live, message.Root)
-	if !found {
-		return
-	}
-	own, _ := slices.BinarySearch(live, n.self)
-	place := (own - root + len(live)) % len(live)
-	var below []string
-	for child := n.settings.FanOut*place + 1; child <= n.settings.FanOut*(place+1) && child < len(live); child++ {
-		below = append(below, live[(root+child)%len(live)])
+	if revision := n.detector.Revision(); n.forwarding == nil || revision != n.forwardingAt {
+		n.forwarding, n.forwardingAt = newForwarding(n.detector.Members()), revision
 	}
+	below := n.forwarding.below(n.self, message.Root, message.Sequence, n.settings.FanOut)
 	n.sendAll(below, Message{From: n.self, Spread: message})
 }
 
--- /dev/null
+++ b/coordination/tree_test.go
@@ -0,0 +1,127 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/wheatweir/wheatweir/member"
+)
+
+// members returns so many members in so many zones; the first of each zone are heavier.
+func members(count, zones int) []member.Member {
+	var all []member.Member
+	for i := range count {
+		weight := 192
+		if i < 3*zones {
+			weight = 800
+		}
+		all = append(all, member.Member{Name: fmt.Sprintf("d%03d", i), Zone: fmt.Sprint("z", i%zones), Weight: weight})
+	}
+	return all
+}
+
+// spreadOver passes a message from the root on, and returns how often each member got it and how
+// many times it went from one zone to another. Silent members pass nothing on.
+func spreadOver(f *forwarding, root string, sequence uint64, fanOut int, silent map[string]bool) (got map[string]int, crossings int) {
+	got = map[string]int{}
+	queue := []string{root}
+	for len(queue) > 0 {
+		name := queue[0]
+		queue = queue[1:]
+		if silent[name] {
+			continue
+		}
+		for _, next := range f.below(name, root, sequence, fanOut) {
+			got[next]++
+			if f.zoneOf[next] != f.zoneOf[name] {
+				crossings++
+			}
+			queue = append(queue, next)
+		}
+	}
+	return got, crossings
+}
+
+// TestMessageReachesEachMemberOnce covers fleets from one daemon to hundreds, each daemon as the
+// root, in all variants: each of the others gets the message once, and it crosses between zones
+// once for each other zone unless the fleet is small.
+func TestMessageReachesEachMemberOnce(t *testing.T) {
+	const fanOut = 8
+	for _, fleet := range []struct{ count, zones int }{{1, 1}, {2, 2}, {9, 3}, {10, 3}, {30, 1}, {71, 3}, {295, 5}, {40, 20}} {
+		all := members(fleet.count, fleet.zones)
+		f := newForwarding(all)
+		for _, root := range all {
+			for sequence := range uint64(treeVariants) {
+				got, crossings := spreadOver(f, root.Name, sequence, fanOut, nil)
+				if len(got) != fleet.count-1 || got[root.Name] != 0 {
+					t.Fatalf("%+v, root %s: %d members got it, the root %d times", fleet, root.Name, len(got), got[root.Name])
+				}
+				for name, times := range got {
+					if times != 1 {
+						t.Fatalf("%+v, root %s: %s got it %d times", fleet, root.Name, name, times)
+					}
+				}
+				if fleet.count-1 > fanOut && crossings != fleet.zones-1 {
+					t.Errorf("%+v, root %s: %d crossings", fleet, root.Name, crossings)
+				}
+			}
+		}
+	}
+}
+
+// TestSilentMemberHoldsUpFewMessages has one member at a time pass nothing on: no other member
+// misses the messages of all variants, so that what one tree keeps from it comes by the next.
+func TestSilentMemberHoldsUpFewMessages(t *testing.T) {
+	all := members(295, 5)
+	f := newForwarding(all)
+	const root = "d017"
+	for _, silent := range all {
+		if silent.Name == root {
+			continue
+		}
+		got := map[string]int{}
+		for sequence := range uint64(treeVariants) {
+			reached, _ := spreadOver(f, root, sequence, 8, map[string]bool{silent.Name: true})
+			for name := range reached {
+				got[name]++
+			}
+		}
+		for _, other := range all {
+			if other.Name != root && got[other.Name] == 0 {
+				t.Errorf("with %s silent, %s gets nothing in any variant", silent.Name, other.Name)
+			}
+		}
+	}
+}
+
+// TestHeavyMachinesPassOnMore compares how many messages a heavy machine and a light one pass on.
+func TestHeavyMachinesPassOnMore(t *testing.T) {
+	all := members(295, 5)
+	f := newForwarding(all)
+	sent := map[int]int{}
+	for sequence := range uint64(treeVariants) {
+		for _, known := range all {
+			sent[known.Weight] += len(f.below(known.Name, "d000", sequence, 8))
+		}
+	}
+	if heavy, light := float64(sent[800])/15, float64(sent[192])/280; heavy < 4*light {
+		t.Errorf("a heavy machine passes on %.1f messages, a light one %.1f", heavy, light)
+	}
+}
+
+func TestDeadMembersAreLeftOut(t *testing.T) {
+	all := members(30, 3)
+	all[5].State, all[7].State = member.Dead, member.Suspect
+	got, _ := spreadOver(newForwarding(all), "d000", 1, 8, nil)
+	if len(got) != 28 || got["d005"] != 0 || got["d007"] != 1 {
+		t.Errorf("%d got it, the dead one %d times, the suspected one %d times", len(got), got["d005"], got["d007"])
+	}
+}
+
+func BenchmarkPassOn(b *testing.B) {
+	all := members(295, 5)
+	f := newForwarding(all)
+	for b.Loop() {
+		f.below("d000", "d000", 1, 8)
+	}
+}
