A process that starts under a clock that went back is taken for what it says of itself

Cause: an incarnation begins at the time of day. If that jumped back before a restart, the new process has a lower incarnation than the last one, and the others kept what the last one had said: after a planned stop that it was leaving, for good, and an address that it may have left. It heard of that and answered suspicions only.

Now a daemon raises its incarnation over any higher one that it hears of itself, and who knows a higher one says so in the answer to its ping.

Test: TestRestartWithAClockThatWentBack: of four cases two fail on the code before (after a planned stop, at another address for callers), all pass; TestLeavingDaemonStaysLeaving guards the other side.

--- a/member/merge.go
+++ b/member/merge.go
@@ -35,7 +35,8 @@
 func (d *Detector) ackFor(now time.Time, message Message) Message {
 	ack := d.message(Ack, message.Sequence)
 	ack.KnowsLeaving = d.members[message.Sender.Name].Leaving
-	if known := d.members[message.Sender.Name]; known.State >= Suspect {
+	if known := d.members[message.Sender.Name]; known.State >= Suspect || known.Incarnation > message.Sender.Incarnation {
+		// The sender has to hear that, to refute it.
 		ack.Members = append(ack.Members, known.Member)
 	}
 	if message.Digest != ack.Digest && d.mayInform(now, message.Sender) {
@@ -115,9 +116,14 @@
 	d.changed()
 }
 
-// refute answers a false suspicion about this daemon by a higher incarnation.
+// refute answers news about this daemon that is not true by a higher incarnation: a suspicion, or
+// what an earlier process of it said under a higher incarnation. That begins at the time of day,
+// which may have gone back since; the new process would else be taken for the old one, which may
+// have been leaving.
 func (d *Detector) refute(news Member) {
-	if news.Incarnation < d.self.Incarnation || news.State < Suspect {
+	earlierProcess := news.Incarnation > d.self.Incarnation
+	suspicion := news.Incarnation == d.self.Incarnation && news.State >= Suspect
+	if !earlierProcess && !suspicion {
 		return
 	}
 	d.self.Incarnation = news.Incarnation + 1
