Three rumors of four stay in their zone

Now one of the four goes to another zone, the others stay as far as the own zone has so many.

Tests: TestRumorsMostlyStayInTheirZone (150 daemons, five zones; before 80 in 100 crossed, and in one of five seeds 3 of 149 daemons had not heard after four probe intervals; it allows five), TestManyDaemonsHearOfALossSoon unchanged.

--- a/member/detector_test.go
+++ b/member/detector_test.go
@@ -22,6 +22,10 @@
 	queue     []member.Packet
 	random    *rand.Rand
 	loss      float64
+	// zones is in how many zones the detectors made from now on are, by turns; one if it is zero.
+	zones int
+	// rumors counts the rumors sent, and farRumors those to another zone.
+	rumors, farRumors int
 }
 
 const step = 100 * time.Millisecond
@@ -41,13 +45,15 @@
 
 func (g *group) newDetector(index int) *member.Detector {
 	self := member.Member{
-		Name: fmt.Sprintf("d%d", index), PeerAddress: address(index), Incarnation: uint64(g.now.UnixMilli()),
+		Name: fmt.Sprintf("d%d", index), PeerAddress: address(index), Incarnation: uint64(g.now.UnixMilli()), Zone: g.zoneOf(index),
 	}
 	detector := member.NewDetector(self, member.DefaultSettings(), rand.New(rand.NewPCG(uint64(index), g.random.Uint64())))
 	detector.SetSeeds([]string{address(0), address(1)})
 	return detector
 }
 
+func (g *group) zoneOf(index int) string { return fmt.Sprint("z", index%max(1, g.zones)) }
+
 func (g *group) indexOf(peer string) int {
 	for index := range g.detectors {
 		if address(index) == peer {
@@ -60,6 +66,12 @@
 func (g *group) send(from int, packets []member.Packet) {
 	for _, packet := range packets {
 		to := g.indexOf(packet.Address)
+		if packet.Message.Kind == member.Rumor {
+			g.rumors++
+			if g.zoneOf(from) != g.zoneOf(to) {
+				g.farRumors++
+			}
+		}
 		if to < 0 || g.off[to] || g.cut[[2]int{from, to}] || g.random.Float64() < g.loss {
 			continue
 		}
@@ -292,6 +304,37 @@
 	}
 }
 
+// TestRumorsMostlyStayInTheirZone does the same with twice as many daemons in five zones, for one
+// probe interval more: one rumor in four at most goes to another zone.
+func TestRumorsMostlyStayInTheirZone(t *testing.T) {
+	const size, victim = 150, 9
+	for seed := range uint64(5) {
+		g := newGroup(0, seed)
+		g.zones = 5
+		for index := range size {
+			g.off = append(g.off, false)
+			g.detectors = append(g.detectors, g.newDetector(index))
+		}
+		g.run(34 * time.Second)
+		g.rumors, g.farRumors = 0, 0
+		g.off[victim] = true
+		g.run(5 * member.DefaultSettings().ProbeInterval)
+		unaware := 0
+		for index, detector := range g.detectors {
+			known, _ := detector.Lookup(fmt.Sprintf("d%d", victim))
+			if index != victim && known.State == member.Alive {
+				unaware++
+			}
+		}
+		if unaware > 0 {
+			t.Errorf("seed %d: %d of %d daemons still hold it for alive", seed, unaware, size-1)
+		}
+		if g.rumors < size || g.farRumors*4 > g.rumors {
+			t.Errorf("seed %d: %d of %d rumors go to another zone", seed, g.farRumors, g.rumors)
+		}
+	}
+}
+
 // TestAMessageTellsEachPieceOfNewsOnce holds also while one piece is more urgent than
 // all others.
 func TestAMessageTellsEachPieceOfNewsOnce(t *testing.T) {
--- a/member/probe.go
+++ b/member/probe.go
@@ -89,14 +89,32 @@
 		return packets
 	}
 	d.rumorAt = now
-	others := slices.DeleteFunc(slices.Clone(d.Live()), func(name string) bool { return name == d.self.Name })
-	d.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, name := range others[:min(d.settings.RumorFanOut, len(others))] {
+	for _, name := range d.rumorReceivers() {
 		packets = append(packets, Packet{d.members[name].PeerAddress, d.message(Rumor, 0)})
 	}
 	return packets
 }
 
+// rumorReceivers draws the members to tell: one of another zone, and the others of the own one as
+// far as there are so many. Each zone then hears of a change from many daemons of the others, and
+// most messages do not cross between zones.
+func (d *Detector) rumorReceivers() []string {
+	var near, far []string
+	for _, name := range d.Live() {
+		switch {
+		case name == d.self.Name:
+		case d.members[name].Zone == d.self.Zone:
+			near = append(near, name)
+		default:
+			far = append(far, name)
+		}
+	}
+	d.random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	d.random.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	first := min(1, len(far))
+	return slices.Concat(far[:first], near, far[first:])[:min(d.settings.RumorFanOut, len(near)+len(far))]
+}
+
 func (d *Detector) suspectUnanswered(now time.Time) {
 	if d.probe.name == "" || d.probe.answered {
 		return
