--- a/coordination/members.go
+++ b/coordination/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/wheatweir/wheatweir/member"
 )
@@ -14,27 +15,21 @@
 	incarnation uint64
 }
 
-// noteMembers logs each change in what is believed of the other daemons.
-func (n *Node) noteMembers() {
+// noteMembers notes each change in what is believed of the other daemons, for the log. Each is
+// named with its incarnation.
+func (n *Node) noteMembers(now time.Time) {
 	revision := n.detector.Revision()
 	if revision == n.membersAt {
 		return
 	}
 	n.membersAt = revision
-	var list nameList
 	for _, other := range n.detector.Members() {
 		belief := memberBelief{state: other.State, leaving: other.Leaving, incarnation: other.Incarnation}
 		if other.Name == n.self || n.members[other.Name] == belief {
 			continue
 		}
 		n.members[other.Name] = belief
-		list.add(belief.String(), other.Name+"@"+strconv.FormatUint(other.Incarnation, 10))
-		if list.count == namesPerLine {
-			n.decide("daemons", "Changed.", list.fields()...)
-		}
-	}
-	if list.count > 0 {
-		n.decide("daemons", "Changed.", list.fields()...)
+		n.addNews(now, &n.memberNews, belief.String(), other.Name+"@"+strconv.FormatUint(other.Incarnation, 10))
 	}
 }
 
--- a/coordination/news.go
+++ b/coordination/news.go
@@ -1,17 +1,24 @@
 package coordination
 
 import (
+	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/wheatweir/wheatweir/feed"
 	"github.com/wheatweir/wheatweir/fleet"
 )
 
-// namesPerLine bounds the names in one line of the log. A fleet tells its news to each of its
-// daemons, so a line for each piece of news grows as their product: 870,000 lines in 48 s with
-// 295 daemons before 245 servers. Lines with many names keep all of it, in a fortieth of that.
-const namesPerLine = 64
+// A fleet tells its news to each of its daemons, so a line of the log for each piece of news
+// grows as their product: 870,000 lines in 48 s with 295 daemons before 245 servers. Lines that
+// name what is new, gathered for a while, keep all of it in a hundredth of that.
+const (
+	// namesPerLine bounds the names in one line.
+	namesPerLine = 64
+	// newsPause is the least time between two lines of one sort that are not full.
+	newsPause = time.Second
+)
 
 // origin is where a daemon learned something: the store, or the daemon of that name.
 type origin string
@@ -19,19 +26,27 @@
 // originStore is the origin of what this daemon read from the store itself.
 const originStore origin = "store"
 
-// nameList gathers names by what became of them, and logs them in lines of bounded length.
-type nameList struct {
-	// groups are in the order in which they first came up.
-	groups []nameGroup
-	count  int
+// newsList gathers news of one sort for the log.
+type newsList struct {
+	part string
+	// groups are the names by what became of them, in the order in which they first came up.
+	groups  []newsGroup
+	origins []string
+	count   int
+	// since is when the first of the names was learned.
+	since    time.Time
+	loggedAt time.Time
 }
 
-type nameGroup struct {
+type newsGroup struct {
 	state string
 	names []string
 }
 
-func (l *nameList) add(state, name string) {
+func (l *newsList) add(now time.Time, state, name string) {
+	if l.count == 0 {
+		l.since = now
+	}
 	l.count++
 	for i := range l.groups {
 		if l.groups[i].state == state {
@@ -39,32 +54,64 @@
 			return
 		}
 	}
-	l.groups = append(l.groups, nameGroup{state: state, names: []string{name}})
+	l.groups = append(l.groups, newsGroup{state: state, names: []string{name}})
+}
+
+func (l *newsList) addOrigin(from origin) {
+	if !slices.Contains(l.origins, string(from)) {
+		l.origins = append(l.origins, string(from))
+	}
 }
 
-// fields returns the fields of a line with the names so far and empties the list.
-func (l *nameList) fields() []any {
-	fields := []any{"count", l.count}
+// due reports whether a line has to be written now.
+func (l *newsList) due(now time.Time) bool {
+	return l.count > 0 && now.Sub(l.loggedAt) >= newsPause
+}
+
+// take returns the fields of a line with the names so far, and empties the list.
+func (l *newsList) take(now time.Time) []any {
+	fields := []any{"count", l.count, "over_ms", now.Sub(l.since).Milliseconds()}
+	if len(l.origins) > 0 {
+		fields = append(fields, "from", strings.Join(l.origins, ","))
+	}
 	for _, group := range l.groups {
 		fields = append(fields, group.state, strings.Join(group.names, ","))
 	}
-	*l = nameList{}
+	*l = newsList{part: l.part, loggedAt: now}
 	return fields
 }
 
-// logInstances logs what became of instances and from where this daemon knows it. Each is
-// named with the revision of its change.
-func (n *Node) logInstances(from origin, changed []feed.Item[*fleet.Instance]) {
-	var list nameList
-	for _, item := range changed {
-		list.add(instanceState(item), item.Name+"@"+strconv.FormatUint(item.Revision, 10))
-		if list.count == namesPerLine {
-			n.decide("instances", "Changed.", append([]any{"from", string(from)}, list.fields()...)...)
+// logNews writes a line for a list.
+func (n *Node) logNews(now time.Time, list *newsList) {
+	n.decide(list.part, "Changed.", list.take(now)...)
+}
+
+// addNews adds a name to a list and writes a line if it is full.
+func (n *Node) addNews(now time.Time, list *newsList, state, name string) {
+	list.add(now, state, name)
+	if list.count == namesPerLine {
+		n.logNews(now, list)
+	}
+}
+
+// logDueNews writes the lines that are due.
+func (n *Node) logDueNews(now time.Time) {
+	for _, list := range []*newsList{&n.memberNews, &n.instanceNews} {
+		if list.due(now) {
+			n.logNews(now, list)
 		}
 	}
-	if list.count > 0 {
-		n.decide("instances", "Changed.", append([]any{"from", string(from)}, list.fields()...)...)
+}
+
+// noteInstances notes what became of instances and from where this daemon knows it, for the log.
+// Each is named with the revision of its change.
+func (n *Node) noteInstances(now time.Time, from origin, changed []feed.Item[*fleet.Instance]) {
+	list := &n.instanceNews
+	for _, item := range changed {
+		list.addOrigin(from)
+		n.addNews(now, list, instanceState(item), item.Name+"@"+strconv.FormatUint(item.Revision, 10))
 	}
+	n.logDueNews(now)
 }
 
 func instanceState(item feed.Item[*fleet.Instance]) string {
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -36,9 +36,12 @@
 	sources   map[Source]*sourceState
 	questions []question
 	members   map[string]memberBelief
-	membersAt uint64
-	group     *Group
-	groupAt   uint64
+	// memberNews and instanceNews are what the log has not told yet.
+	memberNews   newsList
+	instanceNews newsList
+	membersAt    uint64
+	group        *Group
+	groupAt      uint64
 	// forwarding is the fleet at the members' revision forwardingAt.
 	forwarding   *forwarding
 	forwardingAt uint64
@@ -90,8 +93,8 @@
 		demand: newDemandState(), lastHolder: now, watcherAt: now.Add(settings.WatchAfter),
 		view:      fleet.NewView(nil, nil),
 		spreading: newSpreadState(random.Uint64()),
-		members:   map[string]memberBelief{},
-		sources:   map[Source]*sourceState{SourceConfiguration: {}, SourceInstances: {}},
+		members:   map[string]memberBelief{}, memberNews: newsList{part: "daemons"}, instanceNews: newsList{part: "instances"},
+		sources: map[Source]*sourceState{SourceConfiguration: {}, SourceInstances: {}},
 	}
 	node.detector.SetSeeds(seeds)
 	return node
@@ -130,7 +133,8 @@
 	for _, packet := range n.detector.Tick(now) {
 		n.sendProbe(packet)
 	}
-	n.noteMembers()
+	n.noteMembers(now)
+	n.logDueNews(now)
 	n.tickSources(now)
 	n.tickQuestions(now)
 	n.tickLease(now)
@@ -270,7 +274,7 @@
 func (n *Node) InstancesAt() uint64 { return n.instances.At() }
 
 func (n *Node) instancesChanged(now time.Time, from origin, changed []feed.Item[*fleet.Instance]) {
-	n.logInstances(from, changed)
+	n.noteInstances(now, from, changed)
 	for _, item := range changed {
 		n.changed[item.Name] = true
 		if item.Gone {
--- a/explain/known.go
+++ b/explain/known.go
@@ -11,14 +11,16 @@
 
 // Known is one change of what a daemon believed of an instance that it used for the request.
 type Known struct {
+	// At is when the daemon logged it; it learned it up to OverMs milliseconds before.
 	At       time.Time `json:"at"`
+	OverMs   string    `json:"over_ms"`
 	Node     string    `json:"node"`
 	Instance string    `json:"instance"`
 	// State is present, leaving or gone.
 	State string `json:"state"`
 	// Revision is that of the change in the store.
 	Revision string `json:"revision"`
-	// From is the daemon that told it, or the store.
+	// From is who told it: a daemon or the store, or several of them of which one did.
 	From string `json:"from"`
 }
 
@@ -40,7 +42,9 @@
 		for _, name := range strings.Split(names, ",") {
 			instance, revision, _ := strings.Cut(name, "@")
 			about := belief{line.Node, instance}
-			k[about] = append(k[about], Known{At: line.At, Node: line.Node, Instance: instance, State: state, Revision: revision, From: line.Value("from")})
+			k[about] = append(k[about], Known{
+				At: line.At, OverMs: line.Value("over_ms"), Node: line.Node, Instance: instance, State: state, Revision: revision, From: line.Value("from"),
+			})
 		}
 	}
 }
@@ -93,8 +97,8 @@
 // writeKnown writes a line for each change, with the time before or after the first step.
 func writeKnown(w io.Writer, begin time.Time, changes []Known) error {
 	for _, known := range changes {
-		_, err := fmt.Fprintf(w, "known: %-16s %s is %s at revision %s, from %s, learned %+dms\n",
-			known.Node, known.Instance, known.State, known.Revision, known.From, known.At.Sub(begin).Milliseconds())
+		_, err := fmt.Fprintf(w, "known: %-16s %s is %s at revision %s, from %s, logged %+dms, learned within %sms before\n",
+			known.Node, known.Instance, known.State, known.Revision, known.From, known.At.Sub(begin).Milliseconds(), known.OverMs)
 		if err != nil {
 			return ErrRead.Wrap(err)
 		}
