--- a/cmd/wheatweir/lab.go
+++ b/cmd/wheatweir/lab.go
@@ -23,7 +23,6 @@
 	addUp(lab)
 	addStandIns(lab)
 	addVerify(lab)
-	addScale(lab)
 	addRun(lab)
 	addReport(lab)
 	addLoad(lab)
--- a/control/settings.go
+++ b/control/settings.go
@@ -92,15 +92,3 @@
 		DeltaBytes:       32 << 10,
 	}
 }
-
-// LargeFleetSettings returns settings for hundreds of daemons, which spend
-// fewer bytes on load reports than the defaults and keep fewer replicas ready,
-// since each replica costs reports.
-func LargeFleetSettings() Settings {
-	settings := DefaultSettings()
-	settings.PollInterval = time.Second
-	settings.LoadChange = 0.25
-	settings.LoadPause = time.Second
-	settings.Placement.Headroom = 1.5
-	return settings
-}
