--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -18,6 +18,8 @@
 	longestSeries = 4
 	shortestHarm  = 200 * time.Millisecond
 	longestHarm   = 6 * time.Second
+	// readLag is by how much such reads lag at most: the platform says seconds.
+	readLag = 4 * time.Second
 )
 
 // fault is one kind of trouble. Strike begins it; it returns how to end it, or nil if
@@ -55,6 +57,7 @@
 
 // runFaults brings faults about until ctx ends: in series, and overlapping.
 func (d *deployment) runFaults(ctx context.Context, random *rand.Rand) {
+	d.group.Go(func() { d.letReadsLag(ctx) })
 	if !pause(ctx, firstFault) {
 		return
 	}
@@ -77,6 +80,13 @@
 	}
 }
 
+// letReadsLag keeps reads of the store that may lag up to readLag behind, until ctx ends: daemons
+// that start list what was so some time ago.
+func (d *deployment) letReadsLag(ctx context.Context) {
+	for d.store.HoldOld(); pause(ctx, readLag); d.store.HoldOld() {
+	}
+}
+
 // strike begins one fault and ends it later.
 func (d *deployment) strike(ctx context.Context, chosen fault, random *rand.Rand) {
 	d.faults++
