--- a/coordination/scale_bench_test.go
+++ b/coordination/scale_bench_test.go
@@ -100,9 +100,13 @@
 	}
 }
 
-// loseServers has the list of each node tell that the first servers are gone.
+// loseServers has the store tell the nodes that watch it that the first servers are gone. The others
+// hear of it from those.
 func (w *world) loseServers(count int) {
 	for _, name := range w.names() {
+		if !w.nodes[name].Watching(w.now) {
+			continue
+		}
 		batch := feed.Batch[*fleet.Instance]{At: 6}
 		for i := range count {
 			batch.Items = append(batch.Items, feed.Item[*fleet.Instance]{Name: fmt.Sprintf("i-%08x", i), Revision: 6, Gone: true})
