--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -193,7 +194,10 @@
 			d.record.ended(sent, answer, err)
 			served = err == nil && answer.Status == http.StatusOK && answer.Complete
 			if !served && ctx.Err() != nil {
-				d.record.missedRecovery(sent, answer, err)
+				// A soak that is interrupted has not waited for as long as recovery may take.
+				if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+					d.record.missedRecovery(sent, answer, err)
+				}
 				return false
 			}
 		}
