--- a/coordination/news.go
+++ b/coordination/news.go
@@ -11,8 +11,8 @@
 )
 
 // A fleet tells its news to each of its daemons, so a line of the log for each piece of news
-// grows as their product: 870,000 lines in 48 s with 295 daemons before 245 servers. Lines that
-// name what is new, gathered for a while, keep all of it in a hundredth of that.
+// grows as their product: 840,000 lines in 48 s with 295 daemons before 245 servers. Lines that
+// name what is new, gathered for a while, keep all of it: 8,700 in the first 25 s of such a day.
 const (
 	// namesPerLine bounds the names in one line.
 	namesPerLine = 64
