--- a/coordination/tree.go
+++ b/coordination/tree.go
@@ -12,7 +12,7 @@
 // tree has the places of the first one in reverse, so nobody has others below it in both.
 const treeVariants = 2
 
-// forwarding is the fleet as messages of the holder pass through it.
+// forwarding is the fleet arranged as multicast trees, by which messages of the holder reach all.
 type forwarding struct {
 	zones  []string
 	zoneOf map[string]string
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -43,7 +43,7 @@
 const (
 	// Newest asks for everything that the store has taken so far.
 	Newest Freshness = iota
-	// MayLag takes a list of some seconds ago, if that is cheaper for the store.
+	// MayLag allows a stale read: a list of some seconds ago, if that is cheaper for the store.
 	MayLag
 )
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -58,7 +58,7 @@
 	Write *Record
 	// IfRevision is the revision that a write replaces; zero creates.
 	IfRevision uint64
-	// MayLag says that the record that is read may be some seconds old, as for the first read of a
+	// MayLag allows a stale read, of a record some seconds old, as for the first read of a
 	// candidate: whatever it decides by an old record is a write on that record's revision,
 	// which fails if there is a newer one.
 	MayLag bool
