--- a/member/detector_test.go
+++ b/member/detector_test.go
@@ -280,6 +280,18 @@
 	})
 }
 
+// unaware counts the daemons that still hold a victim for alive.
+func (g *group) unaware(victim int) int {
+	count := 0
+	for index, detector := range g.detectors {
+		known, _ := detector.Lookup(fmt.Sprintf("d%d", victim))
+		if index != victim && known.State == member.Alive {
+			count++
+		}
+	}
+	return count
+}
+
 // TestManyDaemonsHearOfALossSoon turns one daemon of many off a few seconds after they
 // have all started, while news of the start still goes round: all others hear of the
 // loss within four probe intervals of it: one or two until somebody probes it, one until
@@ -291,14 +303,7 @@
 		g.run(34 * time.Second)
 		g.off[victim] = true
 		g.run(4 * member.DefaultSettings().ProbeInterval)
-		unaware := 0
-		for index, detector := range g.detectors {
-			known, _ := detector.Lookup(fmt.Sprintf("d%d", victim))
-			if index != victim && known.State == member.Alive {
-				unaware++
-			}
-		}
-		if unaware > 0 {
+		if unaware := g.unaware(victim); unaware > 0 {
 			t.Errorf("seed %d: %d of %d daemons still hold it for alive", seed, unaware, size-1)
 		}
 	}
@@ -319,14 +324,7 @@
 		g.rumors, g.farRumors = 0, 0
 		g.off[victim] = true
 		g.run(5 * member.DefaultSettings().ProbeInterval)
-		unaware := 0
-		for index, detector := range g.detectors {
-			known, _ := detector.Lookup(fmt.Sprintf("d%d", victim))
-			if index != victim && known.State == member.Alive {
-				unaware++
-			}
-		}
-		if unaware > 0 {
+		if unaware := g.unaware(victim); unaware > 0 {
 			t.Errorf("seed %d: %d of %d daemons still hold it for alive", seed, unaware, size-1)
 		}
 		if g.rumors < size || g.farRumors*4 > g.rumors {
