--- /dev/null
+++ b/entry/crash_test.go
@@ -0,0 +1,177 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/platform/standin"
+)
+
+// What was seen: servers of a model ended one after the other, one or two a second. Under each of
+// them ran a request of the same path, caller and body, which its client sent again under a new id,
+// mostly to another daemon. A daemon gave such a request its final answer and kept nothing of it, and
+// told the others nothing, so each try began as if there had been none before: 17 to 20 servers
+// ended under one request. Proof: each try has a single attempt in the log, so no repeat within a
+// try is to blame, and tries in a row come from different daemons.
+
+// deadlyBody is the body of the request under which servers crash in these tests.
+const deadlyBody = "a prompt that no server survives"
+
+// crashLimit is how many servers may crash under one request before no daemon sends it on.
+const crashLimit = 3
+
+// startWithFragileServers starts daemons before a plain service whose servers crash under
+// deadlyBody. Routes plain (one attempt) and retried (two attempts) lead there.
+func startWithFragileServers(t *testing.T, daemons int) *deployment {
+	t.Helper()
+	f := start(t, daemons)
+	putConfiguration(f.store, 2, "retried")
+	for number := range 10 {
+		f.addServer(t, fmt.Sprint("spare", number), "web")
+	}
+	for _, server := range f.servers {
+		server.CrashOn(deadlyBody)
+	}
+	f.waitReady(t)
+	for i := range f.all {
+		eventually(t, "the new route", func() bool {
+			_, status, _, _ := post(f.all[i].FrontAddress, "/retried/x", "")
+			return status == 200
+		})
+		eventually(t, "all daemons know each other", func() bool { return len(f.resolve(i).Addresses) == daemons })
+	}
+	return f
+}
+
+// send sends one request with a body to a daemon.
+func (f *deployment) send(daemon int, path, body string) standin.ClientAnswer {
+	answer, _ := client.Do(context.Background(), f.all[daemon].FrontAddress, standin.ClientRequest{
+		ID: fmt.Sprintf("%016x", requestNumber.Add(1)), Host: "h.example", Path: path, Body: body, Patience: 5 * time.Second,
+	})
+	return answer
+}
+
+// crashes counts the servers that ran the deadly request.
+func (f *deployment) crashes() int {
+	count := 0
+	for _, server := range f.servers {
+		for _, run := range server.Runs() {
+			if run.Body == deadlyBody {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// betweenTries is the pause of the clients of the incident between two tries, at its shortest, taken ten times as
+// short: the daemons have that long to tell each other.
+const betweenTries = 50 * time.Millisecond
+
+// TestDeadlyRequestIsStopped sends the same request again and again, at one daemon after the other.
+func TestDeadlyRequestIsStopped(t *testing.T) {
+	for _, path := range []string{"/plain/x", "/retried/x"} {
+		t.Run(path, func(t *testing.T) {
+			f := startWithFragileServers(t, 3)
+			var last standin.ClientAnswer
+			for try := range 10 {
+				last = f.send(try%len(f.all), path, deadlyBody)
+				time.Sleep(betweenTries)
+			}
+			if crashed := f.crashes(); crashed != crashLimit {
+				t.Errorf("%d servers crashed, want %d", crashed, crashLimit)
+			}
+			if last.Status != 503 || last.RetryAfter < time.Minute {
+				t.Errorf("the last try got %d, come back in %v; want 503 and no return soon", last.Status, last.RetryAfter)
+			}
+			for i := range f.all {
+				if answer := f.send(i, path, "another prompt"); answer.Status != 200 {
+					t.Errorf("another request at daemon %d got %d", i, answer.Status)
+				}
+			}
+		})
+	}
+}
+
+// TestDeadlyRequestIsKnownToDaemonsThatStartLater covers a daemon that was not there when the
+// servers crashed, and one that has lost what it knew.
+func TestDeadlyRequestIsKnownToDaemonsThatStartLater(t *testing.T) {
+	f := startWithFragileServers(t, 2)
+	for try := range crashLimit {
+		f.send(try%len(f.all), "/plain/x", deadlyBody)
+		time.Sleep(betweenTries)
+	}
+	f.daemons[1].Kill()
+	f.daemons[1] = f.startDaemon(t, f.all[1])
+	eventually(t, "the daemon serves again", func() bool { return f.send(1, "/plain/x", "another prompt").Status == 200 })
+	// Its fleet has the time that the platform gives a daemon to be up to date again.
+	time.Sleep(3 * time.Second)
+	f.send(1, "/plain/x", deadlyBody)
+	if crashed := f.crashes(); crashed != crashLimit {
+		t.Errorf("%d servers crashed, want %d", crashed, crashLimit)
+	}
+}
+
+// TestDeadlyRequestIsKnownAfterAllDaemonsWereKilled covers the loss of everything that only daemons know.
+func TestDeadlyRequestIsKnownAfterAllDaemonsWereKilled(t *testing.T) {
+	f := startWithFragileServers(t, 2)
+	for try := range crashLimit {
+		f.send(try%len(f.all), "/plain/x", deadlyBody)
+		time.Sleep(betweenTries)
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, daemon := range f.daemons {
+		daemon.Kill()
+	}
+	for i := range f.daemons {
+		f.daemons[i] = f.startDaemon(t, f.all[i])
+	}
+	for i := range f.all {
+		eventually(t, "the daemon serves again", func() bool { return f.send(i, "/plain/x", "another prompt").Status == 200 })
+	}
+	time.Sleep(3 * time.Second)
+	for try := range 4 {
+		f.send(try%len(f.all), "/plain/x", deadlyBody)
+		time.Sleep(betweenTries)
+	}
+	if crashed := f.crashes(); crashed != crashLimit {
+		t.Errorf("%d servers crashed, want %d", crashed, crashLimit)
+	}
+}
+
+// TestBystandersOfCrashesAreServed sends the same harmless requests beside the deadly one: they
+// run on servers that crash, more than once, and must not be taken for the cause.
+func TestBystandersOfCrashesAreServed(t *testing.T) {
+	f := startWithFragileServers(t, 3)
+	stop := make(chan struct{})
+	done := make(chan int)
+	go func() {
+		served := 0
+		for number := 0; ; number++ {
+			select {
+			case <-stop:
+				done <- served
+				return
+			default:
+			}
+			if f.send(number%len(f.all), "/retried/x", "a popular prompt").Status == 200 {
+				served++
+			}
+		}
+	}()
+	for try := range 6 {
+		f.send(try%len(f.all), "/plain/x", deadlyBody)
+		time.Sleep(betweenTries)
+	}
+	close(stop)
+	if served := <-done; served == 0 {
+		t.Error("no bystander was served")
+	}
+	for i := range f.all {
+		if answer := f.send(i, "/retried/x", "a popular prompt"); answer.Status != 200 {
+			t.Errorf("daemon %d refuses the harmless request with %d", i, answer.Status)
+		}
+	}
+}
