Log: which content ran on a server that crashed, and whether it crashed

The log could not tell tries of one request from tries of several, nor a server that ended from a connection that did. Events of a request that broke name the keyed digest of its caller, method, host, target and body, and a daemon whose connections to a server ended looks whether anybody listens there still: one dial, a second one 0.1 s later.

--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"regexp"
 	"testing"
 	"time"
 
@@ -26,7 +28,12 @@
 // deadlyBody. Routes plain (one attempt) and retried (two attempts) lead there.
 func startWithFragileServers(t *testing.T, daemons int) *deployment {
 	t.Helper()
-	f := start(t, daemons)
+	return startFragile(t, daemons, io.Discard)
+}
+
+func startFragile(t *testing.T, daemons int, output io.Writer) *deployment {
+	t.Helper()
+	f := startWithLogs(t, daemons, output)
 	putConfiguration(f.store, 2, "retried")
 	for number := range 10 {
 		f.addServer(t, fmt.Sprint("spare", number), "web")
@@ -95,6 +102,29 @@
 	}
 }
 
+// TestLogTellsWhatRanOnServersThatCrashed covers the way from a server that no longer answers to the
+// request under which it crashed: its content is the same at each daemon, and one that breaks
+// an answer off while it lives on is told apart.
+func TestLogTellsWhatRanOnServersThatCrashed(t *testing.T) {
+	logged := &lockedText{}
+	f := startFragile(t, 2, logged)
+	for i := range f.all {
+		f.send(i, "/plain/x", deadlyBody)
+	}
+	pattern := regexp.MustCompile(`node=(d\d) instance=(\S+) crashed=true requests=1 contents=([0-9a-f]{32})\n`)
+	eventually(t, "both daemons name the content", func() bool {
+		told := pattern.FindAllStringSubmatch(logged.String(), -1)
+		return len(told) == 2 && told[0][1] != told[1][1] && told[0][2] != told[1][2] && told[0][3] == told[1][3]
+	})
+	for _, server := range f.servers {
+		server.Behave(standin.BehaviourBreaking)
+	}
+	eventually(t, "a broken answer of a server that lives", func() bool {
+		f.send(0, "/plain/x", "another prompt")
+		return regexp.MustCompile(`crashed=false requests=`).MatchString(logged.String())
+	})
+}
+
 // TestDeadlyRequestIsKnownToDaemonsThatStartLater covers a daemon that was not there when the
 // servers crashed, and one that has lost what it knew.
 func TestDeadlyRequestIsKnownToDaemonsThatStartLater(t *testing.T) {
--- /dev/null
+++ b/entry/crashwatch.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/quarantine"
+	"github.com/wheatweir/wheatweir/ring"
+)
+
+const (
+	// crashLooks is how often it is looked whether a server that ended a connection still takes new
+	// ones, and crashLookPause the pause between two looks: a process that ends closes its connections one
+	// by one, and the place where it listens may be the last.
+	crashLooks     = 2
+	crashLookPause = 100 * time.Millisecond
+	// crashSpan is how long what was found out holds for connections that break later: those of
+	// one crash break within some ten milliseconds, and a server is back after a second at least.
+	crashSpan = 500 * time.Millisecond
+	// crashWatchers bounds the servers that are looked at side by side. One that nobody answers for
+	// takes a dial's whole time.
+	crashWatchers  = 4
+	crashWatchRing = 256
+	// mostVictims bounds the contents that are remembered of one crash: engines run 64 requests
+	// at once at most.
+	mostVictims = 64
+)
+
+// crashWatch finds out whether servers that end connections have crashed. A reset connection or a
+// garbled answer says nothing about the request; a server at which nobody listens any more does.
+type crashWatch struct {
+	refuses func(ctx context.Context, address string) bool
+	// crashed is told of the contents that ran on a server when it crashed.
+	crashed func(instance string, contents []quarantine.Digest)
+	log     func(text string, fields ...any)
+	looks   *ring.Ring[*fleet.Instance]
+
+	mutex  sync.Mutex
+	broken map[string]*brokenInstance
+}
+
+// brokenInstance is an instance that has ended connections.
+type brokenInstance struct {
+	// contents are those of the requests that it ran, as long as it is not known whether it
+	// crashed.
+	contents []quarantine.Digest
+	crashed  bool
+	// until is when what is known of it no longer holds; zero while it is being looked at.
+	until time.Time
+}
+
+func newCrashWatch() *crashWatch {
+	return &crashWatch{looks: ring.New[*fleet.Instance](crashWatchRing), broken: map[string]*brokenInstance{}}
+}
+
+// broke notes that an instance ended the connection of a request.
+func (w *crashWatch) broke(now time.Time, instance *fleet.Instance, content quarantine.Digest) {
+	if w.note(now, instance, content) {
+		w.crashed(instance.ID, []quarantine.Digest{content})
+	}
+}
+
+// note takes in a broken request. It reports whether the instance is known to have crashed.
+func (w *crashWatch) note(now time.Time, instance *fleet.Instance, content quarantine.Digest) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.expire(now)
+	known := w.broken[instance.ID]
+	if known == nil {
+		known = &brokenInstance{}
+		w.broken[instance.ID] = known
+		if !w.looks.Offer(instance) {
+			known.until = now.Add(crashSpan)
+		}
+	}
+	if !known.crashed && len(known.contents) < mostVictims && !slices.Contains(known.contents, content) {
+		known.contents = append(known.contents, content)
+	}
+	return known.crashed
+}
+
+// expire drops what no longer holds.
+func (w *crashWatch) expire(now time.Time) {
+	for id, known := range w.broken {
+		if !known.until.IsZero() && now.After(known.until) {
+			delete(w.broken, id)
+		}
+	}
+}
+
+// run looks at instances until ctx ends.
+func (w *crashWatch) run(ctx context.Context) {
+	for {
+		instance, ok := w.looks.Take(ctx)
+		if !ok {
+			return
+		}
+		w.found(time.Now(), instance, w.look(ctx, instance))
+	}
+}
+
+// look reports whether an instance has crashed.
+func (w *crashWatch) look(ctx context.Context, instance *fleet.Instance) bool {
+	for number := range crashLooks {
+		if number > 0 {
+			sleep(ctx, crashLookPause)
+		}
+		if w.refuses(ctx, instance.Address) {
+			return true
+		}
+	}
+	return false
+}
+
+// found takes in whether an instance has crashed.
+func (w *crashWatch) found(now time.Time, instance *fleet.Instance, crashed bool) {
+	w.mutex.Lock()
+	known := w.broken[instance.ID]
+	contents := known.contents
+	known.contents, known.crashed, known.until = nil, crashed, now.Add(crashSpan)
+	w.mutex.Unlock()
+	w.log("Connections ended.", "instance", instance.ID, "crashed", crashed, "requests", len(contents), "contents", names(contents))
+	if crashed {
+		w.crashed(instance.ID, contents)
+	}
+}
+
+// names lists digests for the log.
+func names(contents []quarantine.Digest) string {
+	list := make([]byte, 0, len(contents)*33)
+	for _, content := range contents {
+		if len(list) > 0 {
+			list = append(list, ',')
+		}
+		list = append(list, content.String()...)
+	}
+	return string(list)
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -73,9 +73,11 @@
 	gateway  *gateway.Gateway
 	dispatch *dispatch
 	quotas   quotas
-	tracker  *balance.Tracker
-	budget   *retry.Budget
-	demand   *demandCounter
+	// quarantine keeps requests from servers that they crash.
+	quarantine *quarantineKeeper
+	tracker    *balance.Tracker
+	budget     *retry.Budget
+	demand     *demandCounter
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -97,12 +99,14 @@
 	d.fleet.live.Store(1)
 	d.budget = retry.NewBudget(retryPart*settings.RetryShare, 1)
 	d.quotas = newQuotas(d)
+	d.quarantine = newQuarantineKeeper(d)
 	d.gateway = gateway.New(gateway.Settings{
 		Zone: settings.Zone, RetryAfter: 200 * time.Millisecond, WaitShare: 0.5,
 		ShareOfConnections: func() float64 { return 1 / float64(max(1, d.fleet.live.Load())) },
 		ZoneCost:           d.zoneCost,
 		KeysSure:           d.keysSure,
 		Quotas:             d.quotas,
+		Quarantine:         d.quarantine,
 	}, d.upstream, d.tracker, d.budget, d.demand, d)
 	d.dispatch = newDispatch(d)
 	d.gateway.SetChooser(d.dispatch)
@@ -186,6 +190,9 @@
 	for range reportWorkers {
 		d.startDuty("reports", d.runReports)
 	}
+	for range crashWatchers {
+		d.startDuty("crashes", func() { d.quarantine.watch.run(d.ctx) })
+	}
 	for range orderWorkers {
 		d.startDuty("orders", d.runOrders)
 	}
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -112,6 +112,9 @@
 			fields = append(fields, "chosen_by", event.ChosenBy)
 		}
 	}
+	if event.Content != "" {
+		fields = append(fields, "content", event.Content)
+	}
 	if event.Forecast > 0 {
 		fields = append(fields, "forecast_ms", event.Forecast.Milliseconds())
 	}
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -27,6 +27,9 @@
 		if e.drained() {
 			return nil, ReasonStopping
 		}
+		if e.held() {
+			return nil, ReasonQuarantined
+		}
 		e.phase = PhaseChoosing
 		candidate, found := e.find(ctx, view, wait.lacksConnection)
 		switch found {
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -33,14 +33,16 @@
 	// ReasonNoConnection says that instances have what the request needs, and all
 	// connections to them that this daemon may have are in use.
 	ReasonNoConnection Reason = "no_connection"
-	ReasonDeclined     Reason = "declined"
-	ReasonUnreached    Reason = "unreached"
-	ReasonBroken       Reason = "broken"
-	ReasonTimeout      Reason = "timeout"
-	ReasonNeverSent    Reason = "never_sent"
-	ReasonClientGone   Reason = "client_gone"
-	ReasonAnswered     Reason = "answered"
-	ReasonStreamBroke  Reason = "stream_broke"
+	// ReasonQuarantined says that servers crashed under requests of this content.
+	ReasonQuarantined Reason = "quarantined"
+	ReasonDeclined    Reason = "declined"
+	ReasonUnreached   Reason = "unreached"
+	ReasonBroken      Reason = "broken"
+	ReasonTimeout     Reason = "timeout"
+	ReasonNeverSent   Reason = "never_sent"
+	ReasonClientGone  Reason = "client_gone"
+	ReasonAnswered    Reason = "answered"
+	ReasonStreamBroke Reason = "stream_broke"
 	// ReasonBodyTooLarge and ReasonBodyFramedTwice say what is wrong with the body.
 	ReasonBodyTooLarge    Reason = "body_too_large"
 	ReasonBodyFramedTwice Reason = "body_framed_twice"
@@ -118,6 +120,8 @@
 	ChosenBy string
 	// Left is what the instance may take.
 	Left time.Duration
+	// Content is the digest of the request's content; empty where nothing asked for it.
+	Content string
 	// Load is what the instance was believed to have to do.
 	Load balance.Load
 	// Forecast is the predicted time of the first token after the choice; zero if there is
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/internal/drain"
+	"github.com/wheatweir/wheatweir/quarantine"
 	"github.com/wheatweir/wheatweir/tenant"
 )
 
@@ -40,7 +41,9 @@
 	use       Use
 	allowedAt time.Time
 	quotaWait time.Duration
-	deadline  time.Time
+	// content is the digest of the request's content, or nil while nothing asked for it.
+	content  *quarantine.Digest
+	deadline time.Time
 	// firstBy is when the client leaves if nothing has come by then.
 	firstBy time.Time
 
@@ -129,6 +132,9 @@
 	if reason := e.identifyAgain(); reason != "" {
 		return reason
 	}
+	if e.held() {
+		return ReasonQuarantined
+	}
 	return e.allow(ctx)
 }
 
@@ -187,6 +193,8 @@
 func (e *exchange) refuse(status int, reason Reason) {
 	retryAfter := time.Duration(0)
 	switch {
+	case reason == ReasonQuarantined:
+		retryAfter = e.heldFor()
 	case reason == ReasonQuota:
 		retryAfter = e.gateway.shortages.refused(time.Now(), tenantShortage+e.tenant.Name, e.quotaWait)
 	case status == statusUnavailable:
@@ -211,6 +219,9 @@
 	event.Attempt = len(e.sentTo)
 	event.Phase = e.phase
 	event.Forecast = e.forecast
+	if e.content != nil {
+		event.Content = e.content.String()
+	}
 	if !e.pace.firstAt.IsZero() {
 		event.FirstEvent = e.pace.firstAt.Sub(e.request.Arrived)
 		event.LongestPause = e.pace.longest
@@ -234,7 +245,7 @@
 	e.reading, e.sentAt, e.startedAt = true, time.Now(), time.Time{}
 	response, err := e.gateway.upstream.Send(ctx, outbound)
 	if err != nil {
-		return e.failedSend(ctx, id, err)
+		return e.failedSend(ctx, candidate.Instance, err)
 	}
 	e.sentTo = append(e.sentTo, id)
 	if !response.Executed() {
@@ -261,7 +272,8 @@
 	return max(1, int(float64(service.MaxConnections)*e.gateway.settings.ShareOfConnections()))
 }
 
-func (e *exchange) failedSend(ctx context.Context, id string, err error) verdict {
+func (e *exchange) failedSend(ctx context.Context, instance *fleet.Instance, err error) verdict {
+	id := instance.ID
 	if ErrNotSent.Has(err) {
 		outcome := balance.Unreached
 		if ctx.Err() != nil || ErrNoConnection.Has(err) {
@@ -280,6 +292,7 @@
 	if ctx.Err() != nil {
 		outcome = balance.Failed
 	}
+	e.brokenBy(ctx, instance)
 	e.end(id, blame(ctx, outcome))
 	e.observe(Event{Step: StepAttemptFailed, Instance: id, Err: err})
 	return verdictBroken
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,9 @@
 	KeysSure func(now time.Time) bool
 	// Quotas holds tenants to their limits; nil means that there are none.
 	Quotas Quotas
+	// Quarantine keeps requests from instances that crash whatever runs them; nil means that
+	// nothing does.
+	Quarantine Quarantine
 }
 
 func (s *Settings) zoneCost() float64 {
@@ -143,6 +146,10 @@
 		e.refuse(statusOf(reason), reason)
 		return
 	}
+	if e.held() {
+		e.refuse(statusUnavailable, ReasonQuarantined)
+		return
+	}
 	ctx, release := g.lifetime.Bind(ctx)
 	defer release()
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/quarantine"
+)
+
+// Quarantine finds contents that crash the instances that run them. It must not block.
+type Quarantine interface {
+	// Suspects reports whether any content is suspected. While none is, which is nearly always,
+	// requests need no digest.
+	Suspects() bool
+	Digest(content *quarantine.Content) quarantine.Digest
+	// HeldUntil returns until when a content is kept from instances; the zero time if it is not.
+	HeldUntil(content quarantine.Digest) time.Time
+	// Broke notes that an instance ended the connection of a request that it ran. Whether it
+	// crashed is still to be found out.
+	Broke(instance *fleet.Instance, content quarantine.Digest)
+	// Served notes that a run ended well.
+	Served(content quarantine.Digest)
+}
+
+// digest returns the digest of the request's content.
+func (e *exchange) digest() quarantine.Digest {
+	if e.content == nil {
+		request := e.request
+		digest := e.gateway.settings.Quarantine.Digest(&quarantine.Content{
+			Caller: request.Key, Method: request.Method, Host: request.RouteHost, URI: request.URI, Body: request.Body,
+		})
+		e.content = &digest
+	}
+	return *e.content
+}
+
+// suspected reports whether there is any content that this one may be.
+func (e *exchange) suspected() bool {
+	return e.gateway.settings.Quarantine != nil && e.gateway.settings.Quarantine.Suspects()
+}
+
+// held reports whether the request must not reach an instance. It is looked at when the request
+// arrives, while it waits and just before each send: others may have run the same content meanwhile.
+func (e *exchange) held() bool {
+	return e.suspected() && !e.gateway.settings.Quarantine.HeldUntil(e.digest()).IsZero()
+}
+
+// heldFor is how long the content is still held.
+func (e *exchange) heldFor() time.Duration {
+	return max(0, time.Until(e.gateway.settings.Quarantine.HeldUntil(e.digest())))
+}
+
+// brokenBy notes that an instance ended the request's connection, unless the client or this daemon did.
+func (e *exchange) brokenBy(ctx context.Context, instance *fleet.Instance) {
+	if e.gateway.settings.Quarantine == nil || ctx.Err() != nil || blame(ctx, balance.Broken) != balance.Broken {
+		return
+	}
+	e.gateway.settings.Quarantine.Broke(instance, e.digest())
+}
+
+// endedWell notes that an instance ran the request to a good end: the content is harmless.
+func (e *exchange) endedWell() {
+	if e.suspected() {
+		e.gateway.settings.Quarantine.Served(e.digest())
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	statusOK          = 200
-	statusServerError = 500
+	statusOK              = 200
+	statusMultipleChoices = 300
+	statusServerError     = 500
 
 	statusRequestTimeout  = 408
 	statusMisdirected     = 421
@@ -26,23 +27,25 @@
 	if e.route.Kind == fleet.KindStream && response.Status() == statusOK && response.Signed() {
 		return e.passStream(ctx, candidate, response)
 	}
-	return e.passWhole(ctx, candidate.Instance.ID, response)
+	return e.passWhole(ctx, candidate.Instance, response)
 }
 
 // passWhole takes in the whole answer before the client sees any of it, so that
 // one that breaks off can be repeated or told apart.
-func (e *exchange) passWhole(ctx context.Context, id string, response Response) verdict {
+func (e *exchange) passWhole(ctx context.Context, instance *fleet.Instance, response Response) verdict {
+	id := instance.ID
 	body, err := io.ReadAll(io.LimitReader(response, maxWhole+1))
 	if err != nil {
+		e.brokenBy(ctx, instance)
 		e.end(id, blame(ctx, balance.Failed))
 		e.observe(Event{Step: StepAttemptFailed, Instance: id, Status: response.Status(), Err: err})
 		return verdictBroken
 	}
 	if len(body) > maxWhole {
 		e.end(id, balance.Served)
-		return e.passLarge(ctx, id, response, body)
+		return e.passLarge(ctx, instance, response, body)
 	}
-	genuine := (response.Signed() || response.Status() >= 300) && !promisesNotRun(response.Status())
+	genuine := (response.Signed() || response.Status() >= statusMultipleChoices) && !promisesNotRun(response.Status())
 	if response.Status() >= statusServerError || !genuine {
 		e.end(id, balance.Failed)
 		if !genuine || e.canRepeatFailure() {
@@ -51,6 +54,9 @@
 		}
 	} else {
 		e.end(id, balance.Served)
+		if response.Status() < statusMultipleChoices {
+			e.endedWell()
+		}
 	}
 	if e.begun {
 		return verdictBroken
@@ -80,7 +86,8 @@
 }
 
 // passLarge hands on an answer that is too large to be taken in whole.
-func (e *exchange) passLarge(ctx context.Context, id string, response Response, head []byte) verdict {
+func (e *exchange) passLarge(ctx context.Context, instance *fleet.Instance, response Response, head []byte) verdict {
+	id := instance.ID
 	if e.begun {
 		return verdictBroken
 	}
@@ -97,10 +104,12 @@
 			return verdictEnded
 		}
 		if errors.Is(err, io.EOF) {
+			e.endedWell()
 			e.observe(Event{Step: StepEnded, Instance: id, Status: response.Status(), Reason: ReasonAnswered})
 			return verdictEnded
 		}
 		if err != nil {
+			e.brokenBy(ctx, instance)
 			e.giveUp(ctx, ReasonBroken)
 			return verdictEnded
 		}
@@ -139,6 +148,7 @@
 			e.answered(candidate)
 			return e.streamEnded(id, response, &events)
 		default:
+			e.brokenBy(ctx, candidate.Instance)
 			e.end(id, blame(ctx, balance.Failed))
 			e.observe(Event{Step: StepStreamBroke, Instance: id, Err: err})
 			return verdictBroken
@@ -149,6 +159,7 @@
 // streamEnded ends a stream whose framing was whole.
 func (e *exchange) streamEnded(id string, response Response, events *eventCutter) verdict {
 	e.end(id, balance.Served)
+	e.endedWell()
 	if !e.forward(response, events.rest()) {
 		e.reply.Abort()
 	}
