Requests that crash their servers are kept from servers, fleet-wide

Ruled out: repeats within a try (one attempt each in the record), though the same fault where routes allow them.

Each daemon notes the content of requests that ran on a server when it crashed, and tells all daemons along the trees of the fleet and, twice a second while anything is suspected, one drawn by chance. A content that ran on three servers that crashed is held for ten minutes: 503, not run, come back when the time is over. A crash counts less for those that others explain, and not at all once a run of the content has ended well. It is looked at on arrival, while a request waits and before each send; a second attempt waits for the look at the first server. The store keeps verdicts, for when all daemons are killed. Requests stay away from a server that crashed until the list drops it.

--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -55,6 +55,21 @@
 	ejectSamples = 4
 )
 
+// crashedPause keeps requests from an instance at which nobody listens any more, until the list of
+// instances says so too: its entry goes after three heartbeats of silence, 3.6 s on the platform.
+// Dead instances look idle, so they are chosen first.
+const crashedPause = 4 * time.Second
+
+// Crashed notes that an instance ended some time ago.
+func (t *Tracker) Crashed(now time.Time, id string, age time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	until := now.Add(crashedPause - age)
+	if state := t.state(id); until.After(state.pausedTo) {
+		state.pausedTo = until
+	}
+}
+
 // avoided reports whether requests are kept away from the instance.
 func (s *instanceState) avoided(now time.Time) bool {
 	return now.Before(s.ejectedTo) || now.Before(s.pausedTo) || s.broken.active(now)
--- a/coordination/actions.go
+++ b/coordination/actions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wheatweir/wheatweir/lease"
+	"github.com/wheatweir/wheatweir/quarantine"
 	"github.com/wheatweir/wheatweir/residency"
 )
 
@@ -43,6 +44,9 @@
 	Until time.Time
 }
 
+// LearnCrashes hands on what another daemon told of servers that crashed.
+type LearnCrashes struct{ Update quarantine.Update }
+
 // Decision is a line for the log.
 type Decision struct {
 	Part   string
@@ -50,10 +54,11 @@
 	Fields []any
 }
 
-func (SendPeer) action()  {}
-func (Broadcast) action() {}
-func (Refresh) action()   {}
-func (CallLease) action() {}
-func (AskReport) action() {}
-func (SendOrder) action() {}
-func (Decision) action()  {}
+func (SendPeer) action()     {}
+func (Broadcast) action()    {}
+func (Refresh) action()      {}
+func (CallLease) action()    {}
+func (AskReport) action()    {}
+func (SendOrder) action()    {}
+func (LearnCrashes) action() {}
+func (Decision) action()     {}
--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -47,6 +47,8 @@
 	// Reads says that the sender has read the configuration from the store, which others may
 	// not reach.
 	Reads bool `msgpack:"d,omitempty"`
+	// Crashes tells of contents of requests that ran on servers that crashed.
+	Crashes *CrashNews `msgpack:"x,omitempty"`
 	// Limit is about the limits of tenants.
 	Limit *limiter.Message `msgpack:"t,omitempty"`
 }
--- a/coordination/spread.go
+++ b/coordination/spread.go
@@ -70,13 +70,17 @@
 	n.passOn(message)
 }
 
-// passOn sends a message to the daemons below this one in the tree of its root.
+// passOn sends a message of the holder to the daemons below this one.
 func (n *Node) passOn(message *Spread) {
+	n.passBelow(message.Root, message.Sequence, Message{From: n.self, Spread: message})
+}
+
+// passBelow sends a message to the daemons below this one in the tree of its root.
+func (n *Node) passBelow(root string, sequence uint64, message Message) {
 	if revision := n.detector.Revision(); n.forwarding == nil || revision != n.forwardingAt {
 		n.forwarding, n.forwardingAt = newForwarding(n.detector.Members()), revision
 	}
-	below := n.forwarding.below(n.self, message.Root, message.Sequence, n.settings.FanOut)
-	n.sendAll(below, Message{From: n.self, Spread: message})
+	n.sendAll(n.forwarding.below(n.self, root, sequence, n.settings.FanOut), message)
 }
 
 // takeSpread takes in a message of the holder and passes it on, if it is newer than
--- a/entry/crashwatch.go
+++ b/entry/crashwatch.go
@@ -48,6 +48,8 @@
 	// crashed.
 	contents []quarantine.Digest
 	crashed  bool
+	// looked is closed after the first look, and after what it found was told.
+	looked chan struct{}
 	// until is when what is known of it no longer holds; zero while it is being looked at.
 	until time.Time
 }
@@ -70,10 +72,11 @@
 	w.expire(now)
 	known := w.broken[instance.ID]
 	if known == nil {
-		known = &brokenInstance{}
+		known = &brokenInstance{looked: make(chan struct{})}
 		w.broken[instance.ID] = known
 		if !w.looks.Offer(instance) {
 			known.until = now.Add(crashSpan)
+			close(known.looked)
 		}
 	}
 	if !known.crashed && len(known.contents) < mostVictims && !slices.Contains(known.contents, content) {
@@ -91,6 +94,23 @@
 	}
 }
 
+// settled waits until it was looked at an instance, for a while at most.
+func (w *crashWatch) settled(ctx context.Context, instance string, most time.Duration) {
+	w.mutex.Lock()
+	known := w.broken[instance]
+	w.mutex.Unlock()
+	if known == nil {
+		return
+	}
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-known.looked:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // run looks at instances until ctx ends.
 func (w *crashWatch) run(ctx context.Context) {
 	for {
@@ -98,27 +118,40 @@
 		if !ok {
 			return
 		}
-		w.found(time.Now(), instance, w.look(ctx, instance))
+		w.look(ctx, instance)
 	}
 }
 
-// look reports whether an instance has crashed.
-func (w *crashWatch) look(ctx context.Context, instance *fleet.Instance) bool {
+// look finds out whether an instance has crashed.
+func (w *crashWatch) look(ctx context.Context, instance *fleet.Instance) {
+	known := w.known(instance)
 	for number := range crashLooks {
 		if number > 0 {
 			sleep(ctx, crashLookPause)
 		}
-		if w.refuses(ctx, instance.Address) {
-			return true
+		crashed := w.refuses(ctx, instance.Address)
+		if crashed || number == crashLooks-1 {
+			w.found(time.Now(), instance, known, crashed)
+		}
+		if number == 0 {
+			close(known.looked)
+		}
+		if crashed {
+			return
 		}
 	}
-	return false
+}
+
+// known returns what is known of an instance that is being looked at.
+func (w *crashWatch) known(instance *fleet.Instance) *brokenInstance {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.broken[instance.ID]
 }
 
 // found takes in whether an instance has crashed.
-func (w *crashWatch) found(now time.Time, instance *fleet.Instance, crashed bool) {
+func (w *crashWatch) found(now time.Time, instance *fleet.Instance, known *brokenInstance, crashed bool) {
 	w.mutex.Lock()
-	known := w.broken[instance.ID]
 	contents := known.contents
 	known.contents, known.crashed, known.until = nil, crashed, now.Add(crashSpan)
 	w.mutex.Unlock()
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -193,6 +193,8 @@
 	for range crashWatchers {
 		d.startDuty("crashes", func() { d.quarantine.watch.run(d.ctx) })
 	}
+	d.startDuty("quarantine", d.quarantine.restore)
+	d.startDuty("quarantine", d.quarantine.runKept)
 	for range orderWorkers {
 		d.startDuty("orders", d.runOrders)
 	}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -48,6 +48,7 @@
 		view := d.gateway.View()
 		d.tracker.Forget(now, func(id string) bool { return view.Instance(id) != nil })
 	}
+	d.quarantine.gossip(now)
 	d.publishAddresses()
 	d.fleet.rank.Store(int64(d.node.Rank()))
 	d.following.watching.Store(d.node.Watching(now))
@@ -140,6 +141,17 @@
 	return address, known
 }
 
+// any returns the address of a daemon other than self, drawn by chance; empty if there is none.
+func (b addressBook) any(self string) string {
+	for name, address := range b {
+		// The order of a map is random.
+		if name != self {
+			return address
+		}
+	}
+	return ""
+}
+
 // addressRefresh is how often the answer about addresses is made anew without a change
 // of the daemons, in another order.
 const addressRefresh = time.Second
@@ -163,6 +175,8 @@
 			d.work.orders.Offer(action)
 		case coordination.ReadConfiguration:
 			d.assurance.request()
+		case coordination.LearnCrashes:
+			d.quarantine.learn(action.Update)
 		case coordination.Refresh:
 			select {
 			case d.following.refresh[action.Source] <- struct{}{}:
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -1,29 +1,78 @@
 package entry
 
 import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/wheatweir/wheatweir/coordination"
+	"github.com/wheatweir/wheatweir/feed"
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/quarantine"
+	"github.com/wheatweir/wheatweir/ring"
 )
 
-// quarantineKeeper tells the log of contents that run on servers that crash. It implements
-// gateway.Quarantine.
+const (
+	// crashNewsPause gathers what several requests of one crash say into one message.
+	crashNewsPause = 5 * time.Millisecond
+	// settleMost bounds how long a request waits for the first look at a server before it is sent to
+	// another one. A look takes as long as a connection does, 1 to 3 ms, unless nobody answers.
+	settleMost = 50 * time.Millisecond
+	// crashGossipPause is the time between two messages to one daemon drawn by chance with all that is
+	// held and what was learned within crashGossipSpan: they bring daemons up to date that have just
+	// started or missed a message. Each hears two a second on average, and none while nothing is
+	// suspected.
+	crashGossipPause = 500 * time.Millisecond
+	crashGossipSpan  = 5 * time.Second
+	// keptRing bounds the changes that wait to be kept in the store.
+	keptRing = 64
+	// keepTries is how often it is tried to keep one, some seconds apart; daemons that live know
+	// it anyway.
+	keepTries = 5
+)
+
+// quarantineKeeper keeps contents from servers that they crash: it gathers what this daemon and
+// others see, tells the others and keeps the verdicts in the store. It implements gateway.Quarantine
+// and is safe for concurrent use.
 type quarantineKeeper struct {
+	daemon *Daemon
 	hasher *quarantine.Hasher
 	watch  *crashWatch
+	// suspects says that the book is not empty.
+	suspects atomic.Bool
+	kept     *ring.Ring[keptChange]
+
+	mutex sync.Mutex
+	book  *quarantine.Book
+	// news is what the others have to be told.
+	news quarantine.Update
+	// gossipedAt belongs to the control duty.
+	gossipedAt time.Time
+}
+
+// keptChange is a verdict that the store has to keep, or to drop.
+type keptChange struct {
+	content quarantine.Digest
+	dropped bool
 }
 
 func newQuarantineKeeper(d *Daemon) *quarantineKeeper {
-	k := &quarantineKeeper{hasher: quarantine.NewHasher(d.current().DeploymentKey), watch: newCrashWatch()}
+	k := &quarantineKeeper{
+		daemon: d, hasher: quarantine.NewHasher(d.current().DeploymentKey), watch: newCrashWatch(),
+		book: quarantine.NewBook(), kept: ring.New[keptChange](keptRing),
+	}
 	k.watch.refuses = d.upstream.Refuses
-	k.watch.crashed = func(string, []quarantine.Digest) {}
+	k.watch.crashed = k.crashed
 	k.watch.log = func(text string, fields ...any) { d.log.add("quarantine", text, fields...) }
 	return k
 }
 
 // Suspects implements gateway.Quarantine.
-func (k *quarantineKeeper) Suspects() bool { return false }
+func (k *quarantineKeeper) Suspects() bool { return k.suspects.Load() }
 
 // Digest implements gateway.Quarantine.
 func (k *quarantineKeeper) Digest(content *quarantine.Content) quarantine.Digest {
@@ -31,12 +80,205 @@
 }
 
 // HeldUntil implements gateway.Quarantine.
-func (k *quarantineKeeper) HeldUntil(quarantine.Digest) time.Time { return time.Time{} }
+func (k *quarantineKeeper) HeldUntil(content quarantine.Digest) time.Time {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.book.HeldUntil(time.Now(), content)
+}
 
 // Broke implements gateway.Quarantine.
 func (k *quarantineKeeper) Broke(instance *fleet.Instance, content quarantine.Digest) {
 	k.watch.broke(time.Now(), instance, content)
 }
 
+// Settled implements gateway.Quarantine.
+func (k *quarantineKeeper) Settled(ctx context.Context, instance *fleet.Instance) {
+	k.watch.settled(ctx, instance.ID, settleMost)
+}
+
 // Served implements gateway.Quarantine.
-func (k *quarantineKeeper) Served(quarantine.Digest) {}
+func (k *quarantineKeeper) Served(content quarantine.Digest) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.book.Suspects(content) {
+		k.take(k.book.Served(time.Now(), content), true)
+	}
+}
+
+// crashed takes in the contents that this daemon had at an instance that has crashed.
+func (k *quarantineKeeper) crashed(instance string, contents []quarantine.Digest) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.take(k.book.Crashed(time.Now(), instance, contents), true)
+}
+
+// learn takes in what another daemon told.
+func (k *quarantineKeeper) learn(update quarantine.Update) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.take(k.book.Learn(time.Now(), update), false)
+}
+
+// take acts on a change of the book. What this daemon found out itself is told to the others.
+func (k *quarantineKeeper) take(change quarantine.Change, own bool) {
+	k.suspects.Store(!k.book.Empty())
+	k.avoid(&change.News)
+	for _, content := range change.Held {
+		k.verdict("Held.", content)
+	}
+	for _, content := range change.Released {
+		k.verdict("Released.", content)
+	}
+	if !own || change.News.Empty() {
+		return
+	}
+	if k.news.Empty() {
+		time.AfterFunc(crashNewsPause, k.tell)
+	}
+	k.news.Items = append(k.news.Items, change.News.Items...)
+}
+
+// avoid keeps requests from the servers that crashed a moment ago.
+func (k *quarantineKeeper) avoid(news *quarantine.Update) {
+	now := time.Now()
+	for i := range news.Items {
+		for _, told := range news.Items[i].Crashes {
+			if !told.Void && told.Age < crashGossipSpan {
+				k.daemon.tracker.Crashed(now, told.Server, told.Age)
+			}
+		}
+	}
+}
+
+// verdict logs that a content is held or no longer is, and has the store told if this daemon was there
+// at one of the crashes: of the others nobody need do so.
+func (k *quarantineKeeper) verdict(text string, content quarantine.Digest) {
+	now := time.Now()
+	until := k.book.HeldUntil(now, content)
+	fields := []any{"content", content.String(), "crashes", crashesOf(k.book.Evidence(now, content))}
+	if !until.IsZero() {
+		fields = append(fields, "for_s", int(until.Sub(now).Seconds()))
+	}
+	k.watch.log(text, fields...)
+	if k.book.Witnessed(content) {
+		k.kept.Offer(keptChange{content: content, dropped: until.IsZero()})
+	}
+}
+
+// crashesOf lists the crashes under a content for the log, each with its age.
+func crashesOf(item quarantine.Item) string {
+	var list []string
+	for _, told := range item.Crashes {
+		entry := fmt.Sprintf("%s@%dms", told.Server, told.Age.Milliseconds())
+		if told.Void {
+			entry += "/void"
+		}
+		list = append(list, entry)
+	}
+	return strings.Join(list, ",")
+}
+
+// tell hands the news to the control duty, which tells all daemons.
+func (k *quarantineKeeper) tell() {
+	k.mutex.Lock()
+	news := k.news
+	k.news = quarantine.Update{}
+	k.mutex.Unlock()
+	k.daemon.work.events.Offer(func(node *coordination.Node, _ time.Time) []coordination.Action {
+		return node.TellCrashes(news)
+	})
+}
+
+// gossip tells one daemon, drawn by chance, what it may lack.
+func (k *quarantineKeeper) gossip(now time.Time) {
+	if !k.Suspects() || now.Sub(k.gossipedAt) < crashGossipPause {
+		return
+	}
+	k.gossipedAt = now
+	update := k.newest(now)
+	address := k.daemon.fleet.peerAddresses.Load().any(k.daemon.current().Name)
+	if update.Empty() || address == "" {
+		return
+	}
+	k.daemon.peers.Send(address, coordination.Message{
+		From: k.daemon.current().Name, Crashes: &coordination.CrashNews{Update: update},
+	})
+}
+
+func (k *quarantineKeeper) newest(now time.Time) quarantine.Update {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.book.Forget(now)
+	k.suspects.Store(!k.book.Empty())
+	return k.book.Newest(now, crashGossipSpan)
+}
+
+// heldCount returns how many contents are held.
+func (k *quarantineKeeper) heldCount(now time.Time) int {
+	if !k.Suspects() {
+		return 0
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return len(k.book.Held(now))
+}
+
+// restore reads what the store has kept, once: it is all that is left after all daemons were killed.
+func (k *quarantineKeeper) restore() {
+	d := k.daemon
+	source := d.store.Quarantined()
+	source.Skipped = d.unreadable("quarantine")
+	after := ""
+	for d.ctx.Err() == nil {
+		page, err := source.ListPage(d.ctx, after, feed.Newest)
+		if err != nil {
+			pause := longestPause(int(d.fleet.rank.Load()), int(d.fleet.live.Load()))
+			sleep(d.ctx, pause/2+rand.N(pause/2))
+			continue
+		}
+		var update quarantine.Update
+		for _, item := range page.Items {
+			if !item.Gone {
+				update.Items = append(update.Items, item.Value)
+			}
+		}
+		k.learn(update)
+		if after = page.Next; after == "" {
+			return
+		}
+	}
+}
+
+// runKept keeps verdicts in the store.
+func (k *quarantineKeeper) runKept() {
+	for {
+		change, ok := k.kept.Take(k.daemon.ctx)
+		if !ok {
+			return
+		}
+		k.keep(change)
+	}
+}
+
+func (k *quarantineKeeper) keep(change keptChange) {
+	d := k.daemon
+	for number := range keepTries {
+		var err error
+		if change.dropped {
+			err = d.store.DropQuarantined(d.ctx, change.content)
+		} else {
+			err = d.store.SaveQuarantined(d.ctx, time.Now(), k.evidence(change.content))
+		}
+		if err == nil || d.ctx.Err() != nil {
+			return
+		}
+		d.log.add("quarantine", "Not kept.", "content", change.content.String(), "try", number+1, "error", err)
+		sleep(d.ctx, watcherPause)
+	}
+}
+
+func (k *quarantineKeeper) evidence(content quarantine.Digest) quarantine.Item {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.book.Evidence(time.Now(), content)
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -104,6 +104,7 @@
 		if last == verdictEnded {
 			return
 		}
+		e.settle(ctx, last, candidate.Instance)
 		if e.over(ctx) {
 			e.giveUp(ctx, ReasonTimeout)
 			return
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -9,7 +9,7 @@
 	"github.com/wheatweir/wheatweir/quarantine"
 )
 
-// Quarantine finds contents that crash the instances that run them. It must not block.
+// Quarantine finds contents that crash the instances that run them. Only Settled blocks.
 type Quarantine interface {
 	// Suspects reports whether any content is suspected. While none is, which is nearly always,
 	// requests need no digest.
@@ -20,6 +20,9 @@
 	// Broke notes that an instance ended the connection of a request that it ran. Whether it
 	// crashed is still to be found out.
 	Broke(instance *fleet.Instance, content quarantine.Digest)
+	// Settled waits a little until it was looked whether an instance crashed. The next attempt
+	// would otherwise begin before what this one tells is known.
+	Settled(ctx context.Context, instance *fleet.Instance)
 	// Served notes that a run ended well.
 	Served(content quarantine.Digest)
 }
@@ -60,6 +63,13 @@
 	e.gateway.settings.Quarantine.Broke(instance, e.digest())
 }
 
+// settle waits after a broken attempt, if there may be another one.
+func (e *exchange) settle(ctx context.Context, last verdict, instance *fleet.Instance) {
+	if last == verdictBroken && e.route.Repeatable() && e.gateway.settings.Quarantine != nil {
+		e.gateway.settings.Quarantine.Settled(ctx, instance)
+	}
+}
+
 // endedWell notes that an instance ran the request to a good end: the content is harmless.
 func (e *exchange) endedWell() {
 	if e.suspected() {
