--- a/coordination/world_test.go
+++ b/coordination/world_test.go
@@ -11,6 +11,7 @@
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/lease"
 	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/quarantine"
 	"github.com/wheatweir/wheatweir/residency"
 )
 
@@ -50,6 +51,8 @@
 	assured *assuredStore
 	// questions counts the questions of nodes how sure a node is.
 	questions map[string]int
+	// learnCrashes is told what nodes hear of crashes; nil means nobody.
+	learnCrashes func(node string, update quarantine.Update)
 	// latency is how long a message takes; nil means no time. under are those on their way.
 	latency func() time.Duration
 	under   []message
@@ -176,6 +179,10 @@
 			if w.assured != nil {
 				w.readConfiguration(name)
 			}
+		case coordination.LearnCrashes:
+			if w.learnCrashes != nil {
+				w.learnCrashes(name, action.Update)
+			}
 		case coordination.Decision:
 			w.decisions = append(w.decisions, name+" "+action.Part+" "+fmt.Sprintln(action.Fields...))
 		}
--- /dev/null
+++ b/entry/crashwatch_test.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/quarantine"
+)
+
+// watched is a crash watch whose looks take a moment.
+type watched struct {
+	*crashWatch
+	// guard guards the fields below.
+	guard sync.Mutex
+	looks    int
+	victims  []quarantine.Victim
+	crashes  []time.Time
+	refusing bool
+	// refusesAfter is how many looks find somebody listening still.
+	refusesAfter int
+}
+
+const lookTakes = 3 * time.Millisecond
+
+func startWatch(t *testing.T) *watched {
+	t.Helper()
+	w := &watched{crashWatch: newCrashWatch()}
+	w.log = func(string, ...any) {}
+	w.refuses = func(ctx context.Context, _ string) bool {
+		sleep(ctx, lookTakes)
+		w.guard.Lock()
+		defer w.guard.Unlock()
+		w.looks++
+		return w.refusing && w.looks > w.refusesAfter
+	}
+	w.crashed = func(at time.Time, _ string, victims []quarantine.Victim) {
+		w.guard.Lock()
+		defer w.guard.Unlock()
+		w.crashes = append(w.crashes, at)
+		w.victims = append(w.victims, victims...)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return w
+}
+
+var watchedInstance = &fleet.Instance{ID: "i", Address: "address"}
+
+// refuse makes looks find nobody listening, after some that do.
+func (w *watched) refuse(after int) {
+	w.guard.Lock()
+	defer w.guard.Unlock()
+	w.refusing, w.refusesAfter = true, after
+}
+
+// seen returns the number of looks and of victims.
+func (w *watched) seen() (looks, victims int) {
+	w.guard.Lock()
+	defer w.guard.Unlock()
+	return w.looks, len(w.victims)
+}
+
+func (w *watched) breaks(names ...string) {
+	for _, name := range names {
+		var digest quarantine.Digest
+		copy(digest[:], name)
+		w.broke(time.Now(), watchedInstance, quarantine.Victim{Content: digest})
+	}
+}
+
+// TestCrashTakesAllItsRequests covers requests that break one after the other as a server ends: one look
+// is enough for all of them, and all tell of the moment when the first one broke.
+func TestCrashTakesAllItsRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startWatch(t)
+		w.refuse(0)
+		began := time.Now()
+		w.breaks("a", "b")
+		time.Sleep(10 * time.Millisecond)
+		w.breaks("c")
+		if looks, victims := w.seen(); victims != 3 || looks != 1 {
+			t.Errorf("%d victims after %d looks", victims, looks)
+		}
+		for _, at := range w.crashes {
+			if !at.Equal(began) {
+				t.Errorf("crashed %v after the first connection ended", at.Sub(began))
+			}
+		}
+	})
+}
+
+// TestServerThatListensLongerThanItAnswers covers a process whose listener is closed last.
+func TestServerThatListensLongerThanItAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startWatch(t)
+		w.refuse(1)
+		w.breaks("a")
+		time.Sleep(time.Second)
+		if _, victims := w.seen(); victims != 1 {
+			t.Errorf("%d victims", victims)
+		}
+	})
+}
+
+// TestConnectionsThatEndTellNothing covers reset connections to a server that lives on.
+func TestConnectionsThatEndTellNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startWatch(t)
+		for range 20 {
+			w.breaks("a")
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		if looks, victims := w.seen(); victims > 0 || looks != crashLooks {
+			t.Errorf("%d victims, %d looks", victims, looks)
+		}
+		w.refuse(0)
+		w.breaks("a")
+		time.Sleep(time.Second)
+		if _, victims := w.seen(); victims != 1 {
+			t.Errorf("%d victims of a crash a second later", victims)
+		}
+	})
+}
+
+// TestSecondAttemptWaitsForTheLook covers the wait of a request between two attempts.
+func TestSecondAttemptWaitsForTheLook(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startWatch(t)
+		w.refuse(0)
+		began := time.Now()
+		w.settled(context.Background(), "another", settleMost)
+		if time.Since(began) > 0 {
+			t.Error("waited for an instance that nothing is known of")
+		}
+		w.breaks("a")
+		w.settled(context.Background(), "i", settleMost)
+		if _, victims := w.seen(); time.Since(began) != lookTakes || victims != 1 {
+			t.Errorf("waited %v, %d victims", time.Since(began), victims)
+		}
+		w.settled(context.Background(), "i", settleMost)
+		if took := time.Since(began); took != lookTakes {
+			t.Errorf("waited again, %v in all", took)
+		}
+	})
+}
--- /dev/null
+++ b/gateway/quarantine_test.go
@@ -0,0 +1,151 @@
+package gateway_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/quarantine"
+	"github.com/wheatweir/wheatweir/retry"
+)
+
+// fakeQuarantine knows one content.
+type fakeQuarantine struct {
+	suspects bool
+	// heldFrom is when the content is held from on; zero for never.
+	heldFrom time.Time
+	// holdAfter holds it once so many runs broke.
+	holdAfter int
+	broke     []quarantine.Victim
+	settled   int
+	served    int
+	digests   int
+}
+
+const heldFor = 10 * time.Minute
+
+func (q *fakeQuarantine) Suspects() bool { return q.suspects }
+
+func (q *fakeQuarantine) Digest(content *quarantine.Content) quarantine.Digest {
+	q.digests++
+	return quarantine.NewHasher("secret").Sum(content)
+}
+
+func (q *fakeQuarantine) HeldUntil(quarantine.Digest) time.Time {
+	if q.heldFrom.IsZero() || time.Now().Before(q.heldFrom) {
+		return time.Time{}
+	}
+	return q.heldFrom.Add(heldFor)
+}
+
+func (q *fakeQuarantine) Broke(_ *fleet.Instance, victim quarantine.Victim) {
+	q.suspects = true
+	q.broke = append(q.broke, victim)
+	if len(q.broke) == q.holdAfter {
+		q.heldFrom = time.Now()
+	}
+}
+
+func (q *fakeQuarantine) Settled(context.Context, *fleet.Instance) { q.settled++ }
+func (q *fakeQuarantine) Served(quarantine.Digest)                 { q.served++ }
+
+// serveQuarantined serves one request under a quarantine.
+func serveQuarantined(upstream gateway.Upstream, held *fakeQuarantine, sent *gateway.Request, view *fleet.View) *client {
+	settings := gateway.Settings{
+		RetryAfter: 200 * time.Millisecond, WaitShare: 0.5, ShareOfConnections: func() float64 { return 1 }, Quarantine: held,
+	}
+	g := gateway.New(settings, upstream, balance.NewTracker(), retry.NewBudget(0.2, 10), &noDemand{}, silent{})
+	g.SetView(view)
+	reply := &client{}
+	g.Serve(context.Background(), sent, reply)
+	return reply
+}
+
+func TestHeldRequestIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &script{}
+		reply := serveQuarantined(upstream, &fakeQuarantine{suspects: true, heldFrom: time.Now()}, request("safe"), view())
+		if reply.status != 503 || reply.reason != gateway.ReasonQuarantined || reply.retryAfter != heldFor {
+			t.Errorf("status %d, reason %q, come back in %v", reply.status, reply.reason, reply.retryAfter)
+		}
+		if len(upstream.sent) > 0 || !reply.at.Equal(time.Now()) {
+			t.Errorf("sent %d times", len(upstream.sent))
+		}
+	})
+}
+
+// TestRequestThatWaitsIsRefusedOnceItIsHeld covers a request whose model is nowhere: its content becomes
+// known as deadly while it waits.
+func TestRequestThatWaitsIsRefusedOnceItIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &script{}
+		sent := request("stream")
+		sent.Model = "nowhere"
+		began := time.Now()
+		reply := serveQuarantined(upstream, &fakeQuarantine{suspects: true, heldFrom: began.Add(300 * time.Millisecond)}, sent, view("m"))
+		if reply.reason != gateway.ReasonQuarantined || reply.at.Sub(began) > 400*time.Millisecond {
+			t.Errorf("reason %q after %v", reply.reason, reply.at.Sub(began))
+		}
+	})
+}
+
+// TestNoAttemptFollowsTheOneThatHoldsARequest covers a second attempt within one try: it waits until
+// it was looked whether the first instance crashed, and is not made if that holds the request.
+func TestNoAttemptFollowsTheOneThatHoldsARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &script{answers: []answer{{err: gateway.ErrUnknown.New("reset")}, {status: 200, body: "late"}}}
+		held := &fakeQuarantine{holdAfter: 1}
+		reply := serveQuarantined(upstream, held, request("safe"), view())
+		if reply.status != 502 || len(upstream.sent) != 1 || held.settled != 1 {
+			t.Errorf("status %d, sent %d times, waited %d times; it may have run", reply.status, len(upstream.sent), held.settled)
+		}
+	})
+}
+
+func TestBrokenRunsAreToldAndGoodOnesToo(t *testing.T) {
+	cases := []struct {
+		name    string
+		route   string
+		answers []answer
+		broke   int
+		served  int
+	}{
+		{"no head", "once", []answer{{err: gateway.ErrUnknown.New("reset")}}, 1, 0},
+		{"nothing sent", "once", []answer{{err: gateway.ErrNotSent.New("refused")}}, 0, 0},
+		{"body cut", "once", []answer{{status: 200, body: "part", cut: true}}, 1, 0},
+		{"stream cut", "stream", []answer{{status: 200, body: "id: 1\n\n", cut: true}}, 1, 0},
+		{"declined", "once", []answer{{status: 503, declined: true}}, 0, 0},
+		{"error of the instance", "once", []answer{{status: 500}}, 0, 0},
+		{"broken, then whole", "safe", []answer{{err: gateway.ErrUnknown.New("reset")}, {status: 200, body: "whole"}}, 1, 1},
+		{"client's time over", "once", []answer{{hang: true}}, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				held := &fakeQuarantine{}
+				began := time.Now()
+				serveQuarantined(&script{answers: c.answers}, held, request(c.route), view())
+				if len(held.broke) != c.broke || held.served != c.served {
+					t.Errorf("%d broken and %d good runs are told, want %d and %d", len(held.broke), held.served, c.broke, c.served)
+				}
+				if c.broke > 0 && held.broke[0].Began.Before(began) {
+					t.Error("the run began before the request arrived")
+				}
+			})
+		})
+	}
+}
+
+// TestNothingIsDigestedWithoutSuspicion covers what all of this costs while no server has crashed.
+func TestNothingIsDigestedWithoutSuspicion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		held := &fakeQuarantine{}
+		if reply := serveQuarantined(&script{}, held, request("safe"), view()); reply.status != 200 || held.digests > 0 {
+			t.Errorf("status %d, %d digests", reply.status, held.digests)
+		}
+	})
+}
