--- a/entry/crashwatch_test.go
+++ b/entry/crashwatch_test.go
@@ -15,7 +15,7 @@
 type watched struct {
 	*crashWatch
 	// guard guards the fields below.
-	guard sync.Mutex
+	guard    sync.Mutex
 	looks    int
 	victims  []quarantine.Victim
 	crashes  []time.Time
