--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/wheatweir/wheatweir/feed"
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/internal/clock"
 	"github.com/wheatweir/wheatweir/member"
 	"github.com/wheatweir/wheatweir/peer"
 	"github.com/wheatweir/wheatweir/platform"
@@ -48,9 +49,12 @@
 // Daemon is one running entry daemon.
 type Daemon struct {
 	settings atomic.Pointer[Settings]
-	log      *logBook
-	metrics  *metrics
-	started  time.Time
+	// clock is by what all promises to others are kept. The tracker of instances and other matters
+	// of this daemon alone go by the steady clock.
+	clock   *clock.Clock
+	log     *logBook
+	metrics *metrics
+	started time.Time
 
 	node *coordination.Node
 	// work joins the control duty to the duties that make calls.
@@ -86,10 +90,16 @@
 
 // Start starts a daemon. Logs go to output.
 func Start(settings Settings, output io.Writer) (*Daemon, error) {
+	return StartOn(clock.New(), settings, output)
+}
+
+// StartOn starts a daemon on a machine with a clock.
+func StartOn(machine *clock.Clock, settings Settings, output io.Writer) (*Daemon, error) {
 	debug.SetMemoryLimit(int64(memoryHeadroom * settings.MemoryLimitMB * (1 << 20)))
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
-		log: newLogBook(settings.LogLevel, settings.Name, output), started: time.Now(),
+		clock: machine,
+		log:   newLogBook(settings.LogLevel, settings.Name, output), started: time.Now(),
 		control: controlState{discovery: quota.NewDiscovery(time.Now())}, work: newWorkRings(),
 		store: platform.NewStore(settings.StoreAddress), engines: platform.NewEngines(), upstream: platform.NewUpstream(),
 		metrics: newMetrics(), tracker: balance.NewTracker(), demand: newDemandCounter(), life: lifecycle{failed: make(chan error, 1)}, assurance: newAssurance(), ctx: ctx, cancel: cancel,
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -17,6 +17,7 @@
 	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/entry"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/internal/clock"
 	"github.com/wheatweir/wheatweir/internal/loopback"
 	"github.com/wheatweir/wheatweir/peer"
 	"github.com/wheatweir/wheatweir/platform/standin"
@@ -30,6 +31,19 @@
 	all     []entry.Settings
 	// output takes the daemons' logs.
 	output io.Writer
+	// machines are the clocks of the daemons' machines.
+	machines map[string]*clock.Fake
+}
+
+// machine returns the clock of a daemon's machine.
+func (f *deployment) machine(daemon string) *clock.Fake {
+	if f.machines == nil {
+		f.machines = map[string]*clock.Fake{}
+	}
+	if f.machines[daemon] == nil {
+		f.machines[daemon] = clock.NewFake()
+	}
+	return f.machines[daemon]
 }
 
 func freeAddress(t *testing.T) string {
@@ -141,7 +155,7 @@
 
 func (f *deployment) startDaemon(t *testing.T, settings entry.Settings) *entry.Daemon {
 	t.Helper()
-	daemon, err := entry.Start(settings, f.output)
+	daemon, err := entry.StartOn(f.machine(settings.Name).Clock, settings, f.output)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/entry/suspend_test.go
@@ -0,0 +1,36 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/platform/standin"
+	"github.com/wheatweir/wheatweir/tenant"
+)
+
+// TestSuspendedDaemonTrustsNothingOld suspends the machine of a daemon while the store answers nobody. What it
+// knew when it fell asleep is too old when it wakes, though its steady clock says otherwise. It is asked at
+// once, before any duty of it may have had its turn.
+func TestSuspendedDaemonTrustsNothingOld(t *testing.T) {
+	t.Run("keys", func(t *testing.T) {
+		f, _ := startTenants(t, 1, tenant.Limit{})
+		f.store.SetFault(func(string, string) standin.Fault { return standin.FaultBusy })
+		f.machine("d0").Sleep(5 * time.Second)
+		if answer := f.ask(0, "acme-key"); answer.Status != 503 {
+			t.Errorf("status %d 5 s after the configuration was last known to be the newest, 2 s are allowed", answer.Status)
+		}
+	})
+	t.Run("the lease on orders", func(t *testing.T) {
+		f := start(t, 1)
+		f.waitReady(t)
+		eventually(t, "the daemon gives orders", func() bool {
+			_, status, _, err := post(f.all[0].FrontAddress, "/stream/x", "m/a1")
+			return err == nil && status == 200
+		})
+		f.store.SetFault(func(string, string) standin.Fault { return standin.FaultBusy })
+		f.machine("d0").Sleep(5 * time.Second)
+		if _, status, _, _ := post(f.all[0].FrontAddress, "/stream/x", "n"); status == 200 {
+			t.Error("a model was loaded by order of a holder whose lease had ended in its sleep")
+		}
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,9 @@
 
 // Settings of the request path.
 type Settings struct {
+	// Now is the clock by which requests grow old; nil means the steady clock of the machine, which stands
+	// still while it is suspended.
+	Now func() time.Time
 	// Zone is the zone of this daemon.
 	Zone string
 	// RetryAfter is when a client that was refused may come back.
--- /dev/null
+++ b/gateway/suspend_test.go
@@ -0,0 +1,43 @@
+package gateway_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/internal/clock"
+	"github.com/wheatweir/wheatweir/retry"
+)
+
+// TestSuspendedMachineSendsNothingTooLate covers a request that waits for its model when the machine is
+// suspended. Its client has left when the machine wakes, which the steady clock does not tell: the
+// model that came meanwhile must not run it, with a time that is long over.
+func TestSuspendedMachineSendsNothingTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		machine, upstream := clock.NewFake(), &script{}
+		settings := gateway.Settings{
+			Now: machine.Now, RetryAfter: 200 * time.Millisecond, WaitShare: 0.5, ShareOfConnections: func() float64 { return 1 },
+		}
+		g := gateway.New(settings, upstream, balance.NewTracker(), retry.NewBudget(0.2, 10), &noDemand{}, silent{})
+		g.SetView(view())
+		sent, reply, done := request("stream"), &client{}, make(chan struct{})
+		sent.Model, sent.Arrived = "m", machine.Now()
+		go func() {
+			defer close(done)
+			g.Serve(context.Background(), sent, reply)
+		}()
+		time.Sleep(300 * time.Millisecond)
+		machine.Sleep(10 * time.Second)
+		g.SetView(view("m"))
+		<-done
+		if len(upstream.sent) > 0 {
+			t.Errorf("sent with %v left, 5 s after its time was over", upstream.left[0])
+		}
+		if reply.status != 503 {
+			t.Errorf("status %d, want 503: it has not run", reply.status)
+		}
+	})
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -59,6 +59,9 @@
 // Ports are what a limiter needs of its daemon. All of them are called from several goroutines.
 type Ports struct {
 	Self string
+	// Now is the clock by which limits are given out; nil means the steady clock of the machine, which
+	// stands still while it is suspended.
+	Now func() time.Time
 	// Address returns where another daemon hears messages.
 	Address func(daemon string) (address string, known bool)
 	Send    func(address string, message *Message)
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/wheatweir/wheatweir/internal/clock"
 	"github.com/wheatweir/wheatweir/member"
 	"github.com/wheatweir/wheatweir/quota"
 	"github.com/wheatweir/wheatweir/tenant"
@@ -20,12 +21,14 @@
 	mutex    sync.Mutex
 	// lost are the daemons that hear nothing.
 	lost map[string]bool
+	// machine is the clock of all daemons.
+	machine *clock.Fake
 }
 
 const messageTime = time.Millisecond
 
 func newNetwork(daemons int, limit tenant.Limit) *network {
-	n := &network{limiters: map[string]*Limiter{}, lost: map[string]bool{}}
+	n := &network{limiters: map[string]*Limiter{}, lost: map[string]bool{}, machine: clock.NewFake()}
 	table := tenant.NewTable([]tenant.Tenant{{Name: "acme", Limit: limit}})
 	var members []member.Member
 	for i := range daemons {
@@ -35,6 +38,7 @@
 		self := known.Name
 		n.limiters[self] = New(Ports{
 			Self:    self,
+			Now:     n.machine.Now,
 			Address: func(name string) (string, bool) { return name, n.limiters[name] != nil },
 			Send:    func(address string, message *Message) { n.send(self, address, message) },
 			Tenants: func() *tenant.Table { return table },
@@ -42,7 +46,7 @@
 		})
 	}
 	for _, l := range n.limiters {
-		l.SetFleet(time.Now(), quota.NewFleet(l.ports.Self, members, 1, time.Minute))
+		l.SetFleet(n.machine.Now(), quota.NewFleet(l.ports.Self, members, 1, time.Minute))
 	}
 	return n
 }
@@ -59,7 +63,7 @@
 func (n *network) run(span time.Duration) {
 	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for _, l := range n.limiters {
-			l.Tick(time.Now())
+			l.Tick(n.machine.Now())
 		}
 	}
 }
@@ -177,3 +181,21 @@
 		}
 	})
 }
+
+// TestSuspendedOwnerGivesOutNothingAtOnce covers a machine that was suspended: what its limits would have saved
+// up meanwhile may have been given out by others. The first thing that it does after waking is to
+// answer a request, before any tick.
+func TestSuspendedOwnerGivesOutNothingAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(1, tenant.Limit{PerSecond: 100, Burst: 100})
+		n.run(5 * time.Second)
+		n.machine.Sleep(5 * time.Second)
+		if outcome := n.take("d0", 60); outcome.Granted {
+			t.Error("more than half of a second is given out at the moment of waking")
+		}
+		n.run(2 * time.Second)
+		if outcome := n.take("d0", 50); !outcome.Granted {
+			t.Error("nothing is given out two seconds later")
+		}
+	})
+}
