Quarantine: a server that ends connections and leaves the list has crashed, also if its address answers

Its entry goes 3.6 s after the crash. One that stays listed, or leaves more than 10 s later, has not crashed. A gauge tells how many contents are held.

--- a/entry/crashwatch.go
+++ b/entry/crashwatch.go
@@ -20,6 +20,10 @@
 	// crashSpan is how long what was found out holds for connections that break later: those of
 	// one crash break within some ten milliseconds, and a server is back after a second at least.
 	crashSpan = 500 * time.Millisecond
+	// listedSpan is how long an instance whose address still answers may take to leave the list for
+	// that to count as a crash: somebody else may listen there for it. A silent server's entry goes
+	// after three heartbeats, 3.6 s on the platform.
+	listedSpan = 10 * time.Second
 	// crashWatchers bounds the servers that are looked at side by side. One that nobody answers for
 	// takes a dial's whole time.
 	crashWatchers  = 4
@@ -45,16 +49,20 @@
 
 // brokenInstance is an instance that has ended connections.
 type brokenInstance struct {
-	// at is when it ended the first one.
+	// at is when it ended the first one of the last series.
 	at time.Time
-	// victims are the contents of the requests that it ran, as long as it is not known whether it
-	// crashed.
+	// victims are the contents of the requests of that series, as long as it is not known whether
+	// the instance crashed.
 	victims []quarantine.Victim
 	crashed bool
-	// looked is closed after the first look, and after what it found was told.
-	looked chan struct{}
-	// until is when what is known of it no longer holds; zero while it is being looked at.
-	until time.Time
+	// looking says that it is being looked at; looked is closed after the first look, and after
+	// what it found was told.
+	looking bool
+	looked  chan struct{}
+	// lookAgain is when further connections that end make a new series, and until when what is
+	// known is kept.
+	lookAgain time.Time
+	until     time.Time
 }
 
 func newCrashWatch() *crashWatch {
@@ -76,12 +84,11 @@
 	w.expire(now)
 	known := w.broken[instance.ID]
 	if known == nil {
-		known = &brokenInstance{at: now, looked: make(chan struct{})}
+		known = &brokenInstance{}
 		w.broken[instance.ID] = known
-		if !w.looks.Offer(instance) {
-			known.until = now.Add(crashSpan)
-			close(known.looked)
-		}
+	}
+	if !known.crashed && !known.looking && !now.Before(known.lookAgain) {
+		w.beginLook(now, instance, known)
 	}
 	if !known.crashed && len(known.victims) < mostVictims {
 		known.victims = append(known.victims, victim)
@@ -89,32 +96,79 @@
 	return known.at, known.crashed
 }
 
+// beginLook begins a new series of connections that ended.
+func (w *crashWatch) beginLook(now time.Time, instance *fleet.Instance, known *brokenInstance) {
+	known.at, known.victims = now, nil
+	known.looked = make(chan struct{})
+	known.looking = w.looks.Offer(instance)
+	if !known.looking {
+		known.lookAgain, known.until = now.Add(crashSpan), now.Add(listedSpan)
+		close(known.looked)
+	}
+}
+
 // expire drops what no longer holds.
 func (w *crashWatch) expire(now time.Time) {
 	for id, known := range w.broken {
-		if !known.until.IsZero() && now.After(known.until) {
+		if !known.looking && now.After(known.until) {
 			delete(w.broken, id)
 		}
 	}
 }
 
+// gone takes in which instances are listed: one that ended connections a moment ago and is no longer
+// listed has crashed, though its address may still answer.
+func (w *crashWatch) gone(now time.Time, listed func(instance string) bool) {
+	for id, known := range w.unlisted(now, listed) {
+		w.log("Instance has gone.", "instance", id, "requests", len(known.victims), "contents", names(known.victims))
+		w.crashed(known.at, id, known.victims)
+	}
+}
+
+// unlisted returns what is known of the instances that have gone, once each.
+func (w *crashWatch) unlisted(now time.Time, listed func(instance string) bool) map[string]brokenInstance {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.expire(now)
+	var found map[string]brokenInstance
+	for id, known := range w.broken {
+		if known.crashed || known.looking || listed(id) {
+			continue
+		}
+		if found == nil {
+			found = map[string]brokenInstance{}
+		}
+		found[id] = *known
+		known.crashed, known.victims = true, nil
+	}
+	return found
+}
+
 // settled waits until it was looked at an instance, for a while at most.
 func (w *crashWatch) settled(ctx context.Context, instance string, most time.Duration) {
-	w.mutex.Lock()
-	known := w.broken[instance]
-	w.mutex.Unlock()
-	if known == nil {
+	looked := w.lookAt(instance)
+	if looked == nil {
 		return
 	}
 	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
-	case <-known.looked:
+	case <-looked:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 }
 
+// lookAt returns what is closed after the first look at an instance; nil if nobody looks.
+func (w *crashWatch) lookAt(instance string) <-chan struct{} {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if known := w.broken[instance]; known != nil {
+		return known.looked
+	}
+	return nil
+}
+
 // run looks at instances until ctx ends.
 func (w *crashWatch) run(ctx context.Context) {
 	for {
@@ -156,12 +210,15 @@
 // found takes in whether an instance has crashed.
 func (w *crashWatch) found(now time.Time, instance *fleet.Instance, known *brokenInstance, crashed bool) {
 	w.mutex.Lock()
-	victims := known.victims
-	known.victims, known.crashed, known.until = nil, crashed, now.Add(crashSpan)
+	victims, at := known.victims, known.at
+	known.looking, known.crashed, known.lookAgain, known.until = false, crashed, now.Add(crashSpan), now.Add(listedSpan)
+	if crashed {
+		known.victims = nil
+	}
 	w.mutex.Unlock()
 	w.log("Connections ended.", "instance", instance.ID, "crashed", crashed, "requests", len(victims), "contents", names(victims))
 	if crashed {
-		w.crashed(known.at, instance.ID, victims)
+		w.crashed(at, instance.ID, victims)
 	}
 }
 
--- a/entry/crashwatch_test.go
+++ b/entry/crashwatch_test.go
@@ -157,3 +157,39 @@
 		}
 	})
 }
+
+// TestServerWhoseAddressStillAnswers covers a server behind something that takes connections for it: that it
+// leaves the list tells that it has crashed, and one that stays listed has not.
+func TestServerWhoseAddressStillAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startWatch(t)
+		listed := true
+		look := func() { w.gone(time.Now(), func(string) bool { return listed }) }
+		began := time.Now()
+		w.breaks("a", "b")
+		time.Sleep(4 * time.Second)
+		look()
+		if _, victims := w.seen(); victims > 0 {
+			t.Errorf("%d victims of a server that is still listed", victims)
+		}
+		listed = false
+		look()
+		look()
+		if _, victims := w.seen(); victims != 2 || len(w.crashes) != 1 || !w.crashes[0].Equal(began) {
+			t.Errorf("%d victims, crashes at %v", victims, w.crashes)
+		}
+	})
+}
+
+// TestServerThatLeavesLongAfterIsNoCrash covers a server that ended connections and left much later.
+func TestServerThatLeavesLongAfterIsNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startWatch(t)
+		w.breaks("a")
+		time.Sleep(listedSpan + time.Second)
+		w.gone(time.Now(), func(string) bool { return false })
+		if _, victims := w.seen(); victims > 0 {
+			t.Errorf("%d victims", victims)
+		}
+	})
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -32,6 +32,8 @@
 	leaseHeld     tally.Gauge
 	linesDropped  tally.Gauge
 	peersDropped  tally.Gauge
+	// quarantined is the number of contents that are held.
+	quarantined tally.Gauge
 }
 
 // stepKey names a series. All of its parts come from fixed lists.
@@ -64,6 +66,7 @@
 		inProgress: root.Gauge("requests_in_progress"), configuration: root.Gauge("configuration_version"),
 		instances: root.Gauge("instances"), daemons: root.Gauge("live_daemons"), leaseHeld: root.Gauge("lease_held"),
 		linesDropped: root.Gauge("log_lines_dropped"), peersDropped: root.Gauge("peer_messages_dropped"),
+		quarantined: root.Gauge("contents_quarantined"),
 	}
 }
 
@@ -146,4 +149,5 @@
 	d.metrics.leaseHeld.Update(held)
 	d.metrics.linesDropped.Update(float64(d.log.lines.Dropped()))
 	d.metrics.peersDropped.Update(float64(d.peers.Counts().Dropped))
+	d.metrics.quarantined.Update(float64(d.quarantine.heldCount(now)))
 }
