Quarantine: only requests that broke with a server count as its victims; soak with requests that crash engines

In a soak the look at a server behind a proxy found an address that still answers, and what broke there seconds later was taken for the victims. If the list tells of the crash, those count now that broke first since the server last served a request; if the address does, those since it was last found listening. The soak sends one content that crashes engines, again and again over a whole run, and checks that at most three servers run it once all daemons in touch have had the time to hear of three crashes.

--- a/entry/crashwatch.go
+++ b/entry/crashwatch.go
@@ -49,22 +49,35 @@
 
 // brokenInstance is an instance that has ended connections.
 type brokenInstance struct {
-	// at is when it ended the first one of the last series.
-	at time.Time
-	// victims are the contents of the requests of that series, as long as it is not known whether
-	// the instance crashed.
-	victims []quarantine.Victim
+	// first are the requests that broke first since it last served one: what breaks later may never
+	// have reached it, if something else listens at its address.
+	first series
+	// last are those that broke since it was last found listening.
+	last    series
 	crashed bool
 	// looking says that it is being looked at; looked is closed after the first look, and after
 	// what it found was told.
 	looking bool
 	looked  chan struct{}
-	// lookAgain is when further connections that end make a new series, and until when what is
-	// known is kept.
+	// lookAgain is when further connections that end are a reason to look again, and until when
+	// what is known is kept.
 	lookAgain time.Time
 	until     time.Time
 }
 
+// series are requests that broke at about one moment.
+type series struct {
+	at      time.Time
+	victims []quarantine.Victim
+}
+
+// add takes in a request if it broke with the others.
+func (s *series) add(now time.Time, victim quarantine.Victim) {
+	if now.Sub(s.at) <= crashSpan && len(s.victims) < mostVictims {
+		s.victims = append(s.victims, victim)
+	}
+}
+
 func newCrashWatch() *crashWatch {
 	return &crashWatch{looks: ring.New[*fleet.Instance](crashWatchRing), broken: map[string]*brokenInstance{}}
 }
@@ -77,36 +90,52 @@
 }
 
 // note takes in a broken request. It returns when the instance ended the first connection, and
-// reports whether it is known to have crashed.
+// reports whether it is known to have crashed, with this request among others.
 func (w *crashWatch) note(now time.Time, instance *fleet.Instance, victim quarantine.Victim) (at time.Time, crashed bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.expire(now)
 	known := w.broken[instance.ID]
 	if known == nil {
-		known = &brokenInstance{}
+		known = &brokenInstance{first: series{at: now}}
 		w.broken[instance.ID] = known
 	}
 	if !known.crashed && !known.looking && !now.Before(known.lookAgain) {
 		w.beginLook(now, instance, known)
 	}
-	if !known.crashed && len(known.victims) < mostVictims {
-		known.victims = append(known.victims, victim)
+	if !known.crashed {
+		known.first.add(now, victim)
+		known.last.add(now, victim)
 	}
-	return known.at, known.crashed
+	return known.last.at, known.crashed && now.Sub(known.last.at) <= crashSpan
 }
 
-// beginLook begins a new series of connections that ended.
+// beginLook has somebody look at an instance.
 func (w *crashWatch) beginLook(now time.Time, instance *fleet.Instance, known *brokenInstance) {
-	known.at, known.victims = now, nil
+	known.last = series{at: now}
 	known.looked = make(chan struct{})
 	known.looking = w.looks.Offer(instance)
 	if !known.looking {
-		known.lookAgain, known.until = now.Add(crashSpan), now.Add(listedSpan)
+		known.lookAgain, known.until = now.Add(crashSpan), known.first.at.Add(listedSpan)
 		close(known.looked)
 	}
 }
 
+// served notes that an instance has run a request to its end that began at a moment: it has not crashed
+// before that.
+func (w *crashWatch) served(instance string, began time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	known := w.broken[instance]
+	switch {
+	case known == nil, known.crashed, !began.After(known.first.at):
+	case known.looking:
+		known.first = series{at: began}
+	default:
+		delete(w.broken, instance)
+	}
+}
+
 // expire drops what no longer holds.
 func (w *crashWatch) expire(now time.Time) {
 	for id, known := range w.broken {
@@ -120,8 +149,8 @@
 // listed has crashed, though its address may still answer.
 func (w *crashWatch) gone(now time.Time, listed func(instance string) bool) {
 	for id, known := range w.unlisted(now, listed) {
-		w.log("Instance has gone.", "instance", id, "requests", len(known.victims), "contents", names(known.victims))
-		w.crashed(known.at, id, known.victims)
+		w.log("Instance has gone.", "instance", id, "requests", len(known.first.victims), "contents", names(known.first.victims))
+		w.crashed(known.first.at, id, known.first.victims)
 	}
 }
 
@@ -139,7 +168,7 @@
 			found = map[string]brokenInstance{}
 		}
 		found[id] = *known
-		known.crashed, known.victims = true, nil
+		known.crashed = true
 	}
 	return found
 }
@@ -210,15 +239,12 @@
 // found takes in whether an instance has crashed.
 func (w *crashWatch) found(now time.Time, instance *fleet.Instance, known *brokenInstance, crashed bool) {
 	w.mutex.Lock()
-	victims, at := known.victims, known.at
-	known.looking, known.crashed, known.lookAgain, known.until = false, crashed, now.Add(crashSpan), now.Add(listedSpan)
-	if crashed {
-		known.victims = nil
-	}
+	broke := known.last
+	known.looking, known.crashed, known.lookAgain, known.until = false, crashed, now.Add(crashSpan), known.first.at.Add(listedSpan)
 	w.mutex.Unlock()
-	w.log("Connections ended.", "instance", instance.ID, "crashed", crashed, "requests", len(victims), "contents", names(victims))
+	w.log("Connections ended.", "instance", instance.ID, "crashed", crashed, "requests", len(broke.victims), "contents", names(broke.victims))
 	if crashed {
-		w.crashed(at, instance.ID, victims)
+		w.crashed(broke.at, instance.ID, broke.victims)
 	}
 }
 
--- a/entry/crashwatch_test.go
+++ b/entry/crashwatch_test.go
@@ -181,6 +181,38 @@
 	})
 }
 
+// TestRequestsThatComeTooLateAreNoVictims covers what breaks at the address of a server that crashed seconds ago,
+// and one that broke a connection, served on and crashed later.
+func TestRequestsThatComeTooLateAreNoVictims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startWatch(t)
+		gone := func() { w.gone(time.Now(), func(string) bool { return false }) }
+		w.breaks("victim")
+		for range 3 {
+			time.Sleep(time.Second)
+			w.breaks("late")
+		}
+		time.Sleep(time.Second)
+		gone()
+		if _, victims := w.seen(); victims != 1 || string(w.victims[0].Content[:6]) != "victim" {
+			t.Errorf("victims: %q", w.victims)
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		w := startWatch(t)
+		w.breaks("reset")
+		time.Sleep(time.Second)
+		w.served("i", time.Now())
+		time.Sleep(time.Second)
+		w.breaks("victim")
+		time.Sleep(time.Second)
+		w.gone(time.Now(), func(string) bool { return false })
+		if _, victims := w.seen(); victims != 1 || string(w.victims[0].Content[:6]) != "victim" {
+			t.Errorf("victims: %q", w.victims)
+		}
+	})
+}
+
 // TestServerThatLeavesLongAfterIsNoCrash covers a server that ended connections and left much later.
 func TestServerThatLeavesLongAfterIsNoCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -107,6 +107,11 @@
 	}
 }
 
+// Answered implements gateway.Quarantine.
+func (k *quarantineKeeper) Answered(instance string, began time.Time) {
+	k.watch.served(instance, began)
+}
+
 // crashed takes in the contents that this daemon had at an instance that has crashed.
 func (k *quarantineKeeper) crashed(at time.Time, instance string, victims []quarantine.Victim) {
 	k.mutex.Lock()
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -23,8 +23,10 @@
 	// Settled waits a little until it was looked whether an instance crashed. The next attempt
 	// would otherwise begin before what this one tells is known.
 	Settled(ctx context.Context, instance *fleet.Instance)
-	// Served notes that a run ended well.
+	// Served notes that a run ended well, and Answered that an instance served a run that began at
+	// a moment.
 	Served(content quarantine.Digest)
+	Answered(instance string, began time.Time)
 }
 
 // digest returns the digest of the request's content.
@@ -71,7 +73,10 @@
 }
 
 // endedWell notes that an instance ran the request to a good end: the content is harmless.
-func (e *exchange) endedWell() {
+func (e *exchange) endedWell(instance string) {
+	if e.gateway.settings.Quarantine != nil {
+		e.gateway.settings.Quarantine.Answered(instance, e.sentAt)
+	}
 	if e.suspected() {
 		e.gateway.settings.Quarantine.Served(e.digest())
 	}
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -52,6 +52,7 @@
 
 func (q *fakeQuarantine) Settled(context.Context, *fleet.Instance) { q.settled++ }
 func (q *fakeQuarantine) Served(quarantine.Digest)                 { q.served++ }
+func (q *fakeQuarantine) Answered(string, time.Time)               {}
 
 // serveQuarantined serves one request under a quarantine.
 func serveQuarantined(upstream gateway.Upstream, held *fakeQuarantine, sent *gateway.Request, view *fleet.View) *client {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -55,7 +55,7 @@
 	} else {
 		e.end(id, balance.Served)
 		if response.Status() < statusMultipleChoices {
-			e.endedWell()
+			e.endedWell(id)
 		}
 	}
 	if e.begun {
@@ -104,7 +104,7 @@
 			return verdictEnded
 		}
 		if errors.Is(err, io.EOF) {
-			e.endedWell()
+			e.endedWell(id)
 			e.observe(Event{Step: StepEnded, Instance: id, Status: response.Status(), Reason: ReasonAnswered})
 			return verdictEnded
 		}
@@ -159,7 +159,7 @@
 // streamEnded ends a stream whose framing was whole.
 func (e *exchange) streamEnded(id string, response Response, events *eventCutter) verdict {
 	e.end(id, balance.Served)
-	e.endedWell()
+	e.endedWell(id)
 	if !e.forward(response, events.rest()) {
 		e.reply.Abort()
 	}
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -39,6 +39,7 @@
 	}
 	r.checkDraining(sent, run)
 	r.checkTenant(sent, run)
+	r.checkDeadly(sent, run)
 }
 
 // checkDraining checks that no request reaches a server too long after it said that
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -294,3 +294,43 @@
 		}
 	}
 }
+
+// TestDeadlyRequestsAreCounted covers the promise that a request under which servers crash is kept from others:
+// three crashes and what comes within the time to hear of them are allowed, and three more.
+func TestDeadlyRequestsAreCounted(t *testing.T) {
+	late := contact + lateness + time.Second
+	for _, c := range []struct {
+		name   string
+		after  time.Duration
+		runs   int
+		broken int
+	}{
+		{"soon after", time.Second, 20, 0},
+		{"three too late", late, 3, 0},
+		{"four too late", late, 4, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScene()
+			s.calm(t)
+			began := time.Now()
+			run := func(number int, at time.Time) {
+				id := fmt.Sprint("d", number)
+				sent := s.request(id, fleet.KindStream, 0, 0)
+				sent.Path, sent.Body = deadlyPath, deadlyBody
+				s.Ran(standin.Run{
+					ID: id, At: at, Server: fmt.Sprint("s", number), Method: "POST", URI: deadlyPath, Body: deadlyBody,
+					Header: http.Header{"X-Tenant": {ampleTenant}},
+				})
+			}
+			for number := range deadlyCrashes {
+				run(number, began)
+			}
+			for number := range c.runs {
+				run(deadlyCrashes+number, began.Add(c.after))
+			}
+			if len(s.violations) != c.broken {
+				t.Errorf("%d violations, want %d: %v", len(s.violations), c.broken, s.violations)
+			}
+		})
+	}
+}
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -144,6 +144,9 @@
 		return ErrSoak.Wrap(err)
 	}
 	server.LoadTime, server.EventPause = 300*time.Millisecond, 40*time.Millisecond
+	if p.service == engineService {
+		server.CrashOn(deadlyBody)
+	}
 	p.server = server
 	p.proxy.retarget(server.Address())
 	return nil
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -55,6 +55,8 @@
 	{"change the configuration", changeConfiguration},
 	{"a server starts again under its id", rebearServer},
 	{"entries of other writers", foreignEntries},
+	{"a request crashes its servers", sendDeadlyRequests},
+	{"a request crashes its servers", sendDeadlyRequests},
 }
 
 // runFaults brings faults about until ctx ends: in series, and overlapping.
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -29,6 +29,7 @@
 	promiseTakenKey    = "taken key"
 	promiseKnownKey    = "known key"
 	promiseQuota       = "quota"
+	promiseQuarantine  = "quarantine"
 )
 
 // Violation is a promise that was broken.
@@ -87,6 +88,9 @@
 	disturbedAt time.Time
 	storeAt     time.Time
 	storeFaults int
+	// deadlyRuns are the runs of the deadly request, and deadlyLate counts those that came too late.
+	deadlyRuns  []time.Time
+	deadlyLate  int
 	violations  []Violation
 	checked     map[string]int
 	onViolation func(Violation)
