Quarantine: operators release contents by a setting; the store keeps none for longer than an hour

A content against which no crash counts is remembered for a minute only, as each request has its digest computed while anything is. What is held goes first in a message to a daemon that may lack it. TestReleasedContentIsServed, TestClearedContentsAreForgottenSoon.

--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 	"regexp"
+	"syscall"
 	"testing"
 	"time"
 
@@ -171,6 +174,35 @@
 	}
 }
 
+// TestReleasedContentIsServed has operators release a content whose cause they have mended: at the daemon that
+// reads the setting and, by its word, at the others.
+func TestReleasedContentIsServed(t *testing.T) {
+	logged := &lockedText{}
+	f := startFragile(t, 2, logged)
+	for try := range crashLimit {
+		f.send(try%len(f.all), "/plain/x", deadlyBody)
+		time.Sleep(betweenTries)
+	}
+	for _, server := range f.servers {
+		server.CrashOn("")
+	}
+	if answer := f.send(1, "/plain/x", deadlyBody); answer.Status != 503 {
+		t.Fatalf("status %d, the content is not held", answer.Status)
+	}
+	held := regexp.MustCompile(`quarantine: Held\." node=d\d content=([0-9a-f]{32})`).FindStringSubmatch(logged.String())
+	path := filepath.Join(t.TempDir(), "node.ini")
+	signals := make(chan os.Signal, 1)
+	f.daemons[0].WatchSettings(path, signals)
+	content := settingsText(&f.all[0], "released_contents = "+held[1])
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	signals <- syscall.SIGHUP
+	for i := range f.all {
+		eventually(t, "served again", func() bool { return f.send(i, "/plain/x", deadlyBody).Status == 200 })
+	}
+}
+
 // TestBystandersOfCrashesAreServed sends the same harmless requests beside the deadly one: they
 // run on servers that crash, more than once, and must not be taken for the cause.
 func TestBystandersOfCrashesAreServed(t *testing.T) {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -354,19 +354,20 @@
 	})
 }
 
+// settingsText is a file with the settings of a daemon, and some about requests.
+func settingsText(s *entry.Settings, requests string) string {
+	return fmt.Sprintf("[daemon]\nname = %s\nzone = z\ndeployment_key = a key for these tests\n[listen]\nfront = %s\nready = %s\ndirectory = %s\npeers = %s\n"+
+		"[store]\naddress = %s\n[requests]\n%s\n", s.Name, s.FrontAddress, s.ReadyAddress, s.DirectoryAddress, s.PeerAddress, s.StoreAddress, requests)
+}
+
 // TestSettingsAreReadAgain covers a signal, a change without a signal, and a file
 // that is not valid any more.
 func TestSettingsAreReadAgain(t *testing.T) {
 	f := start(t, 1)
 	f.waitReady(t)
-	text := func(keep string) string {
-		s := f.all[0]
-		return fmt.Sprintf("[daemon]\nname = %s\nzone = z\ndeployment_key = a key for these tests\n[listen]\nfront = %s\nready = %s\ndirectory = %s\npeers = %s\n"+
-			"[store]\naddress = %s\n[requests]\naddress_keep = %s\n", s.Name, s.FrontAddress, s.ReadyAddress, s.DirectoryAddress, s.PeerAddress, s.StoreAddress, keep)
-	}
 	path := filepath.Join(t.TempDir(), "node.ini")
 	write := func(keep string) {
-		if err := os.WriteFile(path, []byte(text(keep)), 0o600); err != nil {
+		if err := os.WriteFile(path, []byte(settingsText(&f.all[0], "address_keep = "+keep)), 0o600); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -112,6 +112,22 @@
 	k.watch.served(instance, began)
 }
 
+// release clears contents by their digests: operators have mended why servers crashed under them.
+func (k *quarantineKeeper) release(digests []string) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for _, text := range digests {
+		content, err := quarantine.ParseDigest(text)
+		if err != nil {
+			k.watch.log("Not released.", "content", text, "error", err)
+			continue
+		}
+		if k.book.Suspects(content) {
+			k.take(k.book.Served(k.daemon.clock.Now(), content), true)
+		}
+	}
+}
+
 // crashed takes in the contents that this daemon had at an instance that has crashed.
 func (k *quarantineKeeper) crashed(at time.Time, instance string, victims []quarantine.Victim) {
 	k.mutex.Lock()
@@ -237,6 +253,7 @@
 }
 
 // restore reads what the store has kept, once: it is all that is left after all daemons were killed.
+// What was kept longer ago than anybody remembers is dropped there.
 func (k *quarantineKeeper) restore() {
 	d := k.daemon
 	source := d.store.Quarantined()
@@ -249,19 +266,28 @@
 			sleep(d.ctx, pause/2+rand.N(pause/2))
 			continue
 		}
-		var update quarantine.Update
-		for _, item := range page.Items {
-			if !item.Gone {
-				update.Items = append(update.Items, item.Value)
-			}
-		}
-		k.learn(update)
+		k.restorePage(page)
 		if after = page.Next; after == "" {
+			k.release(d.current().Released)
 			return
 		}
 	}
 }
 
+func (k *quarantineKeeper) restorePage(page feed.Page[quarantine.Item]) {
+	var update quarantine.Update
+	for _, item := range page.Items {
+		switch {
+		case item.Gone:
+		case item.Value.Forgotten():
+			k.kept.Offer(keptChange{content: item.Value.Content, dropped: true})
+		default:
+			update.Items = append(update.Items, item.Value)
+		}
+	}
+	k.learn(update)
+}
+
 // runKept keeps verdicts in the store.
 func (k *quarantineKeeper) runKept() {
 	for {
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -52,8 +52,10 @@
 	kept := *old
 	kept.Seeds, kept.AddressKeep, kept.Grace = next.Seeds, next.AddressKeep, next.Grace
 	kept.RetryShare, kept.RetrySlack, kept.WatchWait = next.RetryShare, next.RetrySlack, next.WatchWait
+	kept.Released = next.Released
 	d.settings.Store(&kept)
 	d.budget.SetShare(retryPart * kept.RetryShare)
+	d.quarantine.release(kept.Released)
 	seeds := kept.Seeds
 	d.work.events.Put(d.ctx, func(node *coordination.Node, _ time.Time) []coordination.Action {
 		node.SetSeeds(seeds)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wheatweir/wheatweir/inifile"
+	"github.com/wheatweir/wheatweir/quarantine"
 )
 
 // Settings are the settings of an entry daemon.
@@ -54,6 +55,9 @@
 	// RevokeWithin is how long after the store has taken that a key is no longer valid a
 	// request with it may still be served, by any daemon; zero if nothing says so.
 	RevokeWithin time.Duration
+	// Released are digests of contents that are not kept from servers any more, as the log names them: their
+	// cause was mended.
+	Released []string
 	// MemoryLimitMB is the memory of the process.
 	MemoryLimitMB float64
 	// CPUShare is the processor of the machine, in cores; zero if it is not known.
@@ -94,6 +98,7 @@
 		inifile.Duration("requests", "grace", &s.Grace, time.Second, time.Hour),
 		inifile.Number("requests", "retry_share", &s.RetryShare, 0, 1),
 		inifile.Number("requests", "retry_slack", &s.RetrySlack, 0, 1000000),
+		optional(inifile.Words("requests", "released_contents", "32 hexadecimal digits", &s.Released, isDigest)),
 		inifile.Boolean("orders", "checks_fence", &s.ChecksFence),
 		inifile.Duration("orders", "lease_term", &s.LeaseTerm, 100*time.Millisecond, time.Hour),
 	}
@@ -107,6 +112,11 @@
 	return s.PeerAddress
 }
 
+func isDigest(word string) bool {
+	_, err := quarantine.ParseDigest(word)
+	return err == nil
+}
+
 func optional(field inifile.Field) inifile.Field {
 	field.Required = false
 	return field
--- a/inifile/field.go
+++ b/inifile/field.go
@@ -84,6 +84,28 @@
 	}
 }
 
+// Words declares a list of words that satisfy a check. An empty text is an empty list.
+func Words(section, name, form string, target *[]string, valid func(word string) bool) Field {
+	return Field{
+		Section: section, Name: name, Form: form + ", ... separated by commas",
+		Parse: func(text string) bool {
+			*target = nil
+			for _, word := range strings.Split(text, ",") {
+				word = strings.TrimSpace(word)
+				switch {
+				case word == "":
+				case valid(word):
+					*target = append(*target, word)
+				default:
+					return false
+				}
+			}
+			return true
+		},
+		Show: func() string { return strings.Join(*target, ", ") },
+	}
+}
+
 // Choice declares one of a few words.
 func Choice(section, name string, target *string, choices ...string) Field {
 	return Field{
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -20,6 +20,9 @@
 	// rememberSpan is how long crashes are remembered after the last one under their content.
 	// Forgetting a content costs the limit once more.
 	rememberSpan = time.Hour
+	// clearedSpan is how long it is remembered of a content that no crash counts against it: as long
+	// as somebody may still tell of one of those.
+	clearedSpan = time.Minute
 	// mostContents bounds the contents that are remembered: at most 64 of each crash, so that 64
 	// crashes in an hour fit in, in about 1 MB.
 	mostContents = 4096
@@ -307,7 +310,11 @@
 // Forget drops what is too old.
 func (b *Book) Forget(now time.Time) {
 	for content, known := range b.records {
-		if now.Sub(known.lastAt) >= rememberSpan {
+		span := rememberSpan
+		if known.counted == 0 {
+			span = clearedSpan
+		}
+		if now.Sub(known.lastAt) >= span {
 			b.drop(content)
 		}
 	}
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -168,6 +168,19 @@
 	}
 }
 
+// TestClearedContentsAreForgottenSoon covers what a crash leaves behind: while anything is remembered, each
+// request has its digest computed.
+func TestClearedContentsAreForgottenSoon(t *testing.T) {
+	book := NewBook()
+	crashed(book, start, "server", "cleared", "suspect")
+	book.Served(start, named("cleared"))
+	later := start.Add(clearedSpan)
+	book.Forget(later)
+	if book.records[named("cleared")] != nil || !book.Suspects(named("suspect")) {
+		t.Error("remembered: what was cleared, or not: what was not")
+	}
+}
+
 func TestCrashesOfOneContentAreBounded(t *testing.T) {
 	book := NewBook()
 	now := start
--- a/quarantine/update.go
+++ b/quarantine/update.go
@@ -29,6 +29,11 @@
 	Crashes []Told `msgpack:"s"`
 }
 
+// Forgotten reports whether all of the crashes are too long ago to be remembered.
+func (i *Item) Forgotten() bool {
+	return !slices.ContainsFunc(i.Crashes, func(told Told) bool { return told.Age < rememberSpan })
+}
+
 // Told is one crash under a content.
 type Told struct {
 	// Server is one life of a server.
@@ -58,16 +63,17 @@
 // Newest returns what a daemon may lack that has just started or has missed a message: all contents
 // that are held, and what was learned within a span.
 func (b *Book) Newest(now time.Time, span time.Duration) Update {
-	var update Update
+	var held, fresh []Item
 	for content, known := range b.records {
-		if len(update.Items) == mostTold {
-			break
-		}
-		if known.held || now.Sub(known.changedAt) < span {
-			update.Items = append(update.Items, known.item(now, content))
+		switch {
+		case known.held:
+			held = append(held, known.item(now, content))
+		case now.Sub(known.changedAt) < span:
+			fresh = append(fresh, known.item(now, content))
 		}
 	}
-	return update
+	items := slices.Concat(held, fresh)
+	return Update{Items: items[:min(len(items), mostTold)]}
 }
 
 // Evidence returns all that is known of one content.
