--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -76,8 +76,8 @@
 	return count
 }
 
-// betweenTries is the pause of the clients of the incident between two tries, at its shortest, taken ten times as
-// short: the daemons have that long to tell each other.
+// betweenTries is the pause between two tries, a tenth of the shortest that was seen: the daemons have that
+// long to tell each other.
 const betweenTries = 50 * time.Millisecond
 
 // TestDeadlyRequestIsStopped sends the same request again and again, at one daemon after the other.
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -13,9 +13,9 @@
 	// more: a harmless one meets two crashes in a row by chance now and then, three hardly ever
 	// (TestHarmlessContentsAreHardlyEverHeld gives the figures).
 	crashLimit = 3
-	// HoldSpan is how long a content is held after the last server that crashed under it. Whoever
-	// sends it after that loses one more server, at once in all daemons' knowledge: six servers an hour
-	// where nobody mends the cause.
+	// HoldSpan is how long a content is held after the last server that crashed under it. The next
+	// request with it reaches a server; if that crashes too, the content is held again. A cause that
+	// nobody mends so ends six servers an hour at most, beside those that are sent it at one moment.
 	HoldSpan = 10 * time.Minute
 	// rememberSpan is how long crashes are remembered after the last one under their content.
 	// Forgetting a content costs the limit once more.
@@ -23,8 +23,8 @@
 	// clearedSpan is how long it is remembered of a content that no crash counts against it: as long
 	// as somebody may still tell of one of those.
 	clearedSpan = time.Minute
-	// mostContents bounds the contents that are remembered: at most 64 of each crash, so that 64
-	// crashes in an hour fit in, in about 1 MB.
+	// mostContents bounds the contents that are remembered, to about 1 MB. A crash adds up to 64, so
+	// 64 crashes fit in.
 	mostContents = 4096
 	// mostCrashes bounds the crashes that are remembered of one content.
 	mostCrashes = 16
