--- a/entry/suspend_test.go
+++ b/entry/suspend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,21 @@
 	"github.com/wheatweir/wheatweir/tenant"
 )
 
+// startHolder starts one daemon, which holds the lease on orders, before servers that check tokens or do not.
+func startHolder(t *testing.T, checks bool, output io.Writer) *deployment {
+	t.Helper()
+	f := startWithLogs(t, 1, output)
+	f.daemons[0].Kill()
+	f.all[0].ChecksFence = checks
+	f.daemons[0] = f.startDaemon(t, f.all[0])
+	f.waitReady(t)
+	eventually(t, "the daemon gives orders", func() bool {
+		_, status, _, err := post(f.all[0].FrontAddress, "/stream/x", "m/a1")
+		return err == nil && status == 200
+	})
+	return f
+}
+
 // TestSuspendedDaemonTrustsNothingOld suspends the machine of a daemon while the store answers nobody. What it
 // knew when it fell asleep is too old when it wakes, though its steady clock says otherwise. It is asked at
 // once, before any duty of it may have had its turn.
@@ -23,16 +39,8 @@
 		}
 	})
 	t.Run("the lease on orders", func(t *testing.T) {
-		f := start(t, 1)
-		f.daemons[0].Kill()
 		// Where servers check the token of an order, a holder may go on while the store is away for all.
-		f.all[0].ChecksFence = false
-		f.daemons[0] = f.startDaemon(t, f.all[0])
-		f.waitReady(t)
-		eventually(t, "the daemon gives orders", func() bool {
-			_, status, _, err := post(f.all[0].FrontAddress, "/stream/x", "m/a1")
-			return err == nil && status == 200
-		})
+		f := startHolder(t, false, io.Discard)
 		f.store.SetFault(func(string, string) standin.Fault { return standin.FaultBusy })
 		f.machine("d0").Sleep(5 * time.Second)
 		if _, status, _, _ := post(f.all[0].FrontAddress, "/stream/x", "n"); status == 200 {
@@ -49,15 +57,7 @@
 	for _, checks := range []bool{true, false} {
 		t.Run(fmt.Sprint("tokens are checked: ", checks), func(t *testing.T) {
 			logged := &lockedText{}
-			f := startWithLogs(t, 1, logged)
-			f.daemons[0].Kill()
-			f.all[0].ChecksFence = checks
-			f.daemons[0] = f.startDaemon(t, f.all[0])
-			f.waitReady(t)
-			eventually(t, "the daemon gives orders", func() bool {
-				_, status, _, err := post(f.all[0].FrontAddress, "/stream/x", "m/a1")
-				return err == nil && status == 200
-			})
+			f := startHolder(t, checks, logged)
 			f.store.SetFault(func(string, string) standin.Fault { return standin.FaultBusy })
 			time.Sleep(f.all[0].LeaseTerm + 500*time.Millisecond)
 			lines := strings.Split(logged.String(), "lease: Changed.")
