--- a/coordination/crashes_test.go
+++ b/coordination/crashes_test.go
@@ -125,3 +125,28 @@
 		t.Errorf("not taken in: %v", want)
 	}
 }
+
+// BenchmarkNewsOfOneCrash tells what the news of one crash costs that one daemon saw: messages of all daemons, of
+// the one that sends most of them, and of all in ten seconds without a crash.
+func BenchmarkNewsOfOneCrash(b *testing.B) {
+	for _, size := range []int{30, 100, 300} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for b.Loop() {
+				w := newCrashWorld(size)
+				calm := 0
+				for _, count := range w.crashMessages {
+					calm += count
+				}
+				w.tell("n0", "server")
+				w.run(500 * time.Millisecond)
+				all, most := 0, 0
+				for _, count := range w.crashMessages {
+					all, most = all+count, max(most, count)
+				}
+				b.ReportMetric(float64(all), "messages")
+				b.ReportMetric(float64(most), "most-by-one")
+				b.ReportMetric(float64(calm), "calm")
+			}
+		})
+	}
+}
--- a/coordination/world_test.go
+++ b/coordination/world_test.go
@@ -53,6 +53,8 @@
 	questions map[string]int
 	// learnCrashes is told what nodes hear of crashes; nil means nobody.
 	learnCrashes func(node string, update quarantine.Update)
+	// crashMessages counts messages with news of crashes by their senders.
+	crashMessages map[string]int
 	// latency is how long a message takes; nil means no time. under are those on their way.
 	latency func() time.Duration
 	under   []message
@@ -73,7 +75,7 @@
 }
 
 func newWorld(count int) *world {
-	w := &world{now: time.Unix(1000, 0), nodes: map[string]*coordination.Node{}, zones: map[string]string{}, storeCut: map[string]bool{}, dead: map[string]bool{}, refresh: map[string]int{}, messages: map[string]int{}, bytes: map[string]int{}, byKind: map[string]int{}, spent: map[string]time.Duration{}, heardLoad: map[[2]string]int{}, questions: map[string]int{}}
+	w := &world{now: time.Unix(1000, 0), nodes: map[string]*coordination.Node{}, zones: map[string]string{}, storeCut: map[string]bool{}, dead: map[string]bool{}, refresh: map[string]int{}, messages: map[string]int{}, bytes: map[string]int{}, byKind: map[string]int{}, spent: map[string]time.Duration{}, heardLoad: map[[2]string]int{}, questions: map[string]int{}, crashMessages: map[string]int{}}
 	for i := range count {
 		w.nodes[fmt.Sprint("n", i)] = nil
 	}
@@ -143,6 +145,9 @@
 			if action.Message.Load != nil {
 				w.heardLoad[[2]string{name, action.Address}]++
 			}
+			if action.Message.Crashes != nil {
+				w.crashMessages[name]++
+			}
 			if action.Message.Configuration != nil {
 				w.configurations++
 			}
