--- a/coordination/node.go
+++ b/coordination/node.go
@@ -280,6 +280,9 @@
 
 // InstancesListed takes in a full list of instances.
 func (n *Node) InstancesListed(now time.Time, batch feed.Batch[*fleet.Instance]) []Action {
+	if known := n.instances.At(); batch.At < known {
+		n.decide("instances", "List is older than what is known; passed over.", "listed", batch.At, "known", known)
+	}
 	n.instancesChanged(now, originStore, n.instances.Replace(batch))
 	return n.take()
 }
--- /dev/null
+++ b/entry/restore_test.go
@@ -0,0 +1,58 @@
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/platform/standin"
+)
+
+// Seen: requests reached a server up to 3.5 s after it had said that it leaves; daemons listed the
+// configuration 18 times a second, each list followed by an answer that the history is gone, until
+// the store's revisions had passed those that they knew.
+//
+// TestServerThatLeavesAfterARestoreIsHeardOf has the store come back from a copy, so that its
+// revisions go back, and a server leave after that.
+func TestServerThatLeavesAfterARestoreIsHeardOf(t *testing.T) {
+	// allowed is the time within which a server that leaves has to be known.
+	const allowed = 2 * time.Second
+	f := start(t, 3)
+	f.waitReady(t)
+	copied := f.store.Copy()
+	for version := range uint64(20) {
+		putConfiguration(f.store, 2+version)
+	}
+	f.waitConfiguration(t, "added")
+	f.store.SetFault(func(string, string) standin.Fault { return standin.FaultReset })
+	time.Sleep(300 * time.Millisecond)
+	f.store.ComeBackFrom(copied)
+	f.store.SetFault(nil)
+	time.Sleep(time.Second)
+	leaving := f.servers[0]
+	leaving.Drain()
+	time.Sleep(allowed)
+	known := len(leaving.Runs())
+	for i, settings := range f.all {
+		for range 8 {
+			if _, status, _, err := post(settings.FrontAddress, "/stream/x", "m"); err != nil || status != 200 {
+				t.Errorf("daemon %d: status %d, %v", i, status, err)
+			}
+		}
+	}
+	if late := len(leaving.Runs()) - known; late > 0 {
+		t.Errorf("%d requests reached a server %v after it had said that it leaves", late, allowed)
+	}
+}
+
+// waitConfiguration adds a route and waits until all daemons serve it.
+func (f *deployment) waitConfiguration(t *testing.T, name string) {
+	t.Helper()
+	putConfiguration(f.store, 1000, name)
+	for _, settings := range f.all {
+		eventually(t, fmt.Sprint("the route at ", settings.Name), func() bool {
+			_, status, _, _ := post(settings.FrontAddress, "/"+name+"/x", "")
+			return status == 200
+		})
+	}
+}
