--- a/coordination/assurance.go
+++ b/coordination/assurance.go
@@ -231,7 +231,7 @@
 		return
 	}
 	state.awaited = false
-	n.noteVersion(SourceConfiguration, from, told.Version)
+	n.noteVersion(SourceConfiguration, from, configurationPlace(told.Version))
 	n.assure(told.Version, state.askedAt.Add(-told.Age))
 }
 
--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -6,6 +6,7 @@
 
 	"github.com/wheatweir/wheatweir/feed"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/history"
 )
 
 // sourceState is how one collection of the store is followed here.
@@ -14,7 +15,7 @@
 	// none does.
 	behindSince time.Time
 	// newest is the newest version that another daemon told, and from whom.
-	newest uint64
+	newest history.Place
 	from   string
 	// routes is the number of routes of that configuration.
 	routes int
@@ -40,24 +41,31 @@
 }
 
 // noteVersions takes in how new another daemon's knowledge is.
-func (n *Node) noteVersions(from string, versions Versions) {
-	if versions.Configuration >= n.sources[SourceConfiguration].newest {
+func (n *Node) noteVersions(now time.Time, from string, versions Versions) {
+	if !versions.Instances.IsZero() {
+		n.learnEra(now, origin(from), versions.Instances.Era)
+	}
+	if !configurationPlace(versions.Configuration).Before(n.sources[SourceConfiguration].newest) {
 		n.sources[SourceConfiguration].routes = versions.Routes
 	}
-	n.noteVersion(SourceConfiguration, from, versions.Configuration)
+	n.noteVersion(SourceConfiguration, from, configurationPlace(versions.Configuration))
 	n.noteVersion(SourceInstances, from, versions.Instances)
 }
 
-func (n *Node) noteVersion(source Source, from string, version uint64) {
+func (n *Node) noteVersion(source Source, from string, version history.Place) {
 	state := n.sources[source]
-	if version >= state.newest && version > 0 {
+	if !version.Before(state.newest) && !version.IsZero() {
 		state.newest, state.from = version, from
 	}
 }
 
-func (n *Node) ownVersion(source Source) uint64 {
+// configurationPlace is a version of the configuration as a place. The operator's versions rise
+// whatever the store loses, so they are of no era.
+func configurationPlace(version uint64) history.Place { return history.At(0, version) }
+
+func (n *Node) ownVersion(source Source) history.Place {
 	if source == SourceConfiguration {
-		return n.configurationVersion()
+		return configurationPlace(n.configurationVersion())
 	}
 	return n.instances.Newest()
 }
@@ -76,7 +84,7 @@
 func (n *Node) tickSources(now time.Time) {
 	for _, source := range []Source{SourceConfiguration, SourceInstances} {
 		state := n.sources[source]
-		if state.newest <= n.ownVersion(source) {
+		if !state.newest.After(n.ownVersion(source)) {
 			state.behindSince = time.Time{}
 			continue
 		}
@@ -142,7 +150,7 @@
 // onlyAbout leaves the other collection out of a question.
 func (v Versions) onlyAbout(source Source) Versions {
 	if source == SourceConfiguration {
-		v.Instances = math.MaxUint64
+		v.Instances = history.Last
 	} else {
 		v.Configuration = math.MaxUint64
 	}
@@ -250,21 +258,25 @@
 	if n.configurationVersion() > asked.Configuration {
 		answer.Configuration = n.configuration
 	}
-	if n.instances.Known() && n.instances.Newest() > asked.Instances {
+	if n.instances.Known() && n.instances.Newest().After(asked.Instances) {
 		answer.Instances = n.listing(asked.Instances)
 	}
 	n.do(SendPeer{Address: other.PeerAddress, Message: answer})
 }
 
 // listing is what changed after a version, or everything if that is not kept.
-func (n *Node) listing(since uint64) *Listing {
+func (n *Node) listing(since history.Place) *Listing {
 	items, changes := n.instances.Since(since)
 	if !changes {
 		items = n.instances.Items()
 	}
 	listing := &Listing{At: n.instances.At(), Changes: changes}
 	for _, item := range items {
-		listed := ListedInstance{Revision: item.Revision, Gone: item.Gone}
+		if item.Place.Era < listing.At.Era {
+			// The store may have lost it, or it may be gone: the other one knows as much.
+			continue
+		}
+		listed := ListedInstance{Place: item.Place, Gone: item.Gone}
 		if item.Gone {
 			listed.Value.ID = item.Name
 		} else {
@@ -280,16 +292,16 @@
 	batch := feed.Batch[*fleet.Instance]{At: listing.At}
 	for i := range listing.Items {
 		item := &listing.Items[i]
-		taken := feed.Item[*fleet.Instance]{Name: item.Value.ID, Revision: item.Revision, Gone: item.Gone}
+		taken := feed.Item[*fleet.Instance]{Name: item.Value.ID, Place: item.Place, Gone: item.Gone}
 		if !item.Gone {
 			taken.Value = &item.Value
 		}
 		batch.Items = append(batch.Items, taken)
 	}
 	if listing.Changes {
-		batch.At = 0
-		n.instancesChanged(now, from, n.instances.Apply(batch))
+		batch.At = history.Place{}
+		n.instancesChanged(now, from, n.instances.Apply(batch), false)
 		return
 	}
-	n.instancesChanged(now, from, n.instances.Replace(batch))
+	n.replaceInstances(now, from, batch)
 }
--- /dev/null
+++ b/coordination/era.go
@@ -0,0 +1,83 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/wheatweir/wheatweir/feed"
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+// eraState is what is known of the eras of the store, each of which begins when it comes back from an
+// earlier copy of itself.
+type eraState struct {
+	known bool
+	era   uint64
+	// rose is how often a newer era was learned of.
+	rose uint64
+	// earlierUntil is until when instances stay that only an earlier era told of; zero if there are none.
+	earlierUntil time.Time
+}
+
+// rewriteSpan is how long instances stay that the copy lacks: it may be older than their entries, which
+// servers write again. The users' platform has the entries of servers that live back within about 2 s.
+// It is added to the time in which a server that leaves has to be known only where the copy lost both
+// its entry and its leaving.
+const rewriteSpan = 2500 * time.Millisecond
+
+// originRestore is the origin of what follows from the store coming back from a copy.
+const originRestore origin = "restore"
+
+// EraLearned takes in the era that an answer of the store has named.
+func (n *Node) EraLearned(now time.Time, era uint64) []Action {
+	n.learnEra(now, originStore, era)
+	return n.take()
+}
+
+// StoreEra is the newest era of the store that is known.
+func (n *Node) StoreEra() uint64 { return n.eras.era }
+
+// learnEra takes in an era. A newer one than that known says that the store has lost what it took last:
+// who watches it lists anew at once, and tells the others.
+func (n *Node) learnEra(now time.Time, from origin, era uint64) {
+	state := &n.eras
+	if state.known && era <= state.era {
+		return
+	}
+	rose := state.known
+	state.known, state.era = true, era
+	if !rose {
+		return
+	}
+	state.rose++
+	n.decide("store", "Came back from a copy.", "era", era, "from", string(from), "instances_at", n.instances.At())
+	if n.Watching(now) {
+		n.do(Refresh{Source: SourceConfiguration})
+		n.do(Refresh{Source: SourceInstances})
+	}
+}
+
+// replaceInstances takes in a full list of instances. The first one of an era shows instances as the copy
+// has them: that is no news of those which are known.
+func (n *Node) replaceInstances(now time.Time, from origin, batch feed.Batch[*fleet.Instance]) {
+	n.learnEra(now, from, batch.At.Era)
+	known, before := n.instances.Known(), n.instances.At()
+	if known && batch.At.Before(before) {
+		n.decide("instances", "List is older than what is known; passed over.", "from", string(from), "listed", batch.At, "known", before)
+		return
+	}
+	restored := known && batch.At.Era > before.Era
+	changed := n.instances.Replace(batch)
+	if restored && n.instances.HasEarlier() {
+		n.eras.earlierUntil = now.Add(rewriteSpan)
+	}
+	n.instancesChanged(now, from, changed, restored)
+}
+
+// tickEarlier drops the instances that only an earlier era told of, once they had time to be written again.
+func (n *Node) tickEarlier(now time.Time) {
+	if n.eras.earlierUntil.IsZero() || now.Before(n.eras.earlierUntil) {
+		return
+	}
+	n.eras.earlierUntil = time.Time{}
+	n.instancesChanged(now, originRestore, n.instances.DropEarlier(), false)
+}
--- /dev/null
+++ b/coordination/era_test.go
@@ -0,0 +1,115 @@
+package coordination_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/coordination"
+	"github.com/wheatweir/wheatweir/feed"
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/history"
+)
+
+// listed is a list of an era. An entry that ends in "-" is of an instance that is leaving.
+func listed(era, at uint64, entries ...string) feed.Batch[*fleet.Instance] {
+	batch := feed.Batch[*fleet.Instance]{At: history.At(era, at)}
+	for _, entry := range entries {
+		id, leaving := strings.CutSuffix(entry, "-")
+		batch.Items = append(batch.Items, feed.Item[*fleet.Instance]{
+			Name: id, Place: history.At(era, at), Value: &fleet.Instance{ID: id, Service: "llm", Address: id, Slots: 8, Leaving: leaving},
+		})
+	}
+	return batch
+}
+
+// inUse are the instances that a node would send to.
+func (w *world) inUse(name string, ids ...string) []string {
+	view, _ := w.nodes[name].TakeView()
+	var used []string
+	for _, id := range ids {
+		if instance := view.Instance(id); instance != nil && !instance.Leaving {
+			used = append(used, id)
+		}
+	}
+	return used
+}
+
+// eraWorld is a fleet of which every node knows the same list.
+func eraWorld(count int, entries ...string) *world {
+	w := newWorld(count)
+	for _, name := range w.names() {
+		w.perform(name, w.nodes[name].ConfigurationLearned(engineConfiguration(1)))
+		w.perform(name, w.nodes[name].InstancesListed(w.now, listed(1, 95, entries...)))
+	}
+	w.run(2 * time.Second)
+	return w
+}
+
+// fromStore has each node that watches the store take in what that says.
+func (w *world) fromStore(take func(node *coordination.Node) []coordination.Action) {
+	for _, name := range w.names() {
+		if w.nodes[name].Watching(w.now) {
+			w.perform(name, take(w.nodes[name]))
+		}
+	}
+}
+
+// TestInstancesThatACopyLacksStayForAWhile has the store come back from a copy that is older than one of
+// two instances. Daemons that watch it tell the others.
+func TestInstancesThatACopyLacksStayForAWhile(t *testing.T) {
+	for _, again := range []bool{true, false} {
+		t.Run(fmt.Sprint("written again: ", again), func(t *testing.T) {
+			w := eraWorld(9, "i1", "i2")
+			w.fromStore(func(node *coordination.Node) []coordination.Action {
+				return node.InstancesListed(w.now, listed(2, 80, "i1"))
+			})
+			w.run(time.Second)
+			for _, name := range w.names() {
+				if at := w.nodes[name].InstancesAt(); at != history.At(2, 80) {
+					t.Errorf("%s is at %v", name, at)
+				}
+				if used := w.inUse(name, "i1", "i2"); len(used) != 2 {
+					t.Errorf("%s uses %v a second after the store was back", name, used)
+				}
+			}
+			if again {
+				w.fromStore(func(node *coordination.Node) []coordination.Action {
+					return node.InstancesChanged(w.now, listed(2, 81, "i2"))
+				})
+			}
+			w.run(3 * time.Second)
+			want := []string{"i1"}
+			if again {
+				want = []string{"i1", "i2"}
+			}
+			for _, name := range w.names() {
+				if used := w.inUse(name, "i1", "i2"); !slices.Equal(used, want) {
+					t.Errorf("%s uses %v, want %v", name, used, want)
+				}
+			}
+		})
+	}
+}
+
+// TestEraIsToldOnce covers the log of a store that comes back from a copy: each daemon says so in one line.
+func TestEraIsToldOnce(t *testing.T) {
+	w := eraWorld(9, "i1")
+	watcher := w.pickByWatch(true)
+	w.perform(watcher, w.nodes[watcher].EraLearned(w.now, 2))
+	w.perform(watcher, w.nodes[watcher].InstancesListed(w.now, listed(2, 80, "i1")))
+	w.run(3 * time.Second)
+	told := map[string]int{}
+	for _, line := range w.decisions {
+		if name, rest, _ := strings.Cut(line, " "); strings.HasPrefix(rest, "store ") {
+			told[name]++
+		}
+	}
+	for _, name := range w.names() {
+		if told[name] != 1 {
+			t.Errorf("%s tells %d times that the store came back", name, told[name])
+		}
+	}
+}
--- a/coordination/foreign_test.go
+++ b/coordination/foreign_test.go
@@ -9,14 +9,15 @@
 	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/feed"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/history"
 )
 
 // FuzzReceive has a node take in messages of any content: it takes what it can use, and goes on.
 func FuzzReceive(f *testing.F) {
 	for _, message := range []coordination.Message{
 		{From: "n1"},
-		{From: "n1", Load: &coordination.Load{Versions: coordination.Versions{Configuration: 9, Instances: 9}, Fence: 3}},
-		{From: "n1", Configuration: engineConfiguration(7), Instances: &coordination.Listing{At: 9, Items: []coordination.ListedInstance{{Revision: 9}}}},
+		{From: "n1", Load: &coordination.Load{Versions: coordination.Versions{Configuration: 9, Instances: history.At(0, 9)}, Fence: 3}},
+		{From: "n1", Configuration: engineConfiguration(7), Instances: &coordination.Listing{At: history.At(0, 9), Items: []coordination.ListedInstance{{Place: history.At(0, 9)}}}},
 		{From: "n1", Facts: []coordination.Fact{{Instance: "i1", Sequence: 1}}, AskFacts: true, Ask: &coordination.Versions{}},
 		{From: "n1", Spread: &coordination.Spread{Root: "n1", Boot: 1, Sequence: 1, Fence: 2}, Reads: true},
 		{From: "n1", AskAssurance: &coordination.AskAssurance{}, Assurance: &coordination.Assurance{Version: 1 << 60, Age: -1}},
@@ -49,7 +50,7 @@
 	w.learn()
 	node := w.nodes["n0"]
 	fact := []coordination.Fact{{Instance: "i1", Sequence: 7, Residents: []fleet.Resident{{Model: "n"}}}}
-	gone := feed.Batch[*fleet.Instance]{At: 6, Items: []feed.Item[*fleet.Instance]{{Name: "i1", Revision: 6, Gone: true}}}
+	gone := feed.Batch[*fleet.Instance]{At: history.At(0, 6), Items: []feed.Item[*fleet.Instance]{{Name: "i1", Place: history.At(0, 6), Gone: true}}}
 	w.perform("n0", node.InstancesChanged(w.now, gone))
 	w.perform("n0", node.Receive(w.now, coordination.Message{From: "n1", Facts: fact}))
 	if node.KnowsReport("i1") {
--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/history"
 	"github.com/wheatweir/wheatweir/limiter"
 	"github.com/wheatweir/wheatweir/member"
 )
@@ -13,7 +14,7 @@
 // daemons prove to each other, so that during an upgrade those of the old and the new form
 // do not talk: fields that are not understood are passed over, and a list of instances
 // without their IDs would leave no instance. Both get along by the store meanwhile.
-const MessageForm = "4"
+const MessageForm = "5"
 
 // Message is what entry daemons tell each other.
 type Message struct {
@@ -85,10 +86,10 @@
 	Root     string `msgpack:"o"`
 	Boot     uint64 `msgpack:"b"`
 	Sequence uint64 `msgpack:"n"`
-	// Fence is the fencing token, Lease the revision of the newest renewal.
-	Fence uint64 `msgpack:"f"`
-	Lease uint64 `msgpack:"l"`
-	// Released says that the holder has handed the lease back: Lease is the revision of
+	// Fence is the fencing token, Lease the place of the newest renewal.
+	Fence uint64        `msgpack:"f"`
+	Lease history.Place `msgpack:"l"`
+	// Released says that the holder has handed the lease back: Lease is the place of
 	// that write.
 	Released bool `msgpack:"e,omitempty"`
 	// Facts are new ones only; Digest is over all that the holder knows.
@@ -108,8 +109,8 @@
 	Watched time.Duration `msgpack:"e,omitempty"`
 	// StoreAway says that the store does not answer the sender.
 	StoreAway bool `msgpack:"w,omitempty"`
-	// Lease is the revision of the sender's newest renewal.
-	Lease uint64 `msgpack:"l,omitempty"`
+	// Lease is the place of the newest renewal, nil if the sender does not hold the lease.
+	Lease *history.Place `msgpack:"l,omitempty"`
 	// Requests is the load by instance, or with Changes what has changed of it, see
 	// balance.LoadDeltas.
 	Requests map[string]balance.Load `msgpack:"r,omitempty"`
@@ -128,24 +129,24 @@
 	// it is.
 	Routes int `msgpack:"o,omitempty"`
 	// Instances is the version of the newest change of the instances.
-	Instances uint64 `msgpack:"i,omitempty"`
+	Instances history.Place `msgpack:"i"`
 }
 
-// Listing is the list of all instances at a revision of the store, or the changes
+// Listing is the list of all instances at a place in the store's history, or the changes
 // since the version that was asked for.
 type Listing struct {
-	At uint64 `msgpack:"a"`
+	At history.Place `msgpack:"a"`
 	// Changes says that Items are changes only.
 	Changes bool             `msgpack:"c,omitempty"`
 	Items   []ListedInstance `msgpack:"i"`
 }
 
-// ListedInstance is one instance with the revision of its last change. Of one that
+// ListedInstance is one instance with the place of its last change. Of one that
 // is gone only the ID is told.
 type ListedInstance struct {
-	Revision uint64         `msgpack:"r"`
-	Gone     bool           `msgpack:"g,omitempty"`
-	Value    fleet.Instance `msgpack:"v"`
+	Place history.Place  `msgpack:"r"`
+	Gone  bool           `msgpack:"g,omitempty"`
+	Value fleet.Instance `msgpack:"v"`
 }
 
 // Source names a collection of the store.
--- a/coordination/news.go
+++ b/coordination/news.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -104,12 +103,12 @@
 }
 
 // noteInstances notes what became of instances and from where this daemon knows it, for the log.
-// Each is named with the revision of its change.
+// Each is named with the place of its change.
 func (n *Node) noteInstances(now time.Time, from origin, changed []feed.Item[*fleet.Instance]) {
 	list := &n.instanceNews
 	for _, item := range changed {
 		list.addOrigin(from)
-		n.addNews(now, list, instanceState(item), item.Name+"@"+strconv.FormatUint(item.Revision, 10))
+		n.addNews(now, list, instanceState(item), item.Name+"@"+item.Place.String())
 	}
 	n.logDueNews(now)
 }
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -7,6 +7,7 @@
 
 	"github.com/wheatweir/wheatweir/feed"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/history"
 	"github.com/wheatweir/wheatweir/lease"
 	"github.com/wheatweir/wheatweir/member"
 	"github.com/wheatweir/wheatweir/residency"
@@ -34,6 +35,7 @@
 	peers    map[string]peerState
 
 	sources   map[Source]*sourceState
+	eras      eraState
 	questions []question
 	members   map[string]memberBelief
 	// memberNews and instanceNews are what the log has not told yet.
@@ -142,6 +144,7 @@
 	n.logDueNews(now)
 	n.tickWatching(now)
 	n.tickSources(now)
+	n.tickEarlier(now)
 	n.tickQuestions(now)
 	n.tickAssurance(now)
 	n.tickLease(now)
@@ -212,9 +215,9 @@
 	}
 	n.peers[from] = peerState{load: load, at: now}
 	n.hearOfWatcher(now, &load)
-	n.noteVersions(from, load.Versions)
-	if load.Fence != 0 {
-		n.heardHolder(now, from, load.Fence, load.Lease)
+	n.noteVersions(now, from, load.Versions)
+	if load.Fence != 0 && load.Lease != nil {
+		n.heardHolder(now, from, load.Fence, *load.Lease)
 	}
 	if n.held && waits(load) {
 		n.planSoon(now)
@@ -223,7 +226,7 @@
 
 // heardHolder takes in that another daemon holds the lease. What an earlier holder
 // said is dropped.
-func (n *Node) heardHolder(now time.Time, from string, fence, renewal uint64) {
+func (n *Node) heardHolder(now time.Time, from string, fence uint64, renewal history.Place) {
 	if fence < n.holderFence || fence <= n.releasedFence {
 		return
 	}
@@ -238,13 +241,13 @@
 
 // heardReleased takes in that the holder has handed the lease back: the next one need not
 // wait until it has been silent for a while.
-func (n *Node) heardReleased(now time.Time, from string, fence, revision uint64) {
+func (n *Node) heardReleased(now time.Time, from string, fence uint64, release history.Place) {
 	if fence < n.holderFence || fence <= n.releasedFence {
 		return
 	}
 	n.decide("lease", "Released.", "holder", from, "fence", fence)
 	n.releasedFence, n.releasedAt = fence, now
-	n.lease.HeardReleased(now, revision)
+	n.lease.HeardReleased(now, release)
 }
 
 // Plans returns how often this daemon has planned.
@@ -280,23 +283,23 @@
 
 // InstancesListed takes in a full list of instances.
 func (n *Node) InstancesListed(now time.Time, batch feed.Batch[*fleet.Instance]) []Action {
-	if known := n.instances.At(); batch.At < known {
-		n.decide("instances", "List is older than what is known; passed over.", "listed", batch.At, "known", known)
-	}
-	n.instancesChanged(now, originStore, n.instances.Replace(batch))
+	n.replaceInstances(now, originStore, batch)
 	return n.take()
 }
 
 // InstancesChanged takes in changes of instances.
 func (n *Node) InstancesChanged(now time.Time, batch feed.Batch[*fleet.Instance]) []Action {
-	n.instancesChanged(now, originStore, n.instances.Apply(batch))
+	n.learnEra(now, originStore, batch.At.Era)
+	n.instancesChanged(now, originStore, n.instances.Apply(batch), false)
 	return n.take()
 }
 
-// InstancesAt returns the revision that the instances are complete up to.
-func (n *Node) InstancesAt() uint64 { return n.instances.At() }
+// InstancesAt returns the place that the instances are complete up to.
+func (n *Node) InstancesAt() history.Place { return n.instances.At() }
 
-func (n *Node) instancesChanged(now time.Time, from origin, changed []feed.Item[*fleet.Instance]) {
+// instancesChanged takes in what became of instances. Restored says that a copy shows them, from which the
+// store came back.
+func (n *Node) instancesChanged(now time.Time, from origin, changed []feed.Item[*fleet.Instance], restored bool) {
 	n.noteInstances(now, from, changed)
 	for _, item := range changed {
 		n.changed[item.Name] = true
@@ -307,7 +310,9 @@
 			n.book.Remove(item.Name)
 			continue
 		}
-		n.listedAt[item.Name] = now
+		if _, listed := n.listedAt[item.Name]; !listed || !restored {
+			n.listedAt[item.Name] = now
+		}
 		delete(n.facts.gone, item.Name)
 		n.book.Put(item.Value)
 	}
--- a/coordination/node_test.go
+++ b/coordination/node_test.go
@@ -10,6 +10,7 @@
 	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/feed"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/history"
 )
 
 func TestConfigurationOnlyMovesForward(t *testing.T) {
@@ -70,7 +71,7 @@
 				if name != behind {
 					w.perform(name, w.nodes[name].ConfigurationLearned(engineConfiguration(2)))
 					gone := listing(9, "i3")
-					gone.Items = append(gone.Items, feed.Item[*fleet.Instance]{Name: "i1", Revision: 9, Gone: true})
+					gone.Items = append(gone.Items, feed.Item[*fleet.Instance]{Name: "i1", Place: history.At(0, 9), Gone: true})
 					w.perform(name, w.nodes[name].InstancesChanged(w.now, gone))
 				}
 			}
--- a/coordination/scale_bench_test.go
+++ b/coordination/scale_bench_test.go
@@ -11,6 +11,7 @@
 	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/feed"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/history"
 	"github.com/wheatweir/wheatweir/member"
 )
 
@@ -108,9 +109,9 @@
 		if !w.nodes[name].Watching(w.now) {
 			continue
 		}
-		batch := feed.Batch[*fleet.Instance]{At: 6}
+		batch := feed.Batch[*fleet.Instance]{At: history.At(0, 6)}
 		for i := range count {
-			batch.Items = append(batch.Items, feed.Item[*fleet.Instance]{Name: fmt.Sprintf("i-%08x", i), Revision: 6, Gone: true})
+			batch.Items = append(batch.Items, feed.Item[*fleet.Instance]{Name: fmt.Sprintf("i-%08x", i), Place: history.At(0, 6), Gone: true})
 		}
 		w.perform(name, w.nodes[name].InstancesChanged(w.now, batch))
 	}
--- a/coordination/share.go
+++ b/coordination/share.go
@@ -45,7 +45,8 @@
 	load := Load{Requests: requests, Models: models, Versions: n.versions(), StoreAway: n.storeAway(), Watching: n.Watching(now), Watched: n.watched(now)}
 	if n.held {
 		load.Fence, _, _ = n.mayOrder(now)
-		load.Lease = n.lease.Revision()
+		renewal := n.lease.Place()
+		load.Lease = &renewal
 	}
 	state := &n.sharing
 	state.due = state.due || urgency != UrgencyNone
--- a/coordination/spread.go
+++ b/coordination/spread.go
@@ -58,7 +58,7 @@
 	state.sentAt = now
 	state.sequence++
 	message := &Spread{
-		Root: n.self, Boot: state.boot, Sequence: state.sequence, Fence: fence, Lease: n.lease.Revision(),
+		Root: n.self, Boot: state.boot, Sequence: state.sequence, Fence: fence, Lease: n.lease.Place(),
 		Released: released, Digest: n.facts.digest,
 	}
 	for instance := range state.due {
--- a/coordination/spread_test.go
+++ b/coordination/spread_test.go
@@ -11,6 +11,7 @@
 	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/feed"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/history"
 	"github.com/wheatweir/wheatweir/member"
 )
 
@@ -146,10 +147,10 @@
 	for i := range servers {
 		id := fmt.Sprint("many", i)
 		batch.Items = append(batch.Items, feed.Item[*fleet.Instance]{
-			Name: id, Revision: uint64(100 + i), Value: &fleet.Instance{ID: id, Service: "llm", Address: id},
+			Name: id, Place: history.At(0, uint64(100+i)), Value: &fleet.Instance{ID: id, Service: "llm", Address: id},
 		})
 	}
-	batch.At = 1000
+	batch.At = history.At(0, 1000)
 	node := w.nodes["n0"]
 	w.perform("n0", node.InstancesListed(w.now, batch))
 	w.run(4 * time.Second)
@@ -173,7 +174,7 @@
 	w.learn()
 	w.run(5 * time.Second)
 	first := w.holders()[0]
-	stale := coordination.Load{Fence: 1, Lease: 1}
+	stale := coordination.Load{Fence: 1, Lease: &history.Place{Revision: 1}}
 	w.dead[first] = true
 	w.run(3 * term)
 	second := w.holders()[0]
--- a/coordination/witnesses.go
+++ b/coordination/witnesses.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/wheatweir/wheatweir/history"
 )
 
 // questionSpan is how long a question that nobody here can answer yet is kept: the call to
@@ -45,7 +47,7 @@
 func (n *Node) lookFor(now time.Time, from string, asked Versions) {
 	for _, source := range []Source{SourceConfiguration, SourceInstances} {
 		state := n.sources[source]
-		if asked.of(source) == math.MaxUint64 || n.ownVersion(source) > asked.of(source) {
+		if !asked.about(source) || n.ownVersion(source).After(asked.of(source)) {
 			continue
 		}
 		if len(n.questions) < mostQuestions {
@@ -59,19 +61,27 @@
 }
 
 // of is the version of one collection.
-func (v Versions) of(source Source) uint64 {
+func (v Versions) of(source Source) history.Place {
 	if source == SourceConfiguration {
-		return v.Configuration
+		return configurationPlace(v.Configuration)
 	}
 	return v.Instances
 }
 
+// about reports whether a question is about a collection, see onlyAbout.
+func (v Versions) about(source Source) bool {
+	if source == SourceConfiguration {
+		return v.Configuration != math.MaxUint64
+	}
+	return v.Instances != history.Last
+}
+
 // tickQuestions answers the questions that can be answered now. A large configuration is
 // left to the store, see fromStore.
 func (n *Node) tickQuestions(now time.Time) {
 	n.questions = slices.DeleteFunc(n.questions, func(kept question) bool {
-		known := n.ownVersion(SourceConfiguration) > kept.asked.Configuration && len(n.configuration.Routes) <= largeConfiguration ||
-			n.ownVersion(SourceInstances) > kept.asked.Instances
+		known := n.configurationVersion() > kept.asked.Configuration && len(n.configuration.Routes) <= largeConfiguration ||
+			n.ownVersion(SourceInstances).After(kept.asked.Instances)
 		if known {
 			n.answerAsk(kept.from, kept.asked)
 		}
--- a/coordination/world_test.go
+++ b/coordination/world_test.go
@@ -9,6 +9,7 @@
 	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/feed"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/history"
 	"github.com/wheatweir/wheatweir/lease"
 	"github.com/wheatweir/wheatweir/member"
 	"github.com/wheatweir/wheatweir/quarantine"
@@ -198,11 +199,11 @@
 	switch {
 	case w.storeCut[name]:
 		return lease.OutcomeFailed, lease.Stored{}
-	case call.Write == nil || call.IfRevision != w.stored.Revision:
+	case call.Write == nil || call.If != w.stored.At:
 		return lease.OutcomeConflict, w.stored
 	}
 	w.revision++
-	w.stored = lease.Stored{Record: *call.Write, Revision: w.revision}
+	w.stored = lease.Stored{Record: *call.Write, At: history.At(0, w.revision)}
 	return lease.OutcomeDone, w.stored
 }
 
@@ -214,10 +215,10 @@
 }
 
 func listing(at uint64, ids ...string) feed.Batch[*fleet.Instance] {
-	batch := feed.Batch[*fleet.Instance]{At: at}
+	batch := feed.Batch[*fleet.Instance]{At: history.At(0, at)}
 	for _, id := range ids {
 		batch.Items = append(batch.Items, feed.Item[*fleet.Instance]{
-			Name: id, Revision: at, Value: &fleet.Instance{ID: id, Service: "llm", Address: id, Slots: 8, Residents: []fleet.Resident{{Model: "m"}}},
+			Name: id, Place: history.At(0, at), Value: &fleet.Instance{ID: id, Service: "llm", Address: id, Slots: 8, Residents: []fleet.Resident{{Model: "m"}}},
 		})
 	}
 	return batch
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -105,6 +105,7 @@
 		metrics: newMetrics(), tracker: balance.NewTracker(), demand: newDemandCounter(), life: lifecycle{failed: make(chan error, 1)}, assurance: newAssurance(), ctx: ctx, cancel: cancel,
 		following: newFollowState(),
 	}
+	d.store.OnEra(d.eraLearned)
 	d.settings.Store(&settings)
 	d.fleet.live.Store(1)
 	d.budget = retry.NewBudget(retryPart*settings.RetryShare, 1)
@@ -221,6 +222,13 @@
 	})
 }
 
+// eraLearned takes in the era that an answer of the store has named.
+func (d *Daemon) eraLearned(era uint64) {
+	d.work.events.Put(d.ctx, func(node *coordination.Node, now time.Time) []coordination.Action {
+		return node.EraLearned(now, era)
+	})
+}
+
 // unreadable returns what counts and logs entries of a collection that cannot be read.
 func (d *Daemon) unreadable(collection string) func(name string, err error) {
 	return func(name string, err error) {
--- a/entry/deaf_test.go
+++ b/entry/deaf_test.go
@@ -21,6 +21,7 @@
 	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/feed"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/history"
 	"github.com/wheatweir/wheatweir/lease"
 	"github.com/wheatweir/wheatweir/member"
 )
@@ -37,26 +38,46 @@
 // deafStore holds one configuration and one instance that change together. Calls that are
 // under way when it strikes are never answered, nor are any of the callers that it ignores.
 type deafStore struct {
-	mutex    sync.Mutex
-	revision uint64
-	ignored  map[string]bool
-	changed  chan struct{}
-	struck   chan struct{}
-	calls    atomic.Int64
+	mutex sync.Mutex
+	at    history.Place
+	// content rises with each change that is written, and goes back only when the store comes back from
+	// a copy.
+	content uint64
+	ignored map[string]bool
+	changed chan struct{}
+	struck  chan struct{}
+	calls   atomic.Int64
 }
 
 func newDeafStore() *deafStore {
-	return &deafStore{revision: 1, changed: make(chan struct{}), struck: make(chan struct{})}
+	return &deafStore{at: history.At(1, 1), content: 1, changed: make(chan struct{}), struck: make(chan struct{})}
 }
 
-// change makes the next revision.
+// change writes the next content, and returns it.
 func (s *deafStore) change() uint64 {
+	s.mutex.Lock()
+	next := s.content + 1
+	s.mutex.Unlock()
+	return s.write(next)
+}
+
+// write writes a content and returns it.
+func (s *deafStore) write(content uint64) uint64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.revision++
+	s.at.Revision++
+	s.content = content
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return s.revision
+	return content
+}
+
+// restore makes the store lose its last changes.
+func (s *deafStore) restore(changes uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.at = history.At(s.at.Era+1, s.at.Revision-changes)
+	s.content -= changes
 }
 
 // strike makes all connections that calls are waiting on silent for good.
@@ -81,26 +102,35 @@
 	return s.ignored[name]
 }
 
-func (s *deafStore) look() (revision uint64, changed, struck chan struct{}) {
+// deafAnswer is what the store says.
+type deafAnswer struct {
+	at      history.Place
+	content uint64
+}
+
+func (s *deafStore) look() (seen deafAnswer, changed, struck chan struct{}) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.revision, s.changed, s.struck
+	return deafAnswer{s.at, s.content}, s.changed, s.struck
 }
 
-// wait returns the revision once it is above a number or the time is up.
-func (s *deafStore) wait(ctx context.Context, caller string, since uint64, wait time.Duration) (uint64, error) {
+// wait returns what the store says once its revision is above a number or the time is up.
+func (s *deafStore) wait(ctx context.Context, caller string, since uint64, wait time.Duration) (deafAnswer, error) {
 	s.calls.Add(1)
 	if s.ignores(caller) {
 		<-ctx.Done()
-		return 0, feed.ErrUnavailable.New("ignored")
+		return deafAnswer{}, feed.ErrUnavailable.New("ignored")
 	}
 	_, _, struck := s.look()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		revision, changed, _ := s.look()
-		if revision > since {
+		seen, changed, _ := s.look()
+		switch {
+		case seen.at.Revision > since:
 			return s.answer(ctx, struck)
+		case seen.at.Revision < since:
+			return deafAnswer{}, feed.ErrHistoryGone.New("the store does not have this revision")
 		}
 		select {
 		case <-changed:
@@ -108,23 +138,23 @@
 			return s.answer(ctx, struck)
 		case <-struck:
 			<-ctx.Done()
-			return 0, feed.ErrUnavailable.New("silent")
+			return deafAnswer{}, feed.ErrUnavailable.New("silent")
 		case <-ctx.Done():
-			return 0, feed.ErrUnavailable.Wrap(ctx.Err())
+			return deafAnswer{}, feed.ErrUnavailable.Wrap(ctx.Err())
 		}
 	}
 }
 
-func (s *deafStore) answer(ctx context.Context, struck chan struct{}) (uint64, error) {
-	revision, _, _ := s.look()
+func (s *deafStore) answer(ctx context.Context, struck chan struct{}) (deafAnswer, error) {
+	seen, _, _ := s.look()
 	select {
 	case <-time.After(answerTime):
-		return revision, nil
+		return seen, nil
 	case <-struck:
 		<-ctx.Done()
-		return 0, feed.ErrUnavailable.New("silent")
+		return deafAnswer{}, feed.ErrUnavailable.New("silent")
 	case <-ctx.Done():
-		return 0, feed.ErrUnavailable.Wrap(ctx.Err())
+		return deafAnswer{}, feed.ErrUnavailable.Wrap(ctx.Err())
 	}
 }
 
@@ -132,14 +162,14 @@
 type deafSource[T any] struct {
 	store  *deafStore
 	caller string
-	item   func(revision uint64) T
+	item   func(content uint64) T
 }
 
-func (s *deafSource[T]) batch(revision uint64, err error) (feed.Batch[T], error) {
+func (s *deafSource[T]) batch(seen deafAnswer, err error) (feed.Batch[T], error) {
 	if err != nil {
 		return feed.Batch[T]{}, err
 	}
-	return feed.Batch[T]{At: revision, Items: []feed.Item[T]{{Name: "main", Revision: revision, Value: s.item(revision)}}}, nil
+	return feed.Batch[T]{At: seen.at, Items: []feed.Item[T]{{Name: "main", Place: seen.at, Value: s.item(seen.content)}}}, nil
 }
 
 func (s *deafSource[T]) ListPage(ctx context.Context, _ string, _ feed.Freshness) (feed.Page[T], error) {
@@ -149,24 +179,24 @@
 	return feed.Page[T]{Batch: listed}, err
 }
 
-func (s *deafSource[T]) Watch(ctx context.Context, since uint64, wait, patience time.Duration) (feed.Batch[T], error) {
+func (s *deafSource[T]) Watch(ctx context.Context, since history.Place, wait, patience time.Duration) (feed.Batch[T], error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+patience)
 	defer cancel()
-	revision, err := s.store.wait(ctx, s.caller, since, wait)
+	seen, err := s.store.wait(ctx, s.caller, since.Revision, wait)
 	if context.Cause(ctx) == context.DeadlineExceeded {
 		err = feed.ErrOverdue.Wrap(err)
 	}
-	if err == nil && revision <= since {
-		return feed.Batch[T]{At: revision}, nil
+	if err == nil && (seen.at.Era != since.Era || seen.at.Revision <= since.Revision) {
+		return feed.Batch[T]{At: seen.at}, nil
 	}
-	return s.batch(revision, err)
+	return s.batch(seen, err)
 }
 
 // deafFleet is daemons without a request path that follow a deafStore and tell each other.
 type deafFleet struct {
 	store   *deafStore
 	daemons map[string]*Daemon
-	// known is the revision that all that a daemon knows is at least as new as.
+	// known is the content that all that a daemon knows is at least as new as.
 	known map[string]*atomic.Uint64
 	group sync.WaitGroup
 }
@@ -193,11 +223,11 @@
 }
 
 func (f *deafFleet) start(name string, d *Daemon) {
-	configurations := &deafSource[*fleet.Configuration]{f.store, name, func(revision uint64) *fleet.Configuration {
-		return &fleet.Configuration{Version: revision}
+	configurations := &deafSource[*fleet.Configuration]{f.store, name, func(content uint64) *fleet.Configuration {
+		return &fleet.Configuration{Version: content}
 	}}
-	instances := &deafSource[*fleet.Instance]{f.store, name, func(revision uint64) *fleet.Instance {
-		return &fleet.Instance{ID: "main", Service: "s", Slots: int(revision)}
+	instances := &deafSource[*fleet.Instance]{f.store, name, func(content uint64) *fleet.Instance {
+		return &fleet.Instance{ID: "main", Service: "s", Slots: int(content)}
 	}}
 	f.group.Go(func() { f.control(name, d) })
 	f.group.Go(func() {
@@ -266,11 +296,11 @@
 	})
 }
 
-// behind counts the daemons that do not know a revision.
-func (f *deafFleet) behind(revision uint64) int {
+// behind counts the daemons that do not know a content.
+func (f *deafFleet) behind(content uint64) int {
 	count := 0
 	for _, known := range f.known {
-		if known.Load() < revision {
+		if known.Load() < content {
 			count++
 		}
 	}
@@ -304,8 +334,8 @@
 
 // took changes what the store holds and returns how long it takes until all know it.
 func (f *deafFleet) took(limit time.Duration) time.Duration {
-	revision, changed := f.store.change(), time.Now()
-	for f.behind(revision) > 0 && time.Since(changed) < 3*limit {
+	content, changed := f.store.change(), time.Now()
+	for f.behind(content) > 0 && time.Since(changed) < 3*limit {
 		time.Sleep(10 * time.Millisecond)
 	}
 	return time.Since(changed)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -17,6 +17,7 @@
 	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/entry"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/history"
 	"github.com/wheatweir/wheatweir/internal/clock"
 	"github.com/wheatweir/wheatweir/internal/loopback"
 	"github.com/wheatweir/wheatweir/peer"
@@ -143,7 +144,7 @@
 		t.Fatal(err)
 	}
 	defer old.Close()
-	listing := &coordination.Listing{At: 1 << 40, Items: []coordination.ListedInstance{{Revision: 1 << 40}}}
+	listing := &coordination.Listing{At: history.At(0, 1<<40), Items: []coordination.ListedInstance{{Place: history.At(0, 1<<40)}}}
 	eventually(t, "the old one is turned away", func() bool {
 		old.Send(f.all[0].PeerAddress, coordination.Message{From: "old", Instances: listing})
 		return old.Counts().Dropped > 1
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/feed"
+	"github.com/wheatweir/wheatweir/history"
 )
 
 // follower keeps one collection up to date: a list, then changes, and a list again
@@ -19,7 +20,7 @@
 	source    feed.Source[T]
 	listed    taker[T]
 	changed   taker[T]
-	at        uint64
+	at        history.Place
 	known     bool
 	available bool
 	// catchingUp says that the last watch may have gone deaf, or that another daemon knows
@@ -134,8 +135,9 @@
 	}
 	f.wanted = false
 	f.noteRefresh()
+	watched := f.known
 	take, call := f.listed, f.list
-	if f.known {
+	if watched {
 		take, call = f.changed, f.watch
 	}
 	batch, err := f.interruptible(call)
@@ -151,7 +153,16 @@
 	}
 	f.endProbe()
 	f.setAvailable(true, nil)
-	f.at, f.known = max(f.at, batch.At), true
+	if watched && batch.At.Era != f.at.Era {
+		f.restored(batch.At)
+		return true
+	}
+	// A list says what holds at its place, so changes are asked for from there, also if the store was
+	// further before it came back from a copy.
+	if watched {
+		batch.At = history.Newer(f.at, batch.At)
+	}
+	f.at, f.known = batch.At, true
 	f.daemon.work.events.Put(f.daemon.ctx, func(node *coordination.Node, now time.Time) []coordination.Action {
 		return take(node, now, batch)
 	})
@@ -161,6 +172,13 @@
 	return true
 }
 
+// restored makes the next call a list: the changes since the own place are those of another era, in
+// which the store has lost some of what is known here.
+func (f *follower[T]) restored(at history.Place) {
+	f.known = false
+	f.daemon.log.add(string(f.name), "Store came back from a copy; listing again.", "at", f.at, "store_at", at)
+}
+
 // list lists everything. The first list of a process may lag by some seconds: the watch goes on
 // from its revision, and other daemons tell the rest. When hundreds start at once, these lists
 // are most of what the store is asked.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -30,6 +30,7 @@
 	instances     tally.Gauge
 	daemons       tally.Gauge
 	leaseHeld     tally.Gauge
+	storeEra      tally.Gauge
 	linesDropped  tally.Gauge
 	peersDropped  tally.Gauge
 	// quarantined is the number of contents that are held.
@@ -64,7 +65,7 @@
 		root: root, steps: map[stepKey]tally.Counter{}, tenants: map[tenantKey]tally.Counter{}, tenantNames: map[string]bool{},
 		unreadable: root.Counter("entries_unreadable"), took: map[stepKey]tally.Histogram{},
 		inProgress: root.Gauge("requests_in_progress"), configuration: root.Gauge("configuration_version"),
-		instances: root.Gauge("instances"), daemons: root.Gauge("live_daemons"), leaseHeld: root.Gauge("lease_held"),
+		instances: root.Gauge("instances"), daemons: root.Gauge("live_daemons"), leaseHeld: root.Gauge("lease_held"), storeEra: root.Gauge("store_era"),
 		linesDropped: root.Gauge("log_lines_dropped"), peersDropped: root.Gauge("peer_messages_dropped"),
 		quarantined: root.Gauge("contents_quarantined"),
 	}
@@ -147,6 +148,7 @@
 		held = 1
 	}
 	d.metrics.leaseHeld.Update(held)
+	d.metrics.storeEra.Update(float64(d.node.StoreEra()))
 	d.metrics.linesDropped.Update(float64(d.log.lines.Dropped()))
 	d.metrics.peersDropped.Update(float64(d.peers.Counts().Dropped))
 	d.metrics.quarantined.Update(float64(d.quarantine.heldCount(now)))
--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -8,12 +8,15 @@
 	"github.com/wheatweir/wheatweir/platform/standin"
 )
 
-// Seen: requests reached a server up to 3.5 s after it had said that it leaves; daemons listed the
-// configuration 18 times a second, each list followed by an answer that the history is gone, until
-// the store's revisions had passed those that they knew.
-//
 // TestServerThatLeavesAfterARestoreIsHeardOf has the store come back from a copy, so that its
 // revisions go back, and a server leave after that.
+//
+// Seen: requests reached a server up to 3.5 s after it had said that it leaves, and daemons listed the
+// configuration 18 times a second, each list followed by an answer that the history is gone. A daemon took
+// the store's revision for a line that only grows: it passed over lists of a lower one, and asked for the
+// changes since a revision that the store did not have. What was written until the store had passed that
+// was lost to it. A line of the log for each list that is passed over proved it (listed=5 known=29), and a
+// leaving server that one daemon knew at revision 89 while the others stood at 94.
 func TestServerThatLeavesAfterARestoreIsHeardOf(t *testing.T) {
 	// allowed is the time within which a server that leaves has to be known.
 	const allowed = 2 * time.Second
--- /dev/null
+++ b/feed/era_test.go
@@ -0,0 +1,213 @@
+package feed_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/wheatweir/wheatweir/feed"
+	"github.com/wheatweir/wheatweir/history"
+	_ "github.com/wheatweir/wheatweir/internal/fixedseed"
+)
+
+func itemOf(era, revision uint64, name, value string) feed.Item[string] {
+	return feed.Item[string]{Name: name, Place: history.At(era, revision), Value: value}
+}
+
+func batchOf(era, at uint64, items ...feed.Item[string]) feed.Batch[string] {
+	return feed.Batch[string]{At: history.At(era, at), Items: items}
+}
+
+// values are the items of a mirror as name=value, in order.
+func values(mirror *feed.Mirror[string]) []string {
+	var held []string
+	for _, item := range mirror.Items() {
+		held = append(held, item.Name+"="+item.Value)
+	}
+	slices.Sort(held)
+	return held
+}
+
+// TestMirrorAcrossEras covers a store that comes back from an earlier copy.
+func TestMirrorAcrossEras(t *testing.T) {
+	mirror := feed.NewMirror[string]()
+	mirror.Replace(batchOf(1, 95, itemOf(1, 90, "a", "ready"), itemOf(1, 93, "b", "ready")))
+	if changed := mirror.Apply(batchOf(2, 81, itemOf(2, 81, "a", "leaving"))); len(changed) != 0 {
+		t.Fatalf("changes of an era without a list are taken in: %v", changed)
+	}
+	mirror.Replace(batchOf(2, 80, itemOf(2, 70, "a", "old")))
+	if got := values(mirror); !slices.Equal(got, []string{"a=old", "b=ready"}) || mirror.At() != history.At(2, 80) {
+		t.Fatalf("after the first list of an era: %v at %v", got, mirror.At())
+	}
+	if _, kept := mirror.Since(history.At(1, 93)); kept {
+		t.Error("changes since a place of the era before")
+	}
+	mirror.Apply(batchOf(2, 81, itemOf(2, 81, "a", "leaving")))
+	mirror.Replace(batchOf(1, 99, itemOf(1, 99, "a", "ready")))
+	mirror.Apply(batchOf(1, 99, itemOf(1, 99, "a", "ready")))
+	if got := values(mirror); !slices.Equal(got, []string{"a=leaving", "b=ready"}) {
+		t.Fatalf("what the era before told is taken in: %v", got)
+	}
+	if !mirror.HasEarlier() {
+		t.Error("the item that only the era before told of is not known as such")
+	}
+	if gone := mirror.DropEarlier(); len(gone) != 1 || gone[0].Name != "b" || !gone[0].Gone || mirror.HasEarlier() {
+		t.Errorf("dropped %v", gone)
+	}
+	changes, kept := mirror.Since(history.At(2, 70))
+	if !kept || len(changes) != 2 {
+		t.Errorf("%v since the newest item of the first list, kept %v", changes, kept)
+	}
+}
+
+// TestItemThatIsWrittenAgainStays covers an item that the copy lacks.
+func TestItemThatIsWrittenAgainStays(t *testing.T) {
+	mirror := feed.NewMirror[string]()
+	mirror.Replace(batchOf(1, 95, itemOf(1, 93, "b", "ready")))
+	mirror.Replace(batchOf(2, 80))
+	mirror.Apply(batchOf(2, 81, itemOf(2, 81, "b", "ready")))
+	if gone := mirror.DropEarlier(); len(gone) != 0 || len(mirror.Items()) != 1 {
+		t.Errorf("dropped %v", gone)
+	}
+}
+
+// TestListAcrossARestoreBeginsAnew has the store come back from a copy between two pages.
+func TestListAcrossARestoreBeginsAnew(t *testing.T) {
+	source := &erasSource{eras: []uint64{1, 2, 2, 2}}
+	var listing feed.Listing[string]
+	if _, err := listing.List(context.Background(), source, feed.Newest); !feed.ErrHistoryGone.Has(err) {
+		t.Fatalf("a list of two eras: %v", err)
+	}
+	listed, err := listing.List(context.Background(), source, feed.Newest)
+	if err != nil || len(listed.Items) != 2 || listed.At.Era != 2 {
+		t.Errorf("%d items at %v, %v", len(listed.Items), listed.At, err)
+	}
+}
+
+// erasSource has two pages of one item each, and answers each call in the next of its eras.
+type erasSource struct {
+	feed.Source[string]
+	eras []uint64
+}
+
+func (s *erasSource) ListPage(_ context.Context, after string, _ feed.Freshness) (feed.Page[string], error) {
+	era := s.eras[0]
+	s.eras = s.eras[1:]
+	page := feed.Page[string]{Batch: batchOf(era, 50, itemOf(era, 40, fmt.Sprint("after-", after), "x"))}
+	if after == "" {
+		page.Next = "first"
+	}
+	return page, nil
+}
+
+// keptStore is the oracle: a store with conditional history that may come back from any earlier state.
+type keptStore struct {
+	at    history.Place
+	items map[string]feed.Item[string]
+	// states are the earlier states of this era, by revision.
+	states []keptState
+}
+
+type keptState struct {
+	revision uint64
+	items    map[string]feed.Item[string]
+}
+
+func (s *keptStore) write(name, value string) feed.Item[string] {
+	s.states = append(s.states, keptState{s.at.Revision, copyOf(s.items)})
+	s.at.Revision++
+	item := feed.Item[string]{Name: name, Place: s.at, Value: value, Gone: value == ""}
+	if item.Gone {
+		delete(s.items, name)
+	} else {
+		s.items[name] = item
+	}
+	return item
+}
+
+func (s *keptStore) restore(t *rapid.T) {
+	if len(s.states) == 0 {
+		return
+	}
+	number := rapid.IntRange(0, len(s.states)-1).Draw(t, "state")
+	state := s.states[number]
+	s.states = s.states[:number]
+	s.at = history.At(s.at.Era+1, state.revision)
+	s.items = map[string]feed.Item[string]{}
+	for name, item := range state.items {
+		// The store shows what the copy holds as its own.
+		item.Place.Era = s.at.Era
+		s.items[name] = item
+	}
+}
+
+func copyOf(items map[string]feed.Item[string]) map[string]feed.Item[string] {
+	copied := map[string]feed.Item[string]{}
+	for name, item := range items {
+		copied[name] = item
+	}
+	return copied
+}
+
+func (s *keptStore) list() feed.Batch[string] {
+	batch := feed.Batch[string]{At: s.at}
+	for _, item := range s.items {
+		item.Place.Era = s.at.Era
+		batch.Items = append(batch.Items, item)
+	}
+	return batch
+}
+
+// TestMirrorsAgreeAfterRestores has mirrors list and hear of changes late and in another order, and tell
+// each other, while the store comes back from copies. In the end, after one list, each holds what the
+// store does; and what a mirror holds of an era never goes back in it.
+func TestMirrorsAgreeAfterRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &keptStore{at: history.At(1, 0), items: map[string]feed.Item[string]{}}
+		mirrors := []*feed.Mirror[string]{feed.NewMirror[string](), feed.NewMirror[string]()}
+		var changes, lists []feed.Batch[string]
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			mirror := mirrors[rapid.IntRange(0, len(mirrors)-1).Draw(t, "mirror")]
+			before := mirror.At()
+			switch rapid.IntRange(0, 8).Draw(t, "event") {
+			case 0, 1, 2:
+				name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+				value := rapid.SampledFrom([]string{"", "ready", "leaving"}).Draw(t, "value")
+				changed := store.write(name, value)
+				changes = append(changes, feed.Batch[string]{At: store.at, Items: []feed.Item[string]{changed}})
+			case 3:
+				store.restore(t)
+			case 4:
+				lists = append(lists, store.list())
+			case 5:
+				mirror.Replace(store.list())
+			case 6:
+				if len(changes) > 0 && mirror.Known() {
+					mirror.Apply(rapid.SampledFrom(changes).Draw(t, "late changes"))
+				}
+			case 7:
+				if len(lists) > 0 {
+					mirror.Replace(rapid.SampledFrom(lists).Draw(t, "late list"))
+				}
+			case 8:
+				mirror.DropEarlier()
+			}
+			if mirror.At().Before(before) {
+				t.Fatalf("went back from %v to %v", before, mirror.At())
+			}
+		}
+		for number, mirror := range mirrors {
+			store.write("last", "ready")
+			mirror.Replace(store.list())
+			mirror.DropEarlier()
+			want := feed.NewMirror[string]()
+			want.Replace(store.list())
+			if got := values(mirror); !slices.Equal(got, values(want)) || mirror.Newest().After(store.at) {
+				t.Fatalf("mirror %d holds %v at %v, the store %v at %v", number, got, mirror.Newest(), values(want), store.at)
+			}
+		}
+	})
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -1,13 +1,17 @@
 // Package feed keeps a typed copy of a collection that lives in an external
 // object store: a full list first, then changes, then a list again whenever the
-// store no longer has the history. Values only move forward in revision.
+// store no longer has the history, or has come back from an earlier copy. Values only move forward in the
+// store's history, within an era and from one to the next.
 package feed
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/wheatweir/wheatweir/history"
 )
 
 // Classes of errors of a Source.
@@ -23,8 +27,9 @@
 
 // Item is one object of a collection.
 type Item[T any] struct {
-	Name     string
-	Revision uint64
+	Name string
+	// Place is that of the item's last change.
+	Place history.Place
 	// Gone marks a removal; Value is then the zero value.
 	Gone  bool
 	Value T
@@ -33,8 +38,8 @@
 // Batch is an answer of a Source.
 type Batch[T any] struct {
 	Items []Item[T]
-	// At is the store's revision up to which the answer is complete.
-	At uint64
+	// At is the place in the store's history up to which the answer is complete.
+	At history.Place
 }
 
 // Freshness is how new a list has to be.
@@ -51,29 +56,30 @@
 type Source[T any] interface {
 	// ListPage returns a page of all items: the first one, or what comes after a name.
 	ListPage(ctx context.Context, after string, freshness Freshness) (Page[T], error)
-	// Watch returns the changes after a revision, waiting for the first. Patience is how
-	// long after the wait the answer may begin.
-	Watch(ctx context.Context, since uint64, wait, patience time.Duration) (Batch[T], error)
+	// Watch returns the changes after a place, waiting for the first. Patience is how
+	// long after the wait the answer may begin. An answer of another era than that of the place
+	// says nothing of what was lost in between: everything has to be listed anew.
+	Watch(ctx context.Context, since history.Place, wait, patience time.Duration) (Batch[T], error)
 }
 
 // Mirror is the copy of one collection. It is not safe for concurrent use.
 type Mirror[T any] struct {
 	items map[string]Item[T]
-	at    uint64
+	at    history.Place
 	// newest is the version of the newest change that was taken in.
-	newest uint64
+	newest history.Place
 	known  bool
 	// history holds the last changes, oldest first, with the version of each; it
 	// is complete after the version floor.
 	history []change[T]
-	floor   uint64
+	floor   history.Place
 }
 
-// change is one change with its version: the revision of the item, or for a
-// removal the revision at which it was told.
+// change is one change with its version: the place of the item, or for a
+// removal the place at which it was told.
 type change[T any] struct {
 	item    Item[T]
-	version uint64
+	version history.Place
 }
 
 // historySize bounds the changes that are kept for Since. In a fleet of 3,000 servers some
@@ -83,12 +89,12 @@
 // NewMirror returns an empty mirror.
 func NewMirror[T any]() *Mirror[T] { return &Mirror[T]{items: map[string]Item[T]{}} }
 
-// At returns the revision up to which the mirror is complete.
-func (m *Mirror[T]) At() uint64 { return m.at }
+// At returns the place up to which the mirror is complete.
+func (m *Mirror[T]) At() history.Place { return m.at }
 
 // Newest returns the version of the newest change that was taken in. Unlike At it
 // does not move without a change.
-func (m *Mirror[T]) Newest() uint64 { return m.newest }
+func (m *Mirror[T]) Newest() history.Place { return m.newest }
 
 // Known reports whether a list was taken in.
 func (m *Mirror[T]) Known() bool { return m.known }
@@ -110,26 +116,27 @@
 
 // Replace takes in a full list. A list that is older than the mirror is turned
 // away: a replica of the store may lag. It returns the items that changed.
+//
+// The first list of an era may lack items that the store has lost and gets again from those who wrote
+// them. They stay until DropEarlier.
 func (m *Mirror[T]) Replace(batch Batch[T]) []Item[T] {
-	if m.known && batch.At < m.at {
+	if m.known && batch.At.Before(m.at) {
 		return nil
 	}
+	// What came before the first list, or the first one of an era, is not known here.
+	begins := !m.known || batch.At.Era > m.at.Era
 	listed := make(map[string]bool, len(batch.Items))
-	first := !m.known
 	changed := m.apply(batch)
 	for _, item := range batch.Items {
 		listed[item.Name] = true
 	}
 	for name, item := range m.items {
-		if !listed[name] && item.Revision <= batch.At {
-			delete(m.items, name)
-			gone := Item[T]{Name: name, Revision: batch.At, Gone: true}
-			m.note(gone, batch.At)
-			changed = append(changed, gone)
+		if !listed[name] && item.Place.Era == batch.At.Era && !item.Place.After(batch.At) {
+			changed = append(changed, m.drop(name, batch.At))
 		}
 	}
-	if first {
-		// What came before the first list is not known here.
+	if begins {
+		m.newest = history.Newer(m.newest, history.At(batch.At.Era, 0))
 		m.history, m.floor = nil, m.newest
 	}
 	m.at = batch.At
@@ -137,31 +144,66 @@
 	return changed
 }
 
-// Apply takes in changes and returns those that were news.
+// drop removes an item of which it was told at a place that it is gone.
+func (m *Mirror[T]) drop(name string, at history.Place) Item[T] {
+	delete(m.items, name)
+	gone := Item[T]{Name: name, Place: at, Gone: true}
+	m.note(gone, at)
+	return gone
+}
+
+// HasEarlier reports whether there are items that only an earlier era told of.
+func (m *Mirror[T]) HasEarlier() bool {
+	for _, item := range m.items {
+		if item.Place.Era < m.at.Era {
+			return true
+		}
+	}
+	return false
+}
+
+// DropEarlier removes the items that only an earlier era told of, and returns them.
+func (m *Mirror[T]) DropEarlier() []Item[T] {
+	var changed []Item[T]
+	for name, item := range m.items {
+		if item.Place.Era < m.at.Era {
+			changed = append(changed, m.drop(name, m.at))
+		}
+	}
+	return changed
+}
+
+// Apply takes in changes and returns those that were news. Changes of an era of which no list was
+// taken in are turned away, as are those of an earlier one.
 func (m *Mirror[T]) Apply(batch Batch[T]) []Item[T] {
+	if m.known {
+		batch.Items = slices.DeleteFunc(slices.Clone(batch.Items), func(item Item[T]) bool { return item.Place.Era != m.at.Era })
+	}
 	changed := m.apply(batch)
-	m.at = max(m.at, batch.At)
+	if !m.known || batch.At.Era == m.at.Era {
+		m.at = history.Newer(m.at, batch.At)
+	}
 	return changed
 }
 
 // Since returns the changes after a version, or false if some are not kept.
-func (m *Mirror[T]) Since(version uint64) ([]Item[T], bool) {
-	if !m.known || version < m.floor {
+func (m *Mirror[T]) Since(version history.Place) ([]Item[T], bool) {
+	if !m.known || version.Before(m.floor) {
 		return nil, false
 	}
 	var items []Item[T]
 	for _, change := range m.history {
-		if change.version > version {
+		if change.version.After(version) {
 			items = append(items, change.item)
 		}
 	}
 	return items, true
 }
 
-func (m *Mirror[T]) note(item Item[T], version uint64) {
-	m.newest = max(m.newest, version)
+func (m *Mirror[T]) note(item Item[T], version history.Place) {
+	m.newest = history.Newer(m.newest, version)
 	if len(m.history) == historySize {
-		m.floor = max(m.floor, m.history[0].version)
+		m.floor = history.Newer(m.floor, m.history[0].version)
 		m.history = m.history[1:]
 	}
 	m.history = append(m.history, change[T]{item: item, version: version})
@@ -171,7 +213,7 @@
 	var changed []Item[T]
 	for _, item := range batch.Items {
 		held, found := m.items[item.Name]
-		if found && item.Revision < held.Revision || found && !item.Gone && item.Revision == held.Revision {
+		if found && (item.Place.Before(held.Place) || !item.Gone && item.Place == held.Place) {
 			continue
 		}
 		if item.Gone {
@@ -179,11 +221,11 @@
 				continue
 			}
 			delete(m.items, item.Name)
-			item.Revision = max(item.Revision, batch.At)
+			item.Place = history.Newer(item.Place, batch.At)
 		} else {
 			m.items[item.Name] = item
 		}
-		m.note(item, item.Revision)
+		m.note(item, item.Place)
 		changed = append(changed, item)
 	}
 	return changed
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -4,18 +4,19 @@
 	"testing"
 
 	"github.com/wheatweir/wheatweir/feed"
+	"github.com/wheatweir/wheatweir/history"
 )
 
 func item(name string, revision uint64, value string) feed.Item[string] {
-	return feed.Item[string]{Name: name, Revision: revision, Value: value}
+	return feed.Item[string]{Name: name, Place: history.At(0, revision), Value: value}
 }
 
 func gone(name string, revision uint64) feed.Item[string] {
-	return feed.Item[string]{Name: name, Revision: revision, Gone: true}
+	return feed.Item[string]{Name: name, Place: history.At(0, revision), Gone: true}
 }
 
 func batch(at uint64, items ...feed.Item[string]) feed.Batch[string] {
-	return feed.Batch[string]{At: at, Items: items}
+	return feed.Batch[string]{At: history.At(0, at), Items: items}
 }
 
 func TestMirror(t *testing.T) {
@@ -53,8 +54,8 @@
 			for _, item := range mirror.Items() {
 				got[item.Name] = item.Value
 			}
-			if len(got) != len(c.want) || mirror.At() != c.at {
-				t.Fatalf("items %v at %d, want %v at %d", got, mirror.At(), c.want, c.at)
+			if len(got) != len(c.want) || mirror.At() != history.At(0, c.at) {
+				t.Fatalf("items %v at %v, want %v at %d", got, mirror.At(), c.want, c.at)
 			}
 			for name, value := range c.want {
 				if got[name] != value {
@@ -78,16 +79,16 @@
 
 func TestSince(t *testing.T) {
 	mirror := feed.NewMirror[string]()
-	if _, ok := mirror.Since(0); ok {
+	if _, ok := mirror.Since(history.Place{}); ok {
 		t.Error("changes of a mirror that knows nothing")
 	}
 	mirror.Replace(batch(5, item("a", 3, "x"), item("b", 4, "y")))
 	mirror.Apply(batch(7, item("a", 6, "z"), gone("b", 4)))
-	if _, ok := mirror.Since(3); ok {
+	if _, ok := mirror.Since(history.At(0, 3)); ok {
 		t.Error("changes before the first list")
 	}
 	for version, want := range map[uint64][]string{4: {"a", "b"}, 6: {"b"}, 7: nil} {
-		items, ok := mirror.Since(version)
+		items, ok := mirror.Since(history.At(0, version))
 		var names []string
 		for _, item := range items {
 			names = append(names, item.Name)
@@ -96,23 +97,23 @@
 			t.Errorf("since %d: %v %v, want %v", version, names, ok, want)
 		}
 	}
-	if mirror.Newest() != 7 {
-		t.Errorf("newest %d", mirror.Newest())
+	if mirror.Newest() != history.At(0, 7) {
+		t.Errorf("newest %v", mirror.Newest())
 	}
 	other := feed.NewMirror[string]()
 	other.Replace(batch(5, item("a", 3, "x"), item("b", 4, "y")))
 	items, _ := mirror.Since(other.Newest())
-	other.Apply(feed.Batch[string]{At: 7, Items: items})
+	other.Apply(feed.Batch[string]{At: history.At(0, 7), Items: items})
 	if len(other.Items()) != 1 || other.Newest() != mirror.Newest() {
-		t.Errorf("after the changes of another mirror: %v, newest %d", other.Items(), other.Newest())
+		t.Errorf("after the changes of another mirror: %v, newest %v", other.Items(), other.Newest())
 	}
 	for revision := uint64(10); revision < 10_000; revision++ {
 		mirror.Apply(batch(revision, item("a", revision, "v")))
 	}
-	if _, ok := mirror.Since(8); ok {
+	if _, ok := mirror.Since(history.At(0, 8)); ok {
 		t.Error("changes that are no longer kept")
 	}
-	if items, ok := mirror.Since(9990); !ok || len(items) != 9 {
+	if items, ok := mirror.Since(history.At(0, 9990)); !ok || len(items) != 9 {
 		t.Errorf("%d changes, %v", len(items), ok)
 	}
 }
--- a/feed/listing.go
+++ b/feed/listing.go
@@ -38,11 +38,16 @@
 		if err != nil {
 			return Batch[T]{}, err
 		}
-		l.batch.Items = append(l.batch.Items, page.Items...)
-		if l.batch.At == 0 {
+		if l.batch.At.IsZero() {
 			// Later pages may be newer; what they miss comes with the watch.
 			l.batch.At = page.At
 		}
+		if page.At.Era != l.batch.At.Era {
+			// The pages before are of a store that is no more.
+			*l = Listing[T]{}
+			return Batch[T]{}, ErrHistoryGone.New("the store came back from a copy between two pages")
+		}
+		l.batch.Items = append(l.batch.Items, page.Items...)
 		l.next = page.Next
 		if l.next == "" {
 			whole := l.batch
--- a/feed/listing_test.go
+++ b/feed/listing_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wheatweir/wheatweir/feed"
+	"github.com/wheatweir/wheatweir/history"
 )
 
 // pages is a Source of three pages with one item each. It turns calls away by their number, and
@@ -28,11 +29,11 @@
 		return feed.Page[int]{}, feed.ErrUnavailable.New("over the rate")
 	}
 	next := map[string]string{"": "a", "a": "b", "b": ""}[after]
-	item := feed.Item[int]{Name: fmt.Sprint("after-", after), Revision: uint64(p.calls)}
-	return feed.Page[int]{Batch: feed.Batch[int]{Items: []feed.Item[int]{item}, At: uint64(100 + p.calls)}, Next: next}, nil
+	item := feed.Item[int]{Name: fmt.Sprint("after-", after), Place: history.At(0, uint64(p.calls))}
+	return feed.Page[int]{Batch: feed.Batch[int]{Items: []feed.Item[int]{item}, At: history.At(0, uint64(100+p.calls))}, Next: next}, nil
 }
 
-func (p *pages) Watch(context.Context, uint64, time.Duration, time.Duration) (feed.Batch[int], error) {
+func (p *pages) Watch(context.Context, history.Place, time.Duration, time.Duration) (feed.Batch[int], error) {
 	return feed.Batch[int]{}, nil
 }
 
@@ -46,8 +47,8 @@
 		}
 	}
 	listed, err := listing.List(context.Background(), source, feed.Newest)
-	if err != nil || len(listed.Items) != 3 || listed.At != 101 {
-		t.Fatalf("%d items at %d, error %v", len(listed.Items), listed.At, err)
+	if err != nil || len(listed.Items) != 3 || listed.At.Revision != 101 {
+		t.Fatalf("%d items at %v, error %v", len(listed.Items), listed.At, err)
 	}
 	if source.asked[""] != 1 || source.asked["a"] != 2 || source.asked["b"] != 2 {
 		t.Errorf("asked %v", source.asked)
@@ -68,8 +69,8 @@
 		}
 		time.Sleep(11 * time.Second)
 		listed, err := listing.List(context.Background(), source, feed.Newest)
-		if err != nil || len(listed.Items) != 3 || source.asked[""] != 2 || listed.At != 103 {
-			t.Errorf("%d items at %d, error %v, asked %v", len(listed.Items), listed.At, err, source.asked)
+		if err != nil || len(listed.Items) != 3 || source.asked[""] != 2 || listed.At.Revision != 103 {
+			t.Errorf("%d items at %v, error %v, asked %v", len(listed.Items), listed.At, err, source.asked)
 		}
 	})
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -7,10 +7,14 @@
 // it sent a renewal that succeeded, and stops a margin before the term is over.
 // Another candidate takes over only after it has seen the same record unchanged
 // for a whole term of its own clock, by an update on exactly that revision. The
-// revision of the update that changed the holder is the fencing token.
+// token of the place at which the holder changed is the fencing token.
 package lease
 
-import "time"
+import (
+	"time"
+
+	"github.com/wheatweir/wheatweir/history"
+)
 
 // Record is the stored form of the lease.
 type Record struct {
@@ -18,19 +22,23 @@
 	Holder string
 	// Boot tells two processes of one holder apart.
 	Boot string
-	// Fence is the token of the holder: the revision at which it took over.
+	// Fence is the token of the holder: that of the place at which it took over.
 	// In the store it is zero until the first renewal.
 	Fence uint64
 	// Renewals makes each renewal a change.
 	Renewals uint64
 }
 
-// Stored is a record with the store's revision; zero if there is none yet.
+// Stored is a record with the place of its last change; the place has no revision if there is no
+// record yet.
 type Stored struct {
-	Record   Record
-	Revision uint64
+	Record Record
+	At     history.Place
 }
 
+// none reports whether there is no record.
+func (s *Stored) none() bool { return s.At.Revision == 0 }
+
 // Settings of a lease.
 type Settings struct {
 	// Term is how long a renewal lasts.
@@ -56,10 +64,10 @@
 type Call struct {
 	// Write is nil for a read.
 	Write *Record
-	// IfRevision is the revision that a write replaces; zero creates.
-	IfRevision uint64
+	// If is the place of the record that a write replaces; without a revision it creates.
+	If history.Place
 	// MayLag allows a stale read, of a record some seconds old, as for the first read of a
-	// candidate: whatever it decides by an old record is a write on that record's revision,
+	// candidate: whatever it decides by an old record is a write on that record's place,
 	// which fails if there is a newer one.
 	MayLag bool
 }
@@ -143,7 +151,7 @@
 	case l.held && l.leaving:
 		// From here on another one may hold it, whatever becomes of the answer.
 		l.validUntil = now
-		return l.call(now, Call{Write: &Record{Fence: l.fence, Renewals: l.stored.Record.Renewals + 1}, IfRevision: l.stored.Revision})
+		return l.call(now, Call{Write: &Record{Fence: l.fence, Renewals: l.stored.Record.Renewals + 1}, If: l.stored.At})
 	case l.held:
 		return l.renew(now)
 	case l.leaving:
@@ -168,7 +176,7 @@
 	if !l.known {
 		return l.call(now, Call{})
 	}
-	return l.call(now, Call{Write: l.own(), IfRevision: l.stored.Revision})
+	return l.call(now, Call{Write: l.own(), If: l.stored.At})
 }
 
 func (l *Lease) own() *Record {
@@ -182,7 +190,7 @@
 // take tries to become the holder once the known record has been unchanged for
 // a term, or was handed back, never existed or is our own.
 func (l *Lease) take(now time.Time) *Call {
-	free := l.stored.Revision == 0 || l.stored.Record.Holder == "" || l.mine()
+	free := l.stored.none() || l.stored.Record.Holder == "" || l.mine()
 	if !free && now.Sub(l.unchanged) < l.settings.Term {
 		return nil
 	}
@@ -193,7 +201,7 @@
 	}
 	record := l.own()
 	record.Fence = 0
-	return l.call(now, Call{Write: record, IfRevision: l.stored.Revision})
+	return l.call(now, Call{Write: record, If: l.stored.At})
 }
 
 func (l *Lease) call(now time.Time, call Call) *Call {
@@ -235,8 +243,8 @@
 		return
 	}
 	if !l.held {
-		l.succeeded = previous.Revision != 0
-		l.begin(previous.Revision != 0 && previous.Record.Holder != l.self, stored.Revision)
+		l.succeeded = !previous.none()
+		l.begin(!previous.none() && previous.Record.Holder != l.self, stored.At.Token())
 	}
 	l.validUntil = l.calledAt.Add(l.settings.Term - l.settings.Margin)
 }
@@ -253,7 +261,7 @@
 // observe takes in a record that was read, or found in the way of a write.
 func (l *Lease) observe(now time.Time, stored Stored) {
 	l.read = true
-	if l.pending.MayLag && stored.Revision < l.stored.Revision {
+	if l.pending.MayLag && stored.At.Before(l.stored.At) {
 		// A renewal was heard of meanwhile.
 		return
 	}
@@ -267,7 +275,7 @@
 		// is not known, so the next renewal starts the term.
 		fence := stored.Record.Fence
 		if fence == 0 {
-			fence = stored.Revision
+			fence = stored.At.Token()
 		}
 		l.succeeded = true
 		l.begin(true, fence)
@@ -277,8 +285,8 @@
 }
 
 func (l *Lease) learn(now time.Time, stored Stored) {
-	if !l.known || stored.Revision != l.stored.Revision {
-		if stored.Revision != l.stored.Revision || l.unchanged.IsZero() {
+	if !l.known || stored.At != l.stored.At {
+		if stored.At != l.stored.At || l.unchanged.IsZero() {
 			l.unchanged = now
 		}
 	}
@@ -286,17 +294,17 @@
 	l.known = true
 }
 
-// Revision is the revision of the newest record that is known.
-func (l *Lease) Revision() uint64 { return l.stored.Revision }
+// Place is that of the newest record that is known.
+func (l *Lease) Place() history.Place { return l.stored.At }
 
-// Heard takes in that the holder renewed the lease with the given revision. That
+// Heard takes in that the holder renewed the lease at the given place. That
 // the record is unchanged since now can then be told without asking the store.
-func (l *Lease) Heard(now time.Time, revision uint64) {
-	if l.held || revision <= l.stored.Revision {
+func (l *Lease) Heard(now time.Time, renewal history.Place) {
+	if l.held || !renewal.After(l.stored.At) {
 		return
 	}
 	l.read = true
-	l.stored = Stored{Record: Record{Holder: heardHolder}, Revision: revision}
+	l.stored = Stored{Record: Record{Holder: heardHolder}, At: renewal}
 	l.unchanged = now
 	l.known = true
 }
@@ -305,13 +313,13 @@
 const heardHolder = "(heard)"
 
 // HeardReleased takes in that the holder handed the lease back by the write with the
-// given revision: it may be taken without waiting or asking the store.
-func (l *Lease) HeardReleased(now time.Time, revision uint64) {
-	if l.held || revision <= l.stored.Revision {
+// given place: it may be taken without waiting or asking the store.
+func (l *Lease) HeardReleased(now time.Time, release history.Place) {
+	if l.held || !release.After(l.stored.At) {
 		return
 	}
 	l.read = true
-	l.stored = Stored{Revision: revision}
+	l.stored = Stored{At: release}
 	l.unchanged = now
 	l.known = true
 }
@@ -335,5 +343,5 @@
 // Released reports whether the newest record that is known is one that was handed back.
 // A lease that is not held any more may be another holder's by now.
 func (l *Lease) Released() bool {
-	return l.known && l.stored.Revision != 0 && l.stored.Record.Holder == ""
+	return l.known && !l.stored.none() && l.stored.Record.Holder == ""
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/wheatweir/wheatweir/history"
 	_ "github.com/wheatweir/wheatweir/internal/fixedseed"
 	"github.com/wheatweir/wheatweir/lease"
 )
@@ -38,12 +39,12 @@
 	if call.Write == nil {
 		return lease.OutcomeConflict, s.stored
 	}
-	if call.IfRevision != s.stored.Revision {
+	if call.If != s.stored.At {
 		return lease.OutcomeConflict, s.stored
 	}
 	s.revision++
 	s.earlier = append(s.earlier, s.stored)
-	s.stored = lease.Stored{Record: *call.Write, Revision: s.revision}
+	s.stored = lease.Stored{Record: *call.Write, At: history.At(0, s.revision)}
 	return lease.OutcomeDone, s.stored
 }
 
@@ -69,8 +70,8 @@
 		now := time.Unix(1000, 0)
 		candidates := []*candidate{newCandidate("a", 0), newCandidate("b", 0), newCandidate("c", 0)}
 		highest := uint64(0)
-		// released are the revisions at which the lease was handed back.
-		var released []uint64
+		// released are the places at which the lease was handed back.
+		var released []history.Place
 		for step := range rapid.IntRange(50, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "pause")) * time.Millisecond)
 			for i, c := range candidates {
@@ -84,7 +85,7 @@
 					c.lease.Leave()
 				case 3, 4:
 					if len(released) > 0 {
-						c.lease.HeardReleased(now, rapid.SampledFrom(released).Draw(t, "revision"))
+						c.lease.HeardReleased(now, rapid.SampledFrom(released).Draw(t, "place"))
 					}
 				}
 				if !c.paused {
@@ -92,7 +93,7 @@
 				}
 				if c.lease.Left() {
 					if c.lease.Released() {
-						released = append(released, c.lease.Revision())
+						released = append(released, c.lease.Place())
 					}
 					candidates[i] = newCandidate(c.name, step+1)
 				}
@@ -219,7 +220,7 @@
 	first := newCandidate("first", 1)
 	now := drive(first, s, time.Unix(1000, 0), 2*time.Second)
 	second := newCandidate("second", 1)
-	second.lease.Heard(now, first.lease.Revision())
+	second.lease.Heard(now, first.lease.Place())
 	now = now.Add(term)
 	now = drive(second, s, now, 200*time.Millisecond)
 	if !second.lease.Held(now) {
@@ -262,12 +263,12 @@
 	if call := c.lease.Step(now, false); call == nil || !call.MayLag {
 		t.Fatalf("the first call is %+v", call)
 	}
-	c.lease.Heard(now, 9)
-	c.lease.Answered(now, lease.OutcomeConflict, lease.Stored{Record: lease.Record{Holder: "b"}, Revision: 5})
-	if revision := c.lease.Revision(); revision != 9 {
-		t.Errorf("revision %d after hearing of 9", revision)
+	c.lease.Heard(now, history.At(0, 9))
+	c.lease.Answered(now, lease.OutcomeConflict, lease.Stored{Record: lease.Record{Holder: "b"}, At: history.At(0, 5)})
+	if place := c.lease.Place(); place != history.At(0, 9) {
+		t.Errorf("place %v after hearing of 9", place)
 	}
-	if call := c.lease.Step(now.Add(term+time.Millisecond), true); call == nil || call.MayLag || call.Write != nil && call.IfRevision != 9 {
+	if call := c.lease.Step(now.Add(term+time.Millisecond), true); call == nil || call.MayLag || call.Write != nil && call.If != history.At(0, 9) {
 		t.Errorf("the call after a term is %+v", call)
 	}
 }
@@ -303,7 +304,7 @@
 	if leaving.lease.Held(now) {
 		t.Error("it holds the lease that it may have handed back")
 	}
-	next.lease.HeardReleased(now, s.revision)
+	next.lease.HeardReleased(now, history.At(0, s.revision))
 	if now = drive(next, s, now, 100*time.Millisecond); !next.lease.Held(now) {
 		t.Error("the next one does not take at once what was handed back")
 	}
