Instances that leave stay so when the store comes back from a copy that shows them as ready

Callers' requests would have reached servers that had left, or had said so, before the store came back: the copy lists them as ready until they write again or their entries lapse. One that said it leaves stays so; one that was gone is used again once its server has written in the new era or its entry has stayed for 10 s.

--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -281,6 +281,8 @@
 			listed.Value.ID = item.Name
 		} else {
 			listed.Value = *item.Value
+			// A daemon that has just started hears it too.
+			listed.Value.Leaving = listed.Value.Leaving || n.departures.leaving(item.Name)
 		}
 		listing.Items = append(listing.Items, listed)
 	}
--- a/coordination/era_test.go
+++ b/coordination/era_test.go
@@ -113,3 +113,50 @@
 		}
 	}
 }
+
+// TestDeparturesSurviveARestore covers instances that were leaving or gone before the store came back from
+// a copy that shows them as ready: the one that said it leaves stays so, also if its entry is written again,
+// and the one that was gone is used again once its server has written or its entry has stayed.
+func TestDeparturesSurviveARestore(t *testing.T) {
+	const gone, leaving = "i1", "i2"
+	restored := func(t *testing.T) *world {
+		t.Helper()
+		w := eraWorld(9, "i0", gone, leaving)
+		w.fromStore(func(node *coordination.Node) []coordination.Action {
+			return node.InstancesListed(w.now, listed(1, 99, "i0", leaving+"-"))
+		})
+		w.run(time.Second)
+		w.fromStore(func(node *coordination.Node) []coordination.Action {
+			return node.InstancesListed(w.now, listed(2, 80, "i0", gone, leaving))
+		})
+		w.run(time.Second)
+		return w
+	}
+	written := func(w *world) {
+		w.fromStore(func(node *coordination.Node) []coordination.Action {
+			return node.InstancesChanged(w.now, listed(2, 82, gone, leaving))
+		})
+	}
+	cases := []struct {
+		name  string
+		after func(w *world)
+		span  time.Duration
+		want  []string
+	}{
+		{"a second later", func(*world) {}, 0, []string{"i0"}},
+		{"written again", written, time.Second, []string{"i0", gone}},
+		{"stays listed", func(*world) {}, 12 * time.Second, []string{"i0", gone}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := restored(t)
+			c.after(w)
+			w.run(c.span)
+			for _, name := range w.names() {
+				if used := w.inUse(name, "i0", gone, leaving); !slices.Equal(used, c.want) {
+					t.Errorf("%s uses %v, want %v", name, used, c.want)
+				}
+			}
+		})
+	}
+}
--- a/coordination/facts.go
+++ b/coordination/facts.go
@@ -133,6 +133,7 @@
 // merged is an instance with what its newest report says it holds. A report is
 // believed over the list unless the list told something new well after it.
 func (n *Node) merged(listed *fleet.Instance) *fleet.Instance {
+	listed = n.departures.asDeparted(listed)
 	known, found := n.facts.byInstance[listed.ID]
 	if !found || known.at.Add(listLag).Before(n.listedAt[listed.ID]) {
 		return listed
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -34,10 +34,13 @@
 	sharing  shareState
 	peers    map[string]peerState
 
-	sources   map[Source]*sourceState
-	eras      eraState
-	questions []question
-	members   map[string]memberBelief
+	sources map[Source]*sourceState
+	eras    eraState
+	// departures tells which instances have left, whatever the store shows after a restore.
+	departures   departures
+	departuresAt time.Time
+	questions    []question
+	members      map[string]memberBelief
 	// memberNews and instanceNews are what the log has not told yet.
 	memberNews   newsList
 	instanceNews newsList
@@ -96,7 +99,7 @@
 		lease:     lease.New(self.Name, boot, settings.Lease),
 		book:      residency.NewBook(settings.Residency),
 		instances: feed.NewMirror[*fleet.Instance](),
-		facts:     newFactBook(), changed: map[string]bool{}, reports: map[string]*reportState{}, listedAt: map[string]time.Time{}, peers: map[string]peerState{},
+		facts:     newFactBook(), departures: newDepartures(), changed: map[string]bool{}, reports: map[string]*reportState{}, listedAt: map[string]time.Time{}, peers: map[string]peerState{},
 		demand: newDemandState(), lastHolder: now, watcherAt: now.Add(settings.WatchAfter),
 		view:      fleet.NewView(nil, nil),
 		spreading: newSpreadState(random.Uint64()), crashNews: newCrashNewsState(random.Uint64()), assured: assurance{sequence: random.Uint64()},
@@ -145,6 +148,7 @@
 	n.tickWatching(now)
 	n.tickSources(now)
 	n.tickEarlier(now)
+	n.tickDepartures(now)
 	n.tickQuestions(now)
 	n.tickAssurance(now)
 	n.tickLease(now)
@@ -302,6 +306,7 @@
 func (n *Node) instancesChanged(now time.Time, from origin, changed []feed.Item[*fleet.Instance], restored bool) {
 	n.noteInstances(now, from, changed)
 	for _, item := range changed {
+		n.departures.note(now, &item, restored)
 		n.changed[item.Name] = true
 		if item.Gone {
 			n.facts.lose(now, item.Name)
@@ -314,7 +319,7 @@
 			n.listedAt[item.Name] = now
 		}
 		delete(n.facts.gone, item.Name)
-		n.book.Put(item.Value)
+		n.book.Put(n.departures.asDeparted(item.Value))
 	}
 }
 
--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -27,10 +27,7 @@
 		putConfiguration(f.store, 2+version)
 	}
 	f.waitConfiguration(t, "added")
-	f.store.SetFault(func(string, string) standin.Fault { return standin.FaultReset })
-	time.Sleep(300 * time.Millisecond)
-	f.store.ComeBackFrom(copied)
-	f.store.SetFault(nil)
+	f.restore(copied)
 	time.Sleep(time.Second)
 	leaving := f.servers[0]
 	leaving.Drain()
@@ -48,6 +45,42 @@
 	}
 }
 
+// restore makes the store be away for a moment and come back from a copy.
+func (f *deployment) restore(copied *standin.Copy) standin.Lost {
+	f.store.SetFault(func(string, string) standin.Fault { return standin.FaultReset })
+	time.Sleep(300 * time.Millisecond)
+	lost := f.store.ComeBackFrom(copied)
+	f.store.SetFault(nil)
+	return lost
+}
+
+// TestLeavingDoesNotGoBackWithTheStore covers servers that had left, or said that they leave, before the
+// store came back from a copy that shows them as ready. The one that said so serves on for a while.
+func TestLeavingDoesNotGoBackWithTheStore(t *testing.T) {
+	f := start(t, 3)
+	f.waitReady(t)
+	f.addServer(t, "llm2", "llm", "m")
+	f.waitConfiguration(t, "added")
+	copied := f.store.Copy()
+	leaving, left := f.server("llm0"), f.server("llm2")
+	leaving.Drain()
+	left.Unlist()
+	time.Sleep(2 * time.Second)
+	served := len(leaving.Runs()) + len(left.Runs())
+	f.restore(copied)
+	for range 40 {
+		for i, settings := range f.all {
+			if _, status, _, err := post(settings.FrontAddress, "/stream/x", "m"); err != nil || status != 200 {
+				t.Errorf("daemon %d: status %d, %v", i, status, err)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if late := len(leaving.Runs()) + len(left.Runs()) - served; late > 0 {
+		t.Errorf("%d of 120 requests reached servers that had left", late)
+	}
+}
+
 // waitConfiguration adds a route and waits until all daemons serve it.
 func (f *deployment) waitConfiguration(t *testing.T, name string) {
 	t.Helper()
