Lease: records, tokens and takeovers know the era of the store

A write on a revision could also hit another record that had been given the same.

A holder whose term runs writes its record again, all others wait for a term, and a record or an answer of an earlier era proves nothing.

--- a/coordination/era.go
+++ b/coordination/era.go
@@ -45,6 +45,7 @@
 	}
 	rose := state.known
 	state.known, state.era = true, era
+	n.lease.EraLearned(now, era)
 	if !rose {
 		return
 	}
--- a/coordination/era_test.go
+++ b/coordination/era_test.go
@@ -40,6 +40,7 @@
 // eraWorld is a fleet of which every node knows the same list.
 func eraWorld(count int, entries ...string) *world {
 	w := newWorld(count)
+	w.restore(1)
 	for _, name := range w.names() {
 		w.perform(name, w.nodes[name].ConfigurationLearned(engineConfiguration(1)))
 		w.perform(name, w.nodes[name].InstancesListed(w.now, listed(1, 95, entries...)))
@@ -48,6 +49,11 @@
 	return w
 }
 
+// restore begins an era of the store. It has lost nothing of the lease.
+func (w *world) restore(era uint64) {
+	w.era, w.stored.At.Era = era, era
+}
+
 // fromStore has each node that watches the store take in what that says.
 func (w *world) fromStore(take func(node *coordination.Node) []coordination.Action) {
 	for _, name := range w.names() {
@@ -63,6 +69,7 @@
 	for _, again := range []bool{true, false} {
 		t.Run(fmt.Sprint("written again: ", again), func(t *testing.T) {
 			w := eraWorld(9, "i1", "i2")
+			w.restore(2)
 			w.fromStore(func(node *coordination.Node) []coordination.Action {
 				return node.InstancesListed(w.now, listed(2, 80, "i1"))
 			})
@@ -98,6 +105,7 @@
 func TestEraIsToldOnce(t *testing.T) {
 	w := eraWorld(9, "i1")
 	watcher := w.pickByWatch(true)
+	w.restore(2)
 	w.perform(watcher, w.nodes[watcher].EraLearned(w.now, 2))
 	w.perform(watcher, w.nodes[watcher].InstancesListed(w.now, listed(2, 80, "i1")))
 	w.run(3 * time.Second)
@@ -126,6 +134,7 @@
 			return node.InstancesListed(w.now, listed(1, 99, "i0", leaving+"-"))
 		})
 		w.run(time.Second)
+		w.restore(2)
 		w.fromStore(func(node *coordination.Node) []coordination.Action {
 			return node.InstancesListed(w.now, listed(2, 80, "i0", gone, leaving))
 		})
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -3,11 +3,12 @@
 // tells it the steady time, carries out the calls it asks for and reports their
 // answers.
 //
-// Safety rests on two rules. The holder counts its term from the moment before
+// Safety rests on three rules. The holder counts its term from the moment before
 // it sent a renewal that succeeded, and stops a margin before the term is over.
 // Another candidate takes over only after it has seen the same record unchanged
 // for a whole term of its own clock, by an update on exactly that revision. The
-// token of the place at which the holder changed is the fencing token.
+// token of the place at which the holder changed is the fencing token. After the store has come back from
+// an earlier copy of itself, nobody but the holder takes the lease for a term.
 package lease
 
 import (
@@ -27,6 +28,8 @@
 	Fence uint64
 	// Renewals makes each renewal a change.
 	Renewals uint64
+	// Era is that of the store as the writer knew it.
+	Era uint64
 }
 
 // Stored is a record with the place of its last change; the place has no revision if there is no
@@ -39,6 +42,10 @@
 // none reports whether there is no record.
 func (s *Stored) none() bool { return s.At.Revision == 0 }
 
+// copied reports whether the record was written in an earlier era than the one whose store shows it: the
+// store came back from a copy since, and has lost what was written between the two.
+func (s *Stored) copied() bool { return !s.none() && s.Record.Era < s.At.Era }
+
 // Settings of a lease.
 type Settings struct {
 	// Term is how long a renewal lasts.
@@ -103,8 +110,18 @@
 	calling    bool
 	calledAt   time.Time
 	pending    Call
+	// pendingEra is the newest era that was known when the pending call was made.
+	pendingEra uint64
 	retryAt    time.Time
 	leaving    bool
+
+	// era is the newest era of the store that is known.
+	era      uint64
+	eraKnown bool
+	// writtenEra is that of the last write of our own that succeeded.
+	writtenEra uint64
+	// closedUntil is until when nobody takes the lease, as a holder of the era before may still act.
+	closedUntil time.Time
 }
 
 // New returns the view of a candidate. Boot must differ between two processes
@@ -148,10 +165,14 @@
 		return nil
 	}
 	switch {
+	case l.held && l.leaving && l.writtenEra < l.era:
+		// The store has lost that this candidate held the lease, or handed it back: another one may hold it.
+		l.held = false
+		return nil
 	case l.held && l.leaving:
 		// From here on another one may hold it, whatever becomes of the answer.
 		l.validUntil = now
-		return l.call(now, Call{Write: &Record{Fence: l.fence, Renewals: l.stored.Record.Renewals + 1}, If: l.stored.At})
+		return l.call(now, Call{Write: &Record{Fence: l.fence, Renewals: l.stored.Record.Renewals + 1, Era: l.era}, If: l.stored.At})
 	case l.held:
 		return l.renew(now)
 	case l.leaving:
@@ -170,7 +191,7 @@
 
 func (l *Lease) renew(now time.Time) *Call {
 	renewAt := l.validUntil.Add(l.settings.Margin - l.settings.Term + l.settings.RenewEvery)
-	if now.Before(renewAt) {
+	if now.Before(renewAt) && l.writtenEra == l.era {
 		return nil
 	}
 	if !l.known {
@@ -180,7 +201,7 @@
 }
 
 func (l *Lease) own() *Record {
-	return &Record{Holder: l.self, Boot: l.boot, Fence: l.fence, Renewals: l.stored.Record.Renewals + 1}
+	return &Record{Holder: l.self, Boot: l.boot, Fence: l.fence, Renewals: l.stored.Record.Renewals + 1, Era: l.era}
 }
 
 // mine reports whether the record names an earlier process of this candidate, which
@@ -190,7 +211,11 @@
 // take tries to become the holder once the known record has been unchanged for
 // a term, or was handed back, never existed or is our own.
 func (l *Lease) take(now time.Time) *Call {
-	free := l.stored.none() || l.stored.Record.Holder == "" || l.mine()
+	if now.Before(l.closedUntil) {
+		return nil
+	}
+	// Who is named by a copy, or nobody, may not be who held the lease last.
+	free := !l.stored.copied() && (l.stored.none() || l.stored.Record.Holder == "" || l.mine())
 	if !free && now.Sub(l.unchanged) < l.settings.Term {
 		return nil
 	}
@@ -207,7 +232,7 @@
 func (l *Lease) call(now time.Time, call Call) *Call {
 	l.calling = true
 	l.calledAt = now
-	l.pending = call
+	l.pending, l.pendingEra = call, l.era
 	return &call
 }
 
@@ -219,7 +244,14 @@
 	}
 	l.calling = false
 	write := l.pending.Write
+	if outcome != OutcomeFailed {
+		l.EraLearned(now, stored.At.Era)
+	}
 	switch {
+	case outcome != OutcomeFailed && stored.At.Era < l.era, outcome == OutcomeDone && write != nil && l.pendingEra < l.era:
+		// It is of the store as it was before, or its condition was: what holds now has to be read.
+		l.read, l.known = true, false
+		l.retryAt = now.Add(l.settings.RenewEvery / 4)
 	case outcome == OutcomeFailed:
 		l.retryAt = now.Add(l.settings.RenewEvery / 4)
 		if write != nil {
@@ -242,9 +274,11 @@
 		l.held = false
 		return
 	}
+	l.writtenEra = l.era
 	if !l.held {
 		l.succeeded = !previous.none()
-		l.begin(!previous.none() && previous.Record.Holder != l.self, stored.At.Token())
+		other := !previous.none() && previous.Record.Holder != l.self
+		l.begin(other || previous.copied() || l.calledAt.Sub(l.closedUntil) < l.settings.Term, stored.At.Token())
 	}
 	l.validUntil = l.calledAt.Add(l.settings.Term - l.settings.Margin)
 }
@@ -268,9 +302,12 @@
 	l.learn(now, stored)
 	ours := stored.Record.Holder == l.self && stored.Record.Boot == l.boot
 	switch {
+	case l.held && !ours && l.predates(stored) && l.Held(now):
+		// The copy is older than this holder's term, in which nobody else takes the lease: the next
+		// renewal replaces it.
 	case l.held && !ours:
 		l.held = false
-	case !l.held && ours && !l.leaving:
+	case !l.held && ours && !l.leaving && !stored.copied():
 		// A write of ours was done although its answer was lost. How long ago
 		// is not known, so the next renewal starts the term.
 		fence := stored.Record.Fence
@@ -284,6 +321,12 @@
 	}
 }
 
+// predates reports whether a record, or that there is none, is of a copy from before the last write of our
+// own.
+func (l *Lease) predates(stored Stored) bool {
+	return l.writtenEra < stored.At.Era && (stored.none() || stored.copied())
+}
+
 func (l *Lease) learn(now time.Time, stored Stored) {
 	if !l.known || stored.At != l.stored.At {
 		if stored.At != l.stored.At || l.unchanged.IsZero() {
@@ -300,11 +343,12 @@
 // Heard takes in that the holder renewed the lease at the given place. That
 // the record is unchanged since now can then be told without asking the store.
 func (l *Lease) Heard(now time.Time, renewal history.Place) {
-	if l.held || !renewal.After(l.stored.At) {
+	l.EraLearned(now, renewal.Era)
+	if l.held || !renewal.After(l.stored.At) || renewal.Era < l.era {
 		return
 	}
 	l.read = true
-	l.stored = Stored{Record: Record{Holder: heardHolder}, At: renewal}
+	l.stored = Stored{Record: Record{Holder: heardHolder, Era: renewal.Era}, At: renewal}
 	l.unchanged = now
 	l.known = true
 }
@@ -315,11 +359,12 @@
 // HeardReleased takes in that the holder handed the lease back by the write with the
 // given place: it may be taken without waiting or asking the store.
 func (l *Lease) HeardReleased(now time.Time, release history.Place) {
-	if l.held || !release.After(l.stored.At) {
+	l.EraLearned(now, release.Era)
+	if l.held || !release.After(l.stored.At) || release.Era < l.era {
 		return
 	}
 	l.read = true
-	l.stored = Stored{At: release}
+	l.stored = Stored{Record: Record{Era: release.Era}, At: release}
 	l.unchanged = now
 	l.known = true
 }
@@ -341,7 +386,28 @@
 func (l *Lease) Left() bool { return l.leaving && !l.held }
 
 // Released reports whether the newest record that is known is one that was handed back.
-// A lease that is not held any more may be another holder's by now.
+// A lease that is not held any more may be another holder's by now, and so may one of which a copy of the
+// store shows that it was handed back.
 func (l *Lease) Released() bool {
-	return l.known && !l.stored.none() && l.stored.Record.Holder == ""
+	return l.known && !l.stored.none() && !l.stored.copied() && l.stored.Record.Holder == ""
+}
+
+// EraLearned takes in an era of the store. With a newer one the store has come back from a copy, and the
+// record that is known may be gone. A holder whose term runs writes its own again. For a term nobody else
+// takes the lease, whatever the copy says of it: until then the term of a holder of before is over.
+func (l *Lease) EraLearned(now time.Time, era uint64) {
+	if l.eraKnown && era <= l.era {
+		return
+	}
+	rose := l.eraKnown
+	l.era, l.eraKnown = era, true
+	if !rose {
+		l.writtenEra = era
+		return
+	}
+	l.stored, l.known, l.unchanged = Stored{}, false, time.Time{}
+	l.closedUntil = now.Add(l.settings.Term)
+	if !l.Held(now) {
+		l.held = false
+	}
 }
