Configuration after a restore: no proof that it is the newest until the operator had time to write again

Keys that were taken away could have gone on being used: a read of a store that came back from a copy shows the configuration before, and was taken for proof that nothing newer was acknowledged. A reader also took a configuration for the one it had read if it bore the same revision, which is given out again.

For 2.5 s after an era was learned a read proves nothing, and neither does one that shows less than is known.

--- a/coordination/assurance.go
+++ b/coordination/assurance.go
@@ -257,7 +257,7 @@
 	}
 }
 
-// readDone takes in the end of a read, which found a version or failed. Who reached the store
+// readDone takes in the end of a read, which found the newest version or did not. Who reached the store
 // when the others did not for a while tells those that the rest ask. That proves nothing to them:
 // they ask in turn.
 func (n *Node) readDone(begunAt time.Time, version uint64, found bool) {
@@ -286,21 +286,38 @@
 	}
 }
 
-// ConfigurationRead takes in the answer to a read of the newest configuration that was begun at
-// a moment; nil if there was none.
-func (n *Node) ConfigurationRead(begunAt time.Time, configuration *fleet.Configuration) []Action {
-	if configuration == nil {
-		n.readDone(begunAt, 0, false)
-		return n.take()
+// Reading is the answer to a read of the newest configuration.
+type Reading struct {
+	BegunAt time.Time
+	// Era is that of the store which answered.
+	Era     uint64
+	Version uint64
+	// Configuration is nil if the version has been read before.
+	Configuration *fleet.Configuration
+}
+
+// ConfigurationRead takes in the answer to a read of the newest configuration.
+func (n *Node) ConfigurationRead(now time.Time, read Reading) []Action {
+	n.learnEra(now, originStore, read.Era)
+	if read.Configuration != nil {
+		n.learnConfiguration(read.Configuration)
 	}
-	n.learnConfiguration(configuration)
-	n.readDone(begunAt, configuration.Version, true)
+	n.readDone(read.BegunAt, read.Version, n.proves(&read))
 	return n.take()
 }
 
-// ConfigurationUnchanged takes in that a read of the newest configuration that was begun at a
-// moment found a version that is known here.
-func (n *Node) ConfigurationUnchanged(begunAt time.Time, version uint64) []Action {
-	n.readDone(begunAt, version, true)
+// ConfigurationNotRead takes in that the store did not answer a read.
+func (n *Node) ConfigurationNotRead() []Action {
+	n.readDone(time.Time{}, 0, false)
 	return n.take()
 }
+
+// proves reports whether a read tells which configuration was the newest. After the store has come back
+// from a copy, that may be an older one, until the operator has had time to write the newest again and the
+// store shows what is known here at least.
+func (n *Node) proves(read *Reading) bool {
+	if n.eras.rose == 0 {
+		return true
+	}
+	return read.BegunAt.Sub(n.eras.learnedAt) >= rewriteSpan && read.Version >= n.configurationVersion()
+}
--- a/coordination/assurance_test.go
+++ b/coordination/assurance_test.go
@@ -20,6 +20,10 @@
 // assuredStore is the configuration in the store, with its history.
 type assuredStore struct {
 	version uint64
+	// shown is the version that the store shows: after it came back from a copy an older one, until the
+	// operator writes again at writtenAgainAt.
+	shown          uint64
+	writtenAgainAt time.Time
 	// changedAt is when each version was taken.
 	changedAt map[uint64]time.Time
 	// reads counts the calls, answered or not.
@@ -39,6 +43,7 @@
 
 func (w *world) changeConfiguration() {
 	w.assured.version++
+	w.assured.shown = w.assured.version
 	w.assured.changedAt[w.assured.version] = w.now
 }
 
@@ -46,10 +51,29 @@
 func (w *world) readConfiguration(name string) {
 	w.assured.reads++
 	if w.storeCut[name] {
-		w.perform(name, w.nodes[name].ConfigurationRead(w.now, nil))
+		w.perform(name, w.nodes[name].ConfigurationNotRead())
 		return
 	}
-	w.perform(name, w.nodes[name].ConfigurationRead(w.now, engineConfiguration(w.assured.version)))
+	shown := w.assured.show(w.now)
+	w.perform(name, w.nodes[name].ConfigurationRead(w.now, coordination.Reading{
+		BegunAt: w.now, Era: w.era, Version: shown, Configuration: engineConfiguration(shown),
+	}))
+}
+
+// show returns the version that the store shows now.
+func (s *assuredStore) show(now time.Time) uint64 {
+	if !now.Before(s.writtenAgainAt) {
+		s.shown = s.version
+	}
+	return s.shown
+}
+
+// loseConfigurations has the store come back from a copy without its last versions, which the operator
+// writes again after a span.
+func (w *world) loseConfigurations(count uint64, again time.Duration) {
+	w.restore(w.era + 1)
+	w.assured.shown = max(1, w.assured.version-min(count, w.assured.version))
+	w.assured.writtenAgainAt = w.now.Add(again)
 }
 
 // newAssuredWorld returns daemons that keep their configuration sure.
@@ -213,3 +237,45 @@
 		}
 	}
 }
+
+// TestSureKnowledgeIsTrueAcrossRestores is TestSureKnowledgeIsTrue with a store that comes back from copies
+// that lack its last versions. The operator writes them again within 2 s.
+func TestSureKnowledgeIsTrueAcrossRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newAssuredWorld(rapid.IntRange(2, 7).Draw(t, "daemons"))
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		slowest := rapid.SampledFrom([]int{0, 30, 400, 6000}).Draw(t, "slowest message, ms")
+		w.latency = func() time.Duration { return time.Duration(random.IntN(slowest+1)) * time.Millisecond }
+		w.run(time.Second)
+		for range 60 {
+			name := w.names()[random.IntN(len(w.nodes))]
+			switch random.IntN(6) {
+			case 0:
+				w.changeConfiguration()
+			case 1:
+				w.storeCut[name] = !w.storeCut[name]
+			case 2:
+				w.loseConfigurations(uint64(random.IntN(4)), time.Duration(random.IntN(2000))*time.Millisecond)
+			}
+			w.run(time.Duration(50*(1+random.IntN(8))) * time.Millisecond)
+			w.requireSureIsTrue(t)
+		}
+	})
+}
+
+// TestSureSoonAfterARestore covers what a restore costs: all daemons are sure again soon after the operator
+// had time to write again.
+func TestSureSoonAfterARestore(t *testing.T) {
+	for _, count := range []int{9, 69} {
+		w := newAssuredWorld(count)
+		w.run(10 * time.Second)
+		w.changeConfiguration()
+		w.run(100 * time.Millisecond)
+		w.loseConfigurations(1, 2*time.Second)
+		greatest := w.watchAges(4 * time.Second)
+		t.Logf("%d daemons: the oldest knowledge was %v old, %v four seconds after the restore", count, greatest, w.greatestAge())
+		if greatest > revokeWithin*9/10 || w.greatestAge() > revokeWithin*3/10 {
+			t.Errorf("%d daemons: the oldest knowledge was %v old, %v four seconds after the restore", count, greatest, w.greatestAge())
+		}
+	}
+}
--- a/coordination/era.go
+++ b/coordination/era.go
@@ -12,14 +12,16 @@
 type eraState struct {
 	known bool
 	era   uint64
-	// rose is how often a newer era was learned of.
-	rose uint64
+	// rose is how often a newer era was learned of, the last time at learnedAt.
+	rose      uint64
+	learnedAt time.Time
 	// earlierUntil is until when instances stay that only an earlier era told of; zero if there are none.
 	earlierUntil time.Time
 }
 
-// rewriteSpan is how long instances stay that the copy lacks: it may be older than their entries, which
-// servers write again. The users' platform has the entries of servers that live back within about 2 s.
+// rewriteSpan is how long the operator and the servers have, after the store came back from a copy, to write
+// again what it has lost. Instances that the copy lacks stay that long, and what it shows of the configuration
+// does not prove that it is the newest. The users' platform has the entries of servers that live back within about 2 s.
 // It is added to the time in which a server that leaves has to be known only where the copy lost both
 // its entry and its leaving.
 const rewriteSpan = 2500 * time.Millisecond
@@ -50,6 +52,7 @@
 		return
 	}
 	state.rose++
+	state.learnedAt = now
 	n.decide("store", "Came back from a copy.", "era", era, "from", string(from), "instances_at", n.instances.At())
 	if n.Watching(now) {
 		n.do(Refresh{Source: SourceConfiguration})
--- a/coordination/world_test.go
+++ b/coordination/world_test.go
@@ -182,6 +182,9 @@
 			w.perform(name, node.OrderAnswered(w.now, action.Order, residency.AnswerTaken))
 		case coordination.Refresh:
 			w.refresh[name]++
+			if w.assured != nil && action.Source == coordination.SourceConfiguration && !w.storeCut[name] {
+				w.perform(name, node.ConfigurationLearned(engineConfiguration(w.assured.show(w.now))))
+			}
 		case coordination.ReadConfiguration:
 			if w.assured != nil {
 				w.readConfiguration(name)
--- a/entry/assurance.go
+++ b/entry/assurance.go
@@ -44,15 +44,17 @@
 		case <-a.wanted:
 		}
 		begunAt := d.clock.Now()
-		version, configuration, err := reader.Read(d.ctx)
+		reading, err := reader.Read(d.ctx)
 		if err != nil {
 			d.log.add("configuration", "Not read.", "error", err)
 		}
-		d.work.events.Put(d.ctx, func(node *coordination.Node, _ time.Time) []coordination.Action {
-			if err == nil && configuration == nil {
-				return node.ConfigurationUnchanged(begunAt, version)
+		d.work.events.Put(d.ctx, func(node *coordination.Node, now time.Time) []coordination.Action {
+			if err != nil {
+				return node.ConfigurationNotRead()
 			}
-			return node.ConfigurationRead(begunAt, configuration)
+			return node.ConfigurationRead(now, coordination.Reading{
+				BegunAt: begunAt, Era: reading.Era, Version: reading.Version, Configuration: reading.Configuration,
+			})
 		})
 	}
 }
