Quarantine: verdicts are kept again after the store came back from a copy

A content that is held would have ended three more servers if all daemons were lost after a restore: the copy lacks the last verdicts, and only a new one was written. The first two daemons by their ranks keep all that are held once more.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -66,7 +66,9 @@
 	following followState
 	assurance *assurance
 
-	store    *platform.Store
+	store *platform.Store
+	// storeEras counts the eras of the store that its answers have named.
+	storeEras atomic.Int64
 	engines  *platform.Engines
 	upstream *platform.Upstream
 	front    *platform.Front
@@ -224,6 +226,9 @@
 
 // eraLearned takes in the era that an answer of the store has named.
 func (d *Daemon) eraLearned(era uint64) {
+	if d.storeEras.Add(1) > 1 {
+		d.quarantine.keepAgain()
+	}
 	d.work.events.Put(d.ctx, func(node *coordination.Node, now time.Time) []coordination.Action {
 		return node.EraLearned(now, era)
 	})
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -28,8 +28,9 @@
 	// suspected.
 	crashGossipPause = 500 * time.Millisecond
 	crashGossipSpan  = 5 * time.Second
-	// keptRing bounds the changes that wait to be kept in the store.
-	keptRing = 64
+	// keptRing bounds the changes that wait to be kept in the store, after a restore all contents that
+	// are held.
+	keptRing = 1024
 	// keepTries is how often it is tried to keep one, some seconds apart; daemons that live know
 	// it anyway.
 	keepTries = 5
@@ -288,6 +289,30 @@
 	k.learn(update)
 }
 
+// keptAfterRestore is how many daemons, the first ones by their ranks, keep all verdicts once more after the
+// store has come back from a copy, which may lack the last ones: the second stands in for one that is lost
+// at the same moment. A verdict that the store has is no change to it.
+const keptAfterRestore = 2
+
+// keepAgain keeps all verdicts once more, if that is for this daemon to do.
+func (k *quarantineKeeper) keepAgain() {
+	if k.daemon.fleet.rank.Load() >= keptAfterRestore {
+		return
+	}
+	now := k.daemon.clock.Now()
+	k.mutex.Lock()
+	held := k.book.Held(now)
+	k.mutex.Unlock()
+	for _, content := range held {
+		if !k.kept.Offer(keptChange{content: content}) {
+			k.watch.log("Not kept.", "content", content.String(), "error", "too many at once")
+		}
+	}
+	if len(held) > 0 {
+		k.watch.log("Keeping again, as the store came back from a copy.", "contents", len(held))
+	}
+}
+
 // runKept keeps verdicts in the store.
 func (k *quarantineKeeper) runKept() {
 	for {
--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -81,6 +81,37 @@
 	}
 }
 
+// TestVerdictsAreKeptAgainAfterARestore has the store lose a content that is held, and all daemons be killed
+// after that: what the store holds is all that is left.
+func TestVerdictsAreKeptAgainAfterARestore(t *testing.T) {
+	f := startWithFragileServers(t, 3)
+	copied := f.store.Copy()
+	for try := range 5 {
+		f.send(try%len(f.all), "/plain/x", deadlyBody)
+		time.Sleep(betweenTries)
+	}
+	if crashed := f.crashes(); crashed != crashLimit {
+		t.Fatalf("%d servers crashed, want %d", crashed, crashLimit)
+	}
+	time.Sleep(time.Second)
+	f.restore(copied)
+	time.Sleep(time.Second)
+	for i := range f.all {
+		f.daemons[i].Kill()
+	}
+	for i := range f.all {
+		f.daemons[i] = f.startDaemon(t, f.all[i])
+	}
+	f.waitReady(t)
+	time.Sleep(time.Second)
+	for try := range 5 {
+		f.send(try%len(f.all), "/plain/x", deadlyBody)
+	}
+	if crashed := f.crashes(); crashed != crashLimit {
+		t.Errorf("%d servers crashed, want %d", crashed, crashLimit)
+	}
+}
+
 // waitConfiguration adds a route and waits until all daemons serve it.
 func (f *deployment) waitConfiguration(t *testing.T, name string) {
 	t.Helper()
