--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -46,12 +46,11 @@
 }
 
 // restore makes the store be away for a moment and come back from a copy.
-func (f *deployment) restore(copied *standin.Copy) standin.Lost {
+func (f *deployment) restore(copied *standin.Copy) {
 	f.store.SetFault(func(string, string) standin.Fault { return standin.FaultReset })
 	time.Sleep(300 * time.Millisecond)
-	lost := f.store.ComeBackFrom(copied)
+	f.store.ComeBackFrom(copied)
 	f.store.SetFault(nil)
-	return lost
 }
 
 // TestLeavingDoesNotGoBackWithTheStore covers servers that had left, or said that they leave, before the
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -38,6 +38,7 @@
 		}
 	}
 	r.checkDraining(sent, run)
+	r.checkDeparture(sent, run)
 	r.checkTenant(sent, run)
 	r.checkDeadly(sent, run)
 }
@@ -56,6 +57,19 @@
 	}
 }
 
+// checkDeparture checks that no daemon that knew that a server leaves sends to it any more, whatever becomes
+// of the store.
+func (r *record) checkDeparture(sent *sentRequest, run standin.Run) {
+	life, firm := r.firm[run.Server][sent.daemon.name]
+	if r.untimed || !firm || life != sent.life || run.At.Sub(r.struckAt) < contact {
+		return
+	}
+	r.checked[promiseDeparture]++
+	if sent.at.Sub(r.leaving[run.Server]) > drainTime+lateness {
+		r.violate(promiseDeparture, sent.ID, "reached %s %v after the store took that it leaves, sent by %s, which knew it", run.Server, run.At.Sub(r.leaving[run.Server]), sent.daemon.name)
+	}
+}
+
 // checkOrder checks an order that a server has taken. The mutex is held.
 func (r *record) checkOrder(order standin.OrderTaken) {
 	r.checked[promiseMemory]++
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -160,6 +160,18 @@
 			s.request("a", fleet.KindSafe, 0, 0)
 			s.run("a", "s1")
 		}},
+		{"a server that its daemon knew to leave, after a restore", promiseDeparture, func(s *scene) {
+			s.leaving["s1"], s.firm["s1"] = time.Now().Add(-time.Minute), map[string]int{"entry-0": 1}
+			s.disturbStore(1)
+			s.request("a", fleet.KindSafe, 0, 0)
+			s.run("a", "s1")
+		}},
+		{"a server that only another life knew to leave, after a restore", "", func(s *scene) {
+			s.leaving["s1"], s.firm["s1"] = time.Now().Add(-time.Minute), map[string]int{"entry-0": 0}
+			s.disturbStore(1)
+			s.request("a", fleet.KindSafe, 0, 0)
+			s.run("a", "s1")
+		}},
 		{"a route that is not in force", promiseInForce, func(s *scene) {
 			s.acknowledged[4] = time.Now().Add(-time.Minute)
 			s.ended(s.request("a", fleet.KindSafe, 4, 0), standin.ClientAnswer{Status: 404}, nil)
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -69,6 +69,10 @@
 	configMutex sync.Mutex
 	version     uint64
 
+	// copies are those of the store of the last seconds, oldest first.
+	copyMutex sync.Mutex
+	copies    []*standin.Copy
+
 	tellMutex sync.Mutex
 	output    io.Writer
 }
@@ -191,6 +195,19 @@
 	d.configMutex.Lock()
 	defer d.configMutex.Unlock()
 	d.version++
+	d.writeConfiguration()
+	d.record.configured(d.version)
+}
+
+// configureAgain writes the newest version again, which the store may have lost.
+func (d *deployment) configureAgain() {
+	d.configMutex.Lock()
+	defer d.configMutex.Unlock()
+	d.writeConfiguration()
+}
+
+// writeConfiguration writes the newest version. The configuration's mutex is held.
+func (d *deployment) writeConfiguration() {
 	configuration := &fleet.Configuration{
 		Version: d.version,
 		Routes: []fleet.Route{
@@ -208,7 +225,6 @@
 	}
 	addPatience(configuration)
 	d.store.ConfigureWithKeys(configuration, addTenants(configuration))
-	d.record.configured(d.version)
 }
 
 func markName(version uint64) string { return fmt.Sprint("mark-", version) }
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -46,6 +46,8 @@
 	{"answers of the store are lost", storeFault(standin.FaultLost)},
 	{"the store turns calls away", storeFault(standin.FaultMany)},
 	{"the store forgets its history", forgetHistory},
+	{"the store comes back from a copy", restoreStore},
+	{"the store comes back from a copy", restoreStore},
 	{"a server crashes", crashServer},
 	{"a server leaves", drainServer},
 	{"a server misbehaves", misbehave},
@@ -62,6 +64,7 @@
 // runFaults brings faults about until ctx ends: in series, and overlapping.
 func (d *deployment) runFaults(ctx context.Context, random *rand.Rand) {
 	d.group.Go(func() { d.letReadsLag(ctx) })
+	d.group.Go(func() { d.keepCopies(ctx) })
 	if !pause(ctx, firstFault) {
 		return
 	}
@@ -268,6 +271,10 @@
 	leaving := place.current()
 	leaving.Drain()
 	d.record.left(leaving.ID)
+	d.group.Go(func() {
+		time.Sleep(drainTime + lateness)
+		d.record.knownLeft(leaving.ID, d.daemons)
+	})
 	return func() {
 		time.Sleep(2 * drainTime)
 		leaving.Close()
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -16,6 +16,7 @@
 	promiseTrueRefusal = "true refusal"
 	promiseUnchanged   = "unchanged request"
 	promiseDraining    = "draining"
+	promiseDeparture   = "departure"
 	promiseInForce     = "configuration in force"
 	promiseNeverBack   = "configuration never back"
 	promiseOneHolder   = "one holder of orders"
@@ -77,6 +78,8 @@
 	orders   []standin.OrderTaken
 	// leaving maps servers to when the store took that they leave.
 	leaving map[string]time.Time
+	// firm names, by servers that leave, the daemons that must know it, each with its life then.
+	firm map[string]map[string]int
 	// acknowledged is when the store took each version of the configuration.
 	acknowledged map[uint64]time.Time
 	// takenKeys is when the store took that keys are gone.
@@ -87,6 +90,8 @@
 	// same for faults of the store.
 	disturbedAt time.Time
 	storeAt     time.Time
+	// struckAt is when the last unplanned fault but those of the store began or ended.
+	struckAt    time.Time
 	storeFaults int
 	// deadlyRuns are the runs of the deadly request, and deadlyLate counts those that came too late.
 	deadlyRuns  []time.Time
@@ -110,7 +115,7 @@
 
 func newRecord(untimed bool, onViolation func(Violation)) *record {
 	return &record{
-		untimed: untimed, requests: map[string]*sentRequest{}, leaving: map[string]time.Time{},
+		untimed: untimed, requests: map[string]*sentRequest{}, leaving: map[string]time.Time{}, firm: map[string]map[string]int{},
 		acknowledged: map[uint64]time.Time{}, takenKeys: map[string]time.Time{}, marks: map[lifeKey]shownMark{}, checked: map[string]int{}, onViolation: onViolation,
 	}
 }
@@ -126,7 +131,7 @@
 func (r *record) disturb() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.disturbedAt = time.Now()
+	r.disturbedAt, r.struckAt = time.Now(), time.Now()
 }
 
 // disturbStore notes that a fault of the store begins (+1) or ends (-1).
@@ -180,6 +185,23 @@
 	r.leaving[server] = time.Now()
 }
 
+// knownLeft notes, some time after a server has said that it leaves, which daemons must know it: those that
+// were calm, if the store was stable.
+func (r *record) knownLeft(server string, daemons []*daemon) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	leftAt, leaving := r.leaving[server]
+	if !leaving || !r.storeStableSince(leftAt.Add(-contact)) {
+		return
+	}
+	r.firm[server] = map[string]int{}
+	for _, daemon := range daemons {
+		if daemon.calmSince(leftAt.Add(-contact)) {
+			r.firm[server][daemon.name] = daemon.currentLife()
+		}
+	}
+}
+
 // configured notes that the store took a version.
 func (r *record) configured(version uint64) {
 	r.mutex.Lock()
@@ -195,6 +217,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	delete(r.leaving, server)
+	delete(r.firm, server)
 }
 
 // result counts what was seen.
--- a/lab/soak/tenants.go
+++ b/lab/soak/tenants.go
@@ -151,6 +151,9 @@
 	}
 }
 
+// foreignPrefix begins the names of entries of other writers.
+const foreignPrefix = "foreign-"
+
 // foreignEntries puts entries of other writers beside those of the servers.
 func foreignEntries(d *deployment, random *rand.Rand) func() {
 	place := d.anyPlace(random)
@@ -162,11 +165,11 @@
 		map[string]any{"service": "unheard-of", "address": place.proxy.address(), "zone": place.zone, "slots": 8, "state": "ready"},
 	}
 	for number, entry := range entries {
-		d.store.Put("servers", fmt.Sprint("foreign-", number), entry)
+		d.store.Put("servers", fmt.Sprint(foreignPrefix, number), entry)
 	}
 	return func() {
 		for number := range entries {
-			d.store.Delete("servers", fmt.Sprint("foreign-", number))
+			d.store.Delete("servers", fmt.Sprint(foreignPrefix, number))
 		}
 	}
 }
