Membership: members that come up join the round of probes; each is probed by the one before it

A daemon probes all members in a random order, one a second, and drew the order when a round began: who came up since was left out until its end, 60 to 295 s, and after a common start most had come up in the first rounds of all. Beyond that, probes by chance leave one in e out in each interval.

Members join the round under way, and every second probe goes to the next member in the order of names.

--- a/member/merge.go
+++ b/member/merge.go
@@ -110,6 +110,9 @@
 		}
 	}
 	d.members[news.Name] = fresh
+	if news.State != Dead && (!found || known.State == Dead) {
+		d.joinProbeOrder(news.Name)
+	}
 	// Who has just been heard of for the first time matters less than what has changed
 	// at a known member.
 	d.memberNews.add(news.Name, news, found)
--- a/member/probe.go
+++ b/member/probe.go
@@ -172,7 +172,7 @@
 
 func (d *Detector) startProbe(now time.Time, packets []Packet) []Packet {
 	d.probe = probe{}
-	name := d.nextTarget()
+	name := d.target()
 	if name == "" {
 		return packets
 	}
@@ -181,6 +181,33 @@
 	return append(packets, Packet{d.members[name].PeerAddress, d.message(Ping, d.sequence)})
 }
 
+// target is the member to probe in this interval.
+func (d *Detector) target() string {
+	if d.interval%successorEvery == 1 {
+		return d.successor()
+	}
+	return d.nextTarget()
+}
+
+// successorEvery is how many probe intervals pass between two probes of the member that follows this daemon
+// in the order of names.
+const successorEvery = 2
+
+// successor returns the member that is alive and follows this daemon in the order of names, which all know alike. Each
+// member is thus probed by the one before it at a fixed pace, where random probes of many leave out one in
+// e in each interval, and may do so several times in a row.
+func (d *Detector) successor() string {
+	live := d.Live()
+	place, _ := slices.BinarySearch(live, d.self.Name)
+	for offset := 1; offset <= len(live); offset++ {
+		name := live[(place+offset)%len(live)]
+		if name != d.self.Name && d.members[name].State == Alive {
+			return name
+		}
+	}
+	return ""
+}
+
 // nextTarget walks over all live members in a random order, and shuffles anew
 // after each round, so that each member is probed once a round.
 func (d *Detector) nextTarget() string {
@@ -204,6 +231,16 @@
 	return ""
 }
 
+// joinProbeOrder gives a member that has come up a random place in the round under way. A round takes as many
+// intervals as there are members: one that has come up since it began would not be probed by this daemon for
+// so long, and after a common start, when most come up in the rounds of a few, hardly by anybody.
+func (d *Detector) joinProbeOrder(name string) {
+	if name == d.self.Name || slices.Contains(d.probeOrder, name) {
+		return
+	}
+	d.probeOrder = slices.Insert(d.probeOrder, d.random.IntN(len(d.probeOrder)+1), name)
+}
+
 func (d *Detector) probeDead(packets []Packet) []Packet {
 	var dead []string
 	for _, name := range d.sortedMembers() {
