Lists that are followed by a lost history are asked for less and less; soak: copies up to 8 s old, other writes, servers that leave after a restore

Each daemon listed the configuration 18 times a second while the watch after each list found the history gone. It now waits up to 0.5 s longer after each list in vain: at most 30 lists in ten seconds.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -28,6 +28,8 @@
 	catchingUp bool
 	// wanted says that the store has to be asked although this daemon does not watch it.
 	wanted bool
+	// lostInARow counts the lists that were followed by a history that is gone.
+	lostInARow int
 	// gather is the pause after changes, so that the next call returns several.
 	gather time.Duration
 	// listing is the list in progress, and listedOnce says that there was a whole one before.
@@ -55,6 +57,8 @@
 	othersPause  = time.Second
 	// pauseGrowth is how many times longer each further pause is.
 	pauseGrowth = 5
+	// longestLostPause leaves most of the 2 s within which changes have to be known.
+	longestLostPause = 500 * time.Millisecond
 	// probeWait bounds how long a collection waits for the configuration to find the store back.
 	probeWait = 5 * time.Second
 )
@@ -68,11 +72,20 @@
 			continue
 		}
 		// Half of the pause is random, so that daemons do not ask in step.
-		f.pause(pause/2 + rand.N(pause/2))
+		f.pause(pause/2 + rand.N(pause/2) + f.lostPause())
 		pause = min(pauseGrowth*pause, longestPause(int(d.fleet.rank.Load()), int(d.fleet.live.Load())))
 	}
 }
 
+// lostPause is how much longer to wait before a list when the last ones were in vain, as the store had lost its
+// history again before the watch that follows: listing again and again costs it most when it has trouble.
+func (f *follower[T]) lostPause() time.Duration {
+	if f.lostInARow < 2 {
+		return 0
+	}
+	return min(firstPause<<min(f.lostInARow, 8), longestLostPause)
+}
+
 // longestPause is the longest time between two calls that the store does not answer. The daemons
 // that watch it then ask about twice a second together, and all others once: in an outage a fleet
 // asks about as often as in a minute with changes.
@@ -160,6 +173,7 @@
 	// A list says what holds at its place, so changes are asked for from there, also if the store was
 	// further before it came back from a copy.
 	if watched {
+		f.lostInARow = 0
 		batch.At = history.Newer(f.at, batch.At)
 	}
 	f.at, f.known = batch.At, true
@@ -329,6 +343,7 @@
 func (f *follower[T]) failed(err error) {
 	f.known = false
 	if feed.ErrHistoryGone.Has(err) {
+		f.lostInARow++
 		f.daemon.log.add(string(f.name), "History gone; listing again.", "at", f.at)
 		return
 	}
--- a/entry/restore_fleet_test.go
+++ b/entry/restore_fleet_test.go
@@ -3,9 +3,19 @@
 package entry
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/wheatweir/wheatweir/coordination"
+	"github.com/wheatweir/wheatweir/feed"
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/history"
+	"github.com/wheatweir/wheatweir/member"
 )
 
 // TestChangesAfterARestoreGoDeafToNobody has the store be silent for a moment and come back without
@@ -50,3 +60,43 @@
 		})
 	}
 }
+
+// forgetful is a source whose history is gone whenever changes are asked for.
+type forgetful struct {
+	feed.Source[*fleet.Instance]
+	lists int
+}
+
+func (s *forgetful) ListPage(context.Context, string, feed.Freshness) (feed.Page[*fleet.Instance], error) {
+	s.lists++
+	return feed.Page[*fleet.Instance]{Batch: feed.Batch[*fleet.Instance]{At: history.At(1, 5)}}, nil
+}
+
+func (s *forgetful) Watch(context.Context, history.Place, time.Duration, time.Duration) (feed.Batch[*fleet.Instance], error) {
+	return feed.Batch[*fleet.Instance]{}, feed.ErrHistoryGone.New("gone")
+}
+
+// TestLostHistoryGoDeafAsksLessAndLess covers lists that are each followed by a history that is gone: 18 a
+// second were seen at each daemon.
+func TestLostHistoryGoDeafAsksLessAndLess(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		settings := DefaultSettings()
+		d := &Daemon{ctx: ctx, log: newLogBook("error", "n0", io.Discard), work: newWorkRings(), following: newFollowState()}
+		d.settings.Store(&settings)
+		d.following.watching.Store(true)
+		d.node = coordination.New(time.Now(), member.Member{Name: "n0"}, coordination.DefaultSettings(settings.LeaseTerm), nil, rand.New(rand.NewPCG(1, 7)))
+		source := &forgetful{}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			follow[*fleet.Instance](d, coordination.SourceInstances, source, 0, (*coordination.Node).InstancesListed, (*coordination.Node).InstancesChanged)
+		}()
+		time.Sleep(10 * time.Second)
+		cancel()
+		<-ended
+		if source.lists > 30 {
+			t.Errorf("%d lists in ten seconds", source.lists)
+		}
+	})
+}
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -65,6 +65,7 @@
 func (d *deployment) runFaults(ctx context.Context, random *rand.Rand) {
 	d.group.Go(func() { d.letReadsLag(ctx) })
 	d.group.Go(func() { d.keepCopies(ctx) })
+	d.group.Go(func() { d.writeOthers(ctx) })
 	if !pause(ctx, firstFault) {
 		return
 	}
--- a/lab/soak/restore.go
+++ b/lab/soak/restore.go
@@ -11,15 +11,25 @@
 
 const (
 	// copyPause is the time between two copies of the store, and copiesKept how many there are: the store
-	// comes back from one that is up to 4 s old.
+	// comes back from one that is up to 8 s old.
 	copyPause  = 500 * time.Millisecond
-	copiesKept = 8
+	copiesKept = 16
+	// otherWrites is the time between two writes of others, in a kind of their own. Revisions then rise at
+	// the same pace all the time, and need as long as the copy is old to pass those of before.
+	otherWrites = 100 * time.Millisecond
 	// longestAway is how long the store is away at most before it comes back from a copy.
 	longestAway = 1500 * time.Millisecond
 	// longestRewrite is how long the operator and the servers take at most to write again what was lost.
 	longestRewrite = 2 * time.Second
 )
 
+// writeOthers writes what is no concern of the daemons, until ctx ends.
+func (d *deployment) writeOthers(ctx context.Context) {
+	for number := 0; pause(ctx, otherWrites); number++ {
+		d.store.Put("others", "counter", number)
+	}
+}
+
 // keepCopies copies the store again and again, until ctx ends.
 func (d *deployment) keepCopies(ctx context.Context) {
 	for {
@@ -58,12 +68,23 @@
 		time.Sleep(away)
 		d.store.ComeBackFrom(d.takeCopy(own))
 		d.store.SetFault(nil)
-		d.writeAgain(own)
 		d.record.disturbStore(-1)
+		d.writeAgain(own)
+		d.drainSoon(own)
 	})
 	return nil
 }
 
+// drainSoon has a server leave as soon as the promises count again, while the store's revisions may still be
+// below those that it gave out before.
+func (d *deployment) drainSoon(random *rand.Rand) {
+	time.Sleep(contact + lateness - silentBeats)
+	d.tell("a server leaves after a restore")
+	end := drainServer(d, random)
+	time.Sleep(longestHarm / 2)
+	end()
+}
+
 // writeAgain has everybody write again, and returns once the store shows what holds.
 func (d *deployment) writeAgain(random *rand.Rand) {
 	begun := time.Now()
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -23,6 +23,9 @@
 		// A request that waits for what never comes is in progress at a daemon that is
 		// told to stop: its connection was closed without an answer.
 		7101,
+		// The store comes back from a copy twice, and servers leave after that: requests reached them for
+		// as long as its revisions were below those of before.
+		9113,
 	}
 	for _, seed := range seeds {
 		options := soak.DefaultOptions()
