--- a/coordination/era.go
+++ b/coordination/era.go
@@ -20,10 +20,9 @@
 }
 
 // rewriteSpan is how long the operator and the servers have, after the store came back from a copy, to write
-// again what it has lost. Instances that the copy lacks stay that long, and what it shows of the configuration
-// does not prove that it is the newest. The users' platform has the entries of servers that live back within about 2 s.
-// It is added to the time in which a server that leaves has to be known only where the copy lost both
-// its entry and its leaving.
+// again what it has lost: the users' platform has the entries of servers that live back within about 2 s.
+// Instances that the copy lacks stay that long, and what it shows of the configuration does not prove that it
+// is the newest.
 const rewriteSpan = 2500 * time.Millisecond
 
 // originRestore is the origin of what follows from the store coming back from a copy.
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -176,8 +176,9 @@
 // Apply takes in changes and returns those that were news. Changes of an era of which no list was
 // taken in are turned away, as are those of an earlier one.
 func (m *Mirror[T]) Apply(batch Batch[T]) []Item[T] {
-	if m.known {
-		batch.Items = slices.DeleteFunc(slices.Clone(batch.Items), func(item Item[T]) bool { return item.Place.Era != m.at.Era })
+	otherEra := func(item Item[T]) bool { return item.Place.Era != m.at.Era }
+	if m.known && slices.ContainsFunc(batch.Items, otherEra) {
+		batch.Items = slices.DeleteFunc(slices.Clone(batch.Items), otherEra)
 	}
 	changed := m.apply(batch)
 	if !m.known || batch.At.Era == m.at.Era {
