Daemons that start anew read the configuration again as soon as the era is known to be old

The record's arrival now makes it read once more. TestFleetThatStartsAnewIsSureSoon: all of nine daemons are sure within 0.3 s; without it some are not.

--- a/coordination/assurance.go
+++ b/coordination/assurance.go
@@ -24,6 +24,8 @@
 
 	readAt  time.Time
 	reading bool
+	// readAgain says that the first read has been repeated.
+	readAgain bool
 	// actingUntil is until when this daemon reads for all although it is not the first: those
 	// before it do not seem to reach the store.
 	actingUntil time.Time
@@ -312,6 +314,17 @@
 	return n.take()
 }
 
+// readOnceMore makes a daemon that has just started read the configuration again as soon as the record of the
+// lease tells that the era is old enough: its first read came too soon to prove anything, and when a whole fleet
+// starts anew the next ones are half a second away.
+func (n *Node) readOnceMore() {
+	state := &n.assured
+	if state.readAgain || !state.at.IsZero() || n.lease.EraAge() < rewriteSpan {
+		return
+	}
+	state.readAgain, state.readAt = true, time.Time{}
+}
+
 // proves reports whether a read tells which configuration was the newest. After the store has come back
 // from a copy, that may be an older one, until the operator has had time to write the newest again and the
 // store shows what is known here at least.
--- a/coordination/assurance_test.go
+++ b/coordination/assurance_test.go
@@ -281,3 +281,21 @@
 		}
 	}
 }
+
+// TestFleetThatStartsAnewIsSureSoon has all daemons start anew at one moment, in an era that has lasted.
+func TestFleetThatStartsAnewIsSureSoon(t *testing.T) {
+	const allowed = 300 * time.Millisecond
+	w := newAssuredWorld(9)
+	w.run(15 * time.Second)
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, name := range w.names() {
+		w.restart(name, random)
+		w.perform(name, w.nodes[name].ConfigurationLearned(engineConfiguration(1)))
+	}
+	w.run(allowed)
+	for _, name := range w.names() {
+		if since := w.nodes[name].SureSince(); since.IsZero() {
+			t.Errorf("%s is not sure %v after its start", name, allowed)
+		}
+	}
+}
--- a/coordination/holder.go
+++ b/coordination/holder.go
@@ -92,6 +92,7 @@
 func (n *Node) LeaseAnswered(now time.Time, outcome lease.Outcome, stored lease.Stored) []Action {
 	left := n.lease.Left()
 	n.lease.Answered(now, outcome, stored)
+	n.readOnceMore()
 	if !left && n.lease.Left() && n.lease.Released() {
 		n.spreadReleased(now)
 	}
