What servers say of themselves in answers is decoded, logged and counted; stand-in servers say it

Nobody read Server-Limit, Server-Leaving and the Retry-After of a 503, so the log could not tell whether a daemon had heard them and disregarded them, or not. No decision reads it yet.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -81,9 +81,11 @@
 	quotas   quotas
 	// quarantine keeps requests from servers that they crash.
 	quarantine *quarantineKeeper
-	tracker    *balance.Tracker
-	budget     *retry.Budget
-	demand     *demandCounter
+	// notices are what servers say of themselves.
+	notices *notices
+	tracker *balance.Tracker
+	budget  *retry.Budget
+	demand  *demandCounter
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -103,10 +105,12 @@
 		clock: machine,
 		log:   newLogBook(settings.LogLevel, settings.Name, output), started: machine.Now(),
 		control: controlState{discovery: quota.NewDiscovery(machine.Now())}, work: newWorkRings(),
-		store: platform.NewStore(settings.StoreAddress), engines: platform.NewEngines(), upstream: platform.NewUpstream(),
+		store:   platform.NewStore(settings.StoreAddress),
 		metrics: newMetrics(), tracker: balance.NewTracker(), demand: newDemandCounter(), life: lifecycle{failed: make(chan error, 1)}, assurance: newAssurance(), ctx: ctx, cancel: cancel,
 		following: newFollowState(),
 	}
+	d.notices = newNotices(d)
+	d.engines, d.upstream = platform.NewEngines(machine.Now, d.notices.hear), platform.NewUpstream(machine.Now, d.notices.hear)
 	d.store.OnEra(d.eraLearned)
 	d.settings.Store(&settings)
 	d.fleet.live.Store(1)
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -47,6 +47,7 @@
 		d.control.forgotAt = now
 		view := d.gateway.View()
 		d.tracker.Forget(time.Now(), func(id string) bool { return view.Instance(id) != nil })
+		d.notices.tick(now, view)
 	}
 	d.quarantine.gossip(now)
 	d.publishAddresses()
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -35,6 +35,14 @@
 	peersDropped  tally.Gauge
 	// quarantined is the number of contents that are held.
 	quarantined tally.Gauge
+	// notices counts what servers said of themselves that was new, unreadableNotices what could not be
+	// read of that.
+	notices           tally.Counter
+	unreadableNotices tally.Counter
+	// leaving, limited and resting are the numbers of servers that say so.
+	leaving tally.Gauge
+	limited tally.Gauge
+	resting tally.Gauge
 }
 
 // stepKey names a series. All of its parts come from fixed lists.
@@ -68,6 +76,8 @@
 		instances: root.Gauge("instances"), daemons: root.Gauge("live_daemons"), leaseHeld: root.Gauge("lease_held"), storeEra: root.Gauge("store_era"),
 		linesDropped: root.Gauge("log_lines_dropped"), peersDropped: root.Gauge("peer_messages_dropped"),
 		quarantined: root.Gauge("contents_quarantined"),
+		notices:     root.Counter("instance_notices"), unreadableNotices: root.Counter("instance_notices_unreadable"),
+		leaving: root.Gauge("instances_leaving"), limited: root.Gauge("instances_limited"), resting: root.Gauge("instances_resting"),
 	}
 }
 
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -178,6 +178,12 @@
 	r.checkOrder(order)
 }
 
+// Arrived implements standin.Observer.
+func (r *record) Arrived(standin.Arrival) {}
+
+// Answered implements standin.Observer.
+func (r *record) Answered(standin.Answered) {}
+
 // left notes that the store took that a server is leaving.
 func (r *record) left(server string) {
 	r.mutex.Lock()
