--- a/daemon/tenants.go
+++ b/daemon/tenants.go
@@ -29,8 +29,8 @@
 		Send: func(address string, message *limiter.Message) {
 			d.transport.Send(address, control.Message{From: d.transport.Address(), Sender: d.settings.Daemon.Name, Limit: message})
 		},
-		Tenants: d.tenants.Load,
-		Log:     func(text string, fields ...any) { d.logger.Info(text, append([]any{"part", "quota"}, fields...)...) },
+		Subjects: func() limiter.Subjects { return d.tenants.Load() },
+		Log:      func(text string, fields ...any) { d.logger.Info(text, append([]any{"part", "quota"}, fields...)...) },
 	})
 }
 
@@ -48,7 +48,7 @@
 	}
 	d.peerAddresses.Store(&addresses)
 	d.publishFleet(now)
-	d.limiter.TenantsChanged(now)
+	d.limiter.SubjectsChanged(now)
 }
 
 // fleetRefresh is how often limits are shared anew without any news: a daemon that has just started
@@ -91,11 +91,13 @@
 	if !known.Limit.Limited() {
 		return func() {}, outcome.Result{}, true
 	}
-	cost := known.Limit.Cost(call.PromptTokens, call.OutputTokens, call.OutputTokens > 0)
-	taken := d.limiter.Take(ctx, known, cost)
+	use := limiter.Request{
+		Subject: known.Name, Limit: known.Limit.Rate(), Cost: known.Limit.Cost(call.PromptTokens, call.OutputTokens, call.OutputTokens > 0),
+	}
+	taken := d.limiter.Take(ctx, use)
 	switch {
 	case taken.Granted:
-		return d.returning(known, cost), outcome.Result{}, true
+		return d.returning(use), outcome.Result{}, true
 	case taken.Unsure:
 		return nil, outcome.Refuse(outcome.ReasonQuotaUnsure, unsureRetry), false
 	default:
@@ -104,11 +106,11 @@
 }
 
 // returning returns what gives back an allowance that was taken now, while that may be.
-func (d *Daemon) returning(known *tenant.Tenant, cost float64) func() {
+func (d *Daemon) returning(use limiter.Request) func() {
 	takenAt := time.Now()
 	return func() {
 		if time.Since(takenAt) < quota.AllowanceSpan {
-			d.limiter.Return(known, cost)
+			d.limiter.Return(use)
 		}
 	}
 }
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -107,7 +107,7 @@
 
 // tenantsChanged takes in the tenants of another configuration.
 func (d *Daemon) tenantsChanged(view *fleet.View) {
-	d.quotas.TenantsChanged(d.clock.Now())
+	d.quotas.SubjectsChanged(d.clock.Now())
 	if shared := view.Tenants().Shared(); len(shared) > 0 {
 		d.log.add("configuration", "Tenants list keys of others, which keep them.", "tenants", strings.Join(shared, ","))
 	}
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -6,7 +6,6 @@
 	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/gateway"
 	"github.com/wheatweir/wheatweir/limiter"
-	"github.com/wheatweir/wheatweir/tenant"
 )
 
 // quotas hands the gateway's questions to a limiter. It implements gateway.Quotas.
@@ -20,16 +19,20 @@
 		Send: func(address string, message *limiter.Message) {
 			d.peers.Send(address, coordination.Message{From: d.current().Name, Limit: message})
 		},
-		Tenants: func() *tenant.Table { return d.gateway.View().Tenants() },
-		Log:     func(text string, fields ...any) { d.log.add("quota", text, fields...) },
+		Subjects: func() limiter.Subjects { return d.gateway.View().Tenants() },
+		Log:      func(text string, fields ...any) { d.log.add("quota", text, fields...) },
 	})}
 }
 
 // Take implements gateway.Quotas.
 func (q quotas) Take(ctx context.Context, use gateway.Use) gateway.Allowance {
-	outcome := q.Limiter.Take(ctx, use.Tenant, use.Cost)
+	outcome := q.Limiter.Take(ctx, requestOf(use))
 	return gateway.Allowance{Granted: outcome.Granted, Unsure: outcome.Unsure, RetryAfter: outcome.Wait}
 }
 
 // Return implements gateway.Quotas.
-func (q quotas) Return(use gateway.Use) { q.Limiter.Return(use.Tenant, use.Cost) }
+func (q quotas) Return(use gateway.Use) { q.Limiter.Return(requestOf(use)) }
+
+func requestOf(use gateway.Use) limiter.Request {
+	return limiter.Request{Subject: use.Tenant.Name, Limit: use.Tenant.Limit.Rate(), Cost: use.Cost}
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,6 +1,6 @@
-// Package limiter asks the daemons that keep the limits of tenants whether a tenant may use more,
-// and answers for those that this daemon keeps. What decides is in package quota; how messages
-// travel is up to the daemon that it is part of.
+// Package limiter asks the daemons that keep limits whether a subject may use more, and answers for
+// those that this daemon keeps. What decides is in package quota; how messages travel is up to the
+// daemon that it is part of.
 package limiter
 
 import (
@@ -12,17 +12,16 @@
 
 	"github.com/wheatweir/wheatweir/internal/calls"
 	"github.com/wheatweir/wheatweir/quota"
-	"github.com/wheatweir/wheatweir/tenant"
 )
 
 const (
-	// answerTimeout is how long the owner of a tenant's limit may take. It answers within a few
+	// answerTimeout is how long the owner of a limit may take. It answers within a few
 	// milliseconds unless its share of the processor is used up, which lasts up to a tenth of
 	// a second, or it is gone.
 	answerTimeout = 80 * time.Millisecond
 	// restSpan is how long an owner that did not answer is not asked again.
 	restSpan = 250 * time.Millisecond
-	// claimsNamed bounds the tenants that a line of the log names.
+	// claimsNamed bounds the subjects that a line of the log names.
 	claimsNamed = 16
 	// deniedSpan bounds how long a denial is repeated here without asking again.
 	deniedSpan = 50 * time.Millisecond
@@ -32,30 +31,49 @@
 type Message struct {
 	Ask    *Ask    `msgpack:"a,omitempty"`
 	Answer *Answer `msgpack:"w,omitempty"`
-	// Claims names tenants whose limits the sender gives out from now on.
+	// Claims names subjects whose limits the sender gives out from now on.
 	Claims []string `msgpack:"c,omitempty"`
 }
 
-// Ask asks whether a tenant may use more, or gives back what it has not used.
+// Ask asks whether a subject may use more, or gives back what it has not used.
 type Ask struct {
 	// ID pairs the answer with the question.
-	ID     uint64       `msgpack:"i"`
-	Tenant string       `msgpack:"t"`
-	Cost   float64      `msgpack:"c"`
-	Limit  tenant.Limit `msgpack:"l"`
-	Return bool         `msgpack:"r,omitempty"`
+	ID      uint64      `msgpack:"i"`
+	Subject string      `msgpack:"t"`
+	Cost    float64     `msgpack:"c"`
+	Limit   quota.Limit `msgpack:"l"`
+	// Within is how long the request may wait for its turn.
+	Within time.Duration `msgpack:"w,omitempty"`
+	Return bool          `msgpack:"r,omitempty"`
 }
 
 // Answer says whether it may.
 type Answer struct {
 	ID      uint64 `msgpack:"i"`
 	Granted bool   `msgpack:"g,omitempty"`
-	// Wait is until there will be something left.
+	// Wait is until there will be something left, or if granted, until it may be used.
 	Wait time.Duration `msgpack:"w,omitempty"`
 	// Owner is the daemon to ask instead; empty if the answer counts.
 	Owner string `msgpack:"o,omitempty"`
 }
 
+// Subjects are those who have limits, as far as this daemon knows. It is immutable.
+type Subjects interface {
+	// Rate returns the limit of a subject, if it is known.
+	Rate(name string) (limit quota.Limit, known bool)
+	// Limited returns the names of all subjects with a limit.
+	Limited() []string
+}
+
+// Request is a request that uses a part of a limit.
+type Request struct {
+	Subject string
+	Limit   quota.Limit
+	Cost    float64
+	// Within is how long the request may wait for its turn.
+	Within time.Duration
+}
+
 // Ports are what a limiter needs of its daemon. All of them are called from several goroutines.
 type Ports struct {
 	Self string
@@ -65,17 +83,20 @@
 	// Address returns where another daemon hears messages.
 	Address func(daemon string) (address string, known bool)
 	Send    func(address string, message *Message)
-	// Tenants returns the tenants of the configuration in force.
-	Tenants func() *tenant.Table
-	Log     func(text string, fields ...any)
+	// Subjects returns those of now.
+	Subjects func() Subjects
+	// Strict keeps a daemon that hears others from giving out a part by itself when none of those that
+	// keep a limit answers it: of small limits, what a large fleet saves up so is more than the limit.
+	Strict bool
+	Log    func(text string, fields ...any)
 }
 
-// Outcome is whether a tenant may use more.
+// Outcome is whether a subject may use more.
 type Outcome struct {
 	Granted bool
 	// Unsure says that nobody could tell.
 	Unsure bool
-	// Wait is until there will be something left, if the limit is used up.
+	// Wait is until there will be something left, or if granted, until it may be used.
 	Wait time.Duration
 }
 
@@ -87,7 +108,7 @@
 	calls  *calls.Calls[*Answer]
 
 	mutex sync.Mutex
-	// denied is until when tenants have nothing left, by their names.
+	// denied is until when subjects have nothing left, by their names.
 	denied map[string]time.Time
 }
 
@@ -105,49 +126,54 @@
 	return l.ports.Now()
 }
 
-// Take takes the cost of one request of a tenant.
-func (l *Limiter) Take(ctx context.Context, known *tenant.Tenant, cost float64) Outcome {
-	if left := l.deniedFor(known.Name); left > 0 {
+// Take takes the cost of one request.
+func (l *Limiter) Take(ctx context.Context, request Request) Outcome {
+	if left := l.deniedFor(request.Subject); left > request.Within {
 		return Outcome{Wait: left}
 	}
 	fleet := l.fleet.Load()
-	for _, owner := range fleet.Owners(known.Name) {
-		if answer, answered := l.follow(ctx, fleet, owner, known, cost); answered {
-			return l.outcome(known.Name, answer)
+	for _, owner := range fleet.Owners(request.Subject) {
+		if answer, answered := l.follow(ctx, fleet, owner, &request); answered {
+			return l.outcome(request.Subject, answer)
 		}
 	}
-	if l.keeper.TakeAlone(l.now(), fleet, known.Name, &known.Limit, cost) {
+	if l.ports.Strict && !fleet.Lonely {
+		return Outcome{Unsure: true}
+	}
+	if l.keeper.TakeAlone(l.now(), fleet, request.Subject, &request.Limit, request.Cost) {
 		return Outcome{Granted: true}
 	}
 	return Outcome{Unsure: true}
 }
 
 // follow asks one daemon, and the one that it names instead.
-func (l *Limiter) follow(ctx context.Context, fleet *quota.Fleet, owner string, known *tenant.Tenant, cost float64) (quota.Answer, bool) {
-	answer, answered := l.takeFrom(ctx, fleet, owner, known, cost)
+func (l *Limiter) follow(ctx context.Context, fleet *quota.Fleet, owner string, request *Request) (quota.Answer, bool) {
+	answer, answered := l.takeFrom(ctx, fleet, owner, request)
 	if answered && answer.Owner != "" {
-		answer, answered = l.takeFrom(ctx, fleet, answer.Owner, known, cost)
+		answer, answered = l.takeFrom(ctx, fleet, answer.Owner, request)
 	}
 	return answer, answered && answer.Owner == ""
 }
 
 // takeFrom asks one daemon, which may be this one.
-func (l *Limiter) takeFrom(ctx context.Context, fleet *quota.Fleet, owner string, known *tenant.Tenant, cost float64) (quota.Answer, bool) {
+func (l *Limiter) takeFrom(ctx context.Context, fleet *quota.Fleet, owner string, request *Request) (quota.Answer, bool) {
 	switch {
 	case owner == "" || fleet.Lonely:
 		return quota.Answer{}, false
 	case owner == fleet.Self:
-		return l.keeper.Take(l.now(), fleet, known.Name, &known.Limit, cost), true
+		return l.keeper.Take(l.now(), fleet, request.Subject, &request.Limit, request.Cost, request.Within), true
 	}
 	address, found := l.ports.Address(owner)
 	if !found || l.calls.Rests(owner) {
 		return quota.Answer{}, false
 	}
 	answer, answered := l.calls.Ask(ctx, answerTimeout, func(id uint64) {
-		l.ports.Send(address, &Message{Ask: &Ask{ID: id, Tenant: known.Name, Cost: cost, Limit: known.Limit}})
+		l.ports.Send(address, &Message{Ask: &Ask{
+			ID: id, Subject: request.Subject, Cost: request.Cost, Limit: request.Limit, Within: request.Within,
+		}})
 	})
 	if !answered {
-		l.noAnswer(ctx, owner, known.Name)
+		l.noAnswer(ctx, owner, request.Subject)
 		return quota.Answer{}, false
 	}
 	return quota.Answer{Granted: answer.Granted, Wait: answer.Wait, Owner: answer.Owner}, true
@@ -159,13 +185,13 @@
 		return
 	}
 	l.calls.Rest(owner, restSpan)
-	l.ports.Log("No answer in time.", "daemon", owner, "tenant", name, "rest_ms", restSpan.Milliseconds())
+	l.ports.Log("No answer in time.", "daemon", owner, "subject", name, "rest_ms", restSpan.Milliseconds())
 }
 
 // outcome passes an answer on, and remembers a denial for a moment.
 func (l *Limiter) outcome(name string, answer quota.Answer) Outcome {
 	if answer.Granted {
-		return Outcome{Granted: true}
+		return Outcome{Granted: true, Wait: answer.Wait}
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -173,7 +199,7 @@
 	return Outcome{Wait: answer.Wait}
 }
 
-// deniedFor is how long a tenant has nothing left, as far as was heard a moment ago.
+// deniedFor is how long a subject has nothing left, as far as was heard a moment ago.
 func (l *Limiter) deniedFor(name string) time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -183,18 +209,18 @@
 // Return gives back what was taken a moment ago and is not used. It goes to the owner of now: who
 // gave it out is not kept, and what has been given out by one and comes back to another is free
 // again all the same.
-func (l *Limiter) Return(known *tenant.Tenant, cost float64) {
+func (l *Limiter) Return(request Request) {
 	fleet := l.fleet.Load()
-	owners := fleet.Owners(known.Name)
+	owners := fleet.Owners(request.Subject)
 	if len(owners) == 0 {
 		return
 	}
 	if owners[0] == fleet.Self {
-		l.keeper.Return(l.now(), fleet, known.Name, &known.Limit, cost)
+		l.keeper.Return(l.now(), fleet, request.Subject, &request.Limit, request.Cost)
 		return
 	}
 	if address, found := l.ports.Address(owners[0]); found {
-		l.ports.Send(address, &Message{Ask: &Ask{Tenant: known.Name, Cost: cost, Limit: known.Limit, Return: true}})
+		l.ports.Send(address, &Message{Ask: &Ask{Subject: request.Subject, Cost: request.Cost, Limit: request.Limit, Return: true}})
 	}
 }
 
@@ -215,62 +241,65 @@
 	now, fleet := l.now(), l.fleet.Load()
 	limit := l.limitOf(asked)
 	if asked.Return {
-		l.keeper.Return(now, fleet, asked.Tenant, limit, asked.Cost)
+		l.keeper.Return(now, fleet, asked.Subject, limit, asked.Cost)
 		return
 	}
 	address, known := l.ports.Address(from)
 	if !known {
 		return
 	}
-	given := l.keeper.Take(now, fleet, asked.Tenant, limit, asked.Cost)
+	given := l.keeper.Take(now, fleet, asked.Subject, limit, asked.Cost, asked.Within)
 	l.ports.Send(address, &Message{Answer: &Answer{ID: asked.ID, Granted: given.Granted, Wait: given.Wait, Owner: given.Owner}})
 }
 
-// limitOf is the limit of a tenant by the configuration here, or as the daemon that asks knows it
-// if this one does not know the tenant yet.
-func (l *Limiter) limitOf(asked *Ask) *tenant.Limit {
-	if known := l.ports.Tenants().Named(asked.Tenant); known != nil {
-		return &known.Limit
+// limitOf is the limit of a subject as it is known here, or as the daemon that asks knows it if this one
+// does not know the subject yet.
+func (l *Limiter) limitOf(asked *Ask) *quota.Limit {
+	if limit, known := l.ports.Subjects().Rate(asked.Subject); known {
+		return &limit
 	}
 	return &asked.Limit
 }
 
 // SetFleet takes in the daemons of now, and claims the limits that this one has to give out from
-// now on. Nothing is done for each tenant if the daemons are as they were: it is called several
+// now on. Nothing is done for each subject if the daemons are as they were: it is called several
 // times a second.
 func (l *Limiter) SetFleet(now time.Time, fleet *quota.Fleet) {
 	if fleet.Equal(l.fleet.Load()) {
 		return
 	}
 	l.fleet.Store(fleet)
-	l.TenantsChanged(now)
+	l.SubjectsChanged(now)
 }
 
-// TenantsChanged takes in other tenants, or other limits.
-func (l *Limiter) TenantsChanged(now time.Time) {
-	fleet, tenants := l.fleet.Load(), l.ports.Tenants()
+// SubjectsChanged takes in other subjects, or other limits.
+func (l *Limiter) SubjectsChanged(now time.Time) {
+	fleet, subjects := l.fleet.Load(), l.ports.Subjects()
 	var owned []string
-	for _, known := range tenants.Limited() {
-		if fleet.RoleOf(known.Name) == quota.RoleOwner {
-			owned = append(owned, known.Name)
+	for _, name := range subjects.Limited() {
+		if fleet.RoleOf(name) == quota.RoleOwner {
+			owned = append(owned, name)
 		}
 	}
 	l.claim(fleet, l.keeper.Own(now, fleet, owned))
-	l.keeper.Forget(func(name string) bool { return tenants.Named(name) != nil })
+	l.keeper.Forget(func(name string) bool {
+		_, known := subjects.Rate(name)
+		return known
+	})
 }
 
 // Tick notes that this process runs, and claims its limits anew if it did not for a while.
 func (l *Limiter) Tick(now time.Time) {
 	if claims := l.keeper.Tick(now); len(claims) > 0 {
-		l.ports.Log("Stood still.", "tenants", len(claims))
+		l.ports.Log("Stood still.", "subjects", len(claims))
 		l.claim(l.fleet.Load(), claims)
 	}
 }
 
-// claim tells those that may be giving out the limits of some tenants that this daemon does now.
-func (l *Limiter) claim(fleet *quota.Fleet, tenants []string) {
+// claim tells those that may be giving out the limits of some subjects that this daemon does now.
+func (l *Limiter) claim(fleet *quota.Fleet, subjects []string) {
 	byRival := map[string][]string{}
-	for _, name := range tenants {
+	for _, name := range subjects {
 		for _, rival := range fleet.Rivals(name) {
 			byRival[rival] = append(byRival[rival], name)
 		}
@@ -280,18 +309,18 @@
 			l.ports.Send(address, &Message{Claims: names})
 		}
 	}
-	if len(tenants) > 0 {
-		named := tenants[:min(len(tenants), claimsNamed)]
-		l.ports.Log("Claimed.", "count", len(tenants), "tenants", strings.Join(named, ","), "part", fleet.Part, "daemons", fleet.Daemons)
+	if len(subjects) > 0 {
+		named := subjects[:min(len(subjects), claimsNamed)]
+		l.ports.Log("Claimed.", "count", len(subjects), "subjects", strings.Join(named, ","), "part", fleet.Part, "daemons", fleet.Daemons)
 	}
 }
 
-// claimed takes in the claim of another daemon: the one that comes first in a tenant's order
+// claimed takes in the claim of another daemon: the one that comes first in a subject's order
 // gives out its limit, and the other one hears so.
-func (l *Limiter) claimed(from string, tenants []string) {
+func (l *Limiter) claimed(from string, subjects []string) {
 	now, fleet := l.now(), l.fleet.Load()
 	var kept []string
-	for _, name := range tenants {
+	for _, name := range subjects {
 		switch {
 		case fleet.Precedes(from, name):
 			l.keeper.Yield(now, name, from)
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -37,12 +37,12 @@
 	for _, known := range members {
 		self := known.Name
 		n.limiters[self] = New(Ports{
-			Self:    self,
-			Now:     n.machine.Now,
-			Address: func(name string) (string, bool) { return name, n.limiters[name] != nil },
-			Send:    func(address string, message *Message) { n.send(self, address, message) },
-			Tenants: func() *tenant.Table { return table },
-			Log:     func(string, ...any) {},
+			Self:     self,
+			Now:      n.machine.Now,
+			Address:  func(name string) (string, bool) { return name, n.limiters[name] != nil },
+			Send:     func(address string, message *Message) { n.send(self, address, message) },
+			Subjects: func() Subjects { return table },
+			Log:      func(string, ...any) {},
 		})
 	}
 	for _, l := range n.limiters {
@@ -81,8 +81,13 @@
 }
 
 func (n *network) take(at string, cost float64) Outcome {
-	limit := n.limiters[at].ports.Tenants().Named("acme")
-	return n.limiters[at].Take(context.Background(), limit, cost)
+	return n.limiters[at].Take(context.Background(), n.request(cost))
+}
+
+// request is a request that uses a part of the limit.
+func (n *network) request(cost float64) Request {
+	limit, _ := n.limiters["d0"].ports.Subjects().Rate("acme")
+	return Request{Subject: "acme", Limit: limit, Cost: cost}
 }
 
 // owner is the daemon that keeps the limit, and the last one that would.
@@ -170,11 +175,10 @@
 		n := newNetwork(3, tenant.Limit{PerSecond: 1, Burst: 4})
 		n.run(5 * time.Second)
 		_, other := n.owner()
-		known := n.limiters[other].ports.Tenants().Named("acme")
 		if !n.take(other, 5).Granted || n.take(other, 1).Granted {
 			t.Fatal("a bucket in debt grants more")
 		}
-		n.limiters[other].Return(known, 5)
+		n.limiters[other].Return(n.request(5))
 		n.run(2 * deniedSpan)
 		if !n.take(other, 1).Granted {
 			t.Error("what was given back is not there")
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -1,17 +1,21 @@
-// Package quota holds tenants to limits that count over all daemons of a fleet. One daemon, the
-// owner, keeps the token bucket of each tenant; the others ask it before they send a request to
-// an instance. While the owner does not answer, the next daemon in its order stands in with a
-// part of the limit, and a daemon that reaches neither has its own small part. The package does
-// no I/O and reads no clock.
+// Package quota holds subjects to limits that count over all daemons of a fleet: tenants, and
+// instances that name how much they take. One daemon, the owner, keeps the token bucket of each
+// subject; the others ask it before they send a request to an instance. While the owner does not
+// answer, the next daemon in its order stands in with a part of the limit, and a daemon that
+// reaches neither has its own small part. The package does no I/O and reads no clock.
 package quota
 
-import (
-	"time"
+import "time"
 
-	"github.com/wheatweir/wheatweir/tenant"
-)
+// Limit bounds the use of one subject.
+type Limit struct {
+	// PerSecond is the rate, in units.
+	PerSecond float64 `msgpack:"s,omitempty"`
+	// Burst is how many units more may be used at once after a rest.
+	Burst float64 `msgpack:"b,omitempty"`
+}
 
-// Role is by which right a daemon gives out a tenant's limit.
+// Role is by which right a daemon gives out a limit.
 type Role uint8
 
 // Roles.
@@ -28,7 +32,7 @@
 const (
 	// StandInPart is the part of the limit that a stand-in gives out. An owner that is gone is
 	// found out within about a second and a half; this much of a limit for so long stays within the
-	// tenth and the slack by which platforms let limits be passed, while most tenants use half
+	// tenth and the slack by which platforms let limits be passed, while most subjects use half
 	// of theirs.
 	StandInPart = 0.4
 	// AlonePart is the part of its even share that a daemon alone uses, so that a fleet that
@@ -37,7 +41,7 @@
 )
 
 // bucket is a token bucket. It may run into debt by one request: if it had to hold a whole
-// request, large ones would go out empty behind small ones while a tenant is at its limit.
+// request, large ones would go out empty behind small ones while a subject is at its limit.
 type bucket struct {
 	level float64
 	at    time.Time
@@ -45,7 +49,7 @@
 }
 
 // fill brings the level up to the present. Part is the part of the limit that is given out.
-func (b *bucket) fill(now time.Time, limit *tenant.Limit, part float64) {
+func (b *bucket) fill(now time.Time, limit *Limit, part float64) {
 	if now.After(b.at) {
 		b.level += now.Sub(b.at).Seconds() * limit.PerSecond * part
 		b.at = now
@@ -59,19 +63,23 @@
 	b.at = now
 }
 
-// take takes the cost of one request. If there is nothing left, wait is until there is.
-func (b *bucket) take(now time.Time, limit *tenant.Limit, part, cost float64) (granted bool, wait time.Duration) {
+// take takes the cost of one request. If there is nothing left, wait is until there is. What will be there
+// within a span is given out already now, to be used then and not before.
+func (b *bucket) take(now time.Time, limit *Limit, part, cost float64, within time.Duration) (granted bool, wait time.Duration) {
 	b.fill(now, limit, part)
 	if b.level < 0 {
-		return false, untilFilled(-b.level, limit, part)
+		wait = untilFilled(-b.level, limit, part)
+	}
+	if wait > within {
+		return false, wait
 	}
 	b.level -= cost
-	return true, 0
+	return true, wait
 }
 
 // takeWhole takes the cost of one request if the bucket holds all of it: many daemons that each
 // ran into debt would pass the limit together.
-func (b *bucket) takeWhole(now time.Time, limit *tenant.Limit, part, cost float64) bool {
+func (b *bucket) takeWhole(now time.Time, limit *Limit, part, cost float64) bool {
 	roomy := *limit
 	roomy.Burst = max(limit.Burst, cost/part)
 	b.fill(now, &roomy, part)
@@ -82,13 +90,13 @@
 	return true
 }
 
-func (b *bucket) giveBack(now time.Time, limit *tenant.Limit, part, cost float64) {
+func (b *bucket) giveBack(now time.Time, limit *Limit, part, cost float64) {
 	b.fill(now, limit, part)
 	b.level = min(b.level+cost, limit.Burst*part)
 }
 
 // untilFilled is how long a lack lasts.
-func untilFilled(lack float64, limit *tenant.Limit, part float64) time.Duration {
+func untilFilled(lack float64, limit *Limit, part float64) time.Duration {
 	rate := limit.PerSecond * part
 	if rate <= 0 {
 		return longestWait
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -19,7 +19,7 @@
 
 // Discovery follows how a daemon comes to know the others after its start. One that joins a fleet
 // hears of all of them at its first contact. Where all start together, each hears of the others
-// step by step, and several may take themselves for the first in a tenant's order meanwhile.
+// step by step, and several may take themselves for the first in a subject's order meanwhile.
 type Discovery struct {
 	started time.Time
 	// known is the most daemons that were known, and grownAt when that last became more.
@@ -76,7 +76,7 @@
 	owners map[string][]string
 }
 
-// mostOwners is how many daemons may be asked for a tenant's limit, one after the other: with half
+// mostOwners is how many daemons may be asked for a subject's limit, one after the other: with half
 // of the fleet lost at one moment, one request in sixteen finds none of them.
 const mostOwners = 4
 
@@ -116,7 +116,7 @@
 }
 
 // strongest returns the members among which the first ones of any order are: those on the strongest
-// machines. There are few of them in a large fleet, and many tenants to choose owners for.
+// machines. There are few of them in a large fleet, and many subjects to choose owners for.
 func strongest(members []member.Member, least int) []member.Member {
 	slices.SortFunc(members, func(a, b member.Member) int { return b.Weight - a.Weight })
 	for i := least; i < len(members); i++ {
@@ -127,7 +127,7 @@
 	return members
 }
 
-// Owners returns who keeps the bucket of a tenant: the owner first, then its stand-ins. They are
+// Owners returns who keeps the bucket of a subject: the owner first, then its stand-ins. They are
 // the strongest daemons, and among equal ones those that a hash of the name draws, so that all
 // daemons that know the same others agree.
 func (f *Fleet) Owners(name string) []string {
@@ -141,7 +141,7 @@
 	return known
 }
 
-// owner is the daemon that owns the limit of a tenant, or empty.
+// owner is the daemon that owns the limit of a subject, or empty.
 func (f *Fleet) owner(name string) string {
 	if owners := f.Owners(name); len(owners) > 0 {
 		return owners[0]
@@ -149,7 +149,7 @@
 	return ""
 }
 
-// firstOf returns the names of the first daemons in a tenant's order.
+// firstOf returns the names of the first daemons in a subject's order.
 func firstOf(members []member.Member, name string, most int) []string {
 	duty := "quota/" + name
 	first := make([]member.Member, 0, most+1)
@@ -172,7 +172,7 @@
 // the order that lives, and those before it may be gone.
 const claimReach = 4
 
-// Rivals are the daemons that may be giving out a tenant's limit: the first ones in its order, of
+// Rivals are the daemons that may be giving out a subject's limit: the first ones in its order, of
 // those that are not known to be dead.
 func (f *Fleet) Rivals(name string) []string {
 	others := make([]member.Member, 0, len(f.all))
@@ -200,7 +200,7 @@
 	return f.Part
 }
 
-// RoleOf is the role in which this daemon gives out a tenant's limit when it is asked.
+// RoleOf is the role in which this daemon gives out a subject's limit when it is asked.
 func (f *Fleet) RoleOf(name string) Role {
 	if f.owner(name) == f.Self {
 		return RoleOwner
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -9,7 +9,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/wheatweir/wheatweir/member"
-	"github.com/wheatweir/wheatweir/tenant"
 )
 
 // TestOwnersAreTheFirstOfAll holds the owners, which are chosen among the strongest machines only,
@@ -103,12 +102,12 @@
 func TestStandstillLeavesNothingSavedUp(t *testing.T) {
 	now := time.Unix(1000, 0)
 	fleet := NewFleet("d0", []member.Member{{Name: "d0"}}, 0, 0)
-	limit := tenant.Limit{PerSecond: 10, Burst: 10}
+	limit := Limit{PerSecond: 10, Burst: 10}
 	keeper := NewKeeper()
 	keeper.Own(now, fleet, []string{tenantName})
 	now = now.Add(3 * time.Second)
 	granted := 0
-	for keeper.Take(now, fleet, tenantName, &limit, 1).Granted {
+	for keeper.Take(now, fleet, tenantName, &limit, 1, 0).Granted {
 		granted++
 	}
 	if claims := keeper.Tick(now); granted != 1 || !slices.Equal(claims, []string{tenantName}) {
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -3,14 +3,12 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/wheatweir/wheatweir/tenant"
 )
 
 // Answer is what a keeper says to a request for use.
 type Answer struct {
 	Granted bool
-	// Wait is until there will be something left; zero if granted.
+	// Wait is until there will be something left, or if granted, until it may be used.
 	Wait time.Duration
 	// Owner is the daemon to ask instead; empty if the answer counts.
 	Owner string
@@ -18,10 +16,14 @@
 
 // AllowanceSpan is how long what Take granted may be used, or given back. A limit holds over the
 // moments at which instances begin to work, so what was allowed long before must not arrive
-// together: with half a second, at most half a second of a tenant's rate comes on top of its limit.
+// together: with half a second, at most half a second of a subject's rate comes on top of its limit.
 const AllowanceSpan = 500 * time.Millisecond
 
-// yield says that another daemon claimed to own a tenant's limit.
+// TurnSpan is how far ahead turns should be given out. Turns that an owner has given out before it is lost
+// come on top of what the next one gives out.
+const TurnSpan = 500 * time.Millisecond
+
+// yield says that another daemon claimed to own a subject's limit.
 type yield struct {
 	to    string
 	until time.Time
@@ -58,7 +60,7 @@
 	return &Keeper{buckets: map[string]*bucket{}, alone: map[string]*bucket{}, yields: map[string]yield{}}
 }
 
-// Own notes the tenants whose limits this daemon gives out as their owner, and returns those that
+// Own notes the subjects whose limits this daemon gives out as their owner, and returns those that
 // it has to claim: all that it did not own before, and all of them if it hears more daemons than
 // it did. One of those may own them too, as when a network that fell apart grows together. The
 // buckets of new ones are empty, as what the owner before gave out a moment ago counts in the same
@@ -79,7 +81,7 @@
 }
 
 // Tick notes that this process runs, and has to come a few times in each standstill. It returns the
-// tenants that have to be claimed anew because the process stood still: others may have given out
+// subjects that have to be claimed anew because the process stood still: others may have given out
 // their limits meanwhile.
 func (k *Keeper) Tick(now time.Time) (claims []string) {
 	k.mutex.Lock()
@@ -109,14 +111,14 @@
 	k.awakeAt = now
 }
 
-// Yield notes that another daemon, which comes before this one, claims a tenant's limit.
+// Yield notes that another daemon, which comes before this one, claims a subject's limit.
 func (k *Keeper) Yield(now time.Time, name, to string) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.yields[name] = yield{to: to, until: now.Add(yieldSpan)}
 }
 
-// yieldedTo returns the daemon that gives out a tenant's limit instead of this one, or nothing:
+// yieldedTo returns the daemon that gives out a subject's limit instead of this one, or nothing:
 // once the fleet as it is known here says who does, that counts.
 func (k *Keeper) yieldedTo(now time.Time, fleet *Fleet, name string) string {
 	given, found := k.yields[name]
@@ -130,7 +132,7 @@
 	return given.to
 }
 
-// Forget drops the buckets of tenants that are gone.
+// Forget drops the buckets of subjects that are gone.
 func (k *Keeper) Forget(present func(name string) bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -161,9 +163,9 @@
 	return known
 }
 
-// Take takes the cost of one request of a tenant, as its owner or a stand-in by the fleet as it is
-// known here.
-func (k *Keeper) Take(now time.Time, fleet *Fleet, name string, limit *tenant.Limit, cost float64) Answer {
+// Take takes the cost of one request of a subject, as its owner or a stand-in by the fleet as it is
+// known here. Within is how long the request may wait for its turn.
+func (k *Keeper) Take(now time.Time, fleet *Fleet, name string, limit *Limit, cost float64, within time.Duration) Answer {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.awake(now)
@@ -171,12 +173,12 @@
 		return Answer{Owner: owner}
 	}
 	role := fleet.RoleOf(name)
-	granted, wait := k.bucket(now, name, role).take(now, limit, fleet.partOf(role), cost)
+	granted, wait := k.bucket(now, name, role).take(now, limit, fleet.partOf(role), cost, within)
 	return Answer{Granted: granted, Wait: wait}
 }
 
 // Return gives back what Take gave out a moment ago and was not used.
-func (k *Keeper) Return(now time.Time, fleet *Fleet, name string, limit *tenant.Limit, cost float64) {
+func (k *Keeper) Return(now time.Time, fleet *Fleet, name string, limit *Limit, cost float64) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.awake(now)
@@ -185,7 +187,7 @@
 }
 
 // TakeAlone takes the cost of one request out of what this daemon may use by itself.
-func (k *Keeper) TakeAlone(now time.Time, fleet *Fleet, name string, limit *tenant.Limit, cost float64) bool {
+func (k *Keeper) TakeAlone(now time.Time, fleet *Fleet, name string, limit *Limit, cost float64) bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	known := k.alone[name]
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -10,13 +10,12 @@
 
 	_ "github.com/wheatweir/wheatweir/internal/fixedseed"
 	"github.com/wheatweir/wheatweir/member"
-	"github.com/wheatweir/wheatweir/tenant"
 )
 
 // limits of a large and a small tenant of the users' shifted site.
 var (
-	largeLimit = tenant.Limit{PerSecond: 170_000, Burst: 170_000, Tokens: true}
-	smallLimit = tenant.Limit{PerSecond: 2_700, Burst: 2_700, Tokens: true}
+	largeLimit = Limit{PerSecond: 170_000, Burst: 170_000}
+	smallLimit = Limit{PerSecond: 2_700, Burst: 2_700}
 )
 
 const (
@@ -80,7 +79,7 @@
 	}
 }
 
-func play(seed uint64, daemons int, limit tenant.Limit, load float64, t trouble, used way) *world {
+func play(seed uint64, daemons int, limit Limit, load float64, t trouble, used way) *world {
 	w := newWorld(seed, daemons, limit, used)
 	w.perSecond = load * limit.PerSecond
 	w.run(2 * time.Second)
@@ -98,7 +97,7 @@
 		}
 		for _, size := range []struct {
 			name  string
-			limit tenant.Limit
+			limit Limit
 		}{{"large", largeLimit}, {"small", smallLimit}} {
 			for _, met := range troubles() {
 				t.Run(fmt.Sprintf("%d daemons/%s/%s", daemons, size.name, met.name), func(t *testing.T) {
@@ -135,7 +134,7 @@
 // TestLimitHoldsUnderRandomTroubles draws series of kills, cuts, freezes and changes of load.
 func TestLimitHoldsUnderRandomTroubles(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limit := rapid.SampledFrom([]tenant.Limit{largeLimit, smallLimit, {PerSecond: 20_000, Tokens: true}}).Draw(t, "limit")
+		limit := rapid.SampledFrom([]Limit{largeLimit, smallLimit, {PerSecond: 20_000}}).Draw(t, "limit")
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 16).Draw(t, "daemons"), limit, owners{})
 		w.perSecond = hot * limit.PerSecond
 		for range rapid.IntRange(1, 4).Draw(t, "troubles") {
--- a/quota/ways_test.go
+++ b/quota/ways_test.go
@@ -5,7 +5,12 @@
 )
 
 // owners is the way of the product: the owner of a tenant is asked, then its stand-in.
-type owners struct{}
+type owners struct {
+	// within is how long requests wait for their turn.
+	within time.Duration
+	// strict is for small limits: a daemon that hears others has nothing by itself.
+	strict bool
+}
 
 func (o owners) tick(w *world) {
 	if w.now.Sub(w.ticked) < tickPause {
@@ -54,13 +59,19 @@
 			answer, answered = o.ask(w, at, answer.Owner, cost, &delay)
 		}
 		if answered && answer.Owner == "" {
+			if answer.Granted {
+				delay += answer.Wait
+			}
 			return answer.Granted, delay
 		}
 	}
+	if o.strict && !at.fleet.Lonely {
+		return false, delay
+	}
 	return at.keeper.TakeAlone(w.now, at.fleet, tenantName, &w.limit, cost), delay
 }
 
-func (owners) ask(w *world, at *node, name string, cost float64, delay *time.Duration) (Answer, bool) {
+func (o owners) ask(w *world, at *node, name string, cost float64, delay *time.Duration) (Answer, bool) {
 	if name == "" || w.now.Before(at.resting[name]) {
 		return Answer{}, false
 	}
@@ -74,7 +85,7 @@
 		}
 		w.messages++
 	}
-	return asked.keeper.Take(w.now, asked.fleet, tenantName, &w.limit, cost), true
+	return asked.keeper.Take(w.now, asked.fleet, tenantName, &w.limit, cost, o.within), true
 }
 
 // evenParts is the baseline: each daemon has its part of the limit and asks nobody.
@@ -88,6 +99,16 @@
 	return at.keeper.TakeAlone(w.now, alone, tenantName, &w.limit, cost*AlonePart), 0
 }
 
+// wholeEach has each daemon keep to the whole limit by itself.
+type wholeEach struct{}
+
+func (wholeEach) tick(*world)           {}
+func (wholeEach) changed(*world, *node) {}
+
+func (wholeEach) take(w *world, at *node, cost float64) (bool, time.Duration) {
+	return at.keeper.Take(w.now, &Fleet{Self: at.name, Part: 1, Daemons: 1, owners: map[string][]string{}}, tenantName, &w.limit, cost, 0).Granted, 0
+}
+
 // leases is a way that was weighed: each daemon tells the owner what it is asked for, and has a
 // lease on a part of the rate for a while. An owner that is new learns for one term what the
 // others have before it gives out more.
@@ -145,7 +166,7 @@
 	if w.now.Before(known.until) {
 		part = known.part
 	}
-	granted, _ := known.spent.take(w.now, &w.limit, max(part, AlonePart/float64(2*len(w.nodes))), cost)
+	granted, _ := known.spent.take(w.now, &w.limit, max(part, AlonePart/float64(2*len(w.nodes))), cost, 0)
 	return granted, 0
 }
 
--- a/quota/world_test.go
+++ b/quota/world_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/wheatweir/wheatweir/member"
-	"github.com/wheatweir/wheatweir/tenant"
 )
 
 const (
@@ -53,13 +52,15 @@
 	ticked  time.Time
 	random  *rand.Rand
 	nodes   []*node
-	limit   tenant.Limit
+	limit   Limit
 	way     way
 	arrived []arrival
 	offered []arrival
 	// perSecond is what the tenant asks, in tokens.
 	perSecond float64
 	cost      func() float64
+	meanCost  float64
+	bound     bound
 	pending   []belief
 	changes   int
 	messages  int
@@ -92,11 +93,19 @@
 	changed(w *world, at *node)
 }
 
+// bound is by how much a limit may be passed in any window.
+type bound struct {
+	window    time.Duration
+	overshoot float64
+	slack     float64
+}
+
 const tenantName = "acme"
 
-func newWorld(seed uint64, daemons int, limit tenant.Limit, used way) *world {
+func newWorld(seed uint64, daemons int, limit Limit, used way) *world {
 	w := &world{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 3)), limit: limit, way: used}
-	w.cost = func() float64 { return 200 + 2800*w.random.Float64() }
+	w.cost, w.meanCost = func() float64 { return 200 + 2800*w.random.Float64() }, 1600
+	w.bound = bound{window: window, overshoot: overshoot, slack: slack}
 	for i := range daemons {
 		weight := 192
 		if i%12 == 0 {
@@ -246,7 +255,7 @@
 	for end := w.now.Add(span); w.now.Before(end); w.now = w.now.Add(step) {
 		w.believe()
 		w.way.tick(w)
-		for expected := w.perSecond * step.Seconds() / 1600; expected > 0; expected-- {
+		for expected := w.perSecond * step.Seconds() / w.meanCost; expected > 0; expected-- {
 			if w.random.Float64() < expected {
 				w.request()
 			}
@@ -291,11 +300,11 @@
 // excess is by how many tokens the worst window passes what is allowed; negative if none does.
 func (w *world) excess() float64 {
 	slices.SortFunc(w.arrived, func(a, b arrival) int { return a.at.Compare(b.at) })
-	allowed := (w.limit.PerSecond*window.Seconds()+w.limit.Burst)*(1+overshoot) + slack
+	allowed := (w.limit.PerSecond*w.bound.window.Seconds()+w.limit.Burst)*(1+w.bound.overshoot) + w.bound.slack
 	worst, sum, first := 0.0, 0.0, 0
 	for _, one := range w.arrived {
 		sum += one.cost
-		for one.at.Sub(w.arrived[first].at) >= window {
+		for one.at.Sub(w.arrived[first].at) >= w.bound.window {
 			sum -= w.arrived[first].cost
 			first++
 		}
@@ -312,7 +321,7 @@
 	}
 	ideal, got := 0.0, 0.0
 	for _, one := range w.offered {
-		if granted, _ := central.take(one.at, &w.limit, 1, one.cost); granted {
+		if granted, _ := central.take(one.at, &w.limit, 1, one.cost, 0); granted {
 			ideal += one.cost
 		}
 	}
--- a/tenant/tenant.go
+++ b/tenant/tenant.go
@@ -3,7 +3,11 @@
 // nor a message to another daemon shows a key that would be accepted.
 package tenant
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+
+	"github.com/wheatweir/wheatweir/quota"
+)
 
 // Tenant is one customer of the deployment.
 type Tenant struct {
@@ -33,6 +37,9 @@
 // Limited reports whether there is a limit at all.
 func (l *Limit) Limited() bool { return l.PerSecond > 0 }
 
+// Rate is what the tenant may use in its units.
+func (l *Limit) Rate() quota.Limit { return quota.Limit{PerSecond: l.PerSecond, Burst: l.Burst} }
+
 // Cost is what one request counts, in units. Tokens are those of the prompt and the most that
 // the answer may have; told says that the request named them.
 func (l *Limit) Cost(promptTokens, outputTokens int, told bool) float64 {
@@ -61,7 +68,7 @@
 type Table struct {
 	byKey   map[Digest]*Tenant
 	byName  map[string]*Tenant
-	limited []*Tenant
+	limited []string
 	// shared are the names of tenants that list a key of an earlier one.
 	shared []string
 }
@@ -80,7 +87,7 @@
 func (t *Table) add(tenant *Tenant) {
 	t.byName[tenant.Name] = tenant
 	if tenant.Limit.Limited() {
-		t.limited = append(t.limited, tenant)
+		t.limited = append(t.limited, tenant.Name)
 	}
 	clash := false
 	for _, key := range tenant.Keys {
@@ -117,8 +124,17 @@
 // Any reports whether there is a tenant at all.
 func (t *Table) Any() bool { return t != nil && len(t.byName) > 0 }
 
-// Limited returns the tenants that have a limit, in the order of the list.
-func (t *Table) Limited() []*Tenant {
+// Rate returns the limit of the tenant with a name, if there is such a tenant.
+func (t *Table) Rate(name string) (limit quota.Limit, known bool) {
+	found := t.Named(name)
+	if found == nil {
+		return quota.Limit{}, false
+	}
+	return found.Limit.Rate(), true
+}
+
+// Limited returns the names of the tenants that have a limit, in the order of the list.
+func (t *Table) Limited() []string {
 	if t == nil {
 		return nil
 	}
