--- a/coordination/actions.go
+++ b/coordination/actions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wheatweir/wheatweir/lease"
+	"github.com/wheatweir/wheatweir/notice"
 	"github.com/wheatweir/wheatweir/quarantine"
 	"github.com/wheatweir/wheatweir/residency"
 )
@@ -47,6 +48,9 @@
 // LearnCrashes hands on what another daemon told of servers that crashed.
 type LearnCrashes struct{ Update quarantine.Update }
 
+// LearnNotices hands on what another daemon told of what instances said of themselves.
+type LearnNotices struct{ Update notice.Update }
+
 // Decision is a line for the log.
 type Decision struct {
 	Part   string
@@ -61,4 +65,5 @@
 func (AskReport) action()    {}
 func (SendOrder) action()    {}
 func (LearnCrashes) action() {}
+func (LearnNotices) action() {}
 func (Decision) action()     {}
--- a/coordination/crashes_test.go
+++ b/coordination/bulletin_test.go
@@ -105,7 +105,7 @@
 	w := newCrashWorld(3)
 	news := func(root string, boot, sequence uint64, server string) {
 		update := quarantine.Update{Items: []quarantine.Item{{Crashes: []quarantine.Told{{Server: server}}}}}
-		message := coordination.Message{From: "n1", Crashes: &coordination.CrashNews{Root: root, Boot: boot, Sequence: sequence, Update: update}}
+		message := coordination.Message{From: "n1", Bulletin: &coordination.Bulletin{Root: root, Boot: boot, Sequence: sequence, Crashes: update}}
 		w.perform("n0", w.nodes["n0"].Receive(w.now, message))
 	}
 	for _, sequence := range []uint64{2, 1, 2, 1, 70, 69, 7, 5, 70} {
--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -14,7 +14,7 @@
 // daemons prove to each other, so that during an upgrade those of the old and the new form
 // do not talk: fields that are not understood are passed over, and a list of instances
 // without their IDs would leave no instance. Both get along by the store meanwhile.
-const MessageForm = "5"
+const MessageForm = "6"
 
 // Message is what entry daemons tell each other.
 type Message struct {
@@ -48,10 +48,11 @@
 	// Reads says that the sender has read the configuration from the store, which others may
 	// not reach.
 	Reads bool `msgpack:"d,omitempty"`
-	// Crashes tells of contents of requests that ran on servers that crashed.
-	Crashes *CrashNews `msgpack:"x,omitempty"`
-	// Limit is about the limits of tenants.
-	Limit *limiter.Message `msgpack:"t,omitempty"`
+	// Bulletin tells all daemons what one of them has found out.
+	Bulletin *Bulletin `msgpack:"x,omitempty"`
+	// TenantLimit is about the limits of tenants, InstanceLimit about those that instances name.
+	TenantLimit   *limiter.Message `msgpack:"t,omitempty"`
+	InstanceLimit *limiter.Message `msgpack:"v,omitempty"`
 }
 
 // GroupLoad is the load of a group by instance, or with Changes what has changed of it.
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -76,7 +76,7 @@
 	planDue     bool
 	plans       uint64
 	spreading   spreadState
-	crashNews   crashNewsState
+	bulletins   bulletinState
 	assured     assurance
 	// changed holds the instances that the view does not show as they are.
 	changed map[string]bool
@@ -102,7 +102,7 @@
 		facts:     newFactBook(), departures: newDepartures(), changed: map[string]bool{}, reports: map[string]*reportState{}, listedAt: map[string]time.Time{}, peers: map[string]peerState{},
 		demand: newDemandState(), lastHolder: now, watcherAt: now.Add(settings.WatchAfter),
 		view:      fleet.NewView(nil, nil),
-		spreading: newSpreadState(random.Uint64()), crashNews: newCrashNewsState(random.Uint64()), assured: assurance{sequence: random.Uint64()},
+		spreading: newSpreadState(random.Uint64()), bulletins: newBulletinState(random.Uint64()), assured: assurance{sequence: random.Uint64()},
 		members: map[string]memberBelief{}, memberNews: newsList{part: "daemons"}, instanceNews: newsList{part: "instances"},
 		sources: map[Source]*sourceState{SourceConfiguration: {}, SourceInstances: {}},
 	}
@@ -198,8 +198,8 @@
 	if message.Spread != nil {
 		n.takeSpread(now, message)
 	}
-	if message.Crashes != nil {
-		n.takeCrashes(message.Crashes)
+	if message.Bulletin != nil {
+		n.takeBulletin(message.Bulletin)
 	}
 	if message.Reads && n.settings.RevokeWithin > 0 {
 		n.heardReader(now, message.From)
--- a/coordination/world_test.go
+++ b/coordination/world_test.go
@@ -147,7 +147,7 @@
 			if action.Message.Load != nil {
 				w.heardLoad[[2]string{name, action.Address}]++
 			}
-			if action.Message.Crashes != nil {
+			if action.Message.Bulletin != nil {
 				w.crashMessages[name]++
 			}
 			if action.Message.Configuration != nil {
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -201,8 +201,8 @@
 	case message.Group != nil:
 		d.dispatch.takeGroup(message.From, message.Group)
 		return
-	case message.Limit != nil:
-		d.quotas.Receive(message.From, message.Limit)
+	case message.TenantLimit != nil:
+		d.quotas.Receive(message.From, message.TenantLimit)
 		return
 	case message.Load != nil:
 		d.dispatch.takeLoad(message.From, message.Load)
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -231,7 +231,7 @@
 		return
 	}
 	k.daemon.peers.Send(address, coordination.Message{
-		From: k.daemon.current().Name, Crashes: &coordination.CrashNews{Update: update},
+		From: k.daemon.current().Name, Bulletin: &coordination.Bulletin{Crashes: update},
 	})
 }
 
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -17,7 +17,7 @@
 		Now:     d.clock.Now,
 		Address: func(name string) (string, bool) { return d.fleet.peerAddresses.Load().of(name) },
 		Send: func(address string, message *limiter.Message) {
-			d.peers.Send(address, coordination.Message{From: d.current().Name, Limit: message})
+			d.peers.Send(address, coordination.Message{From: d.current().Name, TenantLimit: message})
 		},
 		Subjects: func() limiter.Subjects { return d.gateway.View().Tenants() },
 		Log:      func(text string, fields ...any) { d.log.add("quota", text, fields...) },
--- a/notice/update.go
+++ b/notice/update.go
@@ -12,6 +12,9 @@
 	Items []Item `msgpack:"i"`
 }
 
+// Empty reports whether there is nothing to tell.
+func (u *Update) Empty() bool { return len(u.Items) == 0 }
+
 // Item is what is told of one instance.
 type Item struct {
 	Instance string `msgpack:"i"`
