A server's limit holds over all daemons

What callers saw: nothing wrong; a server in need that had named a limit of 2 requests a second got 21 in 4 s from the eight daemons (allowed 17), another one with a limit of 1 got 23 (allowed 11). Cause: no line of the code read Server-Limit. Now: each answer's limit is learned and told to all daemons; a request for a limited instance needs a turn, which the instance's owner among the daemons gives out (as with tenants' limits). Without a turn another instance takes the request; if there is none, it waits for a turn within half a second, or is refused at once with when there may be one. The turn is looked at once more just before the first byte. Models that are asked for and only limited servers have get a replica elsewhere; limited servers get no further models.

--- a/balance/filters.go
+++ b/balance/filters.go
@@ -8,7 +8,7 @@
 // Allows implements Filter.
 func (NotLeaving) Allows(_ *Request, instance *fleet.Instance) bool { return !instance.Leaving }
 
-// NotExcluded turns away instances that this request was sent to.
+// NotExcluded turns away instances that this request was sent to or must not reach.
 type NotExcluded struct{}
 
 // Allows implements Filter.
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -27,7 +27,7 @@
 	PromptLimit int
 	// MemoryTokens is the memory of each instance; zero if it is not known.
 	MemoryTokens int
-	// Excluded lists instances that were tried already.
+	// Excluded lists instances that were tried already, or must not get the request.
 	Excluded []string
 }
 
--- a/coordination/bulletin.go
+++ b/coordination/bulletin.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"time"
+
 	"github.com/wheatweir/wheatweir/notice"
 	"github.com/wheatweir/wheatweir/quarantine"
 )
@@ -42,6 +44,15 @@
 	return n.take()
 }
 
+// InstanceLimited takes in whether an instance takes no more than a few requests from all daemons.
+func (n *Node) InstanceLimited(now time.Time, instance string, limited bool) []Action {
+	n.book.SetLimited(instance, limited)
+	if n.held {
+		n.planSoon(now)
+	}
+	return n.take()
+}
+
 func (n *Node) tellAll(bulletin Bulletin) {
 	state := &n.bulletins
 	state.sequence++
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -109,10 +109,10 @@
 		metrics: newMetrics(), tracker: balance.NewTracker(), demand: newDemandCounter(), life: lifecycle{failed: make(chan error, 1)}, assurance: newAssurance(), ctx: ctx, cancel: cancel,
 		following: newFollowState(),
 	}
-	d.notices = newNotices(d)
-	d.engines, d.upstream = platform.NewEngines(machine.Now, d.notices.hear), platform.NewUpstream(machine.Now, d.notices.hear)
 	d.store.OnEra(d.eraLearned)
 	d.settings.Store(&settings)
+	d.notices = newNotices(d)
+	d.engines, d.upstream = platform.NewEngines(machine.Now, d.notices.hear), platform.NewUpstream(machine.Now, d.notices.hear)
 	d.fleet.live.Store(1)
 	d.budget = retry.NewBudget(retryPart*settings.RetryShare, 1)
 	d.quotas = newQuotas(d)
@@ -124,6 +124,7 @@
 		KeysSure:           d.keysSure,
 		Quotas:             d.quotas,
 		Quarantine:         d.quarantine,
+		Notices:            d.notices,
 	}, d.upstream, d.tracker, d.budget, d.demand, d)
 	d.dispatch = newDispatch(d)
 	d.gateway.SetChooser(d.dispatch)
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -38,6 +38,7 @@
 
 func (d *Daemon) tick(now time.Time) {
 	d.quotas.Tick(now)
+	d.notices.limits.Tick(now)
 	if now.Sub(d.control.fleetAt) >= fleetRefresh {
 		d.publishFleet(now)
 	}
@@ -50,6 +51,7 @@
 		d.notices.tick(now, view)
 	}
 	d.quarantine.gossip(now)
+	d.notices.gossip(now)
 	d.publishAddresses()
 	d.fleet.rank.Store(int64(d.node.Rank()))
 	d.following.watching.Store(d.node.Watching(now))
@@ -121,7 +123,9 @@
 func (d *Daemon) publishFleet(now time.Time) {
 	d.control.fleetAt = now
 	members := d.node.HeardMembers(now)
-	d.quotas.SetFleet(now, d.control.discovery.Fleet(now, d.current().Name, members, d.otherSeeds()))
+	known := d.control.discovery.Fleet(now, d.current().Name, members, d.otherSeeds())
+	d.quotas.SetFleet(now, known)
+	d.notices.limits.SetFleet(now, known)
 }
 
 // otherSeeds is the number of other daemons to join through.
@@ -179,6 +183,8 @@
 			d.assurance.request()
 		case coordination.LearnCrashes:
 			d.quarantine.learn(action.Update)
+		case coordination.LearnNotices:
+			d.notices.learn(action.Update)
 		case coordination.Refresh:
 			select {
 			case d.following.refresh[action.Source] <- struct{}{}:
@@ -204,6 +210,9 @@
 	case message.TenantLimit != nil:
 		d.quotas.Receive(message.From, message.TenantLimit)
 		return
+	case message.InstanceLimit != nil:
+		d.notices.limits.Receive(message.From, message.InstanceLimit)
+		return
 	case message.Load != nil:
 		d.dispatch.takeLoad(message.From, message.Load)
 	}
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -1,23 +1,147 @@
 package entry
 
 import (
+	"context"
+	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/limiter"
 	"github.com/wheatweir/wheatweir/notice"
+	"github.com/wheatweir/wheatweir/quota"
 )
 
-// notices gathers what servers say of themselves in their answers. It is safe for concurrent use.
+const (
+	// noticeGossipPause is the time between two messages to one daemon drawn by chance with all that
+	// instances have said: they bring daemons up to date that have just started or missed a message.
+	noticeGossipPause = 500 * time.Millisecond
+	// leastLimit is the least rate, in requests a second, at which an instance gets requests whatever limit it
+	// names: their answers tell whether the limit still holds.
+	leastLimit = 0.2
+	// shortestSpent and longestSpent bound how long an instance without a turn is not asked for again, for
+	// requests that have another one.
+	shortestSpent = 20 * time.Millisecond
+	longestSpent  = 2 * time.Second
+	// askersPerTurn is how many daemons may ask for each turn of an instance, about.
+	askersPerTurn = 8
+	// unsureSpent is the same while nobody can tell.
+	unsureSpent = 250 * time.Millisecond
+)
+
+// notices gathers what servers say of themselves in their answers, tells the other daemons, and holds this one
+// to it. It implements gateway.Notices and is safe for concurrent use.
 type notices struct {
 	daemon *Daemon
+	// limits holds the fleet to what instances take from all daemons together.
+	limits *limiter.Limiter
+	// limited are the instances that name a limit.
+	limited atomic.Pointer[instanceLimits]
 
 	mutex sync.Mutex
 	book  *notice.Book
+	// spent is until when limited instances have no turn, as far as this daemon has heard.
+	spent map[string]time.Time
+	// gossipedAt belongs to the control duty.
+	gossipedAt time.Time
+}
+
+func newNotices(d *Daemon) *notices {
+	n := &notices{daemon: d, book: notice.NewBook(), spent: map[string]time.Time{}}
+	n.limited.Store(&instanceLimits{})
+	ports := d.limiterPorts("limits", func(message *limiter.Message) coordination.Message {
+		return coordination.Message{InstanceLimit: message}
+	})
+	ports.Subjects = func() limiter.Subjects { return n.limited.Load() }
+	ports.Strict = true
+	n.limits = limiter.New(ports)
+	return n
+}
+
+// instanceLimits are the limits that instances name, by their IDs. It is immutable.
+type instanceLimits struct{ byInstance map[string]quota.Limit }
+
+// Rate implements limiter.Subjects.
+func (l *instanceLimits) Rate(instance string) (limit quota.Limit, known bool) {
+	limit, known = l.byInstance[instance]
+	return limit, known
+}
+
+// Limited implements limiter.Subjects.
+func (l *instanceLimits) Limited() []string {
+	names := make([]string, 0, len(l.byInstance))
+	for instance := range l.byInstance {
+		names = append(names, instance)
+	}
+	return names
+}
+
+// with returns the limits with that of one instance replaced, or without it.
+func (l *instanceLimits) with(instance string, perSecond float64, limited bool) *instanceLimits {
+	next := &instanceLimits{byInstance: make(map[string]quota.Limit, len(l.byInstance)+1)}
+	for known, limit := range l.byInstance {
+		next.byInstance[known] = limit
+	}
+	delete(next.byInstance, instance)
+	if limited {
+		next.byInstance[instance] = quota.Limit{PerSecond: max(perSecond, leastLimit)}
+	}
+	return next
+}
+
+// Bars implements gateway.Notices.
+func (n *notices) Bars() []gateway.Bar {
+	if len(n.limited.Load().byInstance) == 0 {
+		return nil
+	}
+	now := n.daemon.clock.Now()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	var bars []gateway.Bar
+	for instance, until := range n.spent {
+		if now.Before(until) {
+			bars = append(bars, gateway.Bar{Instance: instance, Reason: gateway.ReasonAtLimit, Until: until})
+		} else {
+			delete(n.spent, instance)
+		}
+	}
+	return bars
+}
+
+// Barred implements gateway.Notices.
+func (n *notices) Barred(string) bool { return false }
+
+// Admit implements gateway.Notices.
+func (n *notices) Admit(ctx context.Context, instance string, within time.Duration) gateway.Turn {
+	limit, limited := n.limited.Load().Rate(instance)
+	if !limited {
+		return gateway.Turn{Granted: true}
+	}
+	outcome := n.limits.Take(ctx, limiter.Request{Subject: instance, Limit: limit, Cost: 1, Within: within})
+	switch {
+	case outcome.Granted:
+		return gateway.Turn{Granted: true, Limited: true, Wait: outcome.Wait}
+	case outcome.Unsure:
+		outcome.Wait = unsureSpent
+	}
+	n.spend(instance, outcome.Wait)
+	return gateway.Turn{Limited: true, Wait: outcome.Wait}
 }
 
-func newNotices(d *Daemon) *notices { return &notices{daemon: d, book: notice.NewBook()} }
+// spend notes that an instance has no turn for a while. The more daemons there are, the fewer of them should ask
+// for the next one.
+func (n *notices) spend(instance string, wait time.Duration) {
+	askers := float64(n.daemon.fleet.live.Load()) / askersPerTurn
+	span := time.Duration(float64(wait) * (1 + max(0, askers-1)*rand.Float64()))
+	until := n.daemon.clock.Now().Add(min(max(span, shortestSpent), longestSpent))
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.spent[instance] = until
+}
 
 // hear takes in what a server says of itself in an answer to this daemon.
 func (n *notices) hear(heard fleet.Heard) {
@@ -28,14 +152,33 @@
 	}
 	n.mutex.Lock()
 	change := n.book.Hear(now, &heard)
+	told := n.book.Evidence(heard.Instance)
 	n.mutex.Unlock()
-	if !change.Empty() {
-		n.tellLog(now, &change, "answer")
+	if change.Empty() {
+		return
+	}
+	n.take(now, &change, "answer")
+	if change.Shared() {
+		n.daemon.work.events.Offer(func(node *coordination.Node, _ time.Time) []coordination.Action {
+			return node.TellNotices(notice.Update{Items: []notice.Item{told}})
+		})
 	}
 }
 
-// tellLog logs what is new of an instance, and where this daemon knows it from.
-func (n *notices) tellLog(now time.Time, change *notice.Change, from string) {
+// learn takes in what other daemons were told.
+func (n *notices) learn(update notice.Update) {
+	now := n.daemon.clock.Now()
+	n.mutex.Lock()
+	changes := n.book.Learn(now, update)
+	n.mutex.Unlock()
+	for i := range changes {
+		n.take(now, &changes[i], "daemon")
+	}
+}
+
+// take acts on what is new of an instance, and logs it with where this daemon knows it from.
+func (n *notices) take(now time.Time, change *notice.Change, from string) {
+	n.daemon.metrics.notices.Inc(1)
 	fields := []any{"instance", change.Instance, "from", from}
 	if change.Leaving {
 		fields = append(fields, "leaving", true)
@@ -46,21 +189,62 @@
 	case change.Lifted:
 		fields = append(fields, "limit_per_s", "none")
 	}
+	if change.Limited || change.Lifted {
+		n.setLimit(now, change.Instance)
+	}
 	if !change.RestUntil.IsZero() {
 		fields = append(fields, "rest_ms", change.RestUntil.Sub(now).Milliseconds())
 	}
 	n.log("Said of itself.", fields...)
-	n.daemon.metrics.notices.Inc(1)
+}
+
+// setLimit has the limit of an instance, as it is known now, come into force.
+func (n *notices) setLimit(now time.Time, instance string) {
+	n.mutex.Lock()
+	perSecond, limited := n.book.Limit(instance)
+	n.limited.Store(n.limited.Load().with(instance, perSecond, limited))
+	delete(n.spent, instance)
+	n.mutex.Unlock()
+	n.limits.SubjectsChanged(now)
+	n.daemon.work.events.Offer(func(node *coordination.Node, now time.Time) []coordination.Action {
+		return node.InstanceLimited(now, instance, limited)
+	})
 }
 
 func (n *notices) log(text string, fields ...any) { n.daemon.log.add("instances", text, fields...) }
 
+// gossip tells one daemon, drawn by chance, what it may lack.
+func (n *notices) gossip(now time.Time) {
+	if now.Sub(n.gossipedAt) < noticeGossipPause {
+		return
+	}
+	n.gossipedAt = now
+	n.mutex.Lock()
+	update := n.book.Newest(now)
+	n.mutex.Unlock()
+	self := n.daemon.current().Name
+	address := n.daemon.fleet.peerAddresses.Load().any(self)
+	if update.Empty() || address == "" {
+		return
+	}
+	n.daemon.peers.Send(address, coordination.Message{From: self, Bulletin: &coordination.Bulletin{Notices: update}})
+}
+
 // tick forgets what no longer counts and sets the gauges.
 func (n *notices) tick(now time.Time, view *fleet.View) {
 	n.mutex.Lock()
 	n.book.Forget(now, func(id string) bool { return view.Instance(id) != nil })
 	leaving, limited, resting := n.book.Counts(now)
+	var ended []string
+	for instance := range n.limited.Load().byInstance {
+		if _, stays := n.book.Limit(instance); !stays {
+			ended = append(ended, instance)
+		}
+	}
 	n.mutex.Unlock()
+	for _, instance := range ended {
+		n.setLimit(now, instance)
+	}
 	n.daemon.metrics.leaving.Update(float64(leaving))
 	n.daemon.metrics.limited.Update(float64(limited))
 	n.daemon.metrics.resting.Update(float64(resting))
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -8,20 +8,31 @@
 	"github.com/wheatweir/wheatweir/limiter"
 )
 
-// quotas hands the gateway's questions to a limiter. It implements gateway.Quotas.
+// quotas hands the gateway's questions about tenants to a limiter. It implements gateway.Quotas.
 type quotas struct{ *limiter.Limiter }
 
 func newQuotas(d *Daemon) quotas {
-	return quotas{limiter.New(limiter.Ports{
+	ports := d.limiterPorts("quota", func(message *limiter.Message) coordination.Message {
+		return coordination.Message{TenantLimit: message}
+	})
+	ports.Subjects = func() limiter.Subjects { return d.gateway.View().Tenants() }
+	return quotas{limiter.New(ports)}
+}
+
+// limiterPorts returns what a limiter needs of its daemon, but for the subjects. Wrap makes a message of the
+// limiter one between daemons.
+func (d *Daemon) limiterPorts(part string, wrap func(message *limiter.Message) coordination.Message) limiter.Ports {
+	return limiter.Ports{
 		Self:    d.current().Name,
 		Now:     d.clock.Now,
 		Address: func(name string) (string, bool) { return d.fleet.peerAddresses.Load().of(name) },
 		Send: func(address string, message *limiter.Message) {
-			d.peers.Send(address, coordination.Message{From: d.current().Name, TenantLimit: message})
+			wrapped := wrap(message)
+			wrapped.From = d.current().Name
+			d.peers.Send(address, wrapped)
 		},
-		Subjects: func() limiter.Subjects { return d.gateway.View().Tenants() },
-		Log:      func(text string, fields ...any) { d.log.add("quota", text, fields...) },
-	})}
+		Log: func(text string, fields ...any) { d.log.add(part, text, fields...) },
+	}
 }
 
 // Take implements gateway.Quotas.
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -41,6 +41,8 @@
 			return nil, ReasonNeverSent
 		case foundCrowded:
 			wait.pace(ctx)
+		case foundAtLimit:
+			return nil, ReasonAtLimit
 		case foundNoConnection:
 			if !wait.forConnection(ctx) {
 				return nil, ReasonNoConnection
@@ -68,6 +70,8 @@
 	// foundNoConnection means that all connections of this daemon to the instances that are
 	// best for it are in use.
 	foundNoConnection
+	// foundAtLimit means that only instances are left that have no turn for it soon.
+	foundAtLimit
 	// foundTooLate means that the request's time is over, or its client has left, before it
 	// could be sent.
 	foundTooLate
@@ -84,11 +88,14 @@
 			return nil, foundNoConnection
 		}
 	}
+	barred, atLimit := e.bars()
 	for {
-		candidate := e.pick(ctx, view, saturated)
+		candidate := e.pick(ctx, view, slices.Concat(barred, atLimit, saturated))
 		switch {
 		case ctx.Err() != nil:
 			return nil, foundTooLate
+		case candidate == nil && len(atLimit) > 0:
+			return e.atLimit(ctx, view, slices.Concat(barred, saturated))
 		case candidate == nil && len(saturated) > 0:
 			return nil, foundNoConnection
 		case candidate == nil:
@@ -98,7 +105,11 @@
 		case candidate.Crowded || e.shouldHold(candidate):
 			return nil, unlessSaturated(saturated, foundCrowded)
 		case e.hasConnection(candidate.Instance):
-			return candidate, foundReady
+			if e.takeTurn(ctx, candidate.Instance, 0) {
+				return candidate, foundReady
+			}
+			atLimit = append(atLimit, candidate.Instance.ID)
+			continue
 		case slices.Contains(saturated, candidate.Instance.ID):
 			return nil, foundNoConnection
 		}
@@ -215,12 +226,12 @@
 // what keeps requests away from instances end by themselves.
 const lookPause = 100 * time.Millisecond
 
-// pick chooses among the instances that were not tried and are not saturated.
-func (e *exchange) pick(ctx context.Context, view *fleet.View, saturated []string) *balance.Candidate {
+// pick chooses among the instances that were not tried and are not excluded for another reason.
+func (e *exchange) pick(ctx context.Context, view *fleet.View, excluded []string) *balance.Candidate {
 	request := balance.Request{
 		Model: e.request.Model, Adapter: e.request.Adapter, Zone: e.gateway.settings.Zone, ZoneCost: e.gateway.settings.zoneCost(),
 		Affinity: e.affinity(), PromptTokens: e.request.PromptTokens, PromptLimit: e.promptLimit(view),
-		MemoryTokens: memoryTokens(view, e.service), Excluded: slices.Concat(e.passed, saturated, e.sentTo),
+		MemoryTokens: memoryTokens(view, e.service), Excluded: slices.Concat(e.passed, excluded, e.sentTo),
 	}
 	return e.gateway.chooser.Choose(ctx, view, e.service, &request)
 }
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -33,6 +33,9 @@
 	// ReasonNoConnection says that instances have what the request needs, and all
 	// connections to them that this daemon may have are in use.
 	ReasonNoConnection Reason = "no_connection"
+	// ReasonAtLimit says that instances have what the request needs, and take no more from all daemons
+	// together for a while.
+	ReasonAtLimit Reason = "at_limit"
 	// ReasonQuarantined says that servers crashed under requests of this content.
 	ReasonQuarantined Reason = "quarantined"
 	ReasonDeclined    Reason = "declined"
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -41,6 +41,9 @@
 	use       Use
 	allowedAt time.Time
 	quotaWait time.Duration
+	// turn is the turn at the instance that was chosen, and comeBack when there may be one where there is none.
+	turn     turn
+	comeBack time.Duration
 	// content is the digest of the request's content, or nil while nothing asked for it.
 	content  *quarantine.Digest
 	deadline time.Time
@@ -201,6 +204,8 @@
 	switch {
 	case reason == ReasonQuarantined:
 		retryAfter = e.heldFor()
+	case reason == ReasonAtLimit:
+		retryAfter = max(e.comeBack, e.gateway.settings.RetryAfter)
 	case reason == ReasonQuota:
 		retryAfter = e.gateway.shortages.refused(time.Now(), tenantShortage+e.tenant.Name, e.quotaWait)
 	case status == statusUnavailable:
@@ -241,6 +246,7 @@
 	outbound := &Outbound{
 		Request: e.request, Instance: candidate.Instance, Left: e.until(e.deadline),
 		Priority: min(e.priority, maxPriority), Tenant: e.tenantName(), ResumeAfter: e.resumeAfter, MaxConnections: e.connections(),
+		MayReach: func() bool { return e.mayReach(id) },
 	}
 	if outbound.Left <= 0 {
 		return verdictUnreached
@@ -282,10 +288,11 @@
 	id := instance.ID
 	if ErrNotSent.Has(err) {
 		outcome := balance.Unreached
-		if ctx.Err() != nil || ErrNoConnection.Has(err) {
+		ownReason := ErrNoConnection.Has(err) || ErrBarred.Has(err)
+		if ctx.Err() != nil || ownReason {
 			outcome = balance.Abandoned
 		}
-		if !ErrNoConnection.Has(err) {
+		if !ownReason {
 			e.passed = append(e.passed, id)
 		}
 		e.end(id, outcome)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,8 @@
 	// Quarantine keeps requests from instances that crash whatever runs them; nil means that
 	// nothing does.
 	Quarantine Quarantine
+	// Notices tells what instances have said of themselves; nil means that none says anything.
+	Notices Notices
 }
 
 func (s *Settings) zoneCost() float64 {
--- /dev/null
+++ b/gateway/notices.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/quota"
+)
+
+// Notices tells what follows for this daemon from what instances have said of themselves. It must be
+// safe for concurrent use. Only Admit blocks.
+type Notices interface {
+	// Bars lists the instances that must get no request now. The list must not be changed.
+	Bars() []Bar
+	// Barred reports whether one of them must not.
+	Barred(instance string) bool
+	// Admit takes a turn at an instance that names how many requests it takes from all daemons together,
+	// within a span at most.
+	Admit(ctx context.Context, instance string, within time.Duration) Turn
+}
+
+// Bar keeps requests from an instance. Unlike what balance.Tracker advises against, it holds also if there is no
+// other instance.
+type Bar struct {
+	Instance string
+	Reason   Reason
+	// Until is when it ends; the zero time if that is not known.
+	Until time.Time
+}
+
+// Turn is the right to send one request to an instance, or that there is none now.
+type Turn struct {
+	Granted bool
+	// Limited says that the instance names a limit.
+	Limited bool
+	// Wait is until the request may be sent, or if not granted, until there may be a turn.
+	Wait time.Duration
+}
+
+// turn is a turn that the request has got.
+type turn struct {
+	instance string
+	// until is when it lapses; zero for an instance without a limit.
+	until time.Time
+}
+
+// bars returns the instances that must not get this request now. Those that are at their limit are listed apart:
+// there may be a turn soon.
+func (e *exchange) bars() (barred, atLimit []string) {
+	if e.gateway.settings.Notices == nil {
+		return nil, nil
+	}
+	for _, bar := range e.gateway.settings.Notices.Bars() {
+		if bar.Reason == ReasonAtLimit {
+			atLimit = append(atLimit, bar.Instance)
+		} else {
+			barred = append(barred, bar.Instance)
+		}
+	}
+	return barred, atLimit
+}
+
+// takeTurn takes a turn at an instance, and reports whether the request may be sent there now.
+func (e *exchange) takeTurn(ctx context.Context, instance *fleet.Instance, within time.Duration) bool {
+	notices := e.gateway.settings.Notices
+	if notices == nil {
+		return true
+	}
+	got := notices.Admit(ctx, instance.ID, within)
+	if !got.Granted {
+		e.comeBack = got.Wait
+		return false
+	}
+	if got.Wait > 0 {
+		e.observeOnce(StepWaiting, ReasonAtLimit)
+		e.phase = PhaseWaiting
+		sleep(ctx, got.Wait)
+	}
+	e.turn = turn{instance: instance.ID}
+	if got.Limited {
+		e.turn.until = e.gateway.Now().Add(quota.AllowanceSpan)
+	}
+	return ctx.Err() == nil
+}
+
+// mayReach reports whether the request may still be sent to an instance. It is the last look before the first byte:
+// a choice, a turn and a connection take their time.
+func (e *exchange) mayReach(instance string) bool {
+	notices := e.gateway.settings.Notices
+	if notices == nil {
+		return true
+	}
+	lapsed := !e.turn.until.IsZero() && !e.gateway.Now().Before(e.turn.until)
+	return !lapsed && !notices.Barred(instance)
+}
+
+// atLimit looks for a turn soon at an instance that is at its limit, since no other can take the request.
+func (e *exchange) atLimit(ctx context.Context, view *fleet.View, excluded []string) (*balance.Candidate, found) {
+	candidate := e.pick(ctx, view, excluded)
+	switch {
+	case ctx.Err() != nil:
+		return nil, foundTooLate
+	case candidate == nil:
+		return nil, foundNone
+	case !e.hasConnection(candidate.Instance):
+		return nil, foundNoConnection
+	case e.takeTurn(ctx, candidate.Instance, quota.TurnSpan):
+		return candidate, foundReady
+	case ctx.Err() != nil:
+		return nil, foundTooLate
+	default:
+		return nil, foundAtLimit
+	}
+}
--- /dev/null
+++ b/gateway/notices_test.go
@@ -0,0 +1,139 @@
+package gateway_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/retry"
+)
+
+// fakeNotices is what instances have said.
+type fakeNotices struct {
+	bars []gateway.Bar
+	// turns are the answers to questions for a turn, by instance; one that is not named has no limit.
+	turns map[string]gateway.Turn
+	asked []string
+	// barredFrom bars all instances from a moment on; zero for never.
+	barredFrom time.Time
+}
+
+func (n *fakeNotices) Bars() []gateway.Bar { return n.bars }
+
+func (n *fakeNotices) Barred(instance string) bool {
+	for _, bar := range n.bars {
+		if bar.Instance == instance && bar.Reason != gateway.ReasonAtLimit {
+			return true
+		}
+	}
+	return !n.barredFrom.IsZero() && !time.Now().Before(n.barredFrom)
+}
+
+func (n *fakeNotices) Admit(_ context.Context, instance string, within time.Duration) gateway.Turn {
+	turn, limited := n.turns[instance]
+	if !limited {
+		return gateway.Turn{Granted: true}
+	}
+	n.asked = append(n.asked, instance)
+	turn.Limited = true
+	turn.Granted = turn.Wait <= within
+	return turn
+}
+
+// serveUnder serves one request under what instances have said.
+func serveUnder(notices *fakeNotices, upstream gateway.Upstream, sent *gateway.Request) *client {
+	settings := gateway.Settings{
+		RetryAfter: 200 * time.Millisecond, WaitShare: 0.5, ShareOfConnections: func() float64 { return 1 }, Notices: notices,
+	}
+	g := gateway.New(settings, upstream, balance.NewTracker(), retry.NewBudget(0.2, 10), &noDemand{}, silent{})
+	g.SetView(view())
+	reply := &client{}
+	g.Serve(context.Background(), sent, reply)
+	return reply
+}
+
+// TestLimitedInstances covers requests among three instances of which some have no turn: another one takes the
+// request; if there is none, it waits for a turn that comes soon, or is refused at once with when there may
+// be one.
+func TestLimitedInstances(t *testing.T) {
+	soon, late := 300*time.Millisecond, 1500*time.Millisecond
+	cases := []struct {
+		name       string
+		turns      map[string]time.Duration
+		spent      []string
+		status     int
+		instance   string
+		took       time.Duration
+		retryAfter time.Duration
+	}{
+		{"two have no turn", map[string]time.Duration{"i1": late, "i2": late}, nil, 200, "i3", 0, 0},
+		{"two are known to have no turn", map[string]time.Duration{"i1": late, "i2": late}, []string{"i1", "i2"}, 200, "i3", 0, 0},
+		{"a limited one has a turn", map[string]time.Duration{"i1": late, "i2": late, "i3": 0}, nil, 200, "i3", 0, 0},
+		{"all have a turn soon", map[string]time.Duration{"i1": soon, "i2": soon, "i3": soon}, nil, 200, "", soon, 0},
+		{"none has a turn soon", map[string]time.Duration{"i1": late, "i2": late, "i3": late}, nil, 503, "", 0, late},
+		{"none is known to have a turn soon", map[string]time.Duration{"i1": late, "i2": late, "i3": late}, []string{"i1", "i2", "i3"}, 503, "", 0, late},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				notices := &fakeNotices{turns: map[string]gateway.Turn{}}
+				for instance, wait := range c.turns {
+					notices.turns[instance] = gateway.Turn{Wait: wait}
+				}
+				for _, instance := range c.spent {
+					notices.bars = append(notices.bars, gateway.Bar{Instance: instance, Reason: gateway.ReasonAtLimit, Until: time.Now().Add(late)})
+				}
+				upstream, began := &script{}, time.Now()
+				reply := serveUnder(notices, upstream, request("unsafe"))
+				if reply.status != c.status || reply.retryAfter != c.retryAfter || reply.at.Sub(began) != c.took {
+					t.Errorf("status %d after %v, come back in %v", reply.status, reply.at.Sub(began), reply.retryAfter)
+				}
+				if c.status == 503 && reply.reason != gateway.ReasonAtLimit {
+					t.Errorf("refused as %q", reply.reason)
+				}
+				if c.instance != "" && (len(upstream.sent) != 1 || upstream.sent[0].Instance.ID != c.instance) {
+					t.Errorf("sent %+v", upstream.sent)
+				}
+				if len(c.spent) == 2 && len(notices.asked) > 0 {
+					t.Errorf("asked for turns at %v", notices.asked)
+				}
+			})
+		})
+	}
+}
+
+// TestTurnLapses has a connection take longer than a turn lasts: nothing may be sent on it any more, as others
+// have had the turns since.
+func TestTurnLapses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		notices := &fakeNotices{turns: map[string]gateway.Turn{"i1": {}, "i2": {}, "i3": {}}}
+		upstream := &slowConnections{took: 600 * time.Millisecond, slow: 1}
+		reply := serveUnder(notices, upstream, request("unsafe"))
+		if reply.status != 200 || upstream.barred != 1 {
+			t.Errorf("status %d, %d sends were turned back", reply.status, upstream.barred)
+		}
+	})
+}
+
+// slowConnections is an Upstream whose first connections take a while.
+type slowConnections struct {
+	script
+	took   time.Duration
+	slow   int
+	barred int
+}
+
+func (s *slowConnections) Send(ctx context.Context, outbound *gateway.Outbound) (gateway.Response, error) {
+	if s.slow > 0 {
+		s.slow--
+		time.Sleep(s.took)
+	}
+	if !outbound.MayReach() {
+		s.barred++
+		return nil, gateway.ErrNotSent.Wrap(gateway.ErrBarred.New("%s", outbound.Instance.ID))
+	}
+	return s.script.Send(ctx, outbound)
+}
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -24,6 +24,8 @@
 	// ErrNoConnection means that all connections that this daemon may have to the instance
 	// are in use. It says nothing about the instance.
 	ErrNoConnection = errs.Class("gateway: no connection")
+	// ErrBarred means that the instance must not get the request any more, as Outbound.MayReach said.
+	ErrBarred = errs.Class("gateway: barred")
 )
 
 // Field is one header field. The name is as it was received.
@@ -85,6 +87,8 @@
 	ResumeAfter string
 	// MaxConnections bounds the connections to the instance from here.
 	MaxConnections int
+	// MayReach is asked once there is a connection, just before the first byte; nil means that it may.
+	MayReach func() bool
 }
 
 // Response is the answer of an instance whose body may still be arriving.
--- a/notice/book_test.go
+++ b/notice/book_test.go
@@ -104,20 +104,20 @@
 			one := books[random.IntN(len(books))]
 			one.Hear(at(now), heard)
 			if random.IntN(2) == 0 {
-				books[random.IntN(len(books))].Learn(at(now), one.All())
+				books[random.IntN(len(books))].Learn(at(now), one.Newest(at(now)))
 			}
 			last = heard
 		}
 		// The last word reaches all, and all tell each other.
 		for i, one := range books {
 			for _, other := range books {
-				one.Learn(at(10_000+i), other.All())
+				one.Learn(at(4_000+i), other.Newest(at(4_000)))
 			}
 		}
-		books[0].Hear(at(20_000), &fleet.Heard{Instance: "i", SentAt: at(19_000), Notice: last.Notice})
+		books[0].Hear(at(4_200), &fleet.Heard{Instance: "i", SentAt: at(4_100), Notice: last.Notice})
 		for _, one := range books {
 			for _, other := range books {
-				one.Learn(at(20_001), other.All())
+				one.Learn(at(4_201), other.Newest(at(4_201)))
 			}
 		}
 		for i, one := range books {
--- a/notice/update.go
+++ b/notice/update.go
@@ -25,6 +25,9 @@
 	PerSecond float64 `msgpack:"p,omitempty"`
 }
 
+// toldSpan is for how long others are told of an instance that is no longer listed.
+const toldSpan = 5 * time.Second
+
 // mostTold bounds the instances of one update, to some 20 kB.
 const mostTold = 512
 
@@ -39,11 +42,12 @@
 	}
 }
 
-// All returns all that others may lack, the newest first.
-func (b *Book) All() Update {
+// Newest returns what others may lack: of instances that were listed or said something a moment ago, the
+// newest first.
+func (b *Book) Newest(now time.Time) Update {
 	var update Update
 	for instance, known := range b.records {
-		if known.leaving || known.limit.change != 0 {
+		if (known.leaving || known.limit.change != 0) && now.Sub(known.keptSince) < toldSpan {
 			update.Items = append(update.Items, b.Evidence(instance))
 		}
 	}
--- a/residency/book.go
+++ b/residency/book.go
@@ -21,11 +21,23 @@
 	expectations map[string]*expectations
 	// unserved is kept by service as well.
 	unserved map[string]unserved
+	// limited are the instances that take no more than a few requests.
+	limited map[string]bool
 }
 
 // NewBook returns an empty book.
 func NewBook(settings Settings) *Book {
-	return &Book{settings: settings, servers: map[string]*server{}, expectations: map[string]*expectations{}, unserved: map[string]unserved{}}
+	return &Book{settings: settings, servers: map[string]*server{}, expectations: map[string]*expectations{}, unserved: map[string]unserved{}, limited: map[string]bool{}}
+}
+
+// SetLimited notes whether an instance takes no more than a few requests: models that are asked for should not
+// depend on it, and it gets no further ones.
+func (b *Book) SetLimited(id string, limited bool) {
+	if limited {
+		b.limited[id] = true
+	} else {
+		delete(b.limited, id)
+	}
 }
 
 // Put takes in an instance that is new or has changed.
@@ -42,7 +54,10 @@
 }
 
 // Remove forgets an instance that is gone.
-func (b *Book) Remove(id string) { delete(b.servers, id) }
+func (b *Book) Remove(id string) {
+	delete(b.servers, id)
+	delete(b.limited, id)
+}
 
 // Report takes in what a server said now when it was asked at the given time.
 func (b *Book) Report(askedAt, now time.Time, id string, report fleet.Report) {
--- a/residency/grow.go
+++ b/residency/grow.go
@@ -99,7 +99,7 @@
 	var bestVictim string
 	bestCost := math.Inf(1)
 	for _, s := range p.slots {
-		if s.blocked || s.modelOrder || s.reservedFor != "" || s.models[model.Name] != nil {
+		if s.blocked || s.modelOrder || s.limited || s.reservedFor != "" || s.models[model.Name] != nil {
 			continue
 		}
 		for name, held := range s.models {
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -21,7 +21,7 @@
 	slots    []*slot
 	// replicas counts, for each model, the servers that serve it or soon will.
 	replicas map[string]int
-	// reachable counts those whose server answers, ready those that serve it now.
+	// reachable counts those whose server answers and takes what is asked, ready those that serve it now.
 	reachable map[string]int
 	ready     map[string]int
 	loadsLeft int
@@ -40,7 +40,9 @@
 	}
 	for _, known := range b.servers {
 		if known.instance.Service == service && !known.instance.Leaving {
-			p.slots = append(p.slots, newSlot(now, known, engine, p.models, b.settings))
+			s := newSlot(now, known, engine, p.models, b.settings)
+			s.limited = b.limited[known.instance.ID]
+			p.slots = append(p.slots, s)
 		}
 	}
 	slices.SortFunc(p.slots, func(a, b *slot) int { return cmp.Compare(a.id(), b.id()) })
@@ -81,7 +83,7 @@
 				continue
 			}
 			p.replicas[model]++
-			if s.silent || s.quiet && !held.ready {
+			if s.silent || s.quiet && !held.ready || s.limited && p.wanted(model) {
 				continue
 			}
 			p.reachable[model]++
@@ -105,7 +107,7 @@
 		if model == nil || s.models[model.Name] != nil {
 			continue
 		}
-		ready := !s.blocked && !s.modelOrder && s.freeMB >= model.WeightsMB
+		ready := !s.blocked && !s.modelOrder && !s.limited && s.freeMB >= model.WeightsMB
 		switch {
 		case ready && p.mayLoad(s, model):
 			p.load(s, model, "room was made")
@@ -179,7 +181,7 @@
 func (p *plan) addReplica(model *fleet.Model, reason string, makeRoom bool) bool {
 	var best *slot
 	for _, s := range p.slots {
-		if s.blocked || s.modelOrder || s.models[model.Name] != nil || s.freeMB < model.WeightsMB {
+		if s.blocked || s.modelOrder || s.limited || s.models[model.Name] != nil || s.freeMB < model.WeightsMB {
 			continue
 		}
 		if s.reservedFor != "" || !p.mayLoad(s, model) {
--- a/residency/residency_test.go
+++ b/residency/residency_test.go
@@ -227,3 +227,36 @@
 		t.Fatal("the late order was taken as well")
 	}
 }
+
+// TestModelOfALimitedServerIsLoadedElsewhere has the servers of a model take a few requests only. A model that
+// is asked for gets a replica elsewhere; one that nobody asks for is served well enough, and no load is spent on
+// it. The limited servers themselves get no further model.
+func TestModelOfALimitedServerIsLoadedElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		limited, asked, moves bool
+	}{{true, true, true}, {true, false, false}, {false, true, false}} {
+		deployment := newCalm(fourServers()...)
+		deployment.run(20*time.Second, nil)
+		model, before := deployment.rarest()
+		held := map[string]int{}
+		for _, s := range deployment.servers {
+			if _, holds := s.models[model]; holds && c.limited {
+				deployment.book.SetLimited(s.id, true)
+				held[s.id] = len(s.models)
+			}
+		}
+		demand := map[string]residency.Demand{}
+		if c.asked {
+			demand[model] = residency.Demand{Concurrent: 1, PerSecond: 1}
+		}
+		deployment.run(20*time.Second, demand)
+		if moved := deployment.replicas(model) > before; moved != c.moves {
+			t.Errorf("%+v: loaded elsewhere %t", c, moved)
+		}
+		for id, count := range held {
+			if now := len(find(deployment.servers, id).models); now > count {
+				t.Errorf("%+v: the limited server %s was given another model", c, id)
+			}
+		}
+	}
+}
--- a/residency/slot.go
+++ b/residency/slot.go
@@ -27,8 +27,10 @@
 	// silent servers answer nothing: what they hold may be out of reach. Quiet ones have
 	// just begun not to answer: what is on its way to them may not come.
 	silent, quiet bool
-	atHand        map[string]bool
-	requests      int
+	// limited servers take no more than a few requests.
+	limited  bool
+	atHand   map[string]bool
+	requests int
 	// reservedFor is the model that free memory is kept for, or empty.
 	reservedFor string
 }
