A server that says in its answers that it leaves gets no more requests, whatever the store shows

What callers saw: nothing wrong in the record, but a server that ends with requests in progress cuts them. Requests reached a server 2.2 and 3.0 s after an answer had said that it leaves; the store took its word 13 s after its answers said so. Cause: Server-Leaving was not read; all that was known of leaving came from the list of instances. Now: the daemon that hears it sends nothing more there (looked at once more before the first byte), tells all others, and the planner takes the instance as leaving. No entry takes that back within the life of the server.

--- a/coordination/departures.go
+++ b/coordination/departures.go
@@ -12,15 +12,18 @@
 	// departureSpan is how long it is remembered that an instance is gone. Copies that the store comes
 	// back from are some seconds old.
 	departureSpan = time.Minute
+	// saidSpan is the same for one that has said itself that it leaves: its entry may come and go while
+	// the store is in trouble.
+	saidSpan = time.Hour
 	// shownSpan is how long an instance that had gone is not used after a copy has shown it again. The
 	// entry of a server that has ended lapses before, after 3.6 s at the users' sites; one that stays is of
 	// a server that lives.
 	shownSpan = 10 * time.Second
 )
 
-// departures remembers which instances are leaving or gone, for the time after the store has come back
-// from a copy that still shows them as ready: whoever knew that an instance leaves goes on to keep
-// requests from it.
+// departures remembers which instances are leaving or gone while their entries may show them as ready: after
+// the store has come back from a copy, or because the instance says in its answers that it leaves and its entry is
+// late. Whoever knew that an instance leaves goes on to keep requests from it.
 type departures struct {
 	byInstance map[string]departure
 }
@@ -31,6 +34,8 @@
 	era  uint64
 	gone bool
 	at   time.Time
+	// said says that the instance has said itself that it leaves. No entry takes that back.
+	said bool
 	// shownAt is when a copy showed a gone instance again; zero if none did.
 	shownAt time.Time
 }
@@ -43,10 +48,10 @@
 	known, departed := d.byInstance[item.Name]
 	switch {
 	case item.Gone:
-		d.byInstance[item.Name] = departure{era: item.Place.Era, gone: true, at: now}
+		d.byInstance[item.Name] = departure{era: item.Place.Era, gone: true, at: now, said: known.said}
 	case item.Value.Leaving:
-		d.byInstance[item.Name] = departure{era: item.Place.Era, at: now}
-	case !departed:
+		d.byInstance[item.Name] = departure{era: item.Place.Era, at: now, said: known.said}
+	case !departed, known.said:
 	case restored:
 		known.shownAt = now
 		d.byInstance[item.Name] = known
@@ -56,6 +61,17 @@
 	}
 }
 
+// say notes that an instance has said itself that it leaves. It reports whether that is news.
+func (d *departures) say(now time.Time, instance string, listed bool) bool {
+	known := d.byInstance[instance]
+	if known.said {
+		return false
+	}
+	known.said, known.gone, known.at = true, !listed, now
+	d.byInstance[instance] = known
+	return true
+}
+
 // departed reports whether an instance is leaving or gone although the list may show it as ready.
 func (d *departures) departed(instance string) bool {
 	_, departed := d.byInstance[instance]
@@ -86,6 +102,8 @@
 		case !known.gone:
 			// Until the list says that it is gone.
 			return false
+		case known.said:
+			return now.Sub(known.at) >= saidSpan
 		case !known.shownAt.IsZero():
 			if now.Sub(known.shownAt) < shownSpan {
 				return false
@@ -99,6 +117,19 @@
 	return again
 }
 
+// InstanceLeaves takes in that an instance has said itself that it leaves.
+func (n *Node) InstanceLeaves(now time.Time, instance string) []Action {
+	listed, found := n.instances.Get(instance)
+	if n.departures.say(now, instance, found) && found {
+		n.changed[instance] = true
+		n.book.Put(n.departures.asDeparted(listed))
+		if n.held {
+			n.planSoon(now)
+		}
+	}
+	return n.take()
+}
+
 // departuresPause is the time between two looks for departures that are too old.
 const departuresPause = time.Second
 
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -39,6 +39,8 @@
 	daemon *Daemon
 	// limits holds the fleet to what instances take from all daemons together.
 	limits *limiter.Limiter
+	// any says that some instance has said something that still counts.
+	any atomic.Bool
 	// limited are the instances that name a limit.
 	limited atomic.Pointer[instanceLimits]
 
@@ -95,13 +97,16 @@
 
 // Bars implements gateway.Notices.
 func (n *notices) Bars() []gateway.Bar {
-	if len(n.limited.Load().byInstance) == 0 {
+	if !n.any.Load() {
 		return nil
 	}
 	now := n.daemon.clock.Now()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	var bars []gateway.Bar
+	for _, instance := range n.book.LeavingNow(now) {
+		bars = append(bars, gateway.Bar{Instance: instance, Reason: gateway.ReasonLeaving})
+	}
 	for instance, until := range n.spent {
 		if now.Before(until) {
 			bars = append(bars, gateway.Bar{Instance: instance, Reason: gateway.ReasonAtLimit, Until: until})
@@ -113,7 +118,14 @@
 }
 
 // Barred implements gateway.Notices.
-func (n *notices) Barred(string) bool { return false }
+func (n *notices) Barred(instance string) bool {
+	if !n.any.Load() {
+		return false
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.book.Leaving(instance)
+}
 
 // Admit implements gateway.Notices.
 func (n *notices) Admit(ctx context.Context, instance string, within time.Duration) gateway.Turn {
@@ -153,11 +165,12 @@
 	n.mutex.Lock()
 	change := n.book.Hear(now, &heard)
 	told := n.book.Evidence(heard.Instance)
+	n.any.Store(!n.book.Empty())
 	n.mutex.Unlock()
 	if change.Empty() {
 		return
 	}
-	n.take(now, &change, "answer")
+	n.take(now, change, "answer")
 	if change.Shared() {
 		n.daemon.work.events.Offer(func(node *coordination.Node, _ time.Time) []coordination.Action {
 			return node.TellNotices(notice.Update{Items: []notice.Item{told}})
@@ -170,18 +183,22 @@
 	now := n.daemon.clock.Now()
 	n.mutex.Lock()
 	changes := n.book.Learn(now, update)
+	n.any.Store(!n.book.Empty())
 	n.mutex.Unlock()
 	for i := range changes {
-		n.take(now, &changes[i], "daemon")
+		n.take(now, changes[i], "daemon")
 	}
 }
 
 // take acts on what is new of an instance, and logs it with where this daemon knows it from.
-func (n *notices) take(now time.Time, change *notice.Change, from string) {
+func (n *notices) take(now time.Time, change notice.Change, from string) {
 	n.daemon.metrics.notices.Inc(1)
 	fields := []any{"instance", change.Instance, "from", from}
 	if change.Leaving {
 		fields = append(fields, "leaving", true)
+		n.daemon.work.events.Offer(func(node *coordination.Node, now time.Time) []coordination.Action {
+			return node.InstanceLeaves(now, change.Instance)
+		})
 	}
 	switch {
 	case change.Limited:
@@ -234,6 +251,7 @@
 func (n *notices) tick(now time.Time, view *fleet.View) {
 	n.mutex.Lock()
 	n.book.Forget(now, func(id string) bool { return view.Instance(id) != nil })
+	n.any.Store(!n.book.Empty())
 	leaving, limited, resting := n.book.Counts(now)
 	var ended []string
 	for instance := range n.limited.Load().byInstance {
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -36,6 +36,8 @@
 	// ReasonAtLimit says that instances have what the request needs, and take no more from all daemons
 	// together for a while.
 	ReasonAtLimit Reason = "at_limit"
+	// ReasonLeaving says that an instance has said that it takes no new requests.
+	ReasonLeaving Reason = "leaving"
 	// ReasonQuarantined says that servers crashed under requests of this content.
 	ReasonQuarantined Reason = "quarantined"
 	ReasonDeclined    Reason = "declined"
--- a/notice/book.go
+++ b/notice/book.go
@@ -141,6 +141,18 @@
 	return known != nil && known.leaving
 }
 
+// LeavingNow returns the instances that have said that they leave, and were listed or said something a moment
+// ago.
+func (b *Book) LeavingNow(now time.Time) []string {
+	var leaving []string
+	for instance, known := range b.records {
+		if known.leaving && now.Sub(known.keptSince) < toldSpan {
+			leaving = append(leaving, instance)
+		}
+	}
+	return leaving
+}
+
 // Limit returns how many requests a second an instance takes from all daemons together, if it names a
 // limit.
 func (b *Book) Limit(instance string) (perSecond float64, limited bool) {
