A server that asks for rest gets it from the daemon that it asked

Cause: the Retry-After of a 503 was not read. A declined request kept others away for 0.1 s and somewhat longer each time; a pause of the tracker is advice only, is ended by any answer, and does not hold where all candidates are paused. Now: a rest is a bar: the instance is excluded from each choice of this daemon, also one that another daemon makes for it, and looked at once more before the first byte; a shorter rest or an answer does not end it. If all that have the model rest, a request waits where it may, or is refused at once with when the first rest ends. The holder of the lease sends no questions and orders there either.

--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -10,6 +10,8 @@
 type reportState struct {
 	next   time.Time
 	asking bool
+	// restUntil is when a rest ends that the server asked this daemon for.
+	restUntil time.Time
 	// unanswered says that the last question was not answered.
 	unanswered bool
 	// sent is the last fact that was told to the other daemons.
@@ -30,18 +32,33 @@
 		if !engines[instance.Service] {
 			continue
 		}
-		state := n.reports[instance.ID]
-		if state == nil {
-			state = &reportState{}
-			n.reports[instance.ID] = state
-		}
-		if !state.asking && !now.Before(state.next) {
+		state := n.reportOf(instance.ID)
+		if !state.asking && !now.Before(state.next) && !now.Before(state.restUntil) {
 			state.asking = true
 			n.do(AskReport{Instance: instance.ID, Address: instance.Address})
 		}
 	}
 }
 
+func (n *Node) reportOf(instance string) *reportState {
+	state := n.reports[instance]
+	if state == nil {
+		state = &reportState{}
+		n.reports[instance] = state
+	}
+	return state
+}
+
+// InstanceRests takes in that an instance wants nothing from this daemon for a while: no questions and no
+// orders either.
+func (n *Node) InstanceRests(instance string, until time.Time) []Action {
+	if _, listed := n.instances.Get(instance); listed {
+		n.reportOf(instance).restUntil = until
+		n.book.LeaveAlone(instance, until)
+	}
+	return n.take()
+}
+
 // ReportAnswered takes in a report, or that there was none.
 func (n *Node) ReportAnswered(askedAt, now time.Time, instance string, report fleet.Report, ok bool) []Action {
 	state := n.reports[instance]
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -107,6 +107,9 @@
 	for _, instance := range n.book.LeavingNow(now) {
 		bars = append(bars, gateway.Bar{Instance: instance, Reason: gateway.ReasonLeaving})
 	}
+	for instance, until := range n.book.Resting(now) {
+		bars = append(bars, gateway.Bar{Instance: instance, Reason: gateway.ReasonResting, Until: until})
+	}
 	for instance, until := range n.spent {
 		if now.Before(until) {
 			bars = append(bars, gateway.Bar{Instance: instance, Reason: gateway.ReasonAtLimit, Until: until})
@@ -124,7 +127,7 @@
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.book.Leaving(instance)
+	return n.book.Leaving(instance) || n.daemon.clock.Now().Before(n.book.RestUntil(instance))
 }
 
 // Admit implements gateway.Notices.
@@ -211,6 +214,9 @@
 	}
 	if !change.RestUntil.IsZero() {
 		fields = append(fields, "rest_ms", change.RestUntil.Sub(now).Milliseconds())
+		n.daemon.work.events.Offer(func(node *coordination.Node, _ time.Time) []coordination.Action {
+			return node.InstanceRests(change.Instance, change.RestUntil)
+		})
 	}
 	n.log("Said of itself.", fields...)
 }
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -48,6 +48,12 @@
 				return nil, ReasonNoConnection
 			}
 		case foundNone:
+			if until := e.restsUntil(view); !until.IsZero() {
+				if !wait.forRest(ctx, until) {
+					return nil, ReasonResting
+				}
+				continue
+			}
 			if reason, again := wait.forChange(ctx, view, changed); !again {
 				return nil, reason
 			}
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -36,6 +36,9 @@
 	// ReasonAtLimit says that instances have what the request needs, and take no more from all daemons
 	// together for a while.
 	ReasonAtLimit Reason = "at_limit"
+	// ReasonResting says that instances have what the request needs, and all of them want nothing from this
+	// daemon for a while.
+	ReasonResting Reason = "resting"
 	// ReasonLeaving says that an instance has said that it takes no new requests.
 	ReasonLeaving Reason = "leaving"
 	// ReasonQuarantined says that servers crashed under requests of this content.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -41,7 +41,8 @@
 	use       Use
 	allowedAt time.Time
 	quotaWait time.Duration
-	// turn is the turn at the instance that was chosen, and comeBack when there may be one where there is none.
+	// turn is the turn at the instance that was chosen, and comeBack when there may be
+	// one where there is none, or a rest ends.
 	turn     turn
 	comeBack time.Duration
 	// content is the digest of the request's content, or nil while nothing asked for it.
@@ -204,7 +205,7 @@
 	switch {
 	case reason == ReasonQuarantined:
 		retryAfter = e.heldFor()
-	case reason == ReasonAtLimit:
+	case reason == ReasonAtLimit, reason == ReasonResting:
 		retryAfter = max(e.comeBack, e.gateway.settings.RetryAfter)
 	case reason == ReasonQuota:
 		retryAfter = e.gateway.shortages.refused(time.Now(), tenantShortage+e.tenant.Name, e.quotaWait)
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/wheatweir/wheatweir/balance"
@@ -114,3 +115,31 @@
 		return nil, foundAtLimit
 	}
 }
+
+// restsUntil returns when the first rest ends of the instances that have what the request needs and were not
+// tried; the zero time unless all of them rest.
+func (e *exchange) restsUntil(view *fleet.View) time.Time {
+	var until time.Time
+	if e.gateway.settings.Notices == nil {
+		return until
+	}
+	resting := map[string]time.Time{}
+	for _, bar := range e.gateway.settings.Notices.Bars() {
+		if bar.Reason == ReasonResting {
+			resting[bar.Instance] = bar.Until
+		}
+	}
+	for _, instance := range view.Instances(e.service) {
+		if instance.Leaving || !e.has(instance) || slices.Contains(e.sentTo, instance.ID) || slices.Contains(e.passed, instance.ID) {
+			continue
+		}
+		end, rests := resting[instance.ID]
+		if !rests {
+			return time.Time{}
+		}
+		if until.IsZero() || end.Before(until) {
+			until = end
+		}
+	}
+	return until
+}
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,3 +138,65 @@
 	}
 	return s.script.Send(ctx, outbound)
 }
+
+// TestRestingInstances covers requests among three instances of which some want rest: another one takes the
+// request, also one that something speaks against; if all rest, it waits as long as it may for the first of them, or
+// is refused at once with when that one's rest ends.
+func TestRestingInstances(t *testing.T) {
+	cases := []struct {
+		name   string
+		rests  map[string]time.Duration
+		status int
+		// least is when the answer comes at the earliest, and most at the latest.
+		least, most time.Duration
+		retryAfter  time.Duration
+	}{
+		{"two rest", map[string]time.Duration{"i1": time.Minute, "i2": time.Minute}, 200, 0, 0, 0},
+		{"all rest for a moment", map[string]time.Duration{"i1": 2 * time.Second, "i2": time.Second, "i3": 3 * time.Second}, 200, time.Second, 1200 * time.Millisecond, 0},
+		{"all rest for long", map[string]time.Duration{"i1": 10 * time.Second, "i2": 9 * time.Second, "i3": time.Minute}, 503, 0, 0, 9 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				notices := &fakeNotices{}
+				for instance, rest := range c.rests {
+					notices.bars = append(notices.bars, gateway.Bar{Instance: instance, Reason: gateway.ReasonResting, Until: began.Add(rest)})
+				}
+				time.AfterFunc(time.Second, func() { notices.end(began.Add(time.Second)) })
+				upstream := &script{}
+				reply := serveUnder(notices, upstream, request("unsafe"))
+				took := reply.at.Sub(began)
+				if reply.status != c.status || reply.retryAfter != c.retryAfter || took < c.least || took > c.most {
+					t.Errorf("status %d after %v, come back in %v", reply.status, took, reply.retryAfter)
+				}
+				if c.status == 503 && (reply.reason != gateway.ReasonResting || len(upstream.sent) > 0) {
+					t.Errorf("refused as %q after %d sends", reply.reason, len(upstream.sent))
+				}
+			})
+		})
+	}
+}
+
+// end drops the bars that have ended.
+func (n *fakeNotices) end(now time.Time) {
+	n.bars = slices.DeleteFunc(n.bars, func(bar gateway.Bar) bool { return !bar.Until.After(now) })
+}
+
+// TestInstanceThatAsksForRestDuringAConnection has all instances ask for rest while a connection is made to one of
+// them: nothing is sent on it.
+func TestInstanceThatAsksForRestDuringAConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		notices := &fakeNotices{barredFrom: time.Now().Add(100 * time.Millisecond)}
+		upstream := &slowConnections{took: 200 * time.Millisecond, slow: 1}
+		time.AfterFunc(100*time.Millisecond, func() {
+			for _, instance := range []string{"i1", "i2", "i3"} {
+				notices.bars = append(notices.bars, gateway.Bar{Instance: instance, Reason: gateway.ReasonResting, Until: time.Now().Add(time.Minute)})
+			}
+		})
+		reply := serveUnder(notices, upstream, request("unsafe"))
+		if reply.status != 503 || reply.reason != gateway.ReasonResting || len(upstream.sent) > 0 {
+			t.Errorf("status %d as %q after %d sends", reply.status, reply.reason, len(upstream.sent))
+		}
+	})
+}
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/wheatweir/wheatweir/fleet"
@@ -12,6 +13,13 @@
 // 0.83 behind a burst of ten found none in time, with this one none or one.
 const connectionPause = 20 * time.Millisecond
 
+const (
+	// restPause is the least pause of a request that waits for the end of a rest.
+	restPause = time.Millisecond
+	// restSpread is the time over which requests that have waited for it come back.
+	restSpread = 100 * time.Millisecond
+)
+
 // candidateWait is the wait of a request for an instance.
 type candidateWait struct {
 	exchange *exchange
@@ -57,6 +65,16 @@
 	return w.pause(ctx, ReasonNoConnection, connectionPause, nil)
 }
 
+// forRest waits until a rest ends that all instances want which could take the request. It reports whether the
+// request may wait so long; if not, that is known at once.
+func (w *candidateWait) forRest(ctx context.Context, until time.Time) bool {
+	w.lacksConnection = false
+	e := w.exchange
+	left := max(0, e.until(until))
+	e.comeBack = left
+	return left <= e.until(e.waitUntil) && w.pause(ctx, ReasonResting, left+restPause+rand.N(restSpread), nil)
+}
+
 // pause waits for a signal, for a while at most. It reports whether the request may still wait.
 func (w *candidateWait) pause(ctx context.Context, reason Reason, span time.Duration, signal <-chan struct{}) bool {
 	e := w.exchange
--- a/notice/book.go
+++ b/notice/book.go
@@ -135,6 +135,17 @@
 	return time.Time{}
 }
 
+// Resting returns the instances that want nothing from this daemon now, with until when.
+func (b *Book) Resting(now time.Time) map[string]time.Time {
+	resting := map[string]time.Time{}
+	for instance, known := range b.records {
+		if now.Before(known.restUntil) {
+			resting[instance] = known.restUntil
+		}
+	}
+	return resting
+}
+
 // Leaving reports whether an instance has said that it leaves.
 func (b *Book) Leaving(instance string) bool {
 	known := b.records[instance]
--- a/residency/book.go
+++ b/residency/book.go
@@ -30,6 +30,13 @@
 	return &Book{settings: settings, servers: map[string]*server{}, expectations: map[string]*expectations{}, unserved: map[string]unserved{}, limited: map[string]bool{}}
 }
 
+// LeaveAlone notes that a server wants no orders from this daemon for a while.
+func (b *Book) LeaveAlone(id string, until time.Time) {
+	if known := b.servers[id]; known != nil {
+		known.leaveAlone(until)
+	}
+}
+
 // SetLimited notes whether an instance takes no more than a few requests: models that are asked for should not
 // depend on it, and it gets no further ones.
 func (b *Book) SetLimited(id string, limited bool) {
@@ -156,7 +163,14 @@
 		known.unsettledAt = now
 	case AnswerBusy, AnswerRejected, AnswerFenced, AnswerNotSent:
 		// An order that was sent before without an answer may still come.
-		known.busyUntil = now.Add(busyPause)
+		known.leaveAlone(now.Add(busyPause))
+	}
+}
+
+// leaveAlone keeps orders away until a moment. A shorter pause does not end a longer one.
+func (s *server) leaveAlone(until time.Time) {
+	if until.After(s.busyUntil) {
+		s.busyUntil = until
 	}
 }
 
--- a/residency/types.go
+++ b/residency/types.go
@@ -171,7 +171,7 @@
 	// silentSince is when the server first left a question unanswered, of those
 	// since its last report; zero if it has answered.
 	silentSince time.Time
-	// busyUntil keeps orders away after the server said that it is busy.
+	// busyUntil keeps orders away after the server said that it is busy or wants rest.
 	busyUntil time.Time
 }
 
