--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -214,6 +214,7 @@
 	defer r.mutex.Unlock()
 	r.checkBudget()
 	r.checkQuota()
+	r.checkWords()
 }
 
 // checkBudget checks that servers were not sent more requests again than the budget
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -62,6 +62,46 @@
 	s.daemon.touched = time.Now().Add(-time.Hour)
 }
 
+// leavingWord has a server tell its daemon that it leaves, and get a request that is sent some time later.
+func (s *scene) leavingWord(t *testing.T, later time.Duration) {
+	s.calm(t)
+	s.request("a", fleet.KindSafe, 0, later+time.Second)
+	s.Answered(standin.Answered{ID: "a", Server: "s1", At: time.Now().Add(-later), Words: standin.Words{Leaving: true}})
+	s.request("b", fleet.KindSafe, 0, 0)
+	s.Arrived(standin.Arrival{ID: "b", Server: "s1", At: time.Now()})
+}
+
+// duringRest has a server ask its daemon for rest, and get so many requests during it.
+func (s *scene) duringRest(t *testing.T, count int) {
+	s.calm(t)
+	s.request("a", fleet.KindSafe, 0, 4*time.Second)
+	s.Answered(standin.Answered{ID: "a", Server: "s1", At: time.Now().Add(-3 * time.Second), Words: standin.Words{Rest: 2 * time.Second}})
+	s.arrive("r", count, 2*time.Second)
+	// After the rest.
+	s.arrive("later", 5, 0)
+	s.checkAtEnd()
+}
+
+// underLimit has a server name a limit of two a second, and get so many requests within a window.
+func (s *scene) underLimit(t *testing.T, count int) {
+	s.calm(t)
+	s.request("a", fleet.KindSafe, 0, 10*time.Second)
+	s.Answered(standin.Answered{ID: "a", Server: "s1", At: time.Now().Add(-10 * time.Second), Words: standin.Words{Limited: true, PerSecond: 2}})
+	// Soon after it was named.
+	s.arrive("soon", 30, 9*time.Second)
+	s.arrive("under", count, time.Second)
+	s.checkAtEnd()
+}
+
+// arrive has some requests arrive at a server some time ago.
+func (s *scene) arrive(name string, count int, ago time.Duration) {
+	for number := range count {
+		id := fmt.Sprint(name, number)
+		s.request(id, fleet.KindSafe, 0, ago)
+		s.Arrived(standin.Arrival{ID: id, Server: "s1", At: time.Now().Add(-ago)})
+	}
+}
+
 // waitThroughStop returns a request that was sent a second before its daemon was told to stop.
 func (s *scene) waitThroughStop(kind fleet.RouteKind) *sentRequest {
 	s.daemon.stops[1] = time.Now().Add(-time.Second)
@@ -76,6 +116,18 @@
 		promise string
 		observe func(s *scene)
 	}{
+		{"a request after its daemon was told that the server leaves", promiseLeavingWord, func(s *scene) {
+			s.leavingWord(t, drainTime+100*time.Millisecond)
+		}},
+		{"a request that was sent soon after", "", func(s *scene) { s.leavingWord(t, drainTime-100*time.Millisecond) }},
+		{"a request after its daemon was told so and frozen", "", func(s *scene) {
+			s.daemon.touches = []time.Time{time.Now().Add(-time.Second)}
+			s.leavingWord(t, drainTime+100*time.Millisecond)
+		}},
+		{"three requests during a rest", promiseRest, func(s *scene) { s.duringRest(t, 3) }},
+		{"two requests during a rest", "", func(s *scene) { s.duringRest(t, 2) }},
+		{"too many requests for a limit", promiseLimit, func(s *scene) { s.underLimit(t, 18) }},
+		{"as many requests as a limit allows", "", func(s *scene) { s.underLimit(t, 17) }},
 		{"all is well", "", func(s *scene) {
 			sent := s.request("a", fleet.KindUnsafe, 0, 0)
 			s.run("a", "s1")
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -66,6 +66,7 @@
 	d.group.Go(func() { d.letReadsLag(ctx) })
 	d.group.Go(func() { d.keepCopies(ctx) })
 	d.group.Go(func() { d.writeOthers(ctx) })
+	d.group.Go(func() { d.runWords(ctx, rand.New(rand.NewPCG(d.options.Seed, wordsStream))) })
 	if !pause(ctx, firstFault) {
 		return
 	}
@@ -133,7 +134,9 @@
 	}
 	for _, place := range d.places {
 		place.proxy.set(linkSound)
-		place.current().Behave(standin.BehaviourSound)
+		server := place.current()
+		server.Behave(standin.BehaviourSound)
+		server.Say(standin.Words{Leaving: server.Words().Leaving})
 	}
 	d.record.disturb()
 	d.tell("all faults have ended")
@@ -306,16 +309,20 @@
 	state := harmfulLink(random)
 	d.tell("%s: %s", place.current().ID, state)
 	d.record.disturb()
+	sound := d.record.harmedLinks()
 	place.proxy.set(state)
 	return func() {
 		place.proxy.set(linkSound)
+		sound()
 		d.record.disturb()
 	}
 }
 
 func resetServer(d *deployment, random *rand.Rand) func() {
 	d.record.disturb()
+	sound := d.record.harmedLinks()
 	d.anyPlace(random).proxy.reset()
+	sound()
 	return nil
 }
 
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -34,6 +35,8 @@
 	wanted  bool
 	frozen  bool
 	touched time.Time
+	// touches are all moments at which it was touched.
+	touches []time.Time
 	// stopAt is when the last planned stop began; zero if there was none.
 	stopAt time.Time
 	// stops is when each life was told to stop first.
@@ -116,7 +119,7 @@
 	}
 	d.process, d.frozen = command.Process, false
 	d.life++
-	d.touched = time.Now()
+	d.noteTouch()
 	ended := make(chan struct{})
 	d.ended = ended
 	go func() {
@@ -125,7 +128,7 @@
 		d.mutex.Lock()
 		defer d.mutex.Unlock()
 		d.process = nil
-		d.touched = time.Now()
+		d.noteTouch()
 		if d.wanted {
 			_ = d.launch()
 		}
@@ -155,7 +158,7 @@
 		}
 	}
 	if sent != syscall.SIGHUP {
-		d.touched = time.Now()
+		d.noteTouch()
 	}
 	_ = d.process.Signal(sent)
 }
@@ -164,7 +167,20 @@
 func (d *daemon) touch() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.noteTouch()
+}
+
+// noteTouch notes a fault that concerns the daemon. The mutex is held.
+func (d *daemon) noteTouch() {
 	d.touched = time.Now()
+	d.touches = append(d.touches, d.touched)
+}
+
+// touchedBetween reports whether a fault has concerned the daemon in a span.
+func (d *daemon) touchedBetween(from, until time.Time) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return slices.ContainsFunc(d.touches, func(at time.Time) bool { return !at.Before(from) && !at.After(until) })
 }
 
 // calmSince reports whether no fault has concerned the daemon since a moment.
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -31,6 +31,9 @@
 	promiseKnownKey    = "known key"
 	promiseQuota       = "quota"
 	promiseQuarantine  = "quarantine"
+	promiseLimit       = "limit of a server"
+	promiseLeavingWord = "leaving server"
+	promiseRest        = "rest of a server"
 )
 
 // Violation is a promise that was broken.
@@ -96,6 +99,7 @@
 	// deadlyRuns are the runs of the deadly request, and deadlyLate counts those that came too late.
 	deadlyRuns  []time.Time
 	deadlyLate  int
+	words       wordsRecord
 	violations  []Violation
 	checked     map[string]int
 	onViolation func(Violation)
@@ -116,7 +120,7 @@
 func newRecord(untimed bool, onViolation func(Violation)) *record {
 	return &record{
 		untimed: untimed, requests: map[string]*sentRequest{}, leaving: map[string]time.Time{}, firm: map[string]map[string]int{},
-		acknowledged: map[uint64]time.Time{}, takenKeys: map[string]time.Time{}, marks: map[lifeKey]shownMark{}, checked: map[string]int{}, onViolation: onViolation,
+		acknowledged: map[uint64]time.Time{}, takenKeys: map[string]time.Time{}, marks: map[lifeKey]shownMark{}, checked: map[string]int{}, words: newWordsRecord(), onViolation: onViolation,
 	}
 }
 
@@ -178,12 +182,6 @@
 	r.checkOrder(order)
 }
 
-// Arrived implements standin.Observer.
-func (r *record) Arrived(standin.Arrival) {}
-
-// Answered implements standin.Observer.
-func (r *record) Answered(standin.Answered) {}
-
 // left notes that the store took that a server is leaving.
 func (r *record) left(server string) {
 	r.mutex.Lock()
@@ -224,6 +222,7 @@
 	defer r.mutex.Unlock()
 	delete(r.leaving, server)
 	delete(r.firm, server)
+	r.words.forget(server)
 }
 
 // result counts what was seen.
