--- a/coordination/departures_test.go
+++ b/coordination/departures_test.go
@@ -29,3 +29,28 @@
 	w.run(2 * time.Minute)
 	check("two minutes later")
 }
+
+// TestHolderLeavesAnInstanceAlone has an instance ask the holder of the lease for rest: it is asked for no report, and
+// gets no order, until the rest has ended.
+func TestHolderLeavesAnInstanceAlone(t *testing.T) {
+	w := eraWorld(1, "i1", "i2")
+	w.run(3 * time.Second)
+	w.perform("n0", w.nodes["n0"].InstanceRests("i1", w.now.Add(4*time.Second)))
+	before, sent := w.reportsAsked["i1"], len(w.orders)
+	w.run(4*time.Second - 100*time.Millisecond)
+	if asked := w.reportsAsked["i1"] - before; asked > 0 {
+		t.Errorf("asked for %d reports", asked)
+	}
+	for _, order := range w.orders[sent:] {
+		if order.order.Instance == "i1" {
+			t.Errorf("sent %+v", order)
+		}
+	}
+	if w.reportsAsked["i2"] == 0 {
+		t.Error("no other instance is asked either")
+	}
+	w.run(2 * time.Second)
+	if w.reportsAsked["i1"] == before {
+		t.Error("not asked again after its rest")
+	}
+}
--- a/coordination/world_test.go
+++ b/coordination/world_test.go
@@ -51,6 +51,8 @@
 	heardLoad map[[2]string]int
 	// assured is the configuration in the store, for nodes that keep theirs sure.
 	assured *assuredStore
+	// reportsAsked counts the questions to each model server.
+	reportsAsked map[string]int
 	// questions counts the questions of nodes how sure a node is.
 	questions map[string]int
 	// learnCrashes is told what nodes hear of crashes; nil means nobody.
@@ -77,7 +79,7 @@
 }
 
 func newWorld(count int) *world {
-	w := &world{now: time.Unix(1000, 0), nodes: map[string]*coordination.Node{}, zones: map[string]string{}, storeCut: map[string]bool{}, dead: map[string]bool{}, refresh: map[string]int{}, messages: map[string]int{}, bytes: map[string]int{}, byKind: map[string]int{}, spent: map[string]time.Duration{}, heardLoad: map[[2]string]int{}, questions: map[string]int{}, crashMessages: map[string]int{}}
+	w := &world{now: time.Unix(1000, 0), nodes: map[string]*coordination.Node{}, zones: map[string]string{}, storeCut: map[string]bool{}, dead: map[string]bool{}, refresh: map[string]int{}, messages: map[string]int{}, bytes: map[string]int{}, byKind: map[string]int{}, spent: map[string]time.Duration{}, heardLoad: map[[2]string]int{}, questions: map[string]int{}, reportsAsked: map[string]int{}, crashMessages: map[string]int{}}
 	for i := range count {
 		w.nodes[fmt.Sprint("n", i)] = nil
 	}
@@ -175,6 +177,7 @@
 			outcome, stored := w.callLease(name, action.Call)
 			w.perform(name, node.LeaseAnswered(w.now, outcome, stored))
 		case coordination.AskReport:
+			w.reportsAsked[action.Instance]++
 			report := fleet.Report{Residents: []fleet.Resident{{Model: "m"}}, Sequence: 4}
 			w.perform(name, node.ReportAnswered(w.now, w.now, action.Instance, report, true))
 		case coordination.SendOrder:
