Copies of a suspected request go one after the other, over all daemons

Now: from the first crash until its content is cleared or held, each run of it needs a turn, one a second in the whole fleet, from an owner among the daemons (as for limits); asked only while a content is suspected. A copy waits for its turn or for the verdict, and is refused at once as not run if its turn is too far. A copy that ends well clears it.

--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -53,6 +53,8 @@
 	// TenantLimit is about the limits of tenants, InstanceLimit about those that instances name.
 	TenantLimit   *limiter.Message `msgpack:"t,omitempty"`
 	InstanceLimit *limiter.Message `msgpack:"v,omitempty"`
+	// SuspectTurn is about who runs a content next under which a server has crashed.
+	SuspectTurn *limiter.Message `msgpack:"e,omitempty"`
 }
 
 // GroupLoad is the load of a group by instance, or with Changes what has changed of it.
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -39,6 +39,7 @@
 func (d *Daemon) tick(now time.Time) {
 	d.quotas.Tick(now)
 	d.notices.limits.Tick(now)
+	d.quarantine.turns.Tick(now)
 	if now.Sub(d.control.fleetAt) >= fleetRefresh {
 		d.publishFleet(now)
 	}
@@ -126,6 +127,7 @@
 	known := d.control.discovery.Fleet(now, d.current().Name, members, d.otherSeeds())
 	d.quotas.SetFleet(now, known)
 	d.notices.limits.SetFleet(now, known)
+	d.quarantine.turns.SetFleet(now, known)
 }
 
 // otherSeeds is the number of other daemons to join through.
@@ -213,6 +215,9 @@
 	case message.InstanceLimit != nil:
 		d.notices.limits.Receive(message.From, message.InstanceLimit)
 		return
+	case message.SuspectTurn != nil:
+		d.quarantine.turns.Receive(message.From, message.SuspectTurn)
+		return
 	case message.Load != nil:
 		d.dispatch.takeLoad(message.From, message.Load)
 	}
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -59,7 +59,7 @@
 		return coordination.Message{InstanceLimit: message}
 	})
 	ports.Subjects = func() limiter.Subjects { return n.limited.Load() }
-	ports.Strict = true
+	ports.Strict, ports.Debt = true, 1
 	n.limits = limiter.New(ports)
 	return n
 }
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -12,7 +12,10 @@
 	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/feed"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/limiter"
 	"github.com/wheatweir/wheatweir/quarantine"
+	"github.com/wheatweir/wheatweir/quota"
 	"github.com/wheatweir/wheatweir/ring"
 )
 
@@ -46,6 +49,8 @@
 	// suspects says that the book is not empty.
 	suspects atomic.Bool
 	kept     *ring.Ring[keptChange]
+	// turns has copies of a suspected content run one after the other, over all daemons.
+	turns *limiter.Limiter
 
 	mutex sync.Mutex
 	book  *quarantine.Book
@@ -71,9 +76,52 @@
 	k.watch.refuses = d.upstream.Refuses
 	k.watch.crashed = k.crashed
 	k.watch.log = func(text string, fields ...any) { d.log.add("quarantine", text, fields...) }
+	ports := d.limiterPorts("quarantine", func(message *limiter.Message) coordination.Message {
+		return coordination.Message{SuspectTurn: message}
+	})
+	ports.Subjects = func() limiter.Subjects { return suspectedContents{k} }
+	ports.Strict = true
+	k.turns = limiter.New(ports)
 	return k
 }
 
+// suspectRate is how many copies of a suspected content may begin to run in a second: a server ends within some
+// ten milliseconds of the run that ends it, and all daemons hear of that within half a second.
+const suspectRate = 1
+
+// suspectedContents are the contents whose copies run one after the other, by their digests. Nobody claims them in
+// advance: there are thousands while servers crash.
+type suspectedContents struct{ keeper *quarantineKeeper }
+
+// Rate implements limiter.Subjects.
+func (s suspectedContents) Rate(name string) (limit quota.Limit, known bool) {
+	content, err := quarantine.ParseDigest(name)
+	if err != nil {
+		return quota.Limit{}, false
+	}
+	s.keeper.mutex.Lock()
+	defer s.keeper.mutex.Unlock()
+	return quota.Limit{PerSecond: suspectRate}, s.keeper.book.Suspects(content)
+}
+
+// Limited implements limiter.Subjects.
+func (suspectedContents) Limited() []string { return nil }
+
+// SuspectTurn implements gateway.Quarantine.
+func (k *quarantineKeeper) SuspectTurn(ctx context.Context, content quarantine.Digest) gateway.Turn {
+	k.mutex.Lock()
+	suspected := k.book.Suspects(content)
+	k.mutex.Unlock()
+	if !suspected {
+		return gateway.Turn{Granted: true}
+	}
+	outcome := k.turns.Take(ctx, limiter.Request{Subject: content.String(), Limit: quota.Limit{PerSecond: suspectRate}, Cost: 1})
+	if outcome.Unsure {
+		outcome.Wait = unsureSpent
+	}
+	return gateway.Turn{Granted: outcome.Granted, Limited: true, Wait: outcome.Wait}
+}
+
 // Suspects implements gateway.Quarantine.
 func (k *quarantineKeeper) Suspects() bool { return k.suspects.Load() }
 
@@ -225,6 +273,7 @@
 		return
 	}
 	k.gossipedAt = now
+	k.turns.SubjectsChanged(now)
 	update := k.newest(now)
 	address := k.daemon.fleet.peerAddresses.Load().any(k.daemon.current().Name)
 	if update.Empty() || address == "" {
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -43,6 +43,9 @@
 	ReasonLeaving Reason = "leaving"
 	// ReasonQuarantined says that servers crashed under requests of this content.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonSuspected says that a server has crashed under a request of this content, and that copies of it
+	// go one after the other until that is decided.
+	ReasonSuspected   Reason = "suspected"
 	ReasonDeclined    Reason = "declined"
 	ReasonUnreached   Reason = "unreached"
 	ReasonBroken      Reason = "broken"
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -45,6 +45,8 @@
 	// one where there is none, or a rest ends.
 	turn     turn
 	comeBack time.Duration
+	// turnUntil is until when the request may run although its content is suspected.
+	turnUntil time.Time
 	// content is the digest of the request's content, or nil while nothing asked for it.
 	content  *quarantine.Digest
 	deadline time.Time
@@ -104,6 +106,13 @@
 			e.giveUp(ctx, reason)
 			return
 		}
+		switch e.awaitVerdict(ctx) {
+		case verdictOverdue:
+			e.giveUp(ctx, ReasonSuspected)
+			return
+		case verdictWaited:
+			continue
+		}
 		last = e.attempt(ctx, candidate)
 		if last == verdictEnded {
 			return
@@ -205,7 +214,7 @@
 	switch {
 	case reason == ReasonQuarantined:
 		retryAfter = e.heldFor()
-	case reason == ReasonAtLimit, reason == ReasonResting:
+	case reason == ReasonAtLimit, reason == ReasonResting, reason == ReasonSuspected:
 		retryAfter = max(e.comeBack, e.gateway.settings.RetryAfter)
 	case reason == ReasonQuota:
 		retryAfter = e.gateway.shortages.refused(time.Now(), tenantShortage+e.tenant.Name, e.quotaWait)
@@ -254,6 +263,7 @@
 	}
 	e.observe(Event{Step: StepSent, Instance: id, Load: candidate.Load, Candidates: candidate.Of, ChosenBy: candidate.By, Left: outbound.Left})
 	e.phase = PhaseAttempt
+	e.turnUntil = time.Time{}
 	e.gateway.tracker.Begin(id, e.request.PromptTokens)
 	e.reading, e.sentAt, e.startedAt = true, e.gateway.Now(), time.Time{}
 	response, err := e.gateway.upstream.Send(ctx, outbound)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -7,9 +7,10 @@
 	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/quarantine"
+	"github.com/wheatweir/wheatweir/quota"
 )
 
-// Quarantine finds contents that crash the instances that run them. Only Settled blocks.
+// Quarantine finds contents that crash the instances that run them. Only SuspectTurn and Settled block.
 type Quarantine interface {
 	// Suspects reports whether any content is suspected. While none is, which is nearly always,
 	// requests need no digest.
@@ -17,6 +18,10 @@
 	Digest(content *quarantine.Content) quarantine.Digest
 	// HeldUntil returns until when a content is kept from instances; the zero time if it is not.
 	HeldUntil(content quarantine.Digest) time.Time
+	// SuspectTurn takes the right to run a content now under which a server has crashed: of all its copies in the
+	// fleet, the next one runs only when there was time for a verdict on the one before. A content that
+	// is not suspected has it always.
+	SuspectTurn(ctx context.Context, content quarantine.Digest) Turn
 	// Broke notes that an instance ended the connection of a request that it ran. Whether it
 	// crashed is still to be found out.
 	Broke(instance *fleet.Instance, victim quarantine.Victim)
@@ -52,6 +57,46 @@
 	return e.suspected() && !e.gateway.settings.Quarantine.HeldUntil(e.digest()).IsZero()
 }
 
+// verdictPause is the pause between two looks of a request that waits for the verdict on its content: another copy
+// may have ended well, or a further server may have crashed.
+const verdictPause = 50 * time.Millisecond
+
+// verdictWait is what a wait for the verdict on a content comes to.
+type verdictWait uint8
+
+const (
+	// verdictOpen means that the request may be sent now.
+	verdictOpen verdictWait = iota
+	// verdictWaited means that it may be sent, and that time has passed since its instance was chosen.
+	verdictWaited
+	// verdictOverdue means that it may not be sent in the time that it can wait.
+	verdictOverdue
+)
+
+// awaitVerdict waits until the request may run although a server has crashed under its content.
+func (e *exchange) awaitVerdict(ctx context.Context) verdictWait {
+	outcome := verdictOpen
+	for e.suspected() && !e.gateway.Now().Before(e.turnUntil) {
+		if e.held() {
+			return verdictWaited
+		}
+		turn := e.gateway.settings.Quarantine.SuspectTurn(ctx, e.digest())
+		if turn.Granted {
+			e.turnUntil = e.gateway.Now().Add(quota.AllowanceSpan)
+			break
+		}
+		e.comeBack = turn.Wait
+		if ctx.Err() != nil || turn.Wait > e.until(e.waitUntil) {
+			return verdictOverdue
+		}
+		e.phase = PhaseWaiting
+		e.observeOnce(StepWaiting, ReasonSuspected)
+		sleep(ctx, verdictPause)
+		outcome = verdictWaited
+	}
+	return outcome
+}
+
 // heldFor is how long the content is still held.
 func (e *exchange) heldFor() time.Duration {
 	return max(0, e.until(e.gateway.settings.Quarantine.HeldUntil(e.digest())))
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -24,6 +24,9 @@
 	settled   int
 	served    int
 	digests   int
+	// turnAt is when the content has a turn; it has one always by default.
+	turnAt time.Time
+	turns  int
 }
 
 const heldFor = 10 * time.Minute
@@ -42,6 +45,14 @@
 	return q.heldFrom.Add(heldFor)
 }
 
+func (q *fakeQuarantine) SuspectTurn(context.Context, quarantine.Digest) gateway.Turn {
+	wait := max(0, time.Until(q.turnAt))
+	if wait == 0 {
+		q.turns++
+	}
+	return gateway.Turn{Granted: wait == 0, Limited: true, Wait: wait}
+}
+
 func (q *fakeQuarantine) Broke(_ *fleet.Instance, victim quarantine.Victim) {
 	q.suspects = true
 	q.broke = append(q.broke, victim)
@@ -150,3 +161,58 @@
 		}
 	})
 }
+
+// TestCopyOfASuspectWaitsForItsTurn has a request wait while another copy of its content may still end a server: it
+// is sent once there is a turn, or once the content is cleared, and refused at once as not run if that takes too long.
+func TestCopyOfASuspectWaitsForItsTurn(t *testing.T) {
+	cases := []struct {
+		name    string
+		turnIn  time.Duration
+		heldIn  time.Duration
+		clearIn time.Duration
+		status  int
+		reason  gateway.Reason
+		took    time.Duration
+	}{
+		{"a turn at once", 0, 0, 0, 200, "", 0},
+		{"a turn soon", time.Second, 0, 0, 200, "", time.Second},
+		{"cleared by another copy", 2 * time.Second, 0, 400 * time.Millisecond, 200, "", 400 * time.Millisecond},
+		{"held by then", 2 * time.Second, 600 * time.Millisecond, 0, 503, gateway.ReasonQuarantined, 600 * time.Millisecond},
+		{"no turn in time", time.Minute, 0, 0, 503, gateway.ReasonSuspected, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				suspect := &fakeQuarantine{suspects: true, turnAt: began.Add(c.turnIn)}
+				if c.heldIn > 0 {
+					suspect.heldFrom = began.Add(c.heldIn)
+				}
+				if c.clearIn > 0 {
+					time.AfterFunc(c.clearIn, func() { suspect.suspects = false })
+				}
+				upstream := &script{}
+				reply := serveQuarantined(upstream, suspect, request("unsafe"), view())
+				late := reply.at.Sub(began) - c.took
+				if reply.status != c.status || reply.reason != c.reason || late < 0 || late > 100*time.Millisecond {
+					t.Errorf("status %d as %q after %v", reply.status, reply.reason, reply.at.Sub(began))
+				}
+				if c.status == 503 && (len(upstream.sent) > 0 || reply.retryAfter == 0) {
+					t.Errorf("sent %d times, come back in %v", len(upstream.sent), reply.retryAfter)
+				}
+			})
+		})
+	}
+}
+
+// TestEachAttemptOfASuspectNeedsATurn repeats a safe request whose first attempt broke.
+func TestEachAttemptOfASuspectNeedsATurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		suspect := &fakeQuarantine{suspects: true}
+		upstream := &script{answers: []answer{{err: gateway.ErrUnknown.New("reset")}, {status: 200, body: "ok"}}}
+		reply := serveQuarantined(upstream, suspect, request("safe"), view())
+		if reply.status != 200 || suspect.turns != 2 {
+			t.Errorf("status %d after %d turns", reply.status, suspect.turns)
+		}
+	})
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -23,9 +23,6 @@
 	restSpan = 250 * time.Millisecond
 	// claimsNamed bounds the subjects that a line of the log names.
 	claimsNamed = 16
-	// strictDebt is what a daemon that begins to give out a small limit counts as given out before: one
-	// request.
-	strictDebt = 1
 	// deniedSpan bounds how long a denial is repeated here without asking again.
 	deniedSpan = 50 * time.Millisecond
 )
@@ -88,11 +85,13 @@
 	Send    func(address string, message *Message)
 	// Subjects returns those of now.
 	Subjects func() Subjects
-	// Strict is for limits of a few requests a second. A daemon that hears others gives out no part by
-	// itself when none of those that keep a limit answers it: what a large fleet saves up so is more than the
-	// limit. One that begins to give out a limit takes a request as given out already.
+	// Strict keeps a daemon that hears others from giving out a part by itself when none of those that
+	// keep a limit answers it: of limits of a few requests a second, what a large fleet saves up so is more
+	// than the limit.
 	Strict bool
-	Log    func(text string, fields ...any)
+	// Debt is what a daemon that begins to give out a limit takes as given out already.
+	Debt float64
+	Log  func(text string, fields ...any)
 }
 
 // Outcome is whether a subject may use more.
@@ -118,11 +117,7 @@
 
 // New returns a limiter that knows no other daemon yet.
 func New(ports Ports) *Limiter {
-	keeper := quota.NewKeeper()
-	if ports.Strict {
-		keeper = quota.NewKeeperInDebt(strictDebt)
-	}
-	l := &Limiter{ports: ports, keeper: keeper, calls: calls.New[*Answer](), denied: map[string]time.Time{}}
+	l := &Limiter{ports: ports, keeper: quota.NewKeeperInDebt(ports.Debt), calls: calls.New[*Answer](), denied: map[string]time.Time{}}
 	l.fleet.Store(quota.NewFleet(ports.Self, nil, 1, 0))
 	return l
 }
