--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -18,19 +18,28 @@
 	// turns are the answers to questions for a turn, by instance; one that is not named has no limit.
 	turns map[string]gateway.Turn
 	asked []string
-	// barredFrom bars all instances from a moment on; zero for never.
-	barredFrom time.Time
+	// saidAt is when the instances say so; zero for always.
+	saidAt time.Time
 }
 
-func (n *fakeNotices) Bars() []gateway.Bar { return n.bars }
-
-func (n *fakeNotices) Barred(instance string) bool {
+func (n *fakeNotices) Bars() []gateway.Bar {
+	now := time.Now()
+	if now.Before(n.saidAt) {
+		return nil
+	}
+	var bars []gateway.Bar
 	for _, bar := range n.bars {
-		if bar.Instance == instance && bar.Reason != gateway.ReasonAtLimit {
-			return true
+		if bar.Until.After(now) {
+			bars = append(bars, bar)
 		}
 	}
-	return !n.barredFrom.IsZero() && !time.Now().Before(n.barredFrom)
+	return bars
+}
+
+func (n *fakeNotices) Barred(instance string) bool {
+	return slices.ContainsFunc(n.Bars(), func(bar gateway.Bar) bool {
+		return bar.Instance == instance && bar.Reason != gateway.ReasonAtLimit
+	})
 }
 
 func (n *fakeNotices) Admit(_ context.Context, instance string, within time.Duration) gateway.Turn {
@@ -163,7 +172,6 @@
 				for instance, rest := range c.rests {
 					notices.bars = append(notices.bars, gateway.Bar{Instance: instance, Reason: gateway.ReasonResting, Until: began.Add(rest)})
 				}
-				time.AfterFunc(time.Second, func() { notices.end(began.Add(time.Second)) })
 				upstream := &script{}
 				reply := serveUnder(notices, upstream, request("unsafe"))
 				took := reply.at.Sub(began)
@@ -178,22 +186,15 @@
 	}
 }
 
-// end drops the bars that have ended.
-func (n *fakeNotices) end(now time.Time) {
-	n.bars = slices.DeleteFunc(n.bars, func(bar gateway.Bar) bool { return !bar.Until.After(now) })
-}
-
 // TestInstanceThatAsksForRestDuringAConnection has all instances ask for rest while a connection is made to one of
 // them: nothing is sent on it.
 func TestInstanceThatAsksForRestDuringAConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		notices := &fakeNotices{barredFrom: time.Now().Add(100 * time.Millisecond)}
+		notices := &fakeNotices{saidAt: time.Now().Add(100 * time.Millisecond)}
 		upstream := &slowConnections{took: 200 * time.Millisecond, slow: 1}
-		time.AfterFunc(100*time.Millisecond, func() {
-			for _, instance := range []string{"i1", "i2", "i3"} {
-				notices.bars = append(notices.bars, gateway.Bar{Instance: instance, Reason: gateway.ReasonResting, Until: time.Now().Add(time.Minute)})
-			}
-		})
+		for _, instance := range []string{"i1", "i2", "i3"} {
+			notices.bars = append(notices.bars, gateway.Bar{Instance: instance, Reason: gateway.ReasonResting, Until: time.Now().Add(time.Minute)})
+		}
 		reply := serveUnder(notices, upstream, request("unsafe"))
 		if reply.status != 503 || reply.reason != gateway.ReasonResting || len(upstream.sent) > 0 {
 			t.Errorf("status %d as %q after %d sends", reply.status, reply.reason, len(upstream.sent))
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -26,12 +26,16 @@
 	digests   int
 	// turnAt is when the content has a turn; it has one always by default.
 	turnAt time.Time
-	turns  int
+	// clearedAt is when nothing is suspected any more; zero for never.
+	clearedAt time.Time
+	turns     int
 }
 
 const heldFor = 10 * time.Minute
 
-func (q *fakeQuarantine) Suspects() bool { return q.suspects }
+func (q *fakeQuarantine) Suspects() bool {
+	return q.suspects && (q.clearedAt.IsZero() || time.Now().Before(q.clearedAt))
+}
 
 func (q *fakeQuarantine) Digest(content *quarantine.Content) quarantine.Digest {
 	q.digests++
@@ -189,7 +193,7 @@
 					suspect.heldFrom = began.Add(c.heldIn)
 				}
 				if c.clearIn > 0 {
-					time.AfterFunc(c.clearIn, func() { suspect.suspects = false })
+					suspect.clearedAt = began.Add(c.clearIn)
 				}
 				upstream := &script{}
 				reply := serveQuarantined(upstream, suspect, request("unsafe"), view())
