--- a/entry/duties.go
+++ b/entry/duties.go
@@ -51,8 +51,7 @@
 		d.tracker.Forget(time.Now(), func(id string) bool { return view.Instance(id) != nil })
 		d.notices.tick(now, view)
 	}
-	d.quarantine.gossip(now)
-	d.notices.gossip(now)
+	d.gossip(now)
 	d.publishAddresses()
 	d.fleet.rank.Store(int64(d.node.Rank()))
 	d.following.watching.Store(d.node.Watching(now))
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -13,16 +13,9 @@
 	"github.com/wheatweir/wheatweir/gateway"
 	"github.com/wheatweir/wheatweir/limiter"
 	"github.com/wheatweir/wheatweir/notice"
-	"github.com/wheatweir/wheatweir/quota"
 )
 
 const (
-	// noticeGossipPause is the time between two messages to one daemon drawn by chance with all that
-	// instances have said: they bring daemons up to date that have just started or missed a message.
-	noticeGossipPause = 500 * time.Millisecond
-	// leastLimit is the least rate, in requests a second, at which an instance gets requests whatever limit it
-	// names: their answers tell whether the limit still holds.
-	leastLimit = 0.2
 	// shortestSpent and longestSpent bound how long an instance without a turn is not asked for again, for
 	// requests that have another one.
 	shortestSpent = 20 * time.Millisecond
@@ -48,8 +41,6 @@
 	book  *notice.Book
 	// spent is until when limited instances have no turn, as far as this daemon has heard.
 	spent map[string]time.Time
-	// gossipedAt belongs to the control duty.
-	gossipedAt time.Time
 }
 
 func newNotices(d *Daemon) *notices {
@@ -64,37 +55,6 @@
 	return n
 }
 
-// instanceLimits are the limits that instances name, by their IDs. It is immutable.
-type instanceLimits struct{ byInstance map[string]quota.Limit }
-
-// Rate implements limiter.Subjects.
-func (l *instanceLimits) Rate(instance string) (limit quota.Limit, known bool) {
-	limit, known = l.byInstance[instance]
-	return limit, known
-}
-
-// Limited implements limiter.Subjects.
-func (l *instanceLimits) Limited() []string {
-	names := make([]string, 0, len(l.byInstance))
-	for instance := range l.byInstance {
-		names = append(names, instance)
-	}
-	return names
-}
-
-// with returns the limits with that of one instance replaced, or without it.
-func (l *instanceLimits) with(instance string, perSecond float64, limited bool) *instanceLimits {
-	next := &instanceLimits{byInstance: make(map[string]quota.Limit, len(l.byInstance)+1)}
-	for known, limit := range l.byInstance {
-		next.byInstance[known] = limit
-	}
-	delete(next.byInstance, instance)
-	if limited {
-		next.byInstance[instance] = quota.Limit{PerSecond: max(perSecond, leastLimit)}
-	}
-	return next
-}
-
 // Bars implements gateway.Notices.
 func (n *notices) Bars() []gateway.Bar {
 	if !n.any.Load() {
@@ -236,21 +196,14 @@
 
 func (n *notices) log(text string, fields ...any) { n.daemon.log.add("instances", text, fields...) }
 
-// gossip tells one daemon, drawn by chance, what it may lack.
-func (n *notices) gossip(now time.Time) {
-	if now.Sub(n.gossipedAt) < noticeGossipPause {
-		return
+// newest returns what another daemon may lack.
+func (n *notices) newest(now time.Time) notice.Update {
+	if !n.any.Load() {
+		return notice.Update{}
 	}
-	n.gossipedAt = now
 	n.mutex.Lock()
-	update := n.book.Newest(now)
-	n.mutex.Unlock()
-	self := n.daemon.current().Name
-	address := n.daemon.fleet.peerAddresses.Load().any(self)
-	if update.Empty() || address == "" {
-		return
-	}
-	n.daemon.peers.Send(address, coordination.Message{From: self, Bulletin: &coordination.Bulletin{Notices: update}})
+	defer n.mutex.Unlock()
+	return n.book.Newest(now)
 }
 
 // tick forgets what no longer counts and sets the gauges.
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -25,12 +25,8 @@
 	// settleMost bounds how long a request waits for the first look at a server before it is sent to
 	// another one. A look takes as long as a connection does, 1 to 3 ms, unless nobody answers.
 	settleMost = 50 * time.Millisecond
-	// crashGossipPause is the time between two messages to one daemon drawn by chance with all that is
-	// held and what was learned within crashGossipSpan: they bring daemons up to date that have just
-	// started or missed a message. Each hears two a second on average, and none while nothing is
-	// suspected.
-	crashGossipPause = 500 * time.Millisecond
-	crashGossipSpan  = 5 * time.Second
+	// crashGossipSpan is for how long others are told of a crash again.
+	crashGossipSpan = 5 * time.Second
 	// keptRing bounds the changes that wait to be kept in the store, after a restore all contents that
 	// are held.
 	keptRing = 1024
@@ -57,8 +53,6 @@
 	// news is what the others have to be told, as it was at newsAt.
 	news   quarantine.Update
 	newsAt time.Time
-	// gossipedAt belongs to the control duty.
-	gossipedAt time.Time
 }
 
 // keptChange is a verdict that the store has to keep, or to drop.
@@ -267,24 +261,12 @@
 	})
 }
 
-// gossip tells one daemon, drawn by chance, what it may lack.
-func (k *quarantineKeeper) gossip(now time.Time) {
-	if !k.Suspects() || now.Sub(k.gossipedAt) < crashGossipPause {
-		return
+// newest returns what another daemon may lack, after forgetting what no longer counts.
+func (k *quarantineKeeper) newest(now time.Time) quarantine.Update {
+	if !k.Suspects() {
+		return quarantine.Update{}
 	}
-	k.gossipedAt = now
 	k.turns.SubjectsChanged(now)
-	update := k.newest(now)
-	address := k.daemon.fleet.peerAddresses.Load().any(k.daemon.current().Name)
-	if update.Empty() || address == "" {
-		return
-	}
-	k.daemon.peers.Send(address, coordination.Message{
-		From: k.daemon.current().Name, Bulletin: &coordination.Bulletin{Crashes: update},
-	})
-}
-
-func (k *quarantineKeeper) newest(now time.Time) quarantine.Update {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.book.Forget(now)
--- a/entry/state.go
+++ b/entry/state.go
@@ -38,6 +38,8 @@
 	fleetAt time.Time
 	// discovery is how this daemon has come to know the others.
 	discovery *quota.Discovery
+	// gossipedAt is when another daemon was last told what it may lack.
+	gossipedAt time.Time
 	// forgotAt is when the tracker last forgot instances that are gone.
 	forgotAt time.Time
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -41,12 +41,12 @@
 	use       Use
 	allowedAt time.Time
 	quotaWait time.Duration
-	// turn is the turn at the instance that was chosen, and comeBack when there may be
-	// one where there is none, or a rest ends.
-	turn     turn
+	// instanceTurnEnds is when the turn at the chosen instance lapses; zero if it names no limit.
+	instanceTurnEnds time.Time
+	// contentTurnEnds is when the turn of the request's content lapses, if that is suspected.
+	contentTurnEnds time.Time
+	// comeBack is when there may be a turn where there is none, or when a rest ends.
 	comeBack time.Duration
-	// turnUntil is until when the request may run although its content is suspected.
-	turnUntil time.Time
 	// content is the digest of the request's content, or nil while nothing asked for it.
 	content  *quarantine.Digest
 	deadline time.Time
@@ -263,7 +263,7 @@
 	}
 	e.observe(Event{Step: StepSent, Instance: id, Load: candidate.Load, Candidates: candidate.Of, ChosenBy: candidate.By, Left: outbound.Left})
 	e.phase = PhaseAttempt
-	e.turnUntil = time.Time{}
+	e.contentTurnEnds = time.Time{}
 	e.gateway.tracker.Begin(id, e.request.PromptTokens)
 	e.reading, e.sentAt, e.startedAt = true, e.gateway.Now(), time.Time{}
 	response, err := e.gateway.upstream.Send(ctx, outbound)
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -31,22 +31,15 @@
 	Until time.Time
 }
 
-// Turn is the right to send one request to an instance, or that there is none now.
+// Turn is the right to send one request where requests go one after the other, or that there is none now.
 type Turn struct {
 	Granted bool
-	// Limited says that the instance names a limit.
+	// Limited says that they do: the turn lapses.
 	Limited bool
 	// Wait is until the request may be sent, or if not granted, until there may be a turn.
 	Wait time.Duration
 }
 
-// turn is a turn that the request has got.
-type turn struct {
-	instance string
-	// until is when it lapses; zero for an instance without a limit.
-	until time.Time
-}
-
 // bars returns the instances that must not get this request now. Those that are at their limit are listed apart:
 // there may be a turn soon.
 func (e *exchange) bars() (barred, atLimit []string) {
@@ -79,9 +72,9 @@
 		e.phase = PhaseWaiting
 		sleep(ctx, got.Wait)
 	}
-	e.turn = turn{instance: instance.ID}
+	e.instanceTurnEnds = time.Time{}
 	if got.Limited {
-		e.turn.until = e.gateway.Now().Add(quota.AllowanceSpan)
+		e.instanceTurnEnds = e.gateway.Now().Add(quota.AllowanceSpan)
 	}
 	return ctx.Err() == nil
 }
@@ -93,7 +86,7 @@
 	if notices == nil {
 		return true
 	}
-	lapsed := !e.turn.until.IsZero() && !e.gateway.Now().Before(e.turn.until)
+	lapsed := !e.instanceTurnEnds.IsZero() && !e.gateway.Now().Before(e.instanceTurnEnds)
 	return !lapsed && !notices.Barred(instance)
 }
 
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -76,13 +76,13 @@
 // awaitVerdict waits until the request may run although a server has crashed under its content.
 func (e *exchange) awaitVerdict(ctx context.Context) verdictWait {
 	outcome := verdictOpen
-	for e.suspected() && !e.gateway.Now().Before(e.turnUntil) {
+	for e.suspected() && !e.gateway.Now().Before(e.contentTurnEnds) {
 		if e.held() {
 			return verdictWaited
 		}
 		turn := e.gateway.settings.Quarantine.SuspectTurn(ctx, e.digest())
 		if turn.Granted {
-			e.turnUntil = e.gateway.Now().Add(quota.AllowanceSpan)
+			e.contentTurnEnds = e.gateway.Now().Add(quota.AllowanceSpan)
 			break
 		}
 		e.comeBack = turn.Wait
