--- a/entry/notices.go
+++ b/entry/notices.go
@@ -13,6 +13,7 @@
 	"github.com/wheatweir/wheatweir/gateway"
 	"github.com/wheatweir/wheatweir/limiter"
 	"github.com/wheatweir/wheatweir/notice"
+	"github.com/wheatweir/wheatweir/quota"
 )
 
 const (
@@ -96,15 +97,25 @@
 	if !limited {
 		return gateway.Turn{Granted: true}
 	}
-	outcome := n.limits.Take(ctx, limiter.Request{Subject: instance, Limit: limit, Cost: 1, Within: within})
+	turn := turnOf(n.limits.Take(ctx, limiter.Request{Subject: instance, Limit: limit, Cost: 1, Within: within}), limit)
+	if !turn.Granted {
+		n.spend(instance, turn.Wait)
+	}
+	return turn
+}
+
+// turnOf is the turn that a limiter gave. Without one, the wait is no longer than until the next turn of the whole
+// limit: a fleet that forms, or has lost some of its daemons, gives out less, but not for long.
+func turnOf(outcome limiter.Outcome, limit quota.Limit) gateway.Turn {
+	turn := gateway.Turn{Granted: outcome.Granted, Limited: true, Wait: outcome.Wait}
 	switch {
-	case outcome.Granted:
-		return gateway.Turn{Granted: true, Limited: true, Wait: outcome.Wait}
 	case outcome.Unsure:
-		outcome.Wait = unsureSpent
+		turn.Wait = unsureSpent
+	case !outcome.Granted:
+		longest := time.Duration(float64(time.Second)/limit.PerSecond) + quota.TurnSpan
+		turn.Wait = min(outcome.Wait, longest)
 	}
-	n.spend(instance, outcome.Wait)
-	return gateway.Turn{Limited: true, Wait: outcome.Wait}
+	return turn
 }
 
 // spend notes that an instance has no turn for a while. The more daemons there are, the fewer of them should ask
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -109,11 +109,8 @@
 	if !suspected {
 		return gateway.Turn{Granted: true}
 	}
-	outcome := k.turns.Take(ctx, limiter.Request{Subject: content.String(), Limit: quota.Limit{PerSecond: suspectRate}, Cost: 1})
-	if outcome.Unsure {
-		outcome.Wait = unsureSpent
-	}
-	return gateway.Turn{Granted: outcome.Granted, Limited: true, Wait: outcome.Wait}
+	limit := quota.Limit{PerSecond: suspectRate}
+	return turnOf(k.turns.Take(ctx, limiter.Request{Subject: content.String(), Limit: limit, Cost: 1}), limit)
 }
 
 // Suspects implements gateway.Quarantine.
