Soak: a request that the server's harmed link held up is not late at a leaving server

The trace shows the case allowed: entry-0 sent the request 0.18 s after that (08:26:02.486), the server's link was silent from 08:26:00.825 to 06.036, and the request arrived at 06.037; the users' rules don't count what a harmed link holds up within contactMs. Only that server's own link excuses; the checks of what servers say looked at all links before and are stricter now.

--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -62,6 +62,14 @@
 	s.daemon.touched = time.Now().Add(-time.Hour)
 }
 
+// lateAtLeaving has a request reach a server long after the store took that it leaves.
+func (s *scene) lateAtLeaving(t *testing.T) {
+	s.calm(t)
+	s.leaving["s-1-1"] = time.Now().Add(-drainTime - 2*lateness)
+	s.request("a", fleet.KindSafe, 0, 0)
+	s.run("a", "s-1-1")
+}
+
 // leavingWord has a server tell its daemon that it leaves, and get a request that is sent some time later.
 func (s *scene) leavingWord(t *testing.T, later time.Duration) {
 	s.calm(t)
@@ -116,6 +124,15 @@
 		promise string
 		observe func(s *scene)
 	}{
+		{"a request long after the store took that its server leaves", promiseDraining, func(s *scene) { s.lateAtLeaving(t) }},
+		{"one that the server's harmed link held up", "", func(s *scene) {
+			s.harmedLink("s-1-1")()
+			s.lateAtLeaving(t)
+		}},
+		{"one beside the harmed link of another server", promiseDraining, func(s *scene) {
+			s.harmedLink("s-2-1")()
+			s.lateAtLeaving(t)
+		}},
 		{"a request after its daemon was told that the server leaves", promiseLeavingWord, func(s *scene) {
 			s.leavingWord(t, drainTime+100*time.Millisecond)
 		}},
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -309,7 +309,7 @@
 	state := harmfulLink(random)
 	d.tell("%s: %s", place.current().ID, state)
 	d.record.disturb()
-	sound := d.record.harmedLinks()
+	sound := d.record.harmedLink(place.current().ID)
 	place.proxy.set(state)
 	return func() {
 		place.proxy.set(linkSound)
@@ -320,8 +320,9 @@
 
 func resetServer(d *deployment, random *rand.Rand) func() {
 	d.record.disturb()
-	sound := d.record.harmedLinks()
-	d.anyPlace(random).proxy.reset()
+	place := d.anyPlace(random)
+	sound := d.record.harmedLink(place.current().ID)
+	place.proxy.reset()
 	sound()
 	return nil
 }
