--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -79,8 +79,7 @@
 	return k
 }
 
-// suspectRate is how many copies of a suspected content may begin to run in a second: a server ends within some
-// ten milliseconds of the run that ends it, and all daemons hear of that within half a second.
+// suspectRate is how many copies of a suspected content may begin to run in a second, over all daemons.
 const suspectRate = 1
 
 // suspectedContents are the contents whose copies run one after the other, by their digests. Nobody claims them in
