Grant turns of a suspected content only at its owner

Users saw: a request that crashes its servers ended 4 servers where 3 are allowed (7 where 6 are), when it was sent in many copies a second after a fleet had started. Each further server takes all requests that run there with it.

All daemons agreed on the owner, but one of them had not heard it yet and asked the next daemon in the order. That daemon heard the owner and still granted a turn as a stand-in, from its part of the limit, within a few milliseconds of the owner's own grant.

The log now names the daemon that granted a turn (granted_by).

Change: Ports.OwnerOnly restricts a limiter to grants by owners. A stand-in redirects to the owner that it hears. A daemon that became the owner less than a second ago, has not heard the others yet or resumed from a standstill less than a second ago denies requests. One that hears nobody may still grant its small part of an even share. The tests' virtual fleet restarts daemons with the keeper of the way that is compared, in place of one without debt.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -74,7 +74,7 @@
 		return coordination.Message{SuspectTurn: message}
 	})
 	ports.Subjects = func() limiter.Subjects { return suspectedContents{k} }
-	ports.Strict = true
+	ports.Strict, ports.OwnerOnly = true, true
 	k.turns = limiter.New(ports)
 	return k
 }
@@ -109,7 +109,11 @@
 		return gateway.Turn{Granted: true}
 	}
 	limit := quota.Limit{PerSecond: suspectRate}
-	return turnOf(k.turns.Take(ctx, limiter.Request{Subject: content.String(), Limit: limit, Cost: 1}), limit)
+	outcome := k.turns.Take(ctx, limiter.Request{Subject: content.String(), Limit: limit, Cost: 1})
+	if outcome.Granted {
+		k.watch.log("Turn granted.", "content", content.String(), "granted_by", outcome.AnsweredBy)
+	}
+	return turnOf(outcome, limit)
 }
 
 // Suspects implements gateway.Quarantine.
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -89,6 +89,9 @@
 	// keep a limit answers it: of limits of a few requests a second, what a large fleet saves up so is more
 	// than the limit.
 	Strict bool
+	// OwnerOnly has a daemon answer with quota.Keeper.TakeAsOwner: a stand-in redirects to the owner that it hears,
+	// and a new owner denies requests at first. Daemons that hear each other then never grant one limit concurrently.
+	OwnerOnly bool
 	// Debt is what a daemon that begins to give out a limit takes as given out already.
 	Debt float64
 	Log  func(text string, fields ...any)
@@ -101,6 +104,8 @@
 	Unsure bool
 	// Wait is until there will be something left, or if granted, until it may be used.
 	Wait time.Duration
+	// AnsweredBy is the daemon that granted or denied the request; empty if none was asked or none answered.
+	AnsweredBy string
 }
 
 // Limiter is safe for concurrent use.
@@ -136,8 +141,8 @@
 	}
 	fleet := l.fleet.Load()
 	for _, owner := range fleet.Owners(request.Subject) {
-		if answer, answered := l.follow(ctx, fleet, owner, &request); answered {
-			return l.outcome(request.Subject, answer)
+		if answer, answeredBy, answered := l.follow(ctx, fleet, owner, &request); answered {
+			return l.outcome(request.Subject, answer, answeredBy)
 		}
 	}
 	if l.ports.Strict && !fleet.Lonely {
@@ -149,13 +154,17 @@
 	return Outcome{Unsure: true}
 }
 
-// follow asks one daemon, and the one that it names instead.
-func (l *Limiter) follow(ctx context.Context, fleet *quota.Fleet, owner string, request *Request) (quota.Answer, bool) {
-	answer, answered := l.takeFrom(ctx, fleet, owner, request)
+// follow asks one daemon, and the one that it names instead. It also returns which of them gave the answer.
+func (l *Limiter) follow(
+	ctx context.Context, fleet *quota.Fleet, owner string, request *Request,
+) (answer quota.Answer, answeredBy string, answered bool) {
+	answeredBy = owner
+	answer, answered = l.takeFrom(ctx, fleet, answeredBy, request)
 	if answered && answer.Owner != "" {
-		answer, answered = l.takeFrom(ctx, fleet, answer.Owner, request)
+		answeredBy = answer.Owner
+		answer, answered = l.takeFrom(ctx, fleet, answeredBy, request)
 	}
-	return answer, answered && answer.Owner == ""
+	return answer, answeredBy, answered && answer.Owner == ""
 }
 
 // takeFrom asks one daemon, which may be this one.
@@ -164,7 +173,7 @@
 	case owner == "" || fleet.Lonely:
 		return quota.Answer{}, false
 	case owner == fleet.Self:
-		return l.keeper.Take(l.now(), fleet, request.Subject, &request.Limit, request.Cost, request.Within), true
+		return l.takeLocal(l.now(), fleet, request.Subject, &request.Limit, request.Cost, request.Within), true
 	}
 	address, found := l.ports.Address(owner)
 	if !found || l.calls.Rests(owner) {
@@ -182,6 +191,16 @@
 	return quota.Answer{Granted: answer.Granted, Wait: answer.Wait, Owner: answer.Owner}, true
 }
 
+// takeLocal takes the cost of one request from this daemon's keeper.
+func (l *Limiter) takeLocal(
+	now time.Time, fleet *quota.Fleet, subject string, limit *quota.Limit, cost float64, within time.Duration,
+) quota.Answer {
+	if l.ports.OwnerOnly {
+		return l.keeper.TakeAsOwner(now, fleet, subject, limit, cost, within)
+	}
+	return l.keeper.Take(now, fleet, subject, limit, cost, within)
+}
+
 // noAnswer leaves a daemon alone for a while that did not answer in time.
 func (l *Limiter) noAnswer(ctx context.Context, owner, name string) {
 	if ctx.Err() != nil {
@@ -192,14 +211,14 @@
 }
 
 // outcome passes an answer on, and remembers a denial for a moment.
-func (l *Limiter) outcome(name string, answer quota.Answer) Outcome {
+func (l *Limiter) outcome(name string, answer quota.Answer, answeredBy string) Outcome {
 	if answer.Granted {
-		return Outcome{Granted: true, Wait: answer.Wait}
+		return Outcome{Granted: true, Wait: answer.Wait, AnsweredBy: answeredBy}
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.denied[name] = l.now().Add(min(answer.Wait, deniedSpan))
-	return Outcome{Wait: answer.Wait}
+	return Outcome{Wait: answer.Wait, AnsweredBy: answeredBy}
 }
 
 // deniedFor is how long a subject has nothing left, as far as was heard a moment ago.
@@ -251,7 +270,7 @@
 	if !known {
 		return
 	}
-	given := l.keeper.Take(now, fleet, asked.Subject, limit, asked.Cost, asked.Within)
+	given := l.takeLocal(now, fleet, asked.Subject, limit, asked.Cost, asked.Within)
 	l.ports.Send(address, &Message{Answer: &Answer{ID: asked.ID, Granted: given.Granted, Wait: given.Wait, Owner: given.Owner}})
 }
 
@@ -268,9 +287,14 @@
 // now on. Nothing is done for each subject if the daemons are as they were: it is called several
 // times a second.
 func (l *Limiter) SetFleet(now time.Time, fleet *quota.Fleet) {
-	if fleet.Equal(l.fleet.Load()) {
+	previous := l.fleet.Load()
+	if fleet.Equal(previous) {
 		return
 	}
+	if l.ports.OwnerOnly {
+		// Before the new snapshot is used: a request between the two would be granted without the delay.
+		l.keeper.FleetReplaced(now, previous)
+	}
 	l.fleet.Store(fleet)
 	l.SubjectsChanged(now)
 }
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -45,6 +45,7 @@
 	}
 	fleet := NewFleet(self, members, seeds, now.Sub(d.started))
 	if d.forms(now) {
+		fleet.Forming = true
 		fleet.Daemons = max(fleet.Daemons, lonelyFleet)
 		fleet.Part = float64(fleet.Heard) / float64(fleet.Daemons)
 	}
@@ -68,6 +69,8 @@
 	Heard int
 	// Lonely says that this daemon has not heard another one although there are some.
 	Lonely bool
+	// Forming says that this daemon started recently and is still discovering others; see Discovery.
+	Forming bool
 
 	candidates []member.Member
 	// all are the known members, by their names.
@@ -112,7 +115,8 @@
 
 // Equal reports whether two snapshots say the same.
 func (f *Fleet) Equal(other *Fleet) bool {
-	return f.Self == other.Self && f.Part == other.Part && f.Lonely == other.Lonely && maps.Equal(f.all, other.all)
+	return f.Self == other.Self && f.Part == other.Part && f.Lonely == other.Lonely && f.Forming == other.Forming &&
+		maps.Equal(f.all, other.all)
 }
 
 // strongest returns the members among which the first ones of any order are: those on the strongest
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -53,6 +53,10 @@
 	// while before.
 	awakeAt    time.Time
 	stoodStill bool
+	// resumedAt is when the process was first seen to run again after its last standstill.
+	resumedAt time.Time
+	// previous holds the snapshots of the fleet that were replaced within ownershipDelay before the last replacement.
+	previous []previousFleet
 	// debt is what a bucket begins with that this daemon begins to give out of.
 	debt float64
 }
@@ -109,7 +113,7 @@
 // meanwhile may have been given out elsewhere.
 func (k *Keeper) awake(now time.Time) {
 	if !k.awakeAt.IsZero() && now.Sub(k.awakeAt) > standstill {
-		k.stoodStill = true
+		k.stoodStill, k.resumedAt = true, now
 		for _, known := range k.buckets {
 			known.empty(now, k.debt)
 		}
--- /dev/null
+++ b/quota/tenure.go
@@ -0,0 +1,66 @@
+package quota
+
+import "time"
+
+// ownershipDelay is how long a daemon must have owned a limit, by its own snapshots of the fleet, before TakeAsOwner
+// grants any of it. It leaves the previous owner time to be detected, and a starting fleet time to form.
+const ownershipDelay = time.Second
+
+// previousFleet is a snapshot of the fleet that was replaced by a newer one.
+type previousFleet struct {
+	fleet      *Fleet
+	replacedAt time.Time
+}
+
+// FleetReplaced records that a snapshot of the fleet was replaced by a newer one.
+func (k *Keeper) FleetReplaced(now time.Time, replaced *Fleet) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	kept := k.previous[:0]
+	for _, previous := range k.previous {
+		if now.Sub(previous.replacedAt) < ownershipDelay {
+			kept = append(kept, previous)
+		}
+	}
+	k.previous = append(kept, previousFleet{replaced, now})
+}
+
+// TakeAsOwner takes the cost of one request of a limit that only its owner may give out. Unlike with Take, a stand-in
+// names the owner that it hears, and a daemon denies requests until it has owned the limit for ownershipDelay.
+func (k *Keeper) TakeAsOwner(
+	now time.Time, fleet *Fleet, name string, limit *Limit, cost float64, within time.Duration,
+) Answer {
+	switch owner := fleet.owner(name); owner {
+	case fleet.Self:
+	case "":
+		return Answer{Wait: ownershipDelay}
+	default:
+		return Answer{Owner: owner}
+	}
+	if wait := k.ownershipWait(now, fleet, name); wait > 0 {
+		return Answer{Wait: wait}
+	}
+	return k.Take(now, fleet, name, limit, cost, within)
+}
+
+// ownershipWait returns how long this daemon has to wait until it has owned a limit for ownershipDelay. The delay
+// starts anew after a standstill, and does not start while the daemon hears no other one or its fleet forms.
+func (k *Keeper) ownershipWait(now time.Time, fleet *Fleet, name string) time.Duration {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.awake(now)
+	if fleet.Forming || fleet.Lonely {
+		return ownershipDelay
+	}
+	since := k.resumedAt
+	for _, previous := range k.previous {
+		owned := !previous.fleet.Lonely && previous.fleet.owner(name) == fleet.Self
+		if !owned && previous.replacedAt.After(since) {
+			since = previous.replacedAt
+		}
+	}
+	if since.IsZero() {
+		return 0
+	}
+	return max(0, ownershipDelay-now.Sub(since))
+}
--- a/quota/world_test.go
+++ b/quota/world_test.go
@@ -178,7 +178,7 @@
 
 // revive starts a killed daemon again, with nothing but what it hears at once.
 func (w *world) revive(n *node) {
-	n.dead, n.keeper, n.resting, n.seen = false, NewKeeper(), map[string]time.Time{}, NewDiscovery(w.now)
+	n.dead, n.keeper, n.resting, n.seen = false, w.way.keeper(), map[string]time.Time{}, NewDiscovery(w.now)
 	n.states, n.heard = map[string]member.State{}, map[string]int{}
 	for _, other := range w.nodes {
 		n.heard[other.name] = w.changes
@@ -199,7 +199,7 @@
 	w.run(after)
 	w.pending = nil
 	for _, n := range w.nodes {
-		n.dead, n.keeper, n.resting, n.seen = false, NewKeeper(), map[string]time.Time{}, NewDiscovery(w.now)
+		n.dead, n.keeper, n.resting, n.seen = false, w.way.keeper(), map[string]time.Time{}, NewDiscovery(w.now)
 		n.states, n.heard, n.unknown = map[string]member.State{}, map[string]int{}, map[string]bool{}
 		for _, other := range w.nodes {
 			n.unknown[other.name] = other != n
