Defer contents with pending crashes, and persist the evidence of two crashes

Visible effect (soak): a request that crashes its servers was sent to ten servers within 2.3 s, 11 s after the third server had crashed under it. A crashing server also terminates everything else running on it.

There are two causes. Servers may be behind an intermediary that still accepts connections after the server has ended (a proxy in the soak; elsewhere a sidecar or network address translation). Connecting to the address then succeeds, so the crash is detected only when the server's entry expires 3.6 s later; until then, copies of the content run concurrently. In addition, the evidence of crashes was held only by the daemons, all of which were killed 0.1 s after they had learned of two of the three.

Change: the probe of a server's address also detects that new connections are closed at once. The contents that ran there are reported to all daemons as unconfirmed crashes. These count towards rate limiting of suspects. If a content would be held once its unconfirmed crashes were confirmed, copies of it wait until confirmation, or for 5 s. An unconfirmed crash alone never causes a content to be held, and a run that ends well clears it. The evidence against a content is now stored once two servers have crashed under it, as was already done for held contents.

--- a/entry/crashwatch.go
+++ b/entry/crashwatch.go
@@ -36,12 +36,14 @@
 // crashWatch finds out whether servers that end connections have crashed. A reset connection or a
 // garbled answer says nothing about the request; a server at which nobody listens any more does.
 type crashWatch struct {
-	now     func() time.Time
-	refuses func(ctx context.Context, address string) bool
-	// crashed is told of the contents that ran on a server when it crashed.
+	now   func() time.Time
+	probe func(ctx context.Context, address string) quarantine.Presence
+	// crashed is called with the contents that ran on a server when it crashed.
 	crashed func(at time.Time, instance string, victims []quarantine.Victim)
-	log     func(text string, fields ...any)
-	looks   *ring.Ring[*fleet.Instance]
+	// unconfirmedCrash is called with the contents that ran on a server whose address closes new connections.
+	unconfirmedCrash func(at time.Time, instance string, victims []quarantine.Victim)
+	log              func(text string, fields ...any)
+	looks            *ring.Ring[*fleet.Instance]
 
 	mutex  sync.Mutex
 	broken map[string]*brokenInstance
@@ -55,6 +57,8 @@
 	// last are those that broke since it was last found listening.
 	last    series
 	crashed bool
+	// closing is set once its address has closed a new connection.
+	closing bool
 	// looking says that it is being looked at; looked is closed after the first look, and after
 	// what it found was told.
 	looking bool
@@ -84,14 +88,17 @@
 
 // broke notes that an instance ended the connection of a request.
 func (w *crashWatch) broke(now time.Time, instance *fleet.Instance, victim quarantine.Victim) {
-	if at, crashed := w.note(now, instance, victim); crashed {
-		w.crashed(at, instance.ID, []quarantine.Victim{victim})
+	at, report := w.note(now, instance, victim)
+	if report != nil {
+		report(at, instance.ID, []quarantine.Victim{victim})
 	}
 }
 
-// note takes in a broken request. It returns when the instance ended the first connection, and
-// reports whether it is known to have crashed, with this request among others.
-func (w *crashWatch) note(now time.Time, instance *fleet.Instance, victim quarantine.Victim) (at time.Time, crashed bool) {
+// note records a broken request. It returns when the instance ended the first connection, and the callback for this
+// request if the instance is already known to have crashed or to close new connections; nil otherwise.
+func (w *crashWatch) note(now time.Time, instance *fleet.Instance, victim quarantine.Victim) (
+	at time.Time, report func(at time.Time, instance string, victims []quarantine.Victim),
+) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.expire(now)
@@ -107,7 +114,13 @@
 		known.first.add(now, victim)
 		known.last.add(now, victim)
 	}
-	return known.last.at, known.crashed && now.Sub(known.last.at) <= crashSpan
+	switch {
+	case known.crashed && now.Sub(known.last.at) <= crashSpan:
+		return known.last.at, w.crashed
+	case known.closing && now.Sub(known.first.at) <= crashSpan:
+		return known.first.at, w.unconfirmedCrash
+	}
+	return now, nil
 }
 
 // beginLook has somebody look at an instance.
@@ -216,7 +229,11 @@
 		if number > 0 {
 			sleep(ctx, crashLookPause)
 		}
-		crashed := w.refuses(ctx, instance.Address)
+		presence := w.probe(ctx, instance.Address)
+		crashed := presence == quarantine.PresenceRefused
+		if presence == quarantine.PresenceClosing {
+			w.foundClosing(instance, known)
+		}
 		if crashed || number == crashLooks-1 {
 			w.found(w.now(), instance, known, crashed)
 		}
@@ -236,6 +253,21 @@
 	return w.broken[instance.ID]
 }
 
+// foundClosing records that an instance closes new connections and reports an unconfirmed crash the first time.
+// The crash is confirmed when the entry of the instance is removed.
+func (w *crashWatch) foundClosing(instance *fleet.Instance, known *brokenInstance) {
+	w.mutex.Lock()
+	first, reported := known.first, known.closing
+	known.closing = true
+	w.mutex.Unlock()
+	if reported {
+		return
+	}
+	w.log("Instance closes new connections.", "instance", instance.ID,
+		"requests", len(first.victims), "contents", names(first.victims))
+	w.unconfirmedCrash(first.at, instance.ID, first.victims)
+}
+
 // found takes in whether an instance has crashed.
 func (w *crashWatch) found(now time.Time, instance *fleet.Instance, known *brokenInstance, crashed bool) {
 	w.mutex.Lock()
--- a/entry/crashwatch_test.go
+++ b/entry/crashwatch_test.go
@@ -20,6 +20,10 @@
 	victims  []quarantine.Victim
 	crashes  []time.Time
 	refusing bool
+	// closing makes probes return PresenceClosing unless the address refuses connections.
+	closing bool
+	// unconfirmed are the victims reported for unconfirmed crashes.
+	unconfirmed []quarantine.Victim
 	// refusesAfter is how many looks find somebody listening still.
 	refusesAfter int
 }
@@ -31,12 +35,23 @@
 	w := &watched{crashWatch: newCrashWatch()}
 	w.now = time.Now
 	w.log = func(string, ...any) {}
-	w.refuses = func(ctx context.Context, _ string) bool {
+	w.probe = func(ctx context.Context, _ string) quarantine.Presence {
 		sleep(ctx, lookTakes)
 		w.guard.Lock()
 		defer w.guard.Unlock()
 		w.looks++
-		return w.refusing && w.looks > w.refusesAfter
+		switch {
+		case w.refusing && w.looks > w.refusesAfter:
+			return quarantine.PresenceRefused
+		case w.closing:
+			return quarantine.PresenceClosing
+		}
+		return quarantine.PresenceListening
+	}
+	w.unconfirmedCrash = func(_ time.Time, _ string, victims []quarantine.Victim) {
+		w.guard.Lock()
+		defer w.guard.Unlock()
+		w.unconfirmed = append(w.unconfirmed, victims...)
 	}
 	w.crashed = func(at time.Time, _ string, victims []quarantine.Victim) {
 		w.guard.Lock()
@@ -213,6 +228,36 @@
 	})
 }
 
+// TestServerThatClosesNewConnections covers a server behind a relay that closes connections. Requests that break within
+// the crash span must be reported at once as an unconfirmed crash, and as a crash when the server leaves the list.
+func TestServerThatClosesNewConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startWatch(t)
+		w.closing = true
+		w.breaks("a", "b")
+		time.Sleep(10 * time.Millisecond)
+		w.breaks("c")
+		time.Sleep(time.Second)
+		w.breaks("never reached it")
+		time.Sleep(time.Second)
+		w.guard.Lock()
+		unconfirmed := len(w.unconfirmed)
+		w.guard.Unlock()
+		if _, victims := w.seen(); victims > 0 || unconfirmed < 3 {
+			t.Errorf("%d victims and %d unconfirmed victims, want 0 and at least 3", victims, unconfirmed)
+		}
+		for _, victim := range w.unconfirmed {
+			if string(victim.Content[:5]) == "never" {
+				t.Error("a request that broke after the crash span is reported")
+			}
+		}
+		w.gone(time.Now(), func(string) bool { return false })
+		if _, victims := w.seen(); victims != 3 {
+			t.Errorf("%d victims after the server left the list, want 3", victims)
+		}
+	})
+}
+
 // TestServerThatLeavesLongAfterIsNoCrash covers a server that ended connections and left much later.
 func TestServerThatLeavesLongAfterIsNoCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -67,8 +67,8 @@
 		book: quarantine.NewBook(), kept: ring.New[keptChange](keptRing),
 	}
 	k.watch.now = d.clock.Now
-	k.watch.refuses = d.upstream.Refuses
-	k.watch.crashed = k.crashed
+	k.watch.probe = d.upstream.Probe
+	k.watch.crashed, k.watch.unconfirmedCrash = k.crashed, k.unconfirmedCrash
 	k.watch.log = func(text string, fields ...any) { d.log.add("quarantine", text, fields...) }
 	ports := d.limiterPorts("quarantine", func(message *limiter.Message) coordination.Message {
 		return coordination.Message{SuspectTurn: message}
@@ -94,7 +94,7 @@
 	}
 	s.keeper.mutex.Lock()
 	defer s.keeper.mutex.Unlock()
-	return quota.Limit{PerSecond: suspectRate}, s.keeper.book.Suspects(content)
+	return quota.Limit{PerSecond: suspectRate}, s.keeper.book.Suspects(s.keeper.daemon.clock.Now(), content)
 }
 
 // Limited implements limiter.Subjects.
@@ -102,11 +102,15 @@
 
 // SuspectTurn implements gateway.Quarantine.
 func (k *quarantineKeeper) SuspectTurn(ctx context.Context, content quarantine.Digest) gateway.Turn {
+	now := k.daemon.clock.Now()
 	k.mutex.Lock()
-	suspected := k.book.Suspects(content)
+	suspected, pendingUntil := k.book.Suspects(now, content), k.book.PendingUntil(now, content)
 	k.mutex.Unlock()
-	if !suspected {
+	switch {
+	case !suspected:
 		return gateway.Turn{Granted: true}
+	case !pendingUntil.IsZero():
+		return gateway.Turn{Limited: true, Wait: pendingUntil.Sub(now)}
 	}
 	limit := quota.Limit{PerSecond: suspectRate}
 	outcome := k.turns.Take(ctx, limiter.Request{Subject: content.String(), Limit: limit, Cost: 1})
@@ -145,8 +149,9 @@
 func (k *quarantineKeeper) Served(content quarantine.Digest) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if k.book.Suspects(content) {
-		k.take(k.book.Served(k.daemon.clock.Now(), content), true)
+	now := k.daemon.clock.Now()
+	if k.book.Suspects(now, content) {
+		k.take(k.book.Served(now, content), true)
 	}
 }
 
@@ -165,12 +170,19 @@
 			k.watch.log("Not released.", "content", text, "error", err)
 			continue
 		}
-		if k.book.Suspects(content) {
-			k.take(k.book.Served(k.daemon.clock.Now(), content), true)
+		if now := k.daemon.clock.Now(); k.book.Suspects(now, content) {
+			k.take(k.book.Served(now, content), true)
 		}
 	}
 }
 
+// unconfirmedCrash records the contents that this daemon had at an instance that closes new connections.
+func (k *quarantineKeeper) unconfirmedCrash(at time.Time, instance string, victims []quarantine.Victim) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.take(k.book.UnconfirmedCrash(k.daemon.clock.Now(), at, instance, victims), true)
+}
+
 // crashed takes in the contents that this daemon had at an instance that has crashed.
 func (k *quarantineKeeper) crashed(at time.Time, instance string, victims []quarantine.Victim) {
 	k.mutex.Lock()
@@ -195,6 +207,12 @@
 	for _, content := range change.Released {
 		k.verdict("Released.", content)
 	}
+	for _, content := range change.Durable {
+		k.queueKeptChange(content, false)
+	}
+	for _, content := range change.NoLongerDurable {
+		k.queueKeptChange(content, true)
+	}
 	if !own || change.News.Empty() {
 		return
 	}
@@ -214,15 +232,22 @@
 	now := time.Now()
 	for i := range news.Items {
 		for _, told := range news.Items[i].Crashes {
-			if !told.Void && told.Age < crashGossipSpan {
+			if !told.Void && !told.Unconfirmed && told.Age < crashGossipSpan {
 				k.daemon.tracker.Crashed(now, told.Server, told.Age)
 			}
 		}
 	}
 }
 
-// verdict logs that a content is held or no longer is, and has the store told if this daemon was there
-// at one of the crashes: of the others nobody need do so.
+// queueKeptChange queues a write of the evidence against a content to the store, or its removal if dropped is set. Only
+// daemons that witnessed one of the crashes write, which avoids redundant writes by all others.
+func (k *quarantineKeeper) queueKeptChange(content quarantine.Digest, dropped bool) {
+	if k.book.Witnessed(content) && !k.kept.Offer(keptChange{content: content, dropped: dropped}) {
+		k.watch.log("Not kept.", "content", content.String(), "error", "too many at once")
+	}
+}
+
+// verdict logs that a content is held or no longer is.
 func (k *quarantineKeeper) verdict(text string, content quarantine.Digest) {
 	now := k.daemon.clock.Now()
 	until := k.book.HeldUntil(now, content)
@@ -231,9 +256,6 @@
 		fields = append(fields, "for_s", int(until.Sub(now).Seconds()))
 	}
 	k.watch.log(text, fields...)
-	if k.book.Witnessed(content) {
-		k.kept.Offer(keptChange{content: content, dropped: until.IsZero()})
-	}
 }
 
 // crashesOf lists the crashes under a content for the log, each with its age.
@@ -244,6 +266,9 @@
 		if told.Void {
 			entry += "/void"
 		}
+		if told.Unconfirmed {
+			entry += "/unconfirmed"
+		}
 		list = append(list, entry)
 	}
 	return strings.Join(list, ",")
@@ -330,17 +355,16 @@
 	if k.daemon.fleet.rank.Load() >= keptAfterRestore {
 		return
 	}
-	now := k.daemon.clock.Now()
 	k.mutex.Lock()
-	held := k.book.Held(now)
+	contents := k.book.Durable()
 	k.mutex.Unlock()
-	for _, content := range held {
+	for _, content := range contents {
 		if !k.kept.Offer(keptChange{content: content}) {
 			k.watch.log("Not kept.", "content", content.String(), "error", "too many at once")
 		}
 	}
-	if len(held) > 0 {
-		k.watch.log("Keeping again, as the store came back from a copy.", "contents", len(held))
+	if len(contents) > 0 {
+		k.watch.log("Keeping again, as the store came back from a copy.", "contents", len(contents))
 	}
 }
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -26,6 +26,8 @@
 		// The store comes back from a copy twice, and servers leave after that: requests reached them for
 		// as long as its revisions were below those of before.
 		9113,
+		// All daemons are killed right after two servers have crashed under one content: the evidence was lost.
+		460120,
 	}
 	for _, seed := range seeds {
 		options := soak.DefaultOptions()
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -26,6 +26,12 @@
 	// mostContents bounds the contents that are remembered, to about 1 MB. A crash adds up to 64, so
 	// 64 crashes fit in.
 	mostContents = 4096
+	// durableCrashes is the number of crashes from which the evidence against a content is kept in the store, so that
+	// it survives the loss of all daemons before the content is held. Harmless contents reach it occasionally.
+	durableCrashes = crashLimit - 1
+	// confirmSpan is how long an unconfirmed crash stays pending. It exceeds the three missed heartbeats, 3.6 s on the
+	// platform, after which the entry of a silent server is removed.
+	confirmSpan = 5 * time.Second
 	// mostCrashes bounds the crashes that are remembered of one content.
 	mostCrashes = 16
 )
@@ -37,6 +43,16 @@
 	began time.Time
 	// void says that a run of the content has ended well since: the content was not the cause.
 	void bool
+	// unconfirmed is set if the server may still run: its address accepts new connections but closes them.
+	unconfirmed bool
+}
+
+// counts reports whether the crash counts against the content.
+func (c crash) counts() bool { return !c.void && !c.unconfirmed }
+
+// pending reports whether the crash may still be confirmed.
+func (c crash) pending(now time.Time) bool {
+	return !c.void && c.unconfirmed && now.Sub(c.at) < confirmSpan
 }
 
 // record is what is known of one content.
@@ -48,6 +64,8 @@
 	// changedAt is when something new was last learned.
 	changedAt time.Time
 	held      bool
+	// durable is set if the evidence must be kept in the store.
+	durable bool
 	// witnessed says that this daemon itself sent the content to a server that crashed.
 	witnessed bool
 }
@@ -81,10 +99,35 @@
 // Empty reports whether no content is suspected.
 func (b *Book) Empty() bool { return len(b.records) == 0 }
 
-// Suspects reports whether a content ran on a server that crashed and has not ended well since.
-func (b *Book) Suspects(content Digest) bool {
+// Suspects reports whether a content ran on a server with a confirmed or pending crash and has not ended well since.
+func (b *Book) Suspects(now time.Time, content Digest) bool {
+	known := b.records[content]
+	return known != nil && (known.counted > 0 || !known.confirmDeadline(now).IsZero())
+}
+
+// PendingUntil returns until when a content must wait because it would be held if its pending crashes were confirmed;
+// the zero time if it may run.
+func (b *Book) PendingUntil(now time.Time, content Digest) time.Time {
 	known := b.records[content]
-	return known != nil && known.counted > 0
+	if known == nil || known.counted >= b.limit {
+		return time.Time{}
+	}
+	if known.longestChain(func(seen crash) bool { return seen.counts() || seen.pending(now) }) < b.limit {
+		return time.Time{}
+	}
+	return known.confirmDeadline(now)
+}
+
+// confirmDeadline returns when the oldest pending crash stops being pending unless it is confirmed before; the zero time
+// if no crash is pending.
+func (r *record) confirmDeadline(now time.Time) time.Time {
+	var first time.Time
+	for _, seen := range r.crashes {
+		if until := seen.at.Add(confirmSpan); seen.pending(now) && (first.IsZero() || until.Before(first)) {
+			first = until
+		}
+	}
+	return first
 }
 
 // HeldUntil returns until when requests of a content are kept from servers; the zero time if they
@@ -107,6 +150,9 @@
 	News Update
 	// Held and Released are the contents that are held now and were not, and the other way round.
 	Held, Released []Digest
+	// Durable are the contents whose evidence must be written to the store, because it has become durable or the
+	// content is now held; NoLongerDurable are those whose evidence must be removed from it.
+	Durable, NoLongerDurable []Digest
 }
 
 // Victim is a content that ran on a server when it crashed.
@@ -118,10 +164,19 @@
 
 // Crashed notes the contents that this daemon had on a life of a server when it crashed.
 func (b *Book) Crashed(now, at time.Time, server string, victims []Victim) Change {
+	return b.note(now, at, server, victims, false)
+}
+
+// UnconfirmedCrash notes the contents that this daemon had on a life of a server that closes new connections.
+func (b *Book) UnconfirmedCrash(now, at time.Time, server string, victims []Victim) Change {
+	return b.note(now, at, server, victims, true)
+}
+
+func (b *Book) note(now, at time.Time, server string, victims []Victim, unconfirmed bool) Change {
 	var told Update
 	for _, victim := range victims {
 		told.Items = append(told.Items, Item{Content: victim.Content, Crashes: []Told{{
-			Server: server, Age: now.Sub(at), Ran: max(0, at.Sub(victim.Began)),
+			Server: server, Age: now.Sub(at), Ran: max(0, at.Sub(victim.Began)), Unconfirmed: unconfirmed,
 		}}})
 	}
 	change := b.Learn(now, told)
@@ -170,8 +225,15 @@
 	}
 	for content := range b.affected(&change.News) {
 		known := b.records[content]
-		before := known.held
+		before, durable := known.held, known.durable
 		known.held = b.guilty(content)
+		known.durable = known.counted >= durableCrashes
+		switch {
+		case known.durable && (!durable || known.held && !before):
+			change.Durable = append(change.Durable, content)
+		case durable && !known.durable:
+			change.NoLongerDurable = append(change.NoLongerDurable, content)
+		}
 		switch {
 		case known.held && !before:
 			change.Held = append(change.Held, content)
@@ -221,9 +283,12 @@
 		before = said
 	}
 	// Of several who tell of one crash, the first one saw it best.
-	merged := crash{at: earlier(before.at, said.at), began: earlier(before.began, said.began), void: before.void || said.void}
+	merged := crash{
+		at: earlier(before.at, said.at), began: earlier(before.began, said.began), void: before.void || said.void,
+		unconfirmed: before.unconfirmed && said.unconfirmed,
+	}
 	known.crashes[told.Server] = merged
-	if !seen || merged.void != before.void {
+	if !seen || merged.void != before.void || merged.unconfirmed != before.unconfirmed {
 		known.changedAt = now
 	}
 	if merged.at.After(known.lastAt) {
@@ -243,18 +308,23 @@
 // count counts the crashes that tell something each: one run has to begin after the crash of the one before.
 // When a rack fails, all its servers end at one moment, and a content that many clients send runs on all of them;
 // that is one crash. The most runs in a row are found by taking the ones that end first.
-func (r *record) count() {
+func (r *record) count() { r.counted = r.longestChain(crash.counts) }
+
+// longestChain returns the length of the longest sequence of included crashes in which each run began after the
+// preceding crash.
+func (r *record) longestChain(included func(crash) bool) int {
 	crashes := slices.Collect(maps.Values(r.crashes))
-	crashes = slices.DeleteFunc(crashes, func(known crash) bool { return known.void })
+	crashes = slices.DeleteFunc(crashes, func(known crash) bool { return !included(known) })
 	slices.SortFunc(crashes, func(a, b crash) int { return a.at.Compare(b.at) })
-	r.counted = 0
+	count := 0
 	var last time.Time
 	for _, known := range crashes {
-		if r.counted == 0 || known.began.After(last) {
-			r.counted++
+		if count == 0 || known.began.After(last) {
+			count++
 			last = known.at
 		}
 	}
+	return count
 }
 
 // guilty decides whether a content is held: whether it was there at enough crashes. What runs beside the cause of several crashes is there at
@@ -268,7 +338,7 @@
 	}
 	unexplained, tied := 0, false
 	for server, seen := range known.crashes {
-		if seen.void {
+		if !seen.counts() {
 			continue
 		}
 		most, same := b.strongest(server, content)
@@ -284,7 +354,7 @@
 // of these was there at all the crashes of the content.
 func (b *Book) strongest(server string, content Digest) (most int, same bool) {
 	for _, other := range b.victims[server] {
-		if other == content || b.records[other].crashes[server].void {
+		if other == content || !b.records[other].crashes[server].counts() {
 			continue
 		}
 		most = max(most, b.records[other].counted)
@@ -300,7 +370,7 @@
 		return false
 	}
 	for server, seen := range first.crashes {
-		if known, found := second.crashes[server]; !seen.void && (!found || known.void) {
+		if known, found := second.crashes[server]; seen.counts() && (!found || !known.counts()) {
 			return false
 		}
 	}
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -126,7 +126,7 @@
 	if other.holds(start, "a") {
 		t.Error("held by one crash since a run ended well")
 	}
-	if book.Suspects(named("b")) || other.Served(start, named("b")).News.Items != nil {
+	if book.Suspects(start, named("b")) || other.Served(start, named("b")).News.Items != nil {
 		t.Error("something is known of a content that never ran")
 	}
 }
@@ -176,7 +176,7 @@
 	book.Served(start, named("cleared"))
 	later := start.Add(clearedSpan)
 	book.Forget(later)
-	if book.records[named("cleared")] != nil || !book.Suspects(named("suspect")) {
+	if book.records[named("cleared")] != nil || !book.Suspects(start, named("suspect")) {
 		t.Error("remembered: what was cleared, or not: what was not")
 	}
 }
@@ -203,7 +203,7 @@
 	later := start.Add(time.Minute)
 	crashed(book, later, "server8", "new")
 	joined.Learn(later, book.Newest(later, time.Second))
-	if !joined.holds(later, "held") || !joined.Suspects(named("new")) || joined.Suspects(named("old")) {
+	if !joined.holds(later, "held") || !joined.Suspects(later, named("new")) || joined.Suspects(later, named("old")) {
 		t.Error("a daemon that joins hears of something else than what is held or new")
 	}
 	if got, want := joined.HeldUntil(later, named("held")), start.Add(HoldSpan); got != want {
@@ -243,3 +243,69 @@
 		}
 	})
 }
+
+// TestUnconfirmedCrashes covers servers that close new connections. It guards against copies being sent while crashes
+// are pending, and against contents being held by unconfirmed crashes.
+func TestUnconfirmedCrashes(t *testing.T) {
+	victims := func(now time.Time) []Victim { return []Victim{{Content: named("a"), Began: now.Add(-ran)}} }
+	book, now := NewBook(), start
+	for number := range crashLimit {
+		if until := book.PendingUntil(now, named("a")); !until.IsZero() {
+			t.Fatalf("the run on server %d waits until %v", number, until)
+		}
+		now = now.Add(pace)
+		book.UnconfirmedCrash(now, now, fmt.Sprint("server", number), victims(now))
+	}
+	if book.holds(now, "a") || !book.Suspects(now, named("a")) {
+		t.Error("unconfirmed crashes hold the content, or it is not suspected")
+	}
+	if until := book.PendingUntil(now, named("a")); !until.Equal(start.Add(pace + confirmSpan)) {
+		t.Errorf("the next run waits until %v", until.Sub(start))
+	}
+	later := start.Add(pace + confirmSpan)
+	if until := book.PendingUntil(later, named("a")); !until.IsZero() {
+		t.Errorf("the next run waits until %v after the first crash expired unconfirmed", until.Sub(start))
+	}
+	if far := now.Add(confirmSpan); book.Suspects(far, named("a")) {
+		t.Error("the content is suspected after all crashes expired unconfirmed")
+	}
+	for number := range crashLimit {
+		at := start.Add(time.Duration(number+1) * pace)
+		book.Crashed(now, at, fmt.Sprint("server", number), victims(at))
+	}
+	if !book.holds(now, "a") {
+		t.Error("confirmed crashes do not hold the content")
+	}
+}
+
+// TestSimultaneousUnconfirmedCrashesCountOnce guards against a content waiting because many servers that ran it close
+// new connections at the same time.
+func TestSimultaneousUnconfirmedCrashesCountOnce(t *testing.T) {
+	book := NewBook()
+	for number := range 2 * crashLimit {
+		victims := []Victim{{Content: named("a"), Began: start.Add(-ran)}}
+		book.UnconfirmedCrash(start, start, fmt.Sprint("server", number), victims)
+	}
+	if until := book.PendingUntil(start, named("a")); !until.IsZero() {
+		t.Errorf("the next run waits for %v", until.Sub(start))
+	}
+	if change := book.Served(start, named("a")); change.News.Empty() || book.Suspects(start, named("a")) {
+		t.Error("a run that ended well does not clear the content")
+	}
+}
+
+// TestDurableEvidence guards against evidence being stored too early, or not being removed when the content is cleared.
+func TestDurableEvidence(t *testing.T) {
+	book := NewBook()
+	if change := crashedInTurn(book, start, durableCrashes-1, "a"); len(change.Durable) > 0 {
+		t.Errorf("kept: %v", change.Durable)
+	}
+	change := crashedInTurn(book, start.Add(time.Minute), durableCrashes, "a")
+	if len(change.Durable) != 1 || len(book.Durable()) != 1 {
+		t.Errorf("kept: %v, in all %v", change.Durable, book.Durable())
+	}
+	change = book.Served(start.Add(2*time.Minute), named("a"))
+	if len(change.NoLongerDurable) != 1 || len(book.Durable()) != 0 {
+		t.Errorf("dropped: %v, left %v", change.NoLongerDurable, book.Durable())
+	}
+}
--- a/quarantine/update.go
+++ b/quarantine/update.go
@@ -44,17 +44,19 @@
 	Ran time.Duration `msgpack:"r,omitempty"`
 	// Void says that a run of the content has ended well since.
 	Void bool `msgpack:"v,omitempty"`
+	// Unconfirmed is set if the server closes new connections but may still run.
+	Unconfirmed bool `msgpack:"u,omitempty"`
 }
 
 // crash returns what is told as it is kept.
 func (t *Told) crash(now time.Time) crash {
 	at := now.Add(-max(0, t.Age))
-	return crash{at: at, began: at.Add(-max(0, t.Ran)), void: t.Void}
+	return crash{at: at, began: at.Add(-max(0, t.Ran)), void: t.Void, unconfirmed: t.Unconfirmed}
 }
 
 // told returns what is kept as it is told.
 func (c crash) told(now time.Time, server string) Told {
-	return Told{Server: server, Age: now.Sub(c.at), Ran: c.at.Sub(c.began), Void: c.void}
+	return Told{Server: server, Age: now.Sub(c.at), Ran: c.at.Sub(c.began), Void: c.void, Unconfirmed: c.unconfirmed}
 }
 
 // mostTold bounds the contents of one update, to some 20 kB.
@@ -94,6 +96,17 @@
 	return item
 }
 
+// Durable returns the contents whose evidence must be kept in the store.
+func (b *Book) Durable() []Digest {
+	var contents []Digest
+	for content, known := range b.records {
+		if known.durable {
+			contents = append(contents, content)
+		}
+	}
+	return contents
+}
+
 // Held returns the contents that are held.
 func (b *Book) Held(now time.Time) []Digest {
 	var held []Digest
