Reconnect before writing to a connection that the peer has closed

A daemon that restarts at the same address misses the first messages from the other daemons.

Cause: a transport reuses its existing connection. After the other process has ended, the first write succeeds but its message is lost; the second write fails and its message is dropped as well; only the third message is sent over a new connection. Sessions are one-way, so the sender never reads from the connection and does not notice that the peer has closed it.

Change: before each write, the transport checks without blocking whether the connection is still open, and otherwise sends the message over a new one. A message whose write fails is counted as dropped.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -22,6 +22,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/errs"
 
+	"github.com/wheatweir/wheatweir/internal/idle"
 	"github.com/wheatweir/wheatweir/ring"
 )
 
@@ -198,23 +199,35 @@
 			return
 		}
 		s.waiting.Add(-int64(len(body)))
-		if session == nil {
-			session = t.connect(s)
-		}
-		if session == nil {
-			t.count(func(counts *Counts) { counts.Dropped++ })
-			continue
-		}
-		if err := session.writeFrame(body); err != nil {
-			t.closeConn(session.conn)
-			session = nil
-			continue
-		}
-		t.count(func(counts *Counts) {
-			counts.MessagesSent++
-			counts.BytesSent += uint64(len(body) + frameOverhead)
-		})
+		session = t.sendBody(s, session, body)
+	}
+}
+
+// sendBody writes body as one frame to the current session and returns the session to use next, or nil. It
+// reconnects if there is no session or the peer has closed it: the first write after that would succeed, but
+// the frame would be lost.
+func (t *Transport[M]) sendBody(s *sender, current *session, body []byte) *session {
+	if current != nil && !idle.IsOpen(current.conn) {
+		t.closeConn(current.conn)
+		current = nil
+	}
+	if current == nil {
+		current = t.connect(s)
+	}
+	if current == nil {
+		t.count(func(counts *Counts) { counts.Dropped++ })
+		return nil
+	}
+	if err := current.writeFrame(body); err != nil {
+		t.closeConn(current.conn)
+		t.count(func(counts *Counts) { counts.Dropped++ })
+		return nil
 	}
+	t.count(func(counts *Counts) {
+		counts.MessagesSent++
+		counts.BytesSent += uint64(len(body) + frameOverhead)
+	})
+	return current
 }
 
 func (t *Transport[M]) connect(s *sender) *session {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -126,3 +126,28 @@
 		_ = msgpack.Unmarshal(body, &message)
 	})
 }
+
+// TestFirstMessageToARestartedDaemonArrives guards against messages that are lost because they are written to
+// a connection that the peer closed when it restarted at the same address.
+func TestFirstMessageToARestartedDaemonArrives(t *testing.T) {
+	source := listen(t, "key", func(control.Message) {})
+	address := "127.0.0.1:0"
+	for start := range uint64(10) {
+		received := make(chan uint64, 1)
+		target, err := Listen(address, []byte("key"), func(message control.Message) { received <- message.Through })
+		if err != nil {
+			t.Fatal(err)
+		}
+		address = target.Address()
+		source.Send(address, control.Message{Through: start})
+		select {
+		case got := <-received:
+			if got != start {
+				t.Errorf("start %d: got message %d", start, got)
+			}
+		case <-time.After(time.Second):
+			t.Errorf("start %d: no message received", start)
+		}
+		target.Close()
+	}
+}
