Send a new daemon the full state until it has received it

Callers saw (lab/cluster.TestRollingStopCutsNothing): a daemon that had just started and reported ready refused 34 streams with no_replica.

Cause: the other daemons send a starting daemon all news of members and back ends once, in the answer to its first ping, and record it as informed when they send that answer. Meanwhile the new daemon starts serving after 6 join waits without news of most back ends, which it treats as down.

Evidence: member.TestJoinerIsToldEverythingThoughAnAnswerIsLost fails before the change: 20 of 20 back ends unknown.

Change: pings from a daemon that has not yet received everything say so, for at most ten probe intervals, and each of them is answered with everything. An answer states whether it completes what the sender needs. The native daemon logs when it has caught up, and how many engines are unknown to it at that point.

--- a/control/join.go
+++ b/control/join.go
@@ -39,19 +39,25 @@
 	}
 	joined := now.Sub(n.join.began)
 	through := n.store.Through()
-	informed := n.knowsEngines() || joined >= silentFactor*n.settings.JoinWait
+	engines, unknown := len(n.catalog.engineNames()), n.unknownEngines()
+	informed := unknown == 0 || joined >= silentFactor*n.settings.JoinWait
 	n.join.caughtUp = joined >= wait && informed && through > 0 && through >= n.join.heard
+	if n.join.caughtUp {
+		n.decide("membership", "Caught up with the cluster.", "after_ms", joined.Milliseconds(), "through", through,
+			"engines", engines, "engines_unknown", unknown)
+	}
 }
 
-// knowsEngines reports whether there is news of every engine. Without it none of them
-// counts as up, and every request would be refused for want of a replica.
-func (n *Node) knowsEngines() bool {
+// unknownEngines returns the number of engines whose state is unknown. They are treated as down, so
+// requests for artifacts that only they hold are refused for lack of a replica.
+func (n *Node) unknownEngines() int {
+	unknown := 0
 	for _, name := range n.catalog.engineNames() {
 		if _, heard := n.detector.BackEnd(name); !heard {
-			return false
+			unknown++
 		}
 	}
-	return true
+	return unknown
 }
 
 // CaughtUp reports whether this daemon knows at least what the others knew when
--- a/member/detector.go
+++ b/member/detector.go
@@ -34,6 +34,8 @@
 	digest       uint64
 	digestStale  bool
 	lastExchange time.Time
+	// receivedAll is set once a full answer has arrived since this daemon started.
+	receivedAll bool
 }
 
 type entry struct {
--- a/member/detector_test.go
+++ b/member/detector_test.go
@@ -357,6 +357,37 @@
 	}
 }
 
+// TestJoinerIsToldEverythingThoughAnAnswerIsLost guards against a restarted daemon that serves without
+// knowing the back ends because the full answer to its first ping was lost and is not sent again for 20 s.
+func TestJoinerIsToldEverythingThoughAnAnswerIsLost(t *testing.T) {
+	g := newGroup(3, 7)
+	g.run(2 * time.Second)
+	for engine := range 20 {
+		g.detectors[0].ObserveBackEnd(fmt.Sprint("engine-", engine), "b1", member.BackEndUp)
+	}
+	g.run(30 * time.Second)
+	// Restart another daemon first, so that FullExchangeInterval has not elapsed when the joiner pings.
+	g.detectors[2] = g.newDetector(2)
+	g.run(3 * time.Second)
+	joiner := g.newDetector(1)
+	g.detectors[1] = joiner
+	g.cut[[2]int{1, 2}], g.cut[[2]int{2, 1}] = true, true
+	greeting := member.Message{Kind: member.Ping, Sequence: 1 << 40, Sender: g.detectors[0].Self()}
+	for _, ack := range joiner.Receive(g.now, greeting) {
+		g.detectors[0].Receive(g.now, ack.Message)
+	}
+	first := joiner.Tell("d0")
+	if answers := g.detectors[0].Receive(g.now, first.Message); len(answers) != 1 || len(answers[0].Message.BackEnds) != 20 {
+		t.Fatalf("answers to the first ping: got %+v, want one with 20 back ends", answers)
+	}
+	g.run(3 * time.Second)
+	for engine := range 20 {
+		if _, heard := joiner.BackEnd(fmt.Sprint("engine-", engine)); !heard {
+			t.Errorf("the joiner has no state for engine-%d", engine)
+		}
+	}
+}
+
 // TestJoinerIsToldEverythingByItsFirstPing covers a daemon that starts anew and that
 // the others hear of before its own ping reaches them: by its answer to a ping of
 // theirs. It must be told of the back ends all the same, and at once, also while the
--- a/member/merge.go
+++ b/member/merge.go
@@ -15,6 +15,7 @@
 	for _, news := range message.BackEnds {
 		d.mergeBackEnd(news)
 	}
+	d.receivedAll = d.receivedAll || message.Complete
 	switch message.Kind {
 	case Ping:
 		return []Packet{{message.Sender.PeerAddress, d.ackFor(now, message)}}
@@ -30,8 +31,9 @@
 
 // ackFor answers a ping. A sender whose digest shows that it knows something else gets
 // everything, since the news that it lacks may no longer be going round: at once if it
-// was not sent everything since it joined, else when the last such answer is some time
-// ago. That it joined may have been heard here before its first ping came.
+// was not sent everything since it joined, or reports that it has not received such an answer,
+// else when the last such answer is some time ago. That it joined may have been heard here
+// before its first ping came.
 func (d *Detector) ackFor(now time.Time, message Message) Message {
 	ack := d.message(Ack, message.Sequence)
 	ack.KnowsLeaving = d.members[message.Sender.Name].Leaving
@@ -39,14 +41,21 @@
 		// The sender has to hear that, to refute it.
 		ack.Members = append(ack.Members, known.Member)
 	}
-	if message.Digest != ack.Digest && d.mayInform(now, message.Sender) {
+	ack.Complete = d.informed() && message.Digest == ack.Digest
+	if message.Digest != ack.Digest && (d.mayInform(now, message.Sender) || message.Uninformed) {
 		d.lastExchange = now
+		ack.Complete = d.informed()
 		ack.Members = d.Members()
 		ack.BackEnds = d.allBackEnds()
 	}
 	return ack
 }
 
+// informed reports whether this daemon has received everything since it started. After
+// maxUninformedIntervals it returns true regardless: if all daemons start at once, none of them
+// can send a complete answer before that.
+func (d *Detector) informed() bool { return d.receivedAll || d.interval > maxUninformedIntervals }
+
 // mayInform reports whether a member may be sent everything now, and notes that it is.
 func (d *Detector) mayInform(now time.Time, receiver Member) bool {
 	known := d.members[receiver.Name]
--- a/member/probe.go
+++ b/member/probe.go
@@ -13,6 +13,9 @@
 // deadForgetIntervals is how many probe intervals a dead member is remembered.
 const deadForgetIntervals = 3600
 
+// maxUninformedIntervals bounds how many probe intervals after its start a daemon requests everything.
+const maxUninformedIntervals = 10
+
 // probe is the direct probe under way.
 type probe struct {
 	name     string
@@ -284,12 +287,13 @@
 func (d *Detector) message(kind MessageKind, sequence uint64) Message {
 	size := len(d.members) + 1
 	return Message{
-		Kind:     kind,
-		Sequence: sequence,
-		Sender:   d.self,
-		Digest:   d.currentDigest(),
-		Members:  d.memberNews.take(d.settings.NewsPerMessage, size),
-		BackEnds: d.backEndNews.take(d.settings.NewsPerMessage, size),
+		Kind:       kind,
+		Sequence:   sequence,
+		Sender:     d.self,
+		Digest:     d.currentDigest(),
+		Members:    d.memberNews.take(d.settings.NewsPerMessage, size),
+		BackEnds:   d.backEndNews.take(d.settings.NewsPerMessage, size),
+		Uninformed: kind == Ping && !d.informed(),
 	}
 }
 
--- a/member/types.go
+++ b/member/types.go
@@ -118,6 +118,11 @@
 	Digest   uint64    `msgpack:"d,omitempty"`
 	Members  []Member  `msgpack:"m,omitempty"`
 	BackEnds []BackEnd `msgpack:"b,omitempty"`
+	// Uninformed says, in a Ping, that the sender started recently and has not received everything yet.
+	Uninformed bool `msgpack:"u,omitempty"`
+	// Complete says, in an Ack, that the answering daemon is itself informed and that, with this Ack, the
+	// sender of the Ping knows everything that it knows.
+	Complete bool `msgpack:"c,omitempty"`
 }
 
 // Packet is a message with the peer address that it goes to.
