Log the reasons for refusals when a limit test fails

On failure, it and the other tests of what servers say now log the first 20 refusals from the daemon logs of each deployment. Checks are unchanged.

In each at_limit refusal that was examined, the daemon had tried both other servers and could not connect to either within the dial timeout. Only the server at its limit remained, and the request was refused with most of its time left. That problem remains open.

--- a/entry/notices_test.go
+++ b/entry/notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -139,12 +140,32 @@
 // with the model m leave.
 func startServing(t *testing.T, daemons int) (*deployment, *standin.Server, *watched) {
 	t.Helper()
-	f := start(t, daemons)
+	logged := &lockedText{}
+	f := startWithLogs(t, daemons, logged)
+	t.Cleanup(func() { logRefusals(t, logged) })
 	server, seen := f.addWatched(t, "watched")
 	f.waitReady(t)
 	return f, server, seen
 }
 
+// maxLoggedRefusals limits the output of a single logRefusals call.
+const maxLoggedRefusals = 20
+
+// logRefusals prints the first refused requests in the daemon logs if the test has failed, so that the output
+// includes the reason for each refusal.
+func logRefusals(t *testing.T, logged *lockedText) {
+	if !t.Failed() {
+		return
+	}
+	remaining := maxLoggedRefusals
+	for line := range strings.Lines(logged.String()) {
+		if remaining > 0 && strings.Contains(line, "step=refused") {
+			remaining--
+			t.Log(strings.TrimSpace(line))
+		}
+	}
+}
+
 // TestServerGetsNoMoreThanItsLimitFromAllDaemons has a server name how many requests it takes a second from
 // all daemons together. It guards against daemons that do not hear that, or hold to it each for itself: one
 // that had named 2 a second got 21 in 4 s from eight daemons.
