--- a/quota/tenure_test.go
+++ b/quota/tenure_test.go
@@ -102,6 +102,9 @@
 // that grant turns of one subject concurrently.
 func TestOwnerOnlyTurnRate(t *testing.T) {
 	for _, daemons := range []int{9, 69} {
+		if daemons > 9 && !largeFleets {
+			continue
+		}
 		for _, met := range turnTroubles() {
 			t.Run(fmt.Sprintf("%d daemons/%s", daemons, met.name), func(t *testing.T) {
 				for seed := range uint64(2) {
