Follow evacuations and cold servers; send clients to daemons near them

Cause: no line of the program read the kind `evacuations`, nor what servers say of being cold. Change: evacuated zones are a third collection, watched by the daemons that watch the store and told to the others like the instances, with their eras; instances there count as leaving for choice, repeats, the last look before a send, reports and orders; a daemon serves once it knows them; a service with nothing left is refused at once.

The answer about addresses names daemons of the client's zone, if enough of them are in service, else of its region: it named any.

--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -50,6 +50,7 @@
 	}
 	n.noteVersion(SourceConfiguration, from, configurationPlace(versions.Configuration))
 	n.noteVersion(SourceInstances, from, versions.Instances)
+	n.noteVersion(SourceEvacuations, from, versions.Evacuations)
 }
 
 func (n *Node) noteVersion(source Source, from string, version history.Place) {
@@ -64,15 +65,24 @@
 func configurationPlace(version uint64) history.Place { return history.At(0, version) }
 
 func (n *Node) ownVersion(source Source) history.Place {
-	if source == SourceConfiguration {
+	switch source {
+	case SourceConfiguration:
 		return configurationPlace(n.configurationVersion())
+	case SourceInstances:
+		return n.instances.Newest()
+	default:
+		return n.evacuations.Newest()
 	}
-	return n.instances.Newest()
 }
 
+// sourcesInOrder are the collections in the order in which a daemon catches up with them.
+var sourcesInOrder = [...]Source{SourceConfiguration, SourceInstances, SourceEvacuations}
+
 // versions says how new this daemon's knowledge is.
 func (n *Node) versions() Versions {
-	versions := Versions{Configuration: n.configurationVersion(), Instances: n.instances.Newest()}
+	versions := Versions{
+		Configuration: n.configurationVersion(), Instances: n.instances.Newest(), Evacuations: n.evacuations.Newest(),
+	}
 	if n.configuration != nil {
 		versions.Routes = len(n.configuration.Routes)
 	}
@@ -82,7 +92,7 @@
 // tickSources catches up with what other daemons know: from the store, and from
 // the other daemon as well if the store does not answer here.
 func (n *Node) tickSources(now time.Time) {
-	for _, source := range []Source{SourceConfiguration, SourceInstances} {
+	for _, source := range sourcesInOrder {
 		state := n.sources[source]
 		if !state.newest.After(n.ownVersion(source)) {
 			state.behindSince = time.Time{}
@@ -143,17 +153,21 @@
 	}
 }
 
-// askFor is a question about one collection only: the other one may be large, and on
-// its way already.
+// askFor is a question about one collection only: the other ones may be large, and on
+// their way already.
 func (n *Node) askFor(source Source) Versions { return n.versions().onlyAbout(source) }
 
-// onlyAbout leaves the other collection out of a question.
+// onlyAbout leaves the other collections out of a question.
 func (v Versions) onlyAbout(source Source) Versions {
-	if source == SourceConfiguration {
-		v.Instances = history.Last
-	} else {
+	if source != SourceConfiguration {
 		v.Configuration = math.MaxUint64
 	}
+	if source != SourceInstances {
+		v.Instances = history.Last
+	}
+	if source != SourceEvacuations {
+		v.Evacuations = history.Last
+	}
 	return v
 }
 
@@ -261,6 +275,9 @@
 	if n.instances.Known() && n.instances.Newest().After(asked.Instances) {
 		answer.Instances = n.listing(asked.Instances)
 	}
+	if n.evacuations.Known() && n.evacuations.Newest().After(asked.Evacuations) {
+		answer.Evacuations = n.evacuationListing()
+	}
 	n.do(SendPeer{Address: other.PeerAddress, Message: answer})
 }
 
--- a/coordination/departures.go
+++ b/coordination/departures.go
@@ -122,7 +122,7 @@
 	listed, found := n.instances.Get(instance)
 	if n.departures.say(now, instance, found) && found {
 		n.changed[instance] = true
-		n.book.Put(n.departures.asDeparted(listed))
+		n.book.Put(n.inUse(listed))
 		if n.held {
 			n.planSoon(now)
 		}
@@ -142,7 +142,7 @@
 	for _, id := range n.departures.expire(now) {
 		if listed, found := n.instances.Get(id); found {
 			n.changed[id] = true
-			n.book.Put(listed)
+			n.book.Put(n.inUse(listed))
 			n.decide("instances", "Stays listed after a restore; in use again.", "instance", id)
 		}
 	}
--- a/coordination/era.go
+++ b/coordination/era.go
@@ -55,6 +55,9 @@
 	if n.Watching(now) {
 		n.do(Refresh{Source: SourceConfiguration})
 		n.do(Refresh{Source: SourceInstances})
+		if n.settings.FollowsEvacuations {
+			n.do(Refresh{Source: SourceEvacuations})
+		}
 	}
 }
 
@@ -82,11 +85,12 @@
 	n.instancesChanged(now, from, changed, restored)
 }
 
-// tickEarlier drops the instances that only an earlier era told of, once they had time to be written again.
+// tickEarlier drops the instances and evacuations that only an earlier era told of, once they had time to be written again.
 func (n *Node) tickEarlier(now time.Time) {
 	if n.eras.earlierUntil.IsZero() || now.Before(n.eras.earlierUntil) {
 		return
 	}
 	n.eras.earlierUntil = time.Time{}
 	n.instancesChanged(now, originRestore, n.instances.DropEarlier(), false)
+	n.evacuationsChanged(now, originRestore, n.evacuations.DropEarlier())
 }
--- /dev/null
+++ b/coordination/evacuations.go
@@ -0,0 +1,113 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/wheatweir/wheatweir/feed"
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/history"
+)
+
+// EvacuationListing is the list of all evacuated zones at a place in the store's history.
+type EvacuationListing struct {
+	At    history.Place      `msgpack:"a"`
+	Zones []ListedEvacuation `msgpack:"z,omitempty"`
+}
+
+// ListedEvacuation is one evacuated zone with the place of its evacuation.
+type ListedEvacuation struct {
+	Zone  string        `msgpack:"z"`
+	Place history.Place `msgpack:"p"`
+}
+
+// EvacuationsListed takes in a full list of the evacuated zones.
+func (n *Node) EvacuationsListed(now time.Time, batch feed.Batch[fleet.Evacuation]) []Action {
+	n.replaceEvacuations(now, originStore, batch)
+	return n.take()
+}
+
+// EvacuationsChanged takes in evacuations that were ordered or taken back.
+func (n *Node) EvacuationsChanged(now time.Time, batch feed.Batch[fleet.Evacuation]) []Action {
+	n.learnEra(now, originStore, batch.At.Era)
+	n.evacuationsChanged(now, originStore, n.evacuations.Apply(batch))
+	return n.take()
+}
+
+// replaceEvacuations takes in a full list. After the store has come back from a copy, evacuations that the list
+// lacks stay until the operator has had time to write them again.
+func (n *Node) replaceEvacuations(now time.Time, from origin, batch feed.Batch[fleet.Evacuation]) {
+	n.learnEra(now, from, batch.At.Era)
+	changed := n.evacuations.Replace(batch)
+	if n.evacuations.HasEarlier() {
+		n.eras.earlierUntil = now.Add(rewriteSpan)
+	}
+	n.evacuationsChanged(now, from, changed)
+}
+
+// evacuationsChanged takes the instances of evacuated zones out of use, and those of other zones into use again.
+func (n *Node) evacuationsChanged(now time.Time, from origin, changed []feed.Item[fleet.Evacuation]) {
+	for _, item := range changed {
+		n.decide("evacuations", "Changed.", "zone", item.Name, "evacuated", !item.Gone, "at", item.Place, "from", string(from))
+		for _, listed := range n.instances.Items() {
+			if listed.Value.Zone != item.Name {
+				continue
+			}
+			n.changed[listed.Name] = true
+			n.book.Put(n.inUse(listed.Value))
+			if item.Gone {
+				n.assumeCold(listed.Value)
+			}
+		}
+	}
+	if len(changed) > 0 && n.held {
+		n.planSoon(now)
+	}
+}
+
+// evacuated reports whether a zone is evacuated.
+func (n *Node) evacuated(zone string) bool {
+	_, evacuated := n.evacuations.Get(zone)
+	return evacuated
+}
+
+// EvacuatedZones returns how many zones are evacuated.
+func (n *Node) EvacuatedZones() int { return len(n.evacuations.Items()) }
+
+// inUse is an instance as it may be used: one that has departed or whose zone is evacuated counts as leaving.
+func (n *Node) inUse(listed *fleet.Instance) *fleet.Instance {
+	inUse := n.departures.asDeparted(listed)
+	if inUse.Leaving || !n.evacuated(listed.Zone) {
+		return inUse
+	}
+	copied := *inUse
+	copied.Leaving, copied.Evacuated = true, true
+	return &copied
+}
+
+// evacuationsKnown reports whether requests may be served as far as evacuations go. A daemon that the store does not
+// answer hears of them from others.
+func (n *Node) evacuationsKnown() bool {
+	return !n.settings.FollowsEvacuations || n.evacuations.Known() || n.sources[SourceEvacuations].unavailable
+}
+
+// evacuationListing is what another daemon is told of the evacuated zones: all of them, since there are few.
+func (n *Node) evacuationListing() *EvacuationListing {
+	listing := &EvacuationListing{At: n.evacuations.At()}
+	for _, item := range n.evacuations.Items() {
+		if item.Place.Era == listing.At.Era {
+			listing.Zones = append(listing.Zones, ListedEvacuation{Zone: item.Name, Place: item.Place})
+		}
+	}
+	return listing
+}
+
+// takeEvacuations takes in the evacuated zones that another daemon knows.
+func (n *Node) takeEvacuations(now time.Time, from origin, listing *EvacuationListing) {
+	batch := feed.Batch[fleet.Evacuation]{At: listing.At}
+	for _, told := range listing.Zones {
+		batch.Items = append(batch.Items, feed.Item[fleet.Evacuation]{
+			Name: told.Zone, Place: told.Place, Value: fleet.Evacuation{Zone: told.Zone},
+		})
+	}
+	n.replaceEvacuations(now, from, batch)
+}
--- a/coordination/facts.go
+++ b/coordination/facts.go
@@ -104,7 +104,7 @@
 // TakeView returns a new snapshot if anything has changed since the last one.
 func (n *Node) TakeView() (*fleet.View, bool) {
 	before := n.view
-	if n.instances.Known() {
+	if n.instances.Known() && n.evacuationsKnown() {
 		n.view = n.view.WithConfiguration(n.configuration)
 	}
 	if len(n.changed) > 0 {
@@ -133,7 +133,7 @@
 // merged is an instance with what its newest report says it holds. A report is
 // believed over the list unless the list told something new well after it.
 func (n *Node) merged(listed *fleet.Instance) *fleet.Instance {
-	listed = n.departures.asDeparted(listed)
+	listed = n.inUse(listed)
 	known, found := n.facts.byInstance[listed.ID]
 	if !found || known.at.Add(listLag).Before(n.listedAt[listed.ID]) {
 		return listed
--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -14,7 +14,7 @@
 // daemons prove to each other, so that during an upgrade those of the old and the new form
 // do not talk: fields that are not understood are passed over, and a list of instances
 // without their IDs would leave no instance. Both get along by the store meanwhile.
-const MessageForm = "7"
+const MessageForm = "8"
 
 // Message is what entry daemons tell each other.
 type Message struct {
@@ -29,6 +29,7 @@
 	// Configuration and Instances answer that.
 	Configuration *fleet.Configuration `msgpack:"c,omitempty"`
 	Instances     *Listing             `msgpack:"i,omitempty"`
+	Evacuations   *EvacuationListing   `msgpack:"z,omitempty"`
 	// Facts are reports of model servers, told by the holder of the lease to one
 	// daemon that lacks them.
 	Facts []Fact `msgpack:"r,omitempty"`
@@ -133,6 +134,8 @@
 	Routes int `msgpack:"o,omitempty"`
 	// Instances is the version of the newest change of the instances.
 	Instances history.Place `msgpack:"i"`
+	// Evacuations is the version of the newest change of the evacuated zones.
+	Evacuations history.Place `msgpack:"z,omitempty"`
 }
 
 // Listing is the list of all instances at a place in the store's history, or the changes
@@ -159,6 +162,8 @@
 const (
 	SourceConfiguration Source = "configuration"
 	SourceInstances     Source = "instances"
+	// SourceEvacuations is followed where the operator may evacuate zones.
+	SourceEvacuations Source = "evacuations"
 )
 
 // ModelLoad is the demand for one model at one daemon.
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -26,6 +26,7 @@
 	book          *residency.Book
 	instances     *feed.Mirror[*fleet.Instance]
 	configuration *fleet.Configuration
+	evacuations   *feed.Mirror[fleet.Evacuation]
 	facts         factBook
 	reports       map[string]*reportState
 	// listedAt is when the list last told something new of an instance.
@@ -98,13 +99,13 @@
 		detector:  member.NewDetector(self, settings.Member, random),
 		lease:     lease.New(self.Name, boot, settings.Lease),
 		book:      residency.NewBook(settings.Residency),
-		instances: feed.NewMirror[*fleet.Instance](),
-		facts:     newFactBook(), departures: newDepartures(), changed: map[string]bool{}, reports: map[string]*reportState{}, listedAt: map[string]time.Time{}, peers: map[string]peerState{},
+		instances: feed.NewMirror[*fleet.Instance](), evacuations: feed.NewMirror[fleet.Evacuation](),
+		facts: newFactBook(), departures: newDepartures(), changed: map[string]bool{}, reports: map[string]*reportState{}, listedAt: map[string]time.Time{}, peers: map[string]peerState{},
 		demand: newDemandState(), lastHolder: now, watcherAt: now.Add(settings.WatchAfter),
 		view:      fleet.NewView(nil, nil),
 		spreading: newSpreadState(random.Uint64()), bulletins: newBulletinState(random.Uint64()), assured: assurance{sequence: random.Uint64()},
 		members: map[string]memberBelief{}, memberNews: newsList{part: "daemons"}, instanceNews: newsList{part: "instances"},
-		sources: map[Source]*sourceState{SourceConfiguration: {}, SourceInstances: {}},
+		sources: map[Source]*sourceState{SourceConfiguration: {}, SourceInstances: {}, SourceEvacuations: {}},
 	}
 	node.detector.SetSeeds(seeds)
 	return node
@@ -126,8 +127,10 @@
 	n.do(Decision{Part: part, Text: text, Fields: fields})
 }
 
-// Known reports whether configuration and instances are known.
-func (n *Node) Known() bool { return n.configuration != nil && n.instances.Known() }
+// Known reports whether configuration, instances and evacuations are known.
+func (n *Node) Known() bool {
+	return n.configuration != nil && n.instances.Known() && n.evacuationsKnown()
+}
 
 // Members returns all known daemons.
 func (n *Node) Members() []member.Member { return n.detector.Members() }
@@ -189,6 +192,9 @@
 	if message.Instances != nil {
 		n.takeListing(now, origin(message.From), message.Instances)
 	}
+	if message.Evacuations != nil {
+		n.takeEvacuations(now, origin(message.From), message.Evacuations)
+	}
 	for _, told := range message.Facts {
 		n.learn(told, now.Add(-told.Age))
 	}
@@ -280,7 +286,11 @@
 	if n.configuration != nil && configuration.Version <= n.configuration.Version {
 		return
 	}
+	first := n.configuration == nil
 	n.configuration = configuration
+	if first {
+		n.noteAllCold()
+	}
 	n.assureAhead()
 	n.decide("configuration", "In force.", "version", configuration.Version, "routes", len(configuration.Routes), "services", len(configuration.Services))
 }
@@ -319,7 +329,8 @@
 			n.listedAt[item.Name] = now
 		}
 		delete(n.facts.gone, item.Name)
-		n.book.Put(n.departures.asDeparted(item.Value))
+		n.book.Put(n.inUse(item.Value))
+		n.noteCold(item.Value)
 	}
 }
 
--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -29,7 +29,7 @@
 	}
 	for _, item := range n.instances.Items() {
 		instance := item.Value
-		if !engines[instance.Service] {
+		if !engines[instance.Service] || n.evacuated(instance.Zone) {
 			continue
 		}
 		state := n.reportOf(instance.ID)
--- a/coordination/settings.go
+++ b/coordination/settings.go
@@ -23,7 +23,7 @@
 	ShareSoon  time.Duration
 	SharePeers int
 	TellPause  time.Duration
-	// DemandCost times the number of daemons is the least time between two messages of
+	// DemandCost times the number of dispatchers is the least time between two messages of
 	// one of them to the holder about the demand for models.
 	DemandCost time.Duration
 	// ReportEvery is the time between two questions to a model server that is
@@ -58,6 +58,8 @@
 	// requests with it may still be served; zero if nothing says so. It is why daemons keep
 	// their configuration sure.
 	RevokeWithin time.Duration
+	// FollowsEvacuations says that the operator may evacuate zones: a daemon serves nobody before it knows which.
+	FollowsEvacuations bool
 	// AskPause is the least time between two questions to another daemon.
 	AskPause time.Duration
 	// ChecksFence says that servers turn away orders with a lower fencing token.
--- a/coordination/share.go
+++ b/coordination/share.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/history"
 )
 
 // shareState is what this daemon has told of itself, and what it still has to tell.
@@ -19,8 +20,9 @@
 	at           time.Time
 	dispatcherAt time.Time
 	modelsAt     time.Time
-	// configuration is the version that was told last.
+	// configuration and evacuations are the versions that were told last.
 	configuration uint64
+	evacuations   history.Place
 	all           balance.LoadDeltas
 	dispatcher    balance.LoadDeltas
 }
@@ -107,11 +109,12 @@
 		n.sendAll([]string{n.holderName}, Message{From: n.self, Load: &demand})
 	}
 	near, far := n.settings.RestPeers, 1
-	if load.Watching || load.Versions.Configuration != n.sharing.configuration {
+	news := load.Versions.Configuration != n.sharing.configuration || load.Versions.Evacuations != n.sharing.evacuations
+	if load.Watching || news {
 		// Instances change all the time: of these the daemons that watch tell many.
 		near, far = n.settings.MaxPeers, n.settings.FarPeers
 	}
-	n.sharing.configuration = load.Versions.Configuration
+	n.sharing.configuration, n.sharing.evacuations = load.Versions.Configuration, load.Versions.Evacuations
 	load.Models, load.NoModels = nil, true
 	n.sendAll(n.sharePeers(others, near, far), Message{From: n.self, Load: &load})
 }
--- a/coordination/witnesses.go
+++ b/coordination/witnesses.go
@@ -45,7 +45,7 @@
 
 // lookFor looks at the store for another daemon that knows as much as this one.
 func (n *Node) lookFor(now time.Time, from string, asked Versions) {
-	for _, source := range []Source{SourceConfiguration, SourceInstances} {
+	for _, source := range sourcesInOrder {
 		state := n.sources[source]
 		if !asked.about(source) || n.ownVersion(source).After(asked.of(source)) {
 			continue
@@ -62,18 +62,26 @@
 
 // of is the version of one collection.
 func (v Versions) of(source Source) history.Place {
-	if source == SourceConfiguration {
+	switch source {
+	case SourceConfiguration:
 		return configurationPlace(v.Configuration)
+	case SourceInstances:
+		return v.Instances
+	default:
+		return v.Evacuations
 	}
-	return v.Instances
 }
 
 // about reports whether a question is about a collection, see onlyAbout.
 func (v Versions) about(source Source) bool {
-	if source == SourceConfiguration {
+	switch source {
+	case SourceConfiguration:
 		return v.Configuration != math.MaxUint64
+	case SourceInstances:
+		return v.Instances != history.Last
+	default:
+		return v.Evacuations != history.Last
 	}
-	return v.Instances != history.Last
 }
 
 // tickQuestions answers the questions that can be answered now. A large configuration is
@@ -81,7 +89,8 @@
 func (n *Node) tickQuestions(now time.Time) {
 	n.questions = slices.DeleteFunc(n.questions, func(kept question) bool {
 		known := n.configurationVersion() > kept.asked.Configuration && len(n.configuration.Routes) <= largeConfiguration ||
-			n.ownVersion(SourceInstances).After(kept.asked.Instances)
+			n.ownVersion(SourceInstances).After(kept.asked.Instances) ||
+			n.ownVersion(SourceEvacuations).After(kept.asked.Evacuations)
 		if known {
 			n.answerAsk(kept.from, kept.asked)
 		}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -196,6 +196,7 @@
 		settings.Lease.OrderPause = 0
 	}
 	settings.RevokeWithin = d.current().RevokeWithin
+	settings.FollowsEvacuations = d.current().EvacuateWithin > 0
 	d.node = coordination.New(d.started, self, settings, d.current().Seeds, random)
 }
 
@@ -227,6 +228,13 @@
 		source.Skipped = d.unreadable("instances")
 		follow(d, coordination.SourceInstances, source, gatherInstances, (*coordination.Node).InstancesListed, (*coordination.Node).InstancesChanged)
 	})
+	if d.current().EvacuateWithin > 0 {
+		d.startDuty("evacuations", func() {
+			source := d.store.Evacuations()
+			source.Skipped = d.unreadable("evacuations")
+			follow(d, coordination.SourceEvacuations, source, 0, (*coordination.Node).EvacuationsListed, (*coordination.Node).EvacuationsChanged)
+		})
+	}
 }
 
 // eraLearned takes in the era that an answer of the store has named.
@@ -279,12 +287,12 @@
 }
 
 // Addresses implements platform.Directory.
-func (d *Daemon) Addresses(_, _ string) ([]string, bool) {
+func (d *Daemon) Addresses(region, zone string) ([]string, bool) {
 	addresses := d.fleet.addresses.Load()
 	if addresses == nil {
 		return nil, false
 	}
-	return *addresses, true
+	return addresses.near(region, zone), true
 }
 
 // Keep implements platform.Directory.
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -84,7 +83,6 @@
 	}
 	d.control.publishedAt, d.control.published = revision, d.clock.Now()
 	d.dispatch.setGroup(d.node.Group())
-	var addresses []string
 	live := int64(0)
 	book := addressBook{}
 	members := d.node.Members()
@@ -94,17 +92,12 @@
 			continue
 		}
 		live++
-		if !other.Leaving && other.State == member.Alive {
-			addresses = append(addresses, other.CallerAddress)
-		}
 	}
 	d.fleet.peerAddresses.Store(&book)
 	d.fleet.live.Store(max(1, live))
 	d.publishFleet(d.clock.Now())
 	d.budget.SetLimit(max(1, retryPart*d.current().RetrySlack/float64(max(1, live))))
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	addresses = addresses[:min(len(addresses), maxAddresses)]
-	d.fleet.addresses.Store(&addresses)
+	d.fleet.addresses.Store(newFrontAddresses(members, d.current().ZoneRegions))
 }
 
 // tenantsChanged takes in the tenants of another configuration.
@@ -159,13 +152,6 @@
 	return ""
 }
 
-// addressRefresh is how often the answer about addresses is made anew without a change
-// of the daemons, in another order.
-const addressRefresh = time.Second
-
-// maxAddresses bounds an answer about addresses.
-const maxAddresses = 64
-
 // perform hands actions to the duties that carry them out.
 func (d *Daemon) perform(actions []coordination.Action) {
 	for _, action := range actions {
@@ -186,6 +172,8 @@
 			d.quarantine.learn(action.Update)
 		case coordination.LearnNotices:
 			d.notices.learn(action.Update)
+		case coordination.LearnCold:
+			d.notices.setCold(action)
 		case coordination.Refresh:
 			select {
 			case d.following.refresh[action.Source] <- struct{}{}:
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -64,6 +64,11 @@
 }
 
 func putConfiguration(store *standin.Store, version uint64, added ...string) {
+	store.Configure(usualConfiguration(version, added...))
+}
+
+// usualConfiguration has a service with models and a plain one, and a plain route for each name that is added.
+func usualConfiguration(version uint64, added ...string) *fleet.Configuration {
 	configuration := &fleet.Configuration{
 		Version: version,
 		Routes: []fleet.Route{
@@ -81,7 +86,7 @@
 	for _, name := range added {
 		configuration.Routes = append(configuration.Routes, route(name, fleet.KindSafe, 5*time.Second, 0, 2, "web"))
 	}
-	store.Configure(configuration)
+	return configuration
 }
 
 func start(t *testing.T, count int) *deployment { return startWithLogs(t, count, io.Discard) }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -43,6 +43,9 @@
 	leaving tally.Gauge
 	limited tally.Gauge
 	resting tally.Gauge
+	// cold is the number of servers that are cold, and evacuated that of the zones that are evacuated.
+	cold      tally.Gauge
+	evacuated tally.Gauge
 }
 
 // stepKey names a series. All of its parts come from fixed lists.
@@ -78,6 +81,7 @@
 		quarantined: root.Gauge("contents_quarantined"),
 		notices:     root.Counter("instance_notices"), unreadableNotices: root.Counter("instance_notices_unreadable"),
 		leaving: root.Gauge("instances_leaving"), limited: root.Gauge("instances_limited"), resting: root.Gauge("instances_resting"),
+		cold: root.Gauge("instances_cold"), evacuated: root.Gauge("zones_evacuated"),
 	}
 }
 
@@ -162,4 +166,5 @@
 	d.metrics.linesDropped.Update(float64(d.log.lines.Dropped()))
 	d.metrics.peersDropped.Update(float64(d.peers.Counts().Dropped))
 	d.metrics.quarantined.Update(float64(d.quarantine.heldCount(now)))
+	d.metrics.evacuated.Update(float64(d.node.EvacuatedZones()))
 }
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -42,10 +42,12 @@
 	book  *notice.Book
 	// spent is until when limited instances have no turn, as far as this daemon has heard.
 	spent map[string]time.Time
+	// cold are the instances that are cold.
+	cold map[string]coldInstance
 }
 
 func newNotices(d *Daemon) *notices {
-	n := &notices{daemon: d, book: notice.NewBook(), spent: map[string]time.Time{}}
+	n := &notices{daemon: d, book: notice.NewBook(), spent: map[string]time.Time{}, cold: map[string]coldInstance{}}
 	n.limited.Store(&instanceLimits{})
 	ports := d.limiterPorts("limits", func(message *limiter.Message) coordination.Message {
 		return coordination.Message{InstanceLimit: message}
@@ -139,7 +141,7 @@
 	n.mutex.Lock()
 	change := n.book.Hear(now, &heard)
 	told := n.book.Evidence(heard.Instance)
-	n.any.Store(!n.book.Empty())
+	n.noteAny()
 	n.mutex.Unlock()
 	if change.Empty() {
 		return
@@ -157,7 +159,7 @@
 	now := n.daemon.clock.Now()
 	n.mutex.Lock()
 	changes := n.book.Learn(now, update)
-	n.any.Store(!n.book.Empty())
+	n.noteAny()
 	n.mutex.Unlock()
 	for i := range changes {
 		n.take(now, changes[i], "daemon")
@@ -195,13 +197,12 @@
 // setLimit has the limit of an instance, as it is known now, come into force.
 func (n *notices) setLimit(now time.Time, instance string) {
 	n.mutex.Lock()
-	perSecond, limited := n.book.Limit(instance)
-	n.limited.Store(n.limited.Load().with(instance, perSecond, limited))
-	delete(n.spent, instance)
+	_, named := n.book.Limit(instance)
+	n.applyLimit(instance)
 	n.mutex.Unlock()
 	n.limits.SubjectsChanged(now)
 	n.daemon.work.events.Offer(func(node *coordination.Node, now time.Time) []coordination.Action {
-		return node.InstanceLimited(now, instance, limited)
+		return node.InstanceLimited(now, instance, named)
 	})
 }
 
@@ -221,11 +222,13 @@
 func (n *notices) tick(now time.Time, view *fleet.View) {
 	n.mutex.Lock()
 	n.book.Forget(now, func(id string) bool { return view.Instance(id) != nil })
-	n.any.Store(!n.book.Empty())
+	n.forgetCold(now)
+	n.noteAny()
 	leaving, limited, resting := n.book.Counts(now)
+	cold := len(n.cold)
 	var ended []string
 	for instance := range n.limited.Load().byInstance {
-		if _, stays := n.book.Limit(instance); !stays {
+		if _, stays := n.limitOf(instance); !stays {
 			ended = append(ended, instance)
 		}
 	}
@@ -236,4 +239,5 @@
 	n.daemon.metrics.leaving.Update(float64(leaving))
 	n.daemon.metrics.limited.Update(float64(limited))
 	n.daemon.metrics.resting.Update(float64(resting))
+	n.daemon.metrics.cold.Update(float64(cold))
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -17,6 +17,8 @@
 	Zone     string
 	Region   string
 	LogLevel string
+	// ZoneRegions tells the region of each zone of the deployment.
+	ZoneRegions map[string]string
 
 	// FrontAddress takes clients, ReadyAddress and DirectoryAddress answer
 	// questions about readiness and addresses, PeerAddress hears other daemons.
@@ -55,6 +57,9 @@
 	// RevokeWithin is how long after the store has taken that a key is no longer valid a
 	// request with it may still be served, by any daemon; zero if nothing says so.
 	RevokeWithin time.Duration
+	// EvacuateWithin is how long after the store has taken that a zone is evacuated its instances may still get
+	// requests; zero if zones are never evacuated.
+	EvacuateWithin time.Duration
 	// Released are digests of contents that are not kept from servers any more, as the log names them: their
 	// cause was mended.
 	Released []string
@@ -77,6 +82,7 @@
 		inifile.Word("daemon", "name", &s.Name, true),
 		inifile.Word("daemon", "zone", &s.Zone, true),
 		inifile.Word("daemon", "region", &s.Region, false),
+		optional(inifile.Pairs("daemon", "zone_regions", "zone=region", &s.ZoneRegions)),
 		inifile.Choice("daemon", "log_level", &s.LogLevel, "debug", "info", "warn", "error"),
 		inifile.Secret("daemon", "deployment_key", &s.DeploymentKey),
 		inifile.Number("daemon", "memory_limit_mb", &s.MemoryLimitMB, 16, 1<<20),
@@ -92,6 +98,7 @@
 		inifile.Address("store", "address", &s.StoreAddress),
 		inifile.Duration("store", "watch_wait", &s.WatchWait, 100*time.Millisecond, 30*time.Second),
 		optional(inifile.Duration("store", "revoke_within", &s.RevokeWithin, 0, time.Hour)),
+		optional(inifile.Duration("store", "evacuate_within", &s.EvacuateWithin, 0, time.Hour)),
 		inifile.Addresses("peers", "seeds", &s.Seeds),
 
 		inifile.Duration("requests", "address_keep", &s.AddressKeep, 100*time.Millisecond, time.Hour),
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -20,6 +20,8 @@
 		{"not a time", "grace = 8s", "grace = 8 miles", "file.ini:13:"},
 		{"not an address", "front = 127.0.0.1:1", "front = here", "file.ini:6:"},
 		{"neither true nor false", "checks_fence = true", "checks_fence = perhaps", "true or false"},
+		{"a zone without its region", "zone = z\n", "zone = z\nzone_regions = z=r, y\n", "zone=region"},
+		{"a zone with two regions", "zone = z\n", "zone = z\nzone_regions = z=r, z=s\n", "zone=region"},
 		{"no digest", "grace = 8s", "released_contents = 12345", "file.ini:13:"},
 		{"unknown", "grace = 8s", "graze = 8s", `did you mean "grace"?`},
 	}
--- a/entry/state.go
+++ b/entry/state.go
@@ -48,7 +48,7 @@
 type fleetState struct {
 	// addresses are the answer about addresses, and peerAddresses where the other daemons hear
 	// this one.
-	addresses     atomic.Pointer[[]string]
+	addresses     atomic.Pointer[frontAddresses]
 	peerAddresses atomic.Pointer[addressBook]
 	live          atomic.Int64
 	// rank is this daemon's place among the live ones, in an order of all.
@@ -69,6 +69,7 @@
 func newFollowState() followState {
 	return followState{refresh: map[coordination.Source]chan struct{}{
 		coordination.SourceConfiguration: make(chan struct{}, 1), coordination.SourceInstances: make(chan struct{}, 1),
+		coordination.SourceEvacuations: make(chan struct{}, 1),
 	}}
 }
 
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -5,12 +5,13 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/feed"
 )
 
 // watch asks for changes. Without an answer in time the connection is taken for silent.
 func (f *follower[T]) watch(ctx context.Context) (feed.Batch[T], error) {
-	limit := f.daemon.current().WatchWait
+	limit := f.watchLimit()
 	wait, patience := watchWait(limit, int(f.daemon.fleet.rank.Load()), rand.Float64()), answerPatience(limit)
 	if f.catchingUp {
 		wait, patience = lookWait, lookPatience
@@ -18,6 +19,15 @@
 	return f.source.Watch(ctx, f.at, wait, patience)
 }
 
+// watchLimit is the longest time that a change may stay unheard.
+func (f *follower[T]) watchLimit() time.Duration {
+	settings := f.daemon.current()
+	if f.name == coordination.SourceEvacuations {
+		return settings.EvacuateWithin
+	}
+	return settings.WatchWait
+}
+
 const (
 	// lookWait is the wait of a call for the changes so far, and lookPatience how long its
 	// answer may take: a call that goes unanswered as well says that the store is away.
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -112,6 +112,10 @@
 	Name string
 	// MaxConnections is what one instance takes from all callers together.
 	MaxConnections int
+	// ColdSpan is how long an instance stays cold after its start, and ColdPerSecond how many requests a second it
+	// bears meanwhile; both are zero if instances bear as much as ever.
+	ColdSpan      time.Duration
+	ColdPerSecond float64
 	// Engine is nil for a service without models.
 	Engine *Engine
 }
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -35,7 +35,13 @@
 	// Remaining is how long an instance that leaves at short notice still
 	// lives; zero if it did not say.
 	Remaining time.Duration `msgpack:"t,omitempty"`
-	Residents []Resident    `msgpack:"r,omitempty"`
+	// ColdLeft is how much longer the instance stayed cold when it said so: until then it bears only
+	// few requests a second.
+	ColdLeft time.Duration `msgpack:"c,omitempty"`
+	// Evacuated says that the instance counts as leaving because its zone is evacuated. Each daemon knows that by
+	// itself.
+	Evacuated bool       `msgpack:"-"`
+	Residents []Resident `msgpack:"r,omitempty"`
 }
 
 // Resident returns the entry of a model, or nil.
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -54,6 +54,9 @@
 				}
 				continue
 			}
+			if e.evacuated(view) {
+				return nil, ReasonEvacuated
+			}
 			if reason, again := wait.forChange(ctx, view, changed); !again {
 				return nil, reason
 			}
@@ -258,6 +261,19 @@
 	return xxhash.Sum64String(e.request.Model + "/" + e.request.Adapter + "/" + e.request.Prompt[0].ID)
 }
 
+// evacuated reports whether no instance of the service is left because their zones are evacuated: an evacuation lasts
+// longer than any request can wait.
+func (e *exchange) evacuated(view *fleet.View) bool {
+	found := false
+	for _, instance := range view.Instances(e.service) {
+		if !instance.Leaving {
+			return false
+		}
+		found = found || instance.Evacuated
+	}
+	return found
+}
+
 // lack tells why there is no candidate.
 func (e *exchange) lack(view *fleet.View) Reason {
 	if e.request.Model == "" {
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -39,6 +39,8 @@
 	// ReasonResting says that instances have what the request needs, and all of them want nothing from this
 	// daemon for a while.
 	ReasonResting Reason = "resting"
+	// ReasonEvacuated says that all instances of the service stand in evacuated zones.
+	ReasonEvacuated Reason = "evacuated"
 	// ReasonLeaving says that an instance has said that it takes no new requests.
 	ReasonLeaving Reason = "leaving"
 	// ReasonQuarantined says that servers crashed under requests of this content.
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -82,6 +82,9 @@
 // mayReach reports whether the request may still be sent to an instance. It is the last look before the first byte:
 // a choice, a turn and a connection take their time.
 func (e *exchange) mayReach(instance string) bool {
+	if known := e.gateway.view.Load().Instance(instance); known != nil && known.Leaving {
+		return false
+	}
 	notices := e.gateway.settings.Notices
 	if notices == nil {
 		return true
--- a/inifile/field.go
+++ b/inifile/field.go
@@ -4,7 +4,9 @@
 package inifile
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -106,6 +108,36 @@
 	}
 }
 
+// Pairs declares a list of words with another one for each. An empty text is an empty list.
+func Pairs(section, name, form string, target *map[string]string) Field {
+	return Field{
+		Section: section, Name: name, Form: form + ", ... separated by commas",
+		Parse: func(text string) bool {
+			pairs := map[string]string{}
+			for _, pair := range strings.Split(text, ",") {
+				if pair = strings.TrimSpace(pair); pair == "" {
+					continue
+				}
+				key, value, found := strings.Cut(pair, "=")
+				key, value = strings.TrimSpace(key), strings.TrimSpace(value)
+				if !found || key == "" || value == "" || pairs[key] != "" {
+					return false
+				}
+				pairs[key] = value
+			}
+			*target = pairs
+			return true
+		},
+		Show: func() string {
+			var shown []string
+			for _, key := range slices.Sorted(maps.Keys(*target)) {
+				shown = append(shown, key+"="+(*target)[key])
+			}
+			return strings.Join(shown, ", ")
+		},
+	}
+}
+
 // Choice declares one of a few words.
 func Choice(section, name string, target *string, choices ...string) Field {
 	return Field{
