Look only at the hosts of a model where a plan asks for them

Cause: each candidate for a new replica counted the replicas in its zone over all servers, so a replica cost the square of the servers; and homes of adapters were looked for on all servers, for each model. Change: a plan lists the slots that hold each model once, and counts replicas by zone once for each replica that it places.

--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -23,7 +23,7 @@
 // adapterPlaces is how many adapters of a model are resident or have room.
 func (p *plan) adapterPlaces(model *fleet.Model) int {
 	places := 0
-	for _, s := range p.slots {
+	for _, s := range p.hosts[model.Name] {
 		if held := s.models[model.Name]; held != nil && !held.unloading {
 			places += len(held.adapters) + max(0, s.freeAdapters)
 		}
@@ -48,7 +48,7 @@
 // homes counts the servers that hold each adapter of a model, or soon will.
 func (p *plan) homes(model string) map[string]int {
 	homes := map[string]int{}
-	for _, s := range p.slots {
+	for _, s := range p.hosts[model] {
 		if held := s.models[model]; held != nil && !held.unloading && !s.silent {
 			for adapter := range held.adapters {
 				homes[adapter]++
@@ -108,7 +108,7 @@
 
 func (p *plan) placeSecondHome(model *fleet.Model, adapter string) {
 	var best *slot
-	for _, s := range p.slots {
+	for _, s := range p.hosts[model.Name] {
 		if !p.takesAdapters(s, model) || s.models[model.Name].adapters[adapter] || s.freeAdapters <= spareAdapterPlaces || s.freeMB < model.AdapterMB {
 			continue
 		}
@@ -140,7 +140,7 @@
 // has too, or that nothing waits for.
 func (p *plan) placeAdapter(model *fleet.Model, adapter string, makeRoom bool) {
 	var best, full *slot
-	for _, s := range p.slots {
+	for _, s := range p.hosts[model.Name] {
 		if !p.takesAdapters(s, model) {
 			continue
 		}
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -19,6 +19,9 @@
 	demand   map[string]Demand
 	unserved unserved
 	slots    []*slot
+	// hosts are the slots that hold each model, whether it serves there or not: most models are on a few servers of
+	// thousands.
+	hosts map[string][]*slot
 	// replicas counts, for each model, the servers that serve it or soon will.
 	replicas map[string]int
 	// reachable counts those whose server answers and takes what is asked, ready those that serve it now.
@@ -35,7 +38,7 @@
 func (b *Book) Plan(now time.Time, service string, engine *fleet.Engine, demand map[string]Demand) []Order {
 	p := &plan{
 		now: now, settings: b.settings, engine: engine, models: modelsByName(engine), observed: demand, demand: demand, unserved: b.unservedOf(service),
-		replicas: map[string]int{}, reachable: map[string]int{}, ready: map[string]int{},
+		hosts: map[string][]*slot{}, replicas: map[string]int{}, reachable: map[string]int{}, ready: map[string]int{},
 		loadsLeft: b.loads.left(now, engine.LoadsPerSecond, b.settings.Window),
 	}
 	for _, known := range b.servers {
@@ -79,6 +82,7 @@
 func (p *plan) count() {
 	for _, s := range p.slots {
 		for model, held := range s.models {
+			p.hosts[model] = append(p.hosts[model], s)
 			if held.unloading {
 				continue
 			}
@@ -133,6 +137,9 @@
 	}
 	p.send(s, Order{Load: true, Model: model.Name, FromStore: fromStore, Reason: reason})
 	s.modelOrder = true
+	if s.models[model.Name] == nil {
+		p.hosts[model.Name] = append(p.hosts[model.Name], s)
+	}
 	s.hold(model.Name)
 	s.freeMB -= model.WeightsMB
 }
@@ -180,6 +187,7 @@
 // whether it sent an order.
 func (p *plan) addReplica(model *fleet.Model, reason string, makeRoom bool) bool {
 	var best *slot
+	inZone := p.replicasInZones(model.Name)
 	for _, s := range p.slots {
 		if s.blocked || s.modelOrder || s.limited || s.models[model.Name] != nil || s.freeMB < model.WeightsMB {
 			continue
@@ -190,7 +198,7 @@
 		if p.replicas[model.Name] > 0 && reason == "demand" && p.loadCost(s, model) > p.gain(model.Name) {
 			continue
 		}
-		if best == nil || p.betterHost(model, s, best) {
+		if best == nil || p.betterHost(model, s, best, inZone) {
 			best = s
 		}
 	}
@@ -204,8 +212,8 @@
 
 // betterHost prefers a server with a copy at hand and little to do, in another zone than
 // the replicas there are; then free places for adapters, then free memory.
-func (p *plan) betterHost(model *fleet.Model, a, b *slot) bool {
-	if x, y := p.hostCost(model, a), p.hostCost(model, b); x != y {
+func (p *plan) betterHost(model *fleet.Model, a, b *slot, inZone map[string]int) bool {
+	if x, y := p.hostCost(model, a, inZone), p.hostCost(model, b, inZone); x != y {
 		return x < y
 	}
 	if model.Adapters > 0 && a.freeAdapters != b.freeAdapters {
@@ -221,8 +229,8 @@
 const sameZoneCost = 0.1
 
 // hostCost rates a server as the host of one more replica; lower is better.
-func (p *plan) hostCost(model *fleet.Model, s *slot) float64 {
-	return p.loadCost(s, model) + p.expectedLoad(s) + sameZoneCost*float64(p.inZone(model.Name, s))
+func (p *plan) hostCost(model *fleet.Model, s *slot, inZone map[string]int) float64 {
+	return p.loadCost(s, model) + p.expectedLoad(s) + sameZoneCost*float64(inZone[s.server.instance.Zone])
 }
 
 // expectedLoad is the requests that a server has to carry if the replicas of each model
@@ -237,14 +245,15 @@
 	return total / p.settings.ReplicaLoad
 }
 
-func (p *plan) inZone(model string, host *slot) int {
-	count := 0
-	for _, s := range p.slots {
-		if s.server.instance.Zone == host.server.instance.Zone && s.serves(model) {
-			count++
+// replicasInZones counts the servers of each zone that serve a model.
+func (p *plan) replicasInZones(model string) map[string]int {
+	counts := map[string]int{}
+	for _, s := range p.hosts[model] {
+		if s.serves(model) {
+			counts[s.server.instance.Zone]++
 		}
 	}
-	return count
+	return counts
 }
 
 func (p *plan) send(s *slot, order Order) {
