--- a/coordination/settings.go
+++ b/coordination/settings.go
@@ -27,8 +27,9 @@
 	// one of them to the holder about the demand for models.
 	DemandCost time.Duration
 	// ReportEvery is the time between two questions to a model server that is
-	// at rest, ReportSoon after an order.
+	// at rest, or ReportCost for each model server if that is more, ReportSoon after an order.
 	ReportEvery time.Duration
+	ReportCost  time.Duration
 	ReportSoon  time.Duration
 	// SpreadEvery is the time between two messages of the holder to all daemons,
 	// SpreadSoon the least time after a new fact.
@@ -86,7 +87,7 @@
 	probes := member.DefaultSettings()
 	probes.ProbeInterval = 500 * time.Millisecond
 	probes.ProbeTimeout = 200 * time.Millisecond
-	probes.FullExchangeInterval = time.Second
+	probes.ExchangeInterval = time.Second
 	return Settings{
 		Member:          probes,
 		Lease:           lease.DefaultSettings(term),
@@ -97,6 +98,7 @@
 		TellPause:       5 * time.Millisecond,
 		DemandCost:      6 * time.Millisecond,
 		ReportEvery:     time.Second,
+		ReportCost:      time.Millisecond,
 		ReportSoon:      120 * time.Millisecond,
 		SpreadEvery:     400 * time.Millisecond,
 		SpreadSoon:      10 * time.Millisecond,
--- a/member/detector.go
+++ b/member/detector.go
@@ -31,9 +31,10 @@
 	liveStale bool
 	revision  uint64
 
-	digest       uint64
-	digestStale  bool
+	digest       digest
 	lastExchange time.Time
+	// agreed counts the daemons in a row that were heard to know the same members.
+	agreed int
 	// receivedAll is set once a full answer has arrived since this daemon started.
 	receivedAll bool
 }
@@ -56,6 +57,7 @@
 		relayed:   map[uint64]relay{},
 		liveStale: true,
 	}
+	detector.digest.replace(nil, &self)
 	detector.memberNews.add(self.Name, self, false)
 	return detector
 }
@@ -72,17 +74,20 @@
 
 // Leave announces a planned stop of this daemon.
 func (d *Detector) Leave() {
+	before := d.self
 	d.self.Leaving = true
-	d.announceSelf()
+	d.announceSelf(before)
 }
 
-func (d *Detector) announceSelf() {
+// announceSelf tells the others of this daemon, which was known as before.
+func (d *Detector) announceSelf(before Member) {
+	d.digest.replace(&before, &d.self)
 	d.memberNews.add(d.self.Name, d.self, true)
 	d.changed()
 }
 
 func (d *Detector) changed() {
 	d.liveStale = true
-	d.digestStale = true
+	d.agreed = 0
 	d.revision++
 }
--- a/member/detector_test.go
+++ b/member/detector_test.go
@@ -366,7 +366,7 @@
 		g.detectors[0].ObserveBackEnd(fmt.Sprint("engine-", engine), "b1", member.BackEndUp)
 	}
 	g.run(30 * time.Second)
-	// Restart another daemon first, so that FullExchangeInterval has not elapsed when the joiner pings.
+	// Restart another daemon first, so that ExchangeInterval has not elapsed when the joiner pings.
 	g.detectors[2] = g.newDetector(2)
 	g.run(3 * time.Second)
 	joiner := g.newDetector(1)
--- /dev/null
+++ b/member/exchange_test.go
@@ -0,0 +1,81 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/wheatweir/wheatweir/member"
+)
+
+// knowing returns a detector that has heard of so many members, of which some have started anew since.
+func knowing(name string, count, restarted int) *member.Detector {
+	self := member.Member{Name: name, Zone: "z", PeerAddress: name, Incarnation: 1}
+	detector := member.NewDetector(self, member.DefaultSettings(), rand.New(rand.NewPCG(1, 2)))
+	for i := range count {
+		known := member.Member{Name: fmt.Sprint("d", i), Zone: "z", PeerAddress: fmt.Sprint("d", i), CallerAddress: "10.0.0.1:80", Incarnation: 1}
+		if i < restarted {
+			known.Incarnation = 2
+		}
+		detector.Receive(time.Unix(1000, 0), member.Message{Kind: member.Rumor, Sender: known, Complete: true})
+	}
+	return detector
+}
+
+// bytesOf is the size of a message as it is sent.
+func bytesOf(t *testing.T, message member.Message) int {
+	t.Helper()
+	body, err := msgpack.Marshal(&message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(body)
+}
+
+// TestDaemonsThatDifferExchangeTheDifference has a daemon ping another one that knows of some restarts more. It guards
+// against answers that tell everything, which in a fleet of 1,000 are 90 kB a second for each daemon while some members
+// come and go.
+func TestDaemonsThatDifferExchangeTheDifference(t *testing.T) {
+	const members, restarted, mostBytes = 1000, 10, 12000
+	a, b := knowing("a", members, 0), knowing("b", members, restarted)
+	now := time.Unix(1100, 0)
+	// They have told each other everything when they joined.
+	for _, pair := range [][2]*member.Detector{{a, b}, {b, a}} {
+		pair[1].Receive(now, member.Message{Kind: member.Ping, Sender: pair[0].Self()})
+	}
+	now = now.Add(time.Minute)
+	sent, total := []member.Packet{b.Tell("a")}, 0
+	for round := 0; len(sent) > 0 && round < 6; round++ {
+		receiver := a
+		if round%2 == 1 {
+			receiver = b
+		}
+		var answers []member.Packet
+		for _, packet := range sent {
+			total += bytesOf(t, packet.Message)
+			answers = append(answers, receiver.Receive(now, packet.Message)...)
+		}
+		sent = answers
+	}
+	for i := range restarted {
+		if known, _ := a.Lookup(fmt.Sprint("d", i)); known.Incarnation != 2 {
+			t.Errorf("d%d is known by its incarnation %d", i, known.Incarnation)
+		}
+	}
+	if total > mostBytes {
+		t.Errorf("%d bytes, at most %d wanted", total, mostBytes)
+	}
+}
+
+// BenchmarkNewsAfterACommonStart sends messages while all members of a large group are news.
+func BenchmarkNewsAfterACommonStart(b *testing.B) {
+	detector := knowing("a", 1000, 0)
+	now := time.Unix(1100, 0)
+	sender, _ := detector.Lookup("d1")
+	for b.Loop() {
+		detector.Receive(now, member.Message{Kind: member.Ping, Sender: sender})
+	}
+}
--- a/member/merge.go
+++ b/member/merge.go
@@ -8,6 +8,7 @@
 
 // Receive takes in a message and returns the messages to send in answer.
 func (d *Detector) Receive(now time.Time, message Message) []Packet {
+	differ := d.digest.differing(message.Buckets)
 	d.merge(now, message.Sender)
 	for _, news := range message.Members {
 		d.merge(now, news)
@@ -16,6 +17,7 @@
 		d.mergeBackEnd(news)
 	}
 	d.receivedAll = d.receivedAll || message.Complete
+	d.noteAgreement(message.Digest)
 	switch message.Kind {
 	case Ping:
 		return []Packet{{message.Sender.PeerAddress, d.ackFor(now, message)}}
@@ -24,16 +26,33 @@
 		d.relayed[d.sequence] = relay{message.Sender.PeerAddress, message.Sequence, now}
 		return []Packet{{message.Target, d.message(Ping, d.sequence)}}
 	case Ack:
-		return d.acknowledged(message)
+		return append(d.acknowledged(message), d.exchange(&message)...)
+	case Exchange:
+		return d.exchanged(&message, differ)
 	}
 	return nil
 }
 
+// agreedEnough is how many daemons in a row that know the same members say that all do.
+const agreedEnough = 3
+
+// noteAgreement takes in whether another daemon knows the same members. News that is not urgent, who has been heard of
+// for the first time, is dropped once several in a row do: whoever lacks it hears it by an exchange.
+func (d *Detector) noteAgreement(told uint64) {
+	if told != d.digest.sum() {
+		d.agreed = 0
+		return
+	}
+	if d.agreed++; d.agreed >= agreedEnough {
+		d.memberNews.dropUsual()
+	}
+}
+
 // ackFor answers a ping. A sender whose digest shows that it knows something else gets
-// everything, since the news that it lacks may no longer be going round: at once if it
-// was not sent everything since it joined, or reports that it has not received such an answer,
-// else when the last such answer is some time ago. That it joined may have been heard here
-// before its first ping came.
+// everything if it was not sent that since it joined, or reports that it has not received such
+// an answer. Else it gets the sums of the buckets of members and all back ends, if the last such
+// answer is some time ago, since the news that it lacks may no longer be going round. That
+// it joined may have been heard here before its first ping came.
 func (d *Detector) ackFor(now time.Time, message Message) Message {
 	ack := d.message(Ack, message.Sequence)
 	ack.KnowsLeaving = d.members[message.Sender.Name].Leaving
@@ -42,11 +61,17 @@
 		ack.Members = append(ack.Members, known.Member)
 	}
 	ack.Complete = d.informed() && message.Digest == ack.Digest
-	if message.Digest != ack.Digest && (d.mayInform(now, message.Sender) || message.Uninformed) {
+	switch {
+	case message.Digest == ack.Digest:
+	case d.informs(message.Sender) || message.Uninformed:
 		d.lastExchange = now
 		ack.Complete = d.informed()
 		ack.Members = d.Members()
 		ack.BackEnds = d.allBackEnds()
+	case now.Sub(d.lastExchange) >= d.settings.ExchangeInterval:
+		d.lastExchange = now
+		ack.Buckets = d.digest.foldedBuckets(len(d.members) + 1)
+		ack.BackEnds = d.allBackEnds()
 	}
 	return ack
 }
@@ -56,14 +81,14 @@
 // can send a complete answer before that.
 func (d *Detector) informed() bool { return d.receivedAll || d.interval > maxUninformedIntervals }
 
-// mayInform reports whether a member may be sent everything now, and notes that it is.
-func (d *Detector) mayInform(now time.Time, receiver Member) bool {
+// informs reports whether a member was not sent everything since it joined, and notes that it is.
+func (d *Detector) informs(receiver Member) bool {
 	known := d.members[receiver.Name]
-	if known != nil && known.informed < receiver.Incarnation {
-		known.informed = receiver.Incarnation
-		return true
+	if known == nil || known.informed >= receiver.Incarnation {
+		return false
 	}
-	return now.Sub(d.lastExchange) >= d.settings.FullExchangeInterval
+	known.informed = receiver.Incarnation
+	return true
 }
 
 func (d *Detector) allBackEnds() []BackEnd {
@@ -112,6 +137,11 @@
 		}
 	}
 	fresh := &entry{Member: news, since: now}
+	if found {
+		d.digest.replace(&known.Member, &news)
+	} else {
+		d.digest.replace(nil, &news)
+	}
 	if found {
 		fresh.informed = known.informed
 		if news.State == known.State {
@@ -138,8 +168,9 @@
 	if !earlierProcess && !suspicion {
 		return
 	}
+	before := d.self
 	d.self.Incarnation = news.Incarnation + 1
-	d.announceSelf()
+	d.announceSelf(before)
 }
 
 // ObserveBackEnd takes in an own observation of a back end. It returns whether
@@ -160,12 +191,17 @@
 
 // mergeBackEnd takes in news about a back end if it is newer.
 func (d *Detector) mergeBackEnd(news BackEnd) bool {
-	if known, found := d.backEnds[news.Name]; found && !news.newer(known) {
+	known, found := d.backEnds[news.Name]
+	switch {
+	case found && !news.newer(known):
 		return false
+	case found:
+		d.digest.replaceBackEnd(&known, &news)
+	default:
+		d.digest.replaceBackEnd(nil, &news)
 	}
 	d.backEnds[news.Name] = news
 	d.backEndNews.add(news.Name, news, false)
-	d.digestStale = true
 	d.revision++
 	return true
 }
--- a/member/probe.go
+++ b/member/probe.go
@@ -148,6 +148,7 @@
 			dead.State = Dead
 			d.merge(now, dead)
 		case known.State == Dead && age >= forget:
+			d.digest.replace(&known.Member, nil)
 			delete(d.members, name)
 			d.changed()
 		}
@@ -290,7 +291,7 @@
 		Kind:       kind,
 		Sequence:   sequence,
 		Sender:     d.self,
-		Digest:     d.currentDigest(),
+		Digest:     d.digest.sum(),
 		Members:    d.memberNews.take(d.settings.NewsPerMessage, size),
 		BackEnds:   d.backEndNews.take(d.settings.NewsPerMessage, size),
 		Uninformed: kind == Ping && !d.informed(),
--- a/member/types.go
+++ b/member/types.go
@@ -1,10 +1,6 @@
 package member
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 // State is the state of a member as far as this daemon knows. A higher state
 // wins over a lower one at the same incarnation.
@@ -48,7 +44,7 @@
 	if m.Weight != other.Weight {
 		return m.Weight > other.Weight
 	}
-	return xxhash.Sum64String(duty+m.Name) < xxhash.Sum64String(duty+other.Name)
+	return dutyHash(m, duty) < dutyHash(other, duty)
 }
 
 // BackEndState is the health of a back end. A higher state wins over a lower
@@ -100,6 +96,8 @@
 	PingRequest
 	// Rumor tells news without a question.
 	Rumor
+	// Exchange tells the members in the buckets in which the receiver knows something else.
+	Exchange
 )
 
 // Message is one probe message with the news that rides on it.
@@ -115,7 +113,10 @@
 	// one that asked is leaving.
 	KnowsLeaving bool `msgpack:"w,omitempty"`
 	// Digest sums up what the sender knows of members and back ends.
-	Digest   uint64    `msgpack:"d,omitempty"`
+	Digest uint64 `msgpack:"d,omitempty"`
+	// Buckets are the parts of that digest for the members. The receiver answers by an Exchange with what it knows of
+	// those that differ.
+	Buckets  []uint32  `msgpack:"h,omitempty"`
 	Members  []Member  `msgpack:"m,omitempty"`
 	BackEnds []BackEnd `msgpack:"b,omitempty"`
 	// Uninformed says, in a Ping, that the sender started recently and has not received everything yet.
@@ -142,9 +143,9 @@
 	SuspicionIntervals int
 	// Helpers is how many members are asked to probe on our behalf.
 	Helpers int
-	// FullExchangeInterval is the least time between two answers with
-	// everything that is known, to senders that know something else.
-	FullExchangeInterval time.Duration
+	// ExchangeInterval is the least time between two answers that begin an exchange,
+	// to senders that know something else.
+	ExchangeInterval time.Duration
 	// NewsPerMessage bounds the news of each sort on one message.
 	NewsPerMessage int
 	// RumorFanOut is how many members each daemon tells of urgent news as soon as it
@@ -167,6 +168,6 @@
 		RumorFanOut: 4,
 		RumorPause:  100 * time.Millisecond,
 
-		FullExchangeInterval: 20 * time.Second,
+		ExchangeInterval: 20 * time.Second,
 	}
 }
--- a/member/view.go
+++ b/member/view.go
@@ -21,6 +21,17 @@
 	return d.live
 }
 
+// LiveMembers returns this daemon and all members that are not dead, in no particular order.
+func (d *Detector) LiveMembers() []Member {
+	live := append(make([]Member, 0, len(d.members)+1), d.self)
+	for _, known := range d.members {
+		if known.State != Dead {
+			live = append(live, known.Member)
+		}
+	}
+	return live
+}
+
 // Lookup returns what is known of a member, this daemon included.
 func (d *Detector) Lookup(name string) (Member, bool) {
 	if name == d.self.Name {
