Bound the questions that the holder asks model servers by their number

Cause: the holder asked each model server once a second, 3,920 questions a second by one daemon. Change: a pause of 1 ms for each server, so 1,000 a second at most; up to 1,000 servers nothing changes. Entries and answers to orders tell changes meanwhile, as before.

--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -40,6 +40,11 @@
 	}
 }
 
+// reportPause is the time between two questions to a model server that is at rest: one daemon asks all of them.
+func (n *Node) reportPause() time.Duration {
+	return max(n.settings.ReportEvery, time.Duration(len(n.reports))*n.settings.ReportCost)
+}
+
 func (n *Node) reportOf(instance string) *reportState {
 	state := n.reports[instance]
 	if state == nil {
@@ -66,7 +71,7 @@
 		return n.take()
 	}
 	state.asking = false
-	state.next = now.Add(n.settings.ReportEvery)
+	state.next = now.Add(n.reportPause())
 	if state.unanswered == ok {
 		state.unanswered = !ok
 		n.decide("instances", "Question to a model server.", "instance", instance, "answered", ok)
