Hand on the fleet's daemons only when they have changed; smaller connections between daemons

In a settled large fleet the daemons are handed to the limiters when they change, not four times a second. A connection between daemons has a read buffer of 512 B instead of 4 kB and is closed after 10 s at rest instead of 30. Garbage is collected at half of what is in use.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -44,6 +44,9 @@
 	reportWorkers  = 8
 	orderWorkers   = 8
 	memoryHeadroom = 0.8
+	// gcPercent is how much garbage the process holds before it is collected, as a part of what is in use. A daemon
+	// at rest makes little garbage.
+	gcPercent = 50
 )
 
 // Daemon is one running entry daemon.
@@ -100,6 +103,7 @@
 // StartOn starts a daemon on a machine with a clock.
 func StartOn(machine *clock.Clock, settings Settings, output io.Writer) (*Daemon, error) {
 	debug.SetMemoryLimit(int64(memoryHeadroom * settings.MemoryLimitMB * (1 << 20)))
+	debug.SetGCPercent(gcPercent)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
 		clock: machine,
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -115,6 +115,10 @@
 // publishFleet hands the daemons of now to those who share out limits.
 func (d *Daemon) publishFleet(now time.Time) {
 	d.control.fleetAt = now
+	if d.fleetUnchanged(now) {
+		return
+	}
+	d.control.fleetRevision = d.node.MembersRevision()
 	members := d.node.HeardMembers(now)
 	known := d.control.discovery.Fleet(now, d.current().Name, members, d.otherSeeds())
 	d.quotas.SetFleet(now, known)
@@ -122,6 +126,16 @@
 	d.quarantine.turns.SetFleet(now, known)
 }
 
+// fleetUnchanged reports whether the daemons are as they were when they were last handed on. In a small fleet, or soon
+// after the start, what counts of them changes with the time as well.
+func (d *Daemon) fleetUnchanged(now time.Time) bool {
+	settled := now.Sub(d.started) > fleetSettles && !d.node.TellsAll()
+	return settled && d.control.fleetRevision == d.node.MembersRevision()
+}
+
+// fleetSettles is how long after its start a daemon assumes more daemons than it knows.
+const fleetSettles = 20 * time.Second
+
 // otherSeeds is the number of other daemons to join through.
 func (d *Daemon) otherSeeds() int {
 	count := 0
--- a/entry/state.go
+++ b/entry/state.go
@@ -36,6 +36,8 @@
 	published   time.Time
 	// fleetAt is when the daemons of now were last handed to those who share out limits.
 	fleetAt time.Time
+	// fleetRevision is the members' revision that they were handed on with.
+	fleetRevision uint64
 	// discovery is how this daemon has come to know the others.
 	discovery *quota.Discovery
 	// gossipedAt is when another daemon was last told what it may lack.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -45,10 +45,9 @@
 	dialTimeout   = 2 * time.Second
 	// writeTimeout bounds the sending of one frame.
 	writeTimeout = 3 * time.Second
-	// idleTimeout is how long a connection without messages is kept. A daemon
-	// probes each other daemon about once for each daemon there is, so at 320
-	// daemons connections between most pairs come and go.
-	idleTimeout = 30 * time.Second
+	// idleTimeout is how long a connection without messages is kept. A daemon tells
+	// the same few others for some seconds, and probes each other one seldom.
+	idleTimeout = 10 * time.Second
 	// firstRedialPause is the pause after a failed attempt to connect, and twice as long after
 	// each further one, up to redialPause. When a whole fleet starts again, most first attempts
 	// come too early by less than that.
--- a/peer/session.go
+++ b/peer/session.go
@@ -18,6 +18,9 @@
 	macBytes       = 16
 	// frameOverhead is what a frame adds to its body.
 	frameOverhead = lengthBytes + macBytes
+	// readBufferBytes holds a few usual messages. Larger ones are read past the buffer; a
+	// daemon of a large fleet has hundreds of connections.
+	readBufferBytes = 512
 	// handshakeTimeout bounds the exchange of challenges.
 	handshakeTimeout = 3 * time.Second
 )
@@ -74,7 +77,7 @@
 		return nil, ErrProtocol.Wrap(err)
 	}
 	sessionKey := proof(key, "wheatweir peer frames", dialerChallenge, listenerChallenge)
-	return &session{conn: conn, reader: bufio.NewReader(conn), mac: hmac.New(sha256.New, sessionKey)}, nil
+	return &session{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), mac: hmac.New(sha256.New, sessionKey)}, nil
 }
 
 func proof(key []byte, label string, dialerChallenge, listenerChallenge []byte) []byte {
