Tell configurations among daemons however large, compressed; read kept verdicts from a list that may lag

Change: bodies of 4 kB and more between daemons are compressed, so a daemon asks another one for any configuration. Kept verdicts are read from a list that may lag; the daemons that watch the store read them once more as they are and tell all.

--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -108,24 +108,18 @@
 // refreshPause is the least time between two lists because of another daemon.
 const refreshPause = 500 * time.Millisecond
 
-// largeConfiguration is the number of routes above which a daemon reads the
-// configuration from the store instead of from another daemon: one daemon's link does
-// not carry it to many others within the time in which it has to be in force.
-const largeConfiguration = 128
-
-// fromStore reports whether this daemon catches up by the store: it watches it, or
-// what it lacks is large.
+// fromStore reports whether this daemon catches up by the store: it watches it, and the store answers.
 func (n *Node) fromStore(now time.Time, state *sourceState) bool {
-	if state.unavailable {
-		return false
-	}
-	return n.Watching(now) || state.routes > largeConfiguration
+	return !state.unavailable && n.Watching(now)
 }
 
+// routesPerPause is how many routes lengthen the pause between two questions by one more AskPause.
+const routesPerPause = 128
+
 // askPause is the least time between two questions to another daemon. A large answer
 // takes its time, and a second one would only hold it up.
 func (n *Node) askPause(state *sourceState) time.Duration {
-	return n.settings.AskPause * time.Duration(1+state.routes/largeConfiguration)
+	return n.settings.AskPause * time.Duration(1+state.routes/routesPerPause)
 }
 
 // catchUp asks the store again, or another daemon.
--- a/coordination/witnesses.go
+++ b/coordination/witnesses.go
@@ -84,11 +84,10 @@
 	}
 }
 
-// tickQuestions answers the questions that can be answered now. A large configuration is
-// left to the store, see fromStore.
+// tickQuestions answers the questions that can be answered now.
 func (n *Node) tickQuestions(now time.Time) {
 	n.questions = slices.DeleteFunc(n.questions, func(kept question) bool {
-		known := n.configurationVersion() > kept.asked.Configuration && len(n.configuration.Routes) <= largeConfiguration ||
+		known := n.configurationVersion() > kept.asked.Configuration ||
 			n.ownVersion(SourceInstances).After(kept.asked.Instances) ||
 			n.ownVersion(SourceEvacuations).After(kept.asked.Evacuations)
 		if known {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -276,7 +276,7 @@
 }
 
 // TestLargeConfigurationReachesDaemonsThatDoNotWatch covers more daemons than watch
-// the store, and configurations in quick succession that are too large for peers.
+// the store, and large configurations in quick succession.
 func TestLargeConfigurationReachesDaemonsThatDoNotWatch(t *testing.T) {
 	f := start(t, 8)
 	f.waitReady(t)
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -309,29 +309,50 @@
 	return len(k.book.Held(now))
 }
 
-// restore reads what the store has kept, once: it is all that is left after all daemons were killed.
-// What was kept longer ago than anybody remembers is dropped there.
+// restore reads what the store has kept: it is all that is left after all daemons were killed. Each daemon reads it
+// once, maybe as it was some seconds ago; those that watch the store read it as it is, and tell the others.
 func (k *quarantineKeeper) restore() {
+	d := k.daemon
+	k.readKept(feed.MayLag)
+	sleep(d.ctx, rereadAfter)
+	if d.following.watching.Load() {
+		if newest := k.readKept(feed.Newest); !newest.Empty() {
+			d.work.events.Put(d.ctx, func(node *coordination.Node, _ time.Time) []coordination.Action {
+				return node.TellCrashes(newest)
+			})
+		}
+	}
+}
+
+// rereadAfter is how long after its first read a daemon knows whether it watches the store.
+const rereadAfter = time.Second
+
+// readKept takes in all that the store has kept, and returns it. What was kept longer ago than anybody remembers is
+// dropped there.
+func (k *quarantineKeeper) readKept(freshness feed.Freshness) quarantine.Update {
 	d := k.daemon
 	source := d.store.Quarantined()
 	source.Skipped = d.unreadable("quarantine")
+	var kept quarantine.Update
 	after := ""
 	for d.ctx.Err() == nil {
-		page, err := source.ListPage(d.ctx, after, feed.Newest)
+		page, err := source.ListPage(d.ctx, after, freshness)
 		if err != nil {
 			pause := longestPause(int(d.fleet.rank.Load()), int(d.fleet.live.Load()))
 			sleep(d.ctx, pause/2+rand.N(pause/2))
 			continue
 		}
-		k.restorePage(page)
+		kept.Items = append(kept.Items, k.restorePage(page).Items...)
 		if after = page.Next; after == "" {
 			k.release(d.current().Released)
-			return
+			break
 		}
 	}
+	return kept
 }
 
-func (k *quarantineKeeper) restorePage(page feed.Page[quarantine.Item]) {
+// restorePage takes in a page of what the store has kept, and returns what is still remembered of it.
+func (k *quarantineKeeper) restorePage(page feed.Page[quarantine.Item]) quarantine.Update {
 	var update quarantine.Update
 	for _, item := range page.Items {
 		switch {
@@ -343,6 +364,7 @@
 		}
 	}
 	k.learn(update)
+	return update
 }
 
 // keptAfterRestore is how many daemons, the first ones by their ranks, keep all verdicts once more after the
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -130,6 +130,7 @@
 	if err != nil {
 		return
 	}
+	body = compress(body)
 	for _, address := range addresses {
 		if !t.sender(address).offer(body) {
 			t.count(func(counts *Counts) { counts.Dropped++ })
@@ -301,7 +302,10 @@
 			return
 		}
 		var message M
-		if err := msgpack.Unmarshal(body, &message); err != nil {
+		if body, err = decompress(body); err == nil {
+			err = msgpack.Unmarshal(body, &message)
+		}
+		if err != nil {
 			t.count(func(counts *Counts) { counts.Rejected++ })
 			return
 		}
