Follow the members of a large fleet in steps

Cause, by reading: ranks, groups, trees, addresses and owners of limits are worked out anew from all members at each change, in up to every tick of 50 ms, some 2 ms at 985 daemons. Change: what follows from the members follows a revision that changes at most once in 0.25 ms for each daemon; up to 200 daemons nothing changes. The number of live members is kept, not counted by sorting their names.

--- a/coordination/assurance.go
+++ b/coordination/assurance.go
@@ -119,7 +119,7 @@
 		return since >= 2*pause
 	default:
 		// Two of them in a pause, by chance, at two ticks of all that there are in it.
-		chances := float64(len(n.detector.Live())) * float64(pause) / float64(2*TickEvery)
+		chances := float64(n.detector.LiveCount()) * float64(pause) / float64(2*TickEvery)
 		return n.random.Float64() < 1/math.Max(1, chances)
 	}
 }
@@ -196,7 +196,7 @@
 
 // liveOrder lists the live daemons in the order of their ranks.
 func (n *Node) liveOrder() []string {
-	revision := n.detector.Revision()
+	revision := n.MembersRevision()
 	if n.order != nil && revision == n.orderAt {
 		return n.order
 	}
--- a/coordination/groups.go
+++ b/coordination/groups.go
@@ -39,7 +39,7 @@
 
 // Group returns this daemon's place. The value must not be changed.
 func (n *Node) Group() *Group {
-	if revision := n.detector.Revision(); n.group == nil || revision != n.groupAt {
+	if revision := n.MembersRevision(); n.group == nil || revision != n.groupAt {
 		n.group, n.groupAt = n.newGroup(), revision
 	}
 	return n.group
--- a/coordination/holder.go
+++ b/coordination/holder.go
@@ -51,7 +51,7 @@
 // Rank is this daemon's place among the live ones, in an order that all compute
 // alike.
 func (n *Node) Rank() int {
-	if revision := n.detector.Revision(); revision != n.rankAt {
+	if revision := n.MembersRevision(); revision != n.rankAt {
 		n.rank, n.rankAt = n.newRank(), revision
 	}
 	return n.rank
--- a/coordination/members.go
+++ b/coordination/members.go
@@ -18,7 +18,7 @@
 // noteMembers notes each change in what is believed of the other daemons, for the log. Each is
 // named with its incarnation.
 func (n *Node) noteMembers(now time.Time) {
-	revision := n.detector.Revision()
+	revision := n.MembersRevision()
 	if revision == n.membersAt {
 		return
 	}
@@ -38,7 +38,7 @@
 const heardSpan = time.Second
 
 // TellsAll reports whether all daemons tell all others, as in a small fleet.
-func (n *Node) TellsAll() bool { return len(n.detector.Live())-1 <= n.settings.SharePeers }
+func (n *Node) TellsAll() bool { return n.detector.LiveCount()-1 <= n.settings.SharePeers }
 
 // HeardMembers returns all known daemons; in a small fleet those that were not heard lately are
 // suspect. A daemon that is cut off from all others suspects one of them in each probe interval
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -42,6 +42,7 @@
 	departuresAt time.Time
 	questions    []question
 	members      map[string]memberBelief
+	followed     followedRevision
 	// memberNews and instanceNews are what the log has not told yet.
 	memberNews   newsList
 	instanceNews newsList
@@ -158,6 +159,7 @@
 	for _, packet := range n.detector.Tick(now) {
 		n.sendProbe(packet)
 	}
+	n.followRevision(now)
 	n.noteMembers(now)
 	n.logDueNews(now)
 	n.tickWatching(now)
@@ -282,9 +284,6 @@
 // Plans returns how often this daemon has planned.
 func (n *Node) Plans() uint64 { return n.plans }
 
-// MembersRevision changes whenever what is known of the daemons changes.
-func (n *Node) MembersRevision() uint64 { return n.detector.Revision() }
-
 // waits reports whether requests wait for a model or adapter.
 func waits(load Load) bool {
 	for _, model := range load.Models {
--- a/coordination/partners.go
+++ b/coordination/partners.go
@@ -35,7 +35,7 @@
 func (n *Node) drawPartners(now time.Time) {
 	known := &n.sharing.partners
 	expired := now.Sub(known.drawnAt) >= partnerSpan
-	if revision := n.detector.Revision(); expired || revision != known.revision {
+	if revision := n.MembersRevision(); expired || revision != known.revision {
 		known.revision = revision
 		near, far := n.othersByDistance()
 		keptNear, keptFar := known.near, known.far
--- a/coordination/share.go
+++ b/coordination/share.go
@@ -142,7 +142,7 @@
 // begun to wait.
 func (n *Node) shareWithAll(now time.Time, others []string, load Load) {
 	state := &n.sharing
-	receivers := strconv.FormatUint(n.detector.Revision(), 16)
+	receivers := strconv.FormatUint(n.MembersRevision(), 16)
 	load.Requests, load.Changes = state.all.Next(now, receivers, load.Requests)
 	if state.wanted || now.Sub(state.modelsAt) >= n.settings.ShareEvery {
 		state.modelsAt = now
@@ -160,7 +160,7 @@
 // sharePause is the least time between two messages to all, or to those that a message
 // goes to in a large fleet: there the dispatcher is told at once.
 func (n *Node) sharePause() time.Duration {
-	if len(n.detector.Live())-1 <= n.settings.SharePeers {
+	if n.detector.LiveCount()-1 <= n.settings.SharePeers {
 		return n.settings.ShareSoon
 	}
 	return n.settings.ShareEvery
--- a/coordination/spread.go
+++ b/coordination/spread.go
@@ -77,7 +77,7 @@
 
 // passBelow sends a message to the daemons below this one in the tree of its root.
 func (n *Node) passBelow(root string, sequence uint64, message Message) {
-	if revision := n.detector.Revision(); n.forwarding == nil || revision != n.forwardingAt {
+	if revision := n.MembersRevision(); n.forwarding == nil || revision != n.forwardingAt {
 		n.forwarding, n.forwardingAt = newForwarding(n.detector.Members()), revision
 	}
 	n.sendAll(n.forwarding.below(n.self, root, sequence, n.settings.FanOut), message)
--- a/member/detector.go
+++ b/member/detector.go
@@ -29,7 +29,9 @@
 	// live caches the sorted names of members that are not dead.
 	live      []string
 	liveStale bool
-	revision  uint64
+	// dead is the number of members that are dead.
+	dead     int
+	revision uint64
 
 	digest       digest
 	lastExchange time.Time
--- a/member/merge.go
+++ b/member/merge.go
@@ -149,6 +149,12 @@
 		}
 	}
 	d.members[news.Name] = fresh
+	if found && known.State == Dead {
+		d.dead--
+	}
+	if news.State == Dead {
+		d.dead++
+	}
 	if news.State != Dead && (!found || known.State == Dead) {
 		d.joinProbeOrder(news.Name)
 	}
--- a/member/probe.go
+++ b/member/probe.go
@@ -150,6 +150,7 @@
 		case known.State == Dead && age >= forget:
 			d.digest.replace(&known.Member, nil)
 			delete(d.members, name)
+			d.dead--
 			d.changed()
 		}
 	}
--- a/member/view.go
+++ b/member/view.go
@@ -21,6 +21,9 @@
 	return d.live
 }
 
+// LiveCount returns how many names Live returns.
+func (d *Detector) LiveCount() int { return len(d.members) + 1 - d.dead }
+
 // LiveMembers returns this daemon and all members that are not dead, in no particular order.
 func (d *Detector) LiveMembers() []Member {
 	live := append(make([]Member, 0, len(d.members)+1), d.self)
