Daemons that watch the store tell others each time

Cause: since daemons keep their partners for 2 s, some did not hear those that watch the store within 0.7 s and watched it too. Change: the few that watch draw other partners for each message, as all did before; the others keep theirs.

--- a/coordination/partners.go
+++ b/coordination/partners.go
@@ -24,10 +24,14 @@
 	revision  uint64
 }
 
-// sharePeers returns the daemons that one message goes to: up to a number of the own zone, and of others.
-func (n *Node) sharePeers(now time.Time, near, far int) []string {
-	n.drawPartners(now)
+// sharePeers returns the daemons that one message goes to: up to a number of the own zone, and of others. One that
+// watches the store tells others each time, so that all hear of it.
+func (n *Node) sharePeers(now time.Time, watching bool, near, far int) []string {
 	known := &n.sharing.partners
+	if watching {
+		known.drawnAt = time.Time{}
+	}
+	n.drawPartners(now)
 	return slices.Concat(known.near[:min(near, len(known.near))], known.far[:min(far, len(known.far))])
 }
 
--- a/coordination/share.go
+++ b/coordination/share.go
@@ -134,7 +134,7 @@
 	}
 	n.sharing.configuration, n.sharing.evacuations = load.Versions.Configuration, load.Versions.Evacuations
 	load.Models, load.NoModels = nil, true
-	n.sendAll(n.sharePeers(now, near, far), Message{From: n.self, Load: &load})
+	n.sendAll(n.sharePeers(now, load.Watching, near, far), Message{From: n.self, Load: &load})
 }
 
 // shareWithAll tells all daemons of a small fleet what has changed of the own load. The
