--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -99,18 +99,25 @@
 
 // Start starts a daemon. Logs go to output.
 func Start(settings Settings, output io.Writer) (*Daemon, error) {
-	return StartOn(clock.New(), settings, output)
+	return StartOn(Machine{Clock: clock.New(), Dial: platform.DialServer}, settings, output)
 }
 
-// StartOn starts a daemon on a machine with a clock.
-func StartOn(machine *clock.Clock, settings Settings, output io.Writer) (*Daemon, error) {
+// Machine is what a daemon uses of its machine.
+type Machine struct {
+	Clock *clock.Clock
+	// Dial opens connections to servers.
+	Dial platform.Dial
+}
+
+// StartOn starts a daemon on a machine.
+func StartOn(machine Machine, settings Settings, output io.Writer) (*Daemon, error) {
 	debug.SetMemoryLimit(int64(memoryHeadroom * settings.MemoryLimitMB * (1 << 20)))
 	debug.SetGCPercent(gcPercent)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
-		clock: machine,
-		log:   newLogBook(settings.LogLevel, settings.Name, output), started: machine.Now(),
-		control: controlState{discovery: quota.NewDiscovery(machine.Now())}, work: newWorkRings(),
+		clock: machine.Clock,
+		log:   newLogBook(settings.LogLevel, settings.Name, output), started: machine.Clock.Now(),
+		control: controlState{discovery: quota.NewDiscovery(machine.Clock.Now())}, work: newWorkRings(),
 		store:   platform.NewStore(settings.StoreAddress),
 		metrics: newMetrics(), tracker: balance.NewTracker(), demand: newDemandCounter(), life: lifecycle{failed: make(chan error, 1)}, assurance: newAssurance(), ctx: ctx, cancel: cancel,
 		following: newFollowState(),
@@ -118,7 +125,8 @@
 	d.store.OnEra(d.eraLearned)
 	d.settings.Store(&settings)
 	d.notices = newNotices(d)
-	d.engines, d.upstream = platform.NewEngines(machine.Now, d.notices.hear), platform.NewUpstream(machine.Now, d.notices.hear)
+	d.engines = platform.NewEngines(d.clock.Now, d.notices.hear, machine.Dial)
+	d.upstream = platform.NewUpstream(d.clock.Now, d.notices.hear, machine.Dial)
 	d.fleet.live.Store(1)
 	d.budget = retry.NewBudget(retryPart*settings.RetryShare, 1)
 	d.quotas = newQuotas(d)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -34,6 +34,8 @@
 	output io.Writer
 	// machines are the clocks of the daemons' machines.
 	machines map[string]*clock.Fake
+	// networks are the daemons' paths to the servers.
+	networks map[string]*standin.Network
 }
 
 // machine returns the clock of a daemon's machine.
@@ -47,6 +49,17 @@
 	return f.machines[daemon]
 }
 
+// network returns a daemon's paths to the servers.
+func (f *deployment) network(daemon string) *standin.Network {
+	if f.networks == nil {
+		f.networks = map[string]*standin.Network{}
+	}
+	if f.networks[daemon] == nil {
+		f.networks[daemon] = standin.NewNetwork()
+	}
+	return f.networks[daemon]
+}
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	address, err := loopback.Address()
@@ -161,7 +174,7 @@
 
 func (f *deployment) startDaemon(t *testing.T, settings entry.Settings) *entry.Daemon {
 	t.Helper()
-	daemon, err := entry.StartOn(f.machine(settings.Name).Clock, settings, f.output)
+	daemon, err := entry.StartOn(entry.Machine{Clock: f.machine(settings.Name).Clock, Dial: f.network(settings.Name).Dial}, settings, f.output)
 	if err != nil {
 		t.Fatal(err)
 	}
