Tunnels between daemons: one connects to an address for another and carries the bytes

A daemon that has lost its paths to servers has neighbours that still reach them. This adds the transport only; nothing uses it yet. What comes back is framed: only a target that closes its side ends a tunnel well, so a reset or a carrier that dies can't make an answer without a length look whole. A carrier that is about to stop says so, and its tunnels are used for nothing new.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -6,6 +6,9 @@
 // under a key derived from the deployment's key and both challenges, over the
 // frame's number and body. Messages are not encrypted.
 //
+// A daemon that cannot reach an address by itself can have another daemon
+// connect to it and carry the bytes: a tunnel. It goes through one daemon only.
+//
 // Sending never waits: each peer has a bounded ring, and a message that finds
 // it full is dropped and counted. All messages between daemons are repeated by
 // the protocols above, so a lost one costs time only.
@@ -74,6 +77,7 @@
 	senders map[string]*sender
 	open    map[net.Conn]bool
 	counts  Counts
+	tunnels tunnels
 }
 
 // Counts are totals since the start.
@@ -93,7 +97,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	transport := &Transport[M]{
 		key: key, handler: handler, listener: listener, ctx: ctx, cancel: cancel,
-		senders: map[string]*sender{}, open: map[net.Conn]bool{},
+		senders: map[string]*sender{}, open: map[net.Conn]bool{}, tunnels: tunnels{open: map[*carried]bool{}},
 	}
 	transport.group.Go(transport.accept)
 	return transport, nil
@@ -288,11 +292,15 @@
 
 func (t *Transport[M]) receive(conn net.Conn) {
 	defer t.closeConn(conn)
-	session, err := openSession(conn, t.key, false)
+	session, label, err := handshake(conn, t.key, labelListener, labelDialer, labelTunnel)
 	if err != nil {
 		t.count(func(counts *Counts) { counts.Rejected++ })
 		return
 	}
+	if label == labelTunnel {
+		t.carry(session)
+		return
+	}
 	for {
 		body, err := session.readFrame()
 		if err != nil {
--- a/peer/session.go
+++ b/peer/session.go
@@ -29,9 +29,10 @@
 const (
 	labelDialer   = "wheatweir peer dialer"
 	labelListener = "wheatweir peer listener"
+	labelTunnel   = "wheatweir tunnel dialer"
 )
 
-// session is one connection after the exchange of challenges. Messages go from
+// session is one connection after the exchange of challenges. Frames go from
 // the dialer to the listener only.
 type session struct {
 	conn     net.Conn
@@ -41,43 +42,54 @@
 	buffer   []byte
 }
 
-// openSession exchanges challenges and proofs. The listener proves itself too,
-// so that a dialer does not talk to a stranger on an address used again.
+// openSession opens a session for messages.
 func openSession(conn net.Conn, key []byte, dialer bool) (*session, error) {
+	if dialer {
+		opened, _, err := handshake(conn, key, labelDialer, labelListener)
+		return opened, err
+	}
+	opened, _, err := handshake(conn, key, labelListener, labelDialer)
+	return opened, err
+}
+
+// handshake exchanges challenges and proofs. The listener proves itself too, so that a dialer does not talk to a
+// stranger on an address used again. It returns which of the labels the other side has proved.
+func handshake(conn net.Conn, key []byte, ownLabel string, others ...string) (*session, string, error) {
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return nil, ErrProtocol.Wrap(err)
+		return nil, "", ErrProtocol.Wrap(err)
 	}
 	var own, other [challengeBytes]byte
 	if _, err := rand.Read(own[:]); err != nil {
-		return nil, ErrProtocol.Wrap(err)
+		return nil, "", ErrProtocol.Wrap(err)
 	}
 	if _, err := conn.Write(own[:]); err != nil {
-		return nil, ErrProtocol.Wrap(err)
+		return nil, "", ErrProtocol.Wrap(err)
 	}
 	if _, err := io.ReadFull(conn, other[:]); err != nil {
-		return nil, ErrProtocol.Wrap(err)
+		return nil, "", ErrProtocol.Wrap(err)
 	}
-	ownLabel, otherLabel := labelListener, labelDialer
-	dialerChallenge, listenerChallenge := other[:], own[:]
-	if dialer {
-		ownLabel, otherLabel = otherLabel, ownLabel
-		dialerChallenge, listenerChallenge = own[:], other[:]
+	dialerChallenge, listenerChallenge := own[:], other[:]
+	if ownLabel == labelListener {
+		dialerChallenge, listenerChallenge = listenerChallenge, dialerChallenge
 	}
 	if _, err := conn.Write(proof(key, ownLabel, dialerChallenge, listenerChallenge)); err != nil {
-		return nil, ErrProtocol.Wrap(err)
+		return nil, "", ErrProtocol.Wrap(err)
 	}
 	var answer [sha256.Size]byte
 	if _, err := io.ReadFull(conn, answer[:]); err != nil {
-		return nil, ErrProtocol.Wrap(err)
-	}
-	if !hmac.Equal(answer[:], proof(key, otherLabel, dialerChallenge, listenerChallenge)) {
-		return nil, ErrProtocol.New("the other side does not know the deployment's key")
-	}
-	if err := conn.SetDeadline(time.Time{}); err != nil {
-		return nil, ErrProtocol.Wrap(err)
-	}
-	sessionKey := proof(key, "wheatweir peer frames", dialerChallenge, listenerChallenge)
-	return &session{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), mac: hmac.New(sha256.New, sessionKey)}, nil
+		return nil, "", ErrProtocol.Wrap(err)
+	}
+	for _, label := range others {
+		if !hmac.Equal(answer[:], proof(key, label, dialerChallenge, listenerChallenge)) {
+			continue
+		}
+		if err := conn.SetDeadline(time.Time{}); err != nil {
+			return nil, "", ErrProtocol.Wrap(err)
+		}
+		sessionKey := proof(key, "wheatweir peer frames", dialerChallenge, listenerChallenge)
+		return &session{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), mac: hmac.New(sha256.New, sessionKey)}, label, nil
+	}
+	return nil, "", ErrProtocol.New("the other side does not know the deployment's key")
 }
 
 func proof(key []byte, label string, dialerChallenge, listenerChallenge []byte) []byte {
--- /dev/null
+++ b/peer/tunnel_test.go
@@ -0,0 +1,206 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/control"
+	"github.com/wheatweir/wheatweir/internal/idle"
+)
+
+// target is an address that tunnels lead to. Its connections are handed to serve.
+func target(t *testing.T, serve func(conn *net.TCPConn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn.(*net.TCPConn))
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// carrier is a transport that carries tunnels to anywhere.
+func carrier(t *testing.T) *Transport[control.Message] {
+	t.Helper()
+	transport := listen(t, "key", func(control.Message) {})
+	transport.Carry(func(ctx context.Context, target string) (net.Conn, error) {
+		var dialer net.Dialer
+		return dialer.DialContext(ctx, "tcp", target)
+	})
+	return transport
+}
+
+// tunnelTo opens a tunnel through a carrier.
+func tunnelTo(t *testing.T, carrier *Transport[control.Message], target string) net.Conn {
+	t.Helper()
+	near := listen(t, "key", func(control.Message) {})
+	conn, err := near.Tunnel(context.Background(), carrier.Address(), target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// TestTunnelCarriesBytesAndTheEnd covers both directions of a tunnel, and an end that the target has chosen.
+func TestTunnelCarriesBytesAndTheEnd(t *testing.T) {
+	const size = 3*maxPieceBytes + 17
+	address := target(t, func(conn *net.TCPConn) {
+		defer conn.Close()
+		content := make([]byte, size)
+		if _, err := io.ReadFull(conn, content); err == nil {
+			_, _ = conn.Write(content)
+		}
+	})
+	conn := tunnelTo(t, carrier(t), address)
+	sent := make([]byte, size)
+	for i := range sent {
+		sent[i] = byte(i)
+	}
+	if _, err := conn.Write(sent); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(conn)
+	if err != nil || string(got) != string(sent) {
+		t.Errorf("%d bytes of %d came back, %v", len(got), len(sent), err)
+	}
+}
+
+// TestTunnelDoesNotEndWellByItself guards against answers without a length that look whole although the target has
+// reset its connection, or the carrier has ended.
+func TestTunnelDoesNotEndWellByItself(t *testing.T) {
+	reset := func(conn *net.TCPConn) {
+		_, _ = conn.Write([]byte("a part"))
+		time.Sleep(20 * time.Millisecond)
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	}
+	t.Run("target resets", func(t *testing.T) {
+		conn := tunnelTo(t, carrier(t), target(t, reset))
+		if got, err := io.ReadAll(conn); err == nil {
+			t.Errorf("%q ends well", got)
+		}
+	})
+	t.Run("carrier ends", func(t *testing.T) {
+		through := carrier(t)
+		conn := tunnelTo(t, through, target(t, func(conn *net.TCPConn) { _, _ = conn.Write([]byte("a part")) }))
+		if _, err := io.ReadFull(conn, make([]byte, 6)); err != nil {
+			t.Fatal(err)
+		}
+		through.Close()
+		if got, err := io.ReadAll(conn); err == nil {
+			t.Errorf("%q ends well", got)
+		}
+	})
+}
+
+// TestClosingATunnelClosesItsTarget guards against requests whose caller has left and that a server works on.
+func TestClosingATunnelClosesItsTarget(t *testing.T) {
+	ended := make(chan error, 1)
+	address := target(t, func(conn *net.TCPConn) {
+		_, err := io.ReadAll(conn)
+		ended <- err
+	})
+	conn := tunnelTo(t, carrier(t), address)
+	if _, err := conn.Write([]byte("a request")); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.Close()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Error("the target's connection stays open")
+	}
+}
+
+// TestTunnelSaysWhyItIsNotOpened covers the answers to the request for a tunnel.
+func TestTunnelSaysWhyItIsNotOpened(t *testing.T) {
+	near := listen(t, "key", func(control.Message) {})
+	cases := []struct {
+		name    string
+		connect func(ctx context.Context, target string) (net.Conn, error)
+		want    func(err error) bool
+	}{
+		{"carries none", nil, ErrRelayDeclined.Has},
+		{"cut off", func(context.Context, string) (net.Conn, error) { return nil, ErrRelayCut.New("") }, ErrRelayCut.Has},
+		{"declined", func(context.Context, string) (net.Conn, error) { return nil, ErrRelayDeclined.New("") }, ErrRelayDeclined.Has},
+		{"refused", func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }, func(err error) bool {
+			return ErrTarget.Has(err) && errors.Is(err, syscall.ECONNREFUSED)
+		}},
+		{"no answer", func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}, func(err error) bool { return ErrTarget.Has(err) && !errors.Is(err, syscall.ECONNREFUSED) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			through := listen(t, "key", func(control.Message) {})
+			if c.connect != nil {
+				through.Carry(c.connect)
+			}
+			if _, err := near.Tunnel(context.Background(), through.Address(), "127.0.0.1:1"); !c.want(err) {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+	t.Run("another key", func(t *testing.T) {
+		stranger := listen(t, "other", func(control.Message) {})
+		through := carrier(t)
+		if _, err := stranger.Tunnel(context.Background(), through.Address(), "127.0.0.1:1"); !ErrRelay.Has(err) {
+			t.Errorf("error %v", err)
+		}
+		rejected(through)
+	})
+}
+
+// TestRetiringCarrierIsNotUsedAgain guards against requests that begin on a tunnel whose carrier is about to stop.
+func TestRetiringCarrierIsNotUsedAgain(t *testing.T) {
+	address := target(t, func(conn *net.TCPConn) {
+		buffer := make([]byte, 1)
+		for {
+			if _, err := conn.Read(buffer); err != nil {
+				return
+			}
+			_, _ = conn.Write(buffer)
+		}
+	})
+	through := carrier(t)
+	resting, busy := tunnelTo(t, through, address), tunnelTo(t, through, address)
+	if !idle.IsOpen(resting) {
+		t.Fatal("an unused tunnel is not open")
+	}
+	through.Retire()
+	for idle.IsOpen(resting) {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := busy.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(busy, make([]byte, 1)); err != nil {
+		t.Errorf("what has begun is broken off: %v", err)
+	}
+	if !busy.(*tunnelConn).Retiring() {
+		t.Error("the near end does not know")
+	}
+	near := listen(t, "key", func(control.Message) {})
+	if _, err := near.Tunnel(context.Background(), through.Address(), address); !ErrRelayDeclined.Has(err) {
+		t.Errorf("a new tunnel: error %v", err)
+	}
+}
