Daemons that lose their paths to servers reach them through other daemons

Its log has 159 attempts at 19 servers that end in 'dial: i/o timeout' and no other sign; the other daemons of its zone have none. Cause: a daemon had only its own path to a server, and each request found out for itself, three servers long, that it leads nowhere.

reach.Book takes failed attempts at several addresses in a row for a fault of the own paths; reach.Dialer then connects through another daemon (peer.Tunnel), which it also does where an attempt hangs for 150 ms. What is decided about a request stays where it came in: limits, budgets, the deadline and at-most-once are as before, as only bytes are carried, by one other daemon at most.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -74,6 +74,7 @@
 	storeEras atomic.Int64
 	engines   *platform.Engines
 	upstream  *platform.Upstream
+	paths     *paths
 	front     *platform.Front
 	servers   []*http.Server
 	peers     *peer.Transport[coordination.Message]
@@ -125,8 +126,9 @@
 	d.store.OnEra(d.eraLearned)
 	d.settings.Store(&settings)
 	d.notices = newNotices(d)
-	d.engines = platform.NewEngines(d.clock.Now, d.notices.hear, machine.Dial)
-	d.upstream = platform.NewUpstream(d.clock.Now, d.notices.hear, machine.Dial)
+	d.paths = newPaths(d, machine.Dial)
+	d.engines = platform.NewEngines(d.clock.Now, d.notices.hear, d.paths.dialer.Direct)
+	d.upstream = platform.NewUpstream(d.clock.Now, d.notices.hear, d.paths.dialer.Dial)
 	d.fleet.live.Store(1)
 	d.budget = retry.NewBudget(retryPart*settings.RetryShare, 1)
 	d.quotas = newQuotas(d)
@@ -192,8 +194,11 @@
 		d.servers = append(d.servers, server)
 		d.startDuty("directory", func() { _ = server.Serve(listener) })
 	}
-	d.peers, err = peer.Listen(d.current().PeerAddress, peerKey(d.current().DeploymentKey), d.receive)
-	return err
+	if d.peers, err = peer.Listen(d.current().PeerAddress, peerKey(d.current().DeploymentKey), d.receive); err != nil {
+		return err
+	}
+	d.peers.Carry(d.paths.carry)
+	return nil
 }
 
 // peerKey is what daemons of one deployment that speak the same form of messages share.
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -55,6 +55,7 @@
 	d.publishAddresses()
 	d.fleet.rank.Store(int64(d.node.Rank()))
 	d.following.watching.Store(d.node.Watching(now))
+	d.paths.tick(now)
 	d.observeState(now)
 }
 
@@ -63,6 +64,7 @@
 	if view, changed := d.node.TakeView(); changed {
 		before := d.gateway.View().Configuration()
 		d.gateway.SetView(view)
+		d.paths.setView(view)
 		d.quarantine.watch.gone(d.clock.Now(), func(instance string) bool { return view.Instance(instance) != nil })
 		if view.Configuration() != before {
 			d.tenantsChanged(view)
@@ -96,6 +98,7 @@
 		live++
 	}
 	d.fleet.peerAddresses.Store(&book)
+	d.paths.setMembers(members)
 	d.fleet.live.Store(max(1, live))
 	d.publishFleet(d.clock.Now())
 	d.budget.SetLimit(max(1, retryPart*d.current().RetrySlack/float64(max(1, live))))
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -21,6 +21,7 @@
 	"github.com/wheatweir/wheatweir/internal/clock"
 	"github.com/wheatweir/wheatweir/internal/loopback"
 	"github.com/wheatweir/wheatweir/peer"
+	"github.com/wheatweir/wheatweir/platform"
 	"github.com/wheatweir/wheatweir/platform/standin"
 )
 
@@ -55,7 +56,7 @@
 		f.networks = map[string]*standin.Network{}
 	}
 	if f.networks[daemon] == nil {
-		f.networks[daemon] = standin.NewNetwork()
+		f.networks[daemon] = standin.NewNetwork(platform.DialServer)
 	}
 	return f.networks[daemon]
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -53,6 +53,13 @@
 	// cold is the number of servers that are cold, and evacuated that of the zones that are evacuated.
 	cold      tally.Gauge
 	evacuated tally.Gauge
+	// pathsCut says that no server is reached directly, addressesFailed how many are not. connectionsDirect and
+	// connectionsRelayed count the connections made to servers, tunnelsCarried those that are open here for other daemons.
+	pathsCut           tally.Gauge
+	addressesFailed    tally.Gauge
+	connectionsDirect  tally.Gauge
+	connectionsRelayed tally.Gauge
+	tunnelsCarried     tally.Gauge
 	// parked is the number of models that are parked, at the daemon that places models.
 	parked tally.Gauge
 }
@@ -93,7 +100,10 @@
 		leaving: root.Gauge("instances_leaving"), limited: root.Gauge("instances_limited"), resting: root.Gauge("instances_resting"),
 		paces: root.Gauge("instances_with_pace"), leastSlowness: root.Gauge("slowness_least"), mostSlowness: root.Gauge("slowness_most"),
 		cold: root.Gauge("instances_cold"), evacuated: root.Gauge("zones_evacuated"),
-		parked: root.Gauge("models_parked"),
+		pathsCut: root.Gauge("paths_cut"), addressesFailed: root.Gauge("addresses_failed"),
+		connectionsDirect: root.Gauge("connections_direct"), connectionsRelayed: root.Gauge("connections_relayed"),
+		tunnelsCarried: root.Gauge("tunnels_carried"),
+		parked:         root.Gauge("models_parked"),
 	}
 }
 
--- /dev/null
+++ b/entry/paths.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/peer"
+	"github.com/wheatweir/wheatweir/platform"
+	"github.com/wheatweir/wheatweir/reach"
+)
+
+const (
+	// mostRelays is how many daemons are asked to carry one connection, relayTimeout how long each may take.
+	mostRelays   = 3
+	relayTimeout = 150 * time.Millisecond
+)
+
+// paths are the ways of this daemon to servers: its own, and through other daemons while its own are cut.
+type paths struct {
+	daemon *Daemon
+	book   *reach.Book
+	dialer *reach.Dialer
+	relays *reach.Relays
+	// targets are the addresses that connections are carried to for other daemons.
+	targets atomic.Pointer[map[string]bool]
+	// told is the status that the log knows. Only the control duty touches it.
+	told reach.Status
+}
+
+func newPaths(daemon *Daemon, direct platform.Dial) *paths {
+	p := &paths{daemon: daemon, book: reach.NewBook(), relays: reach.NewRelays(daemon.current().Zone)}
+	p.targets.Store(&map[string]bool{})
+	p.dialer = reach.NewDialer(p.book, daemon.clock.Now, reach.Dial(direct), p.throughOthers)
+	return p
+}
+
+// throughOthers has another daemon connect to an address.
+func (p *paths) throughOthers(ctx context.Context, address string) (net.Conn, error) {
+	failed := reach.ErrNoRelay.New("no other daemon is known")
+	for _, relay := range p.relays.Choose(p.daemon.clock.Now(), mostRelays) {
+		conn, err := p.through(ctx, relay, address)
+		if err == nil {
+			return conn, nil
+		}
+		failed = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, failed
+}
+
+// through has one daemon connect to an address.
+func (p *paths) through(ctx context.Context, relay reach.Relay, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	conn, err := p.daemon.peers.Tunnel(ctx, relay.Address, address)
+	switch {
+	case err == nil:
+		p.relays.Helped(relay.Name)
+		return conn, nil
+	case peer.ErrTarget.Has(err):
+		return nil, err
+	default:
+		p.relays.Failed(p.daemon.clock.Now(), relay.Name, peer.ErrRelayCut.Has(err))
+		return nil, reach.ErrNoRelay.Wrap(err)
+	}
+}
+
+// carry connects to a server for another daemon. It never goes through a third one.
+func (p *paths) carry(ctx context.Context, address string) (net.Conn, error) {
+	if !(*p.targets.Load())[address] {
+		return nil, peer.ErrRelayDeclined.New("%s is no instance's address", address)
+	}
+	if p.book.Status(p.daemon.clock.Now()).Cut {
+		return nil, peer.ErrRelayCut.New("%s", p.daemon.current().Name)
+	}
+	return p.dialer.Direct(ctx, address)
+}
+
+// setView takes in which instances there are.
+func (p *paths) setView(view *fleet.View) {
+	targets := make(map[string]bool, view.InstanceCount())
+	for _, instance := range view.All() {
+		targets[instance.Address] = true
+	}
+	p.targets.Store(&targets)
+	p.book.SetAddresses(len(targets))
+}
+
+// setMembers takes in which daemons there are.
+func (p *paths) setMembers(members []member.Member) {
+	self := p.daemon.current().Name
+	var relays []reach.Relay
+	for i := range members {
+		if other := &members[i]; other.Name != self && other.State == member.Alive && !other.Leaving {
+			relays = append(relays, reach.Relay{Name: other.Name, Zone: other.Zone, Address: other.PeerAddress})
+		}
+	}
+	p.relays.Set(relays)
+}
+
+// tick tells the log and the metrics what has become of the paths.
+func (p *paths) tick(now time.Time) {
+	status := p.book.Status(now)
+	if status.Cut != p.told.Cut {
+		p.changed(now, status)
+	}
+	p.told = status
+	direct, relayed := p.dialer.Counts()
+	metrics := p.daemon.metrics
+	metrics.pathsCut.Update(oneIf(status.Cut))
+	metrics.addressesFailed.Update(float64(status.Failed))
+	metrics.connectionsDirect.Update(float64(direct))
+	metrics.connectionsRelayed.Update(float64(relayed))
+	metrics.tunnelsCarried.Update(float64(p.daemon.peers.Tunnels()))
+}
+
+// changed takes in that the paths to all servers are cut, or back.
+func (p *paths) changed(now time.Time, status reach.Status) {
+	_, relayed := p.dialer.Counts()
+	if status.Cut {
+		p.daemon.log.add("paths", "Cut off from all servers.", "failed", status.InARow, "after_ms", now.Sub(status.Since).Milliseconds(), "relayed", relayed)
+		return
+	}
+	p.daemon.log.add("paths", "Servers are reached again.", "cut_ms", now.Sub(p.told.Since).Milliseconds(), "relayed", relayed)
+}
+
+func oneIf(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -190,3 +190,6 @@
 
 // InstanceCount returns how many instances are known.
 func (v *View) InstanceCount() int { return len(v.all) }
+
+// All returns all instances in the order of their IDs. The slice must not be changed.
+func (v *View) All() []*Instance { return v.all }
