A connection that only this daemon is refused is no sign of a crash

The holder of the lease took a refused connection for a crash and stopped planning for that server; with its own paths cut and refusing, for all of them. The same class of fault as the cut itself: a daemon's own trouble is put down to servers. The log says 'instances: Refused a connection.' and whether it counts as a crash.

--- a/entry/duties.go
+++ b/entry/duties.go
@@ -259,7 +259,7 @@
 		d.work.events.Put(d.ctx, func(node *coordination.Node, now time.Time) []coordination.Action {
 			return node.ReportAnswered(askedAt, now, ask.Instance, report, err == nil)
 		})
-		d.noteRefused(err, ask.Instance)
+		d.noteRefused(err, ask.Instance, ask.Address)
 	}
 }
 
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wheatweir/wheatweir/coordination"
+	"github.com/wheatweir/wheatweir/quarantine"
 	"github.com/wheatweir/wheatweir/residency"
 )
 
@@ -23,13 +24,19 @@
 	d.work.events.Put(d.ctx, func(node *coordination.Node, now time.Time) []coordination.Action {
 		return node.OrderAnswered(now, sent.Order, answer)
 	})
-	d.noteRefused(err, sent.Order.Instance)
+	d.noteRefused(err, sent.Order.Instance, sent.Order.Address)
 }
 
-// noteRefused takes a refused connection for a crash: nobody listens there any more.
-func (d *Daemon) noteRefused(err error, instance string) {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		d.instanceCrashed(d.clock.Now(), instance)
+// noteRefused takes a refused connection for a crash if other daemons are refused too: nobody listens there any more.
+func (d *Daemon) noteRefused(err error, instance, address string) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	at := d.clock.Now()
+	crashed := d.upstream.Probe(d.ctx, address) == quarantine.PresenceRefused
+	d.log.add("instances", "Refused a connection.", "instance", instance, "crashed", crashed)
+	if crashed {
+		d.instanceCrashed(at, instance)
 	}
 }
 
--- a/entry/partition_test.go
+++ b/entry/partition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -79,3 +80,49 @@
 		}
 	}
 }
+
+// holder returns the daemon that holds the lease on orders, or -1.
+func (f *deployment) holder() int {
+	for i, daemon := range f.daemons {
+		if gauge(daemon.Metrics(), "lease_held") > 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// TestDaemonWithoutPathsBlamesNoServer guards against sound servers that are taken for crashed, and contents that are
+// kept from them, on the word of a daemon whose own connections were all reset.
+func TestDaemonWithoutPathsBlamesNoServer(t *testing.T) {
+	logged := &lockedText{}
+	f := startWithLogs(t, 3, logged)
+	f.waitReady(t)
+	eventually(t, "a daemon holds the lease", func() bool { return f.holder() >= 0 })
+	for _, server := range f.servers {
+		server.EventPause = 100 * time.Millisecond
+	}
+	cut := f.holder()
+	var group sync.WaitGroup
+	for range 20 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			_, _, _, _ = post(f.all[cut].FrontAddress, "/stream/x", "m")
+		}()
+	}
+	eventually(t, "requests run", func() bool { return f.runs() >= 10 })
+	f.network(f.all[cut].Name).SetCut(standin.CutReset)
+	group.Wait()
+	f.tryAt(cut, 10)
+	time.Sleep(time.Second)
+	for _, sign := range []string{"crashed=true", "Instance closes new connections."} {
+		if strings.Contains(logged.String(), sign) {
+			t.Errorf("the log has %q", sign)
+		}
+	}
+	for _, seen := range []string{"quarantine: Connections ended.", "instances: Refused a connection."} {
+		if !strings.Contains(logged.String(), seen) {
+			t.Errorf("the log lacks %q: nobody looked whether a server has crashed", seen)
+		}
+	}
+}
