A holder that reaches too few model servers hands the lease over until it does

In the second cut of the incident the machine that gave orders was among those without paths (its orders until 36.4 s are in its log), and kept the lease: loads and unloads stop for as long as the cut lasts. Orders must not go through another daemon: servers take those of two machines for two holders. So the holder hands the lease back 0.5 s after half of the model servers, or more, are out of its own reach, provided that another daemon reaches one of them; where it has no proof of that, it asks one. It stands aside, also as a candidate, until 2 s after they are in reach again. If nobody reaches them, nobody stands aside.

TestAtMostOneHolder now has candidates stand aside at random moments; TestHolderThatStandsAsideIsReplaced covers 4 nodes and a large fleet with one candidate left.

--- a/coordination/holder.go
+++ b/coordination/holder.go
@@ -83,12 +83,20 @@
 	}
 }
 
+// StandAside has another daemon hold the lease as long as this one can't send orders to model servers.
+func (n *Node) StandAside(now time.Time, aside bool) []Action {
+	n.decide("lease", "Stands aside.", "aside", aside, "held", n.held)
+	n.lease.StandAside(aside)
+	n.tickLease(now)
+	return n.take()
+}
+
 // LeaseAnswered takes in the end of a call for the lease.
 func (n *Node) LeaseAnswered(now time.Time, outcome lease.Outcome, stored lease.Stored) []Action {
-	left := n.lease.Left()
+	handedBack := n.lease.HandedBack()
 	n.lease.Answered(now, outcome, stored)
 	n.readOnceMore()
-	if !left && n.lease.Left() && n.lease.Released() {
+	if !handedBack && n.lease.HandedBack() && n.lease.Released() {
 		n.spreadReleased(now)
 	}
 	n.tickLease(now)
--- a/coordination/holder_test.go
+++ b/coordination/holder_test.go
@@ -166,3 +166,35 @@
 		}
 	}
 }
+
+// TestHolderThatStandsAsideIsReplaced guards against a holder that reaches no model server and keeps the lease: nobody
+// sends orders meanwhile. All candidates but one stand aside.
+func TestHolderThatStandsAsideIsReplaced(t *testing.T) {
+	for _, size := range []int{4, manyNodes} {
+		w := newWorld(size)
+		w.learn()
+		w.run(8 * time.Second)
+		first := w.holders()[0]
+		able := w.names()[0]
+		if able == first {
+			able = w.names()[1]
+		}
+		for _, name := range w.names() {
+			if name != able {
+				w.perform(name, w.nodes[name].StandAside(w.now, true))
+			}
+		}
+		w.run(term + time.Second)
+		if holders := w.holders(); len(holders) != 1 || holders[0] != able {
+			t.Errorf("%d nodes: the holders are %v, %s was the first and %s is able", size, holders, first, able)
+		}
+		w.dead[able] = true
+		for _, name := range w.names() {
+			w.perform(name, w.nodes[name].StandAside(w.now, false))
+		}
+		w.run(3 * term)
+		if holders := w.holders(); len(holders) != 1 || holders[0] == able {
+			t.Errorf("%d nodes, afterwards: the holders are %v", size, holders)
+		}
+	}
+}
--- a/entry/partition_test.go
+++ b/entry/partition_test.go
@@ -91,6 +91,31 @@
 	return -1
 }
 
+// TestHolderWithoutPathsHandsOrdersOver guards against models that are loaded nowhere while the daemon that gives
+// orders has lost its paths to the servers.
+func TestHolderWithoutPathsHandsOrdersOver(t *testing.T) {
+	kinds := map[string]standin.Cut{"silent": standin.CutSilent, "reset": standin.CutReset}
+	for name, kind := range kinds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, 3)
+			f.waitReady(t)
+			eventually(t, "a daemon holds the lease", func() bool { return f.holder() >= 0 })
+			first := f.holder()
+			f.network(f.all[first].Name).SetCut(kind)
+			cut := time.Now()
+			eventually(t, "another daemon holds it", func() bool { now := f.holder(); return now >= 0 && now != first })
+			if took := time.Since(cut); took > 2*afterContact {
+				t.Errorf("taken over after %v", took)
+			}
+			if _, status, _, err := post(f.all[first].FrontAddress, "/stream/x", "n"); err != nil || status != 200 {
+				t.Errorf("a model that no server had: status %d, %v", status, err)
+			}
+			f.network(f.all[first].Name).SetCut(standin.CutNone)
+		})
+	}
+}
+
 // TestDaemonWithoutPathsBlamesNoServer guards against sound servers that are taken for crashed, and contents that are
 // kept from them, on the word of a daemon whose own connections were all reset.
 func TestDaemonWithoutPathsBlamesNoServer(t *testing.T) {
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -27,13 +27,31 @@
 	relays *reach.Relays
 	// targets are the addresses that connections are carried to for other daemons.
 	targets atomic.Pointer[map[string]bool]
-	// told is the status that the log knows. Only the control duty touches it.
+	// engines are the addresses of model servers.
+	engines atomic.Pointer[[]string]
+	// told is the status that the log knows. Only the control duty touches it, and what follows.
 	told reach.Status
+	// aside says that another daemon is to hold the lease, since asideAt or, if it does not, since then.
+	aside   bool
+	asideAt time.Time
+	askedAt time.Time
 }
 
+const (
+	// asideAfter is how long the model servers are out of reach before another daemon is to hold the lease, and
+	// backAfter how long they are in reach before this one may hold it again.
+	asideAfter = 500 * time.Millisecond
+	backAfter  = 2 * time.Second
+	// asidePart is the part of the model servers out of reach that is too much for a holder.
+	asidePart = 0.5
+	// askPause is the time between two questions to others whether they reach a server.
+	askPause = time.Second
+)
+
 func newPaths(daemon *Daemon, direct platform.Dial) *paths {
 	p := &paths{daemon: daemon, book: reach.NewBook(), relays: reach.NewRelays(daemon.current().Zone)}
 	p.targets.Store(&map[string]bool{})
+	p.engines.Store(&[]string{})
 	p.dialer = reach.NewDialer(p.book, daemon.clock.Now, reach.Dial(direct), p.throughOthers)
 	return p
 }
@@ -85,10 +103,15 @@
 // setView takes in which instances there are.
 func (p *paths) setView(view *fleet.View) {
 	targets := make(map[string]bool, view.InstanceCount())
+	var engines []string
 	for _, instance := range view.All() {
 		targets[instance.Address] = true
+		if service := view.Service(instance.Service); service != nil && service.Engine != nil {
+			engines = append(engines, instance.Address)
+		}
 	}
 	p.targets.Store(&targets)
+	p.engines.Store(&engines)
 	p.book.SetAddresses(len(targets))
 }
 
@@ -111,6 +134,7 @@
 		p.changed(now, status)
 	}
 	p.told = status
+	p.tickAside(now)
 	direct, relayed := p.dialer.Counts()
 	metrics := p.daemon.metrics
 	metrics.pathsCut.Update(oneIf(status.Cut))
@@ -130,6 +154,45 @@
 	p.daemon.log.add("paths", "Servers are reached again.", "cut_ms", now.Sub(p.told.Since).Milliseconds(), "relayed", relayed)
 }
 
+// tickAside has another daemon hold the lease as long as this one reaches too few of the model servers that others
+// reach.
+func (p *paths) tickAside(now time.Time) {
+	engines := *p.engines.Load()
+	failed, byOthers, unproved := p.book.Failures(now, engines)
+	wanted := failed > 0 && float64(failed) >= asidePart*float64(len(engines))
+	if wanted && byOthers == 0 {
+		p.askOthers(now, unproved)
+		wanted = false
+	}
+	span := asideAfter
+	if p.aside {
+		span = backAfter
+	}
+	switch {
+	case wanted == p.aside:
+		p.asideAt = now
+	case now.Sub(p.asideAt) >= span:
+		p.aside, p.asideAt = wanted, now
+		p.daemon.perform(p.daemon.node.StandAside(now, wanted))
+	}
+}
+
+// askOthers finds out whether others reach a server: nothing shows that while no request goes there.
+func (p *paths) askOthers(now time.Time, address string) {
+	if now.Sub(p.askedAt) < askPause {
+		return
+	}
+	p.askedAt = now
+	p.daemon.startDuty("paths", func() {
+		ctx, cancel := context.WithTimeout(p.daemon.ctx, mostRelays*relayTimeout)
+		defer cancel()
+		if conn, err := p.throughOthers(ctx, address); err == nil {
+			_ = conn.Close()
+			p.book.ReachedByOthers(address)
+		}
+	})
+}
+
 func oneIf(holds bool) float64 {
 	if holds {
 		return 1
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -39,6 +39,8 @@
 	pendingEra uint64
 	retryAt    time.Time
 	leaving    bool
+	// aside says that this candidate could not act as the holder now.
+	aside bool
 
 	// era is the newest era of the store that is known.
 	era      uint64
@@ -65,7 +67,7 @@
 
 // Retained reports whether this candidate held the lease last, as far as it knows,
 // even if the term is over, and does not hand it back.
-func (l *Lease) Retained() (fence uint64, ok bool) { return l.fence, l.held && !l.leaving }
+func (l *Lease) Retained() (fence uint64, ok bool) { return l.fence, l.held && !l.yields() }
 
 // ValidUntil is when the right of the holder ends unless it is renewed.
 func (l *Lease) ValidUntil() time.Time { return l.validUntil }
@@ -90,17 +92,17 @@
 		return nil
 	}
 	switch {
-	case l.held && l.leaving && l.writtenEra < l.era:
+	case l.held && l.yields() && l.writtenEra < l.era:
 		// The store has lost that this candidate held the lease, or handed it back: another one may hold it.
 		l.held = false
 		return nil
-	case l.held && l.leaving:
+	case l.held && l.yields():
 		// From here on another one may hold it, whatever becomes of the answer.
 		l.validUntil = now
 		return l.call(now, Call{Write: l.handedBack(), If: l.stored.At})
 	case l.held:
 		return l.renew(now)
-	case l.leaving:
+	case l.yields():
 		return nil
 	case !l.read:
 		// Whoever held the lease before it restarted takes it back at once.
@@ -247,7 +249,7 @@
 		// renewal replaces it.
 	case l.held && !ours:
 		l.held = false
-	case !l.held && ours && !l.leaving && !stored.copied():
+	case !l.held && ours && !l.yields() && !stored.copied():
 		// A write of ours was done although its answer was lost. How long ago
 		// is not known, so the next renewal starts the term.
 		fence := stored.Record.Fence
@@ -316,6 +318,15 @@
 // Leave makes this candidate hand the lease back and not take it again.
 func (l *Lease) Leave() { l.leaving = true }
 
+// StandAside makes this candidate hand the lease back, and not take it as long as aside holds.
+func (l *Lease) StandAside(aside bool) { l.aside = aside }
+
+// yields reports whether this candidate hands the lease back.
+func (l *Lease) yields() bool { return l.leaving || l.aside }
+
+// HandedBack reports whether the lease is not held any more after Leave or StandAside.
+func (l *Lease) HandedBack() bool { return l.yields() && !l.held }
+
 // Left reports whether the lease is not held any more after Leave.
 func (l *Lease) Left() bool { return l.leaving && !l.held }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -69,6 +69,7 @@
 	name    string
 	lease   *lease.Lease
 	paused  bool
+	aside   bool
 	pending *lease.Call
 }
 
@@ -77,8 +78,8 @@
 	return &candidate{name: name, lease: lease.New(name, fmt.Sprint(boot), settings)}
 }
 
-// TestAtMostOneHolder runs candidates under pauses, restarts, planned stops, lost calls and
-// lost answers; that a lease was handed back may be heard late, and a
+// TestAtMostOneHolder runs candidates under pauses, restarts, planned stops, times in which they stand aside, lost
+// calls and lost answers; that a lease was handed back may be heard late, and a
 // candidate's first read may show an old record. At no moment do two of them hold the lease, and no two share a token.
 func TestAtMostOneHolder(t *testing.T) { testAtMostOneHolder(t, false) }
 
@@ -116,14 +117,17 @@
 					if len(released) > 0 {
 						c.lease.HeardReleased(now, rapid.SampledFrom(released).Draw(t, "place"))
 					}
+				case 6, 7:
+					c.aside = !c.aside
+					c.lease.StandAside(c.aside)
 				}
 				if !c.paused {
 					c.run(t, s, now)
 				}
+				if c.lease.HandedBack() && c.lease.Released() {
+					released = append(released, c.lease.Place())
+				}
 				if c.lease.Left() {
-					if c.lease.Released() {
-						released = append(released, c.lease.Place())
-					}
 					candidates[i] = newCandidate(c.name, step+1)
 				}
 			}
@@ -338,3 +342,25 @@
 		t.Error("the next one does not take at once what was handed back")
 	}
 }
+
+// TestCandidateThatStandsAside covers a holder that can't act for a while: it hands the lease back, does not take it
+// meanwhile though nobody else does, and takes it afterwards under a new token.
+func TestCandidateThatStandsAside(t *testing.T) {
+	s, now := &store{}, time.Unix(1000, 0)
+	c := newCandidate("a", 0)
+	now = drive(c, s, now, 2*term)
+	before, held := c.lease.MayOrder(now)
+	if !held {
+		t.Fatal("the lease is not held")
+	}
+	c.lease.StandAside(true)
+	now = drive(c, s, now, 2*term)
+	if c.lease.Held(now) || !c.lease.HandedBack() || c.lease.Left() || s.stored.Record.Holder != "" {
+		t.Errorf("held %t, handed back %t, left %t, holder %q", c.lease.Held(now), c.lease.HandedBack(), c.lease.Left(), s.stored.Record.Holder)
+	}
+	c.lease.StandAside(false)
+	now = drive(c, s, now, term)
+	if after, held := c.lease.MayOrder(now); !held || after <= before {
+		t.Errorf("held %t under token %d, %d before", held, after, before)
+	}
+}
--- a/reach/book.go
+++ b/reach/book.go
@@ -53,6 +53,8 @@
 	since   time.Time
 	lastAt  time.Time
 	retryAt time.Time
+	// byOthers says that another daemon has reached it since.
+	byOthers bool
 }
 
 // Book is what is known of the paths of this machine. It is safe for concurrent use.
@@ -143,6 +145,37 @@
 	b.inARow[address] = true
 }
 
+// ReachedByOthers takes in that another daemon has reached an address: if it can't be reached from here, that is not
+// the address's fault.
+func (b *Book) ReachedByOthers(address string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if known := b.failed[address]; known != nil {
+		known.byOthers = true
+	}
+}
+
+// Failures counts those of some addresses that can't be reached, and those of them that others reach. Unproved is one
+// that others have not been asked for, or empty.
+func (b *Book) Failures(now time.Time, addresses []string) (failed, byOthers int, unproved string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.expire(now)
+	for _, address := range addresses {
+		known := b.failed[address]
+		switch {
+		case known == nil:
+		case known.byOthers:
+			failed++
+			byOthers++
+		default:
+			failed++
+			unproved = address
+		}
+	}
+	return failed, byOthers, unproved
+}
+
 // Heard takes in that bytes came over the machine's own path.
 func (b *Book) Heard(now time.Time) {
 	b.mutex.Lock()
