A server that was silent for a second is not taken for a cut of the holder's paths

Only an attempt that begins after others have reached the server, and fails, shows that the fault is the holder's own; the holder makes one.

--- a/entry/paths.go
+++ b/entry/paths.go
@@ -34,7 +34,8 @@
 	// aside says that another daemon is to hold the lease, since asideAt or, if it does not, since then.
 	aside   bool
 	asideAt time.Time
-	askedAt time.Time
+	// provedAt is when it was last looked whose fault it is.
+	provedAt time.Time
 }
 
 const (
@@ -44,8 +45,8 @@
 	backAfter  = 2 * time.Second
 	// asidePart is the part of the model servers out of reach that is too much for a holder.
 	asidePart = 0.5
-	// askPause is the time between two questions to others whether they reach a server.
-	askPause = time.Second
+	// provePause is the time between two looks whose fault it is that a server is out of reach.
+	provePause = 500 * time.Millisecond
 )
 
 func newPaths(daemon *Daemon, direct platform.Dial) *paths {
@@ -158,10 +159,10 @@
 // reach.
 func (p *paths) tickAside(now time.Time) {
 	engines := *p.engines.Load()
-	failed, byOthers, unproved := p.book.Failures(now, engines)
+	failed, ownFault, unproved := p.book.Failures(now, engines)
 	wanted := failed > 0 && float64(failed) >= asidePart*float64(len(engines))
-	if wanted && byOthers == 0 {
-		p.askOthers(now, unproved)
+	if wanted && ownFault == 0 {
+		p.prove(now, unproved)
 		wanted = false
 	}
 	span := asideAfter
@@ -177,18 +178,24 @@
 	}
 }
 
-// askOthers finds out whether others reach a server: nothing shows that while no request goes there.
-func (p *paths) askOthers(now time.Time, address string) {
-	if now.Sub(p.askedAt) < askPause {
+// prove finds out whether others reach a server that is out of reach from here, also after that: nothing shows it while
+// no request goes there.
+func (p *paths) prove(now time.Time, address string) {
+	if now.Sub(p.provedAt) < provePause {
 		return
 	}
-	p.askedAt = now
+	p.provedAt = now
 	p.daemon.startDuty("paths", func() {
-		ctx, cancel := context.WithTimeout(p.daemon.ctx, mostRelays*relayTimeout)
+		ctx, cancel := context.WithTimeout(p.daemon.ctx, 2*mostRelays*relayTimeout)
 		defer cancel()
-		if conn, err := p.throughOthers(ctx, address); err == nil {
+		conn, err := p.throughOthers(ctx, address)
+		if err != nil {
+			return
+		}
+		_ = conn.Close()
+		p.book.ReachedByOthers(p.daemon.clock.Now(), address)
+		if conn, err = p.dialer.Direct(ctx, address); err == nil {
 			_ = conn.Close()
-			p.book.ReachedByOthers(address)
 		}
 	})
 }
--- a/reach/book.go
+++ b/reach/book.go
@@ -53,8 +53,10 @@
 	since   time.Time
 	lastAt  time.Time
 	retryAt time.Time
-	// byOthers says that another daemon has reached it since.
-	byOthers bool
+	// byOthersAt is when another daemon has reached it; zero if none has. ownFault says that an attempt from here has
+	// failed even after that.
+	byOthersAt time.Time
+	ownFault   bool
 }
 
 // Book is what is known of the paths of this machine. It is safe for concurrent use.
@@ -136,6 +138,9 @@
 		b.failed[address] = known
 	}
 	known.lastAt = now
+	if !known.byOthersAt.IsZero() && began.After(known.byOthersAt) {
+		known.ownFault = true
+	}
 	if began.Before(b.connectedAt) {
 		return
 	}
@@ -145,19 +150,19 @@
 	b.inARow[address] = true
 }
 
-// ReachedByOthers takes in that another daemon has reached an address: if it can't be reached from here, that is not
-// the address's fault.
-func (b *Book) ReachedByOthers(address string) {
+// ReachedByOthers takes in that another daemon has reached an address: if it can't be reached from here after that, it
+// is not the address's fault.
+func (b *Book) ReachedByOthers(now time.Time, address string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if known := b.failed[address]; known != nil {
-		known.byOthers = true
+	if known := b.failed[address]; known != nil && known.byOthersAt.IsZero() {
+		known.byOthersAt = now
 	}
 }
 
-// Failures counts those of some addresses that can't be reached, and those of them that others reach. Unproved is one
-// that others have not been asked for, or empty.
-func (b *Book) Failures(now time.Time, addresses []string) (failed, byOthers int, unproved string) {
+// Failures counts those of some addresses that can't be reached, and those of them where that is not the address's
+// fault. Unproved is one of which that is not known, or empty.
+func (b *Book) Failures(now time.Time, addresses []string) (failed, ownFault int, unproved string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.expire(now)
@@ -165,15 +170,15 @@
 		known := b.failed[address]
 		switch {
 		case known == nil:
-		case known.byOthers:
+		case known.ownFault:
 			failed++
-			byOthers++
+			ownFault++
 		default:
 			failed++
 			unproved = address
 		}
 	}
-	return failed, byOthers, unproved
+	return failed, ownFault, unproved
 }
 
 // Heard takes in that bytes came over the machine's own path.
--- a/reach/book_test.go
+++ b/reach/book_test.go
@@ -172,3 +172,27 @@
 		t.Errorf("%d daemons are left", len(got))
 	}
 }
+
+// TestWhoseFaultItIs guards against a server that was silent for a moment being taken for a fault of the own paths since
+// another daemon reaches it sooner.
+func TestWhoseFaultItIs(t *testing.T) {
+	addresses := []string{"a0", "a1"}
+	book := reach.NewBook()
+	failAll(book, at(0), 1)
+	if failed, own, unproved := book.Failures(at(0), addresses); failed != 1 || own != 0 || unproved != "a0" {
+		t.Errorf("at first: %d failed, %d by own fault, %q", failed, own, unproved)
+	}
+	book.ReachedByOthers(at(100), "a0")
+	book.Failed(at(200), "a0", at(50))
+	if _, own, _ := book.Failures(at(200), addresses); own != 0 {
+		t.Error("an attempt that began before others reached it proves a fault")
+	}
+	book.Failed(at(300), "a0", at(150))
+	if failed, own, unproved := book.Failures(at(300), addresses); failed != 1 || own != 1 || unproved != "" {
+		t.Errorf("failed after others reached it: %d failed, %d by own fault, %q", failed, own, unproved)
+	}
+	book.Connected(at(400), "a0")
+	if failed, own, _ := book.Failures(at(400), addresses); failed != 0 || own != 0 {
+		t.Errorf("reached again: %d failed, %d by own fault", failed, own)
+	}
+}
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -146,7 +146,7 @@
 	go func() {
 		conn, err := a.dialer.relayed(a.ctx, a.address)
 		if err == nil {
-			a.dialer.book.ReachedByOthers(a.address)
+			a.dialer.book.ReachedByOthers(a.dialer.now(), a.address)
 			conn = &relayedConn{Conn: conn, dialer: a.dialer, address: a.address}
 		}
 		a.results <- result{conn: conn, err: err, relayed: true}
