Work out the addresses of servers only where paths fail

Each daemon built the set of all addresses at each new view: work as daemons x servers, many times a second in a large fleet. Only daemons whose paths fail, and those that carry connections for them, need it; they build it when they look. A log line names the daemon that carries a connection.

--- a/entry/duties.go
+++ b/entry/duties.go
@@ -64,7 +64,6 @@
 	if view, changed := d.node.TakeView(); changed {
 		before := d.gateway.View().Configuration()
 		d.gateway.SetView(view)
-		d.paths.setView(view)
 		d.quarantine.watch.gone(d.clock.Now(), func(instance string) bool { return view.Instance(instance) != nil })
 		if view.Configuration() != before {
 			d.tenantsChanged(view)
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -25,10 +25,8 @@
 	book   *reach.Book
 	dialer *reach.Dialer
 	relays *reach.Relays
-	// targets are the addresses that connections are carried to for other daemons.
-	targets atomic.Pointer[map[string]bool]
-	// engines are the addresses of model servers.
-	engines atomic.Pointer[[]string]
+	// addresses are those of the servers in the last view that was looked at for them.
+	addresses atomic.Pointer[serverAddresses]
 	// told is the status that the log knows. Only the control duty touches it, and what follows.
 	told reach.Status
 	// aside says that another daemon is to hold the lease, since asideAt or, if it does not, since then.
@@ -51,8 +49,7 @@
 
 func newPaths(daemon *Daemon, direct platform.Dial) *paths {
 	p := &paths{daemon: daemon, book: reach.NewBook(), relays: reach.NewRelays(daemon.current().Zone)}
-	p.targets.Store(&map[string]bool{})
-	p.engines.Store(&[]string{})
+	p.addresses.Store(&serverAddresses{})
 	p.dialer = reach.NewDialer(p.book, daemon.clock.Now, reach.Dial(direct), p.throughOthers)
 	return p
 }
@@ -81,6 +78,7 @@
 	switch {
 	case err == nil:
 		p.relays.Helped(relay.Name)
+		p.daemon.log.add("paths", "Connected through another daemon.", "address", address, "daemon", relay.Name)
 		return conn, nil
 	case peer.ErrTarget.Has(err):
 		return nil, err
@@ -92,7 +90,7 @@
 
 // carry connects to a server for another daemon. It never goes through a third one.
 func (p *paths) carry(ctx context.Context, address string) (net.Conn, error) {
-	if !(*p.targets.Load())[address] {
+	if !p.servers().all[address] {
 		return nil, peer.ErrRelayDeclined.New("%s is no instance's address", address)
 	}
 	if p.book.Status(p.daemon.clock.Now()).Cut {
@@ -101,19 +99,30 @@
 	return p.dialer.Direct(ctx, address)
 }
 
-// setView takes in which instances there are.
-func (p *paths) setView(view *fleet.View) {
-	targets := make(map[string]bool, view.InstanceCount())
-	var engines []string
+// serverAddresses are the addresses of the servers in one view. It is immutable.
+type serverAddresses struct {
+	view *fleet.View
+	all  map[string]bool
+	// engines are those of model servers.
+	engines []string
+}
+
+// servers returns the addresses of the servers. They are worked out when they are asked for: views change many times
+// a second, and only daemons whose paths fail, and those that help them, need the addresses.
+func (p *paths) servers() *serverAddresses {
+	view := p.daemon.gateway.View()
+	if known := p.addresses.Load(); known.view == view {
+		return known
+	}
+	made := &serverAddresses{view: view, all: make(map[string]bool, view.InstanceCount())}
 	for _, instance := range view.All() {
-		targets[instance.Address] = true
+		made.all[instance.Address] = true
 		if service := view.Service(instance.Service); service != nil && service.Engine != nil {
-			engines = append(engines, instance.Address)
+			made.engines = append(made.engines, instance.Address)
 		}
 	}
-	p.targets.Store(&targets)
-	p.engines.Store(&engines)
-	p.book.SetAddresses(len(targets))
+	p.addresses.Store(made)
+	return made
 }
 
 // setMembers takes in which daemons there are.
@@ -130,12 +139,17 @@
 
 // tick tells the log and the metrics what has become of the paths.
 func (p *paths) tick(now time.Time) {
+	p.book.SetAddresses(p.daemon.gateway.View().InstanceCount())
 	status := p.book.Status(now)
 	if status.Cut != p.told.Cut {
 		p.changed(now, status)
 	}
 	p.told = status
-	p.tickAside(now)
+	if status.Failed > 0 || p.aside {
+		p.tickAside(now)
+	} else {
+		p.asideAt = now
+	}
 	direct, relayed := p.dialer.Counts()
 	metrics := p.daemon.metrics
 	metrics.pathsCut.Update(oneIf(status.Cut))
@@ -158,7 +172,7 @@
 // tickAside has another daemon hold the lease as long as this one reaches too few of the model servers that others
 // reach.
 func (p *paths) tickAside(now time.Time) {
-	engines := *p.engines.Load()
+	engines := p.servers().engines
 	failed, ownFault, unproved := p.book.Failures(now, engines)
 	wanted := failed > 0 && float64(failed) >= asidePart*float64(len(engines))
 	if wanted && ownFault == 0 {
