--- a/entry/paths.go
+++ b/entry/paths.go
@@ -96,7 +96,12 @@
 	if p.book.Status(p.daemon.clock.Now()).Cut {
 		return nil, peer.ErrRelayCut.New("%s", p.daemon.current().Name)
 	}
-	return p.dialer.Direct(ctx, address)
+	conn, err := p.dialer.Direct(ctx, address)
+	if err != nil && p.book.Status(p.daemon.clock.Now()).Doubtful {
+		// It may be this daemon's fault, and says nothing about the address.
+		return nil, peer.ErrRelayCut.Wrap(err)
+	}
+	return conn, err
 }
 
 // serverAddresses are the addresses of the servers in one view. It is immutable.
--- a/reach/book.go
+++ b/reach/book.go
@@ -32,7 +32,8 @@
 type Plan struct {
 	// Direct says that the machine's own path is tried.
 	Direct bool
-	// RelayAfter is how long after the start another daemon is asked; zero means at once.
+	// Relay says that another daemon is asked, RelayAfter how long after the start; zero means at once.
+	Relay      bool
 	RelayAfter time.Duration
 }
 
@@ -53,6 +54,8 @@
 	since   time.Time
 	lastAt  time.Time
 	retryAt time.Time
+	// askAt is when others may be asked again whether they reach it.
+	askAt time.Time
 	// byOthersAt is when another daemon has reached it; zero if none has. ownFault says that an attempt from here has
 	// failed even after that.
 	byOthersAt time.Time
@@ -86,21 +89,25 @@
 	b.addresses = count
 }
 
-// Plan says how to connect to an address now. An attempt over a path that has failed is made now and then only.
+// Plan says how to connect to an address now. Where others reach an address that can't be reached from here, the own
+// path is tried now and then only. Where nobody does, most likely the address has ended, and others are asked now and
+// then only.
 func (b *Book) Plan(now time.Time, address string) Plan {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.expire(now)
-	if known := b.failed[address]; known != nil {
-		return Plan{Direct: due(now, &known.retryAt)}
-	}
-	switch status := b.status(); {
+	status, known := b.status(), b.failed[address]
+	switch {
+	case known != nil && (status.Doubtful || !known.byOthersAt.IsZero()):
+		return Plan{Direct: due(now, &known.retryAt), Relay: true}
+	case known != nil:
+		return Plan{Direct: true, Relay: due(now, &known.askAt)}
 	case status.Cut:
-		return Plan{Direct: due(now, &b.retryAt)}
+		return Plan{Direct: due(now, &b.retryAt), Relay: true}
 	case status.Doubtful:
-		return Plan{Direct: true, RelayAfter: relayInDoubt}
+		return Plan{Direct: true, Relay: true, RelayAfter: relayInDoubt}
 	default:
-		return Plan{Direct: true, RelayAfter: relayAfter}
+		return Plan{Direct: true, Relay: true, RelayAfter: relayAfter}
 	}
 }
 
@@ -134,7 +141,7 @@
 	defer b.mutex.Unlock()
 	known := b.failed[address]
 	if known == nil {
-		known = &failure{since: now, retryAt: now.Add(retryPause)}
+		known = &failure{since: now, retryAt: now.Add(retryPause), askAt: now.Add(retryPause)}
 		b.failed[address] = known
 	}
 	known.lastAt = now
@@ -160,6 +167,15 @@
 	}
 }
 
+// NotReachedByOthers takes in that another daemon has not reached an address either.
+func (b *Book) NotReachedByOthers(address string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if known := b.failed[address]; known != nil {
+		known.byOthersAt, known.ownFault = time.Time{}, false
+	}
+}
+
 // Failures counts those of some addresses that can't be reached, and those of them where that is not the address's
 // fault. Unproved is one of which that is not known, or empty.
 func (b *Book) Failures(now time.Time, addresses []string) (failed, ownFault int, unproved string) {
@@ -203,7 +219,8 @@
 func (b *Book) InDoubt(address string) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.failed[address] != nil || b.status().Doubtful
+	known := b.failed[address]
+	return known != nil && !known.byOthersAt.IsZero() || b.status().Doubtful
 }
 
 // Status returns what holds of all paths together.
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -53,7 +53,7 @@
 // one is used.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
 	plan := d.book.Plan(d.now(), address)
-	attempts := &attempts{dialer: d, ctx: ctx, address: address, results: make(chan result, 2)}
+	attempts := &attempts{dialer: d, ctx: ctx, address: address, results: make(chan result, 2), relayed: !plan.Relay}
 	defer attempts.abandon()
 	if plan.Direct {
 		attempts.startDirect()
@@ -119,8 +119,11 @@
 	address string
 	results chan result
 	running int
+	// direct and relayed say that these ways are in use, were tried, or must not be.
 	direct  bool
 	relayed bool
+	// reached says that another daemon has reached the address.
+	reached atomic.Bool
 }
 
 func (a *attempts) startDirect() {
@@ -133,6 +136,9 @@
 	go func() {
 		defer cancel()
 		conn, err := a.dialer.Direct(ctx, a.address)
+		if err != nil && a.reached.Load() {
+			a.dialer.book.ReachedByOthers(a.dialer.now(), a.address)
+		}
 		a.results <- result{conn: conn, err: err}
 	}()
 }
@@ -145,7 +151,11 @@
 	a.running++
 	go func() {
 		conn, err := a.dialer.relayed(a.ctx, a.address)
+		if err != nil && !ErrNoRelay.Has(err) && a.ctx.Err() == nil {
+			a.dialer.book.NotReachedByOthers(a.address)
+		}
 		if err == nil {
+			a.reached.Store(true)
 			a.dialer.book.ReachedByOthers(a.dialer.now(), a.address)
 			conn = &relayedConn{Conn: conn, dialer: a.dialer, address: a.address}
 		}
