Close connections at rest whose path has failed, also those through a daemon that stops

A daemon that stops waits for the connections that it carries, and those that rest unused at another daemon were closed only when one was needed there: the stop could take its whole grace.

--- a/entry/partition_test.go
+++ b/entry/partition_test.go
@@ -151,3 +151,36 @@
 		}
 	}
 }
+
+// TestStopOfACarrierCutsNothing guards against streams that break off, or requests that fail, as a daemon stops that
+// carries their connections for another one.
+func TestStopOfACarrierCutsNothing(t *testing.T) {
+	f := start(t, 3)
+	f.waitReady(t)
+	for i := range f.all {
+		eventually(t, "all daemons know each other", func() bool { return len(f.resolve(i).Addresses) == len(f.all) })
+	}
+	for _, server := range f.servers {
+		server.EventPause = 150 * time.Millisecond
+	}
+	f.network(f.all[0].Name).SetCut(standin.CutSilent)
+	f.tryAt(0, 10)
+	eventually(t, "both others carry connections", func() bool {
+		f.tryAt(0, 1)
+		return gauge(f.daemons[1].Metrics(), "tunnels_carried") > 0 && gauge(f.daemons[2].Metrics(), "tunnels_carried") > 0
+	})
+	var group sync.WaitGroup
+	group.Go(func() {
+		time.Sleep(300 * time.Millisecond)
+		began := time.Now()
+		f.daemons[1].Stop(t.Context())
+		if took := time.Since(began); took > f.all[1].Grace {
+			t.Errorf("the stop took %v", took)
+		}
+	})
+	counted := f.tryAt(0, 30)
+	group.Wait()
+	if counted.failed.Load() > 0 {
+		t.Errorf("%d served, %d failed", counted.served.Load(), counted.failed.Load())
+	}
+}
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/wheatweir/wheatweir/internal/idle"
 )
 
 // ErrNoRelay is the class of errors that say nothing about the address: no other daemon could be asked.
@@ -210,13 +212,13 @@
 	address string
 }
 
-// Fit reports whether the connection should be used again: not once the machine's own path is back, or the other
-// daemon is about to stop.
+// Fit reports whether the connection, which is not in use, should be used again: not once the machine's own path is
+// back, or the other daemon is about to stop, which it says at any time.
 func (c *relayedConn) Fit() bool {
 	if carried, ok := c.Conn.(interface{ Retiring() bool }); ok && carried.Retiring() {
 		return false
 	}
-	return c.dialer.book.InDoubt(c.address)
+	return c.dialer.book.InDoubt(c.address) && idle.IsOpen(c.Conn)
 }
 
 // SyscallConn gives access to the socket.
