--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -21,7 +21,6 @@
 	"github.com/wheatweir/wheatweir/internal/clock"
 	"github.com/wheatweir/wheatweir/internal/loopback"
 	"github.com/wheatweir/wheatweir/peer"
-	"github.com/wheatweir/wheatweir/platform"
 	"github.com/wheatweir/wheatweir/platform/standin"
 )
 
@@ -50,17 +49,6 @@
 	return f.machines[daemon]
 }
 
-// network returns a daemon's paths to the servers.
-func (f *deployment) network(daemon string) *standin.Network {
-	if f.networks == nil {
-		f.networks = map[string]*standin.Network{}
-	}
-	if f.networks[daemon] == nil {
-		f.networks[daemon] = standin.NewNetwork(platform.DialServer)
-	}
-	return f.networks[daemon]
-}
-
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	address, err := loopback.Address()
--- a/entry/partition_test.go
+++ b/entry/partition_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/wheatweir/wheatweir/platform"
 	"github.com/wheatweir/wheatweir/platform/standin"
 )
 
@@ -20,6 +21,17 @@
 	triesAfterContact = 60
 )
 
+// network returns a daemon's paths to the servers.
+func (f *deployment) network(daemon string) *standin.Network {
+	if f.networks == nil {
+		f.networks = map[string]*standin.Network{}
+	}
+	if f.networks[daemon] == nil {
+		f.networks[daemon] = standin.NewNetwork(platform.DialServer)
+	}
+	return f.networks[daemon]
+}
+
 // tries counts the requests at one daemon.
 type tries struct{ served, failed atomic.Int64 }
 
