Failing tests: servers that were taken out of the store stay in use at some daemons

What callers see: a daemon goes on sending to a server that was taken out of the store, or that is leaving, until something else about it changes.

Five tests without network show five ways to the same end; all fail on this code: TestRemovalBetweenFirstListsReachesAll: n0 uses [b c], want [c] TestRemovalBetweenFirstListsReachesAllInQuiet: n0 uses [a b c], want [c] TestChangeWhileAListIsReadReachesAll: n0 uses [a b c], want [b c] TestLateAnswerDoesNotBringBackWhatWasRemoved: n2 uses [a b], want [b] TestRemovalInAGapOfTheHistoryReachesAll: n0 uses [a b c], want [b c]

--- /dev/null
+++ b/coordination/removal_test.go
@@ -0,0 +1,126 @@
+package coordination_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/coordination"
+	"github.com/wheatweir/wheatweir/feed"
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/history"
+)
+
+// entry is an instance as it was written at a revision.
+func entry(id string, revision uint64) feed.Item[*fleet.Instance] {
+	return feed.Item[*fleet.Instance]{
+		Name: id, Place: history.At(0, revision), Value: &fleet.Instance{ID: id, Service: "llm", Address: id, Slots: 8},
+	}
+}
+
+func removal(id string, revision uint64) feed.Item[*fleet.Instance] {
+	return feed.Item[*fleet.Instance]{Name: id, Place: history.At(0, revision), Gone: true}
+}
+
+func entries(at uint64, items ...feed.Item[*fleet.Instance]) feed.Batch[*fleet.Instance] {
+	return feed.Batch[*fleet.Instance]{At: history.At(0, at), Items: items}
+}
+
+// watcherOf returns a world of three nodes of which one watches the store, and its name.
+func watcherOf() (w *world, watcher string, others []string) {
+	w = newWorld(3)
+	w.setWatchers(1)
+	w.run(3 * time.Second)
+	watcher = w.pickByWatch(true)
+	others = slices.DeleteFunc(w.names(), func(name string) bool { return name == watcher })
+	for _, name := range w.names() {
+		w.perform(name, w.nodes[name].ConfigurationLearned(engineConfiguration(1)))
+	}
+	return w, watcher, others
+}
+
+func (w *world) list(name string, batch feed.Batch[*fleet.Instance]) {
+	w.perform(name, w.nodes[name].InstancesListed(w.now, batch))
+}
+
+func (w *world) change(name string, batch feed.Batch[*fleet.Instance]) {
+	w.perform(name, w.nodes[name].InstancesChanged(w.now, batch))
+}
+
+func (w *world) checkInUse(t *testing.T, want ...string) {
+	t.Helper()
+	for _, name := range w.names() {
+		if used := w.inUse(name, "a", "b", "c"); !slices.Equal(used, want) {
+			t.Errorf("%s uses %v, want %v", name, used, want)
+		}
+	}
+}
+
+// TestRemovalBetweenFirstListsReachesAll guards against daemons that go on using a server which was taken out of the
+// store after their own first list and before that of the daemon that tells them of changes.
+func TestRemovalBetweenFirstListsReachesAll(t *testing.T) {
+	w, watcher, others := watcherOf()
+	w.list(others[0], entries(2, entry("a", 1), entry("b", 2)))
+	w.list(others[1], entries(4, entry("b", 2), entry("c", 3)))
+	w.run(time.Second)
+	w.list(watcher, entries(5, entry("c", 3)))
+	w.change(watcher, entries(6, entry("c", 6)))
+	w.run(2 * time.Second)
+	w.checkInUse(t, "c")
+}
+
+// TestRemovalBetweenFirstListsReachesAllInQuiet is the same where nothing else changes afterwards.
+func TestRemovalBetweenFirstListsReachesAllInQuiet(t *testing.T) {
+	w, watcher, others := watcherOf()
+	w.list(others[0], entries(3, entry("a", 1), entry("b", 2), entry("c", 3)))
+	w.list(others[1], entries(5, entry("c", 3)))
+	w.list(watcher, entries(5, entry("c", 3)))
+	w.run(2 * time.Second)
+	w.checkInUse(t, "c")
+}
+
+// TestChangeWhileAListIsReadReachesAll guards against daemons that never hear of a change of an instance on the first
+// page of their list, since a later page was newer than that change.
+func TestChangeWhileAListIsReadReachesAll(t *testing.T) {
+	w, watcher, others := watcherOf()
+	left := entry("a", 6)
+	left.Value.Leaving = true
+	w.list(watcher, entries(5, entry("a", 1), entry("b", 2)))
+	w.list(others[0], entries(5, entry("a", 1), entry("b", 2), entry("c", 7)))
+	w.list(others[1], entries(5, entry("a", 1), entry("b", 2), entry("c", 7)))
+	w.change(watcher, entries(7, left, entry("c", 7)))
+	w.run(2 * time.Second)
+	w.checkInUse(t, "b", "c")
+}
+
+// TestLateAnswerDoesNotBringBackWhatWasRemoved guards against daemons that use a removed server again since another
+// daemon's answer was on its way when they heard of the removal.
+func TestLateAnswerDoesNotBringBackWhatWasRemoved(t *testing.T) {
+	w, watcher, others := watcherOf()
+	for _, name := range w.names() {
+		w.list(name, entries(2, entry("b", 2)))
+	}
+	w.change(others[0], entries(3, entry("a", 3)))
+	late := coordination.Message{From: others[0], Instances: &coordination.Listing{
+		At: history.At(0, 3), Changes: true, Items: []coordination.ListedInstance{{Place: history.At(0, 3), Value: *entry("a", 3).Value}},
+	}}
+	w.change(watcher, entries(3, entry("a", 3)))
+	w.change(watcher, entries(4, removal("a", 4)))
+	w.perform(watcher, w.nodes[watcher].Receive(w.now, late))
+	w.run(2 * time.Second)
+	w.checkInUse(t, "b")
+}
+
+// TestRemovalInAGapOfTheHistoryReachesAll guards against daemons that go on using an instance which came and went while
+// the one that tells them of changes had lost the store's history.
+func TestRemovalInAGapOfTheHistoryReachesAll(t *testing.T) {
+	w, watcher, others := watcherOf()
+	for _, name := range w.names() {
+		w.list(name, entries(2, entry("b", 2)))
+	}
+	w.change(others[0], entries(3, entry("a", 3)))
+	w.list(watcher, entries(5, entry("b", 2)))
+	w.change(watcher, entries(6, entry("c", 6)))
+	w.run(2 * time.Second)
+	w.checkInUse(t, "b", "c")
+}
