Tell daemons of changes by the place up to which they know all, so that no removal is passed over

What callers saw: a daemon goes on sending to a server that was taken out of the store, or does not hear that one is leaving, until something else about that server changes.

Cause: daemons ask each other for what came after the newest change that they know, and a daemon took its history to reach back to the newest item of its first list. Neither says that all before is known: a removal leaves no trace in a list, later pages of a list are newer than the place at which it began, and what came and went while the store's history was lost is in no list and no change.

Now a question names the place up to which the sender is complete, an answer the place after which it tells all. A history begins at the first list, not at its newest item; a later list leaves a gap, and who knows a place within it is told everything from its beginning. What exists at the receiver by a change in that span and not by the answer is gone. An answer that tells nothing new is passed over. The form of messages is 10.

--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -75,6 +75,18 @@
 	}
 }
 
+// complete is the place up to which this daemon knows a collection. Unlike its version it moves without a change too.
+func (n *Node) complete(source Source) history.Place {
+	switch source {
+	case SourceConfiguration:
+		return configurationPlace(n.configurationVersion())
+	case SourceInstances:
+		return n.instances.At()
+	default:
+		return n.evacuations.At()
+	}
+}
+
 // sourcesInOrder are the collections in the order in which a daemon catches up with them.
 var sourcesInOrder = [...]Source{SourceConfiguration, SourceInstances, SourceEvacuations}
 
@@ -94,7 +106,7 @@
 func (n *Node) tickSources(now time.Time) {
 	for _, source := range sourcesInOrder {
 		state := n.sources[source]
-		if !state.newest.After(n.ownVersion(source)) {
+		if !state.newest.After(n.complete(source)) {
 			state.behindSince = time.Time{}
 			continue
 		}
@@ -149,7 +161,12 @@
 
 // askFor is a question about one collection only: the other ones may be large, and on
 // their way already.
-func (n *Node) askFor(source Source) Versions { return n.versions().onlyAbout(source) }
+func (n *Node) askFor(source Source) Versions {
+	asked := Versions{
+		Configuration: n.configurationVersion(), Instances: n.complete(SourceInstances), Evacuations: n.complete(SourceEvacuations),
+	}
+	return asked.onlyAbout(source)
+}
 
 // onlyAbout leaves the other collections out of a question.
 func (v Versions) onlyAbout(source Source) Versions {
@@ -275,13 +292,16 @@
 	n.do(SendPeer{Address: other.PeerAddress, Message: answer})
 }
 
-// listing is what changed after a version, or everything if that is not kept.
+// listing is what changed after a place, or everything if that is not kept.
 func (n *Node) listing(since history.Place) *Listing {
-	items, changes := n.instances.Since(since)
-	if !changes {
+	changes, kept := n.instances.Since(since)
+	items := changes.Items
+	if !kept {
 		items = n.instances.Items()
 	}
-	listing := &Listing{At: n.instances.At(), Changes: changes}
+	listing := &Listing{
+		At: n.instances.At(), Until: n.instances.Until(), Since: changes.After, Changes: kept, PassedOver: changes.PassedOver,
+	}
 	for _, item := range items {
 		if item.Place.Era < listing.At.Era {
 			// The store may have lost it, or it may be gone: the other one knows as much.
@@ -302,7 +322,7 @@
 
 // takeListing takes in the instances that another daemon knows.
 func (n *Node) takeListing(now time.Time, from origin, listing *Listing) {
-	batch := feed.Batch[*fleet.Instance]{At: listing.At}
+	batch := feed.Batch[*fleet.Instance]{At: listing.At, Until: listing.Until}
 	for i := range listing.Items {
 		item := &listing.Items[i]
 		taken := feed.Item[*fleet.Instance]{Name: item.Value.ID, Place: item.Place, Gone: item.Gone}
@@ -312,8 +332,8 @@
 		batch.Items = append(batch.Items, taken)
 	}
 	if listing.Changes {
-		batch.At = history.Place{}
-		n.instancesChanged(now, from, n.instances.Apply(batch), false)
+		changes := feed.Changes[*fleet.Instance]{Batch: batch, After: listing.Since, PassedOver: listing.PassedOver}
+		n.instancesChanged(now, from, n.instances.Merge(changes), false)
 		return
 	}
 	n.replaceInstances(now, from, batch)
--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -15,7 +15,7 @@
 // daemons prove to each other, so that during an upgrade those of the old and the new form
 // do not talk: fields that are not understood are passed over, and a list of instances
 // without their IDs would leave no instance. Both get along by the store meanwhile.
-const MessageForm = "9"
+const MessageForm = "10"
 
 // Message is what entry daemons tell each other.
 type Message struct {
@@ -145,12 +145,16 @@
 }
 
 // Listing is the list of all instances at a place in the store's history, or the changes
-// since the version that was asked for.
+// since an earlier one.
 type Listing struct {
-	At history.Place `msgpack:"a"`
-	// Changes says that Items are changes only.
-	Changes bool             `msgpack:"c,omitempty"`
-	Items   []ListedInstance `msgpack:"i"`
+	At    history.Place `msgpack:"a"`
+	Since history.Place `msgpack:"s"`
+	// Until is the place up to which the list may lack what was removed while it was read.
+	Until history.Place `msgpack:"u"`
+	// Changes says that Items are changes only, PassedOver that they lack some of what came and went in between.
+	Changes    bool             `msgpack:"c,omitempty"`
+	PassedOver bool             `msgpack:"g,omitempty"`
+	Items      []ListedInstance `msgpack:"i"`
 }
 
 // ListedInstance is one instance with the place of its last change. Of one that
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -40,6 +40,8 @@
 	Items []Item[T]
 	// At is the place in the store's history up to which the answer is complete.
 	At history.Place
+	// Until is the place at which the last page of a list was read, if that is later.
+	Until history.Place
 }
 
 // Freshness is how new a list has to be.
@@ -66,13 +68,30 @@
 type Mirror[T any] struct {
 	items map[string]Item[T]
 	at    history.Place
-	// newest is the version of the newest change that was taken in.
+	// newest is the version of the newest change that was taken in, at or before at.
 	newest history.Place
 	known  bool
 	// history holds the last changes, oldest first, with the version of each; it
-	// is complete after the version floor.
+	// is complete after the version floor, but for what came and went within a gap.
 	history []change[T]
 	floor   history.Place
+	gaps    []gap
+	// until is up to where the last list may lack what was removed while it was read.
+	until history.Place
+}
+
+// gap is a part of the store's history that a list passed over: what came and went within it is not known.
+type gap struct{ after, before history.Place }
+
+// mostGaps bounds the gaps that are kept.
+const mostGaps = 64
+
+// Changes are what has changed of a collection after a place, up to that of the batch.
+type Changes[T any] struct {
+	Batch[T]
+	After history.Place
+	// PassedOver says that some of what came and went in between is not among them.
+	PassedOver bool
 }
 
 // change is one change with its version: the place of the item, or for a
@@ -92,6 +111,9 @@
 // At returns the place up to which the mirror is complete.
 func (m *Mirror[T]) At() history.Place { return m.at }
 
+// Until returns the place up to which the last list may lack what was removed while it was read.
+func (m *Mirror[T]) Until() history.Place { return m.until }
+
 // Newest returns the version of the newest change that was taken in. Unlike At it
 // does not move without a change.
 func (m *Mirror[T]) Newest() history.Place { return m.newest }
@@ -125,6 +147,10 @@
 	}
 	// What came before the first list, or the first one of an era, is not known here.
 	begins := !m.known || batch.At.Era > m.at.Era
+	beginsHistory := begins || m.at.Before(m.until)
+	if !beginsHistory && batch.At.After(m.at) {
+		m.passOver(gap{after: m.at, before: batch.At})
+	}
 	listed := make(map[string]bool, len(batch.Items))
 	changed := m.apply(batch)
 	for _, item := range batch.Items {
@@ -137,13 +163,25 @@
 	}
 	if begins {
 		m.newest = history.Newer(m.newest, history.At(batch.At.Era, 0))
-		m.history, m.floor = nil, m.newest
+	}
+	if beginsHistory {
+		m.history, m.floor, m.gaps = nil, batch.At, nil
 	}
 	m.at = batch.At
+	m.until = history.Newer(batch.Until, batch.At)
 	m.known = true
 	return changed
 }
 
+// passOver notes a gap. Beyond those that are kept, the history begins after the oldest one.
+func (m *Mirror[T]) passOver(passed gap) {
+	if len(m.gaps) == mostGaps {
+		m.floor = history.Newer(m.floor, m.gaps[0].before)
+		m.gaps = m.gaps[1:]
+	}
+	m.gaps = append(m.gaps, passed)
+}
+
 // drop removes an item of which it was told at a place that it is gone.
 func (m *Mirror[T]) drop(name string, at history.Place) Item[T] {
 	delete(m.items, name)
@@ -181,24 +219,54 @@
 		batch.Items = slices.DeleteFunc(slices.Clone(batch.Items), otherEra)
 	}
 	changed := m.apply(batch)
-	if !m.known || batch.At.Era == m.at.Era {
+	if m.known && batch.At.Era == m.at.Era {
 		m.at = history.Newer(m.at, batch.At)
 	}
 	return changed
 }
 
-// Since returns the changes after a version, or false if some are not kept.
-func (m *Mirror[T]) Since(version history.Place) ([]Item[T], bool) {
-	if !m.known || version.Before(m.floor) {
-		return nil, false
+// Since returns what has changed after a place, or after an earlier one if that lies in a gap; or false if some of the
+// changes are not kept.
+func (m *Mirror[T]) Since(place history.Place) (Changes[T], bool) {
+	for _, passed := range m.gaps {
+		if place.After(passed.after) && place.Before(passed.before) {
+			place = passed.after
+			break
+		}
+	}
+	if !m.known || place.Before(m.floor) {
+		return Changes[T]{}, false
 	}
-	var items []Item[T]
+	passedOver := slices.ContainsFunc(m.gaps, func(passed gap) bool { return passed.before.After(place) })
+	changes := Changes[T]{After: place, Batch: Batch[T]{At: m.at}, PassedOver: passedOver}
 	for _, change := range m.history {
-		if change.version.After(version) {
-			items = append(items, change.item)
+		if change.version.After(place) {
+			changes.Items = append(changes.Items, change.item)
+		}
+	}
+	return changes, true
+}
+
+// Merge takes in the changes of another mirror that began at or before the place up to which this one is complete, and
+// returns those that were news. What was changed between the two places and does not exist by them is gone.
+func (m *Mirror[T]) Merge(changes Changes[T]) []Item[T] {
+	if !m.known || changes.At.Era != m.at.Era || changes.After.After(m.at) || !changes.At.After(m.at) {
+		return nil
+	}
+	if changes.PassedOver {
+		m.passOver(gap{after: m.at, before: changes.At})
+	}
+	exists := make(map[string]bool, len(changes.Items))
+	for _, item := range changes.Items {
+		exists[item.Name] = !item.Gone
+	}
+	changed := m.Apply(changes.Batch)
+	for name, item := range m.items {
+		if !exists[name] && item.Place.After(changes.After) && !item.Place.After(changes.At) {
+			changed = append(changed, m.drop(name, changes.At))
 		}
 	}
-	return items, true
+	return changed
 }
 
 func (m *Mirror[T]) note(item Item[T], version history.Place) {
@@ -213,21 +281,48 @@
 func (m *Mirror[T]) apply(batch Batch[T]) []Item[T] {
 	var changed []Item[T]
 	for _, item := range batch.Items {
-		held, found := m.items[item.Name]
-		if found && (item.Place.Before(held.Place) || !item.Gone && item.Place == held.Place) {
-			continue
+		if m.take(&item, batch.At) {
+			changed = append(changed, item)
 		}
-		if item.Gone {
-			if !found {
-				continue
-			}
-			delete(m.items, item.Name)
-			item.Place = history.Newer(item.Place, batch.At)
-		} else {
-			m.items[item.Name] = item
-		}
-		m.note(item, item.Place)
-		changed = append(changed, item)
 	}
 	return changed
 }
+
+// take takes in an item of a batch that is complete up to a place, and reports whether it is a change. The later pages
+// of a list may be ahead of that place: a change there gets its version once the mirror is complete up to it.
+func (m *Mirror[T]) take(item *Item[T], at history.Place) bool {
+	held, found := m.items[item.Name]
+	ahead := item.Place.After(m.at)
+	switch {
+	case found && item.Place.Before(held.Place):
+		return false
+	case found && !item.Gone && item.Place == held.Place:
+		if ahead {
+			m.note(held, earlier(held.Place, at))
+		}
+		return false
+	case item.Gone && !found:
+		// Another mirror may hold it and ask for the changes since.
+		if ahead {
+			m.note(*item, earlier(item.Place, at))
+		}
+		return false
+	case item.Gone:
+		delete(m.items, item.Name)
+		if item.Place == held.Place {
+			// The store named the place of the last change before the removal.
+			item.Place = history.Newer(item.Place, at)
+		}
+	default:
+		m.items[item.Name] = *item
+	}
+	m.note(*item, earlier(item.Place, at))
+	return true
+}
+
+func earlier(a, b history.Place) history.Place {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/feed/listing.go
+++ b/feed/listing.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/wheatweir/wheatweir/history"
 )
 
 // Page is a part of a list.
@@ -48,6 +50,7 @@
 			return Batch[T]{}, ErrHistoryGone.New("the store came back from a copy between two pages")
 		}
 		l.batch.Items = append(l.batch.Items, page.Items...)
+		l.batch.Until = history.Newer(l.batch.Until, page.At)
 		l.next = page.Next
 		if l.next == "" {
 			whole := l.batch
