Turn away items of late answers of the store that were removed since

What callers saw: for as long as an answer of the store's watch is behind what another daemon has told, a server that was removed in between is used again.

Cause: a mirror keeps no trace of what was removed, so an item that it lacks counted as new whatever its place.

Now an item that the mirror lacks although it is complete up to a later place is gone. TestMirror has the case; before: 'items map[a:x b:y]'.

--- a/feed/exchange_test.go
+++ b/feed/exchange_test.go
@@ -134,9 +134,10 @@
 				mirror.watchedAt = batch.At
 			case 4:
 				if mirror.Known() && !mirror.watchedAt.IsZero() {
-					changes := store.changes[mirror.watchedAt.Revision:]
-					mirror.watchedAt = store.at()
-					mirror.Apply(feed.Batch[string]{At: mirror.watchedAt, Items: slices.Clone(changes)})
+					from := mirror.watchedAt.Revision
+					through := rapid.Uint64Range(from, store.at().Revision).Draw(t, "answered up to")
+					mirror.watchedAt = history.At(0, through)
+					mirror.Apply(feed.Batch[string]{At: mirror.watchedAt, Items: slices.Clone(store.changes[from:through])})
 				}
 			case 5, 6:
 				if other.Known() && other.Newest().After(mirror.At()) {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -212,11 +212,11 @@
 }
 
 // Apply takes in changes and returns those that were news. Changes of an era of which no list was
-// taken in are turned away, as are those of an earlier one.
+// taken in are turned away, as are those of an earlier one, and items that are gone since.
 func (m *Mirror[T]) Apply(batch Batch[T]) []Item[T] {
-	otherEra := func(item Item[T]) bool { return item.Place.Era != m.at.Era }
-	if m.known && slices.ContainsFunc(batch.Items, otherEra) {
-		batch.Items = slices.DeleteFunc(slices.Clone(batch.Items), otherEra)
+	outdated := func(item Item[T]) bool { return item.Place.Era != m.at.Era || m.goneSince(&item) }
+	if m.known && slices.ContainsFunc(batch.Items, outdated) {
+		batch.Items = slices.DeleteFunc(slices.Clone(batch.Items), outdated)
 	}
 	changed := m.apply(batch)
 	if m.known && batch.At.Era == m.at.Era {
@@ -225,6 +225,12 @@
 	return changed
 }
 
+// goneSince reports whether an item was removed since it was told: the mirror is complete up to a later place and lacks it.
+func (m *Mirror[T]) goneSince(item *Item[T]) bool {
+	_, held := m.items[item.Name]
+	return !held && !item.Place.After(m.at)
+}
+
 // Since returns what has changed after a place, or after an earlier one if that lies in a gap; or false if some of the
 // changes are not kept.
 func (m *Mirror[T]) Since(place history.Place) (Changes[T], bool) {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -36,6 +36,7 @@
 		{"a removal", []step{{list, batch(5, item("a", 3, "x"))}, {change, batch(6, gone("a", 6))}}, map[string]string{}, 6},
 		{"an older change", []step{{list, batch(5, item("a", 5, "x"))}, {change, batch(4, item("a", 4, "old"))}}, map[string]string{"a": "x"}, 5},
 		{"an older removal", []step{{list, batch(5, item("a", 5, "x"))}, {change, batch(5, gone("a", 4))}}, map[string]string{"a": "x"}, 5},
+		{"an item that is gone since", []step{{list, batch(9, item("b", 8, "y"))}, {change, batch(4, item("a", 3, "x"))}}, map[string]string{"b": "y"}, 9},
 		{"an older list", []step{{list, batch(9, item("a", 8, "x"))}, {list, batch(5, item("a", 3, "old"), item("b", 4, "y"))}}, map[string]string{"a": "x"}, 9},
 		{"a list that lacks an item", []step{{list, batch(5, item("a", 3, "x"), item("b", 4, "y"))}, {list, batch(7, item("b", 4, "y"))}}, map[string]string{"b": "y"}, 7},
 		{"a list that lacks a newer item", []step{{list, batch(5)}, {change, batch(8, item("a", 8, "x"))}, {list, batch(8)}}, map[string]string{}, 8},
