Tell daemons that do not watch the store from where those that do have listed it

What callers saw: after a start of all, a daemon goes on using a server that was taken out, or keeps requests from a zone whose evacuation was taken back, as long as nothing else changes.

Cause: a daemon that does not watch the store asks others once they know a newer change. What was removed after its own first list and before those of the daemons that watch is no change to anybody.

Daemons that watch now tell the places of their first lists; who is complete up to an earlier one asks for everything.

--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -14,11 +14,13 @@
 	// behindSince is since when another daemon knows something newer; zero if
 	// none does.
 	behindSince time.Time
-	// newest is the newest version that another daemon told, and from whom.
+	// newest is the newest version that another daemon told, and teller its name.
 	newest history.Place
-	from   string
+	teller string
 	// routes is the number of routes of that configuration.
 	routes int
+	// firstList is the place of the first list.
+	firstList history.Place
 	// unavailable says that the store does not answer this daemon.
 	unavailable bool
 	// actedAt is when this daemon last tried to catch up, and lookedAt when it last looked
@@ -51,12 +53,24 @@
 	n.noteVersion(SourceConfiguration, from, configurationPlace(versions.Configuration))
 	n.noteVersion(SourceInstances, from, versions.Instances)
 	n.noteVersion(SourceEvacuations, from, versions.Evacuations)
+	if !n.Watching(now) {
+		// Of what was removed between the own list and the first one of a daemon that watches, nobody would tell.
+		n.noteVersion(SourceInstances, from, versions.InstancesFrom)
+		n.noteVersion(SourceEvacuations, from, versions.EvacuationsFrom)
+	}
+}
+
+// noteList keeps the place of the first list of a collection.
+func (n *Node) noteList(source Source, at history.Place) {
+	if state := n.sources[source]; state.firstList.IsZero() {
+		state.firstList = at
+	}
 }
 
 func (n *Node) noteVersion(source Source, from string, version history.Place) {
 	state := n.sources[source]
 	if !version.Before(state.newest) && !version.IsZero() {
-		state.newest, state.from = version, from
+		state.newest, state.teller = version, from
 	}
 }
 
@@ -91,13 +105,16 @@
 var sourcesInOrder = [...]Source{SourceConfiguration, SourceInstances, SourceEvacuations}
 
 // versions says how new this daemon's knowledge is.
-func (n *Node) versions() Versions {
+func (n *Node) versions(now time.Time) Versions {
 	versions := Versions{
 		Configuration: n.configurationVersion(), Instances: n.instances.Newest(), Evacuations: n.evacuations.Newest(),
 	}
 	if n.configuration != nil {
 		versions.Routes = len(n.configuration.Routes)
 	}
+	if n.Watching(now) {
+		versions.InstancesFrom, versions.EvacuationsFrom = n.sources[SourceInstances].firstList, n.sources[SourceEvacuations].firstList
+	}
 	return versions
 }
 
@@ -146,14 +163,14 @@
 	}
 	state.actedAt = now
 	if fromStore || state.unavailable {
-		n.decide(string(source), "Behind another daemon.", "own", n.ownVersion(source), "other", state.newest, "daemon", state.from,
+		n.decide(string(source), "Behind another daemon.", "own", n.ownVersion(source), "other", state.newest, "daemon", state.teller,
 			"store_available", !state.unavailable)
 		n.do(Refresh{Source: source})
 	}
 	if fromStore {
 		return
 	}
-	if other, found := n.detector.Lookup(state.from); found {
+	if other, found := n.detector.Lookup(state.teller); found {
 		asked := n.askFor(source)
 		n.do(SendPeer{Address: other.PeerAddress, Message: Message{From: n.self, Ask: &asked}})
 	}
@@ -273,6 +290,12 @@
 	return 0
 }
 
+// knowsSince reports whether this daemon may know something of a collection that one which is complete up to a place
+// does not.
+func (n *Node) knowsSince(source Source, place history.Place) bool {
+	return n.ownVersion(source).After(place) || n.sources[source].firstList.After(place)
+}
+
 // answerAsk tells another daemon what it lacks.
 func (n *Node) answerAsk(from string, asked Versions) {
 	other, found := n.detector.Lookup(from)
@@ -283,10 +306,10 @@
 	if n.configurationVersion() > asked.Configuration {
 		answer.Configuration = n.configuration
 	}
-	if n.instances.Known() && n.instances.Newest().After(asked.Instances) {
+	if n.instances.Known() && n.knowsSince(SourceInstances, asked.Instances) {
 		answer.Instances = n.listing(asked.Instances)
 	}
-	if n.evacuations.Known() && n.evacuations.Newest().After(asked.Evacuations) {
+	if n.evacuations.Known() && n.knowsSince(SourceEvacuations, asked.Evacuations) {
 		answer.Evacuations = n.evacuationListing()
 	}
 	n.do(SendPeer{Address: other.PeerAddress, Message: answer})
--- a/coordination/era.go
+++ b/coordination/era.go
@@ -77,6 +77,7 @@
 		n.decide("instances", "List is older than what is known; passed over.", "from", string(from), "listed", batch.At, "known", before)
 		return
 	}
+	n.noteList(SourceInstances, batch.At)
 	restored := known && batch.At.Era > before.Era
 	changed := n.instances.Replace(batch)
 	if restored && n.instances.HasEarlier() {
--- a/coordination/evacuations.go
+++ b/coordination/evacuations.go
@@ -37,6 +37,7 @@
 // lacks stay until the operator has had time to write them again.
 func (n *Node) replaceEvacuations(now time.Time, from origin, batch feed.Batch[fleet.Evacuation]) {
 	n.learnEra(now, from, batch.At.Era)
+	n.noteList(SourceEvacuations, batch.At)
 	changed := n.evacuations.Replace(batch)
 	if n.evacuations.HasEarlier() {
 		n.eras.earlierUntil = now.Add(rewriteSpan)
--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -142,6 +142,10 @@
 	Instances history.Place `msgpack:"i"`
 	// Evacuations is the version of the newest change of the evacuated zones.
 	Evacuations history.Place `msgpack:"z,omitempty"`
+	// InstancesFrom and EvacuationsFrom are told by daemons that watch the store: the places of their first lists. They
+	// know nothing of what was removed before.
+	InstancesFrom   history.Place `msgpack:"b,omitempty"`
+	EvacuationsFrom history.Place `msgpack:"y,omitempty"`
 }
 
 // Listing is the list of all instances at a place in the store's history, or the changes
--- a/coordination/removal_test.go
+++ b/coordination/removal_test.go
@@ -124,3 +124,22 @@
 	w.run(2 * time.Second)
 	w.checkInUse(t, "b", "c")
 }
+
+// TestZoneTakenBackBetweenFirstListsIsUsedByAll guards against daemons that go on keeping requests from a zone whose
+// evacuation was taken back after their own first list and before those of the daemons that watch the store.
+func TestZoneTakenBackBetweenFirstListsIsUsedByAll(t *testing.T) {
+	w, watcher, others := watcherOf()
+	evacuated := feed.Item[fleet.Evacuation]{Name: "z1", Place: history.At(0, 3), Value: fleet.Evacuation{Zone: "z1"}}
+	list := func(name string, at uint64, items ...feed.Item[fleet.Evacuation]) {
+		w.perform(name, w.nodes[name].EvacuationsListed(w.now, feed.Batch[fleet.Evacuation]{At: history.At(0, at), Items: items}))
+	}
+	list(others[0], 3, evacuated)
+	list(others[1], 5)
+	list(watcher, 5)
+	w.run(2 * time.Second)
+	for _, name := range w.names() {
+		if zones := w.nodes[name].EvacuatedZones(); zones != 0 {
+			t.Errorf("%s keeps requests from %d zones", name, zones)
+		}
+	}
+}
--- a/coordination/share.go
+++ b/coordination/share.go
@@ -79,7 +79,7 @@
 // ownLoad is what this daemon tells of itself.
 func (n *Node) ownLoad(now time.Time, requests map[string]balance.Load) Load {
 	load := Load{
-		Requests: requests, Models: n.demand.own, Versions: n.versions(),
+		Requests: requests, Models: n.demand.own, Versions: n.versions(now),
 		StoreAway: n.storeAway(), Watching: n.Watching(now), Watched: n.watched(now),
 	}
 	if n.held {
