--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -111,6 +111,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	sent.ended, sent.endedAt, sent.answer, sent.failed = true, time.Now(), answer, failure != nil
+	sent.calm = r.storeFaults == 0 && r.disturbedAt.Before(sent.at.Add(-contact))
 	r.checkPlannedStop(sent)
 	r.checkStopAnswers(sent)
 	if failure != nil {
@@ -216,6 +217,7 @@
 	r.checkBudget()
 	r.checkQuota()
 	r.checkWords()
+	r.checkSilences()
 }
 
 // checkBudget checks that servers were not sent more requests again than the budget
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -66,6 +67,12 @@
 	group   conc.WaitGroup
 	faults  int
 
+	// portals are all servers of the portal so far, refusals what they say of themselves; zero if they are not brittle.
+	portalMutex sync.Mutex
+	portals     []*standin.Server
+	refusals    int
+	bursts      atomic.Uint64
+
 	configMutex sync.Mutex
 	version     uint64
 
@@ -142,6 +149,8 @@
 	}
 	if p.service == engineService {
 		options.Models = []string{modelName(number % modelCount)}
+	} else {
+		options.Slots, options.Queue, options.Work, options.ListedSlots = portalSlots, portalQueue, portalWork, portalSlots
 	}
 	server, err := standin.Open(d.store, options)
 	if err != nil {
@@ -150,6 +159,8 @@
 	server.LoadTime, server.EventPause = 300*time.Millisecond, 40*time.Millisecond
 	if p.service == engineService {
 		server.CrashOn(deadlyBody)
+	} else {
+		d.addPortal(server)
 	}
 	p.server = server
 	p.proxy.retarget(server.Address())
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -34,6 +34,8 @@
 	promiseLimit       = "limit of a server"
 	promiseLeavingWord = "leaving server"
 	promiseRest        = "rest of a server"
+	promiseBrittle     = "brittle servers"
+	promiseSilence     = "silent second"
 )
 
 // Violation is a promise that was broken.
@@ -64,7 +66,9 @@
 	answer  standin.ClientAnswer
 	failed  bool
 	ended   bool
-	runs    []standin.Run
+	// calm says that no fault began or ended from shortly before the request until its end.
+	calm bool
+	runs []standin.Run
 }
 
 // repeatable reports whether the request may run more than once.
@@ -97,9 +101,11 @@
 	struckAt    time.Time
 	storeFaults int
 	// deadlyRuns are the runs of the deadly request, and deadlyLate counts those that came too late.
-	deadlyRuns  []time.Time
-	deadlyLate  int
-	words       wordsRecord
+	deadlyRuns []time.Time
+	deadlyLate int
+	words      wordsRecord
+	// silences are when servers were silent for a moment, by their IDs.
+	silences    map[string][]*span
 	violations  []Violation
 	checked     map[string]int
 	onViolation func(Violation)
@@ -120,7 +126,7 @@
 func newRecord(untimed bool, onViolation func(Violation)) *record {
 	return &record{
 		untimed: untimed, requests: map[string]*sentRequest{}, leaving: map[string]time.Time{}, firm: map[string]map[string]int{},
-		acknowledged: map[uint64]time.Time{}, takenKeys: map[string]time.Time{}, marks: map[lifeKey]shownMark{}, checked: map[string]int{}, words: newWordsRecord(), onViolation: onViolation,
+		acknowledged: map[uint64]time.Time{}, takenKeys: map[string]time.Time{}, marks: map[lifeKey]shownMark{}, checked: map[string]int{}, words: newWordsRecord(), silences: map[string][]*span{}, onViolation: onViolation,
 	}
 }
 
