Begin to watch with a look while the store is away for others

What callers saw: nothing; the store is asked more often than allowed in an outage (calls are priced).

Cause: a daemon that stands in for those that watch, 2 to 3 s into an outage, began with a long watch of up to 5 s. The watches of several were overdue at about the same moment, and each asked 11 others to look: up to 44 lists in a second.

A daemon to which others have said that the store does not answer them now ends its rest with a look, which fails within 0.7 s and asks nobody.

--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -266,6 +266,9 @@
 	return count
 }
 
+// OthersAway reports whether another daemon said lately that the store does not answer it.
+func (n *Node) OthersAway(now time.Time) bool { return n.heardAway(now) > 0 }
+
 // awayAge is how old such a word may be. In a large fleet each daemon tells some others five times
 // a second, so within it one hears from most.
 const awayAge = 4 * time.Second
--- a/entry/deaf_test.go
+++ b/entry/deaf_test.go
@@ -258,8 +258,7 @@
 			now := time.Now()
 			f.perform(d, d.node.ObserveOwn(now, map[string]balance.Load{}, nil, coordination.UrgencyNone))
 			f.perform(d, d.node.Tick(now))
-			d.fleet.rank.Store(int64(d.node.Rank()))
-			d.following.watching.Store(d.node.Watching(now))
+			d.publishWatching(now)
 		case happened := <-d.work.events.Items():
 			f.perform(d, happened(d.node, time.Now()))
 		}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -54,8 +54,7 @@
 	}
 	d.gossip(now)
 	d.publishAddresses()
-	d.fleet.rank.Store(int64(d.node.Rank()))
-	d.following.watching.Store(d.node.Watching(now))
+	d.publishWatching(now)
 	d.paths.tick(now)
 	d.observeState(now)
 }
@@ -113,6 +112,13 @@
 	}
 }
 
+// publishWatching tells those that follow the store whether this daemon watches it.
+func (d *Daemon) publishWatching(now time.Time) {
+	d.fleet.rank.Store(int64(d.node.Rank()))
+	d.following.othersAway.Store(d.node.OthersAway(now))
+	d.following.watching.Store(d.node.Watching(now))
+}
+
 // fleetRefresh is how often limits are shared anew: in a small fleet daemons that fall silent are
 // noticed before they are suspected, and one that has just started finds that its fleet has formed.
 const fleetRefresh = 250 * time.Millisecond
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -256,6 +256,8 @@
 		}
 	}
 	f.known = f.known && time.Since(began) < shortRest
+	// A look soon shows whether the store is away for all; a long watch would be overdue only after seconds.
+	f.catchingUp = f.known && f.daemon.following.othersAway.Load()
 }
 
 // interruptible makes a call that ends early when another daemon knows more, unless it is
--- a/entry/state.go
+++ b/entry/state.go
@@ -66,6 +66,8 @@
 	probing atomic.Pointer[probe]
 	// watching says that this daemon watches the store.
 	watching atomic.Bool
+	// othersAway says that the store does not answer some other daemon.
+	othersAway atomic.Bool
 }
 
 func newFollowState() followState {
