Keep the pause between calls to a store that does not answer over a rest

Cause: a daemon that stands in as a watcher rests in between, which counted as a call that succeeded: each time it began again with pauses of 40 and 200 ms.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -68,7 +68,10 @@
 	pause := firstPause
 	for d.ctx.Err() == nil {
 		if f.step() {
-			pause = firstPause
+			// A rest while others watch says nothing of the store.
+			if f.available {
+				pause = firstPause
+			}
 			continue
 		}
 		// Half of the pause is random, so that daemons do not ask in step.
