--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -51,6 +51,17 @@
 	s.checkAtEnd()
 }
 
+// throughSilence has a server run a request, and one be silent meanwhile.
+func (s *scene) throughSilence(silent string, answered bool) {
+	sent := s.request("a", fleet.KindUnsafe, 0, 500*time.Millisecond)
+	s.run("a", "s1")
+	s.fellSilent(silent, time.Now().Add(-200*time.Millisecond))
+	answer := whole("s1", "a")
+	answer.Complete = answered
+	s.ended(sent, answer, nil)
+	s.checkAtEnd()
+}
+
 func whole(server, id string) standin.ClientAnswer {
 	return standin.ClientAnswer{Status: 200, Complete: true, Signature: standin.SignatureOf(server, id), Body: standin.PlainBody(server, id)}
 }
@@ -97,6 +108,15 @@
 		{"two requests during a rest", "", func(s *scene) { s.duringRest(t, 2) }},
 		{"too many requests for a limit", promiseLimit, func(s *scene) { s.underLimit(t, 18) }},
 		{"as many requests as a limit allows", "", func(s *scene) { s.underLimit(t, 17) }},
+		{"a broken answer as its server was silent", promiseSilence, func(s *scene) { s.throughSilence("s1", false) }},
+		{"a whole answer as its server was silent", "", func(s *scene) { s.throughSilence("s1", true) }},
+		{"a broken answer as another server was silent", "", func(s *scene) { s.throughSilence("s2", false) }},
+		{"a broken answer beside another fault", "", func(s *scene) {
+			s.disturb()
+			s.throughSilence("s1", false)
+		}},
+		{"brittle servers fall over three times", promiseBrittle, func(s *scene) { s.checkFalls(4, 3) }},
+		{"brittle servers fall over twice", "", func(s *scene) { s.checkFalls(4, 2) }},
 		{"all is well", "", func(s *scene) {
 			sent := s.request("a", fleet.KindUnsafe, 0, 0)
 			s.run("a", "s1")
