Give a slot back as soon as its request has no turn

A request that had a slot of a brittle server and no turn there, as the server names a limit too, kept the slot while it waited. Found by reading.

--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -85,6 +85,7 @@
 	}
 	got := notices.Admit(ctx, instance.ID, within)
 	if !got.Granted {
+		e.giveBackSlot()
 		e.comeBack = got.Wait
 		return false
 	}
