Failing test: daemons do not hear of brittle servers that they do not use

What callers see: a burst at daemons that have sent nothing to a service lately can turn its brittle servers over. TestDaemonsHearOfBrittleServersThatTheyDoNotUse: 'daemon 1 knows of 0 brittle services'.

--- a/entry/brittle_test.go
+++ b/entry/brittle_test.go
@@ -107,3 +107,22 @@
 	group.Wait()
 	return int(whole.Load()), sent
 }
+
+// TestDaemonsHearOfBrittleServersThatTheyDoNotUse guards against a burst at daemons that have sent nothing to a service
+// lately: they do not know that its servers are brittle.
+func TestDaemonsHearOfBrittleServersThatTheyDoNotUse(t *testing.T) {
+	f := start(t, 3)
+	f.waitReady(t)
+	for _, id := range []string{"web0", "web1"} {
+		f.server(id).Say(standin.Words{Brittle: 4})
+	}
+	if _, status, _, err := post(f.all[0].FrontAddress, "/plain/x", ""); err != nil || status != 200 {
+		t.Fatal(status, err)
+	}
+	time.Sleep(afterContact)
+	for i := range f.all {
+		if brittle := gauge(f.daemons[i].Metrics(), "services_brittle"); brittle != 1 {
+			t.Errorf("daemon %d knows of %v brittle services", i, brittle)
+		}
+	}
+}
