Tell in the log and the metrics how the answers of instances were framed and how they ended

A stream that its server had broken off and one that was whole left the same line, step=ended reason=answered, so that the three hypotheses on answers broken off could not be told apart. Answers without a length or chunks now say framing=connection, and answers_ended counts them by framing and end. No decision changes.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -24,6 +24,8 @@
 	// unreadable counts entries of the store that could not be read.
 	unreadable tally.Counter
 	took       map[stepKey]tally.Histogram
+	// answers counts the answers of servers by how they were framed and whether they ended well.
+	answers map[answerKey]tally.Counter
 	// yielded counts the requests that waited for more urgent ones, yieldedMillis for how long.
 	yielded       tally.Counter
 	yieldedMillis tally.Counter
@@ -75,6 +77,12 @@
 	reason gateway.Reason
 }
 
+// answerKey names a series of answers of servers.
+type answerKey struct {
+	framing gateway.Framing
+	whole   bool
+}
+
 // tenantKey names a series of a tenant.
 type tenantKey struct {
 	tenant string
@@ -93,7 +101,7 @@
 func newMetrics() *metrics {
 	root := exposition.NewRoot("wheatweir")
 	return &metrics{
-		root: root, steps: map[stepKey]tally.Counter{}, tenants: map[tenantKey]tally.Counter{}, tenantNames: map[string]bool{},
+		root: root, steps: map[stepKey]tally.Counter{}, answers: map[answerKey]tally.Counter{}, tenants: map[tenantKey]tally.Counter{}, tenantNames: map[string]bool{},
 		unreadable: root.Counter("entries_unreadable"), took: map[stepKey]tally.Histogram{},
 		inProgress: root.Gauge("requests_in_progress"), configuration: root.Gauge("configuration_version"),
 		instances: root.Gauge("instances"), daemons: root.Gauge("live_daemons"), leaseHeld: root.Gauge("lease_held"), storeEra: root.Gauge("store_era"),
@@ -125,6 +133,9 @@
 		m.tenantSeries(event).Inc(1)
 	}
 	m.countYield(event)
+	if event.Framing != "" {
+		m.answerSeries(answerKey{event.Framing, event.Step == gateway.StepEnded}).Inc(1)
+	}
 	counter, histogram := m.series(key)
 	counter.Inc(1)
 	if histogram != nil {
@@ -164,6 +175,22 @@
 	return counter
 }
 
+// answerSeries is the counter of answers of servers that were framed and ended alike.
+func (m *metrics) answerSeries(key answerKey) tally.Counter {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	counter, found := m.answers[key]
+	if !found {
+		end := "broken"
+		if key.whole {
+			end = "whole"
+		}
+		counter = m.root.Tagged(map[string]string{"framing": string(key.framing), "end": end}).Counter("answers_ended")
+		m.answers[key] = counter
+	}
+	return counter
+}
+
 func (m *metrics) series(key stepKey) (tally.Counter, tally.Histogram) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -34,3 +34,29 @@
 		}
 	}
 }
+
+// TestAnswersAreCountedByFraming guards against answers that broke off and cannot be told from whole ones in the metrics.
+func TestAnswersAreCountedByFraming(t *testing.T) {
+	counted := newMetrics()
+	request := &gateway.Request{ID: "r", Arrived: time.Now()}
+	steps := []gateway.Event{
+		{Step: gateway.StepStreamBroke, Framing: gateway.FramedByConnection},
+		{Step: gateway.StepEnded, Reason: gateway.ReasonAnswered, Framing: gateway.FramedByConnection},
+		{Step: gateway.StepEnded, Reason: gateway.ReasonAnswered, Framing: gateway.FramedByConnection},
+		{Step: gateway.StepEnded, Reason: gateway.ReasonClientGone},
+	}
+	for i := range steps {
+		steps[i].Request = request
+		counted.count(&steps[i], time.Second)
+	}
+	counted.root.Close()
+	var text strings.Builder
+	if err := counted.root.Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{`wheatweir_answers_ended{end="broken",framing="connection"} 1`, `wheatweir_answers_ended{end="whole",framing="connection"} 2`} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("no line %q in\n%s", want, text.String())
+		}
+	}
+}
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -134,6 +134,9 @@
 	if event.Step.Final() && event.Reason != gateway.ReasonAnswered && event.Phase != "" {
 		fields = append(fields, "phase", string(event.Phase))
 	}
+	if event.Framing == gateway.FramedByConnection {
+		fields = append(fields, "framing", string(event.Framing))
+	}
 	if event.Status != 0 {
 		fields = append(fields, "status", event.Status)
 	}
--- a/gateway/benchmark_test.go
+++ b/gateway/benchmark_test.go
@@ -17,6 +17,7 @@
 func (instantAnswer) Status() int              { return 200 }
 func (instantAnswer) Header() []gateway.Field  { return nil }
 func (instantAnswer) Length() int64            { return 0 }
+func (instantAnswer) Framing() gateway.Framing { return gateway.FramedByLength }
 func (instantAnswer) Executed() bool           { return true }
 func (instantAnswer) Misdirected() bool        { return false }
 func (instantAnswer) Signed() bool             { return true }
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -128,6 +128,8 @@
 	Attempt  int
 	Status   int
 	Reason   Reason
+	// Framing is how the instance's answer was framed, at the end of one; empty at other steps.
+	Framing Framing
 	// Phase is how far the request had come.
 	Phase Phase
 	// Candidates is the number of instances that could have been chosen.
@@ -156,6 +158,17 @@
 	Err     error
 }
 
+// endsAnswer reports whether the answer of an instance has ended, well or not.
+func (e *Event) endsAnswer() bool {
+	switch e.Step {
+	case StepStreamBroke, StepAttemptFailed:
+		return true
+	case StepEnded:
+		return e.Reason == ReasonAnswered
+	}
+	return false
+}
+
 // Lateness is why an answer that was served to its end was late.
 type Lateness string
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -79,6 +79,8 @@
 	toldReason Reason
 	// forecast is the last prediction of the first token's time; zero if there is none.
 	forecast time.Duration
+	// framing is that of the last answer of an instance.
+	framing Framing
 	// sentAt is when the last attempt began, startedAt when its first piece came.
 	sentAt    time.Time
 	startedAt time.Time
@@ -252,6 +254,9 @@
 	event.Phase = e.phase
 	event.Forecast = e.forecast
 	event.Yielded = e.yielded()
+	if e.phase == PhaseAnswering && event.endsAnswer() {
+		event.Framing = e.framing
+	}
 	if e.content != nil {
 		event.Content = e.content.String()
 	}
@@ -288,7 +293,7 @@
 		return e.declined(id, response)
 	}
 	e.ran()
-	e.phase = PhaseAnswering
+	e.phase, e.framing = PhaseAnswering, response.Framing()
 	return e.pass(ctx, candidate, response)
 }
 
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -87,13 +87,14 @@
 
 var errCut = errors.New("connection reset")
 
-func (r *response) Status() int             { return r.status }
-func (r *response) Header() []gateway.Field { return nil }
-func (r *response) Length() int64           { return -1 }
-func (r *response) Executed() bool          { return !r.declined && !r.misdirected }
-func (r *response) Misdirected() bool       { return r.misdirected }
-func (r *response) Signed() bool            { return !r.unsigned }
-func (r *response) Close()                  {}
+func (r *response) Status() int              { return r.status }
+func (r *response) Header() []gateway.Field  { return nil }
+func (r *response) Length() int64            { return -1 }
+func (r *response) Framing() gateway.Framing { return gateway.FramedByChunks }
+func (r *response) Executed() bool           { return !r.declined && !r.misdirected }
+func (r *response) Misdirected() bool        { return r.misdirected }
+func (r *response) Signed() bool             { return !r.unsigned }
+func (r *response) Close()                   {}
 
 func (r *response) Read(buffer []byte) (int, error) {
 	if r.piece > 0 {
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -91,6 +91,16 @@
 	MayReach func() bool
 }
 
+// Framing is how an answer tells where its body ends.
+type Framing string
+
+// Framings. A body without a length or chunks ends with its connection.
+const (
+	FramedByLength     Framing = "length"
+	FramedByChunks     Framing = "chunks"
+	FramedByConnection Framing = "connection"
+)
+
 // Response is the answer of an instance whose body may still be arriving.
 type Response interface {
 	// Status is the HTTP status.
@@ -99,6 +109,8 @@
 	Header() []Field
 	// Length is the length of the body, or -1 if it is not known yet.
 	Length() int64
+	// Framing is how the body is framed.
+	Framing() Framing
 	// Executed is false if the instance said that it did not run the request.
 	Executed() bool
 	// Misdirected says that the instance is another one, or lacks the model.
