Take a stream that ends inside an event for broken off, however its bytes were framed

Cause: an answer may come with neither a length nor chunks. Its end is then the end of its connection, and a server that crashes closes its connections like one that has said all. The gateway went by the framing alone. The same holds for a last chunk, or a length, that comes too early. Ruled out: a wrong end of our own answer to HTTP/1.1 clients (chunks are not ended on errors), and tunnels (they carry the end of a connection as a piece of its own, and nothing of a reset).

A scanner follows the lines of each stream (LF, CR, CR LF, comments) and knows whether it stands between two events. A stream that ends inside one, or without a length or chunks before its first one, was broken off: it is taken up at another server after the last whole event where it may be resumed, and else broken off for its client too. Crashes and paces are no longer learned from such ends as if they were good. The length that a server gave for a stream is no longer passed on: the bytes of a broken one could have filled it.

The fake instance of the gateway's tests answered streams with text that is no event; it sends an event now.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -23,6 +24,8 @@
 	declined    bool
 	misdirected bool
 	body        string
+	// framing is by chunks if it is empty.
+	framing gateway.Framing
 	// piece is the most bytes in one read; zero means no bound.
 	piece int
 	// cut ends the body with an error.
@@ -61,7 +64,7 @@
 
 func (s *script) Send(ctx context.Context, outbound *gateway.Outbound) (gateway.Response, error) {
 	s.mutex.Lock()
-	next := answer{status: 200, body: "default"}
+	next := answer{status: 200, body: "data: default\n\n"}
 	if len(s.answers) > 0 {
 		next, s.answers = s.answers[0], s.answers[1:]
 	}
@@ -90,7 +93,7 @@
 func (r *response) Status() int              { return r.status }
 func (r *response) Header() []gateway.Field  { return nil }
 func (r *response) Length() int64            { return -1 }
-func (r *response) Framing() gateway.Framing { return gateway.FramedByChunks }
+func (r *response) Framing() gateway.Framing { return cmp.Or(r.framing, gateway.FramedByChunks) }
 func (r *response) Executed() bool           { return !r.declined && !r.misdirected }
 func (r *response) Misdirected() bool        { return r.misdirected }
 func (r *response) Signed() bool             { return !r.unsigned }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -51,6 +51,16 @@
 		{"a resumed stream", "resume", []answer{
 			{status: 200, body: "id: 1\ndata: a\n\nid: 2\ndata", cut: true}, {status: 200, body: "id: 2\ndata: b\n\n"},
 		}, 200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false, 2},
+		{"a stream that ends inside an event", "stream", []answer{{status: 200, body: "id: 1\n\nid: 2"}}, 200, "id: 1\n\nid: 2", true, 1},
+		{"a resumable stream that ends inside an event", "resume", []answer{
+			{status: 200, body: "id: 1\ndata: a\n\nid: 2\ndata", framing: gateway.FramedByConnection}, {status: 200, body: "id: 2\ndata: b\n\n"},
+		}, 200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false, 2},
+		{"a resumable stream whose connection ends before its first event", "resume", []answer{
+			{status: 200, framing: gateway.FramedByConnection}, {status: 200, body: "id: 1\n\n"},
+		}, 200, "id: 1\n\n", false, 2},
+		{"a stream of which only the end was missing", "resume", []answer{
+			{status: 200, body: "id: 1\n\n", cut: true}, {status: 200, framing: gateway.FramedByConnection},
+		}, 200, "id: 1\n\n", false, 2},
 		{"a stream that can't be resumed again", "resume", []answer{
 			{status: 200, body: "id: 1\n\n", cut: true}, {status: 200, body: "id: 2\n\n", cut: true},
 		}, 200, "id: 1\n\nid: 2\n\n", true, 2},
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -21,6 +20,9 @@
 	statusTooManyRequests = 429
 )
 
+// unknownLength is the length of an answer that does not tell it beforehand.
+const unknownLength = -1
+
 // pass hands an answer on to the client.
 func (e *exchange) pass(ctx context.Context, candidate *balance.Candidate, response Response) verdict {
 	defer response.Close()
@@ -123,6 +125,8 @@
 	id := candidate.Instance.ID
 	buffer := make([]byte, pieceSize)
 	var events eventCutter
+	// A run that goes on after the last event of a stream has none of its own.
+	resumed := e.resumeAfter != ""
 	var pauses sampler
 	sampling := e.samples()
 	for {
@@ -135,6 +139,8 @@
 			piece := buffer[:count]
 			if e.route.Resumable {
 				piece = events.whole(piece)
+			} else {
+				events.scanner.scan(piece)
 			}
 			if !e.forward(response, piece) {
 				e.end(id, balance.Abandoned)
@@ -146,6 +152,11 @@
 				e.resumeAfter = events.lastID
 			}
 		}
+		if errors.Is(err, io.EOF) {
+			if brokenOff := events.scanner.brokenOff(response.Framing(), resumed); brokenOff != nil {
+				err = brokenOff
+			}
+		}
 		switch {
 		case err == nil:
 			continue
@@ -164,7 +175,7 @@
 	}
 }
 
-// streamEnded ends a stream whose framing was whole.
+// streamEnded ends a stream that is whole.
 func (e *exchange) streamEnded(id string, response Response, events *eventCutter) verdict {
 	e.end(id, balance.Served)
 	e.endedWell(id)
@@ -173,13 +184,14 @@
 	}
 	if !e.begun {
 		e.begun = true
-		_ = e.reply.Begin(response.Status(), response.Header(), -1)
+		_ = e.reply.Begin(response.Status(), response.Header(), unknownLength)
 	}
 	e.observe(Event{Step: StepEnded, Instance: id, Status: response.Status(), Reason: ReasonAnswered})
 	return verdictEnded
 }
 
-// forward sends a piece of a stream, after the head if that is still due. It
+// forward sends a piece of a stream, after the head if that is still due. The length that the instance gave is not passed
+// on: what has gone out when the stream breaks off must not look whole, and another instance may go on with other bytes. It
 // reports whether the client still takes bytes.
 func (e *exchange) forward(response Response, piece []byte) bool {
 	if len(piece) == 0 {
@@ -187,7 +199,7 @@
 	}
 	if !e.begun {
 		e.begun = true
-		if e.reply.Begin(response.Status(), response.Header(), response.Length()) != nil {
+		if e.reply.Begin(response.Status(), response.Header(), unknownLength) != nil {
 			return false
 		}
 	}
@@ -209,41 +221,3 @@
 	}
 	p.lastAt = now
 }
-
-// eventCutter cuts a stream of events after whole events.
-type eventCutter struct {
-	pending []byte
-	lastID  string
-}
-
-var (
-	eventEnd = []byte("\n\n")
-	idPrefix = []byte("id:")
-)
-
-// whole returns the whole events that are complete now. The slice is valid until
-// the next call.
-func (c *eventCutter) whole(piece []byte) []byte {
-	c.pending = append(c.pending, piece...)
-	index := bytes.LastIndex(c.pending, eventEnd)
-	if index < 0 {
-		return nil
-	}
-	cut := index + len(eventEnd)
-	events := append([]byte(nil), c.pending[:cut]...)
-	c.pending = append(c.pending[:0], c.pending[cut:]...)
-	c.note(events)
-	return events
-}
-
-// note remembers the id of the last event that has one.
-func (c *eventCutter) note(events []byte) {
-	for _, line := range bytes.Split(events, []byte("\n")) {
-		if value, found := bytes.CutPrefix(line, idPrefix); found {
-			c.lastID = string(bytes.TrimSpace(value))
-		}
-	}
-}
-
-// rest returns what follows the last whole event.
-func (c *eventCutter) rest() []byte { return c.pending }
--- a/gateway/sample.go
+++ b/gateway/sample.go
@@ -16,6 +16,9 @@
 	quartile = 4
 )
 
+// eventEnd ends an event whose lines end with LF.
+var eventEnd = []byte("\n\n")
+
 // SampleObserver hears how fast instances work. It is called from several goroutines and must not block.
 type SampleObserver interface {
 	Sampled(sample pace.Sample)
