Reset the connections of HTTP/1.0 clients whose answer broke off

An HTTP/1.0 client knows no chunks: an answer without a length ends with its connection. Broken off for whatever reason (its server, a time-out, a daemon that stops or is killed), it reached such a client as complete, as its connection was closed like that of a whole answer.

The connection of such an answer is now set to be reset on close before its head goes out, and to end properly once it is whole. So the end of the process breaks it off as well. Another way was to hold the answer back and give it a length: the events of a stream would all come at its end.

--- a/internal/headguard/headguard.go
+++ b/internal/headguard/headguard.go
@@ -58,6 +58,15 @@
 	return exposed.SyscallConn()
 }
 
+// SetLinger implements the method of net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	lingering, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return syscall.EINVAL
+	}
+	return lingering.SetLinger(seconds)
+}
+
 // ConnContext is the ConnContext of the http.Server that serves the Listener.
 func ConnContext(ctx context.Context, accepted net.Conn) context.Context {
 	return context.WithValue(ctx, contextKey{}, accepted)
