Read the software version of servers, and tell it and take-ups in the log

Daemons did not read the version that a server writes into the store, and a log line did not tell that a request takes a stream up: which of the hypotheses on streams of two versions held needed the operators' log beside ours. The step `sent` now says software=, resumes= and after=. No decision changes. The form of messages between daemons changes with instances, so daemons of the build before get along by the store meanwhile.

--- a/entry/observer.go
+++ b/entry/observer.go
@@ -90,6 +90,11 @@
 	b.logger.Info(next.text, next.fields...)
 }
 
+// longestLoggedID bounds what is logged of an ID that a client made up.
+const longestLoggedID = 64
+
+func loggedID(id string) string { return id[:min(len(id), longestLoggedID)] }
+
 // Observe implements gateway.Observer.
 func (d *Daemon) Observe(event gateway.Event) {
 	took := d.clock.Since(event.Request.Arrived)
@@ -108,6 +113,12 @@
 		fields = append(fields, "instance", event.Instance, "attempt", event.Attempt)
 	}
 	if event.Step == gateway.StepSent {
+		if event.Software != "" {
+			fields = append(fields, "software", event.Software)
+		}
+		if event.Request.ResumeAfter != "" {
+			fields = append(fields, "resumes", loggedID(event.Request.Resumes), "after", loggedID(event.Request.ResumeAfter))
+		}
 		fields = append(fields, "left_ms", event.Left.Milliseconds(), "candidates", event.Candidates, "load", event.Load.Requests, "prompt_tokens", event.Load.PromptTokens)
 		if event.ChosenBy != "" {
 			fields = append(fields, "chosen_by", event.ChosenBy)
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -30,6 +30,8 @@
 	Address string `msgpack:"a,omitempty"`
 	Zone    string `msgpack:"z,omitempty"`
 	Slots   int    `msgpack:"n,omitempty"`
+	// Software is the version of the software that the instance runs; empty if it does not say.
+	Software string `msgpack:"v,omitempty"`
 	// Leaving instances finish what they run and take no new requests.
 	Leaving bool `msgpack:"l,omitempty"`
 	// Remaining is how long an instance that leaves at short notice still
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -125,6 +125,8 @@
 	Tenant string
 	// Instance is empty if none was chosen.
 	Instance string
+	// Software is the version of the instance's software, at the step of sending.
+	Software string
 	Attempt  int
 	Status   int
 	Reason   Reason
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -278,7 +278,7 @@
 	if outbound.Left <= 0 {
 		return verdictUnreached
 	}
-	e.observe(Event{Step: StepSent, Instance: id, Load: candidate.Load, Candidates: candidate.Of, ChosenBy: candidate.By, Left: outbound.Left})
+	e.observe(Event{Step: StepSent, Instance: id, Software: candidate.Instance.Software, Load: candidate.Load, Candidates: candidate.Of, ChosenBy: candidate.By, Left: outbound.Left})
 	e.phase = PhaseAttempt
 	e.contentTurnEnds = time.Time{}
 	e.gateway.tracker.Begin(id, e.request.PromptTokens)
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -67,6 +67,8 @@
 	Prompt []PromptPart
 	// ResumeAfter is the last event that the client has, or empty.
 	ResumeAfter string
+	// Resumes is the ID of the request that brought the first event of the stream which this one takes up, or empty.
+	Resumes string
 
 	Arrived time.Time
 	// Patience is how long the client waits; zero if it did not say.
