Have a stream that breaks off go on at the software version that began it

The version of the instance that sends the first event is now part of every later choice for the stream: as a filter of the picker, so that a dispatcher chooses by it too, and in the looks for connections, rests and what is lacking. Instances that say no version count as one of their own. Where no instance of the version is left the stream is broken off at once, as nobody knows when one comes back. A stream without events yet may still go anywhere.

--- a/balance/filters.go
+++ b/balance/filters.go
@@ -21,6 +21,14 @@
 	return true
 }
 
+// SameSoftware turns away instances of another software version than the one that began the stream.
+type SameSoftware struct{}
+
+// Allows implements Filter.
+func (SameSoftware) Allows(request *Request, instance *fleet.Instance) bool {
+	return !request.Pinned || instance.Software == request.Software
+}
+
 // HasModel turns away instances without the model or adapter.
 type HasModel struct{}
 
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -39,6 +39,9 @@
 	// is too little. A dispatcher that sees few requests of a service itself knows it only from
 	// here.
 	Tokens TokenTimes
+	// Pinned says that the request takes up a stream that instances of the version Software began.
+	Pinned   bool
+	Software string
 }
 
 // Candidate is one instance with what is known of it.
@@ -100,7 +103,7 @@
 func NewPicker(tracker *Tracker) *Picker {
 	return &Picker{
 		tracker: tracker,
-		filters: []Filter{NotLeaving{}, NotExcluded{}, HasModel{}},
+		filters: []Filter{NotLeaving{}, NotExcluded{}, SameSoftware{}, HasModel{}},
 		even:    []Scorer{LoadScorer{}, PromptScorer{}, ZoneScorer{}, AffinityScorer{}},
 		uneven:  []Scorer{LoadScorer{}, TimeScorer{}, ZoneScorer{}, AffinityScorer{}},
 	}
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -56,6 +56,9 @@
 				return nil, ReasonNoConnection
 			}
 		case foundNone:
+			if e.lacksSoftware(view) {
+				return nil, ReasonNoSoftware
+			}
 			if wait.forUnreached(ctx, changed) {
 				continue
 			}
@@ -171,7 +174,7 @@
 func (e *exchange) saturated(view *fleet.View) (saturated []string, free bool) {
 	for _, instance := range view.Instances(e.service) {
 		switch {
-		case instance.Leaving || !e.has(instance):
+		case instance.Leaving || !e.has(instance) || !e.origin.allows(instance):
 		case e.hasConnection(instance):
 			free = true
 		default:
@@ -216,6 +219,7 @@
 		Yields:       e.yieldsNow(),
 		MemoryTokens: memoryTokens(view, e.service), Excluded: slices.Concat(e.passed, excluded, e.sentTo),
 		OutputTokens: e.request.OutputTokens, TargetGap: e.targetGap(), Tokens: e.gateway.tracker.TokenTimes(e.service),
+		Pinned: e.origin.pinned, Software: e.origin.software,
 	}
 	return e.gateway.chooser.Choose(ctx, view, e.service, &request)
 }
@@ -255,7 +259,7 @@
 		return ReasonNoInstance
 	}
 	for _, instance := range view.Instances(e.service) {
-		if !instance.Leaving && instance.Resident(e.request.Model) != nil {
+		if !instance.Leaving && e.origin.allows(instance) && instance.Resident(e.request.Model) != nil {
 			return ReasonNoAdapter
 		}
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -72,6 +72,7 @@
 	reading     bool
 	phase       Phase
 	resumeAfter string
+	origin      origin
 	pace        delivery
 	background  background
 	// toldStep and toldReason are the last wait that was told.
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -150,7 +150,7 @@
 		}
 	}
 	for _, instance := range view.Instances(e.service) {
-		if instance.Leaving || !e.has(instance) || slices.Contains(e.sentTo, instance.ID) || slices.Contains(e.passed, instance.ID) {
+		if instance.Leaving || !e.has(instance) || !e.origin.allows(instance) || slices.Contains(e.sentTo, instance.ID) || slices.Contains(e.passed, instance.ID) {
 			continue
 		}
 		end, rests := resting[instance.ID]
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -142,7 +142,7 @@
 			} else {
 				events.scanner.scan(piece)
 			}
-			if !e.forward(response, piece) {
+			if !e.forward(candidate.Instance, response, piece) {
 				e.end(id, balance.Abandoned)
 				e.observe(Event{Step: StepEnded, Instance: id, Reason: ReasonClientGone})
 				e.reply.Abort()
@@ -165,7 +165,7 @@
 			if sampling {
 				e.sampled(id, &pauses)
 			}
-			return e.streamEnded(id, response, &events)
+			return e.streamEnded(candidate.Instance, response, &events)
 		default:
 			e.brokenBy(ctx, candidate.Instance)
 			e.end(id, blame(ctx, balance.Failed))
@@ -176,10 +176,11 @@
 }
 
 // streamEnded ends a stream that is whole.
-func (e *exchange) streamEnded(id string, response Response, events *eventCutter) verdict {
+func (e *exchange) streamEnded(instance *fleet.Instance, response Response, events *eventCutter) verdict {
+	id := instance.ID
 	e.end(id, balance.Served)
 	e.endedWell(id)
-	if !e.forward(response, events.rest()) {
+	if !e.forward(instance, response, events.rest()) {
 		e.reply.Abort()
 	}
 	if !e.begun {
@@ -193,12 +194,13 @@
 // forward sends a piece of a stream, after the head if that is still due. The length that the instance gave is not passed
 // on: what has gone out when the stream breaks off must not look whole, and another instance may go on with other bytes. It
 // reports whether the client still takes bytes.
-func (e *exchange) forward(response Response, piece []byte) bool {
+func (e *exchange) forward(instance *fleet.Instance, response Response, piece []byte) bool {
 	if len(piece) == 0 {
 		return true
 	}
 	if !e.begun {
 		e.begun = true
+		e.origin.pin(instance.Software)
 		if e.reply.Begin(response.Status(), response.Header(), unknownLength) != nil {
 			return false
 		}
