Have streams that clients take up go on at the software version that began them

Package resumption: while a service has one version nothing is told, and each daemon keeps its own streams. Once a second one is seen, each daemon tells two others, of two zones, drawn by rendezvous of the stream's ID, which version began its streams (those in progress too). A daemon at which a stream is taken up asks the eight that may have been told. Where nobody knows, the stream goes on only if the service has had one version as far as the daemons asked know, and one of them surely hears of new servers; otherwise it is refused at once. So a daemon that is cut off, frozen or just started does not mix versions, it refuses.

Ruled out: a version that every daemon can compute from the ID (mixes whenever versions come and go), and a place in the store (more writes than it bears).

--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -9,6 +9,7 @@
 	"github.com/wheatweir/wheatweir/limiter"
 	"github.com/wheatweir/wheatweir/member"
 	"github.com/wheatweir/wheatweir/pace"
+	"github.com/wheatweir/wheatweir/resumption"
 )
 
 // MessageForm names the form of Message and all that it holds. It goes into the key that
@@ -61,6 +62,8 @@
 	Pace *pace.Update `msgpack:"w,omitempty"`
 	// SuspectTurn is about who runs a content next under which a server has crashed.
 	SuspectTurn *limiter.Message `msgpack:"e,omitempty"`
+	// Resumption is about the software versions that began streams.
+	Resumption *resumption.Message `msgpack:"o,omitempty"`
 }
 
 // GroupLoad is the load of a group by instance, or with Changes what has changed of it.
--- a/coordination/outage.go
+++ b/coordination/outage.go
@@ -25,6 +25,16 @@
 	return fence, now.Add(outageOrderSpan), true
 }
 
+// hearsAge is how old the word of a daemon that watches the store may be.
+const hearsAge = 1500 * time.Millisecond
+
+// HearsOfInstances reports whether this daemon hears of new instances soon after others do: it watches the store, or hears
+// a daemon that does, or the store answers nobody.
+func (n *Node) HearsOfInstances(now time.Time) bool {
+	watches := n.Watching(now) && !n.sources[SourceInstances].unavailable
+	return watches || now.Sub(n.watcherAt) <= hearsAge || n.storeAwayForAll(now)
+}
+
 // storeAway reports whether the store answers this daemon nothing.
 func (n *Node) storeAway() bool {
 	return n.sources[SourceConfiguration].unavailable && n.sources[SourceInstances].unavailable
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -87,6 +87,8 @@
 	quarantine *quarantineKeeper
 	// notices are what servers say of themselves.
 	notices *notices
+	// origins knows which software version began a stream.
+	origins *origins
 	// pace is how fast servers work.
 	pace    *paceKeeper
 	tracker *balance.Tracker
@@ -133,6 +135,7 @@
 	d.budget = retry.NewBudget(retryPart*settings.RetryShare, 1)
 	d.quotas = newQuotas(d)
 	d.quarantine = newQuarantineKeeper(d)
+	d.origins = newOrigins(d)
 	d.pace = newPaceKeeper(d)
 	if d.pace.enabled {
 		d.tracker.SetPaces(d.pace.book)
@@ -145,6 +148,7 @@
 		Quotas:             d.quotas,
 		Quarantine:         d.quarantine,
 		Notices:            d.notices,
+		Origins:            d.origins,
 		Samples:            d.pace.samples(),
 	}, d.upstream, d.tracker, d.budget, d.demand, d)
 	d.dispatch = newDispatch(d)
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -51,7 +51,9 @@
 		d.tracker.Forget(time.Now(), func(id string) bool { return view.Instance(id) != nil })
 		d.notices.tick(now, view)
 		d.pace.forget(view)
+		d.origins.forget(now)
 	}
+	d.origins.tick(now)
 	d.gossip(now)
 	d.publishAddresses()
 	d.publishWatching(now)
@@ -98,6 +100,7 @@
 	}
 	d.fleet.peerAddresses.Store(&book)
 	d.paths.setMembers(members)
+	d.origins.setMembers(members)
 	d.fleet.live.Store(max(1, live))
 	d.publishFleet(d.clock.Now())
 	d.budget.SetLimit(max(1, retryPart*d.current().RetrySlack/float64(max(1, live))))
@@ -234,6 +237,9 @@
 	case message.InstanceSlot != nil:
 		d.notices.slots.Receive(message.From, message.InstanceSlot)
 		return
+	case message.Resumption != nil:
+		d.origins.receive(message.From, message.Resumption)
+		return
 	case message.SuspectTurn != nil:
 		d.quarantine.turns.Receive(message.From, message.SuspectTurn)
 		return
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -66,6 +66,13 @@
 	connectionsDirect  tally.Gauge
 	connectionsRelayed tally.Gauge
 	tunnelsCarried     tally.Gauge
+	// streamsTold counts the streams that other daemons were told of, takenUps how the versions of streams that clients took
+	// up were found. streamsKept is the number of streams whose version is known here, mixedServices that of the services
+	// with several versions.
+	streamsTold   tally.Counter
+	takenUps      map[string]tally.Counter
+	streamsKept   tally.Gauge
+	mixedServices tally.Gauge
 	// parked is the number of models that are parked, at the daemon that places models.
 	parked tally.Gauge
 }
@@ -116,7 +123,9 @@
 		pathsCut: root.Gauge("paths_cut"), addressesFailed: root.Gauge("addresses_failed"),
 		connectionsDirect: root.Gauge("connections_direct"), connectionsRelayed: root.Gauge("connections_relayed"),
 		tunnelsCarried: root.Gauge("tunnels_carried"),
-		parked:         root.Gauge("models_parked"),
+		streamsTold:    root.Counter("streams_told"), takenUps: map[string]tally.Counter{},
+		streamsKept: root.Gauge("streams_kept"), mixedServices: root.Gauge("services_with_versions"),
+		parked: root.Gauge("models_parked"),
 	}
 }
 
@@ -153,6 +162,18 @@
 	}
 }
 
+// takenUp counts the streams that clients took up whose version was found in one way.
+func (m *metrics) takenUp(by string) tally.Counter {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	counter, found := m.takenUps[by]
+	if !found {
+		counter = m.root.Tagged(map[string]string{"by": by}).Counter("streams_taken_up")
+		m.takenUps[by] = counter
+	}
+	return counter
+}
+
 // tenantSeries is the counter of how requests of a tenant end.
 func (m *metrics) tenantSeries(event *gateway.Event) tally.Counter {
 	m.mutex.Lock()
--- /dev/null
+++ b/entry/origins.go
@@ -0,0 +1,224 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/wheatweir/wheatweir/coordination"
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/internal/calls"
+	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/resumption"
+)
+
+const (
+	// originTimeout is how long other daemons may take to say what began a stream. They answer within a few
+	// milliseconds unless their share of the processor is used up, which lasts up to a tenth of a second, or they are gone.
+	originTimeout = 200 * time.Millisecond
+	// originRest is how long a daemon that did not answer is not asked again.
+	originRest = 250 * time.Millisecond
+	// originsEvery is the time between two looks at the versions that servers run.
+	originsEvery = 100 * time.Millisecond
+	// waitsPerTimeout is how many times a route's longest wait a client may go on taking its stream up.
+	waitsPerTimeout = 2
+)
+
+// origins tells this daemon and the others which software version began a stream. It implements gateway.Origins.
+type origins struct {
+	daemon *Daemon
+	keeper *resumption.Keeper
+	calls  *calls.Calls[*resumption.Answer]
+	// observedAt is when the control duty last looked at the versions.
+	observedAt time.Time
+}
+
+func newOrigins(d *Daemon) *origins {
+	return &origins{daemon: d, keeper: resumption.NewKeeper(), calls: calls.New[*resumption.Answer]()}
+}
+
+// Began implements gateway.Origins.
+func (o *origins) Began(begun gateway.BegunStream) {
+	now := o.daemon.clock.Now()
+	left := begun.Request.Arrived.Add(takenUpWithin(begun.Route, begun.Request)).Sub(now)
+	stream := resumption.Stream{ID: begun.Request.ID, Service: begun.Service, Software: begun.Software, Left: left}
+	o.tell(o.keeper.Began(now, stream))
+	if resumes := begun.Request.Resumes; resumes != "" {
+		// Its client goes on naming the first try.
+		stream.ID = resumes
+		o.tell(o.keeper.Began(now, stream))
+	}
+}
+
+// takenUpWithin is how long after a request its client may take its stream up.
+func takenUpWithin(route *fleet.Route, request *gateway.Request) time.Duration {
+	return min(max(request.Patience, route.Timeout), waitsPerTimeout*route.Timeout)
+}
+
+func (o *origins) tell(tells []resumption.Tell) {
+	for _, told := range tells {
+		o.daemon.metrics.streamsTold.Inc(int64(len(told.Streams)))
+		o.send(told.Daemon, &resumption.Message{Streams: told.Streams})
+	}
+}
+
+func (o *origins) send(name string, message *resumption.Message) bool {
+	address, known := o.daemon.fleet.peerAddresses.Load().of(name)
+	if known {
+		o.daemon.peers.Send(address, coordination.Message{From: o.daemon.current().Name, Resumption: message})
+	}
+	return known
+}
+
+// How the version that began a stream came to be known, or not.
+const (
+	foundHere       = "own"
+	foundElsewhere  = "daemon"
+	foundByExchange = "only_version"
+	foundNowhere    = "unknown"
+)
+
+// Find implements gateway.Origins.
+func (o *origins) Find(ctx context.Context, request *gateway.Request, service string) (software string, known bool) {
+	began := o.daemon.clock.Now()
+	software, by, answers := o.find(ctx, request.Resumes, service)
+	o.daemon.metrics.takenUp(by).Inc(1)
+	o.daemon.log.add("origin", "Looked up.", "request", request.ID, "resumes", loggedID(request.Resumes), "service", service,
+		"by", by, "software", software, "answers", answers, "took_ms", o.daemon.clock.Since(began).Milliseconds())
+	return software, by != foundNowhere
+}
+
+func (o *origins) find(ctx context.Context, id, service string) (software, by string, answers int) {
+	if software, known := o.keeper.Find(o.daemon.clock.Now(), id, service); known {
+		return software, foundHere, 0
+	}
+	heard := o.ask(ctx, id, service)
+	for _, answer := range heard {
+		if answer.Known {
+			return answer.Software, foundElsewhere, len(heard)
+		}
+	}
+	if software, known := o.keeper.Decide(o.daemon.clock.Now(), service, id != "", heard); known {
+		return software, foundByExchange, len(heard)
+	}
+	return "", foundNowhere, len(heard)
+}
+
+// ask asks other daemons at once and returns their answers, until one knows.
+func (o *origins) ask(ctx context.Context, id, service string) []*resumption.Answer {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	names := o.keeper.Asked(id)
+	answers := make(chan *resumption.Answer, len(names))
+	for _, name := range names {
+		go func() { answers <- o.askOne(ctx, name, id, service) }()
+	}
+	var heard []*resumption.Answer
+	for range names {
+		answer := <-answers
+		if answer == nil {
+			continue
+		}
+		heard = append(heard, answer)
+		if answer.Known {
+			break
+		}
+	}
+	return heard
+}
+
+// askOne returns the answer of one daemon, or nil.
+func (o *origins) askOne(ctx context.Context, name, id, service string) *resumption.Answer {
+	if o.calls.Rests(name) {
+		return nil
+	}
+	answer, answered := o.calls.Ask(ctx, originTimeout, func(call uint64) {
+		o.send(name, &resumption.Message{Question: &resumption.Question{ID: call, Stream: id, Service: service}})
+	})
+	if !answered && ctx.Err() == nil {
+		o.calls.Rest(name, originRest)
+	}
+	return answer
+}
+
+// receive takes in what another daemon says.
+func (o *origins) receive(from string, message *resumption.Message) {
+	now := o.daemon.clock.Now()
+	switch {
+	case message.Question != nil:
+		o.send(from, &resumption.Message{Answer: o.keeper.Answer(now, message.Question)})
+	case message.Answer != nil:
+		o.calls.Answered(message.Answer.ID, message.Answer)
+	default:
+		o.keeper.Take(now, message.Streams)
+	}
+}
+
+// tick takes in what the control duty knows of servers.
+func (o *origins) tick(now time.Time) {
+	if o.daemon.node.HearsOfInstances(now) {
+		o.keeper.SetFresh(now)
+	}
+	if now.Sub(o.observedAt) < originsEvery {
+		return
+	}
+	o.observedAt = now
+	view := o.daemon.gateway.View()
+	span := time.Duration(0)
+	services := map[string]bool{}
+	if configuration := view.Configuration(); configuration != nil {
+		for i := range configuration.Routes {
+			route := &configuration.Routes[i]
+			if !route.Resumable {
+				continue
+			}
+			span = max(span, waitsPerTimeout*route.Timeout)
+			for _, target := range route.Targets {
+				services[target.Service] = true
+			}
+		}
+	}
+	o.keeper.SetSpan(span)
+	for service := range services {
+		tells := o.keeper.Observe(now, service, softwareOf(view.Instances(service)))
+		if tells != nil {
+			o.daemon.log.add("origin", "Several versions.", "service", service, "told_daemons", len(tells))
+		}
+		o.tell(tells)
+	}
+}
+
+// softwareOf lists the versions of instances.
+func softwareOf(instances []*fleet.Instance) []string {
+	var versions []string
+	last := ""
+	for _, instance := range instances {
+		// Most have the version of the one before.
+		if len(versions) > 0 && instance.Software == last {
+			continue
+		}
+		last = instance.Software
+		versions = append(versions, last)
+	}
+	return versions
+}
+
+// forget drops what no longer counts and sets the gauges.
+func (o *origins) forget(now time.Time) {
+	o.keeper.Forget(now)
+	counts := o.keeper.Counts()
+	o.daemon.metrics.streamsKept.Update(float64(counts.Streams))
+	o.daemon.metrics.mixedServices.Update(float64(counts.Mixed))
+}
+
+// setMembers takes in the other daemons that live.
+func (o *origins) setMembers(members []member.Member) {
+	self := o.daemon.current().Name
+	others := make([]resumption.Daemon, 0, len(members))
+	for i := range members {
+		if members[i].State != member.Dead && members[i].Name != self {
+			others = append(others, resumption.Daemon{Name: members[i].Name, Zone: members[i].Zone})
+		}
+	}
+	o.keeper.SetDaemons(others)
+}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -215,6 +215,7 @@
 	gateway.ReasonOverloaded:      "no instance with its model would have begun to answer in time",
 	gateway.ReasonNoModel:         "no instance had its model in time",
 	gateway.ReasonNoAdapter:       "no instance had its adapter in time",
+	gateway.ReasonUnknownOrigin:   "nobody knew which software version began the stream that it takes up",
 	gateway.ReasonNoSoftware:      "no instance was left of the software version that began its stream",
 	gateway.ReasonNoConnection:    "all connections to the instances that could take it were in use",
 	gateway.ReasonDeclined:        "the instance declined it, and no further attempt was allowed",
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -41,6 +41,8 @@
 	ReasonResting Reason = "resting"
 	// ReasonEvacuated says that all instances of the service stand in evacuated zones.
 	ReasonEvacuated Reason = "evacuated"
+	// ReasonUnknownOrigin says that nobody knows which software version began the stream that the request takes up.
+	ReasonUnknownOrigin Reason = "unknown_origin"
 	// ReasonNoSoftware says that no instance is left of the software version that began the stream.
 	ReasonNoSoftware Reason = "no_software"
 	// ReasonLeaving says that an instance has said that it takes no new requests.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,9 @@
 	Quarantine Quarantine
 	// Notices tells what instances have said of themselves; nil means that none says anything.
 	Notices Notices
+	// Origins knows which software version began a stream; nil means that nobody does, and that streams that clients
+	// take up go on anywhere.
+	Origins Origins
 	// Samples hears how fast instances work; nil means that nothing is measured.
 	Samples SampleObserver
 }
@@ -175,6 +178,10 @@
 	// By its span: the context's own clock may have stood still before.
 	ctx, cancel := context.WithTimeout(ctx, e.until(e.deadline))
 	defer cancel()
+	if reason := e.findOrigin(ctx); reason != "" {
+		e.giveUp(ctx, reason)
+		return
+	}
 	if reason := e.allow(ctx); reason != "" {
 		e.giveUp(ctx, reason)
 		return
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -1,6 +1,26 @@
 package gateway
 
-import "github.com/wheatweir/wheatweir/fleet"
+import (
+	"context"
+
+	"github.com/wheatweir/wheatweir/fleet"
+)
+
+// Origins knows which software version began a stream. It must be safe for concurrent use. Only Find blocks.
+type Origins interface {
+	// Began is told that the first event of a stream goes out that may be taken up.
+	Began(begun BegunStream)
+	// Find returns the version that began the stream which a request takes up, or false if nobody can know.
+	Find(ctx context.Context, request *Request, service string) (software string, known bool)
+}
+
+// BegunStream is a stream whose first event goes out, or the first one since its client took it up.
+type BegunStream struct {
+	Request  *Request
+	Route    *fleet.Route
+	Service  string
+	Software string
+}
 
 // origin is the software version of the instances that began a stream. What two versions write does not fit together, and
 // instances do not check it.
@@ -17,6 +37,31 @@
 	return !o.pinned || instance.Software == o.software
 }
 
+// findOrigin finds the version of the stream that the request takes up. It reports why the request must not be served, or
+// nothing.
+func (e *exchange) findOrigin(ctx context.Context) Reason {
+	goesOn := e.request.ResumeAfter != ""
+	if e.gateway.settings.Origins == nil || e.route.Kind != fleet.KindStream || !goesOn && e.request.Resumes == "" {
+		return ""
+	}
+	software, known := e.gateway.settings.Origins.Find(ctx, e.request, e.service)
+	switch {
+	case known:
+		e.origin.pin(software)
+	case goesOn:
+		return ReasonUnknownOrigin
+	}
+	return ""
+}
+
+// began pins the stream to the version of the instance whose first event goes out.
+func (e *exchange) began(instance *fleet.Instance) {
+	e.origin.pin(instance.Software)
+	if e.gateway.settings.Origins != nil && e.route.Resumable {
+		e.gateway.settings.Origins.Began(BegunStream{Request: e.request, Route: e.route, Service: e.service, Software: instance.Software})
+	}
+}
+
 // lacksSoftware reports whether no instance is left at which the stream may go on: it cannot be known when one comes back.
 func (e *exchange) lacksSoftware(view *fleet.View) bool {
 	if !e.origin.pinned {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -200,7 +200,7 @@
 	}
 	if !e.begun {
 		e.begun = true
-		e.origin.pin(instance.Software)
+		e.began(instance)
 		if e.reply.Begin(response.Status(), response.Header(), unknownLength) != nil {
 			return false
 		}
