Load a model on a server of the version at which streams wait for it

A stream that its client takes up goes on at one software version only, and its model may have replicas on servers of other versions only: it would wait until its client gives up, although servers of its version have room, and the planner saw nothing to do as the model had a replica. With most models on one or two servers that is the usual case after a crash.

Requests that wait so are counted by version, in the same messages as other demand. The planner gives such a model a replica on a server of that version, with the worth of a model that cannot be reached, right after those that no server has. TestStreamsGetTheirModelAtTheirSoftware fails without the step: no replica at the other version. Not done: adapters by version, and keeping the last replica at a version whose streams run.

--- a/coordination/demand.go
+++ b/coordination/demand.go
@@ -83,13 +83,20 @@
 	sum.PerSecond += load.PerSecond
 	sum.Refused += load.validRefused()
 	sum.Waiting += load.Waiting
-	for adapter, count := range load.Adapters {
-		if sum.Adapters == nil {
-			sum.Adapters = map[string]int{}
+	sum.Adapters = addCounts(sum.Adapters, load.Adapters)
+	sum.Software = addCounts(sum.Software, load.Software)
+	sums[key] = sum
+}
+
+// addCounts adds counts to a sum, which is made when there are any.
+func addCounts(sum, counts map[string]int) map[string]int {
+	for key, count := range counts {
+		if sum == nil {
+			sum = map[string]int{}
 		}
-		sum.Adapters[adapter] += count
+		sum[key] += count
 	}
-	sums[key] = sum
+	return sum
 }
 
 // validRefused is the rate of refused requests, or zero if it is no possible part of the requests that begin: one
@@ -108,7 +115,8 @@
 			d.current[key.service] = map[string]residency.Demand{}
 		}
 		d.current[key.service][key.model] = residency.Demand{
-			Concurrent: value, PerSecond: float64(sums[key].PerSecond), RefusedPerSecond: float64(sums[key].Refused), Waiting: sums[key].Waiting, Adapters: sums[key].Adapters,
+			Concurrent: value, PerSecond: float64(sums[key].PerSecond), RefusedPerSecond: float64(sums[key].Refused), Waiting: sums[key].Waiting,
+			Adapters: sums[key].Adapters, Software: sums[key].Software,
 		}
 	}
 }
--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -200,6 +200,8 @@
 	Waiting int `msgpack:"w,omitempty"`
 	// Adapters counts requests that wait for an adapter.
 	Adapters map[string]int `msgpack:"a,omitempty"`
+	// Software counts streams that wait for an instance of the software version that began them.
+	Software map[string]int `msgpack:"v,omitempty"`
 }
 
 // Fact is what a report of a model server said about what it holds.
--- a/entry/demand.go
+++ b/entry/demand.go
@@ -104,6 +104,31 @@
 	return func() { w.wait(service, model, adapter, -1) }
 }
 
+// LackingSoftware implements gateway.DemandObserver.
+func (w *demandCounter) LackingSoftware(service, model, software string) func() {
+	w.waitFor(service, model, software, 1)
+	return func() { w.waitFor(service, model, software, -1) }
+}
+
+func (w *demandCounter) waitFor(service, model, software string, change int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	load := w.load(service, model)
+	load.Software = changeCount(load.Software, software, change)
+}
+
+// changeCount changes a count; those that are zero are left out.
+func changeCount(counts map[string]int, key string, change int) map[string]int {
+	if counts == nil {
+		counts = map[string]int{}
+	}
+	counts[key] += change
+	if counts[key] <= 0 {
+		delete(counts, key)
+	}
+	return counts
+}
+
 func (w *demandCounter) wait(service, model, adapter string, change int) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -112,13 +137,7 @@
 	if adapter == "" {
 		return
 	}
-	if load.Adapters == nil {
-		load.Adapters = map[string]int{}
-	}
-	load.Adapters[adapter] += change
-	if load.Adapters[adapter] <= 0 {
-		delete(load.Adapters, adapter)
-	}
+	load.Adapters = changeCount(load.Adapters, adapter, change)
 }
 
 // all returns a copy of the present numbers.
@@ -136,7 +155,7 @@
 		copied := load.ModelLoad
 		copied.PerSecond = float32(load.perSecond)
 		copied.Refused = float32(load.refused())
-		copied.Adapters = maps.Clone(load.Adapters)
+		copied.Adapters, copied.Software = maps.Clone(load.Adapters), maps.Clone(load.Software)
 		loads = append(loads, copied)
 	}
 	return loads
--- a/gateway/benchmark_test.go
+++ b/gateway/benchmark_test.go
@@ -82,3 +82,5 @@
 		t.Errorf("%v allocations, an urgent request makes %v", background, urgent)
 	}
 }
+
+func (silentDemand) LackingSoftware(_, _, _ string) func() { return func() {} }
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -197,3 +197,5 @@
 func request(route string) *gateway.Request {
 	return &gateway.Request{ID: "r", Method: "POST", URI: "/" + route + "/x", Path: "/" + route + "/x", RouteHost: "host", Arrived: time.Now()}
 }
+
+func (*noDemand) LackingSoftware(_, _, _ string) func() { return func() {} }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,9 @@
 	// Lacking notes that a request needs a model or adapter that no instance has.
 	// The function must be called when the request no longer waits.
 	Lacking(service, model, adapter string) func()
+	// LackingSoftware notes that a stream needs a model at instances of a software version, none of which has it. The
+	// function must be called when the stream no longer waits.
+	LackingSoftware(service, model, software string) func()
 	// Enter notes that a request for a model began; the function ends it.
 	Enter(service, model string) func()
 	// Refused notes that a request that began was refused for lack of capacity.
--- a/gateway/leave_test.go
+++ b/gateway/leave_test.go
@@ -123,3 +123,5 @@
 		}
 	})
 }
+
+func (idleDemand) LackingSoftware(_, _, _ string) func() { return func() {} }
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -70,12 +70,26 @@
 	w.lacksConnection = false
 	e := w.exchange
 	if e.request.Model != "" && w.served == nil {
-		w.served = e.gateway.demand.Lacking(e.service, e.request.Model, e.request.Adapter)
+		w.served = w.lacking()
 	}
 	reason = e.lack(view)
 	return reason, w.pause(ctx, reason, lookPause, changed)
 }
 
+// lacking tells the placement what the request waits for. The function tells it that the wait is over.
+func (w *candidateWait) lacking() func() {
+	e := w.exchange
+	served := e.gateway.demand.Lacking(e.service, e.request.Model, e.request.Adapter)
+	if !e.origin.pinned {
+		return served
+	}
+	servedThere := e.gateway.demand.LackingSoftware(e.service, e.request.Model, e.origin.software)
+	return func() {
+		served()
+		servedThere()
+	}
+}
+
 // forConnection waits for a connection. It reports whether the request may still wait.
 func (w *candidateWait) forConnection(ctx context.Context) bool {
 	w.lacksConnection = true
--- a/residency/grow.go
+++ b/residency/grow.go
@@ -54,7 +54,7 @@
 // worth is what one more replica of a model is worth: what its requests gain by it, or that
 // the model can be reached again, by those that wait and those that are expected.
 func (p *plan) worth(model string) float64 {
-	if p.reachable[model] > 0 {
+	if p.reachable[model] > 0 && p.onlySoftware == nil {
 		return p.gain(model)
 	}
 	seen := p.observed[model]
@@ -114,7 +114,7 @@
 func (p *plan) makeRoom(model *fleet.Model) bool {
 	candidates := victims{returning: p.returning(model.Name)}
 	for _, s := range p.slots {
-		if s.blocked || s.modelOrder || s.limited || s.reservedFor != "" || s.models[model.Name] != nil {
+		if s.blocked || s.modelOrder || s.limited || s.reservedFor != "" || s.models[model.Name] != nil || !p.mayHost(s) {
 			continue
 		}
 		for name, held := range s.models {
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -33,6 +33,8 @@
 	reachable map[string]int
 	ready     map[string]int
 	loadsLeft int
+	// onlySoftware is the software version that the servers for the model being placed must run; nil if any may take it.
+	onlySoftware *string
 	// stuck says that a model that should grow found no place.
 	stuck  bool
 	orders []Order
@@ -67,6 +69,7 @@
 	p.useRooms()
 	p.placeAdapters(true)
 	p.makeReachable((*plan).wanted)
+	p.placeForSoftware()
 	p.withhold()
 	p.grow(p.settings.PressingGain)
 	p.makeReachable((*plan).unwanted)
@@ -205,7 +208,7 @@
 	var best *slot
 	inZone := p.replicasInZones(model.Name)
 	for _, s := range p.slots {
-		if s.blocked || s.modelOrder || s.limited || s.models[model.Name] != nil || s.freeMB < model.WeightsMB {
+		if s.blocked || s.modelOrder || s.limited || s.models[model.Name] != nil || s.freeMB < model.WeightsMB || !p.mayHost(s) {
 			continue
 		}
 		if s.reservedFor != "" || !p.mayLoad(s, model) {
--- a/residency/types.go
+++ b/residency/types.go
@@ -73,6 +73,8 @@
 	Waiting int
 	// Adapters counts requests that wait for an adapter.
 	Adapters map[string]int
+	// Software counts streams that wait for a server of the software version that began them.
+	Software map[string]int
 }
 
 // Service is a service whose model servers are planned for.
--- a/residency/world_test.go
+++ b/residency/world_test.go
@@ -38,6 +38,8 @@
 	late     []residency.Order
 	// silent servers answer nothing.
 	silent bool
+	// software is the version of the server's software.
+	software string
 }
 
 // accept takes an order as a server does.
@@ -104,7 +106,7 @@
 func instances(servers []*modelServer) []*fleet.Instance {
 	var all []*fleet.Instance
 	for i, s := range servers {
-		all = append(all, &fleet.Instance{ID: s.id, Service: service, Zone: fmt.Sprint("zone-", i%3), Slots: 32})
+		all = append(all, &fleet.Instance{ID: s.id, Service: service, Zone: fmt.Sprint("zone-", i%3), Slots: 32, Software: s.software})
 	}
 	return all
 }
