Soak: answers without framing, software versions side by side, and clients that take streams up

The model servers run two versions by turns, each replacement the other one. Servers end answers with their connections at random, some of the streams inside an event. Some clients leave their streams after a few events and take them up at any daemon. Two promises are checked: a stream goes on at the version that began it, and of those taken up at sound daemons at least half as many go on as new ones begin. Tests show that both checks, and that of whole answers, can fail.

--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -149,6 +149,7 @@
 	}
 	if p.service == engineService {
 		options.Models = []string{modelName(number % modelCount)}
+		options.Software = softwareOf(number, p.serial)
 	} else {
 		options.Slots, options.Queue, options.Work, options.ListedSlots = portalSlots, portalQueue, portalWork, portalSlots
 	}
@@ -223,6 +224,7 @@
 		Version: d.version,
 		Routes: []fleet.Route{
 			soakRoute("stream", fleet.KindStream, 1, engineService),
+			resumable(soakRoute(resumableRoute, fleet.KindStream, 2, engineService)),
 			soakRoute("unsafe", fleet.KindUnsafe, 1, portalService),
 			soakRoute("safe", fleet.KindSafe, 2, portalService),
 		},
@@ -238,6 +240,11 @@
 	d.store.ConfigureWithKeys(configuration, addTenants(configuration))
 }
 
+func resumable(route fleet.Route) fleet.Route {
+	route.Resumable = true
+	return route
+}
+
 func markName(version uint64) string { return fmt.Sprint("mark-", version) }
 
 func soakRoute(name string, kind fleet.RouteKind, attempts int, service string) fleet.Route {
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -36,6 +36,8 @@
 	promiseRest        = "rest of a server"
 	promiseBrittle     = "brittle servers"
 	promiseSilence     = "silent second"
+	promiseSoftware    = "software version of a stream"
+	promiseTakeUp      = "streams taken up"
 )
 
 // Violation is a promise that was broken.
@@ -61,6 +63,8 @@
 	at     time.Time
 	// mark is the version of the configuration that added the route, or zero.
 	mark uint64
+	// resumable says that the stream may go on at another server.
+	resumable bool
 
 	endedAt time.Time
 	answer  standin.ClientAnswer
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -132,6 +132,7 @@
 		d.group.Go(func() { d.runClient(clients, number, false) })
 	}
 	d.runPatientClients(clients)
+	d.runTakeUps(clients)
 	faults, stopFaults := context.WithTimeout(ctx, d.options.Duration)
 	random := rand.New(rand.NewPCG(d.options.Seed, 0x50a1c))
 	d.runFaults(faults, random)
