Give up connections between daemons on which frames stay unacknowledged

Cause: the sender of messages went on writing to such a connection for as long as the socket took bytes, and nothing came back on it at all: the listener ended it after 20 s, which the sender could not hear either.

The listener now acknowledges frames, at most every 300 ms, under a key of its own. A sender gives up a connection on which a frame is unacknowledged for 1.6 s and sends on a new one. A second's rest of a daemon or a path ends no connection, nor does a connection at rest.

A log line names the address and how long, peer_connections_silent counts. Daemons of the build before and after do not talk to each other.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -145,6 +145,9 @@
 	if err != nil {
 		return ErrStart.Wrap(err)
 	}
+	d.transport.OnSilent(func(address string, waiting time.Duration) {
+		d.logger.Info("Gave a silent connection up.", "part", "peer", "address", address, "unacknowledged", waiting)
+	})
 	d.server, err = caller.Listen(d.settings.Daemon.CallerAddress, d.settings.Daemon.Name, d.settings.Requests.MaxBodyBytes, d)
 	if err != nil {
 		d.transport.Close()
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -202,6 +202,9 @@
 		return err
 	}
 	d.peers.Carry(d.paths.carry)
+	d.peers.OnSilent(func(address string, waiting time.Duration) {
+		d.log.add("peers", "Gave a silent connection up.", "address", address, "unacknowledged_ms", waiting.Milliseconds())
+	})
 	return nil
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -38,6 +38,8 @@
 	storeEra      tally.Gauge
 	linesDropped  tally.Gauge
 	peersDropped  tally.Gauge
+	// peersSilent counts the connections to other daemons that were given up as silent.
+	peersSilent tally.Gauge
 	// quarantined is the number of contents that are held.
 	quarantined tally.Gauge
 	// notices counts what servers said of themselves that was new, unreadableNotices what could not be
@@ -112,7 +114,7 @@
 		unreadable: root.Counter("entries_unreadable"), took: map[stepKey]tally.Histogram{},
 		inProgress: root.Gauge("requests_in_progress"), configuration: root.Gauge("configuration_version"),
 		instances: root.Gauge("instances"), daemons: root.Gauge("live_daemons"), leaseHeld: root.Gauge("lease_held"), storeEra: root.Gauge("store_era"),
-		linesDropped: root.Gauge("log_lines_dropped"), peersDropped: root.Gauge("peer_messages_dropped"),
+		linesDropped: root.Gauge("log_lines_dropped"), peersDropped: root.Gauge("peer_messages_dropped"), peersSilent: root.Gauge("peer_connections_silent"),
 		quarantined: root.Gauge("contents_quarantined"),
 		yielded:     root.Counter("requests_yielded"), yieldedMillis: root.Counter("requests_yielded_ms"),
 		notices: root.Counter("instance_notices"), unreadableNotices: root.Counter("instance_notices_unreadable"),
@@ -250,7 +252,9 @@
 	d.metrics.leaseHeld.Update(held)
 	d.metrics.storeEra.Update(float64(d.node.StoreEra()))
 	d.metrics.linesDropped.Update(float64(d.log.lines.Dropped()))
-	d.metrics.peersDropped.Update(float64(d.peers.Counts().Dropped))
+	counts := d.peers.Counts()
+	d.metrics.peersDropped.Update(float64(counts.Dropped))
+	d.metrics.peersSilent.Update(float64(counts.Silent))
 	d.metrics.quarantined.Update(float64(d.quarantine.heldCount(now)))
 	d.metrics.evacuated.Update(float64(d.node.EvacuatedZones()))
 	d.metrics.parked.Update(float64(d.node.ParkedModels()))
--- a/internal/idle/idle_test.go
+++ b/internal/idle/idle_test.go
@@ -41,17 +41,18 @@
 		name   string
 		action func(local, remote net.Conn) error
 		want   bool
+		ended  bool
 	}{
-		{"idle", func(_, _ net.Conn) error { return nil }, true},
-		{"closed by peer", func(_, remote net.Conn) error { return remote.Close() }, false},
+		{"idle", func(_, _ net.Conn) error { return nil }, true, false},
+		{"closed by peer", func(_, remote net.Conn) error { return remote.Close() }, false, true},
 		{"reset by peer", func(_, remote net.Conn) error {
 			if err := remote.(*net.TCPConn).SetLinger(0); err != nil {
 				return err
 			}
 			return remote.Close()
-		}, false},
-		{"unread data", func(_, remote net.Conn) error { _, err := remote.Write([]byte("x")); return err }, false},
-		{"closed locally", func(local, _ net.Conn) error { return local.Close() }, false},
+		}, false, true},
+		{"unread data", func(_, remote net.Conn) error { _, err := remote.Write([]byte("x")); return err }, false, false},
+		{"closed locally", func(local, _ net.Conn) error { return local.Close() }, false, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -63,6 +64,9 @@
 			if got := idle.IsOpen(local); got != c.want {
 				t.Errorf("IsOpen() = %t, want %t", got, c.want)
 			}
+			if got := idle.HasEnded(local); got != c.ended {
+				t.Errorf("HasEnded() = %t, want %t", got, c.ended)
+			}
 		})
 	}
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -77,7 +77,9 @@
 	senders map[string]*sender
 	open    map[net.Conn]bool
 	counts  Counts
-	tunnels tunnels
+	// onSilent is told of connections that are given up; nil if nobody asks.
+	onSilent func(address string, waiting time.Duration)
+	tunnels  tunnels
 }
 
 // Counts are totals since the start.
@@ -86,6 +88,8 @@
 	MessagesSent uint64
 	Dropped      uint64
 	Rejected     uint64
+	// Silent counts the connections that were given up because nothing was acknowledged.
+	Silent uint64
 }
 
 // Listen opens the transport on an "IP:port" address.
@@ -189,10 +193,10 @@
 		delete(t.senders, s.address)
 		t.mutex.Unlock()
 	}()
-	var session *session
+	var current *outgoing
 	defer func() {
-		if session != nil {
-			t.closeConn(session.conn)
+		if current != nil {
+			t.closeConn(current.conn)
 		}
 	}()
 	for {
@@ -203,15 +207,48 @@
 			return
 		}
 		s.waiting.Add(-int64(len(body)))
-		session = t.sendBody(s, session, body)
+		current = t.sendBody(s, current, body)
 	}
 }
 
+// outgoing is a session of a sender.
+type outgoing struct {
+	*session
+	progress progress
+}
+
+// lost reports whether a session must not be used any more: the peer has closed it, and the first write after that would
+// succeed, or it has fallen silent. Acknowledgements that wait to be read prove that it has not.
+func (t *Transport[M]) lost(s *sender, current *outgoing) bool {
+	ended, waiting := current.progress.state(time.Now())
+	if ended || idle.HasEnded(current.conn) {
+		return true
+	}
+	if waiting < silenceLimit || !idle.IsOpen(current.conn) {
+		return false
+	}
+	var tell func(address string, waiting time.Duration)
+	t.count(func(counts *Counts) {
+		counts.Silent++
+		tell = t.onSilent
+	})
+	if tell != nil {
+		tell(s.address, waiting)
+	}
+	return true
+}
+
+// OnSilent sets what is told of connections that are given up because frames stayed unacknowledged for a time.
+func (t *Transport[M]) OnSilent(tell func(address string, waiting time.Duration)) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.onSilent = tell
+}
+
 // sendBody writes body as one frame to the current session and returns the session to use next, or nil. It
-// reconnects if there is no session or the peer has closed it: the first write after that would succeed, but
-// the frame would be lost.
-func (t *Transport[M]) sendBody(s *sender, current *session, body []byte) *session {
-	if current != nil && !idle.IsOpen(current.conn) {
+// reconnects if there is no session, or only one that is lost.
+func (t *Transport[M]) sendBody(s *sender, current *outgoing, body []byte) *outgoing {
+	if current != nil && t.lost(s, current) {
 		t.closeConn(current.conn)
 		current = nil
 	}
@@ -222,6 +259,7 @@
 		t.count(func(counts *Counts) { counts.Dropped++ })
 		return nil
 	}
+	current.progress.sending(time.Now())
 	if err := current.writeFrame(body); err != nil {
 		t.closeConn(current.conn)
 		t.count(func(counts *Counts) { counts.Dropped++ })
@@ -234,7 +272,7 @@
 	return current
 }
 
-func (t *Transport[M]) connect(s *sender) *session {
+func (t *Transport[M]) connect(s *sender) *outgoing {
 	conn, err := net.DialTimeout("tcp", s.address, dialTimeout)
 	if err == nil {
 		t.track(conn)
@@ -242,7 +280,9 @@
 		opened, err = openSession(conn, t.key, true)
 		if err == nil {
 			s.failures = 0
-			return opened
+			made := &outgoing{session: opened}
+			t.group.Go(func() { readAcknowledgements(opened, &made.progress) })
+			return made
 		}
 		t.closeConn(conn)
 	}
@@ -301,6 +341,8 @@
 		t.carry(session)
 		return
 	}
+	acknowledger := &acknowledger{session: session}
+	defer acknowledger.end()
 	for {
 		body, err := session.readFrame()
 		if err != nil {
@@ -309,6 +351,7 @@
 			}
 			return
 		}
+		acknowledger.arrived()
 		var message M
 		if body, err = decompress(body); err == nil {
 			err = msgpack.Unmarshal(body, &message)
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -67,7 +67,7 @@
 		{"a changed frame", func(t *testing.T, conn net.Conn) {
 			session := open(t, conn)
 			body := valid(t)
-			mac := session.sum([]byte("another body"))
+			mac := session.out.sum([]byte("another body"))
 			_, _ = conn.Write(append(append([]byte{0, 0, 0, byte(len(body))}, mac...), body...))
 		}},
 		{"a frame sent twice", func(t *testing.T, conn net.Conn) {
--- a/peer/session.go
+++ b/peer/session.go
@@ -25,21 +25,31 @@
 	handshakeTimeout = 3 * time.Second
 )
 
-// Labels keep the two directions and the two uses of the key apart.
+// Labels keep the two directions and the two uses of the key apart. Daemons whose sessions have another form, such as those
+// that acknowledge nothing, have other labels.
 const (
-	labelDialer   = "wheatweir peer dialer"
-	labelListener = "wheatweir peer listener"
+	labelDialer   = "wheatweir peer dialer 2"
+	labelListener = "wheatweir peer listener 2"
 	labelTunnel   = "wheatweir tunnel dialer"
+	// labelFrames and labelAcknowledgements keep the keys of the two directions of a session apart.
+	labelFrames           = "wheatweir peer frames"
+	labelAcknowledgements = "wheatweir peer acknowledgements"
 )
 
-// session is one connection after the exchange of challenges. Frames go from
-// the dialer to the listener only.
+// session is one connection after the exchange of challenges. Messages go from the dialer to the listener, and
+// acknowledgements back.
 type session struct {
-	conn     net.Conn
-	reader   *bufio.Reader
+	conn   net.Conn
+	reader *bufio.Reader
+	// out and in are the MACs of the two directions.
+	out, in direction
+	buffer  []byte
+}
+
+// direction is the MAC of the frames of one direction, and the number of the next one.
+type direction struct {
 	mac      hash.Hash
 	sequence uint64
-	buffer   []byte
 }
 
 // openSession opens a session for messages.
@@ -86,8 +96,13 @@
 		if err := conn.SetDeadline(time.Time{}); err != nil {
 			return nil, "", ErrProtocol.Wrap(err)
 		}
-		sessionKey := proof(key, "wheatweir peer frames", dialerChallenge, listenerChallenge)
-		return &session{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), mac: hmac.New(sha256.New, sessionKey)}, label, nil
+		frames := direction{mac: hmac.New(sha256.New, proof(key, labelFrames, dialerChallenge, listenerChallenge))}
+		acknowledgements := direction{mac: hmac.New(sha256.New, proof(key, labelAcknowledgements, dialerChallenge, listenerChallenge))}
+		opened := &session{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), out: frames, in: acknowledgements}
+		if ownLabel == labelListener {
+			opened.out, opened.in = acknowledgements, frames
+		}
+		return opened, label, nil
 	}
 	return nil, "", ErrProtocol.New("the other side does not know the deployment's key")
 }
@@ -101,14 +116,14 @@
 }
 
 // sum returns the MAC of the next frame and counts it.
-func (s *session) sum(body []byte) []byte {
-	s.mac.Reset()
+func (d *direction) sum(body []byte) []byte {
+	d.mac.Reset()
 	var number [8]byte
-	binary.BigEndian.PutUint64(number[:], s.sequence)
-	s.sequence++
-	s.mac.Write(number[:])
-	s.mac.Write(body)
-	return s.mac.Sum(nil)[:macBytes]
+	binary.BigEndian.PutUint64(number[:], d.sequence)
+	d.sequence++
+	d.mac.Write(number[:])
+	d.mac.Write(body)
+	return d.mac.Sum(nil)[:macBytes]
 }
 
 // writeFrame sends one frame: length of the body, MAC, body.
@@ -117,7 +132,7 @@
 		return ErrProtocol.New("frame of %d bytes is over %d", len(body), maxFrameBytes)
 	}
 	s.buffer = binary.BigEndian.AppendUint32(s.buffer[:0], uint32(len(body)))
-	s.buffer = append(s.buffer, s.sum(body)...)
+	s.buffer = append(s.buffer, s.out.sum(body)...)
 	s.buffer = append(s.buffer, body...)
 	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return ErrProtocol.Wrap(err)
@@ -128,7 +143,12 @@
 
 // readFrame returns the body of the next frame. The slice is new.
 func (s *session) readFrame() ([]byte, error) {
-	if err := s.conn.SetReadDeadline(time.Now().Add(2 * idleTimeout)); err != nil {
+	return s.readFrameUntil(time.Now().Add(2 * idleTimeout))
+}
+
+// readFrameUntil returns the body of the next frame if it comes before a moment; the zero time stands for no bound.
+func (s *session) readFrameUntil(deadline time.Time) ([]byte, error) {
+	if err := s.conn.SetReadDeadline(deadline); err != nil {
 		return nil, err
 	}
 	var head [frameOverhead]byte
@@ -143,8 +163,8 @@
 	if _, err := io.ReadFull(s.reader, body); err != nil {
 		return nil, err
 	}
-	if !hmac.Equal(head[lengthBytes:], s.sum(body)) {
-		return nil, ErrProtocol.New("frame %d has a wrong MAC", s.sequence-1)
+	if !hmac.Equal(head[lengthBytes:], s.in.sum(body)) {
+		return nil, ErrProtocol.New("frame %d has a wrong MAC", s.in.sequence-1)
 	}
 	return body, nil
 }
--- /dev/null
+++ b/peer/silence.go
@@ -0,0 +1,122 @@
+package peer
+
+import (
+	"encoding/binary"
+	"sync"
+	"time"
+)
+
+// A connection may fall silent for good, without a reset, while new ones work. The kernel does not always tell: what stands
+// between two daemons may go on acknowledging bytes. So the listener says how many frames have arrived, and the dialer gives up a
+// connection on which frames stay unacknowledged for too long.
+const (
+	// acknowledgeAfter is how long after a frame the listener acknowledges it, with all that came meanwhile.
+	acknowledgeAfter = 300 * time.Millisecond
+	// silenceLimit is how long a frame may stay unacknowledged: a daemon or a path may rest for a second.
+	silenceLimit = acknowledgeAfter + 1300*time.Millisecond
+	// acknowledgementBytes is the size of an acknowledgement's body: the number of frames so far.
+	acknowledgementBytes = 4
+)
+
+// acknowledger tells the dialer of a session how many frames have arrived.
+type acknowledger struct {
+	session  *session
+	mutex    sync.Mutex
+	received uint32
+	// due will send the next acknowledgement; nil if none is due.
+	due   *time.Timer
+	ended bool
+}
+
+// arrived notes that a frame has arrived.
+func (a *acknowledger) arrived() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.received++
+	if a.due == nil && !a.ended {
+		a.due = time.AfterFunc(acknowledgeAfter, a.send)
+	}
+}
+
+// send sends an acknowledgement. It holds no frame up: the dialer reads at once, or has ended.
+func (a *acknowledger) send() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.due = nil
+	if a.ended {
+		return
+	}
+	body := binary.BigEndian.AppendUint32(nil, a.received)
+	if err := a.session.writeFrame(body); err != nil {
+		a.ended = true
+		_ = a.session.conn.Close()
+	}
+}
+
+// end ends the acknowledgements of a session that has ended.
+func (a *acknowledger) end() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.ended = true
+	if a.due != nil {
+		a.due.Stop()
+	}
+}
+
+// progress is what a dialer knows of the frames that it has sent on one session.
+type progress struct {
+	mutex sync.Mutex
+	sent  uint32
+	// waitingSince is since when there are unacknowledged frames; zero if there are none.
+	waitingSince time.Time
+	ended        bool
+}
+
+// sending notes that a frame is about to be sent.
+func (p *progress) sending(now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.sent++
+	if p.waitingSince.IsZero() {
+		p.waitingSince = now
+	}
+}
+
+// acknowledged takes in how many frames have arrived.
+func (p *progress) acknowledged(now time.Time, received uint32) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.waitingSince = time.Time{}
+	if received != p.sent {
+		p.waitingSince = now
+	}
+}
+
+// end notes that the other side has ended the session.
+func (p *progress) end() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.ended = true
+}
+
+// state returns whether the session has ended, and for how long frames have stayed unacknowledged.
+func (p *progress) state(now time.Time) (ended bool, waiting time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.waitingSince.IsZero() {
+		return p.ended, 0
+	}
+	return p.ended, now.Sub(p.waitingSince)
+}
+
+// readAcknowledgements reads what the listener of a session acknowledges, until the session ends.
+func readAcknowledgements(s *session, p *progress) {
+	defer p.end()
+	for {
+		body, err := s.readFrameUntil(time.Time{})
+		if err != nil || len(body) != acknowledgementBytes {
+			return
+		}
+		p.acknowledged(time.Now(), binary.BigEndian.Uint32(body))
+	}
+}
