Draw the daemon that gossip goes to evenly

Daemons that missed a message about crashed servers, or have just started, are brought up to date by others, which draw one daemon each half second. They drew the first one of a map: with two others one of them got an eighth of the draws, with 63 some got a twentieth of their even part (23 of 4,000). So some daemons went on sending requests to servers that others knew to be leaving, or let contents run that others held, for seconds longer.

--- a/entry/duties.go
+++ b/entry/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -172,13 +173,17 @@
 
 // any returns the address of a daemon other than self, drawn by chance; empty if there is none.
 func (b addressBook) any(self string) string {
+	drawn, seen := "", 0
 	for name, address := range b {
-		// The order of a map is random.
-		if name != self {
-			return address
+		if name == self {
+			continue
+		}
+		// Each of those seen so far is the one with the same chance: the order of a map favours some of them.
+		if seen++; rand.IntN(seen) == 0 {
+			drawn = address
 		}
 	}
-	return ""
+	return drawn
 }
 
 // perform hands actions to the duties that carry them out.
