Tell daemons that servers are brittle, also those that use them seldom

The word, and its end, go to all daemons in the messages that tell of servers that leave or name limits, with the age of the request whose answer said so, and by gossip to those that missed them.

--- a/brittle/book.go
+++ b/brittle/book.go
@@ -28,6 +28,8 @@
 // Book is what services have said. It is not safe for concurrent use.
 type Book struct {
 	services map[string]*service
+	// endedAt is when the requests were sent whose answers said that services are no longer brittle.
+	endedAt map[string]time.Time
 }
 
 // service is one whose instances say that they are brittle.
@@ -41,7 +43,9 @@
 }
 
 // NewBook returns a book in which no service is brittle.
-func NewBook() *Book { return &Book{services: map[string]*service{}} }
+func NewBook() *Book {
+	return &Book{services: map[string]*service{}, endedAt: map[string]time.Time{}}
+}
 
 // Change is what is new of a service.
 type Change uint8
@@ -64,6 +68,7 @@
 		return Nothing
 	case !named:
 		delete(b.services, name)
+		b.endedAt[name] = sentAt
 		return Ends
 	case known == nil:
 		b.services[name] = &service{refusals: refusals, learnedAt: now, heardAt: now, paidAt: map[string]time.Time{}}
@@ -149,6 +154,7 @@
 
 // Forget drops services that were not heard of for long, and instances that are not listed any more.
 func (b *Book) Forget(now time.Time, listed func(id string) bool) {
+	maps.DeleteFunc(b.endedAt, func(_ string, at time.Time) bool { return now.Sub(at) > silentSpan })
 	for name, known := range b.services {
 		if now.Sub(known.heardAt) > silentSpan {
 			delete(b.services, name)
--- a/coordination/actions.go
+++ b/coordination/actions.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wheatweir/wheatweir/brittle"
 	"github.com/wheatweir/wheatweir/lease"
 	"github.com/wheatweir/wheatweir/notice"
 	"github.com/wheatweir/wheatweir/quarantine"
@@ -48,6 +49,11 @@
 // LearnCrashes hands on what another daemon told of servers that crashed.
 type LearnCrashes struct{ Update quarantine.Update }
 
+// LearnBrittle tells the driver what services said of being brittle to other daemons.
+type LearnBrittle struct{ Update brittle.Update }
+
+func (LearnBrittle) action() {}
+
 // LearnNotices hands on what another daemon told of what instances said of themselves.
 type LearnNotices struct{ Update notice.Update }
 
--- a/coordination/bulletin.go
+++ b/coordination/bulletin.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wheatweir/wheatweir/brittle"
 	"github.com/wheatweir/wheatweir/notice"
 	"github.com/wheatweir/wheatweir/quarantine"
 )
@@ -18,6 +19,8 @@
 	Crashes quarantine.Update `msgpack:"u"`
 	// Notices are what instances said of themselves.
 	Notices notice.Update `msgpack:"w"`
+	// Brittle are services that have said that they are brittle, or no longer.
+	Brittle brittle.Update `msgpack:"t"`
 }
 
 // bulletinState is what was told to all and heard of others.
@@ -44,6 +47,12 @@
 	return n.take()
 }
 
+// TellBrittle tells all daemons what services said of being brittle to this one.
+func (n *Node) TellBrittle(update brittle.Update) []Action {
+	n.tellAll(Bulletin{Brittle: update})
+	return n.take()
+}
+
 // InstanceLimited takes in whether an instance takes no more than a few requests from all daemons.
 func (n *Node) InstanceLimited(now time.Time, instance string, limited bool) []Action {
 	n.book.SetLimited(instance, limited)
@@ -97,6 +106,9 @@
 	if !told.Notices.Empty() {
 		n.do(LearnNotices{Update: told.Notices})
 	}
+	if !told.Brittle.Empty() {
+		n.do(LearnBrittle{Update: told.Brittle})
+	}
 }
 
 // seenWindow is how far a message may be behind the newest one of its daemon and still be passed on.
--- a/entry/brittle.go
+++ b/entry/brittle.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wheatweir/wheatweir/brittle"
+	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/fleet"
 )
 
@@ -21,17 +22,51 @@
 	change := n.brittle.Hear(now, instance.Service, heard.SentAt, said.Named, said.Refusals)
 	n.anyBrittle.Store(n.brittle.Services() > 0)
 	n.mutex.Unlock()
-	if change != brittle.Nothing {
-		n.slots.SubjectsChanged(now)
+	if change == brittle.Nothing {
+		return
+	}
+	word := brittle.Word{Service: instance.Service, Named: said.Named, Refusals: said.Refusals, Age: max(0, now.Sub(heard.SentAt))}
+	n.brittleChanged(now, change, word, "answer")
+	n.daemon.work.events.Offer(func(node *coordination.Node, _ time.Time) []coordination.Action {
+		return node.TellBrittle(brittle.Update{Words: []brittle.Word{word}})
+	})
+}
+
+// learnBrittle takes in what other daemons were told: one that has sent a service nothing lately would not know.
+func (n *notices) learnBrittle(update brittle.Update) {
+	now := n.daemon.clock.Now()
+	for _, word := range update.Words {
+		n.mutex.Lock()
+		change := n.brittle.Learn(now, word)
+		n.anyBrittle.Store(n.brittle.Services() > 0)
+		n.mutex.Unlock()
+		if change != brittle.Nothing {
+			n.brittleChanged(now, change, word, "daemon")
+		}
 	}
+}
+
+// brittleChanged acts on what is new of a service, and logs it with where this daemon knows it from.
+func (n *notices) brittleChanged(now time.Time, change brittle.Change, word brittle.Word, from string) {
+	n.slots.SubjectsChanged(now)
 	switch change {
 	case brittle.Begins:
-		n.log("Brittle.", "service", instance.Service, "refusals_per_s", said.Refusals)
+		n.log("Brittle.", "service", word.Service, "from", from, "refusals_per_s", word.Refusals)
 	case brittle.Ends:
-		n.log("No longer brittle.", "service", instance.Service)
+		n.log("No longer brittle.", "service", word.Service, "from", from)
 	}
 }
 
+// newestBrittle returns what another daemon may lack.
+func (n *notices) newestBrittle(now time.Time) brittle.Update {
+	if !n.anyBrittle.Load() {
+		return brittle.Update{}
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.brittle.Newest(now)
+}
+
 // HasRoom implements gateway.Notices.
 func (n *notices) HasRoom(instance *fleet.Instance, requests int) bool {
 	if !n.anyBrittle.Load() {
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -206,6 +206,8 @@
 			d.quarantine.learn(action.Update)
 		case coordination.LearnNotices:
 			d.notices.learn(action.Update)
+		case coordination.LearnBrittle:
+			d.notices.learnBrittle(action.Update)
 		case coordination.LearnCold:
 			d.notices.setCold(action)
 		case coordination.Refresh:
