Take streams up at the service that began them

A route may lead to several services, drawn by weight. A take-up was drawn anew: at another service than the one that began the stream nobody knew its version, so it was refused, or went on at what another service writes. The records now tell the service too, and a take-up goes there as long as its route leads there.

Found by reading the choice again for what else is drawn anew. entry.TestTakeUpGoesToTheServiceThatBeganIt: of 12 take-ups all go on where they began.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -72,36 +72,49 @@
 
 // How the version that began a stream came to be known, or not.
 const (
-	foundHere       = "own"
-	foundElsewhere  = "daemon"
-	foundByExchange = "only_version"
-	foundNowhere    = "unknown"
+	foundHere        = "own"
+	foundElsewhere   = "daemon"
+	foundOnlyVersion = "only_version"
+	foundNowhere     = "unknown"
 )
 
 // Find implements gateway.Origins.
-func (o *origins) Find(ctx context.Context, request *gateway.Request, service string) (software string, known bool) {
-	began := o.daemon.clock.Now()
-	software, by, answers := o.find(ctx, request.Resumes, service)
+func (o *origins) Find(ctx context.Context, request *gateway.Request, route *fleet.Route, service string) (gateway.StreamOrigin, bool) {
+	askedAt := o.daemon.clock.Now()
+	began, by, answers := o.find(ctx, request.Resumes, route, service)
 	o.daemon.metrics.takenUp(by).Inc(1)
-	o.daemon.log.add("origin", "Looked up.", "request", request.ID, "resumes", loggedID(request.Resumes), "service", service,
-		"by", by, "software", software, "answers", answers, "took_ms", o.daemon.clock.Since(began).Milliseconds())
-	return software, by != foundNowhere
+	o.daemon.log.add("origin", "Looked up.", "request", request.ID, "resumes", loggedID(request.Resumes), "service", began.Service,
+		"by", by, "software", began.Software, "answers", answers, "took_ms", o.daemon.clock.Since(askedAt).Milliseconds())
+	return gateway.StreamOrigin{Service: began.Service, Software: began.Software}, by != foundNowhere
 }
 
-func (o *origins) find(ctx context.Context, id, service string) (software, by string, answers int) {
-	if software, known := o.keeper.Find(o.daemon.clock.Now(), id, service); known {
-		return software, foundHere, 0
+// find finds what began a stream of a route. What began at a service that the route no longer leads to goes on, if at all, at
+// the one that it leads to now.
+func (o *origins) find(ctx context.Context, id string, route *fleet.Route, service string) (began resumption.Began, by string, answers int) {
+	if began, known := o.keeper.Find(o.daemon.clock.Now(), id); known && leadsTo(route, began.Service) {
+		return began, foundHere, 0
 	}
 	heard := o.ask(ctx, id, service)
 	for _, answer := range heard {
-		if answer.Known {
-			return answer.Software, foundElsewhere, len(heard)
+		if answer.Known && leadsTo(route, answer.Began.Service) {
+			return answer.Began, foundElsewhere, len(heard)
 		}
 	}
-	if software, known := o.keeper.Decide(o.daemon.clock.Now(), service, id != "", heard); known {
-		return software, foundByExchange, len(heard)
+	software, known := o.keeper.Decide(o.daemon.clock.Now(), service, id != "", heard)
+	began = resumption.Began{Service: service, Software: software}
+	if known {
+		return began, foundOnlyVersion, len(heard)
+	}
+	return began, foundNowhere, len(heard)
+}
+
+func leadsTo(route *fleet.Route, service string) bool {
+	for _, target := range route.Targets {
+		if target.Service == service {
+			return true
+		}
 	}
-	return "", foundNowhere, len(heard)
+	return false
 }
 
 // ask asks other daemons at once and returns their answers, until one knows.
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -157,3 +157,57 @@
 		}
 	}
 }
+
+// TestTakeUpGoesToTheServiceThatBeganIt guards against a stream of a route that leads to two services, whose take-up is drawn
+// to the other one.
+func TestTakeUpGoesToTheServiceThatBeganIt(t *testing.T) {
+	f := startTwoVersions(t, 2)
+	configuration := usualConfiguration(3)
+	other := configuration.Services[0]
+	other.Name = "llm2"
+	configuration.Services = append(configuration.Services, other)
+	resumable := route("resumable", fleet.KindStream, 10*time.Second, time.Second, 2, "llm")
+	resumable.Resumable = true
+	resumable.Targets = append(resumable.Targets, fleet.Target{Service: "llm2", Weight: 1})
+	configuration.Routes = append(configuration.Routes, resumable)
+	services := map[string]string{}
+	for number, software := range []string{"v1", "v2"} {
+		server, err := standin.Open(f.store, standin.Options{
+			ID: fmt.Sprint("other-", number), Service: "llm2", Zone: "z", Models: []string{"m"}, Software: software,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(server.Close)
+		f.servers = append(f.servers, server)
+	}
+	for _, server := range f.servers {
+		server.EventPause = 50 * time.Millisecond
+	}
+	f.store.Configure(configuration)
+	eventually(t, "the route leads to both", func() bool {
+		_, _, _, _ = post(f.all[0].FrontAddress, "/resumable/x", "m")
+		return len(f.servers[len(f.servers)-1].Runs()) > 0 && gauge(f.daemons[1].Metrics(), "configuration_version") == 3
+	})
+	serviceOf := func(id string) string {
+		for _, server := range f.servers {
+			for _, run := range server.Runs() {
+				if run.ID == id {
+					services[server.Service] = id
+					return server.Service
+				}
+			}
+		}
+		return ""
+	}
+	for number := range 12 {
+		resumes := cutStream(t, f.all[0].FrontAddress)
+		id, answer, err := takeUp(f.all[number%2].FrontAddress, resumes)
+		if began, goesOn := serviceOf(resumes), serviceOf(id); err != nil || answer.Status != 200 || began != goesOn {
+			t.Errorf("began at %s, goes on at %q: status %d, %v", began, goesOn, answer.Status, err)
+		}
+	}
+	if len(services) != 2 {
+		t.Errorf("streams of %v only: the test shows nothing", services)
+	}
+}
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -10,8 +10,15 @@
 type Origins interface {
 	// Began is told that the first event of a stream goes out that may be taken up.
 	Began(begun BegunStream)
-	// Find returns the version that began the stream which a request takes up, or false if nobody can know.
-	Find(ctx context.Context, request *Request, service string) (software string, known bool)
+	// Find returns what began the stream which a request of a route takes up, or false if nobody can know. Service is where
+	// the request goes if that does not say.
+	Find(ctx context.Context, request *Request, route *fleet.Route, service string) (StreamOrigin, bool)
+}
+
+// StreamOrigin is the service and the software version of the instances that began a stream.
+type StreamOrigin struct {
+	Service  string
+	Software string
 }
 
 // BegunStream is a stream whose first event goes out, or the first one since its client took it up.
@@ -44,10 +51,11 @@
 	if e.gateway.settings.Origins == nil || e.route.Kind != fleet.KindStream || !goesOn && e.request.Resumes == "" {
 		return ""
 	}
-	software, known := e.gateway.settings.Origins.Find(ctx, e.request, e.service)
+	began, known := e.gateway.settings.Origins.Find(ctx, e.request, e.route, e.service)
 	switch {
 	case known:
-		e.origin.pin(software)
+		e.service = began.Service
+		e.origin.pin(began.Software)
 	case goesOn:
 		return ReasonUnknownOrigin
 	}
--- a/resumption/book.go
+++ b/resumption/book.go
@@ -51,13 +51,13 @@
 	}
 }
 
-// find returns the version that began a stream of a service.
-func (b book) find(now time.Time, id, service string) (software string, known bool) {
+// find returns the service and the version that began a stream.
+func (b book) find(now time.Time, id string) (began Began, known bool) {
 	found := b[id]
-	if found == nil || found.ambiguous || found.service != service || !now.Before(found.until) {
-		return "", false
+	if found == nil || found.ambiguous || !now.Before(found.until) {
+		return Began{}, false
 	}
-	return found.software, true
+	return Began{Service: found.service, Software: found.software}, true
 }
 
 // forget drops the streams that no client takes up any more.
--- a/resumption/doc.go
+++ b/resumption/doc.go
@@ -12,6 +12,12 @@
 
 import "time"
 
+// Began is what began a stream.
+type Began struct {
+	Service  string `msgpack:"s,omitempty"`
+	Software string `msgpack:"v,omitempty"`
+}
+
 // Stream is what is kept of a stream.
 type Stream struct {
 	// ID is that of the request that brought its first event.
@@ -29,7 +35,7 @@
 	Answer   *Answer   `msgpack:"a,omitempty"`
 }
 
-// Question asks which version began a stream of a service.
+// Question asks what began a stream, and which versions a service has had.
 type Question struct {
 	// ID pairs the answer with the question.
 	ID      uint64 `msgpack:"i"`
@@ -40,9 +46,9 @@
 // Answer is what a daemon knows of it.
 type Answer struct {
 	ID uint64 `msgpack:"i"`
-	// Known says that Software began the stream.
-	Known    bool   `msgpack:"k,omitempty"`
-	Software string `msgpack:"v,omitempty"`
+	// Known says that the daemon knows what began the stream.
+	Known bool  `msgpack:"k,omitempty"`
+	Began Began `msgpack:"b"`
 	// Versions are all that the service has had lately, as far as the daemon knows, and Fresh says that it hears of new
 	// servers.
 	Versions []string `msgpack:"n,omitempty"`
--- a/resumption/keeper.go
+++ b/resumption/keeper.go
@@ -147,11 +147,11 @@
 	}
 }
 
-// Find returns the version that began a stream, if this daemon knows.
-func (k *Keeper) Find(now time.Time, id, service string) (software string, known bool) {
+// Find returns what began a stream, if this daemon knows.
+func (k *Keeper) Find(now time.Time, id string) (began Began, known bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.streams.find(now, id, service)
+	return k.streams.find(now, id)
 }
 
 // Asked returns the daemons to ask about a stream; none if its ID can be nobody's.
@@ -174,9 +174,9 @@
 func (k *Keeper) Answer(now time.Time, question *Question) *Answer {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	software, known := k.streams.find(now, question.Stream, question.Service)
+	began, known := k.streams.find(now, question.Stream)
 	return &Answer{
-		ID: question.ID, Known: known, Software: software, Versions: k.services[question.Service].list(), Fresh: now.Before(k.freshUntil),
+		ID: question.ID, Known: known, Began: began, Versions: k.services[question.Service].list(), Fresh: now.Before(k.freshUntil),
 	}
 }
 
