--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -58,15 +59,25 @@
 	link    link
 	changed chan struct{}
 	open    map[net.Conn]bool
+	paths   map[*path]bool
 	closed  bool
 }
 
+// path is one connection through a proxy.
+type path struct {
+	// severed is what the path has become for good, as a link; sound if nothing.
+	severed atomic.Uint32
+}
+
+// passes reports whether the path still carries anything in one direction.
+func (p *path) passes(forward bool) bool { return link(p.severed.Load()).passes(forward) }
+
 func newProxy(target string) (*proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, ErrSoak.Wrap(err)
 	}
-	p := &proxy{listener: listener, target: target, changed: make(chan struct{}), open: map[net.Conn]bool{}}
+	p := &proxy{listener: listener, target: target, changed: make(chan struct{}), open: map[net.Conn]bool{}, paths: map[*path]bool{}}
 	go p.accept()
 	return p, nil
 }
@@ -95,6 +106,29 @@
 	return p.link, p.changed
 }
 
+// sever makes the connections of now silent for good, in the directions that a link does not pass, while new ones work: what
+// comes is taken, and dropped.
+func (p *proxy) sever(state link) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for path := range p.paths {
+		path.severed.Store(uint32(state))
+	}
+}
+
+// addPath returns a path that can be severed. The function ends it.
+func (p *proxy) addPath() (made *path, end func()) {
+	made = &path{}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.paths[made] = true
+	return made, func() {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		delete(p.paths, made)
+	}
+}
+
 // reset ends all connections with a reset.
 func (p *proxy) reset() {
 	p.mutex.Lock()
@@ -165,21 +199,29 @@
 	if !p.keep(outgoing) {
 		return
 	}
+	path, end := p.addPath()
+	defer end()
 	var group sync.WaitGroup
-	group.Go(func() { p.copy(outgoing, incoming, true) })
-	group.Go(func() { p.copy(incoming, outgoing, false) })
+	group.Go(func() { p.copy(path, outgoing, incoming, true) })
+	group.Go(func() { p.copy(path, incoming, outgoing, false) })
 	group.Wait()
 }
 
 // copy passes bytes on in one direction. An orderly end is passed on as such; any
 // other ends both directions.
-func (p *proxy) copy(to, from net.Conn, forward bool) {
+func (p *proxy) copy(path *path, to, from net.Conn, forward bool) {
 	buffer := make([]byte, proxyBuffer)
 	for {
 		count, err := from.Read(buffer)
 		if !p.waitPassable(forward) {
 			return
 		}
+		if !path.passes(forward) {
+			if err != nil {
+				return
+			}
+			continue
+		}
 		if count > 0 {
 			if _, failed := to.Write(buffer[:count]); failed != nil {
 				_ = from.Close()
--- a/lab/soak/proxy_test.go
+++ b/lab/soak/proxy_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 )
 
 func ownProcess(t *testing.T) *os.Process {
@@ -107,3 +108,46 @@
 		t.Fatal("a connection to nowhere goes on")
 	}
 }
+
+// TestSeveredConnectionStaysSilent covers connections that fall silent for good: they stay open and carry nothing, while new
+// ones work.
+func TestSeveredConnectionStaysSilent(t *testing.T) {
+	for _, state := range []link{linkSilent, linkDeafForward, linkDeafBackward} {
+		p, err := newProxy(echoServer(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer p.close()
+		before, buffer := dialThrough(t, p), make([]byte, 8)
+		p.sever(state)
+		_, _ = io.WriteString(before, "lost")
+		_ = before.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		if count, err := before.Read(buffer); count > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s: read %d bytes, %v", state, count, err)
+		}
+		after := dialThrough(t, p)
+		_, _ = io.WriteString(after, "sound")
+		_ = after.SetReadDeadline(time.Now().Add(time.Second))
+		if count, err := after.Read(buffer); err != nil || string(buffer[:count]) != "sound" {
+			t.Errorf("%s: a new connection gave %q, %v", state, buffer[:count], err)
+		}
+	}
+}
+
+// dialThrough opens a connection through a proxy that has carried something.
+func dialThrough(t *testing.T, p *proxy) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	buffer := make([]byte, 1)
+	if _, err := io.WriteString(conn, "x"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(conn, buffer); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
