Refuse unknown take-ups only where streams may be taken up, and keep no origin of a stream that begins anew

A request with `Last-Event-Id` on a route whose streams may not be taken up would have been refused, as nobody keeps those; it is passed on as before. A client that names what it takes up and begins anew all the same (no `Last-Event-Id`) had the version of the new stream kept under the name of the old one, which may have another one.

gateway.TestTakeUps holds nine cases in virtual time: that of a route whose streams may not be taken up fails before. What is kept of a stream that begins anew has no test of its own.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -43,8 +43,8 @@
 	left := begun.Request.Arrived.Add(takenUpWithin(begun.Route, begun.Request)).Sub(now)
 	stream := resumption.Stream{ID: begun.Request.ID, Service: begun.Service, Software: begun.Software, Left: left}
 	o.tell(o.keeper.Began(now, stream))
-	if resumes := begun.Request.Resumes; resumes != "" {
-		// Its client goes on naming the first try.
+	if resumes := begun.Request.Resumes; resumes != "" && begun.Request.ResumeAfter != "" {
+		// Its client goes on naming the first try. One that begins anew has its first event from this one.
 		stream.ID = resumes
 		o.tell(o.keeper.Began(now, stream))
 	}
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -48,7 +48,7 @@
 // nothing.
 func (e *exchange) findOrigin(ctx context.Context) Reason {
 	goesOn := e.request.ResumeAfter != ""
-	if e.gateway.settings.Origins == nil || e.route.Kind != fleet.KindStream || !goesOn && e.request.Resumes == "" {
+	if e.gateway.settings.Origins == nil || !e.route.Resumable || !goesOn && e.request.Resumes == "" {
 		return ""
 	}
 	began, known := e.gateway.settings.Origins.Find(ctx, e.request, e.route, e.service)
--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -6,7 +6,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/retry"
 )
 
 // softwareView has instances of the given software versions, all with the model m.
@@ -53,3 +56,61 @@
 		})
 	}
 }
+
+// knownOrigins are an Origins that knows what began some streams, and keeps what it is told.
+type knownOrigins struct {
+	known map[string]gateway.StreamOrigin
+	began []gateway.BegunStream
+}
+
+func (o *knownOrigins) Began(begun gateway.BegunStream) { o.began = append(o.began, begun) }
+
+func (o *knownOrigins) Find(_ context.Context, request *gateway.Request, _ *fleet.Route, _ string) (gateway.StreamOrigin, bool) {
+	found, known := o.known[request.Resumes]
+	return found, known
+}
+
+// TestTakeUps guards against a stream that goes on at another version than the one that began it, or where nobody knows that,
+// and against refusals of requests that take nothing up.
+func TestTakeUps(t *testing.T) {
+	cases := []struct {
+		name, route, resumes, after string
+		status                      int
+		// software is where it goes; empty for anywhere.
+		software string
+		reason   gateway.Reason
+	}{
+		{"known", "resume", "first", "3", 200, "v2", ""},
+		{"known, of a version that nobody runs", "resume", "old", "3", 503, "", gateway.ReasonNoSoftware},
+		{"unknown", "resume", "nobody's", "3", 503, "", gateway.ReasonUnknownOrigin},
+		{"not named", "resume", "", "3", 503, "", gateway.ReasonUnknownOrigin},
+		{"unknown, begins anew", "resume", "nobody's", "", 200, "", ""},
+		{"known, begins anew", "resume", "first", "", 200, "v2", ""},
+		{"a new stream", "resume", "", "", 200, "", ""},
+		{"a route whose streams may not be taken up", "stream", "nobody's", "3", 200, "", ""},
+		{"a route without streams", "safe", "nobody's", "3", 200, "", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				origins := &knownOrigins{known: map[string]gateway.StreamOrigin{"first": {Service: "svc", Software: "v2"}, "old": {Service: "svc", Software: "v0"}}}
+				settings := gateway.Settings{RetryAfter: 200 * time.Millisecond, WaitShare: 0.5, ShareOfConnections: func() float64 { return 1 }, Origins: origins}
+				upstream := &script{}
+				g := gateway.New(settings, upstream, balance.NewTracker(), retry.NewBudget(0.2, 10), &noDemand{}, silent{})
+				g.SetView(softwareView("v1", "v1", "v2"))
+				sent, got := request(c.route), &client{}
+				sent.Model, sent.Resumes, sent.ResumeAfter = "m", c.resumes, c.after
+				g.Serve(context.Background(), sent, got)
+				if got.status != c.status || got.reason != c.reason || got.at.Sub(sent.Arrived) > 100*time.Millisecond {
+					t.Fatalf("status %d, reason %q after %v", got.status, got.reason, got.at.Sub(sent.Arrived))
+				}
+				if c.software != "" && upstream.sent[0].Instance.Software != c.software {
+					t.Errorf("went to %s", upstream.sent[0].Instance.Software)
+				}
+				if told := len(origins.began) == 1; told != (c.route == "resume" && c.status == 200) {
+					t.Errorf("told of %+v", origins.began)
+				}
+			})
+		})
+	}
+}
