--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -8,6 +8,17 @@
 	"github.com/wheatweir/wheatweir/gateway"
 )
 
+// textOf is what metrics tell.
+func textOf(t *testing.T, counted *metrics) string {
+	t.Helper()
+	counted.root.Close()
+	var text strings.Builder
+	if err := counted.root.Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	return text.String()
+}
+
 // TestYieldsAreCounted guards against waits that are not counted, or counted at each step of a request.
 func TestYieldsAreCounted(t *testing.T) {
 	counted := newMetrics()
@@ -23,14 +34,10 @@
 		steps[i].Request = request
 		counted.count(&steps[i], time.Second)
 	}
-	counted.root.Close()
-	var text strings.Builder
-	if err := counted.root.Write(&text); err != nil {
-		t.Fatal(err)
-	}
+	text := textOf(t, counted)
 	for _, want := range []string{"wheatweir_requests_yielded 1\n", "wheatweir_requests_yielded_ms 1500\n"} {
-		if !strings.Contains(text.String(), want) {
-			t.Errorf("no line %q in\n%s", want, text.String())
+		if !strings.Contains(text, want) {
+			t.Errorf("no line %q in\n%s", want, text)
 		}
 	}
 }
@@ -49,14 +56,10 @@
 		steps[i].Request = request
 		counted.count(&steps[i], time.Second)
 	}
-	counted.root.Close()
-	var text strings.Builder
-	if err := counted.root.Write(&text); err != nil {
-		t.Fatal(err)
-	}
+	text := textOf(t, counted)
 	for _, want := range []string{`wheatweir_answers_ended{end="broken",framing="connection"} 1`, `wheatweir_answers_ended{end="whole",framing="connection"} 2`} {
-		if !strings.Contains(text.String(), want) {
-			t.Errorf("no line %q in\n%s", want, text.String())
+		if !strings.Contains(text, want) {
+			t.Errorf("no line %q in\n%s", want, text)
 		}
 	}
 }
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -177,20 +177,10 @@
 	}
 	o.observedAt = now
 	view := o.daemon.gateway.View()
-	span := time.Duration(0)
-	services := map[string]bool{}
-	if configuration := view.Configuration(); configuration != nil {
-		for i := range configuration.Routes {
-			route := &configuration.Routes[i]
-			if !route.Resumable {
-				continue
-			}
-			span = max(span, waitsPerTimeout*route.Timeout)
-			for _, target := range route.Targets {
-				services[target.Service] = true
-			}
-		}
+	if view.Configuration() == nil {
+		return
 	}
+	services, span := resumableServices(view.Configuration())
 	o.keeper.SetSpan(span)
 	for service := range services {
 		tells := o.keeper.Observe(now, service, softwareOf(view.Instances(service)))
@@ -201,6 +191,22 @@
 	}
 }
 
+// resumableServices returns the services whose streams may be taken up, and for how long after a stream began that may be.
+func resumableServices(configuration *fleet.Configuration) (services map[string]bool, span time.Duration) {
+	services = map[string]bool{}
+	for i := range configuration.Routes {
+		route := &configuration.Routes[i]
+		if !route.Resumable {
+			continue
+		}
+		span = max(span, waitsPerTimeout*route.Timeout)
+		for _, target := range route.Targets {
+			services[target.Service] = true
+		}
+	}
+	return services, span
+}
+
 // softwareOf lists the versions of instances.
 func softwareOf(instances []*fleet.Instance) []string {
 	var versions []string
