--- a/gateway/eventstream.go
+++ b/gateway/eventstream.go
@@ -13,9 +13,8 @@
 // CR or CR LF, an event with an empty line; a line that begins with a colon is a comment and part of no event. The zero
 // value stands at the beginning of a stream.
 type eventScanner struct {
-	// inLine says that a line has begun, comment that it is a comment.
-	inLine  bool
-	comment bool
+	// inLine says that a line has begun.
+	inLine bool
 	// inEvent says that an event has begun.
 	inEvent bool
 	// afterCR says that the last byte was a CR, of which an LF would be the second half.
@@ -61,8 +60,8 @@
 	case char == '\n' || char == '\r':
 		return s.endLine()
 	case !s.inLine:
-		s.inLine, s.comment = true, char == ':'
-		s.inEvent = s.inEvent || !s.comment
+		s.inLine = true
+		s.inEvent = s.inEvent || char != ':'
 	}
 	return false
 }
