--- a/entry/observer.go
+++ b/entry/observer.go
@@ -95,6 +95,18 @@
 
 func loggedID(id string) string { return id[:min(len(id), longestLoggedID)] }
 
+// mostLoggedParts bounds the parts of a prompt that are logged.
+const mostLoggedParts = 16
+
+// loggedPrompt lists the IDs of the parts of a prompt.
+func loggedPrompt(parts []gateway.PromptPart) string {
+	var list []string
+	for _, part := range parts[:min(len(parts), mostLoggedParts)] {
+		list = append(list, loggedID(part.ID))
+	}
+	return strings.Join(list, ",")
+}
+
 // Observe implements gateway.Observer.
 func (d *Daemon) Observe(event gateway.Event) {
 	took := d.clock.Since(event.Request.Arrived)
@@ -127,6 +139,9 @@
 	if event.Content != "" {
 		fields = append(fields, "content", event.Content)
 	}
+	if event.TellsPrompt() && len(event.Request.Prompt) > 0 {
+		fields = append(fields, "prompt", loggedPrompt(event.Request.Prompt))
+	}
 	if event.Forecast > 0 {
 		fields = append(fields, "forecast_ms", event.Forecast.Milliseconds())
 	}
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -175,6 +175,16 @@
 	return false
 }
 
+// TellsPrompt reports whether the parts of the request's prompt help to find out why it ended: its instance may have
+// crashed under it, or it is kept from instances since others did.
+func (e *Event) TellsPrompt() bool {
+	switch e.Step {
+	case StepStreamBroke, StepAttemptFailed:
+		return true
+	}
+	return e.Reason == ReasonQuarantined || e.Reason == ReasonSuspected
+}
+
 // Lateness is why an answer that was served to its end was late.
 type Lateness string
 
