Judge requests also by the parts that their prompts share

Callers saw whole routes unserved, twice for half a minute: requests that share one part of their prompts and nothing else crashed one server after the other.

Cause: the quarantine knew one identity, the digest of the whole content. Each request was a new one to it, so no count got beyond one: in the log of the first 13 s of crashes, 123 contents ran at 16 crashes, each at one only. The class is an identity that is narrower than the cause.

Now a crash counts against the content and against each shared part of the prompt, all but the last one, in one book; news, turns, the store and the release take either. A part is held after three crashes that nothing else was at more of. Parts that were at the same crashes hold requests that have all of them; those that have some run in turn and tell which one it is. A content that was at all crashes of a part is the narrower cause. Parts of answers that ended well within 10 s are not suspected, so that the first part of a route, which is at nearly every crash, does not wait for turns.

--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -16,7 +16,7 @@
 // daemons prove to each other, so that during an upgrade those of the old and the new form
 // do not talk: fields that are not understood are passed over, and a list of instances
 // without their IDs would leave no instance. Both get along by the store meanwhile.
-const MessageForm = "11"
+const MessageForm = "12"
 
 // Message is what entry daemons tell each other.
 type Message struct {
--- a/entry/crashwatch.go
+++ b/entry/crashwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -162,7 +163,7 @@
 // listed has crashed, though its address may still answer.
 func (w *crashWatch) gone(now time.Time, listed func(instance string) bool) {
 	for id, known := range w.unlisted(now, listed) {
-		w.log("Instance has gone.", "instance", id, "requests", len(known.first.victims), "contents", names(known.first.victims))
+		w.log("Instance has gone.", append([]any{"instance", id}, victimFields(known.first.victims)...)...)
 		w.crashed(known.first.at, id, known.first.victims)
 	}
 }
@@ -263,8 +264,7 @@
 	if reported {
 		return
 	}
-	w.log("Instance closes new connections.", "instance", instance.ID,
-		"requests", len(first.victims), "contents", names(first.victims))
+	w.log("Instance closes new connections.", append([]any{"instance", instance.ID}, victimFields(first.victims)...)...)
 	w.unconfirmedCrash(first.at, instance.ID, first.victims)
 }
 
@@ -274,12 +274,37 @@
 	broke := known.last
 	known.looking, known.crashed, known.lookAgain, known.until = false, crashed, now.Add(crashSpan), known.first.at.Add(listedSpan)
 	w.mutex.Unlock()
-	w.log("Connections ended.", "instance", instance.ID, "crashed", crashed, "requests", len(broke.victims), "contents", names(broke.victims))
+	w.log("Connections ended.", append([]any{"instance", instance.ID, "crashed", crashed}, victimFields(broke.victims)...)...)
 	if crashed {
 		w.crashed(broke.at, instance.ID, broke.victims)
 	}
 }
 
+// victimFields are the fields of a line that tell what ran on a server.
+func victimFields(victims []quarantine.Victim) []any {
+	fields := []any{"requests", len(victims), "contents", names(victims)}
+	if parts := partNames(victims); parts != "" {
+		fields = append(fields, "parts", parts)
+	}
+	return fields
+}
+
+// mostLoggedSuspects bounds the parts that a line names.
+const mostLoggedSuspects = 16
+
+// partNames lists the parts of prompts that may have caused a crash, by their IDs and digests.
+func partNames(victims []quarantine.Victim) string {
+	var list []string
+	for _, victim := range victims {
+		for _, part := range victim.Parts {
+			if name := loggedID(part.ID) + "=" + part.Digest.String(); len(list) < mostLoggedSuspects && !slices.Contains(list, name) {
+				list = append(list, name)
+			}
+		}
+	}
+	return strings.Join(list, ",")
+}
+
 // names lists contents for the log.
 func names(victims []quarantine.Victim) string {
 	list := make([]string, 0, len(victims))
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -40,8 +40,8 @@
 	peersDropped  tally.Gauge
 	// peersSilent counts the connections to other daemons that were given up as silent.
 	peersSilent tally.Gauge
-	// quarantined is the number of contents that are held.
-	quarantined tally.Gauge
+	// quarantined is the number of contents that are held, quarantinedParts that of parts of prompts.
+	quarantined, quarantinedParts tally.Gauge
 	// notices counts what servers said of themselves that was new, unreadableNotices what could not be
 	// read of that.
 	notices           tally.Counter
@@ -115,8 +115,8 @@
 		inProgress: root.Gauge("requests_in_progress"), configuration: root.Gauge("configuration_version"),
 		instances: root.Gauge("instances"), daemons: root.Gauge("live_daemons"), leaseHeld: root.Gauge("lease_held"), storeEra: root.Gauge("store_era"),
 		linesDropped: root.Gauge("log_lines_dropped"), peersDropped: root.Gauge("peer_messages_dropped"), peersSilent: root.Gauge("peer_connections_silent"),
-		quarantined: root.Gauge("contents_quarantined"),
-		yielded:     root.Counter("requests_yielded"), yieldedMillis: root.Counter("requests_yielded_ms"),
+		quarantined: root.Gauge("contents_quarantined"), quarantinedParts: root.Gauge("prompt_parts_quarantined"),
+		yielded: root.Counter("requests_yielded"), yieldedMillis: root.Counter("requests_yielded_ms"),
 		notices: root.Counter("instance_notices"), unreadableNotices: root.Counter("instance_notices_unreadable"),
 		leaving: root.Gauge("instances_leaving"), limited: root.Gauge("instances_limited"), resting: root.Gauge("instances_resting"),
 		paces: root.Gauge("instances_with_pace"), leastSlowness: root.Gauge("slowness_least"), mostSlowness: root.Gauge("slowness_most"),
@@ -255,7 +255,9 @@
 	counts := d.peers.Counts()
 	d.metrics.peersDropped.Update(float64(counts.Dropped))
 	d.metrics.peersSilent.Update(float64(counts.Silent))
-	d.metrics.quarantined.Update(float64(d.quarantine.heldCount(now)))
+	contents, parts := d.quarantine.heldCounts(now)
+	d.metrics.quarantined.Update(float64(contents))
+	d.metrics.quarantinedParts.Update(float64(parts))
 	d.metrics.evacuated.Update(float64(d.node.EvacuatedZones()))
 	d.metrics.parked.Update(float64(d.node.ParkedModels()))
 }
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -139,6 +139,9 @@
 	if event.Content != "" {
 		fields = append(fields, "content", event.Content)
 	}
+	if event.HeldFor != "" {
+		fields = append(fields, "held_for", event.HeldFor)
+	}
 	if event.TellsPrompt() && len(event.Request.Prompt) > 0 {
 		fields = append(fields, "prompt", loggedPrompt(event.Request.Prompt))
 	}
--- a/entry/promptpart_test.go
+++ b/entry/promptpart_test.go
@@ -214,6 +214,7 @@
 				late++
 			}
 		}
+		t.Logf("%d servers crashed under part %s, %d sends came late", len(runs), part, late)
 		if late > 0 {
 			t.Errorf("part %s was sent %d times later than %v after the fifth crash, want none", part, late, contactSpan)
 		}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -42,6 +42,7 @@
 	watch  *crashWatch
 	// suspects says that the book is not empty.
 	suspects atomic.Bool
+	sound    *soundParts
 	kept     *ring.Ring[keptChange]
 	// turns has copies of a suspected content run one after the other, over all daemons.
 	turns *limiter.Limiter
@@ -62,7 +63,7 @@
 func newQuarantineKeeper(d *Daemon) *quarantineKeeper {
 	k := &quarantineKeeper{
 		daemon: d, hasher: quarantine.NewHasher(d.current().DeploymentKey), watch: newCrashWatch(),
-		book: quarantine.NewBook(), kept: ring.New[keptChange](keptRing),
+		book: quarantine.NewBook(), sound: newSoundParts(), kept: ring.New[keptChange](keptRing),
 	}
 	k.watch.now = d.clock.Now
 	k.watch.probe = d.upstream.Probe
@@ -77,6 +78,9 @@
 	return k
 }
 
+// mostTurns bounds the turns that one request needs.
+const mostTurns = 4
+
 // suspectRate is how many copies of a suspected content may begin to run in a second, over all daemons.
 const suspectRate = 1
 
@@ -98,22 +102,30 @@
 // Limited implements limiter.Subjects.
 func (suspectedContents) Limited() []string { return nil }
 
-// SuspectTurn implements gateway.Quarantine.
-func (k *quarantineKeeper) SuspectTurn(ctx context.Context, content quarantine.Digest) gateway.Turn {
+// SuspectTurn implements gateway.Quarantine. A request with several suspects needs a turn of each.
+func (k *quarantineKeeper) SuspectTurn(ctx context.Context, request *quarantine.Attributes) gateway.Turn {
 	now := k.daemon.clock.Now()
 	k.mutex.Lock()
-	suspected, pendingUntil := k.book.Suspects(now, content), k.book.PendingUntil(now, content)
+	suspects, pendingUntil := k.book.SuspectsOf(now, request), k.book.RequestPendingUntil(now, request)
 	k.mutex.Unlock()
-	switch {
-	case !suspected:
-		return gateway.Turn{Granted: true}
-	case !pendingUntil.IsZero():
+	if !pendingUntil.IsZero() {
 		return gateway.Turn{Limited: true, Wait: pendingUntil.Sub(now)}
 	}
+	turn := gateway.Turn{Granted: true}
+	for _, suspect := range suspects[:min(len(suspects), mostTurns)] {
+		if turn = k.takeTurn(ctx, suspect); !turn.Granted {
+			return turn
+		}
+	}
+	return turn
+}
+
+// takeTurn takes a turn of one suspect.
+func (k *quarantineKeeper) takeTurn(ctx context.Context, suspect quarantine.Digest) gateway.Turn {
 	limit := quota.Limit{PerSecond: suspectRate}
-	outcome := k.turns.Take(ctx, limiter.Request{Subject: content.String(), Limit: limit, Cost: 1})
+	outcome := k.turns.Take(ctx, limiter.Request{Subject: suspect.String(), Limit: limit, Cost: 1})
 	if outcome.Granted {
-		k.watch.log("Turn granted.", "content", content.String(), "granted_by", outcome.AnsweredBy)
+		k.watch.log("Turn granted.", "content", suspect.String(), "granted_by", outcome.AnsweredBy)
 	}
 	return turnOf(outcome, limit)
 }
@@ -126,15 +138,19 @@
 	return k.hasher.Sum(content)
 }
 
+// PartDigest implements gateway.Quarantine.
+func (k *quarantineKeeper) PartDigest(id string) quarantine.Digest { return k.hasher.Part(id) }
+
 // HeldUntil implements gateway.Quarantine.
-func (k *quarantineKeeper) HeldUntil(content quarantine.Digest) time.Time {
+func (k *quarantineKeeper) HeldUntil(request *quarantine.Attributes) (until time.Time, cause quarantine.Digest) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.book.HeldUntil(k.daemon.clock.Now(), content)
+	return k.book.RequestHeldUntil(k.daemon.clock.Now(), request)
 }
 
 // Broke implements gateway.Quarantine.
 func (k *quarantineKeeper) Broke(instance *fleet.Instance, victim quarantine.Victim) {
+	victim.Parts = k.sound.unproven(k.daemon.clock.Now(), victim.Parts)
 	k.watch.broke(k.daemon.clock.Now(), instance, victim)
 }
 
@@ -144,15 +160,20 @@
 }
 
 // Served implements gateway.Quarantine.
-func (k *quarantineKeeper) Served(content quarantine.Digest) {
+func (k *quarantineKeeper) Served(request *quarantine.Attributes) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	now := k.daemon.clock.Now()
-	if k.book.Suspects(now, content) {
-		k.take(k.book.Served(now, content), true)
+	for _, suspect := range k.book.SuspectsOf(now, request) {
+		k.take(k.book.Served(now, suspect), true)
 	}
 }
 
+// Sound implements gateway.Quarantine.
+func (k *quarantineKeeper) Sound(prompt []gateway.PromptPart) {
+	k.sound.add(k.daemon.clock.Now(), prompt)
+}
+
 // Answered implements gateway.Quarantine.
 func (k *quarantineKeeper) Answered(instance string, began time.Time) {
 	k.watch.served(instance, began)
@@ -192,7 +213,22 @@
 func (k *quarantineKeeper) learn(update quarantine.Update) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.take(k.book.Learn(k.daemon.clock.Now(), update), false)
+	now := k.daemon.clock.Now()
+	k.take(k.book.Learn(now, update), false)
+	k.clearSound(now, &update)
+}
+
+// clearSound clears the parts of an update that were in answers which ended well here a moment ago. Gossip carries that on.
+func (k *quarantineKeeper) clearSound(now time.Time, update *quarantine.Update) {
+	for i := range update.Items {
+		item := &update.Items[i]
+		if item.Kind != quarantine.KindPart || !k.book.Suspects(now, item.Digest) {
+			continue
+		}
+		if k.sound.proves(now, k.hasher, item.Digest) {
+			k.take(k.book.Served(now, item.Digest), false)
+		}
+	}
 }
 
 // take acts on a change of the book. What this daemon found out itself is told to the others.
@@ -250,13 +286,26 @@
 func (k *quarantineKeeper) verdict(text string, content quarantine.Digest) {
 	now := k.daemon.clock.Now()
 	until := k.book.HeldUntil(now, content)
-	fields := []any{"content", content.String(), "crashes", crashesOf(k.book.Evidence(now, content))}
+	evidence := k.book.Evidence(now, content)
+	fields := []any{"content", content.String(), "kind", evidence.Kind.String(), "crashes", crashesOf(evidence)}
 	if !until.IsZero() {
 		fields = append(fields, "for_s", int(until.Sub(now).Seconds()))
 	}
+	if together := k.book.Together(content); len(together) > 0 {
+		fields = append(fields, "together_with", digestsOf(together))
+	}
 	k.watch.log(text, fields...)
 }
 
+// digestsOf lists digests for the log.
+func digestsOf(digests []quarantine.Digest) string {
+	var list []string
+	for _, digest := range digests {
+		list = append(list, digest.String())
+	}
+	return strings.Join(list, ",")
+}
+
 // crashesOf lists the crashes under a content for the log, each with its age.
 func crashesOf(item quarantine.Item) string {
 	var list []string
@@ -298,12 +347,12 @@
 	return k.book.Newest(now, crashGossipSpan)
 }
 
-// heldCount returns how many contents are held.
-func (k *quarantineKeeper) heldCount(now time.Time) int {
+// heldCounts returns how many contents and how many parts of prompts are held.
+func (k *quarantineKeeper) heldCounts(now time.Time) (contents, parts int) {
 	if !k.Suspects() {
-		return 0
+		return 0, 0
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return len(k.book.Held(now))
+	return len(k.book.Held(now, quarantine.KindContent)), len(k.book.Held(now, quarantine.KindPart))
 }
--- a/entry/quarantinekept.go
+++ b/entry/quarantinekept.go
@@ -58,7 +58,7 @@
 		switch {
 		case item.Gone:
 		case item.Value.Forgotten():
-			k.kept.Offer(keptChange{content: item.Value.Content, dropped: true})
+			k.kept.Offer(keptChange{content: item.Value.Digest, dropped: true})
 		default:
 			update.Items = append(update.Items, item.Value)
 		}
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -47,10 +47,10 @@
 	ReasonNoSoftware Reason = "no_software"
 	// ReasonLeaving says that an instance has said that it takes no new requests.
 	ReasonLeaving Reason = "leaving"
-	// ReasonQuarantined says that servers crashed under requests of this content.
+	// ReasonQuarantined says that servers crashed under requests of this content, or with a part of this prompt.
 	ReasonQuarantined Reason = "quarantined"
-	// ReasonSuspected says that a server has crashed under a request of this content, and that copies of it
-	// go one after the other until that is decided.
+	// ReasonSuspected says that a server has crashed under a request of this content or with a part of this prompt,
+	// and that such requests go one after the other until that is decided.
 	ReasonSuspected Reason = "suspected"
 	// ReasonYields says that a background request leaves its server to more urgent ones until its slack ends.
 	ReasonYields      Reason = "yields"
@@ -146,6 +146,8 @@
 	Left time.Duration
 	// Content is the digest of the request's content; empty where nothing asked for it.
 	Content string
+	// HeldFor is the digest of the content or part that the request is held for; empty if it is not.
+	HeldFor string
 	// Load is what the instance was believed to have to do.
 	Load balance.Load
 	// Forecast is the predicted time of the first token after the choice; zero if there is
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -49,8 +49,9 @@
 	contentTurnEnds time.Time
 	// comeBack is when there may be a turn where there is none, or when a rest ends.
 	comeBack time.Duration
-	// content is the digest of the request's content, or nil while nothing asked for it.
-	content  *quarantine.Digest
+	// judgedBy is what the request is judged by, or nil while nothing asked for it; heldFor is what it is held for.
+	judgedBy *quarantine.Attributes
+	heldFor  quarantine.Digest
 	deadline time.Time
 	// firstBy is when the client leaves if nothing has come by then.
 	firstBy time.Time
@@ -227,7 +228,7 @@
 	}
 	switch {
 	case reason == ReasonQuarantined:
-		retryAfter = e.heldFor()
+		retryAfter = e.heldLeft()
 	case reason == ReasonAtLimit, reason == ReasonResting, reason == ReasonSuspected:
 		retryAfter = max(e.comeBack, e.gateway.settings.RetryAfter)
 	case reason == ReasonQuota:
@@ -258,8 +259,11 @@
 	if e.phase == PhaseAnswering && event.endsAnswer() {
 		event.Framing = e.framing
 	}
-	if e.content != nil {
-		event.Content = e.content.String()
+	if e.judgedBy != nil {
+		event.Content = e.judgedBy.Content.String()
+	}
+	if event.Reason == ReasonQuarantined {
+		event.HeldFor = e.heldFor.String()
 	}
 	if !e.pace.firstAt.IsZero() {
 		event.FirstEvent = e.pace.firstAt.Sub(e.request.Arrived)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -10,18 +10,22 @@
 	"github.com/wheatweir/wheatweir/quota"
 )
 
-// Quarantine finds contents that crash the instances that run them. Only SuspectTurn and Settled block.
+// Quarantine finds contents, and parts that prompts share, which crash the instances that run them. Only SuspectTurn and
+// Settled block.
 type Quarantine interface {
 	// Suspects reports whether any content is suspected. While none is, which is nearly always,
 	// requests need no digest.
 	Suspects() bool
 	Digest(content *quarantine.Content) quarantine.Digest
-	// HeldUntil returns until when a content is kept from instances; the zero time if it is not.
-	HeldUntil(content quarantine.Digest) time.Time
-	// SuspectTurn takes the right to run a content now under which a server has crashed: of all its copies in the
-	// fleet, the next one runs only when there was time for a verdict on the one before. A content that
-	// is not suspected has it always.
-	SuspectTurn(ctx context.Context, content quarantine.Digest) Turn
+	// PartDigest returns the digest of a shared part of prompts by its ID.
+	PartDigest(id string) quarantine.Digest
+	// HeldUntil returns until when a request is kept from instances, and for which content or part; the zero time if it
+	// is not.
+	HeldUntil(request *quarantine.Attributes) (until time.Time, cause quarantine.Digest)
+	// SuspectTurn takes the right to run a request now although a server has crashed under its content or one of its
+	// parts: of all such requests in the fleet, the next one runs only when there was time for a verdict on the one
+	// before. A request of which nothing is suspected has it always.
+	SuspectTurn(ctx context.Context, request *quarantine.Attributes) Turn
 	// Broke notes that an instance ended the connection of a request that it ran. Whether it
 	// crashed is still to be found out.
 	Broke(instance *fleet.Instance, victim quarantine.Victim)
@@ -30,23 +34,36 @@
 	Settled(ctx context.Context, instance *fleet.Instance)
 	// Served notes that a run ended well, and Answered that an instance served a run that began at
 	// a moment.
-	Served(content quarantine.Digest)
+	Served(request *quarantine.Attributes)
 	Answered(instance string, began time.Time)
+	// Sound notes that a run with a prompt ended well. It is told of all of them, also while nothing is suspected.
+	Sound(prompt []PromptPart)
 }
 
-// digest returns the digest of the request's content.
-func (e *exchange) digest() quarantine.Digest {
-	if e.content == nil {
+// attributes returns what the request is judged by.
+func (e *exchange) attributes() *quarantine.Attributes {
+	if e.judgedBy == nil {
 		request := e.request
-		digest := e.gateway.settings.Quarantine.Digest(&quarantine.Content{
+		known := e.gateway.settings.Quarantine
+		e.judgedBy = &quarantine.Attributes{Content: known.Digest(&quarantine.Content{
 			Caller: request.Key, Method: request.Method, Host: request.RouteHost, URI: request.URI, Body: request.Body,
-		})
-		e.content = &digest
+		})}
+		for _, part := range sharedParts(request.Prompt) {
+			e.judgedBy.Parts = append(e.judgedBy.Parts, quarantine.Part{ID: part.ID, Digest: known.PartDigest(part.ID)})
+		}
 	}
-	return *e.content
+	return e.judgedBy
+}
+
+// mostSharedParts bounds the parts of a prompt that are judged.
+const mostSharedParts = 32
+
+// sharedParts returns the parts of a prompt that other requests may share: all but the last one.
+func sharedParts(prompt []PromptPart) []PromptPart {
+	return prompt[:min(mostSharedParts, max(0, len(prompt)-1))]
 }
 
-// suspected reports whether there is any content that this one may be.
+// suspected reports whether there is any content or part that this request may have.
 func (e *exchange) suspected() bool {
 	return e.gateway.settings.Quarantine != nil && e.gateway.settings.Quarantine.Suspects()
 }
@@ -54,7 +71,12 @@
 // held reports whether the request must not reach an instance. It is looked at when the request
 // arrives, while it waits and just before each send: others may have run the same content meanwhile.
 func (e *exchange) held() bool {
-	return e.suspected() && !e.gateway.settings.Quarantine.HeldUntil(e.digest()).IsZero()
+	if !e.suspected() {
+		return false
+	}
+	until, cause := e.gateway.settings.Quarantine.HeldUntil(e.attributes())
+	e.heldFor = cause
+	return !until.IsZero()
 }
 
 // verdictPause is the pause between two looks of a request that waits for the verdict on its content: another copy
@@ -80,7 +102,7 @@
 		if e.held() {
 			return verdictWaited
 		}
-		turn := e.gateway.settings.Quarantine.SuspectTurn(ctx, e.digest())
+		turn := e.gateway.settings.Quarantine.SuspectTurn(ctx, e.attributes())
 		if turn.Granted {
 			e.contentTurnEnds = e.gateway.Now().Add(quota.AllowanceSpan)
 			break
@@ -98,9 +120,10 @@
 	return outcome
 }
 
-// heldFor is how long the content is still held.
-func (e *exchange) heldFor() time.Duration {
-	return max(0, e.until(e.gateway.settings.Quarantine.HeldUntil(e.digest())))
+// heldLeft is how long the request is still held.
+func (e *exchange) heldLeft() time.Duration {
+	until, _ := e.gateway.settings.Quarantine.HeldUntil(e.attributes())
+	return max(0, e.until(until))
 }
 
 // brokenBy notes that an instance ended the request's connection, unless the client or this daemon did.
@@ -108,7 +131,9 @@
 	if e.gateway.settings.Quarantine == nil || ctx.Err() != nil || blame(ctx, balance.Broken) != balance.Broken {
 		return
 	}
-	e.gateway.settings.Quarantine.Broke(instance, quarantine.Victim{Content: e.digest(), Began: e.sentAt})
+	e.gateway.settings.Quarantine.Broke(instance, quarantine.Victim{
+		Content: e.attributes().Content, Parts: e.attributes().Parts, Began: e.sentAt,
+	})
 }
 
 // settle waits after a broken attempt, if there may be another one.
@@ -118,12 +143,34 @@
 	}
 }
 
-// endedWell notes that an instance ran the request to a good end: the content is harmless.
+// endedWell notes that an instance ran the request to a good end: its content and its parts are harmless.
 func (e *exchange) endedWell(instance string) {
-	if e.gateway.settings.Quarantine != nil {
-		e.gateway.settings.Quarantine.Answered(instance, e.sentAt)
+	known := e.gateway.settings.Quarantine
+	if known == nil {
+		return
+	}
+	known.Answered(instance, e.sentAt)
+	if e.speaksForParts() {
+		known.Sound(e.request.Prompt)
 	}
-	if e.suspected() {
-		e.gateway.settings.Quarantine.Served(e.digest())
+	if !e.suspected() {
+		return
+	}
+	served := *e.attributes()
+	if !e.speaksForParts() {
+		served.Parts = nil
+	}
+	known.Served(&served)
+}
+
+// longAnswer is how long an answer has to go on to show that its instance did not crash as it began to write.
+const longAnswer = 500 * time.Millisecond
+
+// speaksForParts reports whether the good end of the answer shows that the parts of its prompt are harmless. The end of one
+// that ends with its connection may be a crash between two events; then only its length tells.
+func (e *exchange) speaksForParts() bool {
+	if len(e.request.Prompt) < 2 {
+		return false
 	}
+	return e.framing != FramedByConnection || !e.pace.firstAt.IsZero() && e.since(e.pace.firstAt) >= longAnswer
 }
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -24,6 +24,9 @@
 	settled   int
 	served    int
 	digests   int
+	// servedParts are the parts of the last request that ended well, sound the prompts that were told to be harmless.
+	servedParts []quarantine.Part
+	sound       [][]gateway.PromptPart
 	// turnAt is when the content has a turn; it has one always by default.
 	turnAt time.Time
 	// clearedAt is when nothing is suspected any more; zero for never.
@@ -42,14 +45,18 @@
 	return quarantine.NewHasher("secret").Sum(content)
 }
 
-func (q *fakeQuarantine) HeldUntil(quarantine.Digest) time.Time {
+func (q *fakeQuarantine) PartDigest(id string) quarantine.Digest {
+	return quarantine.NewHasher("secret").Part(id)
+}
+
+func (q *fakeQuarantine) HeldUntil(request *quarantine.Attributes) (time.Time, quarantine.Digest) {
 	if q.heldFrom.IsZero() || time.Now().Before(q.heldFrom) {
-		return time.Time{}
+		return time.Time{}, quarantine.Digest{}
 	}
-	return q.heldFrom.Add(heldFor)
+	return q.heldFrom.Add(heldFor), request.Content
 }
 
-func (q *fakeQuarantine) SuspectTurn(context.Context, quarantine.Digest) gateway.Turn {
+func (q *fakeQuarantine) SuspectTurn(context.Context, *quarantine.Attributes) gateway.Turn {
 	wait := max(0, time.Until(q.turnAt))
 	if wait == 0 {
 		q.turns++
@@ -66,8 +73,12 @@
 }
 
 func (q *fakeQuarantine) Settled(context.Context, *fleet.Instance) { q.settled++ }
-func (q *fakeQuarantine) Served(quarantine.Digest)                 { q.served++ }
-func (q *fakeQuarantine) Answered(string, time.Time)               {}
+func (q *fakeQuarantine) Served(request *quarantine.Attributes) {
+	q.served++
+	q.servedParts = request.Parts
+}
+func (q *fakeQuarantine) Sound(prompt []gateway.PromptPart) { q.sound = append(q.sound, prompt) }
+func (q *fakeQuarantine) Answered(string, time.Time)        {}
 
 // serveQuarantined serves one request under a quarantine.
 func serveQuarantined(upstream gateway.Upstream, held *fakeQuarantine, sent *gateway.Request, view *fleet.View) *client {
@@ -220,3 +231,44 @@
 		}
 	})
 }
+
+// TestSharedPartsOfPromptsAreJudged covers which parts of a prompt a request is judged by: all but the last one, which is
+// its own.
+func TestSharedPartsOfPromptsAreJudged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			prompt []gateway.PromptPart
+			want   int
+		}{
+			{nil, 0},
+			{[]gateway.PromptPart{{ID: "own"}}, 0},
+			{[]gateway.PromptPart{{ID: "first"}, {ID: "second"}, {ID: "own"}}, 2},
+			{make([]gateway.PromptPart, 100), 32},
+		} {
+			known := &fakeQuarantine{}
+			sent := request("safe")
+			sent.Prompt = c.prompt
+			serveQuarantined(&script{answers: []answer{{err: gateway.ErrUnknown.New("reset")}, {status: 200, body: "well"}}}, known, sent, view())
+			if len(known.broke) != 1 || len(known.broke[0].Parts) != c.want || len(known.servedParts) != c.want {
+				t.Errorf("prompt of %d parts: broke %v, served %v", len(c.prompt), known.broke, known.servedParts)
+			}
+			if told := len(known.sound) == 1; told != (c.want > 0) {
+				t.Errorf("prompt of %d parts: told as harmless %v", len(c.prompt), known.sound)
+			}
+		}
+	})
+}
+
+// TestAnswerThatEndsWithItsConnectionSpeaksForNoPart covers a server that crashes between two events of an answer without
+// a length or chunks, which looks like the end of it.
+func TestAnswerThatEndsWithItsConnectionSpeaksForNoPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		known := &fakeQuarantine{suspects: true}
+		sent := request("safe")
+		sent.Prompt = []gateway.PromptPart{{ID: "first"}, {ID: "own"}}
+		serveQuarantined(&script{answers: []answer{{status: 200, body: "well", framing: gateway.FramedByConnection}}}, known, sent, view())
+		if known.served != 1 || len(known.servedParts) > 0 || len(known.sound) > 0 {
+			t.Errorf("served %d times with parts %v, told as harmless %v", known.served, known.servedParts, known.sound)
+		}
+	})
+}
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -22,9 +22,9 @@
 	// clearedSpan is how long it is remembered of a content that no crash counts against it: as long
 	// as somebody may still tell of one of those.
 	clearedSpan = time.Minute
-	// mostContents bounds the contents that are remembered, to about 1 MB. A crash adds up to 64, so
-	// 64 crashes fit in.
-	mostContents = 4096
+	// mostContents bounds the contents and parts that are remembered, to about 2 MB. A crash adds up to 64
+	// contents, and about as many parts that no answer has cleared.
+	mostContents = 8192
 	// durableCrashes is the number of crashes from which the evidence against a content is kept in the store, so that
 	// it survives the loss of all daemons before the content is held. Harmless contents reach it occasionally.
 	durableCrashes = crashLimit - 1
@@ -54,8 +54,9 @@
 	return !c.void && c.unconfirmed && now.Sub(c.at) < confirmSpan
 }
 
-// record is what is known of one content.
+// record is what is known of one content or part.
 type record struct {
+	kind    Kind
 	crashes map[string]crash
 	// counted is how many of them count, see count.
 	counted int
@@ -63,6 +64,8 @@
 	// changedAt is when something new was last learned.
 	changedAt time.Time
 	held      bool
+	// together are the parts that were at the same crashes as this one: a request that has all of them is held.
+	together []Digest
 	// durable is set if the evidence must be kept in the store.
 	durable bool
 	// witnessed says that this daemon itself sent the content to a server that crashed.
@@ -80,11 +83,12 @@
 	return servers
 }
 
-// Book holds which contents ran on servers that crashed. Books that have learned the same come to
+// Book holds which contents, and which shared parts of prompts, ran on servers that crashed. Books that have learned the same come to
 // the same verdicts, whatever the order. A Book is not safe for concurrent use.
 type Book struct {
-	// limit is how many crashes hold a content.
-	limit   int
+	// limit is how many crashes hold a content, partLimit how many hold a part.
+	limit, partLimit int
+
 	records map[Digest]*record
 	// victims are the contents that ran on a server when it crashed.
 	victims map[string][]Digest
@@ -92,7 +96,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{limit: crashLimit, records: map[Digest]*record{}, victims: map[string][]Digest{}}
+	return &Book{limit: crashLimit, partLimit: partCrashLimit, records: map[Digest]*record{}, victims: map[string][]Digest{}}
 }
 
 // Empty reports whether no content is suspected.
@@ -108,10 +112,10 @@
 // the zero time if it may run.
 func (b *Book) PendingUntil(now time.Time, content Digest) time.Time {
 	known := b.records[content]
-	if known == nil || known.counted >= b.limit {
+	if known == nil || known.counted >= b.limitOf(known.kind) {
 		return time.Time{}
 	}
-	if known.longestChain(func(seen crash) bool { return seen.counts() || seen.pending(now) }) < b.limit {
+	if known.longestChain(func(seen crash) bool { return seen.counts() || seen.pending(now) }) < b.limitOf(known.kind) {
 		return time.Time{}
 	}
 	return known.confirmDeadline(now)
@@ -154,9 +158,11 @@
 	Durable, NoLongerDurable []Digest
 }
 
-// Victim is a content that ran on a server when it crashed.
+// Victim is a request that ran on a server when it crashed.
 type Victim struct {
 	Content Digest
+	// Parts are the shared parts of its prompt that may be the cause.
+	Parts []Part
 	// Began is when the first of its runs that the crash ended had begun.
 	Began time.Time
 }
@@ -173,20 +179,33 @@
 
 func (b *Book) note(now, at time.Time, server string, victims []Victim, unconfirmed bool) Change {
 	var told Update
-	for _, victim := range victims {
-		told.Items = append(told.Items, Item{Content: victim.Content, Crashes: []Told{{
-			Server: server, Age: now.Sub(at), Ran: max(0, at.Sub(victim.Began)), Unconfirmed: unconfirmed,
-		}}})
+	left := mostTellingParts
+	for _, victim := range lastBegunFirst(victims) {
+		crash := Told{Server: server, Age: now.Sub(at), Ran: max(0, at.Sub(victim.Began)), Unconfirmed: unconfirmed}
+		told.Items = append(told.Items, Item{Digest: victim.Content, Crashes: []Told{crash}})
+		for _, part := range victim.Parts[:min(len(victim.Parts), left)] {
+			left--
+			told.Items = append(told.Items, Item{Digest: part.Digest, Kind: KindPart, Crashes: []Told{crash}})
+		}
 	}
 	change := b.Learn(now, told)
-	for _, victim := range victims {
-		if known := b.records[victim.Content]; known != nil {
+	for i := range told.Items {
+		if known := b.records[told.Items[i].Digest]; known != nil {
 			known.witnessed = true
 		}
 	}
 	return change
 }
 
+// mostTellingParts bounds the parts that one daemon tells of one crash.
+const mostTellingParts = 128
+
+// lastBegunFirst orders victims so that the most likely causes come first: a server crashes soon after it has begun to
+// run the request that ends it.
+func lastBegunFirst(victims []Victim) []Victim {
+	return slices.SortedStableFunc(slices.Values(victims), func(one, other Victim) int { return other.Began.Compare(one.Began) })
+}
+
 // Witnessed reports whether this daemon itself sent a content to a server that crashed.
 func (b *Book) Witnessed(content Digest) bool {
 	known := b.records[content]
@@ -199,7 +218,7 @@
 	if known == nil {
 		return Change{}
 	}
-	item := Item{Content: content}
+	item := Item{Digest: content, Kind: known.kind}
 	for _, server := range known.live() {
 		item.Crashes = append(item.Crashes, known.crashes[server].told(now, server))
 		item.Crashes[len(item.Crashes)-1].Void = true
@@ -212,9 +231,9 @@
 	var change Change
 	for i := range update.Items {
 		item := &update.Items[i]
-		added := Item{Content: item.Content}
+		added := Item{Digest: item.Digest, Kind: item.Kind}
 		for _, told := range item.Crashes {
-			if b.learn(now, item.Content, told) {
+			if b.learn(now, item, told) {
 				added.Crashes = append(added.Crashes, told)
 			}
 		}
@@ -224,19 +243,19 @@
 	}
 	for content := range b.affected(&change.News) {
 		known := b.records[content]
-		before, durable := known.held, known.durable
-		known.held = b.guilty(content)
+		before, durable := known.holds(), known.durable
+		b.judge(content, known)
 		known.durable = known.counted >= durableCrashes
 		switch {
-		case known.durable && (!durable || known.held && !before):
+		case known.durable && (!durable || known.holds() && !before):
 			change.Durable = append(change.Durable, content)
 		case durable && !known.durable:
 			change.NoLongerDurable = append(change.NoLongerDurable, content)
 		}
 		switch {
-		case known.held && !before:
+		case known.holds() && !before:
 			change.Held = append(change.Held, content)
-		case !known.held && before:
+		case !known.holds() && before:
 			change.Released = append(change.Released, content)
 		}
 	}
@@ -248,7 +267,7 @@
 func (b *Book) affected(changed *Update) map[Digest]bool {
 	found := map[Digest]bool{}
 	for i := range changed.Items {
-		known := b.records[changed.Items[i].Content]
+		known := b.records[changed.Items[i].Digest]
 		if known == nil {
 			continue
 		}
@@ -261,8 +280,9 @@
 	return found
 }
 
-// learn takes in one crash under a content and reports whether it says something new.
-func (b *Book) learn(now time.Time, content Digest, told Told) bool {
+// learn takes in one crash under a content or part and reports whether it says something new.
+func (b *Book) learn(now time.Time, item *Item, told Told) bool {
+	content := item.Digest
 	said := told.crash(now)
 	if now.Sub(said.at) >= rememberSpan {
 		return false
@@ -270,7 +290,7 @@
 	known := b.records[content]
 	if known == nil {
 		b.makeRoom(now)
-		known = &record{crashes: map[string]crash{}}
+		known = &record{kind: item.Kind, crashes: map[string]crash{}}
 		b.records[content] = known
 	}
 	before, seen := known.crashes[told.Server]
@@ -325,53 +345,3 @@
 	}
 	return count
 }
-
-// guilty decides whether a content is held: whether it was there at enough crashes. What runs beside the cause of several crashes is there at
-// some of them; the cause is there at all of its own. So a crash does not count against a content if
-// another one, which was there too, was there at more crashes. Of two that were there at the same
-// ones either may be the cause: then one crash more is waited for.
-func (b *Book) guilty(content Digest) bool {
-	known := b.records[content]
-	if known.counted < b.limit {
-		return false
-	}
-	unexplained, tied := 0, false
-	for server, seen := range known.crashes {
-		if !seen.counts() {
-			continue
-		}
-		most, same := b.strongest(server, content)
-		if most <= known.counted {
-			unexplained++
-		}
-		tied = tied || same
-	}
-	return unexplained >= b.limit && (!tied || known.counted > b.limit)
-}
-
-// strongest returns the most crashes that another content at a crash was there at, and whether one
-// of these was there at all the crashes of the content.
-func (b *Book) strongest(server string, content Digest) (most int, same bool) {
-	for _, other := range b.victims[server] {
-		if other == content || !b.records[other].crashes[server].counts() {
-			continue
-		}
-		most = max(most, b.records[other].counted)
-		same = same || b.sameCrashes(content, other)
-	}
-	return most, same
-}
-
-// sameCrashes reports whether two contents were there at the same crashes.
-func (b *Book) sameCrashes(one, other Digest) bool {
-	first, second := b.records[one], b.records[other]
-	if first.counted != second.counted {
-		return false
-	}
-	for server, seen := range first.crashes {
-		if known, found := second.crashes[server]; seen.counts() && (!found || !known.counts()) {
-			return false
-		}
-	}
-	return true
-}
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -219,7 +219,7 @@
 		var updates []Update
 		for range rapid.IntRange(1, 25).Draw(t, "updates") {
 			updates = append(updates, Update{Items: []Item{{
-				Content: named(rapid.SampledFrom(contents).Draw(t, "content")),
+				Digest: named(rapid.SampledFrom(contents).Draw(t, "content")),
 				Crashes: []Told{{
 					Server: fmt.Sprint(rapid.IntRange(0, 6).Draw(t, "server")),
 					Age:    time.Duration(rapid.IntRange(0, 40).Draw(t, "age")) * 50 * time.Millisecond,
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -54,6 +54,15 @@
 	return &Hasher{secret: sha256.Sum256([]byte("contents of requests " + secret))}
 }
 
+// Part returns the digest of a shared part of prompts by its ID.
+func (h *Hasher) Part(id string) Digest {
+	sum := sha256.New()
+	sum.Write(h.secret[:])
+	writePart(sum, "part of a prompt")
+	writePart(sum, id)
+	return cut(sum)
+}
+
 // Sum returns the digest of a content: a cut SHA-256 that begins with the secret. It takes some 1.2 µs
 // and 7 allocations for a body of 600 B and 0.9 ms for one of 1 MiB (BenchmarkDigest, on a busy
 // machine), so it is computed only while some content is suspected.
@@ -65,6 +74,11 @@
 	writePart(sum, content.Host)
 	writePart(sum, content.URI)
 	sum.Write(content.Body)
+	return cut(sum)
+}
+
+// cut returns the first bytes of a sum.
+func cut(sum hash.Hash) Digest {
 	var whole [sha256.Size]byte
 	var digest Digest
 	copy(digest[:], sum.Sum(whole[:0]))
--- a/quarantine/digest_test.go
+++ b/quarantine/digest_test.go
@@ -57,3 +57,22 @@
 		})
 	}
 }
+
+// TestDigestsOfPartsAreTheirOwn covers a part whose ID is what a content is made of: they must not be taken for each other.
+func TestDigestsOfPartsAreTheirOwn(t *testing.T) {
+	hasher := NewHasher("secret")
+	if hasher.Part("x") == hasher.Part("y") || hasher.Part("x") == NewHasher("other").Part("x") || hasher.Part("x") == hasher.Sum(&Content{URI: "x"}) {
+		t.Error("digests of different things are the same")
+	}
+	if again := NewHasher("secret").Part("x"); hasher.Part("x") != again {
+		t.Error("two digests of one part")
+	}
+}
+
+func BenchmarkPartDigest(b *testing.B) {
+	hasher := NewHasher("secret")
+	b.ReportAllocs()
+	for b.Loop() {
+		hasher.Part("5c1e07a2")
+	}
+}
--- a/quarantine/update.go
+++ b/quarantine/update.go
@@ -23,9 +23,10 @@
 	}
 }
 
-// Item is what is told of one content.
+// Item is what is told of one content or part.
 type Item struct {
-	Content Digest `msgpack:"c"`
+	Digest  Digest `msgpack:"c"`
+	Kind    Kind   `msgpack:"k,omitempty"`
 	Crashes []Told `msgpack:"s"`
 }
 
@@ -68,7 +69,7 @@
 	var held, fresh []Item
 	for content, known := range b.records {
 		switch {
-		case known.held:
+		case known.holds():
 			held = append(held, known.item(now, content))
 		case now.Sub(known.changedAt) < span:
 			fresh = append(fresh, known.item(now, content))
@@ -82,13 +83,13 @@
 func (b *Book) Evidence(now time.Time, content Digest) Item {
 	known := b.records[content]
 	if known == nil {
-		return Item{Content: content}
+		return Item{Digest: content}
 	}
 	return known.item(now, content)
 }
 
 func (r *record) item(now time.Time, content Digest) Item {
-	item := Item{Content: content}
+	item := Item{Digest: content, Kind: r.kind}
 	for server, known := range r.crashes {
 		item.Crashes = append(item.Crashes, known.told(now, server))
 	}
@@ -107,11 +108,11 @@
 	return contents
 }
 
-// Held returns the contents that are held.
-func (b *Book) Held(now time.Time) []Digest {
+// Held returns the contents or parts that are held, by themselves or together with others.
+func (b *Book) Held(now time.Time, kind Kind) []Digest {
 	var held []Digest
-	for content := range b.records {
-		if !b.HeldUntil(now, content).IsZero() {
+	for content, known := range b.records {
+		if known.kind == kind && known.holds() && now.Before(known.lastAt.Add(HoldSpan)) {
 			held = append(held, content)
 		}
 	}
