Keep the verdict on a part where news of its crashes is late, cut or repeated

Single daemons sent on requests with it seconds after the verdict. Three causes, each in what one book makes of the same news: - a good end voided only the crashes that its book knew; those told later counted again. Now it is told when the last run ended well, and crashes before that do not count. - a record takes 16 crashes and dropped the oldest. Others told the dropped ones again, each time as if a little later, until all lay at one moment and counted as one. Now a crash that is older than the last one comes in only if it lengthens the row, and what the row rests on stays. - books with other 16 crashes came to other counts. Now others say that they hold a part, which makes up for one crash, unless an answer has ended well since. A part that has ended well since it was suspected and is held all the same is held for 5 s only: nothing can clear it meanwhile.

--- a/coordination/world_test.go
+++ b/coordination/world_test.go
@@ -66,6 +66,8 @@
 	// latency is how long a message takes; nil means no time. under are those on their way.
 	latency func() time.Duration
 	under   []message
+	// cut reports whether messages between two nodes are lost; nil means that none are.
+	cut func(from, to string) bool
 }
 
 // message is one on its way.
@@ -150,6 +152,9 @@
 		switch action := action.(type) {
 		case coordination.SendPeer:
 			w.messages[name]++
+			if w.cut != nil && w.cut(name, action.Address) {
+				continue
+			}
 			if action.Message.Load != nil {
 				w.heardLoad[[2]string{name, action.Address}]++
 			}
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -16,6 +16,9 @@
 	// request with it reaches a server; if that crashes too, the content is held again. A cause that
 	// nobody mends so ends six servers an hour at most, beside those that are sent it at one moment.
 	HoldSpan = 10 * time.Minute
+	// doubtfulHoldSpan is how long a part is held that was in a good answer since it was first suspected. What is in most
+	// requests of a route may be at several crashes in a row by chance, and nothing clears it while it is held.
+	doubtfulHoldSpan = 5 * time.Second
 	// rememberSpan is how long crashes are remembered after the last one under their content.
 	// Forgetting a content costs the limit once more.
 	rememberSpan = time.Hour
@@ -61,6 +64,10 @@
 	// counted is how many of them count, see count.
 	counted int
 	lastAt  time.Time
+	// clearedAt is when the last run ended well: crashes before do not count, also those that are told later.
+	clearedAt time.Time
+	// heldElsewhereAt is when the last of the crashes happened by which another daemon holds the part.
+	heldElsewhereAt time.Time
 	// changedAt is when something new was last learned.
 	changedAt time.Time
 	held      bool
@@ -140,7 +147,16 @@
 	if known == nil || !known.held {
 		return time.Time{}
 	}
-	until := known.lastAt.Add(HoldSpan)
+	return known.holdsUntil(now)
+}
+
+// holdsUntil returns until when the record holds requests; the zero time if it no longer does.
+func (r *record) holdsUntil(now time.Time) time.Time {
+	span := HoldSpan
+	if r.kind == KindPart && !r.clearedAt.IsZero() {
+		span = doubtfulHoldSpan
+	}
+	until := r.lastAt.Add(span)
 	if !now.Before(until) {
 		return time.Time{}
 	}
@@ -218,7 +234,7 @@
 	if known == nil {
 		return Change{}
 	}
-	item := Item{Digest: content, Kind: known.kind}
+	item := Item{Digest: content, Kind: known.kind, Cleared: true}
 	for _, server := range known.live() {
 		item.Crashes = append(item.Crashes, known.crashes[server].told(now, server))
 		item.Crashes[len(item.Crashes)-1].Void = true
@@ -229,19 +245,25 @@
 // Learn takes in what another book knows.
 func (b *Book) Learn(now time.Time, update Update) Change {
 	var change Change
+	judged := map[Digest]bool{}
 	for i := range update.Items {
 		item := &update.Items[i]
 		added := Item{Digest: item.Digest, Kind: item.Kind}
-		for _, told := range item.Crashes {
+		for _, told := range slices.Concat(b.clear(now, item), item.Crashes) {
 			if b.learn(now, item, told) {
 				added.Crashes = append(added.Crashes, told)
 			}
 		}
 		if len(added.Crashes) > 0 {
+			added.Cleared, added.ClearedAge = b.records[item.Digest].cleared(now)
 			change.News.Items = append(change.News.Items, added)
 		}
+		if b.heldElsewhere(now, item) {
+			judged[item.Digest] = true
+		}
 	}
-	for content := range b.affected(&change.News) {
+	b.affected(&change.News, judged)
+	for content := range judged {
 		known := b.records[content]
 		before, durable := known.holds(), known.durable
 		b.judge(content, known)
@@ -262,10 +284,53 @@
 	return change
 }
 
-// affected returns the contents whose verdict may hang on what was learned: those that were there at
-// some crash of a content of which more is known now.
-func (b *Book) affected(changed *Update) map[Digest]bool {
-	found := map[Digest]bool{}
+// cleared tells whether a run ended well, and how long ago the last one did.
+func (r *record) cleared(now time.Time) (cleared bool, age time.Duration) {
+	if r.clearedAt.IsZero() {
+		return false, 0
+	}
+	return true, now.Sub(r.clearedAt)
+}
+
+// clear takes in when a run ended well, and returns the crashes that no longer count.
+func (b *Book) clear(now time.Time, item *Item) []Told {
+	known, at := b.records[item.Digest], item.clearedAt(now)
+	if known == nil || !at.After(known.clearedAt) {
+		return nil
+	}
+	known.clearedAt = at
+	var void []Told
+	for _, server := range known.live() {
+		if seen := known.crashes[server]; !seen.at.After(at) {
+			seen.void = true
+			void = append(void, seen.told(now, server))
+		}
+	}
+	return void
+}
+
+// heldElsewhere notes that another daemon holds a part, and reports whether that is news.
+func (b *Book) heldElsewhere(now time.Time, item *Item) bool {
+	known := b.records[item.Digest]
+	if known == nil || !item.Held {
+		return false
+	}
+	var last time.Time
+	for _, told := range item.Crashes {
+		if said := told.crash(now); !said.void && said.at.After(last) {
+			last = said.at
+		}
+	}
+	news := known.heldElsewhereAt.IsZero() && !last.IsZero()
+	if last.After(known.heldElsewhereAt) {
+		known.heldElsewhereAt = last
+	}
+	return news
+}
+
+// affected adds the contents and parts whose verdict may hang on what was learned: those that were there at some crash
+// of one of which more is known now.
+func (b *Book) affected(changed *Update, found map[Digest]bool) {
 	for i := range changed.Items {
 		known := b.records[changed.Items[i].Digest]
 		if known == nil {
@@ -277,7 +342,6 @@
 			}
 		}
 	}
-	return found
 }
 
 // learn takes in one crash under a content or part and reports whether it says something new.
@@ -290,13 +354,16 @@
 	known := b.records[content]
 	if known == nil {
 		b.makeRoom(now)
-		known = &record{kind: item.Kind, crashes: map[string]crash{}}
+		known = &record{kind: item.Kind, crashes: map[string]crash{}, clearedAt: item.clearedAt(now)}
 		b.records[content] = known
 	}
 	before, seen := known.crashes[told.Server]
 	if !seen {
 		if len(known.crashes) >= mostCrashes {
-			b.dropCrash(content, known.oldest())
+			if !known.makesRoomFor(told.Server, said) {
+				return false
+			}
+			b.dropCrash(content, known.leastTelling())
 		}
 		b.victims[told.Server] = append(b.victims[told.Server], content)
 		before = said
@@ -306,6 +373,7 @@
 		at: earlier(before.at, said.at), began: earlier(before.began, said.began), void: before.void || said.void,
 		unconfirmed: before.unconfirmed && said.unconfirmed,
 	}
+	merged.void = merged.void || !known.clearedAt.IsZero() && !merged.at.After(known.clearedAt)
 	known.crashes[told.Server] = merged
 	if !seen || merged.void != before.void || merged.unconfirmed != before.unconfirmed {
 		known.changedAt = now
--- a/quarantine/forget.go
+++ b/quarantine/forget.go
@@ -47,15 +47,31 @@
 	return cmp.Or(cmp.Compare(r.counted, other.counted), r.lastAt.Compare(other.lastAt))
 }
 
-// oldest returns the server of the oldest crash.
-func (r *record) oldest() string {
-	oldest := ""
-	for server, known := range r.crashes {
-		if oldest == "" || known.at.Before(r.crashes[oldest].at) {
-			oldest = server
+// makesRoomFor reports whether a crash says more than one of those that are remembered. What was dropped before is told
+// again by others, as if it had happened a little later each time, so it must not push out what the verdict rests on.
+func (r *record) makesRoomFor(server string, said crash) bool {
+	if said.at.After(r.lastAt) {
+		return true
+	}
+	r.crashes[server] = said
+	lengthens := r.longestChain(crash.counts) > r.counted
+	delete(r.crashes, server)
+	return lengthens
+}
+
+// leastTelling returns the server of the oldest crash without which as many count.
+func (r *record) leastTelling() string {
+	servers := slices.SortedFunc(maps.Keys(r.crashes), func(one, other string) int { return r.crashes[one].at.Compare(r.crashes[other].at) })
+	for _, server := range servers {
+		known := r.crashes[server]
+		delete(r.crashes, server)
+		count := r.longestChain(crash.counts)
+		r.crashes[server] = known
+		if count == r.counted {
+			return server
 		}
 	}
-	return oldest
+	return servers[0]
 }
 
 func (b *Book) drop(content Digest) {
--- a/quarantine/judge_test.go
+++ b/quarantine/judge_test.go
@@ -224,3 +224,94 @@
 		t.Errorf("%d contents and parts are remembered", len(book.records))
 	}
 }
+
+// TestLateNewsOfACrashDoesNotUndoAGoodEnd covers crashes that are told after a run has ended well that began before
+// them, as happens while many servers crash at once: they do not count.
+func TestLateNewsOfACrashDoesNotUndoAGoodEnd(t *testing.T) {
+	book := NewBook()
+	popular := ranThere{"one", []string{"popular"}}
+	crashedWith(book, start, "known", popular)
+	book.Served(start.Add(time.Second), named("popular"))
+	for number := range 2 * mostCrashes {
+		at := start.Add(time.Duration(number) * time.Millisecond)
+		told := Update{Items: []Item{{Digest: named("popular"), Kind: KindPart, Crashes: []Told{{Server: fmt.Sprint(number), Age: start.Add(2 * time.Second).Sub(at)}}}}}
+		book.Learn(start.Add(2*time.Second), told)
+	}
+	if now := start.Add(2 * time.Second); book.Suspects(now, named("popular")) {
+		t.Error("suspected by crashes before its good end")
+	}
+}
+
+// TestDoubtfulPartsAreTriedAgainSoon covers a part that was in good answers and then at several crashes in a row: nothing
+// can clear it while it is held, so it is not held for long.
+func TestDoubtfulPartsAreTriedAgainSoon(t *testing.T) {
+	book := NewBook()
+	now := start
+	for number := range partCrashLimit + 1 {
+		now = now.Add(pace)
+		crashedWith(book, now, fmt.Sprint(number), ranThere{fmt.Sprint(number), []string{"doubtful"}})
+		if number == 0 {
+			book.Served(now.Add(pace/2), named("doubtful"))
+		}
+	}
+	request := ranThere{"new", []string{"doubtful"}}
+	if !book.holdsRequest(now, request) || book.holdsRequest(now.Add(doubtfulHoldSpan), request) {
+		t.Error("not held for the span of doubtful parts")
+	}
+	if !book.Suspects(now.Add(doubtfulHoldSpan), named("doubtful")) {
+		t.Error("runs without turns afterwards")
+	}
+}
+
+// TestVerdictOutlastsNewsOfForgottenCrashes covers a part under which more servers crashed at once than are remembered.
+// Others tell of those that were dropped again and again, a little later each time: the verdict must stand.
+func TestVerdictOutlastsNewsOfForgottenCrashes(t *testing.T) {
+	book := NewBook()
+	for number := range 2 * mostCrashes {
+		crashedWith(book, start, fmt.Sprint("burst", number), ranThere{fmt.Sprint(number), []string{"dead"}})
+	}
+	now := start.Add(pace)
+	for number := range partCrashLimit {
+		now = now.Add(pace)
+		crashedWith(book, now, fmt.Sprint("after", number), ranThere{fmt.Sprint("after", number), []string{"dead"}})
+	}
+	for round := range 100 {
+		now = now.Add(pace / 10)
+		for number := range 2 * mostCrashes {
+			delayed := time.Duration(round) * 50 * time.Millisecond
+			told := Told{Server: fmt.Sprint("burst", number), Age: now.Sub(start) - delayed, Ran: ran}
+			book.Learn(now, Update{Items: []Item{{Digest: named("dead"), Kind: KindPart, Crashes: []Told{told}}}})
+		}
+		if !book.holdsRequest(now, ranThere{"new", []string{"dead"}}) {
+			t.Fatalf("released by round %d of news of crashes that were dropped", round)
+		}
+	}
+	if len(book.records[named("dead")].crashes) > mostCrashes {
+		t.Error("more crashes are remembered than may be")
+	}
+}
+
+// TestVerdictOfOthersMakesUpForACrash covers a daemon that has heard of one crash less than others, or of two of them in
+// another order: it holds the part that they hold, unless an answer has ended well since.
+func TestVerdictOfOthersMakesUpForACrash(t *testing.T) {
+	for _, cleared := range []bool{false, true} {
+		teller, hearer := NewBook(), NewBook()
+		for number := range partCrashLimit {
+			now := start.Add(time.Duration(number) * pace)
+			change := crashedWith(teller, now, fmt.Sprint(number), ranThere{fmt.Sprint(number), []string{"dead"}})
+			if number == 1 {
+				hearer.Learn(now, change.News)
+			}
+		}
+		now := start.Add(partCrashLimit * pace)
+		told := teller.Evidence(now, named("dead"))
+		told.Crashes = told.Crashes[:partCrashLimit-1]
+		if cleared {
+			hearer.Served(now, named("dead"))
+		}
+		hearer.Learn(now, Update{Items: []Item{told}})
+		if held := hearer.holdsRequest(now, ranThere{"new", []string{"dead"}}); held == cleared {
+			t.Errorf("held: %v, cleared: %v", held, cleared)
+		}
+	}
+}
--- a/quarantine/update.go
+++ b/quarantine/update.go
@@ -20,6 +20,7 @@
 		for j := range u.Items[i].Crashes {
 			u.Items[i].Crashes[j].Age += span
 		}
+		u.Items[i].ClearedAge += span
 	}
 }
 
@@ -28,6 +29,19 @@
 	Digest  Digest `msgpack:"c"`
 	Kind    Kind   `msgpack:"k,omitempty"`
 	Crashes []Told `msgpack:"s"`
+	// Cleared says that a run has ended well, the last one ClearedAge ago: no crash before counts.
+	Cleared    bool          `msgpack:"e,omitempty"`
+	ClearedAge time.Duration `msgpack:"l,omitempty"`
+	// Held says that the teller holds the part by these crashes.
+	Held bool `msgpack:"h,omitempty"`
+}
+
+// clearedAt returns when the last run ended well; the zero time if none has.
+func (i *Item) clearedAt(now time.Time) time.Time {
+	if !i.Cleared {
+		return time.Time{}
+	}
+	return now.Add(-max(0, i.ClearedAge))
 }
 
 // Forgotten reports whether all of the crashes are too long ago to be remembered.
@@ -90,6 +104,8 @@
 
 func (r *record) item(now time.Time, content Digest) Item {
 	item := Item{Digest: content, Kind: r.kind}
+	item.Cleared, item.ClearedAge = r.cleared(now)
+	item.Held = r.held && r.kind == KindPart
 	for server, known := range r.crashes {
 		item.Crashes = append(item.Crashes, known.told(now, server))
 	}
@@ -112,7 +128,7 @@
 func (b *Book) Held(now time.Time, kind Kind) []Digest {
 	var held []Digest
 	for content, known := range b.records {
-		if known.kind == kind && known.holds() && now.Before(known.lastAt.Add(HoldSpan)) {
+		if known.kind == kind && known.holds() && !known.holdsUntil(now).IsZero() {
 			held = append(held, content)
 		}
 	}
