Soak: a part of prompts that crashes engines

Series of requests with one part at a place drawn by chance, each with a content of its own, at any daemon, beside all other faults; sound streams share their other parts. Checked: after the fifth crash and the time to hear of it, daemons that were calm send three more at most. Drawn from numbers of its own, so that seeds of earlier faults play as before.

--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -42,6 +42,7 @@
 	r.checkDeparture(sent, run)
 	r.checkTenant(sent, run)
 	r.checkDeadly(sent, run)
+	r.checkDeadlyPart(sent, run)
 	r.checkSoftware(sent, run)
 }
 
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -127,6 +127,7 @@
 		name, sent.kind = "stream", fleet.KindStream
 		sent.Model = c.drawModel()
 		sent.PromptTokens, sent.OutputTokens = 200, 10
+		sent.Prompt = soundPrompt(c.number, c.sent)
 	case part < 7:
 		name, sent.kind = "unsafe", fleet.KindUnsafe
 	case part < 8:
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -160,6 +160,7 @@
 	server.LoadTime, server.EventPause = 300*time.Millisecond, 40*time.Millisecond
 	if p.service == engineService {
 		server.CrashOn(deadlyBody)
+		server.CrashOnParts(deadlyPart)
 	} else {
 		d.addPortal(server)
 	}
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -68,6 +68,7 @@
 	d.group.Go(func() { d.writeOthers(ctx) })
 	d.group.Go(func() { d.runWords(ctx, rand.New(rand.NewPCG(d.options.Seed, wordsStream))) })
 	d.group.Go(func() { d.runBrittle(ctx, rand.New(rand.NewPCG(d.options.Seed, brittleStream))) })
+	d.group.Go(func() { d.runDeadlyParts(ctx, rand.New(rand.NewPCG(d.options.Seed, deadlyPartStream))) })
 	d.group.Go(func() { d.runSevered(ctx, rand.New(rand.NewPCG(d.options.Seed, severedStream))) })
 	d.group.Go(func() { d.runUnframed(ctx, rand.New(rand.NewPCG(d.options.Seed, unframedStream))) })
 	d.group.Go(func() { d.runSilences(ctx, rand.New(rand.NewPCG(d.options.Seed, silenceStream))) })
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -31,6 +31,7 @@
 	promiseKnownKey    = "known key"
 	promiseQuota       = "quota"
 	promiseQuarantine  = "quarantine"
+	promiseParts       = "quarantine of parts"
 	promiseLimit       = "limit of a server"
 	promiseLeavingWord = "leaving server"
 	promiseRest        = "rest of a server"
@@ -107,7 +108,10 @@
 	// deadlyRuns are the runs of the deadly request, and deadlyLate counts those that came too late.
 	deadlyRuns []time.Time
 	deadlyLate int
-	words      wordsRecord
+	// partRuns are the runs of requests with the part that crashes servers, and partLate counts those that came too late.
+	partRuns []time.Time
+	partLate int
+	words    wordsRecord
 	// silences are when servers were silent for a moment, by their IDs.
 	silences    map[string][]*span
 	violations  []Violation
