Explain: what a held request is held for, and the crashes that decided it

The cause of a refused request names the content or the part of its prompt and the servers that had crashed when the first daemon came to the verdict. Test with lines of both kinds.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -81,11 +81,13 @@
 	request string
 	story   Story
 	known   knowledge
+	// verdicts are the first lines that say that a content or part is held, by its digest.
+	verdicts map[string]Step
 }
 
 // NewReader returns a reader for a request's id.
 func NewReader(request string) *Reader {
-	return &Reader{request: request, story: Story{Request: request}, known: knowledge{}}
+	return &Reader{request: request, story: Story{Request: request}, known: knowledge{}, verdicts: map[string]Step{}}
 }
 
 // Read takes in a log.
@@ -118,6 +120,8 @@
 		r.story.Torn++
 	case strings.HasPrefix(message, "log: Lines dropped"):
 		r.story.Dropped += droppedCount(&step)
+	case strings.HasPrefix(message, "quarantine: Held."):
+		r.addVerdict(&step)
 	case strings.HasPrefix(message, "instances: Changed"):
 		r.known.add(&step)
 	case step.Value("request") == r.request:
@@ -125,6 +129,35 @@
 	}
 }
 
+// addVerdict takes in that a daemon holds a content or part.
+func (r *Reader) addVerdict(step *Step) {
+	digest := step.Value("content")
+	if known, found := r.verdicts[digest]; !found || step.At.Before(known.At) {
+		r.verdicts[digest] = *step
+	}
+}
+
+// heldFor tells what a request was held for, and which servers had crashed by then; empty if it was not held.
+func (r *Reader) heldFor(story *Story) string {
+	for i := range story.Steps {
+		step := &story.Steps[i]
+		digest := step.Value("held_for")
+		if digest == "" {
+			continue
+		}
+		kind := "content"
+		if digest != step.Value("content") {
+			kind = "a part of its prompt"
+		}
+		text := fmt.Sprintf("; held for %s %s", kind, digest)
+		if verdict, found := r.verdicts[digest]; found {
+			text += fmt.Sprintf(", since servers crashed: %s (%s)", verdict.Value("crashes"), verdict.Node)
+		}
+		return text
+	}
+	return ""
+}
+
 // droppedCount is how many lines a daemon says it dropped; one that does not say counts as one.
 func droppedCount(step *Step) int {
 	count, err := strconv.Atoi(step.Value("count"))
@@ -185,7 +218,7 @@
 	slices.SortFunc(story.Nodes, cmp.Compare[string])
 	story.Known = r.known.of(story.Steps)
 	story.Warnings = warnings(&story)
-	story.Cause = cause(&story)
+	story.Cause = cause(&story) + r.heldFor(&story)
 	return story, nil
 }
 
@@ -227,6 +260,8 @@
 	gateway.ReasonAnswered:        "the instance answered",
 	gateway.ReasonBodyTooLarge:    "its body is larger than the configuration allows",
 	gateway.ReasonBodyFramedTwice: "its head gives its body both a length and chunks",
+	gateway.ReasonQuarantined:     "servers crashed under requests like it",
+	gateway.ReasonSuspected:       "a server crashed under requests like it, and its turn was too far off",
 	gateway.ReasonStreamBroke:     "the stream broke off, and it may not be resumed",
 }
 
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -83,3 +83,25 @@
 		_, _ = reader.Story()
 	})
 }
+
+// TestExplainTellsWhatARequestIsHeldFor covers a request that is refused for a part of its prompt, and one for its content.
+func TestExplainTellsWhatARequestIsHeldFor(t *testing.T) {
+	log := `time=2026-05-14T02:42:31.100Z level=info msg="quarantine: Held." node=d1 content=aa kind=part crashes=s1@20ms,s2@10ms,s3@0ms for_s=599
+time=2026-05-14T02:42:31.200Z level=info msg="quarantine: Held." node=d0 content=aa kind=part crashes=s1@120ms,s2@110ms,s3@100ms for_s=599
+time=2026-05-14T02:42:32.000Z level=info msg="request: Decided." node=d0 request=r1 route=x step=refused content=bb held_for=aa prompt=f0,dead,own status=503 reason=quarantined took_ms=0
+time=2026-05-14T02:42:32.000Z level=info msg="request: Decided." node=d0 request=r2 route=x step=refused content=cc held_for=cc status=503 reason=quarantined took_ms=0
+`
+	for request, want := range map[string]string{
+		"r1": "servers crashed under requests like it (status 503) after 0 ms; held for a part of its prompt aa, since servers crashed: s1@20ms,s2@10ms,s3@0ms (d1)",
+		"r2": "servers crashed under requests like it (status 503) after 0 ms; held for content cc",
+	} {
+		reader := explain.NewReader(request)
+		if err := reader.Read(strings.NewReader(log)); err != nil {
+			t.Fatal(err)
+		}
+		story, err := reader.Story()
+		if err != nil || story.Cause != want {
+			t.Errorf("%s: cause %q, %v, want %q", request, story.Cause, err, want)
+		}
+	}
+}
