--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -16,9 +15,11 @@
 	// request with it reaches a server; if that crashes too, the content is held again. A cause that
 	// nobody mends so ends six servers an hour at most, beside those that are sent it at one moment.
 	HoldSpan = 10 * time.Minute
-	// doubtfulHoldSpan is how long a part is held that was in a good answer since it was first suspected. What is in most
-	// requests of a route may be at several crashes in a row by chance, and nothing clears it while it is held.
+	// doubtfulHoldSpan is how long a part is held at first that was in a good answer since it was first suspected; each
+	// crash more makes it doubtfulGrowth times as long. What is in most requests of a route may be at several crashes in
+	// a row by chance, and nothing clears it while it is held.
 	doubtfulHoldSpan = 5 * time.Second
+	doubtfulGrowth   = 4
 	// rememberSpan is how long crashes are remembered after the last one under their content.
 	// Forgetting a content costs the limit once more.
 	rememberSpan = time.Hour
@@ -38,25 +39,6 @@
 	mostCrashes = 16
 )
 
-// crash is one life of a server that ended while a content ran there.
-type crash struct {
-	at time.Time
-	// began is when the first of the runs of the content began that the crash ended.
-	began time.Time
-	// void says that a run of the content has ended well since: the content was not the cause.
-	void bool
-	// unconfirmed is set if the server may still run: its address accepts new connections but closes them.
-	unconfirmed bool
-}
-
-// counts reports whether the crash counts against the content.
-func (c crash) counts() bool { return !c.void && !c.unconfirmed }
-
-// pending reports whether the crash may still be confirmed.
-func (c crash) pending(now time.Time) bool {
-	return !c.void && c.unconfirmed && now.Sub(c.at) < confirmSpan
-}
-
 // record is what is known of one content or part.
 type record struct {
 	kind    Kind
@@ -150,13 +132,21 @@
 	return known.holdsUntil(now)
 }
 
+// holdSpan is how long the record holds requests after its last crash.
+func (r *record) holdSpan() time.Duration {
+	if r.kind != KindPart || r.clearedAt.IsZero() {
+		return HoldSpan
+	}
+	span := doubtfulHoldSpan
+	for crashes := partCrashLimit; crashes < r.counted && span < HoldSpan; crashes++ {
+		span *= doubtfulGrowth
+	}
+	return min(span, HoldSpan)
+}
+
 // holdsUntil returns until when the record holds requests; the zero time if it no longer does.
 func (r *record) holdsUntil(now time.Time) time.Time {
-	span := HoldSpan
-	if r.kind == KindPart && !r.clearedAt.IsZero() {
-		span = doubtfulHoldSpan
-	}
-	until := r.lastAt.Add(span)
+	until := r.lastAt.Add(r.holdSpan())
 	if !now.Before(until) {
 		return time.Time{}
 	}
@@ -384,32 +374,3 @@
 	known.count()
 	return !seen || merged != before
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-// count counts the crashes that tell something each: one run has to begin after the crash of the one before.
-// When a rack fails, all its servers end at one moment, and a content that many clients send runs on all of them;
-// that is one crash. The most runs in a row are found by taking the ones that end first.
-func (r *record) count() { r.counted = r.longestChain(crash.counts) }
-
-// longestChain returns the length of the longest sequence of included crashes in which each run began after the
-// preceding crash.
-func (r *record) longestChain(included func(crash) bool) int {
-	crashes := slices.Collect(maps.Values(r.crashes))
-	crashes = slices.DeleteFunc(crashes, func(known crash) bool { return !included(known) })
-	slices.SortFunc(crashes, func(a, b crash) int { return a.at.Compare(b.at) })
-	count := 0
-	var last time.Time
-	for _, known := range crashes {
-		if count == 0 || known.began.After(last) {
-			count++
-			last = known.at
-		}
-	}
-	return count
-}
--- a/quarantine/judge_test.go
+++ b/quarantine/judge_test.go
@@ -255,11 +255,18 @@
 		}
 	}
 	request := ranThere{"new", []string{"doubtful"}}
-	if !book.holdsRequest(now, request) || book.holdsRequest(now.Add(doubtfulHoldSpan), request) {
-		t.Error("not held for the span of doubtful parts")
-	}
-	if !book.Suspects(now.Add(doubtfulHoldSpan), named("doubtful")) {
-		t.Error("runs without turns afterwards")
+	span := doubtfulHoldSpan
+	for round := range 3 {
+		if !book.holdsRequest(now.Add(span-1), request) || book.holdsRequest(now.Add(span), request) {
+			t.Errorf("round %d: not held for %v", round, span)
+		}
+		now = now.Add(span)
+		if !book.Suspects(now, named("doubtful")) {
+			t.Errorf("round %d: runs without turns afterwards", round)
+		}
+		span *= doubtfulGrowth
+		now = now.Add(pace)
+		crashedWith(book, now, fmt.Sprint("again", round), ranThere{fmt.Sprint("again", round), []string{"doubtful"}})
 	}
 }
 
