--- a/coordination/promptpart_test.go
+++ b/coordination/promptpart_test.go
@@ -57,7 +57,6 @@
 	soundSent, soundHeld int
 }
 
-
 type pendingEvent struct {
 	at time.Time
 	do func()
