--- a/entry/promptpart_test.go
+++ b/entry/promptpart_test.go
@@ -12,7 +12,7 @@
 	"github.com/wheatweir/wheatweir/platform/standin"
 )
 
-// The load of these tests is that of the users' record, made small: requests of one route share the first part of their
+// The load of these tests: requests of one route share the first part of their
 // prompts, a subject as the second part, and end with a part of their own. Others have a part at its place under which
 // each server crashes as it begins to write an answer. A server that has crashed is back some time later.
 const (
@@ -249,8 +249,8 @@
 }
 
 // TestPartThatCrashesServersIsStopped sends requests that share one part of their prompts and nothing else, under which
-// every server crashes. It guards against judging requests by their whole content only: 39 servers ended one after
-// the other, and sound requests with them.
+// every server crashes. It guards against judging requests by their whole content only, under which each one begins
+// anew.
 func TestPartThatCrashesServersIsStopped(t *testing.T) {
 	for _, c := range []struct {
 		name  string
