--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,7 +15,7 @@
 )
 
 func main() {
-	cases := map[string]func(*scenario) (bool, error){"memory": playMemory, "smuggle": playSmuggle}
+	cases := map[string]func(*scenario) (bool, error){"memory": playMemory, "junk": playJunk, "smuggle": playSmuggle}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(exitNotRun)
