Count the memory that answers of servers occupy before they are forwarded

No metric and no log line told what the memory was used for: a head that is being read makes no line, and there was no metric of memory at all.

Hypotheses, before any logic changes, and what tells them apart: 1. The head has no bound (the reviewer's guess, platform/upstream.go): the bytes of heads being read grow, and those of bodies and events do not. 2. Bytes behind a sound head are buffered (bodies up to 1 MiB each without a sum, an event of a resumable stream without a bound): the bytes of bodies or events grow. 3. What is held is small, but copies while it grows leave garbage that is not collected in time: the heap grows, and all three kinds stay small.

internal/membudget counts reservations by kind; metrics show them beside the heap. Nothing is limited yet, and a body is read into a slice that doubles instead of by io.ReadAll, so that what is reserved is known.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/gateway"
 	"github.com/wheatweir/wheatweir/internal/clock"
+	"github.com/wheatweir/wheatweir/internal/membudget"
 	"github.com/wheatweir/wheatweir/member"
 	"github.com/wheatweir/wheatweir/peer"
 	"github.com/wheatweir/wheatweir/platform"
@@ -57,6 +58,8 @@
 	clock   *clock.Clock
 	log     *logBook
 	metrics *metrics
+	// memory bounds what is held of data from other processes.
+	memory  *membudget.Budget
 	started time.Time
 
 	node *coordination.Node
@@ -122,7 +125,7 @@
 		log:   newLogBook(settings.LogLevel, settings.Name, output), started: machine.Clock.Now(),
 		control: controlState{discovery: quota.NewDiscovery(machine.Clock.Now())}, work: newWorkRings(),
 		store:   platform.NewStore(settings.StoreAddress),
-		metrics: newMetrics(), tracker: balance.NewTracker(), demand: newDemandCounter(), life: lifecycle{failed: make(chan error, 1)}, assurance: newAssurance(), ctx: ctx, cancel: cancel,
+		metrics: newMetrics(), memory: membudget.New(0), tracker: balance.NewTracker(), demand: newDemandCounter(), life: lifecycle{failed: make(chan error, 1)}, assurance: newAssurance(), ctx: ctx, cancel: cancel,
 		following: newFollowState(),
 	}
 	d.store.OnEra(d.eraLearned)
@@ -130,7 +133,7 @@
 	d.notices = newNotices(d)
 	d.paths = newPaths(d, machine.Dial)
 	d.engines = platform.NewEngines(d.clock.Now, d.notices.hear, d.paths.dialer.Direct)
-	d.upstream = platform.NewUpstream(d.clock.Now, d.notices.hear, d.paths.dialer.Dial)
+	d.upstream = platform.NewUpstream(d.clock.Now, d.notices.hear, d.paths.dialer.Dial, d.memory)
 	d.fleet.live.Store(1)
 	d.budget = retry.NewBudget(retryPart*settings.RetryShare, 1)
 	d.quotas = newQuotas(d)
@@ -150,6 +153,7 @@
 		Notices:         d.notices,
 		StreamOrigins:   d.origins,
 		Samples:         d.pace.samples(),
+		Memory:          d.memory,
 	}, d.upstream, d.tracker, d.budget, d.demand, d)
 	d.dispatch = newDispatch(d)
 	d.gateway.SetChooser(d.dispatch)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	runtimemetrics "runtime/metrics"
 	"strings"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/wheatweir/wheatweir/gateway"
 	"github.com/wheatweir/wheatweir/internal/exposition"
+	"github.com/wheatweir/wheatweir/internal/membudget"
 )
 
 // metrics counts what an entry daemon does. Names of routes, models and clients
@@ -77,8 +79,15 @@
 	mixedServices tally.Gauge
 	// parked is the number of models that are parked, at the daemon that places models.
 	parked tally.Gauge
+	// memory holds what is reserved for data from other processes, by its kind.
+	memory map[membudget.Kind]memoryGauges
+	// heapBytes is the heap in use, with garbage that was not collected yet.
+	heapBytes tally.Gauge
 }
 
+// memoryGauges tell of the reservations for one kind of data.
+type memoryGauges struct{ used, peak, denied tally.Gauge }
+
 // stepKey names a series. All of its parts come from fixed lists.
 type stepKey struct {
 	step   gateway.Step
@@ -109,6 +118,11 @@
 
 func newMetrics() *metrics {
 	root := exposition.NewRoot("wheatweir")
+	memory := map[membudget.Kind]memoryGauges{}
+	for _, kind := range membudget.Kinds() {
+		tagged := root.Tagged(map[string]string{"kind": string(kind)})
+		memory[kind] = memoryGauges{tagged.Gauge("memory_reserved_bytes"), tagged.Gauge("memory_reserved_peak_bytes"), tagged.Gauge("memory_denied")}
+	}
 	return &metrics{
 		root: root, steps: map[stepKey]tally.Counter{}, answers: map[answerKey]tally.Counter{}, tenants: map[tenantKey]tally.Counter{}, tenantNames: map[string]bool{},
 		unreadable: root.Counter("entries_unreadable"), took: map[stepKey]tally.Histogram{},
@@ -128,6 +142,7 @@
 		streamsTold:    root.Counter("streams_told"), takenUps: map[string]tally.Counter{},
 		streamsKept: root.Gauge("streams_kept"), mixedServices: root.Gauge("services_with_versions"),
 		parked: root.Gauge("models_parked"),
+		memory: memory, heapBytes: root.Gauge("heap_bytes"),
 	}
 }
 
@@ -260,4 +275,20 @@
 	d.metrics.quarantinedParts.Update(float64(parts))
 	d.metrics.evacuated.Update(float64(d.node.EvacuatedZones()))
 	d.metrics.parked.Update(float64(d.node.ParkedModels()))
+	d.observeMemory()
+}
+
+// heapMetric is the runtime's metric of the heap: live objects, and dead ones that are not swept yet.
+const heapMetric = "/memory/classes/heap/objects:bytes"
+
+func (d *Daemon) observeMemory() {
+	for kind, gauges := range d.metrics.memory {
+		usage := d.memory.Usage(kind)
+		gauges.used.Update(float64(usage.Bytes))
+		gauges.peak.Update(float64(usage.Peak))
+		gauges.denied.Update(float64(usage.Denied))
+	}
+	heap := []runtimemetrics.Sample{{Name: heapMetric}}
+	runtimemetrics.Read(heap)
+	d.metrics.heapBytes.Update(float64(heap[0].Value.Uint64()))
 }
--- a/gateway/eventstream.go
+++ b/gateway/eventstream.go
@@ -4,6 +4,8 @@
 	"bytes"
 
 	"github.com/zeebo/errs"
+
+	"github.com/wheatweir/wheatweir/internal/membudget"
 )
 
 // ErrTruncated is the class of errors for answers that were truncated by their instance although their framing is
@@ -97,6 +99,7 @@
 type eventSplitter struct {
 	scanner eventScanner
 	pending []byte
+	memory  membudget.Reservation
 	lastID  string
 }
 
@@ -107,6 +110,7 @@
 	cut := c.scanner.scan(piece)
 	if cut == 0 {
 		c.pending = append(c.pending, piece...)
+		_ = c.memory.Resize(int64(cap(c.pending)))
 		return nil
 	}
 	events := piece[:cut]
@@ -114,6 +118,7 @@
 		events = append(c.pending, events...)
 	}
 	c.pending = append([]byte(nil), piece[cut:]...)
+	c.memory.Release()
 	c.recordLastID(events)
 	return events
 }
--- a/gateway/eventstream_test.go
+++ b/gateway/eventstream_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"github.com/wheatweir/wheatweir/internal/membudget"
 )
 
 // TestScannerKnowsWhereEventsEnd guards against a stream that is split, or taken for complete, at a position inside an
@@ -30,7 +32,7 @@
 	}
 	for _, c := range cases {
 		for size := 1; size <= len(c.stream)+1; size++ {
-			var splitter eventSplitter
+			splitter := eventSplitter{memory: membudget.New(0).Reserve(membudget.Event)}
 			var completeEvents strings.Builder
 			for remainder := c.stream; len(remainder) > 0; {
 				piece := remainder[:min(size, len(remainder))]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/internal/drain"
 	"github.com/wheatweir/wheatweir/internal/mechanism"
+	"github.com/wheatweir/wheatweir/internal/membudget"
 	"github.com/wheatweir/wheatweir/retry"
 )
 
@@ -55,6 +56,8 @@
 	StreamOrigins StreamOrigins
 	// Samples receives measurements of the speed of instances; nil disables measuring.
 	Samples PaceObserver
+	// Memory bounds what is buffered of answers; nil means no limit.
+	Memory *membudget.Budget
 }
 
 func (s *Settings) zoneCost() float64 {
@@ -99,6 +102,9 @@
 
 // New returns a gateway without a configuration. It refuses all requests until SetView is called with one.
 func New(settings Settings, upstream Upstream, tracker *balance.Tracker, budget *retry.Budget, demand DemandObserver, observer Observer) *Gateway {
+	if settings.Memory == nil {
+		settings.Memory = membudget.New(0)
+	}
 	g := &Gateway{
 		settings: settings, upstream: upstream, tracker: tracker, chooser: localChooser{balance.NewPicker(tracker)},
 		budget: budget, demand: demand, observer: observer, shortageTracker: newShortageTracker(), lifetime: drain.NewLifetime(),
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/internal/membudget"
 )
 
 const (
@@ -36,7 +37,9 @@
 // or reported to the client as a failure.
 func (e *exchange) relayBuffered(ctx context.Context, instance *fleet.Instance, response Response) attemptResult {
 	id := instance.ID
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
+	memory := e.gateway.settings.Memory.Reserve(membudget.AnswerBody)
+	defer memory.Release()
+	body, err := readBuffered(response, &memory)
 	if err != nil {
 		e.reportBroken(ctx, instance)
 		e.end(id, attributableOutcome(ctx, balance.Failed))
@@ -71,6 +74,34 @@
 	return attemptEnded
 }
 
+// readBuffered reads a body up to one byte more than maxBufferedBytes. The first pieceBytes are not taken from the
+// memory budget: they are bounded by the number of connections.
+func readBuffered(response Response, memory *membudget.Reservation) ([]byte, error) {
+	size := int64(pieceBytes)
+	if length := response.Length(); length >= 0 {
+		size = min(size, length+1)
+	}
+	body := make([]byte, 0, size)
+	for {
+		count, err := response.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil || len(body) > maxBufferedBytes {
+			return body, err
+		}
+		if len(body) < cap(body) {
+			continue
+		}
+		size = min(2*size, maxBufferedBytes+1)
+		if err := memory.Resize(size); err != nil {
+			return body, err
+		}
+		body = append(make([]byte, 0, size), body...)
+	}
+}
+
 // impliesNotRun reports whether a status implies to the client that the request was not executed. An answer with such a
 // status from an instance that executed the request is not relayed.
 func impliesNotRun(status int) bool {
@@ -123,7 +154,8 @@
 func (e *exchange) relayStream(ctx context.Context, candidate *balance.Candidate, response Response) attemptResult {
 	id := candidate.Instance.ID
 	buffer := make([]byte, pieceBytes)
-	var events eventSplitter
+	events := eventSplitter{memory: e.gateway.settings.Memory.Reserve(membudget.Event)}
+	defer events.memory.Release()
 	// A run that resumes after the last event of a stream produces no events of its own.
 	resumed := e.resumeAfter != ""
 	var gaps sampler
--- /dev/null
+++ b/internal/membudget/membudget.go
@@ -0,0 +1,101 @@
+// Package membudget counts and bounds the memory that data from other processes occupies until it is checked, decoded
+// or forwarded.
+//
+// Each reader holds a Reservation and resizes it as its data grows. All reservations of a Budget share one limit, so that
+// many readers whose data is within its own bound cannot exhaust the memory of the process together.
+package membudget
+
+import (
+	"sync/atomic"
+
+	"github.com/zeebo/errs"
+)
+
+// ErrExhausted means that the limit of the budget leaves no room.
+var ErrExhausted = errs.Class("memory budget exhausted")
+
+// Kind is the kind of data that occupies memory.
+type Kind string
+
+// Kinds.
+const (
+	// AnswerHead is the head of an instance's answer, AnswerBody a body that is buffered before it is forwarded.
+	AnswerHead Kind = "answer_head"
+	AnswerBody Kind = "answer_body"
+	// Event is an event of a stream that has not arrived completely.
+	Event Kind = "event"
+)
+
+// Kinds lists all kinds.
+func Kinds() []Kind { return []Kind{AnswerHead, AnswerBody, Event} }
+
+// Budget is the memory that all readers share. It is safe for concurrent use.
+type Budget struct {
+	limit  int64
+	used   atomic.Int64
+	usages map[Kind]*usage
+}
+
+// usage is what the reservations of one kind hold.
+type usage struct{ used, peak, denied atomic.Int64 }
+
+// New returns a budget of limit bytes; zero means no limit.
+func New(limit int64) *Budget {
+	budget := &Budget{limit: limit, usages: map[Kind]*usage{}}
+	for _, kind := range Kinds() {
+		budget.usages[kind] = &usage{}
+	}
+	return budget
+}
+
+// Usage is the state of one kind.
+type Usage struct {
+	// Bytes is what is reserved now, Peak the largest value since the start.
+	Bytes int64
+	Peak  int64
+	// Denied counts the resizes that found no room.
+	Denied int64
+}
+
+// Usage returns the state of a kind.
+func (b *Budget) Usage(kind Kind) Usage {
+	usage := b.usages[kind]
+	return Usage{Bytes: usage.used.Load(), Peak: usage.peak.Load(), Denied: usage.denied.Load()}
+}
+
+// Reserve returns an empty reservation.
+func (b *Budget) Reserve(kind Kind) Reservation { return Reservation{budget: b, usage: b.usages[kind]} }
+
+// Reservation is the part of a budget that one reader holds. It is used by one goroutine at a time.
+type Reservation struct {
+	budget *Budget
+	usage  *usage
+	size   int64
+}
+
+// Resize changes the size in bytes. If the budget has no room for a larger one, the size stays as it was.
+func (r *Reservation) Resize(size int64) error {
+	change := size - r.size
+	total := r.budget.used.Add(change)
+	if change > 0 && r.budget.limit > 0 && total > r.budget.limit {
+		r.budget.used.Add(-change)
+		r.usage.denied.Add(1)
+		return ErrExhausted.New("%d bytes more, %d of %d in use", change, total-change, r.budget.limit)
+	}
+	r.size = size
+	r.usage.record(change)
+	return nil
+}
+
+// Release gives everything back. The reservation can be used again.
+func (r *Reservation) Release() {
+	if r.size != 0 {
+		_ = r.Resize(0)
+	}
+}
+
+func (u *usage) record(change int64) {
+	used := u.used.Add(change)
+	for peak := u.peak.Load(); used > peak && !u.peak.CompareAndSwap(peak, used); peak = u.peak.Load() {
+	}
+}
