Bound an event of a stream

What callers saw: the same end of a daemon as by a head without end, from a stream whose event does not end. A resumable stream is forwarded by complete events, and eventSplitter.pending had no bound. On other streams such bytes went on to the client until the route's time was over.

An event may have 1 MiB, as much as an answer that is buffered whole. With more the connection is closed at once and the server counts as broken, as with a head; a resumable stream goes on elsewhere after its last complete event, another one is broken off so that the client sees it as incomplete. What is pending grows by doubling and is reserved before it grows.

Events of exactly 1 MiB are served as before.

--- a/cmd/wheatweird/endless_test.go
+++ b/cmd/wheatweird/endless_test.go
@@ -386,3 +386,31 @@
 		}
 	}
 }
+
+// TestEventsWithoutEndTakeNoMemory guards against a daemon that gathers an event of a resumable stream until its machine's
+// memory is used up.
+func TestEventsWithoutEndTakeNoMemory(t *testing.T) {
+	binary := buildBinary(t)
+	for _, part := range []standin.Endless{standin.EndlessEvent, standin.EndlessUnframedEvent, standin.EndlessLaterEvent} {
+		t.Run(string(part), func(t *testing.T) {
+			d := startEntryDaemon(t, binary)
+			handler, ended := endlessServer(part)
+			d.serve(t, "faulty-1", handler)
+			d.checkCalm(t, func(ctx context.Context) {
+				var group sync.WaitGroup
+				for _, route := range []string{"resumable", "stream"} {
+					group.Go(func() {
+						d.askAll(ctx, troubleClients/2, route, func(answer standin.ClientAnswer, err error) {
+							if err == nil && answer.Status == http.StatusOK && answer.Complete {
+								t.Errorf("an answer without end looks complete: %.200s", answer.Body)
+							}
+						})
+					})
+				}
+				group.Wait()
+			})
+			checkClosed(t, ended())
+			d.checkTold(t, "t-resumable-0-0", gateway.PartEvent)
+		})
+	}
+}
--- a/gateway/answerlimits.go
+++ b/gateway/answerlimits.go
@@ -6,6 +6,8 @@
 	// minHeadLimit is the smallest limit in bytes for the head of an answer. A configuration that allows clients longer
 	// heads allows instances the same.
 	minHeadLimit = 64 << 10
+	// maxEventBytes is the largest size of one event of a stream.
+	maxEventBytes = 1 << 20
 )
 
 // AnswerPart is a part of an instance's answer.
@@ -15,6 +17,8 @@
 const (
 	// PartHead is the head, with the interim answers before it.
 	PartHead AnswerPart = "head"
+	// PartEvent is one event of a stream.
+	PartEvent AnswerPart = "event"
 )
 
 // headLimit returns the limit in bytes for the head of an answer.
--- /dev/null
+++ b/gateway/answerlimits_test.go
@@ -0,0 +1,86 @@
+package gateway_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/wheatweir/wheatweir/balance"
+	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/internal/membudget"
+	"github.com/wheatweir/wheatweir/retry"
+)
+
+// eventOf returns an event of a number of bytes.
+func eventOf(size int) string {
+	const start, end = "data: ", "\n\n"
+	return start + strings.Repeat("x", size-len(start)-len(end)) + end
+}
+
+// oversizedObserver records the parts of which instances sent too much.
+type oversizedObserver struct{ parts []gateway.AnswerPart }
+
+func (o *oversizedObserver) Observe(event gateway.Event) {
+	if event.Oversized != "" {
+		o.parts = append(o.parts, event.Oversized)
+	}
+}
+
+// TestEventsWithoutEndAreRejected guards against an event that is buffered, or forwarded, without a bound, and against a limit
+// that rejects long events of sound instances.
+func TestEventsWithoutEndAreRejected(t *testing.T) {
+	const limit = 1 << 20
+	// The size is checked once for each piece that is read.
+	const piece = 8 << 10
+	long, tooLong := eventOf(limit), eventOf(limit+2*piece)
+	sound := "id: 1\ndata: a\n\n"
+	cases := []struct {
+		name      string
+		route     string
+		answers   []answer
+		status    int
+		body      string
+		aborted   bool
+		sent      int
+		oversized int
+	}{
+		{"a long event", "stream", []answer{{status: 200, body: long}}, 200, long, false, 1, 0},
+		{"a long event of a resumable stream", "resume", []answer{{status: 200, body: sound + long}}, 200, sound + long, false, 1, 0},
+		{"many long events", "resume", []answer{{status: 200, body: long + long + long}}, 200, long + long + long, false, 1, 0},
+		{"an event beyond the limit, before the first byte", "resume", []answer{{status: 200, body: tooLong}, {status: 200, body: sound}}, 200, sound, false, 2, 1},
+		{"an event beyond the limit, after another event", "resume", []answer{{status: 200, body: sound + tooLong}, {status: 200, body: "id: 2\n\n"}}, 200, sound + "id: 2\n\n", false, 2, 1},
+		{"an event beyond the limit at all instances", "resume", []answer{{status: 200, body: tooLong}, {status: 200, body: tooLong}}, 502, "", false, 2, 2},
+		{"a comment beyond the limit", "resume", []answer{{status: 200, body: ":" + tooLong}, {status: 200, body: sound}}, 200, sound, false, 2, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			upstream := &scriptedUpstream{answers: c.answers}
+			observer, memory := &oversizedObserver{}, membudget.New(0)
+			settings := gateway.Settings{MaxWaitShare: 0.5, ConnectionShare: func() float64 { return 1 }, Memory: memory}
+			g := gateway.New(settings, upstream, balance.NewTracker(), retry.NewBudget(0.2, 10), &recordingDemand{}, observer)
+			g.SetView(view())
+			got := &recordingReply{}
+			g.Serve(context.Background(), request(c.route), got)
+			if got.status != c.status || got.body.String() != c.body || got.aborted != c.aborted || len(upstream.sent) != c.sent || len(observer.parts) != c.oversized {
+				t.Fatalf("status %d, %d bytes, aborted %t after %d attempts, oversized %v; want %d, %d bytes, %t, %d, %d",
+					got.status, got.body.Len(), got.aborted, len(upstream.sent), observer.parts, c.status, len(c.body), c.aborted, c.sent, c.oversized)
+			}
+			if usage := memory.Usage(membudget.Event); usage.Bytes != 0 || usage.Peak > 2*limit {
+				t.Errorf("memory %+v", usage)
+			}
+		})
+	}
+}
+
+// TestEventsWithoutEndBreakOffPlainStreams guards against a stream that cannot be resumed and that goes on with bytes that
+// are no events until its time is over.
+func TestEventsWithoutEndBreakOffPlainStreams(t *testing.T) {
+	upstream := &scriptedUpstream{answers: []answer{{status: 200, body: "id: 1\n\n" + eventOf(2<<20)}}}
+	g := newGateway(upstream, &recordingDemand{})
+	g.SetView(view())
+	got := &recordingReply{}
+	g.Serve(context.Background(), request("stream"), got)
+	if !got.aborted || got.body.Len() > 1<<20+16<<10 {
+		t.Errorf("aborted %t after %d bytes", got.aborted, got.body.Len())
+	}
+}
--- a/gateway/eventstream.go
+++ b/gateway/eventstream.go
@@ -95,23 +95,41 @@
 	return nil
 }
 
-// eventSplitter splits a stream of events after complete events and buffers the incomplete remainder.
+// eventSplitter processes the pieces of a stream of events. It checks the size of each event and, if only complete events may
+// be forwarded, buffers the incomplete remainder.
 type eventSplitter struct {
 	scanner eventScanner
-	pending []byte
-	memory  membudget.Reservation
-	lastID  string
+	// eventBytes is the size of the incomplete event so far.
+	eventBytes int
+	pending    []byte
+	memory     membudget.Reservation
+	lastID     string
 }
 
 var idPrefix = []byte("id:")
 
+// checkSize adds a piece and returns the length of its part before the last boundary between two events. It returns an error
+// if the incomplete event is too large.
+func (c *eventSplitter) checkSize(piece []byte) (cut int, err error) {
+	cut = c.scanner.scan(piece)
+	if cut > 0 {
+		c.eventBytes = 0
+	}
+	c.eventBytes += len(piece) - cut
+	if c.eventBytes > maxEventBytes {
+		return cut, &OversizedError{Part: PartEvent, Limit: maxEventBytes, Unit: "bytes"}
+	}
+	return cut, nil
+}
+
 // completeEvents adds a piece and returns the events that are complete now. The slice is valid until the next call.
-func (c *eventSplitter) completeEvents(piece []byte) []byte {
-	cut := c.scanner.scan(piece)
+func (c *eventSplitter) completeEvents(piece []byte) ([]byte, error) {
+	cut, err := c.checkSize(piece)
+	if err != nil {
+		return nil, err
+	}
 	if cut == 0 {
-		c.pending = append(c.pending, piece...)
-		_ = c.memory.Resize(int64(cap(c.pending)))
-		return nil
+		return nil, c.buffer(piece)
 	}
 	events := piece[:cut]
 	if len(c.pending) > 0 {
@@ -120,7 +138,23 @@
 	c.pending = append([]byte(nil), piece[cut:]...)
 	c.memory.Release()
 	c.recordLastID(events)
-	return events
+	return events, nil
+}
+
+// buffer adds a piece to the incomplete event. The first pieceBytes are not taken from the memory budget: they are bounded by
+// the number of connections.
+func (c *eventSplitter) buffer(piece []byte) error {
+	if needed := len(c.pending) + len(piece); needed > cap(c.pending) {
+		size := max(needed, 2*cap(c.pending))
+		if size > pieceBytes {
+			if err := c.memory.Resize(int64(size)); err != nil {
+				return err
+			}
+		}
+		c.pending = append(make([]byte, 0, size), c.pending...)
+	}
+	c.pending = append(c.pending, piece...)
+	return nil
 }
 
 // recordLastID stores the ID of the last event that has one.
--- a/gateway/eventstream_test.go
+++ b/gateway/eventstream_test.go
@@ -37,7 +37,11 @@
 			for remainder := c.stream; len(remainder) > 0; {
 				piece := remainder[:min(size, len(remainder))]
 				remainder = remainder[len(piece):]
-				completeEvents.Write(splitter.completeEvents([]byte(piece)))
+				complete, err := splitter.completeEvents([]byte(piece))
+				if err != nil {
+					t.Fatalf("%s: %v", c.name, err)
+				}
+				completeEvents.Write(complete)
 			}
 			if completeEvents.String() != c.completeEvents || splitter.scanner.inEvent != c.inside || completeEvents.String()+string(splitter.remainder()) != c.stream {
 				t.Errorf("%s, in pieces of %d bytes: %q complete, %q left, inside an event %v", c.name, size, completeEvents.String(), splitter.remainder(), splitter.scanner.inEvent)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -167,11 +167,9 @@
 			if sampling && gaps.record(e.gateway.Now(), buffer[:count]) {
 				e.reportSample(id, &gaps)
 			}
-			piece := buffer[:count]
-			if e.route.Resumable {
-				piece = events.completeEvents(piece)
-			} else {
-				events.scanner.scan(piece)
+			piece, eventError := e.nextEvents(&events, buffer[:count])
+			if eventError != nil {
+				return e.rejectEvent(ctx, id, eventError)
 			}
 			if !e.writePiece(candidate.Instance, response, piece) {
 				e.end(id, balance.Abandoned)
@@ -206,6 +204,27 @@
 	}
 }
 
+// nextEvents adds a piece of a stream and returns what may be forwarded now.
+func (e *exchange) nextEvents(events *eventSplitter, piece []byte) ([]byte, error) {
+	if e.route.Resumable {
+		return events.completeEvents(piece)
+	}
+	_, err := events.checkSize(piece)
+	return piece, err
+}
+
+// rejectEvent ends a stream with an event that is too large, or for which there is no memory. The latter does not count
+// against the instance.
+func (e *exchange) rejectEvent(ctx context.Context, id string, err error) attemptResult {
+	outcome := balance.Broken
+	if membudget.ErrExhausted.Has(err) {
+		outcome = balance.Abandoned
+	}
+	e.end(id, attributableOutcome(ctx, outcome))
+	e.observe(Event{Step: StepStreamTruncated, Instance: id, Oversized: oversizedPart(err), Err: err})
+	return attemptBroken
+}
+
 // finishStream ends a stream that has arrived completely.
 func (e *exchange) finishStream(instance *fleet.Instance, response Response, events *eventSplitter) attemptResult {
 	id := instance.ID
