Check large answers like small ones

A large failure that another server could avoid went back at once, and counted as served by its server.

Cause: relayBuffered hands an answer over maxBufferedBytes on to relayLarge before it looks at status and signature. They are judged before that now, by the same function for both sizes. A large answer also ends its attempt when it has arrived, not when it exceeds the buffer: one that breaks off counts as failed, its slot is held until its end, and only a success clears the content that the quarantine suspects.

Genuine answers of 2 MiB, and failures of unsafe runs, go back as before.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,8 @@
 func TestServe(t *testing.T) {
 	notSent := gateway.ErrNotSent.New("refused")
 	unknown := gateway.ErrUnknown.New("reset")
+	// A large answer is not buffered as a whole.
+	large := strings.Repeat("x", 2<<20)
 	cases := []struct {
 		name    string
 		route   string
@@ -45,6 +48,16 @@
 		{"a run that ended with a promise not to have run", "unsafe", []answer{{status: 503, body: "busy"}}, 502, "", false, 1},
 		{"a success that is not genuine", "unsafe", []answer{{status: 200, unsigned: true, body: "x"}}, 502, "", false, 1},
 		{"a whole answer that breaks off", "unsafe", []answer{{status: 200, body: "part", cut: true}}, 502, "", false, 1},
+		{"a large answer", "unsafe", []answer{{status: 200, body: large}}, 200, large, false, 1},
+		{"a large success that is not genuine", "unsafe", []answer{{status: 200, unsigned: true, body: large}}, 502, "", false, 1},
+		{"a large success that is not genuine, repeated", "safe", []answer{{status: 200, unsigned: true, body: large}, {status: 200, body: large}}, 200, large, false, 2},
+		{"a large run that ended with a promise not to have run", "unsafe", []answer{{status: 503, body: large}}, 502, "", false, 1},
+		{"a large failure of an unsafe run goes back", "unsafe", []answer{{status: 500, body: large}}, 500, large, false, 1},
+		{"a large failure of a safe run is repeated", "safe", []answer{{status: 500, body: large}, {status: 200, body: "ok"}}, 200, "ok", false, 2},
+		{"the second large failure of a safe run goes back", "safe", []answer{{status: 500}, {status: 500, body: large}}, 500, large, false, 2},
+		{"a large answer that breaks off", "safe", []answer{{status: 200, body: large, cut: true}}, 200, large, true, 1},
+		{"a large answer on a stream route that is not genuine", "stream", []answer{{status: 200, unsigned: true, body: large}}, 502, "", false, 1},
+		{"a large failure of a stream that resumes", "resume", []answer{{status: 200, body: "id: 1\n\n", cut: true}, {status: 500, body: large}}, 200, "id: 1\n\n", true, 2},
 		{"a stream", "stream", []answer{{status: 200, body: "id: 1\n\n"}}, 200, "id: 1\n\n", false, 1},
 		{"a stream that breaks off", "stream", []answer{{status: 200, body: "id: 1\n\nid: 2", cut: true}}, 200, "id: 1\n\nid: 2", true, 1},
 		{"a stream that breaks off before its first byte", "stream", []answer{{status: 200, cut: true}}, 502, "", false, 1},
@@ -73,7 +86,7 @@
 			got := &recordingReply{}
 			g.Serve(context.Background(), request(c.route), got)
 			if got.status != c.status || got.body.String() != c.body || got.aborted != c.aborted || len(upstream.sent) != c.sent {
-				t.Fatalf("status %d body %q aborted %v after %d attempts, want %d %q %v %d",
+				t.Fatalf("status %d body %.80q aborted %v after %d attempts, want %d %.80q %v %d",
 					got.status, got.body.String(), got.aborted, len(upstream.sent), c.status, c.body, c.aborted, c.sent)
 			}
 			if got.status == 503 && got.retryAfter == 0 {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -46,25 +46,21 @@
 		e.observe(Event{Step: StepAttemptFailed, Instance: id, Status: response.Status(), Err: err})
 		return attemptBroken
 	}
-	if len(body) > maxBufferedBytes {
-		e.end(id, balance.Served)
-		return e.relayLarge(ctx, instance, response, body)
-	}
-	acceptable := (response.Signed() || response.Status() >= statusMultipleChoices) && !impliesNotRun(response.Status())
-	if response.Status() >= statusServerError || !acceptable {
-		e.end(id, balance.Failed)
-		if !acceptable || e.mayRetryFailure() {
-			e.observe(Event{Step: StepAttemptFailed, Instance: id, Status: response.Status()})
-			return attemptBroken
-		}
-	} else {
-		e.end(id, balance.Served)
-		if response.Status() < statusMultipleChoices {
-			e.reportSuccess(id)
-		}
-	}
-	if e.answerStarted {
+	outcome, usable := e.judge(response)
+	switch {
+	case !usable:
+		e.end(id, outcome)
+		e.observe(Event{Step: StepAttemptFailed, Instance: id, Status: response.Status()})
+		return attemptBroken
+	case e.answerStarted:
+		e.end(id, outcome)
 		return attemptBroken
+	case len(body) > maxBufferedBytes:
+		return e.relayLarge(ctx, instance, response, body, outcome)
+	}
+	e.end(id, outcome)
+	if response.Status() < statusMultipleChoices {
+		e.reportSuccess(id)
 	}
 	e.answerStarted = true
 	if e.reply.Begin(response.Status(), response.Header(), int64(len(body))) != nil || e.reply.Write(body) != nil {
@@ -74,6 +70,21 @@
 	return attemptEnded
 }
 
+// judge returns the outcome of an answer whose body arrives completely, and whether the client may get it. An answer without
+// a signature, one that falsely implies that the request was not run, and a failure that another instance may avoid are not
+// for the client.
+func (e *exchange) judge(response Response) (outcome balance.Outcome, usable bool) {
+	status := response.Status()
+	switch {
+	case !response.Signed() && status < statusMultipleChoices, impliesNotRun(status):
+		return balance.Failed, false
+	case status >= statusServerError:
+		return balance.Failed, !e.mayRetryFailure()
+	default:
+		return balance.Served, true
+	}
+}
+
 // readBuffered reads a body up to one byte more than maxBufferedBytes. The first pieceBytes are not taken from the
 // memory budget: they are bounded by the number of connections.
 func readBuffered(response Response, memory *membudget.Reservation) ([]byte, error) {
@@ -118,37 +129,46 @@
 	return e.route.Repeatable() && len(e.attemptedInstances) < e.route.MaxAttempts
 }
 
-// relayLarge relays an answer that is too large to be buffered as a whole. Head is the part that has already been read.
-func (e *exchange) relayLarge(ctx context.Context, instance *fleet.Instance, response Response, head []byte) attemptResult {
+// relayLarge relays an answer that is too large to be buffered as a whole. Head is the part that has already been read, and
+// outcome that of the answer if the rest arrives.
+func (e *exchange) relayLarge(ctx context.Context, instance *fleet.Instance, response Response, head []byte, outcome balance.Outcome) attemptResult {
 	id := instance.ID
-	if e.answerStarted {
-		return attemptBroken
-	}
+	e.recordAnswerStart(id)
 	e.answerStarted = true
 	if e.reply.Begin(response.Status(), response.Header(), response.Length()) != nil || e.reply.Write(head) != nil {
-		e.reply.Abort()
-		return attemptEnded
+		return e.endForClient(id)
 	}
 	buffer := make([]byte, pieceBytes)
 	for {
 		count, err := response.Read(buffer)
 		if count > 0 && e.reply.Write(buffer[:count]) != nil {
-			e.reply.Abort()
-			return attemptEnded
+			return e.endForClient(id)
 		}
 		if errors.Is(err, io.EOF) {
-			e.reportSuccess(id)
+			e.end(id, outcome)
+			if response.Status() < statusMultipleChoices {
+				e.reportSuccess(id)
+			}
 			e.observe(Event{Step: StepEnded, Instance: id, Status: response.Status(), Reason: ReasonAnswered})
 			return attemptEnded
 		}
 		if err != nil {
 			e.reportBroken(ctx, instance)
+			e.end(id, attributableOutcome(ctx, balance.Failed))
 			e.fail(ctx, ReasonBroken)
 			return attemptEnded
 		}
 	}
 }
 
+// endForClient ends an answer whose client no longer accepts bytes.
+func (e *exchange) endForClient(id string) attemptResult {
+	e.end(id, balance.Abandoned)
+	e.observe(Event{Step: StepEnded, Instance: id, Reason: ReasonClientDisconnected})
+	e.reply.Abort()
+	return attemptEnded
+}
+
 // relayStream relays the events of a stream as they arrive. For a resumable stream only complete events are relayed, so
 // that another instance can continue after the last one.
 func (e *exchange) relayStream(ctx context.Context, candidate *balance.Candidate, response Response) attemptResult {
@@ -172,10 +192,7 @@
 				return e.rejectEvent(ctx, id, eventError)
 			}
 			if !e.writePiece(candidate.Instance, response, piece) {
-				e.end(id, balance.Abandoned)
-				e.observe(Event{Step: StepEnded, Instance: id, Reason: ReasonClientDisconnected})
-				e.reply.Abort()
-				return attemptEnded
+				return e.endForClient(id)
 			}
 			if events.lastID != "" {
 				e.resumeAfter = events.lastID
