Bound answers to the daemon's own calls

What callers saw: model servers that answer reports with bytes without end take the daemon that plans placement over its memory, with the streams of its clients. Eight reports and eight orders run at once. A head was bounded by the HTTP library alone, at 10 MiB, of which short fields take many times as much memory; a body at 8 MiB, gathered in slices that grow; and no sum was bounded. No line or metric told of it.

Heads of answers to reports, orders and calls to the store may have 16 KiB, a report 256 KiB; an answer of the store keeps its 8 MiB. Bodies are read into memory that is reserved before it is taken, from the budget of what is received. Beyond a limit the connection is closed. answers_oversized and a log line name the server; for the store the error of the lost call says what was too large.

--- a/cmd/wheatweird/endless_test.go
+++ b/cmd/wheatweird/endless_test.go
@@ -509,3 +509,75 @@
 	defer response.Body.Close()
 	_, _ = io.Copy(io.Discard, response.Body)
 }
+
+// TestReportsWithoutEndTakeNoMemory guards against a daemon that reads answers to its own calls to servers until its memory is
+// used up.
+func TestReportsWithoutEndTakeNoMemory(t *testing.T) {
+	const engines = 24
+	binary := buildBinary(t)
+	for part, name := range map[standin.Endless]gateway.AnswerPart{standin.EndlessLine: gateway.PartHead, standin.EndlessFields: gateway.PartHead, standin.EndlessBody: gateway.PartBody} {
+		t.Run(string(part), func(t *testing.T) {
+			d := startEntryDaemon(t, binary)
+			var servers []*standin.Server
+			for number := range engines {
+				server, err := standin.NewServer(d.store, fmt.Sprint("faulty-", number), "calm", "z", "n")
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(server.Close)
+				server.SendEndlessControl(part)
+				servers = append(servers, server)
+			}
+			d.checkCalm(t, func(ctx context.Context) { <-ctx.Done() })
+			var ended []standin.EndlessAnswer
+			for _, server := range servers {
+				ended = append(ended, server.EndlessAnswers()...)
+			}
+			checkClosed(t, ended)
+			d.eventually(t, "the metric names a server", func() bool {
+				return d.metric(t, `wheatweir_answers_oversized{instance="faulty_1",part="`+string(name)+`"}`) > 0
+			})
+			d.eventually(t, "the log names a server", func() bool {
+				content, err := os.ReadFile(d.log)
+				return err == nil && strings.Contains(string(content), "instance=faulty-1 oversized="+string(name))
+			})
+		})
+	}
+}
+
+// TestStoreAnswersWithoutEndTakeNoMemory guards against a daemon that reads answers of the store until its memory is used up.
+func TestStoreAnswersWithoutEndTakeNoMemory(t *testing.T) {
+	binary := buildBinary(t)
+	for name, fault := range map[string]standin.Fault{"head": standin.FaultEndlessHead, "body": standin.FaultEndlessBody} {
+		t.Run(name, func(t *testing.T) {
+			d := startEntryDaemon(t, binary)
+			calls := d.store.Calls()
+			d.store.SetFault(func(string, string) standin.Fault { return fault })
+			d.checkCalm(t, func(ctx context.Context) { <-ctx.Done() })
+			if d.store.Calls() == calls {
+				t.Error("the daemon did not call the store")
+			}
+			d.eventually(t, "the log tells of it", func() bool {
+				content, err := os.ReadFile(d.log)
+				return err == nil && strings.Contains(string(content), name+" of the answer exceeds")
+			})
+			d.store.SetFault(nil)
+			d.eventually(t, "the store is used again", func() bool {
+				before := d.store.Calls()
+				time.Sleep(200 * time.Millisecond)
+				return d.store.Calls() > before
+			})
+		})
+	}
+}
+
+// eventually waits until a condition holds.
+func (d *entryDaemon) eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); !condition(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Errorf("never: %s", what)
+			return
+		}
+	}
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -127,16 +127,16 @@
 		clock: machine.Clock,
 		log:   newLogBook(settings.LogLevel, settings.Name, output), started: machine.Clock.Now(),
 		control: controlState{discovery: quota.NewDiscovery(machine.Clock.Now())}, work: newWorkRings(),
-		store:   platform.NewStore(settings.StoreAddress),
 		metrics: newMetrics(), memory: membudget.New(int64(settings.MemoryLimitMB * (1 << 20) * receivedShare)), memoryTold: memoryObserver{denied: map[membudget.Kind]int64{}},
 		tracker: balance.NewTracker(), demand: newDemandCounter(), life: lifecycle{failed: make(chan error, 1)}, assurance: newAssurance(), ctx: ctx, cancel: cancel,
 		following: newFollowState(),
 	}
+	d.store = platform.NewStore(settings.StoreAddress, d.memory)
 	d.store.OnEra(d.eraLearned)
 	d.settings.Store(&settings)
 	d.notices = newNotices(d)
 	d.paths = newPaths(d, machine.Dial)
-	d.engines = platform.NewEngines(d.clock.Now, d.notices.hear, d.paths.dialer.Direct)
+	d.engines = platform.NewEngines(d.clock.Now, d.notices.hear, d.paths.dialer.Direct, d.memory)
 	d.upstream = platform.NewUpstream(d.clock.Now, d.notices.hear, d.paths.dialer.Dial, d.memory)
 	d.fleet.live.Store(1)
 	d.budget = retry.NewBudget(retryPart*settings.RetryShare, 1)
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wheatweir/wheatweir/coordination"
+	"github.com/wheatweir/wheatweir/gateway"
 	"github.com/wheatweir/wheatweir/quarantine"
 	"github.com/wheatweir/wheatweir/residency"
 )
@@ -25,6 +26,17 @@
 		return node.OrderAnswered(now, sent.Order, answer)
 	})
 	d.noteRefused(err, sent.Order.Instance, sent.Order.Address)
+	d.noteOversized(err, sent.Order.Instance)
+}
+
+// noteOversized counts and logs an answer to a call of this daemon's own of which a part was too large.
+func (d *Daemon) noteOversized(err error, instance string) {
+	part := gateway.OversizedPart(err)
+	if part == "" {
+		return
+	}
+	d.metrics.oversizedSeries(instance, part).Inc(1)
+	d.log.add("instances", "Sent a report or an answer to an order that is too large.", "instance", instance, "oversized", string(part), "error", err)
 }
 
 // noteRefused takes a refused connection for a crash if other daemons are refused too: nobody listens there any more.
--- a/gateway/answerlimits.go
+++ b/gateway/answerlimits.go
@@ -17,6 +17,8 @@
 const (
 	// PartHead is the head, with the interim answers before it.
 	PartHead AnswerPart = "head"
+	// PartBody is the body of an answer to a call of this daemon's own. Bodies for clients have no limit.
+	PartBody AnswerPart = "body"
 	// PartEvent is one event of a stream.
 	PartEvent AnswerPart = "event"
 )
@@ -30,8 +32,8 @@
 	return limit
 }
 
-// oversizedPart returns the part of an answer of which an instance sent too much; empty if an error has another cause.
-func oversizedPart(err error) AnswerPart {
+// OversizedPart returns the part of an answer of which an instance sent too much; empty if an error has another cause.
+func OversizedPart(err error) AnswerPart {
 	var oversized *OversizedError
 	if errors.As(err, &oversized) {
 		return oversized.Part
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -347,11 +347,11 @@
 	switch {
 	case membudget.ErrExhausted.Has(err):
 		outcome = balance.Abandoned
-	case oversizedPart(err) == "":
+	case OversizedPart(err) == "":
 		e.reportBroken(ctx, instance)
 	}
 	e.end(id, attributableOutcome(ctx, outcome))
-	e.observe(Event{Step: StepAttemptFailed, Instance: id, Oversized: oversizedPart(err), Err: err})
+	e.observe(Event{Step: StepAttemptFailed, Instance: id, Oversized: OversizedPart(err), Err: err})
 	return attemptBroken
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -246,7 +246,7 @@
 		outcome = balance.Abandoned
 	}
 	e.end(id, attributableOutcome(ctx, outcome))
-	e.observe(Event{Step: StepStreamTruncated, Instance: id, Oversized: oversizedPart(err), Err: err})
+	e.observe(Event{Step: StepStreamTruncated, Instance: id, Oversized: OversizedPart(err), Err: err})
 	return attemptBroken
 }
 
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -24,10 +24,13 @@
 	AnswerBody Kind = "answer_body"
 	// Event is an event of a stream that has not arrived completely.
 	Event Kind = "event"
+	// Report is an instance's answer to a call of this daemon's own, StoreAnswer one of the platform's store.
+	Report      Kind = "report"
+	StoreAnswer Kind = "store_answer"
 )
 
 // Kinds lists all kinds.
-func Kinds() []Kind { return []Kind{AnswerHead, AnswerBody, Event} }
+func Kinds() []Kind { return []Kind{AnswerHead, AnswerBody, Event, Report, StoreAnswer} }
 
 // Budget is the memory that all readers share. It is safe for concurrent use.
 type Budget struct {
