Bound what frames of other daemons occupy together

A frame may have 4 MiB, and so may what is decompressed from it. The memory was taken as soon as a length was claimed, and nothing bounded the sum over up to 4,096 connections: the larger the fleet, the more frames at once after a restart.

Frames grow as their bytes arrive, and count in the budget of received data until they are handled, with what is decompressed from them. A frame that finds no room waits up to 2 s, while its sender is held up by TCP; then the connection is closed and counts as rejected, as with other bad frames; messages between daemons are repeated.

--- a/cmd/wheatweird/endless_test.go
+++ b/cmd/wheatweird/endless_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,10 +18,12 @@
 	"testing"
 	"time"
 
+	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/explain"
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/gateway"
 	"github.com/wheatweir/wheatweir/internal/loopback"
+	"github.com/wheatweir/wheatweir/peer"
 	"github.com/wheatweir/wheatweir/platform/standin"
 )
 
@@ -571,6 +574,45 @@
 	}
 }
 
+// TestLargeFramesOfPeersTakeNoMemory guards against frames of other daemons that are each within their limit and that exhaust
+// the memory of the daemon together, as they are and as they are decompressed.
+func TestLargeFramesOfPeersTakeNoMemory(t *testing.T) {
+	const (
+		peers      = 75
+		frameBytes = 4<<20 - 64
+	)
+	binary := buildBinary(t)
+	random := make([]byte, frameBytes)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(random)
+	for name, frame := range map[string][]byte{"random": random, "zeros": make([]byte, frameBytes)} {
+		t.Run(name, func(t *testing.T) {
+			d := startEntryDaemon(t, binary)
+			key := []byte(deploymentKey + " messages " + coordination.MessageForm)
+			d.checkCalm(t, func(ctx context.Context) {
+				var group sync.WaitGroup
+				for range peers {
+					transport, err := peer.Listen("127.0.0.1:0", key, func([]byte) {})
+					if err != nil {
+						t.Error(err)
+						break
+					}
+					group.Go(func() {
+						defer transport.Close()
+						for ctx.Err() == nil {
+							transport.Send(d.peers, frame)
+							time.Sleep(time.Second)
+						}
+					})
+				}
+				group.Wait()
+			})
+			if used := d.metric(t, `wheatweir_memory_reserved_peak_bytes{kind="peer_frame"}`); used == 0 {
+				t.Error("no frame was received")
+			}
+		})
+	}
+}
+
 // eventually waits until a condition holds.
 func (d *entryDaemon) eventually(t *testing.T, what string, condition func() bool) {
 	t.Helper()
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -209,6 +209,7 @@
 	if d.peers, err = peer.Listen(d.current().PeerAddress, peerKey(d.current().DeploymentKey), d.receive); err != nil {
 		return err
 	}
+	d.peers.LimitMemory(d.memory)
 	d.peers.ServeTunnels(d.paths.carry)
 	d.peers.OnUnacknowledged(func(address string, waiting time.Duration) {
 		d.log.add("peers", "Gave a silent connection up.", "address", address, "unacknowledged_ms", waiting.Milliseconds())
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -40,9 +40,9 @@
 	id := instance.ID
 	memory := e.gateway.settings.Memory.Reserve(membudget.AnswerBody)
 	defer memory.Release()
-	body, err := readBuffered(response, &memory)
-	noRoom := membudget.ErrExhausted.Has(err)
-	if err != nil && !noRoom {
+	body, err := memory.ReadAll(response, firstBufferBytes(response), maxBufferedBytes)
+	partial := membudget.ErrTooLarge.Has(err) || membudget.ErrExhausted.Has(err)
+	if err != nil && !partial {
 		e.reportBroken(ctx, instance)
 		e.end(id, attributableOutcome(ctx, balance.Failed))
 		e.observe(Event{Step: StepAttemptFailed, Instance: id, Status: response.Status(), Err: err})
@@ -57,7 +57,7 @@
 	case e.answerStarted:
 		e.end(id, outcome)
 		return attemptBroken
-	case noRoom || len(body) > maxBufferedBytes:
+	case partial:
 		return e.relayLarge(ctx, instance, response, bufferedHead{body, &memory}, outcome)
 	}
 	e.end(id, outcome)
@@ -72,6 +72,15 @@
 	return attemptEnded
 }
 
+// firstBufferBytes returns the size of the first buffer for a body. It is not taken from the memory budget: it is bounded by
+// the number of connections.
+func firstBufferBytes(response Response) int64 {
+	if length := response.Length(); length >= 0 {
+		return min(pieceBytes, length+1)
+	}
+	return pieceBytes
+}
+
 // judge returns the outcome of an answer whose body arrives completely, and whether the client may get it. An answer without
 // a signature, one that falsely implies that the request was not run, and a failure that another instance may avoid are not
 // for the client.
@@ -87,34 +96,6 @@
 	}
 }
 
-// readBuffered reads a body up to one byte more than maxBufferedBytes. The first pieceBytes are not taken from the
-// memory budget: they are bounded by the number of connections.
-func readBuffered(response Response, memory *membudget.Reservation) ([]byte, error) {
-	size := int64(pieceBytes)
-	if length := response.Length(); length >= 0 {
-		size = min(size, length+1)
-	}
-	body := make([]byte, 0, size)
-	for {
-		count, err := response.Read(body[len(body):cap(body)])
-		body = body[:len(body)+count]
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil || len(body) > maxBufferedBytes {
-			return body, err
-		}
-		if len(body) < cap(body) {
-			continue
-		}
-		size = min(2*size, maxBufferedBytes+1)
-		if err := memory.Resize(size); err != nil {
-			return body, err
-		}
-		body = append(make([]byte, 0, size), body...)
-	}
-}
-
 // impliesNotRun reports whether a status implies to the client that the request was not executed. An answer with such a
 // status from an instance that executed the request is not relayed.
 func impliesNotRun(status int) bool {
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -7,6 +7,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -27,10 +28,12 @@
 	// Report is an instance's answer to a call of this daemon's own, StoreAnswer one of the platform's store.
 	Report      Kind = "report"
 	StoreAnswer Kind = "store_answer"
+	// PeerFrame is a message of another daemon.
+	PeerFrame Kind = "peer_frame"
 )
 
 // Kinds lists all kinds.
-func Kinds() []Kind { return []Kind{AnswerHead, AnswerBody, Event, Report, StoreAnswer} }
+func Kinds() []Kind { return []Kind{AnswerHead, AnswerBody, Event, Report, StoreAnswer, PeerFrame} }
 
 // Budget is the memory that all readers share. It is safe for concurrent use.
 type Budget struct {
@@ -74,6 +77,8 @@
 	budget *Budget
 	usage  *usage
 	size   int64
+	// waitForRoom is how long ReadAll waits for room.
+	waitForRoom time.Duration
 }
 
 // Resize changes the size in bytes. If the budget has no room for a larger one, the size stays as it was.
--- a/peer/acknowledge_test.go
+++ b/peer/acknowledge_test.go
@@ -188,3 +188,36 @@
 		t.Errorf("%d connections were opened, want 1", count)
 	}
 }
+
+// TestOnlySmallAcknowledgementsAreRead guards against a daemon that claims a large acknowledgement, for which memory is taken.
+func TestOnlySmallAcknowledgementsAreRead(t *testing.T) {
+	accepting, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepting.Close()
+	key := []byte("key")
+	go func() {
+		far, err := accepting.Accept()
+		if err != nil {
+			return
+		}
+		defer far.Close()
+		if opened, err := openSession(far, key, false); err == nil {
+			_ = opened.writeFrame(make([]byte, acknowledgementBytes+1))
+		}
+	}()
+	near, err := net.Dial("tcp", accepting.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	dialer, err := openSession(near, key, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dialer.maxFrame = acknowledgementBytes
+	if _, err := dialer.readFrame(); !ErrProtocol.Has(err) {
+		t.Errorf("error %v", err)
+	}
+}
--- a/peer/compress.go
+++ b/peer/compress.go
@@ -3,8 +3,9 @@
 import (
 	"bytes"
 	"compress/flate"
-	"io"
 	"sync"
+
+	"github.com/wheatweir/wheatweir/internal/membudget"
 )
 
 const (
@@ -42,19 +43,19 @@
 	return compressed.Bytes()
 }
 
-// decompress returns a body as it was before compress.
-func decompress(body []byte) ([]byte, error) {
+// decompress returns a body as it was before compress. The decompressed one counts as memory in use as well.
+func decompress(body []byte, memory *membudget.Reservation) ([]byte, error) {
 	if len(body) == 0 || body[0] != compressedPrefix {
 		return body, nil
 	}
 	reader := flate.NewReader(bytes.NewReader(body[1:]))
 	defer reader.Close()
-	decompressed, err := io.ReadAll(io.LimitReader(reader, maxFrameBytes+1))
+	decompressed, err := memory.ReadAll(reader, freeFrameBytes, maxFrameBytes)
 	switch {
+	case membudget.ErrTooLarge.Has(err):
+		return nil, ErrProtocol.New("decompressed body exceeds %d bytes", maxFrameBytes)
 	case err != nil:
 		return nil, ErrProtocol.Wrap(err)
-	case len(decompressed) > maxFrameBytes:
-		return nil, ErrProtocol.New("decompressed body exceeds %d bytes", maxFrameBytes)
 	}
 	return decompressed, nil
 }
--- a/peer/compress_test.go
+++ b/peer/compress_test.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/internal/membudget"
 )
 
 // encodedRoutes returns a configuration with count routes, encoded as in a message.
@@ -32,16 +33,17 @@
 // saturate the links of small machines when many daemons request them at once.
 func TestLargeBodiesAreCompressed(t *testing.T) {
 	const minRatio = 6
+	memory := unlimited.Reserve(membudget.PeerFrame)
 	body := encodedRoutes(t, 400)
 	compressed := compress(body)
 	if minRatio*len(compressed) > len(body) {
 		t.Errorf("compressed to %d bytes of %d, want a ratio of at least minRatio", len(compressed), len(body))
 	}
-	if decompressed, err := decompress(compressed); err != nil || !bytes.Equal(decompressed, body) {
+	if decompressed, err := decompress(compressed, &memory); err != nil || !bytes.Equal(decompressed, body) {
 		t.Errorf("decompressed to %d bytes of %d, error %v", len(decompressed), len(body), err)
 	}
 	small := body[:minCompressBytes-1]
-	if decompressed, err := decompress(compress(small)); err != nil || !bytes.Equal(decompressed, small) {
+	if decompressed, err := decompress(compress(small), &memory); err != nil || !bytes.Equal(decompressed, small) {
 		t.Errorf("a small body is decompressed to %d bytes, error %v", len(decompressed), err)
 	}
 }
@@ -49,6 +51,7 @@
 // TestCompressedBodyIsBounded guards against a small frame that exhausts the memory when it is
 // decompressed.
 func TestCompressedBodyIsBounded(t *testing.T) {
+	memory := unlimited.Reserve(membudget.PeerFrame)
 	var compressed bytes.Buffer
 	compressed.WriteByte(compressedPrefix)
 	writer, err := flate.NewWriter(&compressed, flate.BestCompression)
@@ -57,7 +60,7 @@
 	}
 	_, _ = writer.Write(make([]byte, 2*maxFrameBytes))
 	_ = writer.Close()
-	if decompressed, err := decompress(compressed.Bytes()); !ErrProtocol.Has(err) {
+	if decompressed, err := decompress(compressed.Bytes(), &memory); !ErrProtocol.Has(err) {
 		t.Errorf("decompressed %d bytes from %d, error %v, want ErrProtocol", len(decompressed), compressed.Len(), err)
 	}
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -25,6 +25,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/wheatweir/wheatweir/internal/idle"
+	"github.com/wheatweir/wheatweir/internal/membudget"
 	"github.com/wheatweir/wheatweir/ring"
 )
 
@@ -45,6 +46,8 @@
 	sendRingMessages = 64
 	sendRingBytes    = 1 << 20
 	dialTimeout      = 2 * time.Second
+	// frameRoomTimeout is how long a frame waits for room in the memory budget.
+	frameRoomTimeout = 2 * time.Second
 	// writeTimeout bounds the sending of one frame.
 	writeTimeout = 3 * time.Second
 	// idleTimeout is how long a connection without messages is kept. A daemon sends to the same few
@@ -81,6 +84,8 @@
 	// nil if unset.
 	onSilent func(address string, unacknowledgedFor time.Duration)
 	tunnels  tunnels
+	// memory bounds the frames that are being received or handled.
+	memory atomic.Pointer[membudget.Budget]
 }
 
 // Counts are totals since the start.
@@ -108,6 +113,10 @@
 	return transport, nil
 }
 
+// LimitMemory makes the frames that are being received or handled share a memory budget. A frame waits for room for
+// frameRoomTimeout; then its connection is closed.
+func (t *Transport[M]) LimitMemory(budget *membudget.Budget) { t.memory.Store(budget) }
+
 // Address returns the address that the transport listens on.
 func (t *Transport[M]) Address() string { return t.listener.Addr().String() }
 
@@ -348,19 +357,24 @@
 		t.serveTunnel(session)
 		return
 	}
+	if budget := t.memory.Load(); budget != nil {
+		session.memory = budget.Reserve(membudget.PeerFrame)
+		session.memory.WaitForRoom(frameRoomTimeout)
+	}
+	defer session.memory.Release()
 	acknowledger := &acknowledger{session: session}
 	defer acknowledger.stop()
 	for {
 		body, err := session.readFrame()
 		if err != nil {
-			if ErrProtocol.Has(err) {
+			if ErrProtocol.Has(err) || membudget.ErrExhausted.Has(err) {
 				t.count(func(counts *Counts) { counts.Rejected++ })
 			}
 			return
 		}
 		acknowledger.recordFrame()
 		var message M
-		if body, err = decompress(body); err == nil {
+		if body, err = decompress(body, &session.memory); err == nil {
 			err = msgpack.Unmarshal(body, &message)
 		}
 		if err != nil {
--- a/peer/session.go
+++ b/peer/session.go
@@ -10,6 +10,8 @@
 	"io"
 	"net"
 	"time"
+
+	"github.com/wheatweir/wheatweir/internal/membudget"
 )
 
 const (
@@ -21,6 +23,8 @@
 	// readBufferBytes holds a few typical messages. Larger ones bypass the buffer. It is small
 	// since a daemon of a large fleet has hundreds of connections.
 	readBufferBytes = 512
+	// freeFrameBytes is the size of a frame's first buffer, which is not taken from the memory budget.
+	freeFrameBytes = 4 << 10
 	// handshakeTimeout bounds the handshake.
 	handshakeTimeout = 3 * time.Second
 )
@@ -36,6 +40,9 @@
 	labelAcknowledgements = "wheatweir peer acknowledgements"
 )
 
+// unlimited is the memory budget of sessions that have no other one.
+var unlimited = membudget.New(0)
+
 // session is one connection after the handshake. Messages go from the dialer to the listener, and
 // acknowledgements back.
 type session struct {
@@ -44,6 +51,10 @@
 	// out and in hold the MAC states of the two directions.
 	out, in direction
 	buffer  []byte
+	// maxFrame bounds the bodies of the frames that are received, and memory what they occupy together with those of other
+	// sessions.
+	maxFrame int
+	memory   membudget.Reservation
 }
 
 // direction is the MAC state of the frames of one direction, with the number of the next frame.
@@ -99,7 +110,9 @@
 		}
 		frames := direction{mac: hmac.New(sha256.New, proof(key, labelFrames, dialerChallenge, listenerChallenge))}
 		acknowledgements := direction{mac: hmac.New(sha256.New, proof(key, labelAcknowledgements, dialerChallenge, listenerChallenge))}
-		opened := &session{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), out: frames, in: acknowledgements}
+		opened := &session{
+			conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), out: frames, in: acknowledgements, maxFrame: maxFrameBytes, memory: unlimited.Reserve(membudget.PeerFrame),
+		}
 		if localLabel == labelListener {
 			opened.out, opened.in = acknowledgements, frames
 		}
@@ -142,7 +155,7 @@
 	return err
 }
 
-// readFrame returns the body of the next frame in a new slice.
+// readFrame returns the body of the next frame in a new slice. The frame before it no longer counts as memory in use.
 func (s *session) readFrame() ([]byte, error) {
 	return s.readFrameUntil(time.Now().Add(2 * idleTimeout))
 }
@@ -150,6 +163,7 @@
 // readFrameUntil returns the body of the next frame if it arrives before the deadline; the zero
 // time means no deadline.
 func (s *session) readFrameUntil(deadline time.Time) ([]byte, error) {
+	s.memory.Release()
 	if err := s.conn.SetReadDeadline(deadline); err != nil {
 		return nil, err
 	}
@@ -157,13 +171,16 @@
 	if _, err := io.ReadFull(s.reader, header[:]); err != nil {
 		return nil, err
 	}
-	length := binary.BigEndian.Uint32(header[:lengthBytes])
-	if length > maxFrameBytes {
-		return nil, ErrProtocol.New("frame of %d bytes exceeds the limit of %d bytes", length, maxFrameBytes)
+	length := int64(binary.BigEndian.Uint32(header[:lengthBytes]))
+	if length > int64(s.maxFrame) {
+		return nil, ErrProtocol.New("frame of %d bytes exceeds the limit of %d bytes", length, s.maxFrame)
 	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(s.reader, body); err != nil {
+	body, err := s.memory.ReadAll(io.LimitReader(s.reader, length), freeFrameBytes, length)
+	switch {
+	case err != nil:
 		return nil, err
+	case int64(len(body)) < length:
+		return nil, io.ErrUnexpectedEOF
 	}
 	if !hmac.Equal(header[lengthBytes:], s.in.nextMAC(body)) {
 		return nil, ErrProtocol.New("frame %d has an invalid MAC", s.in.sequence-1)
--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -41,6 +41,8 @@
 const (
 	// maxTunnels bounds the tunnels that are relayed at once.
 	maxTunnels = 512
+	// maxTargetBytes bounds the address of a target.
+	maxTargetBytes = 256
 	// maxChunkBytes bounds a chunk of the bytes from the target.
 	maxChunkBytes = 8 << 10
 	// chunkHeaderBytes is the size of the length before each chunk.
@@ -243,6 +245,7 @@
 
 // serveTunnel relays one tunnel until either side ends.
 func (t *Transport[M]) serveTunnel(session *session) {
+	session.maxFrame = maxTargetBytes
 	body, err := session.readFrame()
 	if err != nil {
 		t.count(func(counts *Counts) { counts.Rejected++ })
