Set the limit for frames where a session is made

The dialer of a session limited frames to the size of an acknowledgement only in the goroutine that reads them, and the test had to do the same. The handshake sets the limit for both sides now.

--- a/peer/acknowledge.go
+++ b/peer/acknowledge.go
@@ -117,7 +117,6 @@
 // readAcknowledgements reads the acknowledgements of a session's listener until the session ends.
 func readAcknowledgements(s *session, p *progress) {
 	defer p.recordEnd()
-	s.maxFrame = acknowledgementBytes
 	for {
 		body, err := s.readFrameUntil(time.Time{})
 		if err != nil || len(body) != acknowledgementBytes {
--- a/peer/acknowledge_test.go
+++ b/peer/acknowledge_test.go
@@ -216,7 +216,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	dialer.maxFrame = acknowledgementBytes
 	if _, err := dialer.readFrame(); !ErrProtocol.Has(err) {
 		t.Errorf("error %v", err)
 	}
--- a/peer/session.go
+++ b/peer/session.go
@@ -111,10 +111,10 @@
 		frames := direction{mac: hmac.New(sha256.New, proof(key, labelFrames, dialerChallenge, listenerChallenge))}
 		acknowledgements := direction{mac: hmac.New(sha256.New, proof(key, labelAcknowledgements, dialerChallenge, listenerChallenge))}
 		opened := &session{
-			conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), out: frames, in: acknowledgements, maxFrame: maxFrameBytes, memory: unlimited.Reserve(membudget.PeerFrame),
+			conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), out: frames, in: acknowledgements, maxFrame: acknowledgementBytes, memory: unlimited.Reserve(membudget.PeerFrame),
 		}
 		if localLabel == labelListener {
-			opened.out, opened.in = acknowledgements, frames
+			opened.out, opened.in, opened.maxFrame = acknowledgements, frames, maxFrameBytes
 		}
 		return opened, label, nil
 	}
