--- a/cmd/wheatweird/endless_test.go
+++ b/cmd/wheatweird/endless_test.go
@@ -458,6 +458,50 @@
 	}
 }
 
+// TestOtherBytesWithoutEndTakeNoMemory covers the parts of answers whose size the daemon or the HTTP library bounded from the
+// start, and bytes behind a whole answer: at once, and while the connection rests.
+func TestOtherBytesWithoutEndTakeNoMemory(t *testing.T) {
+	binary := buildBinary(t)
+	for _, part := range []standin.Endless{
+		standin.EndlessChunkLine, standin.EndlessTrailer, standin.EndlessBody, standin.EndlessFailure, standin.EndlessSurplus, standin.EndlessLateSurplus,
+	} {
+		t.Run(string(part), func(t *testing.T) {
+			d := startEntryDaemon(t, binary)
+			handler, ended := endlessServer(part)
+			d.serve(t, "faulty-1", handler)
+			complete := part == standin.EndlessSurplus || part == standin.EndlessLateSurplus
+			d.checkCalm(t, func(ctx context.Context) {
+				var group sync.WaitGroup
+				for _, route := range []string{"resumable", "stream", "unsafe", "safe"} {
+					for client := range troubleClients / 4 {
+						group.Go(func() {
+							for number := 0; ctx.Err() == nil; number++ {
+								d.checkDiscarded(ctx, t, route, fmt.Sprintf("t-%s-%d-%d", route, client, number), complete)
+							}
+						})
+					}
+				}
+				group.Wait()
+			})
+			if part != standin.EndlessBody && part != standin.EndlessFailure {
+				checkClosed(t, ended())
+			}
+		})
+	}
+}
+
+// checkDiscarded sends a request, reads its answer without keeping it, and checks that it is complete, or not. Bytes behind a
+// whole answer may come when the next request was just sent on the connection, which then fails.
+func (d *entryDaemon) checkDiscarded(ctx context.Context, t *testing.T, route, id string, complete bool) {
+	t.Helper()
+	status, err := d.discard(ctx, route, id)
+	failed := complete && err == nil && status == http.StatusBadGateway
+	if ctx.Err() == nil && !failed && (err == nil && status == http.StatusOK) != complete {
+		t.Errorf("%s: status %d, %v; want a complete answer: %t", id, status, err, complete)
+	}
+	time.Sleep(10 * time.Millisecond)
+}
+
 // TestManyUnfinishedAnswersTakeNoMemory guards against answers that are within their own limits and that exhaust the memory of
 // the daemon together: bodies and events that lack their last bytes, and long heads without their end.
 func TestManyUnfinishedAnswersTakeNoMemory(t *testing.T) {
@@ -489,7 +533,7 @@
 			d.checkCalm(t, func(ctx context.Context) {
 				var group sync.WaitGroup
 				for client := range clients {
-					group.Go(func() { d.discard(ctx, c.route, fmt.Sprint("t-", client)) })
+					group.Go(func() { _, _ = d.discard(ctx, c.route, fmt.Sprint("t-", client)) })
 				}
 				group.Wait()
 			})
@@ -498,19 +542,20 @@
 }
 
 // discard sends a request on a route and reads its answer, without keeping it, until ctx ends.
-func (d *entryDaemon) discard(ctx context.Context, route, id string) {
+func (d *entryDaemon) discard(ctx context.Context, route, id string) (status int, err error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.front+"/"+route+"/x", strings.NewReader("body"))
 	if err != nil {
-		return
+		return 0, err
 	}
 	request.Host = "h.example"
 	request.Header.Set("X-Request-Id", id)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return
+		return 0, err
 	}
 	defer response.Body.Close()
-	_, _ = io.Copy(io.Discard, response.Body)
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
 }
 
 // TestReportsWithoutEndTakeNoMemory guards against a daemon that reads answers to its own calls to servers until its memory is
@@ -574,6 +619,37 @@
 	}
 }
 
+// TestQuestionsWithoutEndTakeNoMemory guards against heads of questions about addresses and readiness that take much more
+// memory than such a question needs.
+func TestQuestionsWithoutEndTakeNoMemory(t *testing.T) {
+	const askers = 300
+	d := startEntryDaemon(t, buildBinary(t))
+	var rejected atomic.Int64
+	d.checkCalm(t, func(ctx context.Context) {
+		var group sync.WaitGroup
+		for range askers {
+			group.Go(func() {
+				conn, err := net.Dial("tcp", d.ready)
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+				defer stop()
+				// Almost as much as the HTTP library accepts.
+				_, _ = io.WriteString(conn, "GET /ready HTTP/1.1\r\nHost: h\r\nX-Long: "+strings.Repeat("x", 1000<<10))
+				if answer, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil && answer.StatusCode == http.StatusRequestHeaderFieldsTooLarge {
+					rejected.Add(1)
+				}
+			})
+		}
+		group.Wait()
+	})
+	if rejected.Load() == 0 {
+		t.Error("no question was turned away")
+	}
+}
+
 // TestLargeFramesOfPeersTakeNoMemory guards against frames of other daemons that are each within their limit and that exhaust
 // the memory of the daemon together, as they are and as they are decompressed.
 func TestLargeFramesOfPeersTakeNoMemory(t *testing.T) {
