Bound the values of log lines

The error for a malformed head quotes it: 64 KiB of a head make 256 KiB of a log line, and up to 2,048 lines may wait to be written. A value has 512 bytes at most now, and what was cut off is not kept in memory.

TestLogKeepsNoLongValues: 262,144 bytes of a value waited before, and the line had 524,395 bytes.

--- a/entry/log_test.go
+++ b/entry/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
@@ -74,3 +75,25 @@
 		t.Error("the log does not tell of dropped lines")
 	}
 }
+
+// TestLogKeepsNoLongValues guards against lines that wait to be written and that quote what a server has sent: the error for a
+// malformed head of 64 KiB has four times as many bytes, and the log may hold thousands of lines.
+func TestLogKeepsNoLongValues(t *testing.T) {
+	var output strings.Builder
+	book := newLogBook("info", "n", &output)
+	long := strings.Repeat("x", 256<<10)
+	book.add("request", "Decided.", "request", "r1", "text", long, "error", errors.New(long), "status", 502)
+	waiting := <-book.lines.Items()
+	for _, field := range waiting.fields {
+		if text, isText := field.(string); isText && len(text) > longestLoggedValue {
+			t.Errorf("%d bytes of a value wait to be written", len(text))
+		}
+		if _, isError := field.(error); isError {
+			t.Error("an error with a long text waits to be written")
+		}
+	}
+	book.write(waiting)
+	if len(output.String()) > 3*longestLoggedValue || !strings.Contains(output.String(), "status=502") {
+		t.Errorf("a line of %d bytes", output.Len())
+	}
+}
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -47,8 +47,26 @@
 	return book
 }
 
-// add takes a line.
+// longestLoggedValue bounds each value in bytes: errors may quote what others have sent.
+const longestLoggedValue = 512
+
+// clipped returns a value of at most longestLoggedValue bytes. A shortened one does not keep the whole in memory.
+func clipped(value any) any {
+	text, isText := value.(string)
+	if err, isError := value.(error); isError {
+		text, isText = err.Error(), true
+	}
+	if !isText || len(text) <= longestLoggedValue {
+		return value
+	}
+	return strings.Clone(text[:longestLoggedValue])
+}
+
+// add takes a line. The fields must not be used afterwards.
 func (b *logBook) add(part, text string, fields ...any) {
+	for i, value := range fields {
+		fields[i] = clipped(value)
+	}
 	b.lines.TryPut(line{at: time.Now(), text: part + ": " + text, fields: fields})
 }
 
