Bound what the native daemon receives

The daemon with wheatweir's own protocols bounds each answer of a back end (16 MiB), of the platform (64 MiB) and each frame, but not their sum. Heads were bounded from the start by the reader's buffer of 4 KiB, interim answers by the HTTP library; a test keeps that.

[requests] received_bytes (256 MiB if left out) is for what is being read of all of them; an answer without room fails like one that breaks off. What has been read whole, and waits for its caller, is not counted.

TestBodiesShareTheMemoryBudget: eight bodies of 64 KiB that lack their last byte, with room for two: without the budget all eight are held.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/wheatweir/wheatweir/control"
 	"github.com/wheatweir/wheatweir/engine"
 	"github.com/wheatweir/wheatweir/exchange"
+	"github.com/wheatweir/wheatweir/internal/membudget"
 	"github.com/wheatweir/wheatweir/limiter"
 	"github.com/wheatweir/wheatweir/member"
 	"github.com/wheatweir/wheatweir/objectstore"
@@ -57,6 +58,8 @@
 	prefixes  *route.PrefixIndex
 	interests *ring.Ring[string]
 
+	// memory bounds what is being received from other processes.
+	memory    *membudget.Budget
 	transport *peer.Transport[control.Message]
 	platform  objectstore.Client
 	engines   *engine.Client
@@ -97,6 +100,7 @@
 func Start(s settings.Settings, output io.Writer) (*Daemon, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	prefixes := &route.PrefixIndex{}
+	memory := membudget.New(int64(s.Requests.ReceivedBytes))
 	d := &Daemon{
 		settings:  s,
 		logger:    newLogger(s.Daemon.LogLevel, output),
@@ -104,12 +108,13 @@
 		discovery: quota.NewDiscovery(time.Now()),
 		events:    ring.New[event](eventRingSize),
 		calls:     newCallRings(),
+		memory:    memory,
 		prefixes:  prefixes,
 		picker:    route.DefaultPicker(prefixes),
 		interests: ring.New[string](interestRingSize),
-		engines:   engine.NewClient(s.Requests.IdleTimeout),
-		services:  service.NewClient(s.Requests.IdleTimeout),
-		platform:  objectstore.NewHTTPClient(s.Daemon.PlatformAddress),
+		engines:   engine.NewClient(s.Requests.IdleTimeout, memory),
+		services:  service.NewClient(s.Requests.IdleTimeout, memory),
+		platform:  objectstore.NewHTTPClient(s.Daemon.PlatformAddress, memory),
 		metrics:   newMetrics(),
 		history:   newHistory(),
 		requests:  newRequestLog(),
@@ -145,6 +150,7 @@
 	if err != nil {
 		return ErrStart.Wrap(err)
 	}
+	d.transport.LimitMemory(d.memory)
 	d.transport.OnUnacknowledged(func(address string, waiting time.Duration) {
 		d.logger.Info("Gave a silent connection up.", "part", "peer", "address", address, "unacknowledged", waiting)
 	})
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -21,6 +21,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/wheatweir/wheatweir/api"
+	"github.com/wheatweir/wheatweir/internal/membudget"
 	"github.com/wheatweir/wheatweir/outcome"
 	"github.com/wheatweir/wheatweir/upstream"
 )
@@ -57,9 +58,10 @@
 }
 
 // NewClient returns a client. The idle timeout bounds the time between two
-// bytes of an answer to a request.
-func NewClient(idleTimeout time.Duration) *Client {
+// bytes of an answer to a request, and memory what answers that are being read occupy.
+func NewClient(idleTimeout time.Duration, memory *membudget.Budget) *Client {
 	settings := upstream.DefaultSettings()
+	settings.Memory = memory
 	control := upstream.NewPool(settings)
 	settings.IdleTimeout = idleTimeout
 	return &Client{control: control, requests: upstream.NewPool(settings)}
--- a/lab/standin/objectstore/contract_test.go
+++ b/lab/standin/objectstore/contract_test.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client := storeclient.NewHTTPClient(server.Address())
+	client := storeclient.NewHTTPClient(server.Address(), nil)
 	t.Cleanup(func() {
 		client.Close()
 		server.Close()
--- a/objectstore/client.go
+++ b/objectstore/client.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/wheatweir/wheatweir/api"
+	"github.com/wheatweir/wheatweir/internal/membudget"
 	"github.com/wheatweir/wheatweir/replica"
 	"github.com/wheatweir/wheatweir/upstream"
 )
@@ -27,9 +28,12 @@
 	pool    *upstream.Pool
 }
 
-// NewHTTPClient returns a client of the platform at an "IP:port" address.
-func NewHTTPClient(address string) *HTTPClient {
-	return &HTTPClient{address: address, pool: upstream.NewPool(upstream.DefaultSettings())}
+// NewHTTPClient returns a client of the platform at an "IP:port" address. Memory bounds what answers that are being read
+// occupy.
+func NewHTTPClient(address string, memory *membudget.Budget) *HTTPClient {
+	settings := upstream.DefaultSettings()
+	settings.Memory = memory
+	return &HTTPClient{address: address, pool: upstream.NewPool(settings)}
 }
 
 // Close closes idle connections.
--- a/service/service.go
+++ b/service/service.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/wheatweir/wheatweir/engine"
+	"github.com/wheatweir/wheatweir/internal/membudget"
 	"github.com/wheatweir/wheatweir/outcome"
 	"github.com/wheatweir/wheatweir/upstream"
 )
@@ -42,9 +43,10 @@
 type Client struct{ pool *upstream.Pool }
 
 // NewClient returns a client. The idle timeout bounds the time between two
-// bytes of an answer.
-func NewClient(idleTimeout time.Duration) *Client {
+// bytes of an answer, and memory what answers that are being read occupy.
+func NewClient(idleTimeout time.Duration, memory *membudget.Budget) *Client {
 	settings := upstream.DefaultSettings()
+	settings.Memory = memory
 	settings.IdleTimeout = idleTimeout
 	return &Client{pool: upstream.NewPool(settings)}
 }
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -27,6 +27,7 @@
 		inifile.Duration("requests", "claim_timeout", &r.ClaimTimeout, 100*time.Millisecond, time.Minute),
 		inifile.Duration("requests", "handicap", &r.Handicap, 0, time.Hour),
 		inifile.Integer("requests", "max_body_bytes", &r.MaxBodyBytes, 1024, 256<<20),
+		inifile.Integer("requests", "received_bytes", &r.ReceivedBytes, 64<<20, 64<<30),
 		inifile.Integer("requests", "max_waiting", &r.MaxWaiting, 1, 1000000),
 		inifile.Integer("requests", "max_attempts", &r.MaxAttempts, 1, 8),
 		inifile.Number("requests", "slot_overcommit", &r.SlotOvercommit, 0.1, 100),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -44,8 +44,11 @@
 	// ClaimTimeout bounds the wait for a request key's claim.
 	ClaimTimeout time.Duration
 	MaxBodyBytes int
-	MaxWaiting   int
-	MaxAttempts  int
+	// ReceivedBytes is what answers of back ends and of the platform, and frames of other daemons, may occupy together
+	// while they are read.
+	ReceivedBytes int
+	MaxWaiting    int
+	MaxAttempts   int
 	// Handicap is the wait that one step of priority is worth.
 	Handicap time.Duration
 	// SlotOvercommit is how many requests this daemon sends to the back ends
@@ -71,6 +74,7 @@
 			IdleTimeout:     60 * time.Second,
 			ClaimTimeout:    3 * time.Second,
 			MaxBodyBytes:    4 << 20,
+			ReceivedBytes:   256 << 20,
 			MaxWaiting:      1000,
 			MaxAttempts:     4,
 			Handicap:        5 * time.Second,
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -13,6 +13,8 @@
 
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
+
+	"github.com/wheatweir/wheatweir/internal/membudget"
 )
 
 // Error classes.
@@ -34,6 +36,8 @@
 	KeepAlive time.Duration
 	// MaxIdle is the maximum number of idle connections to one address.
 	MaxIdle int
+	// Memory bounds what response bodies that ReadAll is reading occupy together; nil means no limit.
+	Memory *membudget.Budget
 }
 
 // DefaultSettings returns the default settings, which an operator can override.
@@ -56,6 +60,9 @@
 
 // NewPool returns an empty pool.
 func NewPool(settings Settings) *Pool {
+	if settings.Memory == nil {
+		settings.Memory = membudget.New(0)
+	}
 	return &Pool{settings: settings, idle: map[string][]*connection{}}
 }
 
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -1,10 +1,11 @@
 package upstream
 
 import (
-	"bytes"
 	"io"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/wheatweir/wheatweir/internal/membudget"
 )
 
 // Response is an HTTP response whose body is read as a stream. It must be
@@ -53,20 +54,24 @@
 const unframedLength = -2
 
 // ReadAll reads the rest of the body and releases the response. It returns an
-// error if the rest exceeds limit bytes.
+// error if the rest exceeds limit bytes, or if the pool's memory budget has no room for it.
 func (r *Response) ReadAll(limit int) ([]byte, error) {
-	var body bytes.Buffer
-	_, err := io.Copy(&body, io.LimitReader(r, int64(limit)+1))
-	if err == nil && body.Len() > limit {
-		err = ErrTooLarge.New("over %d bytes", limit)
-	}
+	memory := r.pool.settings.Memory.Reserve(membudget.AnswerBody)
+	defer memory.Release()
+	body, err := memory.ReadAll(r, firstBufferBytes, int64(limit))
 	r.Close()
-	if err != nil {
+	switch {
+	case membudget.ErrTooLarge.Has(err):
+		return nil, ErrSent.Wrap(ErrTooLarge.New("over %d bytes", limit))
+	case err != nil:
 		return nil, ErrSent.Wrap(err)
 	}
-	return body.Bytes(), nil
+	return body, nil
 }
 
+// firstBufferBytes is the size of the first buffer of ReadAll, which is not taken from the memory budget.
+const firstBufferBytes = 4 << 10
+
 // Close releases the response. If the body was not read to its end, Close closes
 // the connection, so that the server can stop working on the request.
 func (r *Response) Close() {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -3,15 +3,20 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/wheatweir/wheatweir/internal/loopback"
+	"github.com/wheatweir/wheatweir/internal/membudget"
 	"github.com/wheatweir/wheatweir/upstream"
 )
 
@@ -148,3 +153,81 @@
 		t.Fatal("the client did not close the connection")
 	}
 }
+
+// TestBodiesShareTheMemoryBudget guards against bodies that are within their own limits and that exhaust the memory together.
+func TestBodiesShareTheMemoryBudget(t *testing.T) {
+	const body, bodies = 64 << 10, 8
+	settings := upstream.DefaultSettings()
+	settings.Memory = membudget.New(2 * body)
+	pool := upstream.NewPool(settings)
+	defer pool.Close()
+	// The bodies lack their last byte until all of them have arrived that far.
+	var arrived sync.WaitGroup
+	arrived.Add(bodies)
+	release := make(chan struct{})
+	address := startServer(t, func(conn net.Conn, _ int) {
+		_, _ = io.WriteString(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", body, strings.Repeat("x", body-1)))
+		arrived.Done()
+		<-release
+		_, _ = io.WriteString(conn, "x")
+	})
+	var group sync.WaitGroup
+	var failed atomic.Int64
+	for range bodies {
+		group.Go(func() {
+			request := fasthttp.AcquireRequest()
+			defer fasthttp.ReleaseRequest(request)
+			request.SetRequestURI("http://" + address + "/")
+			response, err := pool.Do(context.Background(), address, request, upstream.Options{})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if _, err := response.ReadAll(2 * body); err != nil {
+				failed.Add(1)
+				if !upstream.ErrSent.Has(err) || !membudget.ErrExhausted.Has(err) {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	arrived.Wait()
+	time.Sleep(100 * time.Millisecond)
+	close(release)
+	group.Wait()
+	if usage := settings.Memory.Usage(membudget.AnswerBody); usage.Bytes != 0 || usage.Peak > 2*body || failed.Load() == 0 || failed.Load() == bodies {
+		t.Errorf("%+v; %d of %d failed", usage, failed.Load(), bodies)
+	}
+}
+
+// TestHeadsWithoutEndAreNotRead guards against a head that is gathered for as long as bytes come.
+func TestHeadsWithoutEndAreNotRead(t *testing.T) {
+	for _, part := range []string{"\x17", "HTTP/1.1 200 OK\r\nX-Long: x", "HTTP/1.1 200 OK\r\na: b\r\n", "HTTP/1.1 102 Processing\r\n\r\n"} {
+		sent := make(chan int, 1)
+		address := startServer(t, func(conn net.Conn, _ int) {
+			_ = conn.SetWriteDeadline(time.Now().Add(10 * time.Second))
+			total, _ := io.WriteString(conn, part)
+			repeated := strings.Repeat(part[max(0, len(part)-8):], 4<<10)
+			if strings.HasPrefix(part, "HTTP/1.1 102") {
+				repeated = strings.Repeat(part, 1<<10)
+			}
+			for {
+				count, err := io.WriteString(conn, repeated)
+				total += count
+				if err != nil {
+					sent <- total
+					return
+				}
+			}
+		})
+		pool := upstream.NewPool(upstream.DefaultSettings())
+		if _, err := call(context.Background(), pool, address); !upstream.ErrSent.Has(err) {
+			t.Errorf("%.20q: error %v", part, err)
+		}
+		pool.Close()
+		// The sockets' buffers take some megabytes.
+		if total := <-sent; total > 32<<20 {
+			t.Errorf("%.20q: %d bytes were sent", part, total)
+		}
+	}
+}
