--- a/cmd/wheatweir/soak.go
+++ b/cmd/wheatweir/soak.go
@@ -70,9 +70,9 @@
 		_ = json.NewEncoder(os.Stdout).Encode(result)
 		return
 	}
-	fmt.Printf("seed %d: %d faults; %d requests: %d served, %d refused, %d failed; %d runs, %d orders; %d violations; logs in %s\n",
+	fmt.Printf("seed %d: %d faults; %d requests: %d served, %d refused, %d failed; %d runs, %d orders; peak %.0f MB; %d violations; logs in %s\n",
 		result.Seed, result.Faults, result.Requests, result.Served, result.Refused, result.Failed, result.Runs, result.Orders,
-		len(result.Violations), result.Folder)
+		result.MemoryPeakMB, len(result.Violations), result.Folder)
 	for _, violation := range result.Violations {
 		fmt.Println("  " + violation.String())
 	}
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -71,7 +71,7 @@
 name = %s
 zone = zone-%d
 deployment_key = the deployment of a soak
-memory_limit_mb = 256
+memory_limit_mb = %d
 [listen]
 front = %s
 ready = %s
@@ -92,7 +92,7 @@
 [orders]
 checks_fence = true
 lease_term = %s
-`, d.name, d.number%zones+1, d.front, d.ready, d.directory, d.peers, d.peerProxy.address(), seeds, d.storeProxy.address(),
+`, d.name, d.number%zones+1, memoryLimitMB, d.front, d.ready, d.directory, d.peers, d.peerProxy.address(), seeds, d.storeProxy.address(),
 		contact, revokeWithin, keep, grace, retryShare, retrySlack, leaseTerm)
 	// Readers see the old file or the new one, never a part of it.
 	next := d.settings + ".next"
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -11,34 +11,35 @@
 
 // Names of the promises that a soak checks.
 const (
-	promiseWholeAnswer = "whole answer"
-	promiseAtMostOnce  = "at most once"
-	promiseTrueRefusal = "true refusal"
-	promiseUnchanged   = "unchanged request"
-	promiseDraining    = "draining"
-	promiseDeparture   = "departure"
-	promiseInForce     = "configuration in force"
-	promiseNeverBack   = "configuration never back"
-	promiseOneHolder   = "one holder of orders"
-	promiseMemory      = "memory"
-	promiseLoadCeiling = "load ceiling"
-	promiseRetryBudget = "retry budget"
-	promisePlannedStop = "planned stop"
-	promiseStopAnswers = "answer at a planned stop"
-	promiseRecovery    = "recovery"
-	promiseTenant      = "tenant"
-	promiseTakenKey    = "taken key"
-	promiseKnownKey    = "known key"
-	promiseQuota       = "quota"
-	promiseQuarantine  = "quarantine"
-	promiseParts       = "quarantine of parts"
-	promiseLimit       = "limit of a server"
-	promiseLeavingWord = "leaving server"
-	promiseRest        = "rest of a server"
-	promiseBrittle     = "brittle servers"
-	promiseSilence     = "silent second"
-	promiseSoftware    = "software version of a stream"
-	promiseTakeUp      = "streams taken up"
+	promiseWholeAnswer  = "whole answer"
+	promiseAtMostOnce   = "at most once"
+	promiseTrueRefusal  = "true refusal"
+	promiseUnchanged    = "unchanged request"
+	promiseDraining     = "draining"
+	promiseDeparture    = "departure"
+	promiseInForce      = "configuration in force"
+	promiseNeverBack    = "configuration never back"
+	promiseOneHolder    = "one holder of orders"
+	promiseMemory       = "memory"
+	promiseDaemonMemory = "memory of a daemon"
+	promiseLoadCeiling  = "load ceiling"
+	promiseRetryBudget  = "retry budget"
+	promisePlannedStop  = "planned stop"
+	promiseStopAnswers  = "answer at a planned stop"
+	promiseRecovery     = "recovery"
+	promiseTenant       = "tenant"
+	promiseTakenKey     = "taken key"
+	promiseKnownKey     = "known key"
+	promiseQuota        = "quota"
+	promiseQuarantine   = "quarantine"
+	promiseParts        = "quarantine of parts"
+	promiseLimit        = "limit of a server"
+	promiseLeavingWord  = "leaving server"
+	promiseRest         = "rest of a server"
+	promiseBrittle      = "brittle servers"
+	promiseSilence      = "silent second"
+	promiseSoftware     = "software version of a stream"
+	promiseTakeUp       = "streams taken up"
 )
 
 // Violation is a promise that was broken.
@@ -82,6 +83,8 @@
 // record holds what clients and servers saw. It implements standin.Observer.
 type record struct {
 	untimed bool
+	// memoryPeakMB is the largest resident memory of a daemon that was seen.
+	memoryPeakMB float64
 
 	mutex    sync.Mutex
 	requests map[string]*sentRequest
@@ -245,6 +248,7 @@
 	defer r.mutex.Unlock()
 	result := &Result{
 		Requests: len(r.order), Runs: len(r.runs), Orders: len(r.orders), Violations: r.violations, Checked: r.checked,
+		MemoryPeakMB: r.memoryPeakMB,
 	}
 	for _, sent := range r.order {
 		switch {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -75,7 +75,9 @@
 	Orders     int            `json:"orders"`
 	Violations []Violation    `json:"violations"`
 	Checked    map[string]int `json:"checked"`
-	Folder     string         `json:"folder"`
+	// MemoryPeakMB is the largest resident memory of a daemon that was seen.
+	MemoryPeakMB float64 `json:"memory_peak_mb"`
+	Folder       string  `json:"folder"`
 }
 
 // Run plays one soak. Progress goes to output.
@@ -133,6 +135,7 @@
 	}
 	d.runPatientClients(clients)
 	d.runTakeUps(clients)
+	d.group.Go(func() { d.watchMemory(clients) })
 	faults, stopFaults := context.WithTimeout(ctx, d.options.Duration)
 	random := rand.New(rand.NewPCG(d.options.Seed, 0x50a1c))
 	d.runFaults(faults, random)
