--- a/gateway/answerlimits.go
+++ b/gateway/answerlimits.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "errors"
+import (
+	"errors"
+	"fmt"
+)
 
 const (
 	// minHeadLimit is the smallest limit in bytes for the head of an answer. A configuration that allows clients longer
@@ -23,6 +26,20 @@
 	PartEvent AnswerPart = "event"
 )
 
+// OversizedError means that an instance sent more of a part of an answer than it may have. The instance was still sending, so
+// it has not crashed.
+type OversizedError struct {
+	Part  AnswerPart
+	Limit int64
+	// Unit is that of Limit.
+	Unit string
+}
+
+// Error implements error.
+func (o *OversizedError) Error() string {
+	return fmt.Sprintf("%s of the answer exceeds %d %s", o.Part, o.Limit, o.Unit)
+}
+
 // headLimit returns the limit in bytes for the head of an answer.
 func (e *exchange) headLimit() int64 {
 	limit := int64(minHeadLimit)
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"time"
 
@@ -30,20 +29,6 @@
 	ErrExcluded = errs.Class("gateway: barred")
 )
 
-// OversizedError means that an instance sent more of a part of an answer than it may have. The instance was still sending, so
-// it has not crashed.
-type OversizedError struct {
-	Part  AnswerPart
-	Limit int64
-	// Unit is that of Limit.
-	Unit string
-}
-
-// Error implements error.
-func (o *OversizedError) Error() string {
-	return fmt.Sprintf("%s of the answer exceeds %d %s", o.Part, o.Limit, o.Unit)
-}
-
 // Field is one header field. Name has the spelling in which it was received.
 type Field struct {
 	Name  string
