Bound the ID of an event

The ID of the last event of a resumable stream is kept until the stream ends, and sent to the server at which it goes on. It could be as large as an event, 1 MiB for each stream in progress, outside the memory budget. With more than 4 KiB the stream is ended as with an event that is too large: nothing of that piece was forwarded, so it resumes after what its client has. The new case of TestEventsWithoutEndAreRejected fails before: the event is forwarded.

--- a/gateway/answerlimits.go
+++ b/gateway/answerlimits.go
@@ -11,6 +11,8 @@
 	minHeadLimit = 64 << 10
 	// maxEventBytes is the largest size of one event of a stream.
 	maxEventBytes = 1 << 20
+	// maxEventIDBytes is the largest size of the ID of an event.
+	maxEventIDBytes = 4 << 10
 )
 
 // AnswerPart is a part of an instance's answer.
@@ -24,6 +26,8 @@
 	PartBody AnswerPart = "body"
 	// PartEvent is one event of a stream.
 	PartEvent AnswerPart = "event"
+	// PartEventID is the ID of an event.
+	PartEventID AnswerPart = "event_id"
 )
 
 // OversizedError means that an instance sent more of a part of an answer than it may have. The instance was still sending, so
--- a/gateway/answerlimits_test.go
+++ b/gateway/answerlimits_test.go
@@ -35,6 +35,7 @@
 	const piece = 8 << 10
 	long, tooLong := eventOf(limit), eventOf(limit+2*piece)
 	sound := "id: 1\ndata: a\n\n"
+	longID, tooLongID := "id: "+strings.Repeat("x", 4<<10)+"\n\n", "id: "+strings.Repeat("x", 4<<10+1)+"\n\n"
 	cases := []struct {
 		name      string
 		route     string
@@ -51,6 +52,8 @@
 		{"an event beyond the limit, before the first byte", "resume", []answer{{status: 200, body: tooLong}, {status: 200, body: sound}}, 200, sound, false, 2, 1},
 		{"an event beyond the limit, after another event", "resume", []answer{{status: 200, body: sound + tooLong}, {status: 200, body: "id: 2\n\n"}}, 200, sound + "id: 2\n\n", false, 2, 1},
 		{"an event beyond the limit at all instances", "resume", []answer{{status: 200, body: tooLong}, {status: 200, body: tooLong}}, 502, "", false, 2, 2},
+		{"a long ID", "resume", []answer{{status: 200, body: longID}}, 200, longID, false, 1, 0},
+		{"an ID beyond the limit", "resume", []answer{{status: 200, body: sound + tooLongID}, {status: 200, body: sound + "id: 2\n\n"}}, 200, sound + "id: 2\n\n", false, 2, 1},
 		{"a comment beyond the limit", "resume", []answer{{status: 200, body: ":" + tooLong}, {status: 200, body: sound}}, 200, sound, false, 2, 1},
 	}
 	for _, c := range cases {
--- a/gateway/eventstream.go
+++ b/gateway/eventstream.go
@@ -137,8 +137,7 @@
 	}
 	c.pending = append([]byte(nil), piece[cut:]...)
 	c.memory.Release()
-	c.recordLastID(events)
-	return events, nil
+	return events, c.recordLastID(events)
 }
 
 // buffer adds a piece to the incomplete event. The first pieceBytes are not taken from the memory budget: they are bounded by
@@ -157,13 +156,20 @@
 	return nil
 }
 
-// recordLastID stores the ID of the last event that has one.
-func (c *eventSplitter) recordLastID(events []byte) {
+// recordLastID stores the ID of the last event that has one. It returns an error if an ID is too large: it is kept until the
+// stream ends.
+func (c *eventSplitter) recordLastID(events []byte) error {
 	for _, line := range bytes.FieldsFunc(events, isLineEnd) {
-		if value, found := bytes.CutPrefix(line, idPrefix); found {
-			c.lastID = string(bytes.TrimSpace(value))
+		value, found := bytes.CutPrefix(line, idPrefix)
+		if !found {
+			continue
 		}
+		if value = bytes.TrimSpace(value); len(value) > maxEventIDBytes {
+			return &OversizedError{Part: PartEventID, Limit: maxEventIDBytes, Unit: "bytes"}
+		}
+		c.lastID = string(value)
 	}
+	return nil
 }
 
 func isLineEnd(char rune) bool { return char == '\n' || char == '\r' }
