Follow requests on a connection as the HTTP library does

Cause: the guard looked for both a length and chunks in the raw bytes since the end of the last request, and read them otherwise than the library: it knew no lines that end with LF alone, and lost what was read of a head together with the request before it. It also turned away chunked requests that came behind another one.

It now follows all bytes with the library's grammar, in any split, and a request passes only if the guard finds one framing, the same as the library. What it cannot follow does not pass: 400, connection closed. OPTIONS * is no longer answered by the library itself.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -259,7 +259,7 @@
 	gateway.ReasonClientDisconnected: "the client left",
 	gateway.ReasonAnswered:           "the instance answered",
 	gateway.ReasonBodyTooLarge:       "its body is larger than the configuration allows",
-	gateway.ReasonBodyFramedTwice:    "its head gives its body both a length and chunks",
+	gateway.ReasonBodyFramedTwice:    "its head may be read in two ways as to where its body ends, such as with both a length and chunks",
 	gateway.ReasonQuarantined:        "servers crashed under requests like it",
 	gateway.ReasonSuspected:          "a server crashed under requests like it, and its turn was too far off",
 	gateway.ReasonStreamBroke:        "the stream broke off, and it may not be resumed",
--- a/internal/headguard/headguard.go
+++ b/internal/headguard/headguard.go
@@ -1,10 +1,12 @@
-// Package headguard lets an HTTP server refuse requests whose head gives both a
-// length and chunks. The standard library drops the length silently, so that what
-// a sender that goes by the length takes for a body would be run as a request.
+// Package headguard lets an HTTP server refuse requests whose head may be read in two ways as to where the body ends, such as one
+// that gives both a length and chunks. The standard library decides for one of them silently; what another reader takes for
+// the body would then be run as a request.
+//
+// The guard follows the bytes of a connection beside the library, in any split and over any number of requests that come without
+// waiting for answers. A request passes only if the guard and the library read its framing alike.
 package headguard
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -12,12 +14,9 @@
 	"syscall"
 )
 
-// maxHead bounds what is kept of one request's beginning.
-const maxHead = 64 << 10
-
 type contextKey struct{}
 
-// Listener hands out connections that remember the beginning of each request.
+// Listener hands out connections whose requests are followed.
 type Listener struct{ net.Listener }
 
 // Accept implements net.Listener.
@@ -29,11 +28,12 @@
 	return &conn{Conn: accepted}, nil
 }
 
-// conn keeps what was read since the end of the last request.
+// conn holds the verdicts on the heads that were read and not asked for yet, in their order.
 type conn struct {
 	net.Conn
-	mutex sync.Mutex
-	head  []byte
+	mutex    sync.Mutex
+	scanner  scanner
+	verdicts []verdict
 }
 
 // Read implements net.Conn.
@@ -41,14 +41,24 @@
 	count, err := c.Conn.Read(buffer)
 	if count > 0 {
 		c.mutex.Lock()
-		if room := maxHead - len(c.head); room > 0 {
-			c.head = append(c.head, buffer[:min(count, room)]...)
-		}
+		c.verdicts = c.scanner.scan(buffer[:count], c.verdicts)
 		c.mutex.Unlock()
 	}
 	return count, err
 }
 
+// next returns the verdict on the next head, or false if the scanner did not find it.
+func (c *conn) next() (verdict, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(c.verdicts) == 0 {
+		return verdict{}, false
+	}
+	first := c.verdicts[0]
+	c.verdicts = c.verdicts[:copy(c.verdicts, c.verdicts[1:])]
+	return first, true
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *conn) SyscallConn() (syscall.RawConn, error) {
 	exposed, ok := c.Conn.(syscall.Conn)
@@ -67,37 +77,25 @@
 	return lingering.SetLinger(seconds)
 }
 
-// ConnContext is the ConnContext of the http.Server that serves the Listener.
+// ConnContext is the ConnContext of the http.Server that serves the Listener. The server must hand all requests to its
+// handler (http.Server.DisableGeneralOptionsHandler).
 func ConnContext(ctx context.Context, accepted net.Conn) context.Context {
 	return context.WithValue(ctx, contextKey{}, accepted)
 }
 
-// Ambiguous reports whether a request's head frames its body twice, or can't be
-// looked at although the body comes in chunks. It is asked once for each request,
-// after the body was read, and forgets what was kept for it.
+// Ambiguous reports whether the end of a request's body may be read in two ways. It must be called exactly once for each request
+// of a connection, and the connection be closed after a request for which it is true.
 func Ambiguous(request *http.Request) bool {
 	guarded, ok := request.Context().Value(contextKey{}).(*conn)
 	if !ok {
 		return false
 	}
-	guarded.mutex.Lock()
-	defer guarded.mutex.Unlock()
-	head := guarded.head
-	guarded.head = guarded.head[:0]
-	if len(request.TransferEncoding) == 0 {
-		return false
-	}
-	end := bytes.Index(head, []byte("\r\n\r\n"))
-	return end < 0 || hasField(head[:end], "Content-Length")
-}
-
-// hasField reports whether a head has a field of this name.
-func hasField(head []byte, name string) bool {
-	for _, line := range bytes.Split(head, []byte("\r\n")) {
-		found, _, _ := bytes.Cut(line, []byte(":"))
-		if bytes.EqualFold(bytes.TrimSpace(found), []byte(name)) {
-			return true
-		}
+	found, known := guarded.next()
+	chunked := len(request.TransferEncoding) > 0
+	switch {
+	case !known || found.ambiguous || found.chunked != chunked:
+		return true
+	default:
+		return !chunked && found.length != request.ContentLength
 	}
-	return false
 }
