A budget of retries for each service

Cause: one budget for all services, to which each request of any of them added; the rule counts each service by itself. Each has its own now, with the share and limit that the one had. A budget begins with one token even if the limit was raised before, as after a start so far.

TestRetriesOfAFleetKeepTheBoundOfEachService fails with one budget (9 daemons: 149 retries of 424 requests in 10 s), as do TestTrafficOfOneServicePaysForNoRetriesAtAnother and TestEachServicePaysForItsOwnRetries.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -98,7 +98,7 @@
 	// pace is how fast servers work.
 	pace    *paceKeeper
 	tracker *balance.Tracker
-	budget  *retry.Budget
+	budgets *retry.Budgets
 	demand  *demandCounter
 
 	ctx    context.Context
@@ -139,7 +139,7 @@
 	d.engines = platform.NewEngines(d.clock.Now, d.notices.hear, d.paths.dialer.Direct, d.memory)
 	d.upstream = platform.NewUpstream(d.clock.Now, d.notices.hear, d.paths.dialer.Dial, d.memory)
 	d.fleet.live.Store(1)
-	d.budget = retry.NewBudget(retryPart*settings.RetryShare, 1)
+	d.budgets = retry.NewBudgets(retryPart*settings.RetryShare, 1)
 	d.quotas = newQuotas(d)
 	d.quarantine = newQuarantineKeeper(d)
 	d.origins = newOrigins(d)
@@ -158,7 +158,7 @@
 		StreamOrigins:   d.origins,
 		Samples:         d.pace.samples(),
 		Memory:          d.memory,
-	}, d.upstream, d.tracker, d.budget, d.demand, d)
+	}, d.upstream, d.tracker, d.budgets, d.demand, d)
 	d.dispatch = newDispatch(d)
 	d.gateway.SetChooser(d.dispatch)
 	d.fleet.peerAddresses.Store(&addressBook{})
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -52,6 +52,7 @@
 		d.tracker.Prune(time.Now(), func(id string) bool { return view.Instance(id) != nil })
 		d.notices.tick(now, view)
 		d.pace.forget(view)
+		d.budgets.Prune(func(service string) bool { return view.Service(service) != nil })
 		d.origins.forget(now)
 	}
 	d.origins.tick(now)
@@ -104,7 +105,7 @@
 	d.origins.setMembers(members)
 	d.fleet.live.Store(max(1, live))
 	d.publishFleet(d.clock.Now())
-	d.budget.SetLimit(max(1, retryPart*d.current().RetrySlack/float64(max(1, live))))
+	d.budgets.SetLimit(max(1, retryPart*d.current().RetrySlack/float64(max(1, live))))
 	d.fleet.addresses.Store(newFrontAddresses(members, d.current().ZoneRegions))
 }
 
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -54,7 +54,7 @@
 	kept.RetryShare, kept.RetrySlack, kept.WatchWait = next.RetryShare, next.RetrySlack, next.WatchWait
 	kept.Released = next.Released
 	d.settings.Store(&kept)
-	d.budget.SetShare(retryPart * kept.RetryShare)
+	d.budgets.SetShare(retryPart * kept.RetryShare)
 	d.quarantine.release(kept.Released)
 	seeds := kept.Seeds
 	d.work.events.Put(d.ctx, func(node *coordination.Node, _ time.Time) []coordination.Action {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -187,7 +187,7 @@
 const maxUnreached = 3
 
 // mayRetry reports whether another instance may be tried. A retry of a request that was sent takes from the retry
-// budget.
+// budget of its service.
 func (e *exchange) mayRetry(last attemptResult) bool {
 	if last == attemptUnreached {
 		return len(e.unreachable) < maxUnreached
@@ -198,7 +198,7 @@
 	if len(e.attemptedInstances) >= e.route.MaxAttempts {
 		return false
 	}
-	return e.gateway.budget.Take()
+	return e.gateway.budgets.Of(e.service).Take()
 }
 
 // fail ends the request with an error answer, or aborts the answer if a part of it was sent.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,7 +87,7 @@
 	upstream Upstream
 	tracker  *balance.Tracker
 	chooser  Chooser
-	budget   *retry.Budget
+	budgets  *retry.Budgets
 	demand   DemandObserver
 	observer Observer
 	view     atomic.Pointer[fleet.View]
@@ -101,13 +101,13 @@
 }
 
 // New returns a gateway without a configuration. It refuses all requests until SetView is called with one.
-func New(settings Settings, upstream Upstream, tracker *balance.Tracker, budget *retry.Budget, demand DemandObserver, observer Observer) *Gateway {
+func New(settings Settings, upstream Upstream, tracker *balance.Tracker, budgets *retry.Budgets, demand DemandObserver, observer Observer) *Gateway {
 	if settings.Memory == nil {
 		settings.Memory = membudget.New(0)
 	}
 	g := &Gateway{
 		settings: settings, upstream: upstream, tracker: tracker, chooser: localChooser{balance.NewPicker(tracker)},
-		budget: budget, demand: demand, observer: observer, shortageTracker: newShortageTracker(), lifetime: drain.NewLifetime(),
+		budgets: budgets, demand: demand, observer: observer, shortageTracker: newShortageTracker(), lifetime: drain.NewLifetime(),
 		backgroundQueues: newYieldQueues(),
 	}
 	g.view.Store(fleet.NewView(nil, nil))
@@ -199,7 +199,7 @@
 	if request.Model != "" {
 		defer g.demand.RequestStarted(e.service, request.Model)()
 	}
-	g.budget.Succeeded()
+	g.budgets.Of(e.service).Succeeded()
 	e.run(ctx)
 }
 
