Tests of the real daemon leave no process when they are killed

A run of these tests whose output was cut off ended without its cleanup, and its daemon went on: one such process was found an hour later.

--- a/cmd/wheatweird/entryprocess_test.go
+++ b/cmd/wheatweird/entryprocess_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -116,6 +117,8 @@
 	}
 	command := exec.Command(binary, "--entry", "--settings", path)
 	command.Stdout, command.Stderr = output, output
+	// A test that is killed leaves no process behind.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
