Tell which retries the budget of a service pays for or refuses

Whether a repeat was paid for, by which budget and at what share could not be seen: a request whose second attempt was denied ended as broken or declined, like one whose route allows a single attempt. No decision changes.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -99,6 +99,7 @@
 	pace    *paceKeeper
 	tracker *balance.Tracker
 	budgets *retry.Budgets
+	retries *retryObserver
 	demand  *demandCounter
 
 	ctx    context.Context
@@ -140,6 +141,7 @@
 	d.upstream = platform.NewUpstream(d.clock.Now, d.notices.hear, d.paths.dialer.Dial, d.memory)
 	d.fleet.live.Store(1)
 	d.budgets = retry.NewBudgets(retryPart*settings.RetryShare, 1)
+	d.retries = newRetryObserver(d)
 	d.quotas = newQuotas(d)
 	d.quarantine = newQuarantineKeeper(d)
 	d.origins = newOrigins(d)
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -55,6 +55,7 @@
 		d.budgets.Prune(func(service string) bool { return view.Service(service) != nil })
 		d.origins.forget(now)
 	}
+	d.retries.tick(now)
 	d.origins.tick(now)
 	d.gossip(now)
 	d.publishAddresses()
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -83,6 +83,9 @@
 	// that sent one.
 	oversized          map[oversizedKey]tally.Counter
 	oversizedInstances map[string]bool
+	// retries counts retries that a budget allowed or denied, by the first mostRetryServices services that had some.
+	retries       map[retryKey]tally.Counter
+	retryServices map[string]bool
 	// memory holds what is reserved for data from other processes, by its kind.
 	memory map[membudget.Kind]memoryGauges
 	// heapBytes is the heap in use, with garbage that was not collected yet.
@@ -117,6 +120,18 @@
 	otherOversizedInstances = "others"
 )
 
+// retryKey names a series of retries. Its step is StepRetryAllowed or StepRetryDenied.
+type retryKey struct {
+	service string
+	step    gateway.Step
+}
+
+// mostRetryServices bounds the services that have series of their own; the others share one.
+const (
+	mostRetryServices  = 64
+	otherRetryServices = "others"
+)
+
 // tenantKey names a series of a tenant.
 type tenantKey struct {
 	tenant string
@@ -141,7 +156,7 @@
 	}
 	return &metrics{
 		root: root, steps: map[stepKey]tally.Counter{}, answers: map[answerKey]tally.Counter{}, tenants: map[tenantKey]tally.Counter{}, tenantNames: map[string]bool{},
-		oversized: map[oversizedKey]tally.Counter{}, oversizedInstances: map[string]bool{},
+		oversized: map[oversizedKey]tally.Counter{}, oversizedInstances: map[string]bool{}, retries: map[retryKey]tally.Counter{}, retryServices: map[string]bool{},
 		unreadable: root.Counter("entries_unreadable"), took: map[stepKey]tally.Histogram{},
 		inProgress: root.Gauge("requests_in_progress"), configuration: root.Gauge("configuration_version"),
 		instances: root.Gauge("instances"), daemons: root.Gauge("live_daemons"), leaseHeld: root.Gauge("lease_held"), storeEra: root.Gauge("store_era"),
@@ -182,6 +197,9 @@
 	if event.Oversized != "" {
 		m.oversizedSeries(event.Instance, event.Oversized).Inc(1)
 	}
+	if event.Service != "" {
+		m.retrySeries(event.Service, event.Step).Inc(1)
+	}
 	counter, histogram := m.series(key)
 	counter.Inc(1)
 	if histogram != nil {
@@ -233,6 +251,26 @@
 	return counter
 }
 
+// retrySeries is the counter of the retries that the budget of a service allowed or denied.
+func (m *metrics) retrySeries(service string, step gateway.Step) tally.Counter {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !m.retryServices[service] {
+		if len(m.retryServices) < mostRetryServices {
+			m.retryServices[service] = true
+		} else {
+			service = otherRetryServices
+		}
+	}
+	key := retryKey{service, step}
+	counter, found := m.retries[key]
+	if !found {
+		counter = m.root.Tagged(map[string]string{"service": service, "result": string(step)}).Counter("retries")
+		m.retries[key] = counter
+	}
+	return counter
+}
+
 // oversizedSeries is the counter of answers of an instance of which a part was too large.
 func (m *metrics) oversizedSeries(instance string, part gateway.AnswerPart) tally.Counter {
 	m.mutex.Lock()
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -129,6 +129,7 @@
 func (d *Daemon) Observe(event gateway.Event) {
 	took := d.clock.Since(event.Request.Arrived)
 	d.metrics.count(&event, took)
+	d.retries.observe(&event)
 	fields := []any{"request", event.Request.ID, "route", "", "step", string(event.Step)}
 	if event.Route != nil {
 		fields[3] = event.Route.Name
@@ -154,6 +155,9 @@
 			fields = append(fields, "chosen_by", event.ChosenBy)
 		}
 	}
+	if event.Service != "" {
+		fields = append(fields, "service", event.Service, "tokens", rounded(event.Retry.Tokens), "limit", rounded(event.Retry.Limit), "daemons", d.fleet.live.Load())
+	}
 	if event.Content != "" {
 		fields = append(fields, "content", event.Content)
 	}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -277,6 +277,9 @@
 		return "unknown: no line tells of its end"
 	}
 	text := reasons[gateway.Reason(last.Value("reason"))]
+	if spent := spentBudget(story); spent != "" {
+		text = spent
+	}
 	if text == "" {
 		text = "reason " + last.Value("reason")
 	}
@@ -295,6 +298,18 @@
 	return fmt.Sprintf("%s after %s ms", text, last.Value("took_ms"))
 }
 
+// spentBudget tells that no further attempt was made since the retry budget had no token; empty if that is not why.
+func spentBudget(story *Story) string {
+	for i := range story.Steps {
+		step := &story.Steps[i]
+		if step.Name == gateway.StepRetryDenied {
+			return fmt.Sprintf("the attempt failed, and the retry budget of its service %s was spent (%s tokens, limit %s)",
+				step.Value("service"), step.Value("tokens"), step.Value("limit"))
+		}
+	}
+	return ""
+}
+
 // Write writes the story as text, a line for each step, the cause last.
 func (s *Story) Write(w io.Writer) error {
 	begin := s.Steps[0].At
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -46,6 +46,18 @@
 	}
 }
 
+// TestStoryTellsOfASpentRetryBudget guards against a request that got one attempt for want of budget and looks as if its route
+// allowed no other one.
+func TestStoryTellsOfASpentRetryBudget(t *testing.T) {
+	denied := `time=2026-12-02T10:00:01.901Z level=info msg="request: Decided." node=a request=r1 route=p step=retry_denied service=svc tokens=0.25 limit=4.5 daemons=7 took_ms=701 configuration=7
+`
+	end := strings.LastIndex(log, "time=")
+	story, err := read(t, "r1", log[:end]+denied+log[end:])
+	if want := "the retry budget of its service svc was spent (0.25 tokens, limit 4.5) (status 502)"; err != nil || !strings.Contains(story.Cause, want) {
+		t.Errorf("cause %q, %v; want %q", story.Cause, err, want)
+	}
+}
+
 func TestUncertainStories(t *testing.T) {
 	cut := log[:strings.LastIndex(log, "time=")]
 	other := strings.ReplaceAll(log, "node=a", "node=b")
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/retry"
 )
 
 // Reason is why a request ended or waits. It is written to logs and metrics.
@@ -94,6 +95,10 @@
 	StepAttemptFailed Step = "attempt_failed"
 	// StepStreamTruncated means that a stream was truncated.
 	StepStreamTruncated Step = "stream_broke"
+	// StepRetryAllowed and StepRetryDenied mean that the retry budget of the service had a token for another attempt, or
+	// that it had none.
+	StepRetryAllowed Step = "retry_allowed"
+	StepRetryDenied  Step = "retry_denied"
 	// StepEjected means that the instance receives no requests for a while.
 	StepEjected Step = "ejected"
 	// StepEnded, StepRefused and StepBrokenOff end a request. StepEnded: with the answer of an instance, or because the
@@ -153,6 +158,9 @@
 	// HeldFor is the digest of the content or prompt part for which the request is held, that is kept from instances;
 	// empty if it is not held.
 	HeldFor string
+	// Service is the service whose retry budget decided, and Retry its decision, at StepRetryAllowed and StepRetryDenied.
+	Service string
+	Retry   retry.Decision
 	// Load is the load of the instance as estimated by the balancer.
 	Load balance.Load
 	// Forecast is the predicted time from the choice to the first token; zero if there is no prediction.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -197,7 +197,18 @@
 	if len(e.attemptedInstances) >= e.route.MaxAttempts {
 		return false
 	}
-	return e.gateway.budgets.Of(e.service).Take()
+	return e.takeRetry()
+}
+
+// takeRetry takes a retry from the budget of the service, if it has one left.
+func (e *exchange) takeRetry() bool {
+	decision := e.gateway.budgets.Of(e.service).Decide()
+	step := StepRetryDenied
+	if decision.Allowed {
+		step = StepRetryAllowed
+	}
+	e.observe(Event{Step: step, Service: e.service, Retry: decision})
+	return decision.Allowed
 }
 
 // fail ends the request with an error answer, or aborts the answer if a part of it was sent.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -44,15 +44,26 @@
 	b.mutex.Unlock()
 }
 
-// Take consumes one token and reports whether a retry is allowed. It returns false if less than one token is left.
-func (b *Budget) Take() bool {
+// Decision says whether a retry is allowed, and what that was based on.
+type Decision struct {
+	Allowed bool
+	// Tokens is how many are left, Limit how many may be saved.
+	Tokens float64
+	Limit  float64
+}
+
+// Take is Decide without the reasons.
+func (b *Budget) Take() bool { return b.Decide().Allowed }
+
+// Decide consumes one token if there is one, which allows a retry.
+func (b *Budget) Decide() Decision {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.tokens < 1 {
-		return false
+	allowed := b.tokens >= 1
+	if allowed {
+		b.tokens--
 	}
-	b.tokens--
-	return true
+	return Decision{Allowed: allowed, Tokens: b.tokens, Limit: b.limit}
 }
 
 // Backoff returns the delay before an attempt, as exponential backoff with full
