Retries are paid for by a daemon's own requests

What callers saw: repeats beyond the budget of a service (BUDGET), with real processes; with the daemons cut off from each other on the code with a budget for each service, too.

Cause: each daemon took its part of the slack by dividing it by the daemons that it counts alive, and each added a token at every start. The rule adds up what all of them send. A daemon that is alone took 0.6 of the whole slack: seven of them 4.2 slacks.

A daemon now earns 0.85 of the share with each request of its own for the service, and may save 0.1 of the share for those of the last window. Both add up over any daemons to less than the share of the requests of a window or of the one before it, whatever a daemon believes of the others; a new budget has no token, so that starts give nothing away. Beyond that a daemon saves one retry, or half of the slack by the most daemons that it has known since it started. It trusts that number only if most of the seeds were alive for 10 s: of the groups of a partition only one has them. A token is reserved when a retry is decided on, spent when it is sent, and given back if nothing was sent.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -118,7 +118,7 @@
 		metrics:   newMetrics(),
 		history:   newHistory(),
 		requests:  newRequestLog(),
-		budget:    retry.NewBudget(s.Requests.RetryShare, retryBurst),
+		budget:    retry.NewBudget(retry.Settings{Share: s.Requests.RetryShare, Floor: retryBurst, Initial: retryBurst}),
 		exchange:  exchange.Settings{MaxAttempts: s.Requests.MaxAttempts},
 		gates:     map[string]*admit.Gate{},
 		cancel:    cancel,
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -35,10 +35,6 @@
 	ErrDuty = errs.Class("entry: duty")
 )
 
-// retryPart is the part of the deployment's budget for repeats that daemons spend:
-// they share it by numbers that may be out of date.
-const retryPart = 0.6
-
 const (
 	eventRingSize  = 4096
 	callRingSize   = 256
@@ -140,7 +136,7 @@
 	d.engines = platform.NewEngines(d.clock.Now, d.notices.hear, d.paths.dialer.Direct, d.memory)
 	d.upstream = platform.NewUpstream(d.clock.Now, d.notices.hear, d.paths.dialer.Dial, d.memory)
 	d.fleet.live.Store(1)
-	d.budgets = retry.NewBudgets(retryPart*settings.RetryShare, 1)
+	d.budgets = retry.NewBudgets(retry.ShareOfFleet(settings.RetryShare, settings.RetryWindow, 1))
 	d.retries = newRetryObserver(d)
 	d.quotas = newQuotas(d)
 	d.quarantine = newQuarantineKeeper(d)
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -42,6 +42,7 @@
 	d.notices.slots.Tick(now)
 	d.quarantine.turns.Tick(now)
 	if now.Sub(d.control.fleetAt) >= fleetRefresh {
+		d.updateRetryLimits(now)
 		d.publishFleet(now)
 	}
 	d.perform(d.node.UpdateOwnLoad(now, d.tracker.OwnLoads(time.Now()), d.demand.all(), coordination.UrgencyNone))
@@ -106,7 +107,6 @@
 	d.origins.setMembers(members)
 	d.fleet.live.Store(max(1, live))
 	d.publishFleet(d.clock.Now())
-	d.budgets.SetLimit(max(1, retryPart*d.current().RetrySlack/float64(max(1, live))))
 	d.fleet.addresses.Store(newFrontAddresses(members, d.current().ZoneRegions))
 }
 
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -51,10 +51,9 @@
 	old := d.current()
 	kept := *old
 	kept.Seeds, kept.AddressKeep, kept.Grace = next.Seeds, next.AddressKeep, next.Grace
-	kept.RetryShare, kept.RetrySlack, kept.WatchWait = next.RetryShare, next.RetrySlack, next.WatchWait
+	kept.RetryShare, kept.RetryWindow, kept.RetrySlack, kept.WatchWait = next.RetryShare, next.RetryWindow, next.RetrySlack, next.WatchWait
 	kept.Released = next.Released
 	d.settings.Store(&kept)
-	d.budgets.SetShare(retryPart * kept.RetryShare)
 	d.quarantine.release(kept.Released)
 	seeds := kept.Seeds
 	d.work.events.Put(d.ctx, func(node *coordination.Node, _ time.Time) []coordination.Action {
--- a/entry/retries.go
+++ b/entry/retries.go
@@ -2,12 +2,50 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/member"
+	"github.com/wheatweir/wheatweir/retry"
 )
 
+// retryLimits sets the limits of the retry budgets. Only the control duty uses it after the start.
+type retryLimits struct {
+	size retry.FleetSize
+	// revision is that of the members that size has learned.
+	revision uint64
+	inForce  retry.Settings
+}
+
+// updateRetryLimits sets the limits by the settings and by the daemons that are known.
+func (d *Daemon) updateRetryLimits(now time.Time) {
+	limits := &d.control.retryLimits
+	if revision := d.node.MembersRevision(); revision != limits.revision {
+		limits.revision = revision
+		limits.observe(now, d.node.Members(), d.current().Seeds)
+	}
+	settings := d.current()
+	floor := limits.size.Floor(now, settings.RetrySlack)
+	wanted := retry.ShareOfFleet(settings.RetryShare, settings.RetryWindow, floor)
+	if wanted != limits.inForce {
+		limits.inForce = wanted
+		d.budgets.Set(wanted)
+	}
+}
+
+// observe takes in the known daemons, also those that are dead or leaving.
+func (l *retryLimits) observe(now time.Time, members []member.Member, seeds []string) {
+	liveSeeds := 0
+	for i := range members {
+		if members[i].State != member.Dead && slices.Contains(seeds, members[i].PeerAddress) {
+			liveSeeds++
+		}
+	}
+	l.size.Observe(now, len(members), liveSeeds, len(seeds))
+}
+
 // retryCalm is how long a budget has to deny no retry before the log says that it has tokens again. While most attempts fail,
 // each token is taken as soon as it is there.
 const retryCalm = 5 * time.Second
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -46,11 +46,12 @@
 	LeaseTerm time.Duration
 	// ChecksFence says that model servers turn away orders with a lower token.
 	ChecksFence bool
-	// RetryShare is the share of requests that may be sent a second time over
-	// all daemons, RetrySlack how many more in one window. A fraction is valid:
+	// RetryShare is the share of the requests for a service that may be sent a second time over
+	// all daemons within RetryWindow, RetrySlack how many more. A fraction is valid:
 	// platforms scale it with the deployment.
-	RetryShare float64
-	RetrySlack float64
+	RetryShare  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
 	// WatchWait is the time within which a change that the store has taken has to be known
 	// to all daemons, also if all watches go deaf.
 	WatchWait time.Duration
@@ -75,7 +76,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		LogLevel: "info", AddressKeep: time.Second, Grace: 8 * time.Second, LeaseTerm: 3 * time.Second,
-		RetryShare: 0.2, RetrySlack: 20, WatchWait: 2 * time.Second, MemoryLimitMB: 256,
+		RetryShare: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 20, WatchWait: 2 * time.Second, MemoryLimitMB: 256,
 		LearnPace: true,
 	}
 }
@@ -107,6 +108,7 @@
 		inifile.Duration("requests", "address_keep", &s.AddressKeep, 100*time.Millisecond, time.Hour),
 		inifile.Duration("requests", "grace", &s.Grace, time.Second, time.Hour),
 		inifile.Number("requests", "retry_share", &s.RetryShare, 0, 1),
+		optional(inifile.Duration("requests", "retry_window", &s.RetryWindow, 100*time.Millisecond, time.Hour)),
 		inifile.Number("requests", "retry_slack", &s.RetrySlack, 0, 1000000),
 		optional(inifile.Words("requests", "released_contents", "32 hexadecimal digits", &s.Released, isDigest)),
 		optional(inifile.Boolean("requests", "learn_pace", &s.LearnPace)),
--- a/entry/state.go
+++ b/entry/state.go
@@ -41,7 +41,8 @@
 	// discovery is how this daemon has come to know the others.
 	discovery *quota.Discovery
 	// gossipedAt is when another daemon was last told what it may lack.
-	gossipedAt time.Time
+	gossipedAt  time.Time
+	retryLimits retryLimits
 	// forgotAt is when the tracker last forgot instances that are gone.
 	forgotAt time.Time
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -47,8 +47,10 @@
 
 // Budget limits retries over all requests.
 type Budget interface {
-	Succeeded()
-	Take() bool
+	// Earn records a request that was answered.
+	Earn(now time.Time)
+	// Take reports whether a retry is allowed.
+	Take(now time.Time) bool
 }
 
 // Request is what the life of a request depends on.
@@ -131,7 +133,7 @@
 // answer has reached the caller.
 func (e *Exchange) AttemptEnded(now time.Time, result outcome.Result, relayed bool) Step {
 	if result.Kind == outcome.Answered {
-		e.budget.Succeeded()
+		e.budget.Earn(now)
 		return e.finish(result)
 	}
 	// An earlier attempt that may have run makes the whole request so.
@@ -144,7 +146,7 @@
 	if !result.MayRepeat(e.request.Repeatable, relayed) || e.late(now) || result.Reason == outcome.ReasonCallerGone {
 		return StepFinish
 	}
-	if e.attempts >= e.settings.MaxAttempts || !e.budget.Take() {
+	if e.attempts >= e.settings.MaxAttempts || !e.budget.Take(now) {
 		return StepFinish
 	}
 	e.attempts++
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/internal/drain"
 	"github.com/wheatweir/wheatweir/quarantine"
+	"github.com/wheatweir/wheatweir/retry"
 	"github.com/wheatweir/wheatweir/tenant"
 )
 
@@ -67,6 +68,9 @@
 	reachRetryAt time.Time
 	// waitUntil is when the request stops waiting for an instance, over all its attempts.
 	waitUntil time.Time
+	// budget is the retry budget of the service, and retryReserved says that it holds a token for the next attempt.
+	budget        *retry.Budget
+	retryReserved bool
 	// mayHaveRun is true if an instance may have run the request.
 	mayHaveRun bool
 	// answerStarted is true if the client has received a part of an answer.
@@ -108,6 +112,7 @@
 func (e *exchange) run(ctx context.Context) {
 	defer e.leaveQueue()
 	defer e.releaseSlot()
+	defer e.cancelRetry()
 	e.resumeAfter = e.request.ResumeAfter
 	last := attemptUnreached
 	for {
@@ -127,6 +132,10 @@
 		case verdictWaited:
 			continue
 		}
+		if !e.spendRetry() {
+			e.fail(ctx, reasonOf(last))
+			return
+		}
 		last = e.attempt(ctx, candidate)
 		if last == attemptEnded {
 			return
@@ -197,18 +206,7 @@
 	if len(e.attemptedInstances) >= e.route.MaxAttempts {
 		return false
 	}
-	return e.takeRetry()
-}
-
-// takeRetry takes a retry from the budget of the service, if it has one left.
-func (e *exchange) takeRetry() bool {
-	decision := e.gateway.budgets.Of(e.service).Decide()
-	step := StepRetryDenied
-	if decision.Allowed {
-		step = StepRetryAllowed
-	}
-	e.observe(Event{Step: step, Service: e.service, Retry: decision})
-	return decision.Allowed
+	return e.reserveRetry()
 }
 
 // fail ends the request with an error answer, or aborts the answer if a part of it was sent.
@@ -296,6 +294,7 @@
 		MaxHeadBytes: e.headLimit(), StillAllowed: func() bool { return e.stillAllowed(id) },
 	}
 	if outbound.Left <= 0 {
+		e.refundRetry()
 		return attemptUnreached
 	}
 	e.observe(Event{Step: StepSent, Instance: id, Software: candidate.Instance.Software, Load: candidate.Load, Candidates: candidate.CandidateCount, ChosenBy: candidate.By, Left: outbound.Left})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -199,7 +199,8 @@
 	if request.Model != "" {
 		defer g.demand.RequestStarted(e.service, request.Model)()
 	}
-	g.budgets.Of(e.service).Succeeded()
+	e.budget = g.budgets.Of(e.service)
+	e.budget.Earn(g.Now())
 	e.run(ctx)
 }
 
--- a/gateway/sendfailure.go
+++ b/gateway/sendfailure.go
@@ -21,6 +21,7 @@
 		if !localCause {
 			e.recordUnreached(id)
 		}
+		e.refundRetry()
 		e.end(id, outcome)
 		e.observe(Event{Step: StepUnreached, Instance: id, Err: err})
 		return attemptUnreached
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,4 +1,7 @@
 // Package retry limits the rate of retries after failed attempts.
+//
+// A limit over all processes is kept without a word between them: each process pays for its retries from its own requests only,
+// so the sum over all of them is bounded by the requests of all, whatever a process believes of the others.
 package retry
 
 import (
@@ -7,41 +10,76 @@
 	"time"
 )
 
-// Budget limits retries to a share of recent successes, so that retries cannot
-// multiply the load when most attempts fail. It is safe for concurrent use.
+// Settings of a Budget.
+type Settings struct {
+	// Share is how many tokens each request adds.
+	Share float64
+	// SavedShare is how many tokens may be saved for each request of the last Window.
+	SavedShare float64
+	Window     time.Duration
+	// Floor is how many tokens may be saved whatever the traffic, so that little traffic pays for a retry from time to time.
+	// All processes together may spend that much more, each.
+	Floor float64
+	// Initial is how many tokens a new budget has. Where a bound holds for all processes together it is zero: a process that
+	// starts again and again is given none.
+	Initial float64
+}
+
+const (
+	// earnedShare and savedShare are the parts of a share over all processes that each process earns with a request, and that it
+	// may save for the requests of the last window. Their sum bounds the retries of all; the rest is for requests and retries that
+	// arrive in another window than they were counted in.
+	earnedShare = 0.85
+	savedShare  = 0.1
+)
+
+// ShareOfFleet returns the settings with which all processes together retry at most a share of the requests of any window, or of
+// the window before it, and the sum of their floors.
+func ShareOfFleet(share float64, window time.Duration, floor float64) Settings {
+	return Settings{Share: earnedShare * share, SavedShare: savedShare * share, Window: window, Floor: floor}
+}
+
+// Budget limits the retries of one process at one service. Within any window of length Settings.Window, they are at most Share of
+// the requests in that window, plus SavedShare of the requests in the window before it or Floor, whichever is more. It is safe
+// for concurrent use.
 type Budget struct {
-	mutex  sync.Mutex
-	tokens float64
-	share  float64
-	limit  float64
+	mutex    sync.Mutex
+	settings Settings
+	requests recentCount
+	tokens   float64
+	// reserved is how many of the tokens are promised to requests that wait to be sent again.
+	reserved int
 }
 
-// NewBudget returns a full budget of limit tokens. Each success adds share
-// tokens, up to limit.
-func NewBudget(share, limit float64) *Budget {
-	return &Budget{tokens: limit, share: share, limit: limit}
+// NewBudget returns a budget with its initial tokens.
+func NewBudget(settings Settings) *Budget {
+	return &Budget{settings: settings, requests: newRecentCount(settings.Window), tokens: settings.Initial}
 }
 
-// SetLimit changes the limit, for example because more daemons share it.
-func (b *Budget) SetLimit(limit float64) {
+// Set changes the settings. It keeps what was counted unless the window changes.
+func (b *Budget) Set(settings Settings) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.limit = limit
-	b.tokens = min(b.tokens, limit)
+	if settings.Window != b.settings.Window {
+		b.requests = newRecentCount(settings.Window)
+	}
+	b.settings = settings
 }
 
-// SetShare changes the number of tokens that each success adds.
-func (b *Budget) SetShare(share float64) {
+// Earn records a request for the service, which adds to the tokens.
+func (b *Budget) Earn(now time.Time) {
 	b.mutex.Lock()
-	b.share = share
-	b.mutex.Unlock()
+	defer b.mutex.Unlock()
+	b.requests.add(now)
+	b.tokens += b.settings.Share
+	b.bound(now)
 }
 
-// Succeeded records a successful attempt.
-func (b *Budget) Succeeded() {
-	b.mutex.Lock()
-	b.tokens = min(b.tokens+b.share, b.limit)
-	b.mutex.Unlock()
+// bound drops the tokens that may no longer be saved, and returns how many may be. The mutex is held.
+func (b *Budget) bound(now time.Time) (limit float64) {
+	limit = max(b.settings.Floor, b.settings.SavedShare*float64(b.requests.count(now)))
+	b.tokens = min(b.tokens, limit)
+	return limit
 }
 
 // Decision says whether a retry is allowed, and what that was based on.
@@ -52,18 +90,50 @@
 	Limit  float64
 }
 
-// Take is Decide without the reasons.
-func (b *Budget) Take() bool { return b.Decide().Allowed }
-
-// Decide consumes one token if there is one, which allows a retry.
-func (b *Budget) Decide() Decision {
+// Reserve promises a token to a request that is to be sent again, if there is one. It must be followed by Spend or Cancel.
+func (b *Budget) Reserve(now time.Time) Decision {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	allowed := b.tokens >= 1
+	limit := b.bound(now)
+	allowed := b.tokens-float64(b.reserved) >= 1
 	if allowed {
-		b.tokens--
+		b.reserved++
 	}
-	return Decision{Allowed: allowed, Tokens: b.tokens, Limit: b.limit}
+	return Decision{Allowed: allowed, Tokens: max(0, b.tokens-float64(b.reserved)), Limit: limit}
+}
+
+// Spend consumes a reserved token when the request is sent. It returns false if the token may no longer be saved: the request must
+// not be sent.
+func (b *Budget) Spend(now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.reserved--
+	b.bound(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Refund reserves a token again that was spent for a request of which nothing was sent.
+func (b *Budget) Refund() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.reserved++
+	b.tokens++
+}
+
+// Cancel gives a reserved token back.
+func (b *Budget) Cancel() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.reserved--
+}
+
+// Take consumes a token for a retry that is sent at once.
+func (b *Budget) Take(now time.Time) bool {
+	return b.Reserve(now).Allowed && b.Spend(now)
 }
 
 // Backoff returns the delay before an attempt, as exponential backoff with full
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -6,16 +6,13 @@
 // for concurrent use.
 type Budgets struct {
 	mutex     sync.Mutex
-	share     float64
-	limit     float64
-	first     float64
+	settings  Settings
 	byService map[string]*Budget
 }
 
-// NewBudgets returns budgets that each begin with limit tokens, also if the limit is raised later: a process that starts again
-// and again must not spend a full budget each time. Share and limit are those of each service; see NewBudget.
-func NewBudgets(share, limit float64) *Budgets {
-	return &Budgets{share: share, limit: limit, first: limit, byService: map[string]*Budget{}}
+// NewBudgets returns budgets with the same settings.
+func NewBudgets(settings Settings) *Budgets {
+	return &Budgets{settings: settings, byService: map[string]*Budget{}}
 }
 
 // Of returns the budget of a service.
@@ -24,29 +21,19 @@
 	defer b.mutex.Unlock()
 	known := b.byService[service]
 	if known == nil {
-		known = &Budget{tokens: min(b.first, b.limit), share: b.share, limit: b.limit}
+		known = NewBudget(b.settings)
 		b.byService[service] = known
 	}
 	return known
 }
 
-// SetLimit changes the limit of each service.
-func (b *Budgets) SetLimit(limit float64) {
+// Set changes the settings of all budgets.
+func (b *Budgets) Set(settings Settings) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.limit = limit
+	b.settings = settings
 	for _, budget := range b.byService {
-		budget.SetLimit(limit)
-	}
-}
-
-// SetShare changes the number of tokens that each success adds.
-func (b *Budgets) SetShare(share float64) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.share = share
-	for _, budget := range b.byService {
-		budget.SetShare(share)
+		budget.Set(settings)
 	}
 }
 
