Soak: count repeats by service, and let all servers of a service fail

The check of repeats counted all services together, as did the code that it checks, and only requests that a server ran. It goes by the rule now: arrivals beyond the first of each request, for each service, in any window, also those that a server turns away. A case with repeats at one service beside the traffic of another fails with the check as it was.

--- a/lab/soak/brittle.go
+++ b/lab/soak/brittle.go
@@ -40,7 +40,7 @@
 		d.tell("words: the servers of %s turn %d requests a second away at most", portalService, refusals)
 		if pause(ctx, contact) {
 			before := d.portalFalls()
-			d.burst(ctx, drawSpan(random, shortestBrittle, longestBrittle))
+			d.burst(ctx, drawSpan(random, shortestBrittle, longestBrittle), burstRequest{path: "/unsafe/burst", kind: fleet.KindUnsafe})
 			d.record.checkFalls(refusals, d.portalFalls()-before)
 		}
 		d.sayBrittle(0)
@@ -78,8 +78,14 @@
 	return falls
 }
 
+// burstRequest is what the requests of a burst ask for.
+type burstRequest struct {
+	path string
+	kind fleet.RouteKind
+}
+
 // burst sends requests to all daemons at once, again and again for a while.
-func (d *deployment) burst(ctx context.Context, span time.Duration) {
+func (d *deployment) burst(ctx context.Context, span time.Duration, asked burstRequest) {
 	ctx, cancel := context.WithTimeout(ctx, span)
 	defer cancel()
 	transport := &http.Transport{MaxIdleConnsPerHost: burstSize}
@@ -90,10 +96,10 @@
 			daemon := d.daemons[number%len(d.daemons)]
 			sent := &sentRequest{
 				ClientRequest: standin.ClientRequest{
-					ID: fmt.Sprintf("fe%02x%08x", number, d.bursts.Add(1)), Host: host, Path: "/unsafe/burst", Body: "burst", Patience: clientPatience,
+					ID: fmt.Sprintf("fe%02x%08x", number, d.bursts.Add(1)), Host: host, Path: asked.path, Body: "burst", Patience: clientPatience,
 					Key: ampleKey,
 				},
-				daemon: daemon, life: daemon.currentLife(), at: time.Now(), kind: fleet.KindUnsafe,
+				daemon: daemon, life: daemon.currentLife(), at: time.Now(), kind: asked.kind,
 			}
 			d.group.Go(func() {
 				d.record.sending(sent)
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -225,34 +225,15 @@
 	r.checkTakeUps()
 }
 
-// checkBudget checks that servers were not sent more requests again than the budget
-// of all daemons allows, in any window.
+// checkBudget checks that the servers of each service were not sent more requests again than the budget of all daemons allows, in
+// any window. Requests that a server turned away count as well.
 func (r *record) checkBudget() {
-	r.checked[promiseRetryBudget]++
-	first := map[string]bool{}
-	var again []time.Time
-	for _, run := range r.runs {
-		if first[run.ID] {
-			again = append(again, run.At)
-		}
-		first[run.ID] = true
-	}
-	for i, from := range again {
-		repeats := 0
-		for _, at := range again[i:] {
-			if at.Sub(from) <= budgetWindow {
-				repeats++
-			}
-		}
-		requests := 0
-		for _, sent := range r.order {
-			if since := sent.at.Sub(from); since >= -budgetWindow && since <= budgetWindow {
-				requests++
-			}
-		}
-		if most := retryShare*float64(requests) + retrySlack; float64(repeats) > most {
-			r.violate(promiseRetryBudget, "", "%d repeats within %v, %.0f allowed", repeats, budgetWindow, most)
-			return
+	rule := standin.RepeatRule{Window: budgetWindow, Share: retryShare, Slack: retrySlack}
+	for _, service := range r.repeats.Services() {
+		r.checked[promiseRetryBudget]++
+		if worst := r.repeats.Worst(service, rule); worst.Use() > 1 {
+			r.violate(promiseRetryBudget, "", "%d repeats at %s within %v from %s, %.0f allowed",
+				worst.Repeats, service, budgetWindow, worst.From.Format("15:04:05.000"), worst.Allowed)
 		}
 	}
 }
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -36,6 +36,13 @@
 	s.Ran(standin.Run{ID: id, At: time.Now(), Server: server, Method: "POST", URI: "/x", Body: "b", Header: http.Header{"X-Tenant": {ampleTenant}}})
 }
 
+// arriveAgain has a request arrive at the engines, and so many times again.
+func (s *scene) arriveAgain(id string, repeats int) {
+	for range repeats + 1 {
+		s.Arrived(standin.Arrival{ID: id, Server: "s1", Service: engineService, At: time.Now()})
+	}
+}
+
 // runAs has a server run a request with some fields.
 func (s *scene) runAs(id string, header http.Header) {
 	s.Ran(standin.Run{ID: id, At: time.Now(), Server: "s1", Method: "POST", URI: "/x", Body: "b", Header: header})
@@ -245,9 +252,19 @@
 		}},
 		{"too many repeats", promiseRetryBudget, func(s *scene) {
 			s.request("a", fleet.KindSafe, 0, 0)
-			for range retrySlack + 3 {
-				s.run("a", "s1")
+			s.arriveAgain("a", retrySlack+1)
+			s.checkAtEnd()
+		}},
+		{"as many repeats as are allowed", "", func(s *scene) {
+			s.request("a", fleet.KindSafe, 0, 0)
+			s.arriveAgain("a", retrySlack)
+			s.checkAtEnd()
+		}},
+		{"repeats beside the traffic of another service", promiseRetryBudget, func(s *scene) {
+			for number := range 10 * retrySlack {
+				s.request(fmt.Sprint("other", number), fleet.KindSafe, 0, 0)
 			}
+			s.arriveAgain("a", retrySlack+1)
 			s.checkAtEnd()
 		}},
 		{"a planned stop cuts", promisePlannedStop, func(s *scene) {
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -241,6 +241,21 @@
 	d.store.ConfigureWithKeys(configuration, addTenants(configuration))
 }
 
+// serviceOf returns the service to which the route of a path leads.
+func serviceOf(path string) string {
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	switch name {
+	case "stream", resumableRoute:
+		return engineService
+	case "patient-unsafe":
+		return silentService
+	case "patient-stream":
+		return silentEngineService
+	default:
+		return portalService
+	}
+}
+
 func resumable(route fleet.Route) fleet.Route {
 	route.Resumable = true
 	return route
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -71,6 +71,7 @@
 	d.group.Go(func() { d.runDeadlyParts(ctx, rand.New(rand.NewPCG(d.options.Seed, deadlyPartStream))) })
 	d.group.Go(func() { d.runSevered(ctx, rand.New(rand.NewPCG(d.options.Seed, severedStream))) })
 	d.group.Go(func() { d.runUnframed(ctx, rand.New(rand.NewPCG(d.options.Seed, unframedStream))) })
+	d.group.Go(func() { d.runFailing(ctx, rand.New(rand.NewPCG(d.options.Seed, failingStream))) })
 	d.group.Go(func() { d.runEndless(ctx, rand.New(rand.NewPCG(d.options.Seed, endlessStream))) })
 	d.group.Go(func() { d.runSilences(ctx, rand.New(rand.NewPCG(d.options.Seed, silenceStream))) })
 	if !pause(ctx, firstFault) {
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -90,7 +90,9 @@
 	requests map[string]*sentRequest
 	order    []*sentRequest
 	runs     []standin.Run
-	orders   []standin.OrderTaken
+	// repeats are the requests and arrivals of each service.
+	repeats *standin.Repeats
+	orders  []standin.OrderTaken
 	// leaving maps servers to when the store took that they leave.
 	leaving map[string]time.Time
 	// firm names, by servers that leave, the daemons that must know it, each with its life then.
@@ -136,7 +138,7 @@
 
 func newRecord(untimed bool, onViolation func(Violation)) *record {
 	return &record{
-		untimed: untimed, requests: map[string]*sentRequest{}, leaving: map[string]time.Time{}, firm: map[string]map[string]int{},
+		untimed: untimed, repeats: standin.NewRepeats(), requests: map[string]*sentRequest{}, leaving: map[string]time.Time{}, firm: map[string]map[string]int{},
 		acknowledged: map[uint64]time.Time{}, takenKeys: map[string]time.Time{}, marks: map[lifeKey]shownMark{}, checked: map[string]int{}, words: newWordsRecord(), silences: map[string][]*span{}, onViolation: onViolation,
 	}
 }
@@ -175,6 +177,7 @@
 	defer r.mutex.Unlock()
 	r.requests[sent.ID] = sent
 	r.order = append(r.order, sent)
+	r.repeats.Sent(serviceOf(sent.Path), sent.at)
 }
 
 // Ran implements standin.Observer.
--- a/lab/soak/words.go
+++ b/lab/soak/words.go
@@ -151,6 +151,7 @@
 func (r *record) Arrived(arrival standin.Arrival) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.repeats.Arrived(arrival.Service, arrival.ID, arrival.At)
 	sent := r.requests[arrival.ID]
 	if sent == nil {
 		return
