Divide the slots of brittle servers by all daemons that were ever alive together

What callers saw: servers that fall over when they have to turn requests away fell over again and again while daemons were cut off from each other, and most requests were not served.

Cause: the slots of such a server are divided by the daemons that each counts alive, or counted at an owner if there are more daemons than slots. A daemon that is alone took all slots of each server for itself.

They are divided by the most daemons that were alive at once since the daemon started. A daemon that starts while it is cut off still knows only itself (docs/design/limits.md).

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -135,7 +135,7 @@
 	d.paths = newPaths(d, machine.Dial)
 	d.engines = platform.NewEngines(d.clock.Now, d.notices.hear, d.paths.dialer.Direct, d.memory)
 	d.upstream = platform.NewUpstream(d.clock.Now, d.notices.hear, d.paths.dialer.Dial, d.memory)
-	d.fleet.live.Store(1)
+	d.fleet.setLive(1)
 	d.budgets = retry.NewBudgets(retry.ShareOfFleet(settings.RetryShare, settings.RetryWindow, 1))
 	d.retries = newRetryObserver(d)
 	d.quotas = newQuotas(d)
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -105,7 +105,7 @@
 	d.fleet.peerAddresses.Store(&book)
 	d.paths.setMembers(members)
 	d.origins.setMembers(members)
-	d.fleet.live.Store(max(1, live))
+	d.fleet.setLive(max(1, live))
 	d.publishFleet(d.clock.Now())
 	d.fleet.addresses.Store(newFrontAddresses(members, d.current().ZoneRegions))
 }
--- a/entry/retries_test.go
+++ b/entry/retries_test.go
@@ -16,7 +16,7 @@
 	writer := &gatedWriter{gate: make(chan struct{})}
 	close(writer.gate)
 	d := &Daemon{clock: clock.New(), log: newLogBook("info", "n", writer), metrics: newMetrics()}
-	d.fleet.live.Store(7)
+	d.fleet.setLive(7)
 	d.retries = newRetryObserver(d)
 	request := &gateway.Request{ID: "r", Arrived: time.Now()}
 	decided := func(service string, step gateway.Step) {
--- a/entry/state.go
+++ b/entry/state.go
@@ -54,10 +54,22 @@
 	addresses     atomic.Pointer[frontAddresses]
 	peerAddresses atomic.Pointer[addressBook]
 	live          atomic.Int64
+	// mostLive is the largest value that live has had. What all daemons share by their number is divided by it: those that are
+	// no longer heard of may be on the other side of a network partition.
+	mostLive atomic.Int64
 	// rank is this daemon's place among the live ones, in an order of all.
 	rank atomic.Int64
 }
 
+// setLive takes in how many daemons are alive.
+func (f *fleetState) setLive(live int64) {
+	f.live.Store(live)
+	f.mostLive.Store(max(live, f.mostLive.Load()))
+}
+
+// shares is by how many daemons a limit is divided that each keeps for itself.
+func (f *fleetState) shares() int { return int(f.mostLive.Load()) }
+
 // followState is how the collections of the store are followed.
 type followState struct {
 	// refresh tells a collection that another daemon knows more.
