--- a/cmd/wheatweird/retryfleet_test.go
+++ b/cmd/wheatweird/retryfleet_test.go
@@ -113,7 +113,11 @@
 func (f *retryFleet) configure(version uint64, services ...string) {
 	made := &fleet.Configuration{Version: version}
 	for _, service := range services {
-		made.Services = append(made.Services, fleet.Service{Name: service, MaxConnections: 400})
+		connections := 400
+		if service == "slow" {
+			connections = mostConnections
+		}
+		made.Services = append(made.Services, fleet.Service{Name: service, MaxConnections: connections})
 		made.Routes = append(made.Routes, fleet.Route{
 			Name: service, Host: "h.example", PathPrefix: "/" + service + "/", Kind: fleet.KindSafe, Timeout: 1200 * time.Millisecond,
 			TargetLatency: 150 * time.Millisecond, MaxAttempts: 2, Targets: []fleet.Target{{Service: service, Weight: 1}},
