Native daemon: a retry budget for each model and service

One budget for all: the answers of one service paid for retries at another, as entry daemons did before each service had its own.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -103,6 +103,7 @@
 	table := d.node.Table(now)
 	d.table.Store(table)
 	d.publishTenants(now)
+	d.budgets.Prune(func(target string) bool { return table.Models[target] != nil || table.Services[target] != nil })
 	d.gateMutex.RLock()
 	defer d.gateMutex.RUnlock()
 	for name, gate := range d.gates {
--- a/daemon/control_test.go
+++ b/daemon/control_test.go
@@ -11,6 +11,7 @@
 	"github.com/wheatweir/wheatweir/member"
 	"github.com/wheatweir/wheatweir/quota"
 	"github.com/wheatweir/wheatweir/replica"
+	"github.com/wheatweir/wheatweir/retry"
 	"github.com/wheatweir/wheatweir/route"
 	"github.com/wheatweir/wheatweir/tenant"
 )
@@ -20,7 +21,7 @@
 func TestTableIsNewBeforeRequestsAreLetIn(t *testing.T) {
 	now := time.Unix(1000, 0)
 	self := member.Member{Name: "d", Zone: "z", PeerAddress: "peer", Incarnation: 1}
-	d := &Daemon{node: control.New(self, control.DefaultSettings(), rand.New(rand.NewPCG(1, 1))), gates: map[string]*admit.Gate{}, discovery: quota.NewDiscovery(now)}
+	d := &Daemon{node: control.New(self, control.DefaultSettings(), rand.New(rand.NewPCG(1, 1))), gates: map[string]*admit.Gate{}, discovery: quota.NewDiscovery(now), budgets: retry.NewBudgets(retry.Settings{})}
 	d.table.Store(&route.Table{})
 	d.tenants.Store(tenant.NewTable(nil))
 	d.limiter = d.newLimiter()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -70,7 +70,7 @@
 	metrics   *metrics
 	history   *history
 	requests  *requestLog
-	budget    *retry.Budget
+	budgets   *retry.Budgets
 	exchange  exchange.Settings
 	limiter   *limiter.Limiter
 	// tenants are those of the configuration in force, peerAddresses where other daemons hear.
@@ -118,7 +118,7 @@
 		metrics:   newMetrics(),
 		history:   newHistory(),
 		requests:  newRequestLog(),
-		budget:    retry.NewBudget(retry.Settings{Share: s.Requests.RetryShare, Floor: retryBurst, Initial: retryBurst}),
+		budgets:   retry.NewBudgets(retry.Settings{Share: s.Requests.RetryShare, Floor: retryBurst, Initial: retryBurst}),
 		exchange:  exchange.Settings{MaxAttempts: s.Requests.MaxAttempts},
 		gates:     map[string]*admit.Gate{},
 		cancel:    cancel,
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -63,16 +64,17 @@
 // settle logs and counts the final result of a request.
 func (d *Daemon) settle(call *caller.Call, result outcome.Result) {
 	d.metrics.outcomes[result.Kind].Inc(1)
-	target := call.Service
-	if target == "" {
-		target = call.Reference.Model
-	}
 	took := time.Since(call.ArrivedAt)
-	d.requests.add(call, target, result, took)
-	d.logger.Info("Request ended.", "part", "request", "request", call.ID, "target", target, "tenant", call.Tenant,
+	d.requests.add(call, target(call), result, took)
+	d.logger.Info("Request ended.", "part", "request", "request", call.ID, "target", target(call), "tenant", call.Tenant,
 		"outcome", result.Kind, "reason", string(result.Reason), "took", took.Round(time.Microsecond), "error", result.Err)
 }
 
+// target returns the plain service or the model that a call asks for.
+func target(call *caller.Call) string {
+	return cmp.Or(call.Service, call.Reference.Model)
+}
+
 func (d *Daemon) deadline(call *caller.Call) time.Time {
 	if !call.Deadline.IsZero() {
 		return call.Deadline
@@ -140,7 +142,7 @@
 }
 
 func (d *Daemon) newExchange(call *caller.Call) *exchange.Exchange {
-	return exchange.New(d.exchange, d.budget, exchange.Request{
+	return exchange.New(d.exchange, d.budgets.Of(target(call)), exchange.Request{
 		Repeatable: call.Repeatable, HasKey: call.Key != "", Deadline: d.deadline(call),
 	})
 }
