--- a/cmd/wheatweird/retrybudget_test.go
+++ b/cmd/wheatweird/retrybudget_test.go
@@ -31,6 +31,7 @@
 	f.load("failing", failRate, failSpan)
 	group.Wait()
 	f.checkRepeats(t)
+	f.checkPaid(t)
 }
 
 // TestSeparatedDaemonsKeepTheRetryBudget guards against daemons that are cut off from each other, each of which takes itself for
@@ -42,6 +43,7 @@
 	time.Sleep(3 * time.Second)
 	f.failAfterQuiet(t, nil)
 	f.checkRepeats(t)
+	f.checkPaid(t)
 }
 
 // TestRestartedDaemonsKeepTheRetryBudget guards against tokens that daemons are given anew each time that they start.
@@ -75,6 +77,7 @@
 		}
 	})
 	f.checkRepeats(t)
+	f.checkPaid(t)
 }
 
 // failAfterQuiet lets the failing service have much sound traffic, then hardly any, then fail. Trouble runs beside the failures.
--- a/cmd/wheatweird/retryfleet_test.go
+++ b/cmd/wheatweird/retryfleet_test.go
@@ -297,6 +297,24 @@
 	}
 }
 
+// metricsInterval is how late the metrics of a daemon are.
+const metricsInterval = time.Second
+
+// checkPaid checks that no more requests arrived again than the budgets have allowed, by the metrics of the daemons.
+func (f *retryFleet) checkPaid(t *testing.T) {
+	t.Helper()
+	time.Sleep(2 * metricsInterval)
+	allowed := 0.0
+	for _, d := range f.daemons {
+		allowed += (&entryDaemon{metrics: d.metrics}).metric(t, `wheatweir_retries{result="retry_allowed",service="failing"}`)
+	}
+	repeats := f.repeats.Count("failing")
+	t.Logf("%d repeats, %.0f allowed by the budgets", repeats, allowed)
+	if float64(repeats) > allowed {
+		t.Errorf("%d repeats, %.0f allowed by the budgets", repeats, allowed)
+	}
+}
+
 // cutRelay passes connections on to a daemon until it is cut; then it closes them and takes no more.
 type cutRelay struct {
 	listener net.Listener
