--- a/entry/brittle.go
+++ b/entry/brittle.go
@@ -81,7 +81,7 @@
 // admits reports whether an instance may get another request by what is known here of its load and its refusals.
 func (n *notices) admits(instance *fleet.Instance, requests int) bool {
 	load := brittle.Load{
-		Slots: instance.Slots, Requests: requests, Own: n.daemon.tracker.OwnRequests(instance.ID), Daemons: n.daemon.fleet.shares(),
+		Slots: instance.Slots, Requests: requests, Own: n.daemon.tracker.OwnRequests(instance.ID), Daemons: n.daemon.fleet.limitDivisor(),
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -95,5 +95,5 @@
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.brittle.RecordRefusal(n.daemon.clock.Now(), instance.Service, instance.ID, n.daemon.fleet.shares())
+	n.brittle.RecordRefusal(n.daemon.clock.Now(), instance.Service, instance.ID, n.daemon.fleet.limitDivisor())
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -147,7 +147,7 @@
 	}
 	d.gateway = gateway.New(gateway.Settings{
 		Now: d.clock.Now, Zone: settings.Zone, RetryAfter: 200 * time.Millisecond, MaxWaitShare: 0.5,
-		ConnectionShare: func() float64 { return 1 / float64(d.fleet.shares()) },
+		ConnectionShare: func() float64 { return 1 / float64(d.fleet.limitDivisor()) },
 		ZoneCost:        d.zoneCost,
 		KeysCurrent:     d.keysSure,
 		Quotas:          d.quotas,
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -60,7 +60,7 @@
 func (n *notices) slotLimit(instance *fleet.Instance) (limit quota.Limit, counted bool) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.brittle.SlotLimit(instance.Service, instance.Slots, n.daemon.fleet.shares())
+	return n.brittle.SlotLimit(instance.Service, instance.Slots, n.daemon.fleet.limitDivisor())
 }
 
 // freeSlots is the level with which this daemon begins to give out the slots of an instance: those that are free as far
--- a/entry/state.go
+++ b/entry/state.go
@@ -67,8 +67,8 @@
 	f.mostLive.Store(max(live, f.mostLive.Load()))
 }
 
-// shares is by how many daemons a limit is divided that each keeps for itself.
-func (f *fleetState) shares() int { return int(f.mostLive.Load()) }
+// limitDivisor is the number of daemons by which a limit is divided of which each daemon has a part.
+func (f *fleetState) limitDivisor() int { return int(f.mostLive.Load()) }
 
 // followState is how the collections of the store are followed.
 type followState struct {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,6 +1,6 @@
 // Package retry limits the rate of retries after failed attempts.
 //
-// A limit over all processes is kept without a word between them: each process pays for its retries from its own requests only,
+// A limit over all processes is kept without messages between them: each process pays for its retries from its own requests only,
 // so the sum over all of them is bounded by the requests of all, whatever a process believes of the others.
 package retry
 
@@ -102,18 +102,17 @@
 	return Decision{Allowed: allowed, Tokens: max(0, b.tokens-float64(b.reserved)), Limit: limit}
 }
 
-// Spend consumes a reserved token when the request is sent. It returns false if the token may no longer be saved: the request must
-// not be sent.
-func (b *Budget) Spend(now time.Time) bool {
+// Spend consumes a reserved token when the request is sent. The request must not be sent if the token may no longer be saved.
+func (b *Budget) Spend(now time.Time) Decision {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.reserved--
-	b.bound(now)
-	if b.tokens < 1 {
-		return false
+	limit := b.bound(now)
+	allowed := b.tokens >= 1
+	if allowed {
+		b.tokens--
 	}
-	b.tokens--
-	return true
+	return Decision{Allowed: allowed, Tokens: b.tokens, Limit: limit}
 }
 
 // Refund reserves a token again that was spent for a request of which nothing was sent.
@@ -133,7 +132,7 @@
 
 // Take consumes a token for a retry that is sent at once.
 func (b *Budget) Take(now time.Time) bool {
-	return b.Reserve(now).Allowed && b.Spend(now)
+	return b.Reserve(now).Allowed && b.Spend(now).Allowed
 }
 
 // Backoff returns the delay before an attempt, as exponential backoff with full
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -73,17 +73,17 @@
 	if !budget.Reserve(at(0)).Allowed {
 		t.Error("a token that was given back is lost")
 	}
-	if !budget.Spend(at(0)) {
+	if !budget.Spend(at(0)).Allowed {
 		t.Error("a reserved token cannot be spent")
 	}
 	budget.Refund()
 	if budget.Reserve(at(0)).Allowed {
 		t.Error("a token that was refunded is promised twice")
 	}
-	if !budget.Spend(at(20)) {
+	if !budget.Spend(at(20)).Allowed {
 		t.Error("the floor cannot be spent")
 	}
-	if budget.Spend(at(20)) {
+	if budget.Spend(at(20)).Allowed {
 		t.Error("a token is spent that was saved for requests of a window long past")
 	}
 }
