--- a/cmd/wheatweird/retryfleet_test.go
+++ b/cmd/wheatweird/retryfleet_test.go
@@ -43,7 +43,6 @@
 	// closes says that they close the connection instead of answering with a failure.
 	closes   atomic.Bool
 	requests atomic.Int64
-	served   atomic.Int64
 	client   *http.Client
 }
 
