A daemon that is the only seed has its part of the slack at once

What callers saw: for the first 10 s of a daemon without others, requests that fail at the same moment got one retry between them.

There is one daemon that is the only seed, so its floor adds to the sum once: half of the slack.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -136,7 +136,7 @@
 	d.engines = platform.NewEngines(d.clock.Now, d.notices.hear, d.paths.dialer.Direct, d.memory)
 	d.upstream = platform.NewUpstream(d.clock.Now, d.notices.hear, d.paths.dialer.Dial, d.memory)
 	d.fleet.setLive(1)
-	d.budgets = retry.NewBudgets(retry.ShareOfFleet(settings.RetryShare, settings.RetryWindow, 1))
+	d.budgets = retry.NewBudgets(retry.Settings{})
 	d.retries = newRetryObserver(d)
 	d.quotas = newQuotas(d)
 	d.quarantine = newQuarantineKeeper(d)
@@ -165,6 +165,7 @@
 		return nil, ErrStart.Wrap(err)
 	}
 	d.newNode()
+	d.updateRetryLimits(d.started)
 	d.startDuties()
 	d.log.add("daemon", "Started.", "name", settings.Name, "zone", settings.Zone, "front", settings.FrontAddress)
 	return d, nil
--- a/entry/retries.go
+++ b/entry/retries.go
@@ -27,6 +27,9 @@
 		limits.observe(now, d.node.Members(), d.current().Seeds)
 	}
 	settings := d.current()
+	if len(settings.Seeds) == 1 && settings.Seeds[0] == settings.peersReachAt() {
+		limits.size.OnlySeed()
+	}
 	floor := limits.size.Floor(now, settings.RetrySlack)
 	wanted := retry.ShareOfFleet(settings.RetryShare, settings.RetryWindow, floor)
 	if wanted != limits.inForce {
--- a/retry/fleetsize.go
+++ b/retry/fleetsize.go
@@ -23,8 +23,13 @@
 	// one has them, so that processes which start during a partition do not all count themselves and a few others only.
 	inTouchSince time.Time
 	trusted      bool
+	// onlySeed is true for the process that is the only seed itself. There is one of them, whatever it knows of the others.
+	onlySeed bool
 }
 
+// OnlySeed records that the process is the only seed. It need not wait until it has found the others.
+func (s *FleetSize) OnlySeed() { s.onlySeed = true }
+
 // Observe takes in the number of processes that are known, also those that are not heard of any more, and how many of the seeds
 // through which processes join are alive.
 func (s *FleetSize) Observe(now time.Time, known, liveSeeds, seeds int) {
@@ -47,6 +52,9 @@
 // Floor returns how many retries the process may save whatever its traffic.
 func (s *FleetSize) Floor(now time.Time, slack float64) float64 {
 	s.settle(now)
+	if s.onlySeed {
+		return max(minFloor, slackPart*slack/float64(max(1, s.known)))
+	}
 	if !s.trusted || now.Sub(s.grownAt) < settleTime {
 		return minFloor
 	}
--- a/retry/fleetsize_test.go
+++ b/retry/fleetsize_test.go
@@ -15,6 +15,19 @@
 	settleTime = 10 * time.Second
 )
 
+// TestOnlySeedHasItsFloorAtOnce guards against a single process that gets no part of the slack until it has looked for others.
+func TestOnlySeedHasItsFloorAtOnce(t *testing.T) {
+	var size retry.FleetSize
+	size.OnlySeed()
+	if floor := size.Floor(at(0), testSlack); floor != testSlack/2 {
+		t.Errorf("floor %v, want %v", floor, testSlack/2)
+	}
+	size.Observe(at(1), 3, 1, 1)
+	if floor := size.Floor(at(1), testSlack); floor != testSlack/6 {
+		t.Errorf("floor %v among 3, want %v", floor, testSlack/6)
+	}
+}
+
 func TestFloorOfAProcess(t *testing.T) {
 	var size retry.FleetSize
 	size.Observe(at(0), 1, 1, 3)
