--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -31,6 +31,8 @@
 		// A daemon that was told to stop ended seconds late, as it still sent to daemons that took connections and said
 		// nothing: it was not back in time.
 		623011,
+		// All daemons are cut off from each other, and each takes all slots of servers that fall over when they turn requests away.
+		79001,
 	}
 	for _, seed := range seeds {
 		options := soak.DefaultOptions()
