--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -36,13 +36,6 @@
 	s.Ran(standin.Run{ID: id, At: time.Now(), Server: server, Method: "POST", URI: "/x", Body: "b", Header: http.Header{"X-Tenant": {ampleTenant}}})
 }
 
-// arriveAgain has a request arrive at the engines, and so many times again.
-func (s *scene) arriveAgain(id string, repeats int) {
-	for range repeats + 1 {
-		s.Arrived(standin.Arrival{ID: id, Server: "s1", Service: engineService, At: time.Now()})
-	}
-}
-
 // runAs has a server run a request with some fields.
 func (s *scene) runAs(id string, header http.Header) {
 	s.Ran(standin.Run{ID: id, At: time.Now(), Server: "s1", Method: "POST", URI: "/x", Body: "b", Header: header})
--- a/lab/soak/words_test.go
+++ b/lab/soak/words_test.go
@@ -56,3 +56,10 @@
 		s.Arrived(standin.Arrival{ID: id, Server: "s1", At: time.Now().Add(-ago)})
 	}
 }
+
+// arriveAgain has a request arrive at the engines, and so many times again.
+func (s *scene) arriveAgain(id string, repeats int) {
+	for range repeats + 1 {
+		s.Arrived(standin.Arrival{ID: id, Server: "s1", Service: engineService, At: time.Now()})
+	}
+}
