--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,8 +20,8 @@
 type scenario func(world *world) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"bodies":  largeBodies,
-	"surplus": surplusAnswers,
+	"surplus":  surplusAnswers,
+	"versions": streamVersions,
 }
 
 func main() { os.Exit(run()) }
