--- a/review/standin-2/versions.go
+++ b/review/standin-2/versions.go
@@ -18,9 +18,11 @@
 
 const (
 	// takenUpStreams is how many streams begin before the release, and streamEventPause the time between two of their five events.
-	takenUpStreams   = 60
+	takenUpStreams   = 90
 	streamEventPause = time.Second
-	// releaseAt is when the servers of the old version say that they are leaving, and releaseEnd when they end: drainMs and a little
+	// releasedServers is how many servers there are; the last of them at the old version is replaced.
+	releasedServers = 9
+	// releaseAt is when the server of the old version says that it is leaving, and releaseEnd when it ends: drainMs and a little
 	// longer later. killAt is when all daemons are killed.
 	releaseAt  = time.Second
 	releaseEnd = releaseAt + 2500*time.Millisecond
@@ -52,8 +54,12 @@
 	engine := &fleet.Engine{Slots: 64, MemoryTokens: 145945, WeightsMB: 200000, AdapterSlots: 8, Models: []fleet.Model{{Name: "m", WeightsMB: 65100}}}
 	software := map[string]string{}
 	var old []*standin.Server
-	// A release is half done: two of four servers run the new version.
-	for number, version := range []string{"v1", "v1", "v1.1", "v1.1"} {
+	// A release is nearly done: one of nine servers is left at the old version.
+	for number := range releasedServers {
+		version := "v1.1"
+		if number == 0 {
+			version = "v1"
+		}
 		id := fmt.Sprintf("i-%d", number)
 		software[id] = version
 		server, err := standin.Open(w.store, standin.Options{
@@ -83,12 +89,12 @@
 		})
 	}
 	time.Sleep(time.Until(began.Add(releaseAt)))
-	w.record("the servers of v1 say that they are leaving")
+	w.record("the server of v1 says that it is leaving")
 	for _, server := range old {
 		server.Drain()
 	}
 	time.Sleep(time.Until(began.Add(releaseEnd)))
-	w.record("the servers of v1 end")
+	w.record("the server of v1 ends")
 	for _, server := range old {
 		server.Close()
 	}
