Log for how long a daemon has observed the versions of servers

The line on a stream whose origin was looked up told neither that a daemon had just started nor that it decided on a part of its list.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -84,7 +84,8 @@
 	began, by, answers := o.find(ctx, request.ResumedRequestID, route, service)
 	o.daemon.metrics.takenUp(by).Inc(1)
 	o.daemon.log.add("origin", "Looked up.", "request", request.ID, "resumes", loggedID(request.ResumedRequestID), "service", began.Service,
-		"by", by, "software", began.Software, "answers", answers, "took_ms", o.daemon.clock.Since(askedAt).Milliseconds())
+		"by", by, "software", began.Software, "answers", answers, "observed_ms", o.keeper.ObservedFor(askedAt).Milliseconds(),
+		"took_ms", o.daemon.clock.Since(askedAt).Milliseconds())
 	return gateway.StreamOrigin{Service: began.Service, Software: began.Software}, by != foundNowhere
 }
 
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -33,8 +33,10 @@
 	versionWindow time.Duration
 	others        rendezvous.Set
 	zones         map[string]string
-	// freshUntil is the time until which this daemon counts as receiving updates about new instances.
-	freshUntil time.Time
+	// freshUntil is the time until which this daemon counts as receiving updates about new instances. It has done so
+	// without interruption since observedSince.
+	freshUntil    time.Time
+	observedSince time.Time
 }
 
 // NewTracker returns an empty Tracker.
@@ -60,9 +62,26 @@
 func (t *Tracker) MarkSynced(now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if !now.Before(t.freshUntil) {
+		t.observedSince = now
+	}
 	t.freshUntil = now.Add(freshWindow)
 }
 
+// ObservedFor returns for how long this daemon has received updates about new instances without interruption.
+func (t *Tracker) ObservedFor(now time.Time) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.observedFor(now)
+}
+
+func (t *Tracker) observedFor(now time.Time) time.Duration {
+	if !now.Before(t.freshUntil) {
+		return 0
+	}
+	return now.Sub(t.observedSince)
+}
+
 // SetVersionWindow sets how long after a version was last seen its streams may still be resumed.
 func (t *Tracker) SetVersionWindow(versionWindow time.Duration) {
 	t.mutex.Lock()
