Streams keep to their version, and go on, after all daemons were killed

Cause: what a process that has just started takes for known. A tracker knew the versions since its own start only, and took them for all that a service had had; so did those that it asked. And what began a stream was in the memory of daemons only.

Now the store holds a durable record in four shards: the recent versions of each service and, while a service has several, what began its streams, by digests. Each shard has an owner by rendezvous, which the others send their streams to as they begin; two owners write in turns by revision. A daemon decides by the only version only if it, or one that answers, has observed the service for as long as streams may be resumed, or has read a complete record since. A daemon that has just started no longer counts as up to date before it has heard of a watcher and has its whole list.

The table of TestDecide said that a daemon without history may decide; its cases now say what the daemon has observed, and more of them are refused.

--- a/coordination/storeoutage.go
+++ b/coordination/storeoutage.go
@@ -32,7 +32,8 @@
 // nobody.
 func (n *Node) ReceivesInstanceChanges(now time.Time) bool {
 	watches := n.Watching(now) && !n.sources[SourceInstances].unavailable
-	return watches || now.Sub(n.watcherSeenAt) <= watcherReportTTL || n.storeUnavailableForAll(now)
+	heard := !n.watcherSeenAt.Equal(n.started.Add(n.settings.WatchDelay))
+	return watches || heard && now.Sub(n.watcherSeenAt) <= watcherReportTTL || n.storeUnavailableForAll(now)
 }
 
 // storeUnavailable reports whether the store answers none of this daemon's reads.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/wheatweir/wheatweir/peer"
 	"github.com/wheatweir/wheatweir/platform"
 	"github.com/wheatweir/wheatweir/quota"
+	"github.com/wheatweir/wheatweir/resumption"
 	"github.com/wheatweir/wheatweir/retry"
 )
 
@@ -257,6 +258,10 @@
 	}
 	d.startDuty("quarantine", d.quarantine.restore)
 	d.startDuty("quarantine", d.quarantine.runKept)
+	d.startDuty("stream record", d.origins.record.restore)
+	for number := range resumption.ShardCount {
+		d.startDuty("stream record", func() { d.origins.record.keep(number) })
+	}
 	for range orderWorkers {
 		d.startDuty("orders", d.runOrders)
 	}
@@ -283,6 +288,7 @@
 func (d *Daemon) eraLearned(era uint64) {
 	if d.storeEras.Add(1) > 1 {
 		d.quarantine.keepAgain()
+		d.origins.record.storeRestored()
 	}
 	d.work.events.Put(d.ctx, func(node *coordination.Node, now time.Time) []coordination.Action {
 		return node.EraLearned(now, era)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/wheatweir/wheatweir/gateway"
 	"github.com/wheatweir/wheatweir/internal/exposition"
 	"github.com/wheatweir/wheatweir/internal/membudget"
+	"github.com/wheatweir/wheatweir/platform"
 )
 
 // metrics counts what an entry daemon does. Names of routes, models and clients
@@ -73,7 +74,9 @@
 	// streamsTold counts the streams that other daemons were told of, takenUps how the versions of streams that clients took
 	// up were found. streamsKept is the number of streams whose version is known here, mixedServices that of the services
 	// with several versions.
+	// recordCalls counts the calls for the durable record of streams.
 	streamsTold   tally.Counter
+	recordCalls   map[recordCall]tally.Counter
 	takenUps      map[string]tally.Counter
 	streamsKept   tally.Gauge
 	mixedServices tally.Gauge
@@ -171,7 +174,7 @@
 		pathsCut: root.Gauge("paths_cut"), addressesFailed: root.Gauge("addresses_failed"),
 		connectionsDirect: root.Gauge("connections_direct"), connectionsRelayed: root.Gauge("connections_relayed"),
 		tunnelsCarried: root.Gauge("tunnels_carried"),
-		streamsTold:    root.Counter("streams_told"), takenUps: map[string]tally.Counter{},
+		streamsTold:    root.Counter("streams_told"), takenUps: map[string]tally.Counter{}, recordCalls: map[recordCall]tally.Counter{},
 		streamsKept: root.Gauge("streams_kept"), mixedServices: root.Gauge("services_with_versions"),
 		parked: root.Gauge("models_parked"),
 		memory: memory, heapBytes: root.Gauge("heap_bytes"),
@@ -217,6 +220,28 @@
 	}
 }
 
+// recordCall is a call for the durable record of streams.
+type recordCall struct{ call, result string }
+
+// countRecordCall counts a call for the durable record of streams.
+func (m *metrics) countRecordCall(call string, err error) {
+	key := recordCall{call, "done"}
+	switch {
+	case platform.ErrConflict.Has(err):
+		key.result = "conflict"
+	case err != nil:
+		key.result = "failed"
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	counter, found := m.recordCalls[key]
+	if !found {
+		counter = m.root.Tagged(map[string]string{"call": key.call, "result": key.result}).Counter("stream_record_calls")
+		m.recordCalls[key] = counter
+	}
+	counter.Inc(1)
+}
+
 // takenUp counts the streams that clients took up whose version was found in one way.
 func (m *metrics) takenUp(by string) tally.Counter {
 	m.mutex.Lock()
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -28,13 +28,15 @@
 type origins struct {
 	daemon *Daemon
 	keeper *resumption.Tracker
+	record *streamRecord
 	calls  *calls.Calls[*resumption.Answer]
 	// observedAt is when the control duty last looked at the versions.
 	observedAt time.Time
 }
 
 func newOrigins(d *Daemon) *origins {
-	return &origins{daemon: d, keeper: resumption.NewTracker(), calls: calls.New[*resumption.Answer]()}
+	tracker := resumption.NewTracker()
+	return &origins{daemon: d, keeper: tracker, record: newStreamRecord(d, tracker), calls: calls.New[*resumption.Answer]()}
 }
 
 // RecordStream implements gateway.Origins.
@@ -48,6 +50,7 @@
 		stream.ID = resumes
 		o.tell(o.keeper.RecordStream(now, stream))
 	}
+	o.record.send(now)
 }
 
 // takenUpWithin is how long after a request its client may take its stream up.
@@ -74,6 +77,7 @@
 const (
 	foundHere        = "own"
 	foundElsewhere   = "daemon"
+	foundRecorded    = "record"
 	foundOnlyVersion = "only_version"
 	foundNowhere     = "unknown"
 )
@@ -101,7 +105,13 @@
 			return answer.Began, foundElsewhere, len(heard)
 		}
 	}
-	software, known := o.keeper.Decide(o.daemon.clock.Now(), service, id != "", heard)
+	if o.keeper.NeedsRecord(o.daemon.clock.Now(), service, heard) {
+		o.record.readForRequest(ctx)
+		if began, known := o.keeper.Find(o.daemon.clock.Now(), id); known && leadsTo(route, began.Service) {
+			return began, foundRecorded, len(heard)
+		}
+	}
+	software, known := o.keeper.Decide(o.daemon.clock.Now(), service, heard)
 	began = resumption.Began{Service: service, Software: software}
 	if known {
 		return began, foundOnlyVersion, len(heard)
@@ -163,6 +173,8 @@
 		o.send(from, &resumption.Message{Answer: o.keeper.Answer(now, message.Question)})
 	case message.Answer != nil:
 		o.calls.Answered(message.Answer.ID, message.Answer)
+	case message.Record != nil:
+		o.record.accept(now, message.Record)
 	default:
 		o.keeper.Merge(now, message.Streams)
 	}
@@ -170,7 +182,7 @@
 
 // tick takes in what the control duty knows of servers.
 func (o *origins) tick(now time.Time) {
-	if o.daemon.node.ReceivesInstanceChanges(now) {
+	if o.daemon.node.Synced() && o.daemon.node.ReceivesInstanceChanges(now) {
 		o.keeper.MarkSynced(now)
 	}
 	if now.Sub(o.observedAt) < originsEvery {
@@ -182,7 +194,7 @@
 		return
 	}
 	services, span := resumableServices(view.Configuration())
-	o.keeper.SetVersionWindow(span)
+	o.keeper.SetVersionWindow(now, span)
 	for service := range services {
 		tells := o.keeper.Observe(now, service, softwareOf(view.Instances(service)))
 		if tells != nil {
@@ -190,6 +202,7 @@
 		}
 		o.tell(tells)
 	}
+	o.record.send(now)
 }
 
 // resumableServices returns the services whose streams may be taken up, and for how long after a stream began that may be.
@@ -226,6 +239,7 @@
 // forget drops what no longer counts and sets the gauges.
 func (o *origins) forget(now time.Time) {
 	o.keeper.Prune(now)
+	o.record.recorder.Prune(now)
 	counts := o.keeper.Counts()
 	o.daemon.metrics.streamsKept.Update(float64(counts.Streams))
 	o.daemon.metrics.mixedServices.Update(float64(counts.MixedServices))
@@ -241,4 +255,5 @@
 		}
 	}
 	o.keeper.SetDaemons(others)
+	o.record.recorder.SetDaemons(others)
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -66,6 +66,8 @@
 	Released []string
 	// LearnPace has the daemon measure how fast servers work, and tell others.
 	LearnPace bool
+	// FirstStart says that no daemon of the deployment has run before: nothing that the store lacks was ever there.
+	FirstStart bool
 	// MemoryLimitMB is the memory of the process.
 	MemoryLimitMB float64
 	// CPUShare is the processor of the machine, in cores; zero if it is not known.
@@ -90,6 +92,7 @@
 		inifile.Choice("daemon", "log_level", &s.LogLevel, "debug", "info", "warn", "error"),
 		inifile.Secret("daemon", "deployment_key", &s.DeploymentKey),
 		inifile.Number("daemon", "memory_limit_mb", &s.MemoryLimitMB, 16, 1<<20),
+		optional(inifile.Boolean("daemon", "first_start", &s.FirstStart)),
 		optional(inifile.Number("daemon", "cpu_share", &s.CPUShare, 0, 4096)),
 
 		inifile.Address("listen", "front", &s.FrontAddress),
--- a/resumption/doc.go
+++ b/resumption/doc.go
@@ -7,7 +7,11 @@
 // second version is seen, each daemon sends the versions of its streams to two other daemons, selected by rendezvous
 // hashing of the stream's ID. A daemon at which a client resumes a stream queries the daemons that may have received
 // its version. If none of them has it, the stream resumes only if the service has had a single version for as long as a
-// client may wait.
+// client may wait. A daemon that has just started knows only the versions that are present now: it relies on daemons that
+// have observed the service for longer.
+//
+// The durable record in the store is what is left after all daemons were killed: the recent versions of each service and,
+// while a service has several, the versions of its streams. A Recorder keeps it up to date.
 //
 // A Tracker does no I/O and reads no clock. It is safe for concurrent use.
 package resumption
@@ -32,7 +36,9 @@
 
 // Message is a message about streams between daemons; exactly one field is set.
 type Message struct {
-	Streams  []Stream  `msgpack:"s,omitempty"`
+	Streams []Stream `msgpack:"s,omitempty"`
+	// Record holds streams that the receiver is to add to the durable record.
+	Record   []Stream  `msgpack:"r,omitempty"`
 	Question *Question `msgpack:"q,omitempty"`
 	Answer   *Answer   `msgpack:"a,omitempty"`
 }
@@ -55,6 +61,8 @@
 	// currently receives updates about new instances.
 	Versions []string `msgpack:"n,omitempty"`
 	Fresh    bool     `msgpack:"f,omitempty"`
+	// Complete reports whether Versions includes every version that has been present within the version window.
+	Complete bool `msgpack:"c,omitempty"`
 }
 
 // Update is the update to send to one daemon.
--- /dev/null
+++ b/resumption/norace_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package resumption
+
+// largeFleets says that tests simulate large fleets too.
+const largeFleets = true
--- a/resumption/simulation_test.go
+++ b/resumption/simulation_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -23,9 +24,16 @@
 
 // simulatedDaemon is one daemon with its local state.
 type simulatedDaemon struct {
-	name        string
-	zone        string
-	tracker     *Tracker
+	name     string
+	zone     string
+	tracker  *Tracker
+	recorder *Recorder
+	// recordAskedAt is when the daemon last read the durable record on demand.
+	recordAskedAt time.Time
+	readRevisions [ShardCount]uint64
+	others        []Daemon
+	// keepAt is when the daemon looks for due calls of the durable record.
+	keepAt      time.Time
 	incarnation int
 	up          bool
 	isolated    bool
@@ -66,16 +74,54 @@
 	daemons  []*simulatedDaemon
 	// versions are the current versions of the instances.
 	versions []string
+	store    simulatedStore
 
 	streams, resumeAttempts, mixedVersions, resumed, messages int
+	// killedAll is set from a kill of all or most daemons on. From then on outlasting holds the streams that clients
+	// resume while their version serves, and whether they were resumed.
+	killedAll     bool
+	outlasting    map[string]bool
+	clientRetries int
+}
+
+// simulatedStore holds the durable record. While it is away, calls fail.
+type simulatedStore struct {
+	shards    map[int]Shard
+	revisions map[int]uint64
+	revision  uint64
+	away      bool
+	calls     int
+	bytes     int
+}
+
+const (
+	storeDelay       = 4 * time.Millisecond
+	clientRetryDelay = 500 * time.Millisecond
+	// digestBytes is the encoded size of a stream in the durable record.
+	digestBytes = 11
+)
+
+// write replaces a shard unless its revision is another one.
+func (s *simulatedStore) write(number int, shard *Shard, expected uint64) (revision uint64, conflict bool) {
+	if s.revisions[number] != expected {
+		return 0, true
+	}
+	s.revision++
+	s.shards[number], s.revisions[number] = *shard, s.revision
+	for _, group := range shard.Streams {
+		s.bytes += digestBytes * len(group.Streams)
+	}
+	return s.revision, false
 }
 
 func newSimulation(count int, seed uint64) *simulation {
 	s := &simulation{now: time.Unix(1e9, 0), random: rand.New(rand.NewPCG(seed, 1)), versions: []string{"v1"}}
+	s.outlasting = map[string]bool{}
+	s.store = simulatedStore{shards: map[int]Shard{}, revisions: map[int]uint64{}}
 	for number := range count {
 		d := &simulatedDaemon{name: fmt.Sprint("d", number), zone: fmt.Sprint("z", number%zoneCount)}
 		s.daemons = append(s.daemons, d)
-		s.start(d)
+		s.start(d, true)
 	}
 	for _, d := range s.daemons {
 		s.refresh(d, d.incarnation)
@@ -96,12 +142,111 @@
 	}
 }
 
-// start starts a daemon with empty state.
-func (s *simulation) start(d *simulatedDaemon) {
+// start starts a daemon with empty state. It reads the durable record.
+func (s *simulation) start(d *simulatedDaemon, first bool) {
 	d.tracker, d.up, d.lastFault, d.startedAt = NewTracker(), true, s.now, s.now
-	d.tracker.SetVersionWindow(versionWindow)
+	d.tracker.SetVersionWindow(s.now, versionWindow)
+	d.others, d.readRevisions = nil, [ShardCount]uint64{}
+	d.recorder = NewRecorder(s.now, d.name, d.tracker, first)
 	d.present = s.versions
 	d.incarnation++
+	d.tracker.MarkSynced(s.now)
+	if first {
+		d.tracker.MergeRecord(s.now, s.now, nil, true)
+		return
+	}
+	s.readRecord(d, func() {})
+}
+
+// readRecord has a daemon read the durable record.
+func (s *simulation) readRecord(d *simulatedDaemon, done func()) {
+	incarnation, readAt := d.incarnation, s.now
+	d.recordAskedAt = s.now
+	s.callStore(d, func() {
+		var shards []Shard
+		for number, shard := range s.store.shards {
+			if d.readRevisions[number] == s.store.revisions[number] {
+				shard.Streams = nil
+			}
+			d.readRevisions[number] = s.store.revisions[number]
+			shards = append(shards, shard)
+		}
+		d.tracker.MergeRecord(s.now, readAt, shards, false)
+		done()
+	}, func() {
+		s.after(time.Second, func() {
+			if d.incarnation == incarnation && !d.tracker.historyComplete(s.now) {
+				s.readRecord(d, func() {})
+			}
+		})
+		done()
+	})
+}
+
+// callStore makes a call of a daemon to the store, which fails while the store is away.
+func (s *simulation) callStore(d *simulatedDaemon, answered, failed func()) {
+	incarnation := d.incarnation
+	s.store.calls++
+	s.after(storeDelay, func() {
+		switch {
+		case d.incarnation != incarnation || !d.up:
+		case s.store.away || d.isolated:
+			failed()
+		default:
+			answered()
+		}
+	})
+}
+
+// keepRecord sends the new streams of a daemon to the owners of their shards.
+func (s *simulation) keepRecord(d *simulatedDaemon) {
+	for _, update := range d.recorder.Outgoing(s.now) {
+		s.send(d, update.Daemon, func(other *simulatedDaemon) {
+			other.recorder.Accept(s.now, update.Streams)
+			s.keepShards(other)
+		})
+	}
+	s.keepShards(d)
+}
+
+// keepShards makes the calls for the durable record that are due at a daemon, as long as there are any.
+func (s *simulation) keepShards(d *simulatedDaemon) {
+	for number := range ShardCount {
+		step, due := d.recorder.NextStep(s.now, number)
+		if !due {
+			s.keepShardsLater(d, number)
+			continue
+		}
+		s.callStore(d, func() {
+			if step.Write == nil {
+				var stored *Shard
+				if shard, found := s.store.shards[number]; found {
+					stored = &shard
+				}
+				d.recorder.Loaded(s.now, number, stored, s.store.revisions[number])
+			} else if revision, conflict := s.store.write(number, step.Write, step.Revision); conflict {
+				d.recorder.Failed(s.now, number, true)
+			} else {
+				d.recorder.Written(s.now, number, revision)
+			}
+			s.keepShards(d)
+		}, func() { d.recorder.Failed(s.now, number, false) })
+	}
+}
+
+// keepShardsLater has a daemon look again when a call may be due for a shard.
+func (s *simulation) keepShardsLater(d *simulatedDaemon, number int) {
+	wait := d.recorder.Wait(s.now, number, 100*time.Millisecond)
+	if wait == 100*time.Millisecond || s.now.Add(wait).Before(d.keepAt) {
+		return
+	}
+	incarnation := d.incarnation
+	d.keepAt = s.now.Add(wait + time.Millisecond)
+	s.after(wait+time.Millisecond, func() {
+		if d.incarnation == incarnation {
+			s.keepShards(d)
+		}
+	})
 }
 
 // refresh updates a daemon's state every 100 ms. A daemon that is not isolated receives new versions after a random
@@ -117,7 +262,11 @@
 			others = append(others, Daemon{other.name, other.zone})
 		}
 	}
-	d.tracker.SetDaemons(others)
+	if !slices.Equal(others, d.others) {
+		d.others = others
+		d.tracker.SetDaemons(others)
+		d.recorder.SetDaemons(others)
+	}
 	if !d.isolated {
 		d.tracker.MarkSynced(s.now)
 		versions := s.versions
@@ -128,6 +277,7 @@
 		})
 	}
 	s.sendUpdates(d, d.tracker.Observe(s.now, "svc", d.present))
+	s.keepRecord(d)
 	s.after(100*time.Millisecond, func() { s.refresh(d, incarnation) })
 }
 
@@ -158,20 +308,33 @@
 	s.streams++
 	id, software, incarnation := fmt.Sprint("s", s.streams), d.present[s.random.IntN(len(d.present))], d.incarnation
 	s.sendUpdates(d, d.tracker.RecordStream(s.now, Stream{ID: id, Service: "svc", Software: software, Left: versionWindow / 2}))
+	s.keepRecord(d)
 	duration := time.Duration(200+s.random.IntN(3000)) * time.Millisecond
 	interrupted := s.random.IntN(10) == 0
 	s.after(duration, func() {
 		if interrupted || d.incarnation != incarnation || !d.up {
-			s.after(time.Duration(10+s.random.IntN(200))*time.Millisecond, func() { s.resume(id, software) })
+			s.after(time.Duration(10+s.random.IntN(200))*time.Millisecond, func() { s.resume(id, software, s.clientRetries) })
 		}
 	})
 }
 
-// resume makes a client resume a stream at a random running daemon.
-func (s *simulation) resume(id, wantSoftware string) {
+// beginStreams starts streams at a fixed interval until most daemons are killed.
+func (s *simulation) beginStreams(interval time.Duration) {
+	if s.killedAll {
+		return
+	}
+	s.beginStream()
+	s.after(interval, func() { s.beginStreams(interval) })
+}
+
+// resume makes a client resume a stream at a random running daemon, and try again as often as retries says.
+func (s *simulation) resume(id, wantSoftware string, retries int) {
+	if s.killedAll && slices.Contains(s.versions, wantSoftware) && !s.outlasting[id] {
+		s.outlasting[id] = false
+	}
 	d := s.daemons[s.random.IntN(len(s.daemons))]
 	if !d.up {
-		s.after(10*time.Millisecond, func() { s.resume(id, wantSoftware) })
+		s.after(10*time.Millisecond, func() { s.resume(id, wantSoftware, retries) })
 		return
 	}
 	if found, known := d.tracker.Find(s.now, id); known {
@@ -197,11 +360,25 @@
 				return
 			}
 		}
-		if software, known := d.tracker.Decide(s.now, "svc", true, answers); known {
-			s.continueStream(d, id, wantSoftware, software)
+		decide := func() {
+			if found, known := d.tracker.Find(s.now, id); known {
+				s.continueStream(d, id, wantSoftware, found.Software)
+				return
+			}
+			if software, known := d.tracker.Decide(s.now, "svc", answers); known {
+				s.continueStream(d, id, wantSoftware, software)
+				return
+			}
+			s.countAttempt(d, wantSoftware, false)
+			if retries > 0 {
+				s.after(clientRetryDelay, func() { s.resume(id, wantSoftware, retries-1) })
+			}
+		}
+		if d.tracker.NeedsRecord(s.now, "svc", answers) && s.now.Sub(d.recordAskedAt) >= time.Second {
+			s.readRecord(d, decide)
 			return
 		}
-		s.countAttempt(d, wantSoftware, false)
+		decide()
 	})
 }
 
@@ -209,6 +386,9 @@
 	if software != wantSoftware {
 		s.mixedVersions++
 	}
+	if _, counts := s.outlasting[id]; counts {
+		s.outlasting[id] = true
+	}
 	s.sendUpdates(d, d.tracker.RecordStream(s.now, Stream{ID: id, Service: "svc", Software: software, Left: versionWindow / 2}))
 	s.countAttempt(d, wantSoftware, true)
 }
@@ -241,7 +421,7 @@
 		default:
 			d.up, d.stoppedAt = false, s.now
 			s.after(restartDelay, func() {
-				s.start(d)
+				s.start(d, false)
 				s.refresh(d, d.incarnation)
 			})
 		}
@@ -250,12 +430,7 @@
 
 // runScenario begins streams at a fixed interval and injects faults and software changes meanwhile.
 func (s *simulation) runScenario(duration, interval time.Duration) {
-	var next func()
-	next = func() {
-		s.beginStream()
-		s.after(interval, next)
-	}
-	s.after(0, next)
+	s.beginStreams(interval)
 	count := len(s.daemons)
 	half, third := count/2, count/3
 	s.after(4*time.Second, func() { s.versions = []string{"v1", "v2"} })
@@ -288,6 +463,78 @@
 	}
 }
 
+// killAll kills all daemons but some, after which no more streams begin.
+func (s *simulation) killAll(survivors int) {
+	s.killedAll = true
+	s.injectFaults(len(s.daemons)-survivors, false, 0)
+}
+
+// massKill is a kill of all or most daemons while a service has two versions, or just after one of them has left.
+type massKill struct {
+	name string
+	// after are the versions that are present after v1 and v2, from a moment before the kill on.
+	after     []string
+	survivors int
+	// awayFor is for how long after the kill the store is away.
+	awayFor time.Duration
+}
+
+func massKills() []massKill {
+	return []massKill{
+		{"both versions serve", []string{"v1", "v2"}, 0, 0},
+		{"the first version has left", []string{"v2"}, 0, 0},
+		{"one daemon survives", []string{"v1", "v2"}, 1, 0},
+		{"one daemon survives, and the first version has left", []string{"v2"}, 1, 0},
+		{"the store is away, and the first version has left", []string{"v2"}, 0, 3 * time.Second},
+		{"the store is away, and one daemon survives", []string{"v2"}, 1, 3 * time.Second},
+	}
+}
+
+// checkMassKill checks that no stream mixes two versions, and that half of the streams whose version serves are resumed.
+func checkMassKill(t *testing.T, kill massKill, count int) {
+	t.Helper()
+	const killAt = 12 * time.Second
+	s := newSimulation(count, 1)
+	s.clientRetries = 12
+	s.beginStreams(200 * time.Millisecond / time.Duration(count))
+	s.after(3*time.Second, func() { s.versions = []string{"v1", "v2"} })
+	s.after(killAt-400*time.Millisecond, func() { s.versions = kill.after })
+	s.after(killAt-100*time.Millisecond, func() { s.store.away = kill.awayFor > 0 })
+	s.after(killAt, func() { s.killAll(kill.survivors) })
+	s.after(killAt+kill.awayFor, func() { s.store.away = false })
+	s.run(2 * killAt)
+	resumed := 0
+	for _, wentOn := range s.outlasting {
+		if wentOn {
+			resumed++
+		}
+	}
+	t.Logf("%s: %d daemons: %d of %d streams resumed, %d with mixed versions; store: %d calls, %d bytes of streams written",
+		kill.name, count, resumed, len(s.outlasting), s.mixedVersions, s.store.calls, s.store.bytes)
+	if s.mixedVersions > 0 || len(s.outlasting) < 12 || 2*resumed < len(s.outlasting) {
+		t.Errorf("%s: %d daemons: %d of %d streams resumed, %d with mixed versions", kill.name, count, resumed, len(s.outlasting), s.mixedVersions)
+	}
+}
+
+// TestStreamsOutlastTheirDaemons guards against streams that mix two software versions after all or most daemons were
+// killed at once, and against refusing to resume streams whose version still serves.
+func TestStreamsOutlastTheirDaemons(t *testing.T) {
+	for _, kill := range massKills() {
+		checkMassKill(t, kill, 9)
+		checkMassKill(t, kill, 71)
+	}
+}
+
+// TestStreamsOutlastALargeFleet guards against the same in a large fleet.
+func TestStreamsOutlastALargeFleet(t *testing.T) {
+	if !largeFleets {
+		t.Skip("takes minutes with the race detector")
+	}
+	for _, kill := range massKills() {
+		checkMassKill(t, kill, 295)
+	}
+}
+
 // TestOneVersionCostsNoMessages guards against messages about streams while the service has a single version.
 func TestOneVersionCostsNoMessages(t *testing.T) {
 	s := newSimulation(9, 1)
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -28,20 +28,30 @@
 type Tracker struct {
 	mutex   sync.Mutex
 	streams streamIndex
+	// recorded holds the streams read from the durable record, and unrecorded the own streams that it lacks.
+	recorded   digestIndex
+	unrecorded []Stream
 	// services holds the versions of each service. A version counts for versionWindow after it was last seen.
 	services      map[string]versions
 	versionWindow time.Duration
-	others        rendezvous.Set
-	zones         map[string]string
+	// shorterWindow replaces versionWindow at shortenAt, if that is not zero.
+	shorterWindow time.Duration
+	shortenAt     time.Time
+	// distributed holds the services whose streams are sent to other daemons, since they have several versions.
+	distributed map[string]bool
+	others      rendezvous.Set
+	zones       map[string]string
 	// freshUntil is the time until which this daemon counts as receiving updates about new instances. It has done so
 	// without interruption since observedSince.
 	freshUntil    time.Time
 	observedSince time.Time
+	// recordReadAt is when the durable record was last read while it was complete; zero if it was not.
+	recordReadAt time.Time
 }
 
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
-	return &Tracker{streams: streamIndex{}, services: map[string]versions{}, zones: map[string]string{}}
+	return &Tracker{streams: streamIndex{}, recorded: digestIndex{}, services: map[string]versions{}, distributed: map[string]bool{}, zones: map[string]string{}}
 }
 
 // SetDaemons replaces the set of other live daemons.
@@ -82,11 +92,19 @@
 	return now.Sub(t.observedSince)
 }
 
-// SetVersionWindow sets how long after a version was last seen its streams may still be resumed.
-func (t *Tracker) SetVersionWindow(versionWindow time.Duration) {
+// SetVersionWindow sets how long after a version was last seen its streams may still be resumed. A shorter window takes
+// effect once the streams that began within the longer one have expired.
+func (t *Tracker) SetVersionWindow(now time.Time, versionWindow time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.versionWindow = versionWindow
+	switch {
+	case versionWindow >= t.versionWindow:
+		t.versionWindow, t.shortenAt = versionWindow, time.Time{}
+	case t.shortenAt.IsZero() || versionWindow > t.shorterWindow:
+		t.shorterWindow, t.shortenAt = versionWindow, now.Add(t.versionWindow)
+	case !now.Before(t.shortenAt):
+		t.versionWindow, t.shortenAt = t.shorterWindow, time.Time{}
+	}
 }
 
 // Observe records the versions of a service that are present now. When the service first has several versions, it
@@ -98,20 +116,29 @@
 }
 
 func (t *Tracker) observe(now time.Time, service string, present []string) []Update {
+	seen := t.markSeen(now, service, present)
+	switch {
+	case len(seen) < 2:
+		t.distributed[service] = false
+		return nil
+	case t.distributed[service]:
+		return nil
+	}
+	t.distributed[service] = true
+	return t.distribute(t.streams.ownStreams(now, service))
+}
+
+func (t *Tracker) markSeen(now time.Time, service string, present []string) versions {
 	seen := t.services[service]
 	if seen == nil {
 		seen = versions{}
 		t.services[service] = seen
 	}
 	seen.prune(now.Add(-t.versionWindow))
-	before := len(seen)
 	for _, software := range present {
 		seen.markSeen(now, software)
 	}
-	if before > 1 || len(seen) < 2 {
-		return nil
-	}
-	return t.groupByDaemon(t.streams.ownStreams(now, service))
+	return seen
 }
 
 // RecordStream records a stream that this daemon begins or resumes. It returns the updates to send to other daemons.
@@ -121,11 +148,17 @@
 	t.streams.merge(now, &stream, true)
 	updates := t.observe(now, stream.Service, []string{stream.Software})
 	if updates == nil && len(t.services[stream.Service]) > 1 {
-		updates = t.groupByDaemon([]Stream{stream})
+		updates = t.distribute([]Stream{stream})
 	}
 	return updates
 }
 
+// distribute marks streams for the durable record, and groups them by the daemons that are to record them.
+func (t *Tracker) distribute(streams []Stream) []Update {
+	t.unrecorded = append(t.unrecorded, streams...)
+	return t.groupByDaemon(streams)
+}
+
 // groupByDaemon groups streams by the daemons that are to record them.
 func (t *Tracker) groupByDaemon(streams []Stream) []Update {
 	byDaemon := map[string][]Stream{}
@@ -163,6 +196,7 @@
 	defer t.mutex.Unlock()
 	for i := range streams {
 		t.streams.merge(now, &streams[i], false)
+		t.markSeen(now, streams[i].Service, []string{streams[i].Software})
 	}
 }
 
@@ -170,7 +204,14 @@
 func (t *Tracker) Find(now time.Time, id string) (began Began, known bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.streams.find(now, id)
+	return t.find(now, id)
+}
+
+func (t *Tracker) find(now time.Time, id string) (began Began, known bool) {
+	if t.streams[id] != nil {
+		return t.streams.find(now, id)
+	}
+	return t.recorded.find(now, id)
 }
 
 // QueryTargets returns the daemons to query about a stream, or none if no daemon records streams with such an ID.
@@ -193,18 +234,51 @@
 func (t *Tracker) Answer(now time.Time, question *Question) *Answer {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	began, known := t.streams.find(now, question.Stream)
+	began, known := t.find(now, question.Stream)
 	return &Answer{
-		ID: question.ID, Known: known, Began: began, Versions: t.services[question.Service].list(), Fresh: now.Before(t.freshUntil),
+		ID: question.ID, Known: known, Began: began, Versions: t.services[question.Service].list(),
+		Fresh: now.Before(t.freshUntil), Complete: t.historyComplete(now),
 	}
 }
 
+// historyComplete reports whether this daemon knows every version that has been present within the version window. It does
+// if it has observed the instances for that long, or since it read a complete durable record.
+func (t *Tracker) historyComplete(now time.Time) bool {
+	return now.Before(t.freshUntil) && t.versionWindow > 0 && (t.observedFor(now) >= t.versionWindow || !t.recordReadAt.Before(t.observedSince))
+}
+
+// HistoryComplete reports whether this daemon knows every version that has been present within the version window.
+func (t *Tracker) HistoryComplete(now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.historyComplete(now)
+}
+
+// NeedsRecord reports whether the durable record may show the origin of a stream of a service that no daemon has a record of.
+func (t *Tracker) NeedsRecord(now time.Time, service string, answers []*Answer) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if len(t.services[service]) > 1 || !completeAt(t.historyComplete(now), answers) {
+		return true
+	}
+	for _, answer := range answers {
+		if len(answer.Versions) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// completeAt reports whether this daemon, or one that answered, knows the complete history and is up to date.
+func completeAt(self bool, answers []*Answer) bool {
+	return self || slices.ContainsFunc(answers, func(answer *Answer) bool { return answer.Fresh && answer.Complete })
+}
+
 // Decide returns the version at which to resume a stream that no daemon has a record of, given the answers of the
 // queried daemons. It returns false if the version cannot be determined. It can be determined only if this daemon and
-// the answers show a single version of the service for as long as a client may wait. It also requires that one of these
-// daemons currently receives updates about new instances. If the client does not name the stream (named is false), this
-// requirement does not apply: the decision then rests on the versions that this daemon has seen.
-func (t *Tracker) Decide(now time.Time, service string, named bool, answers []*Answer) (software string, known bool) {
+// the answers show a single version of the service, and if one of these daemons knows every version that has been present
+// for as long as a client may wait and currently receives updates about new instances.
+func (t *Tracker) Decide(now time.Time, service string, answers []*Answer) (software string, known bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	seen := t.services[service]
@@ -213,16 +287,84 @@
 		return "", false
 	}
 	software = seen.list()[0]
-	fresh := now.Before(t.freshUntil) || !named
 	for _, answer := range answers {
-		fresh = fresh || answer.Fresh
 		for _, other := range answer.Versions {
 			if other != software {
 				return "", false
 			}
 		}
 	}
-	return software, fresh
+	return software, completeAt(t.historyComplete(now), answers)
+}
+
+// MergeRecord adds the shards of the durable record, which were read from readAt on. Missing shards are complete if no daemon
+// of the deployment has run before (firstStart).
+func (t *Tracker) MergeRecord(now, readAt time.Time, shards []Shard, firstStart bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	complete := firstStart && len(shards) == 0
+	for i := range shards {
+		complete = complete || shards[i].Complete
+		t.recorded.addGroups(now, shards[i].Streams)
+		for service, present := range shards[i].Versions {
+			t.markSeen(now, service, present)
+		}
+	}
+	if complete {
+		t.recordReadAt = readAt
+	}
+}
+
+// StoreRestored records that the store has come back from an earlier copy, which may lack the latest changes of the durable
+// record.
+func (t *Tracker) StoreRestored() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.recordReadAt = time.Time{}
+}
+
+// mergeVersions adds the versions of a shard of the durable record. They count as seen now, since the record does not tell
+// when they were.
+func (t *Tracker) mergeVersions(now time.Time, recorded map[string][]string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for service, present := range recorded {
+		t.markSeen(now, service, present)
+	}
+}
+
+// takeUnrecorded returns the own streams that the durable record lacks, each once.
+func (t *Tracker) takeUnrecorded() []Stream {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	streams := t.unrecorded
+	t.unrecorded = nil
+	return streams
+}
+
+// ownStreamsOfMixedServices returns the own streams of the services that have several versions.
+func (t *Tracker) ownStreamsOfMixedServices(now time.Time) []Stream {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var streams []Stream
+	for service, seen := range t.services {
+		if len(seen) > 1 {
+			streams = append(streams, t.streams.ownStreams(now, service)...)
+		}
+	}
+	return streams
+}
+
+// history returns the recent versions of all services, and whether this daemon has observed them for the version window.
+func (t *Tracker) history(now time.Time) (present map[string][]string, observedWindow bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	present = make(map[string][]string, len(t.services))
+	for service, seen := range t.services {
+		seen.prune(now.Add(-t.versionWindow))
+		present[service] = seen.list()
+	}
+	return present, t.versionWindow > 0 && t.observedFor(now) >= t.versionWindow
 }
 
 // Prune removes expired streams and versions.
@@ -230,6 +372,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.streams.prune(now)
+	t.recorded.prune(now)
 	for _, seen := range t.services {
 		seen.prune(now.Add(-t.versionWindow))
 	}
--- a/resumption/tracker_test.go
+++ b/resumption/tracker_test.go
@@ -15,36 +15,46 @@
 // TestDecide guards against resuming a stream whose version cannot be determined, and against refusing a stream of a
 // service that has only one version.
 func TestDecide(t *testing.T) {
-	one, other := &Answer{Versions: []string{"v1"}}, &Answer{Versions: []string{"v1", "v2"}, Fresh: true}
+	one, other := &Answer{Versions: []string{"v1"}}, &Answer{Versions: []string{"v1", "v2"}, Fresh: true, Complete: true}
+	whole := &Answer{Versions: []string{"v1"}, Fresh: true, Complete: true}
 	cases := []struct {
 		name    string
 		present []string
 		fresh   bool
-		named   bool
-		answers []*Answer
-		known   bool
+		// restarted is set if the daemon has just started and has not read the durable record.
+		restarted bool
+		answers   []*Answer
+		known     bool
 	}{
-		{"one version", []string{"v1"}, true, true, []*Answer{one}, true},
-		{"one version, no answers", []string{"v1"}, true, true, nil, true},
-		{"two versions", []string{"v1", "v2"}, true, true, []*Answer{one}, false},
-		{"another daemon has seen a second version", []string{"v1"}, true, true, []*Answer{one, other}, false},
-		{"another daemon has seen only a different version", []string{"v2"}, true, true, []*Answer{one}, false},
-		{"isolated, no answers", []string{"v1"}, false, true, nil, false},
-		{"isolated, as are all that answer", []string{"v1"}, false, true, []*Answer{one}, false},
-		{"isolated, but one that answers is not", []string{"v1"}, false, true, []*Answer{one, {Versions: []string{"v1"}, Fresh: true}}, true},
-		{"stream not named by the client", []string{"v1"}, false, false, nil, true},
-		{"stream not named by the client, two versions", []string{"v1", "v2"}, true, false, nil, false},
-		{"no instance ever seen", nil, true, true, nil, false},
-		{"instances that report no version", []string{""}, true, true, nil, true},
+		{"one version", []string{"v1"}, true, false, []*Answer{one}, true},
+		{"one version, no answers", []string{"v1"}, true, false, nil, true},
+		{"two versions, no answers", []string{"v1", "v2"}, true, false, nil, false},
+		{"two versions", []string{"v1", "v2"}, true, false, []*Answer{one}, false},
+		{"another daemon has seen a second version", []string{"v1"}, true, false, []*Answer{one, other}, false},
+		{"another daemon has seen only a different version", []string{"v2"}, true, false, []*Answer{one}, false},
+		{"isolated, no answers", []string{"v1"}, false, false, nil, false},
+		{"isolated, as are all that answer", []string{"v1"}, false, false, []*Answer{one}, false},
+		{"isolated, but one that answers is not", []string{"v1"}, false, false, []*Answer{one, whole}, true},
+		{"isolated, and the one that is not has just started", []string{"v1"}, false, false, []*Answer{{Versions: []string{"v1"}, Fresh: true}}, false},
+		{"just started, no answers", []string{"v1"}, true, true, nil, false},
+		{"just started, as have all that answer", []string{"v1"}, true, true, []*Answer{{Versions: []string{"v1"}, Fresh: true}}, false},
+		{"just started, the one that knows more was frozen since", []string{"v1"}, true, true, []*Answer{{Versions: []string{"v1"}, Complete: true}}, false},
+		{"just started, but one that answers has not", []string{"v1"}, true, true, []*Answer{one, whole}, true},
+		{"just started, and one that has not has seen a second version", []string{"v1"}, true, true, []*Answer{one, other}, false},
+		{"no instance ever seen", nil, true, false, nil, false},
+		{"instances that report no version", []string{""}, true, false, nil, true},
 	}
 	for _, c := range cases {
 		tracker := NewTracker()
-		tracker.SetVersionWindow(time.Minute)
+		tracker.SetVersionWindow(testStart, time.Minute)
 		tracker.Observe(testStart, "svc", c.present)
 		if c.fresh {
 			tracker.MarkSynced(testStart)
 		}
-		if software, known := tracker.Decide(testStart, "svc", c.named, c.answers); known != c.known || known && software != c.present[0] {
+		if !c.restarted {
+			tracker.MergeRecord(testStart, testStart, []Shard{{Complete: true}}, false)
+		}
+		if software, known := tracker.Decide(testStart, "svc", c.answers); known != c.known || known && software != c.present[0] {
 			t.Errorf("%s: %q, known %v", c.name, software, known)
 		}
 	}
@@ -53,18 +63,25 @@
 // TestVersionsCountForAWhile guards against removing a version while the streams that it began may still be resumed.
 func TestVersionsCountForAWhile(t *testing.T) {
 	tracker := NewTracker()
-	tracker.SetVersionWindow(30 * time.Second)
+	tracker.SetVersionWindow(testStart, 30*time.Second)
 	tracker.Observe(testStart, "svc", []string{"v1"})
+	observe := func(from, until time.Time) {
+		for now := from; !now.After(until); now = now.Add(freshWindow / 2) {
+			tracker.MarkSynced(now)
+		}
+	}
 	now := testStart.Add(29 * time.Second)
+	observe(testStart, now)
 	tracker.Observe(now, "svc", []string{"v2"})
 	tracker.MarkSynced(now)
-	if _, known := tracker.Decide(now, "svc", true, nil); known {
+	if _, known := tracker.Decide(now, "svc", nil); known {
 		t.Error("the previous version was removed while its streams may still be resumed")
 	}
+	observe(now, now.Add(31*time.Second))
 	now = now.Add(31 * time.Second)
 	tracker.Observe(now, "svc", []string{"v2"})
 	tracker.MarkSynced(now)
-	if software, known := tracker.Decide(now, "svc", true, nil); !known || software != "v2" {
+	if software, known := tracker.Decide(now, "svc", nil); !known || software != "v2" {
 		t.Errorf("%q, known %v", software, known)
 	}
 	// The version seen most recently is kept however long ago it was seen.
@@ -73,13 +90,31 @@
 	}
 }
 
+// TestShorterWindowWaits guards against removing a version while streams that began within a longer window may be resumed.
+func TestShorterWindowWaits(t *testing.T) {
+	tracker := NewTracker()
+	tracker.SetVersionWindow(testStart, 30*time.Second)
+	tracker.Observe(testStart, "svc", []string{"v1", "v2"})
+	for _, step := range []struct {
+		after time.Duration
+		mixed int
+	}{{0, 1}, {29 * time.Second, 1}, {31 * time.Second, 0}} {
+		now := testStart.Add(step.after)
+		tracker.SetVersionWindow(now, 5*time.Second)
+		tracker.Observe(now, "svc", []string{"v2"})
+		if got := tracker.Counts().MixedServices; got != step.mixed {
+			t.Errorf("after %v: %d services with several versions", step.after, got)
+		}
+	}
+}
+
 // TestFrozenDaemonIsNotFresh guards against a daemon that decides by state from before its process was frozen.
 func TestFrozenDaemonIsNotFresh(t *testing.T) {
 	tracker := NewTracker()
-	tracker.SetVersionWindow(time.Minute)
+	tracker.SetVersionWindow(testStart, time.Minute)
 	tracker.Observe(testStart, "svc", []string{"v1"})
 	tracker.MarkSynced(testStart)
-	if _, known := tracker.Decide(testStart.Add(5*time.Second), "svc", true, nil); known {
+	if _, known := tracker.Decide(testStart.Add(5*time.Second), "svc", nil); known {
 		t.Error("a daemon whose process was frozen decided")
 	}
 }
@@ -88,7 +123,7 @@
 // no other daemon has recorded.
 func TestSecondVersionTellsOfStreamsBefore(t *testing.T) {
 	tracker := NewTracker()
-	tracker.SetVersionWindow(time.Minute)
+	tracker.SetVersionWindow(testStart, time.Minute)
 	tracker.SetDaemons([]Daemon{{"a", "z1"}, {"b", "z1"}, {"c", "z2"}})
 	if updates := tracker.RecordStream(testStart, stream("s1", "v1")); updates != nil {
 		t.Errorf("updates %+v while there is one version", updates)
@@ -133,7 +168,7 @@
 	for _, count := range []int{30, 100, 300, 985} {
 		b.Run(strconv.Itoa(count), func(b *testing.B) {
 			tracker := NewTracker()
-			tracker.SetVersionWindow(time.Minute)
+			tracker.SetVersionWindow(testStart, time.Minute)
 			var others []Daemon
 			for number := range count {
 				others = append(others, Daemon{string(rune('a'+number%26)) + string(rune('a'+number/26)), string(rune('a' + number%3))})
