Events without an ID come once

Callers saw events twice in a stream that looked complete: the daemon took a broken stream up behind the last event that had an ID, or from its beginning if none had one, whatever had been sent since.

The position at which another server goes on now is that of the last event sent, not of the last ID. If that event has no ID there is none, and the stream is broken off, so its client sees that it is not whole.

--- a/gateway/eventstream.go
+++ b/gateway/eventstream.go
@@ -103,7 +103,10 @@
 	eventBytes int
 	pending    []byte
 	memory     membudget.Reservation
-	lastID     string
+	// lastID is the ID of the last complete event, if it has one, and lacksID is set if it has none: the stream cannot be resumed
+	// after that event.
+	lastID  string
+	lacksID bool
 }
 
 var idPrefix = []byte("id:")
@@ -156,10 +159,21 @@
 	return nil
 }
 
-// recordLastID stores the ID of the last event that has one. It returns an error if an ID is too large: it is kept until the
-// stream ends.
+// recordLastID stores the ID of the last event. It returns an error if an ID is too large: it is kept until the stream ends.
 func (c *eventSplitter) recordLastID(events []byte) error {
-	for _, line := range bytes.FieldsFunc(events, isLineEnd) {
+	inEvent, id := false, ""
+	for len(events) > 0 {
+		var line []byte
+		line, events = cutLine(events)
+		switch {
+		case len(line) == 0 && inEvent:
+			c.lastID, c.lacksID = id, id == ""
+			inEvent, id = false, ""
+			continue
+		case len(line) == 0 || line[0] == ':':
+			continue
+		}
+		inEvent = true
 		value, found := bytes.CutPrefix(line, idPrefix)
 		if !found {
 			continue
@@ -167,12 +181,23 @@
 		if value = bytes.TrimSpace(value); len(value) > maxEventIDBytes {
 			return &OversizedError{Part: PartEventID, Limit: maxEventIDBytes, Unit: "bytes"}
 		}
-		c.lastID = string(value)
+		id = string(value)
 	}
 	return nil
 }
 
-func isLineEnd(char rune) bool { return char == '\n' || char == '\r' }
+// cutLine returns the first line of a text without its end, and the rest.
+func cutLine(text []byte) (line, rest []byte) {
+	end := bytes.IndexAny(text, "\r\n")
+	switch {
+	case end < 0:
+		return text, nil
+	case bytes.HasPrefix(text[end:], []byte("\r\n")):
+		return text[:end], text[end+2:]
+	default:
+		return text[:end], text[end+1:]
+	}
+}
 
 // remainder returns the bytes after the last complete event.
 func (c *eventSplitter) remainder() []byte { return c.pending }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -79,9 +79,11 @@
 	awaitingFirstByte bool
 	phase             Phase
 	resumeAfter       string
-	requiredOrigin    requiredOrigin
-	deliveryTimes     delivery
-	backgroundState   backgroundState
+	// lacksResumePoint is true if the last event that was forwarded has no ID: a continuation would repeat it.
+	lacksResumePoint bool
+	requiredOrigin   requiredOrigin
+	deliveryTimes    delivery
+	backgroundState  backgroundState
 	// reportedStep and reportedReason are the last wait that was reported to the observer.
 	reportedStep   Step
 	reportedReason Reason
@@ -200,7 +202,7 @@
 	if last == attemptUnreached {
 		return len(e.unreachable) < maxUnreached
 	}
-	if last == attemptBroken && !e.route.Repeatable() {
+	if last == attemptBroken && (!e.route.Repeatable() || e.lacksResumePoint) {
 		return false
 	}
 	if len(e.attemptedInstances) >= e.route.MaxAttempts {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -186,6 +186,7 @@
 			if events.lastID != "" {
 				e.resumeAfter = events.lastID
 			}
+			e.lacksResumePoint = events.lacksID
 		}
 		if errors.Is(err, io.EOF) {
 			if truncationError := events.scanner.truncationError(response.Framing(), resumed); truncationError != nil {
