A stream only continues after its last event

Callers saw numbers go back in a stream that looked complete: what a server sent to a request with Last-Event-Id was passed on as it came, also where it began anew or sent that event again.

An event of a continuation whose ID is not after Last-Event-Id is now refused: the answer is treated as broken, so another server may be tried, and else the client sees that its stream broke off or gets 502. IDs that are not numbers have no order, so only the same ID again is refused. It does not count against the instance, as clients choose Last-Event-Id themselves.

--- a/gateway/eventstream.go
+++ b/gateway/eventstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 
 	"github.com/zeebo/errs"
 
@@ -12,6 +13,9 @@
 // complete.
 var ErrTruncated = errs.Class("gateway: broken off")
 
+// ErrContinuation is the class of errors for answers that do not continue a stream after the event that was named.
+var ErrContinuation = errs.Class("gateway: continuation")
+
 // eventScanner scans a stream of server-sent events byte by byte and tracks whether the position is between two events.
 // Lines end with LF, CR or CR LF, and an event ends with an empty line. A line that begins with a colon is a comment
 // and not part of an event. The zero value is at the beginning of a stream.
@@ -107,6 +111,8 @@
 	// after that event.
 	lastID  string
 	lacksID bool
+	// resumedAfter is the ID of the event after which the stream was resumed, or empty.
+	resumedAfter string
 }
 
 var idPrefix = []byte("id:")
@@ -159,7 +165,8 @@
 	return nil
 }
 
-// recordLastID stores the ID of the last event. It returns an error if an ID is too large: it is kept until the stream ends.
+// recordLastID stores the ID of the last event. It returns an error if an ID is too large, since it is kept until the stream
+// ends, or if an event is not after the one that the stream was resumed after.
 func (c *eventSplitter) recordLastID(events []byte) error {
 	inEvent, id := false, ""
 	for len(events) > 0 {
@@ -167,6 +174,9 @@
 		line, events = cutLine(events)
 		switch {
 		case len(line) == 0 && inEvent:
+			if c.resumedAfter != "" && id != "" && !follows(id, c.resumedAfter) {
+				return ErrContinuation.New("event %q after event %q", id, c.resumedAfter)
+			}
 			c.lastID, c.lacksID = id, id == ""
 			inEvent, id = false, ""
 			continue
@@ -186,6 +196,16 @@
 	return nil
 }
 
+// follows reports whether an event may come after another one, by their IDs. IDs that are not numbers have no order.
+func follows(id, previous string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	previousNumber, previousErr := strconv.ParseUint(previous, 10, 64)
+	if err != nil || previousErr != nil {
+		return id != previous
+	}
+	return number > previousNumber
+}
+
 // cutLine returns the first line of a text without its end, and the rest.
 func cutLine(text []byte) (line, rest []byte) {
 	end := bytes.IndexAny(text, "\r\n")
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -163,7 +163,7 @@
 func (e *exchange) relayStream(ctx context.Context, candidate *balance.Candidate, response Response) attemptResult {
 	id := candidate.Instance.ID
 	buffer := make([]byte, pieceBytes)
-	events := eventSplitter{memory: e.gateway.settings.Memory.Reserve(membudget.Event)}
+	events := eventSplitter{memory: e.gateway.settings.Memory.Reserve(membudget.Event), resumedAfter: e.resumeAfter}
 	defer events.memory.Release()
 	// A run that resumes after the last event of a stream produces no events of its own.
 	resumed := e.resumeAfter != ""
@@ -220,12 +220,12 @@
 	return piece, err
 }
 
-// rejectEvent ends a stream with an event that is too large, or for which there is no memory. The latter does not count
-// against the instance.
+// rejectEvent ends a stream with an event that is too large, that does not continue the stream, or for which there is no
+// memory. Only the first counts against the instance: clients choose after which event a stream continues.
 func (e *exchange) rejectEvent(ctx context.Context, id string, err error) attemptResult {
-	outcome := balance.Broken
-	if membudget.ErrExhausted.Has(err) {
-		outcome = balance.Abandoned
+	outcome := balance.Abandoned
+	if OversizedPart(err) != "" {
+		outcome = balance.Broken
 	}
 	e.end(id, attributableOutcome(ctx, outcome))
 	e.observe(Event{Step: StepStreamTruncated, Instance: id, Oversized: OversizedPart(err), Err: err})
