A stream that had begun its next event is not complete without it

Callers saw a stream as complete that lacked its last events: its server broke off inside an event, and the server that went on gave neither a length nor chunks and ended its connection before its first event, as a crash does. Such an answer counted as complete, since the event before may have been the last one.

It no longer does if a part of the next event had arrived: then there is at least one more. Whether there is one cannot be told if the stream broke off between two events; that is as before.

--- a/gateway/eventstream.go
+++ b/gateway/eventstream.go
@@ -88,12 +88,12 @@
 
 // truncationError returns an error if a stream that ends at this position was truncated, even if its framing is
 // complete. A stream without a length or chunks that ends before its first event cannot be distinguished from one whose
-// instance has crashed, unless it was resumed after an event that may have been the last one.
-func (s *eventScanner) truncationError(framing Framing, resumed bool) error {
+// instance has crashed, unless it may be empty: it was resumed after an event that may have been the last one.
+func (s *eventScanner) truncationError(framing Framing, mayBeEmpty bool) error {
 	switch {
 	case s.inEvent:
 		return ErrTruncated.New("stream ended inside an event")
-	case framing == FramedByConnection && !s.eventEnded && !resumed:
+	case framing == FramedByConnection && !s.eventEnded && !mayBeEmpty:
 		return ErrTruncated.New("stream ended before the first event")
 	}
 	return nil
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -81,9 +81,11 @@
 	resumeAfter       string
 	// lacksResumePoint is true if the last event that was forwarded has no ID: a continuation would repeat it.
 	lacksResumePoint bool
-	requiredOrigin   requiredOrigin
-	deliveryTimes    delivery
-	backgroundState  backgroundState
+	// nextEventBegun is true if a part of the event after the last complete one has arrived: the stream has at least one more.
+	nextEventBegun  bool
+	requiredOrigin  requiredOrigin
+	deliveryTimes   delivery
+	backgroundState backgroundState
 	// reportedStep and reportedReason are the last wait that was reported to the observer.
 	reportedStep   Step
 	reportedReason Reason
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -166,7 +166,7 @@
 	events := eventSplitter{memory: e.gateway.settings.Memory.Reserve(membudget.Event), resumedAfter: e.resumeAfter}
 	defer events.memory.Release()
 	// A run that resumes after the last event of a stream produces no events of its own.
-	resumed := e.resumeAfter != ""
+	mayBeEmpty := e.resumeAfter != "" && !e.nextEventBegun
 	var gaps sampler
 	sampling := e.isSampled()
 	for {
@@ -187,9 +187,10 @@
 				e.resumeAfter = events.lastID
 			}
 			e.lacksResumePoint = events.lacksID
+			e.nextEventBegun = events.scanner.inEvent || e.nextEventBegun && !events.scanner.eventEnded
 		}
 		if errors.Is(err, io.EOF) {
-			if truncationError := events.scanner.truncationError(response.Framing(), resumed); truncationError != nil {
+			if truncationError := events.scanner.truncationError(response.Framing(), mayBeEmpty); truncationError != nil {
 				err = truncationError
 			}
 		}
