A stream that ends inside a comment was broken off

Callers saw a stream as complete whose server gave no framing and crashed while it wrote a comment: only events were looked at, and a comment is in none. A whole stream ends behind a line, so one without framing that ends inside any line is now broken off. With a length or chunks the framing decides, as before.

--- a/gateway/eventstream.go
+++ b/gateway/eventstream.go
@@ -93,6 +93,8 @@
 	switch {
 	case s.inEvent:
 		return ErrTruncated.New("stream ended inside an event")
+	case framing == FramedByConnection && s.inLine:
+		return ErrTruncated.New("stream ended inside a comment")
 	case framing == FramedByConnection && !s.eventEnded && !mayBeEmpty:
 		return ErrTruncated.New("stream ended before the first event")
 	}
