--- a/gateway/eventstream.go
+++ b/gateway/eventstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 
 	"github.com/zeebo/errs"
 
@@ -12,6 +13,9 @@
 // complete.
 var ErrTruncated = errs.Class("gateway: broken off")
 
+// ErrContinuation is the class of errors for answers that do not continue a stream after the event that was named.
+var ErrContinuation = errs.Class("gateway: continuation")
+
 // eventScanner scans a stream of server-sent events byte by byte and tracks whether the position is between two events.
 // Lines end with LF, CR or CR LF, and an event ends with an empty line. A line that begins with a colon is a comment
 // and not part of an event. The zero value is at the beginning of a stream.
@@ -84,12 +88,14 @@
 
 // truncationError returns an error if a stream that ends at this position was truncated, even if its framing is
 // complete. A stream without a length or chunks that ends before its first event cannot be distinguished from one whose
-// instance has crashed, unless it was resumed after an event that may have been the last one.
-func (s *eventScanner) truncationError(framing Framing, resumed bool) error {
+// instance has crashed, unless it may be empty: it was resumed after an event that may have been the last one.
+func (s *eventScanner) truncationError(framing Framing, mayBeEmpty bool) error {
 	switch {
 	case s.inEvent:
 		return ErrTruncated.New("stream ended inside an event")
-	case framing == FramedByConnection && !s.eventEnded && !resumed:
+	case framing == FramedByConnection && s.inLine:
+		return ErrTruncated.New("stream ended inside a comment")
+	case framing == FramedByConnection && !s.eventEnded && !mayBeEmpty:
 		return ErrTruncated.New("stream ended before the first event")
 	}
 	return nil
@@ -103,7 +109,12 @@
 	eventBytes int
 	pending    []byte
 	memory     membudget.Reservation
-	lastID     string
+	// lastID is the ID of the last complete event, if it has one, and lacksID is set if it has none: the stream cannot be resumed
+	// after that event.
+	lastID  string
+	lacksID bool
+	// resumedAfter is the ID of the event after which the stream was resumed, or empty.
+	resumedAfter string
 }
 
 var idPrefix = []byte("id:")
@@ -156,10 +167,25 @@
 	return nil
 }
 
-// recordLastID stores the ID of the last event that has one. It returns an error if an ID is too large: it is kept until the
-// stream ends.
+// recordLastID stores the ID of the last event. It returns an error if an ID is too large, since it is kept until the stream
+// ends, or if an event is not after the one that the stream was resumed after.
 func (c *eventSplitter) recordLastID(events []byte) error {
-	for _, line := range bytes.FieldsFunc(events, isLineEnd) {
+	inEvent, id := false, ""
+	for len(events) > 0 {
+		var line []byte
+		line, events = cutLine(events)
+		switch {
+		case len(line) == 0 && inEvent:
+			if c.resumedAfter != "" && id != "" && !follows(id, c.resumedAfter) {
+				return ErrContinuation.New("event %q after event %q", id, c.resumedAfter)
+			}
+			c.lastID, c.lacksID = id, id == ""
+			inEvent, id = false, ""
+			continue
+		case len(line) == 0 || line[0] == ':':
+			continue
+		}
+		inEvent = true
 		value, found := bytes.CutPrefix(line, idPrefix)
 		if !found {
 			continue
@@ -167,12 +193,33 @@
 		if value = bytes.TrimSpace(value); len(value) > maxEventIDBytes {
 			return &OversizedError{Part: PartEventID, Limit: maxEventIDBytes, Unit: "bytes"}
 		}
-		c.lastID = string(value)
+		id = string(value)
 	}
 	return nil
 }
 
-func isLineEnd(char rune) bool { return char == '\n' || char == '\r' }
+// follows reports whether an event may come after another one, by their IDs. IDs that are not numbers have no order.
+func follows(id, previous string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	previousNumber, previousErr := strconv.ParseUint(previous, 10, 64)
+	if err != nil || previousErr != nil {
+		return id != previous
+	}
+	return number > previousNumber
+}
+
+// cutLine returns the first line of a text without its end, and the rest.
+func cutLine(text []byte) (line, rest []byte) {
+	end := bytes.IndexAny(text, "\r\n")
+	switch {
+	case end < 0:
+		return text, nil
+	case bytes.HasPrefix(text[end:], []byte("\r\n")):
+		return text[:end], text[end+2:]
+	default:
+		return text[:end], text[end+1:]
+	}
+}
 
 // remainder returns the bytes after the last complete event.
 func (c *eventSplitter) remainder() []byte { return c.pending }
