Streams go on at the service that began them, or not at all

Streams were recorded elsewhere only once one service had two versions, and "this service has one version" was taken for "this stream has one origin". A known origin that the route excludes was dropped, and the stream decided as one that nobody knows.

Streams of services that share a resumable route are recorded as those of several versions are, and are never decided by the only version; a stream whose origin the route excludes is refused at once (by=moved).

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -80,6 +80,8 @@
 	foundRecorded    = "record"
 	foundOnlyVersion = "only_version"
 	foundNowhere     = "unknown"
+	// foundMoved means that the route no longer leads to the service that began the stream.
+	foundMoved = "moved"
 )
 
 // Find implements gateway.Origins.
@@ -90,25 +92,24 @@
 	o.daemon.log.add("origin", "Looked up.", "request", request.ID, "resumes", loggedID(request.ResumedRequestID), "service", began.Service,
 		"by", by, "software", began.Software, "answers", answers, "observed_ms", o.keeper.ObservedFor(askedAt).Milliseconds(),
 		"took_ms", o.daemon.clock.Since(askedAt).Milliseconds())
-	return gateway.StreamOrigin{Service: began.Service, Software: began.Software}, by != foundNowhere
+	return gateway.StreamOrigin{Service: began.Service, Software: began.Software}, by != foundNowhere && by != foundMoved
 }
 
-// find finds what began a stream of a route. What began at a service that the route no longer leads to goes on, if at all, at
-// the one that it leads to now.
+// find finds what began a stream of a route.
 func (o *origins) find(ctx context.Context, id string, route *fleet.Route, service string) (began resumption.Began, by string, answers int) {
-	if began, known := o.keeper.Find(o.daemon.clock.Now(), id); known && leadsTo(route, began.Service) {
-		return began, foundHere, 0
+	if began, known := o.keeper.Find(o.daemon.clock.Now(), id); known {
+		return began, foundOn(route, began, foundHere), 0
 	}
 	heard := o.ask(ctx, id, service)
 	for _, answer := range heard {
-		if answer.Known && leadsTo(route, answer.Began.Service) {
-			return answer.Began, foundElsewhere, len(heard)
+		if answer.Known {
+			return answer.Began, foundOn(route, answer.Began, foundElsewhere), len(heard)
 		}
 	}
 	if o.keeper.NeedsRecord(o.daemon.clock.Now(), service, heard) {
 		o.record.readForRequest(ctx)
-		if began, known := o.keeper.Find(o.daemon.clock.Now(), id); known && leadsTo(route, began.Service) {
-			return began, foundRecorded, len(heard)
+		if began, known := o.keeper.Find(o.daemon.clock.Now(), id); known {
+			return began, foundOn(route, began, foundRecorded), len(heard)
 		}
 	}
 	software, known := o.keeper.Decide(o.daemon.clock.Now(), service, heard)
@@ -119,6 +120,14 @@
 	return began, foundNowhere, len(heard)
 }
 
+// foundOn returns how the origin of a stream was found, unless the route does not lead there.
+func foundOn(route *fleet.Route, began resumption.Began, by string) string {
+	if !leadsTo(route, began.Service) {
+		return foundMoved
+	}
+	return by
+}
+
 func leadsTo(route *fleet.Route, service string) bool {
 	for _, target := range route.Targets {
 		if target.Service == service {
@@ -195,17 +204,18 @@
 	}
 	services, span := resumableServices(view.Configuration())
 	o.keeper.SetVersionWindow(now, span)
-	for service := range services {
-		tells := o.keeper.Observe(now, service, softwareOf(view.Instances(service)))
+	for service, sharesRoute := range services {
+		tells := o.keeper.Observe(now, service, softwareOf(view.Instances(service)), sharesRoute)
 		if tells != nil {
-			o.daemon.log.add("origin", "Several versions.", "service", service, "told_daemons", len(tells))
+			o.daemon.log.add("origin", "Several versions.", "service", service, "shares_route", sharesRoute, "told_daemons", len(tells))
 		}
 		o.tell(tells)
 	}
 	o.record.send(now)
 }
 
-// resumableServices returns the services whose streams may be taken up, and for how long after a stream began that may be.
+// resumableServices returns the services whose streams may be taken up, with whether one shares such a route with another, and
+// for how long after a stream began that may be.
 func resumableServices(configuration *fleet.Configuration) (services map[string]bool, span time.Duration) {
 	services = map[string]bool{}
 	for i := range configuration.Routes {
@@ -215,7 +225,7 @@
 		}
 		span = max(span, waitsPerTimeout*route.Timeout)
 		for _, target := range route.Targets {
-			services[target.Service] = true
+			services[target.Service] = services[target.Service] || len(route.Targets) > 1
 		}
 	}
 	return services, span
--- a/resumption/recorder_test.go
+++ b/resumption/recorder_test.go
@@ -61,7 +61,7 @@
 	r, tracker := newTestRecorder(false)
 	nextStep(t, r, testStart, 0, false)
 	r.Loaded(testStart, 0, &Shard{Complete: true, Versions: map[string][]string{"svc": {"v1"}}}, 1)
-	tracker.Observe(testStart, "svc", []string{"v2"})
+	tracker.Observe(testStart, "svc", []string{"v2"}, false)
 	step := nextStep(t, r, testStart, 0, true)
 	if got := step.Write.Versions["svc"]; !slices.Equal(got, []string{"v1", "v2"}) || !step.Write.Complete {
 		t.Errorf("versions %v, complete %t", got, step.Write.Complete)
@@ -73,7 +73,7 @@
 	end := testStart.Add(time.Minute + time.Second)
 	for now := testStart; !now.After(end); now = now.Add(freshWindow / 2) {
 		tracker.MarkSynced(now)
-		tracker.Observe(now, "svc", []string{"v2"})
+		tracker.Observe(now, "svc", []string{"v2"}, false)
 	}
 	if got := nextStep(t, r, end, 0, true).Write.Versions["svc"]; !slices.Equal(got, []string{"v2"}) {
 		t.Errorf("versions %v a minute later", got)
@@ -90,7 +90,7 @@
 		complete   bool
 	}{{"first start", true, 0, true}, {"missing", false, 0, false}, {"unreadable", false, 5, false}, {"unreadable at the first start", true, 5, false}} {
 		r, tracker := newTestRecorder(c.firstStart)
-		tracker.Observe(testStart, "svc", []string{"v1"})
+		tracker.Observe(testStart, "svc", []string{"v1"}, false)
 		nextStep(t, r, testStart, 0, false)
 		r.Loaded(testStart, 0, nil, c.revision)
 		if step := nextStep(t, r, testStart, 0, true); step.Write.Complete != c.complete || step.Revision != c.revision {
@@ -104,7 +104,7 @@
 func TestRecordIsReadAgainAfterARestore(t *testing.T) {
 	r, tracker := newTestRecorder(true)
 	tracker.MarkSynced(testStart)
-	tracker.Observe(testStart, "svc", []string{"v1"})
+	tracker.Observe(testStart, "svc", []string{"v1"}, false)
 	tracker.MergeRecord(testStart, testStart, nil, true)
 	nextStep(t, r, testStart, 0, false)
 	r.Loaded(testStart, 0, nil, 0)
@@ -124,7 +124,7 @@
 // TestNewOwnerIsSentAllStreams guards against streams that only the previous owner of their shard has.
 func TestNewOwnerIsSentAllStreams(t *testing.T) {
 	r, tracker := newTestRecorder(true)
-	tracker.Observe(testStart, "svc", []string{"v1", "v2"})
+	tracker.Observe(testStart, "svc", []string{"v1", "v2"}, false)
 	for number := range ShardCount {
 		tracker.RecordStream(testStart, stream(recordedStream(number), "v1"))
 	}
--- a/resumption/simulation_test.go
+++ b/resumption/simulation_test.go
@@ -276,7 +276,7 @@
 			}
 		})
 	}
-	s.sendUpdates(d, d.tracker.Observe(s.now, "svc", d.present))
+	s.sendUpdates(d, d.tracker.Observe(s.now, "svc", d.present, false))
 	s.keepRecord(d)
 	s.after(100*time.Millisecond, func() { s.refresh(d, incarnation) })
 }
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -37,7 +37,9 @@
 	// shorterWindow replaces versionWindow at shortenAt, if that is not zero.
 	shorterWindow time.Duration
 	shortenAt     time.Time
-	// distributed holds the services whose streams are sent to other daemons, since they have several versions.
+	// shared holds when a service was last seen beside another one on the same route.
+	shared map[string]time.Time
+	// distributed holds the services whose streams are sent to other daemons, since not all have the same origin.
 	distributed map[string]bool
 	others      rendezvous.Set
 	zones       map[string]string
@@ -51,7 +53,7 @@
 
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
-	return &Tracker{streams: streamIndex{}, recorded: digestIndex{}, services: map[string]versions{}, distributed: map[string]bool{}, zones: map[string]string{}}
+	return &Tracker{streams: streamIndex{}, recorded: digestIndex{}, services: map[string]versions{}, shared: map[string]time.Time{}, distributed: map[string]bool{}, zones: map[string]string{}}
 }
 
 // SetDaemons replaces the set of other live daemons.
@@ -107,18 +109,27 @@
 	}
 }
 
-// Observe records the versions of a service that are present now. When the service first has several versions, it
-// returns the updates to send to other daemons.
-func (t *Tracker) Observe(now time.Time, service string, present []string) []Update {
+// Observe records the versions of a service that are present now, and whether it shares a route with another service. When
+// its streams first have different origins, it returns the updates to send to other daemons.
+func (t *Tracker) Observe(now time.Time, service string, present []string, sharesRoute bool) []Update {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if sharesRoute {
+		t.shared[service] = now
+	}
 	return t.observe(now, service, present)
 }
 
+// isMixed reports whether streams of routes to a service may have different origins.
+func (t *Tracker) isMixed(now time.Time, service string) bool {
+	sharedAt, shared := t.shared[service]
+	return len(t.services[service]) > 1 || shared && now.Sub(sharedAt) < t.versionWindow
+}
+
 func (t *Tracker) observe(now time.Time, service string, present []string) []Update {
-	seen := t.markSeen(now, service, present)
+	t.markSeen(now, service, present)
 	switch {
-	case len(seen) < 2:
+	case !t.isMixed(now, service):
 		t.distributed[service] = false
 		return nil
 	case t.distributed[service]:
@@ -128,7 +139,7 @@
 	return t.distribute(t.streams.ownStreams(now, service))
 }
 
-func (t *Tracker) markSeen(now time.Time, service string, present []string) versions {
+func (t *Tracker) markSeen(now time.Time, service string, present []string) {
 	seen := t.services[service]
 	if seen == nil {
 		seen = versions{}
@@ -138,7 +149,6 @@
 	for _, software := range present {
 		seen.markSeen(now, software)
 	}
-	return seen
 }
 
 // RecordStream records a stream that this daemon begins or resumes. It returns the updates to send to other daemons.
@@ -147,7 +157,7 @@
 	defer t.mutex.Unlock()
 	t.streams.merge(now, &stream, true)
 	updates := t.observe(now, stream.Service, []string{stream.Software})
-	if updates == nil && len(t.services[stream.Service]) > 1 {
+	if updates == nil && t.isMixed(now, stream.Service) {
 		updates = t.distribute([]Stream{stream})
 	}
 	return updates
@@ -258,7 +268,7 @@
 func (t *Tracker) NeedsRecord(now time.Time, service string, answers []*Answer) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if len(t.services[service]) > 1 || !completeAt(t.historyComplete(now), answers) {
+	if t.isMixed(now, service) || !completeAt(t.historyComplete(now), answers) {
 		return true
 	}
 	for _, answer := range answers {
@@ -276,14 +286,14 @@
 
 // Decide returns the version at which to resume a stream that no daemon has a record of, given the answers of the
 // queried daemons. It returns false if the version cannot be determined. It can be determined only if this daemon and
-// the answers show a single version of the service, and if one of these daemons knows every version that has been present
+// the answers show a single version of the service, if its routes lead to no other service, and if one of these daemons knows every version that has been present
 // for as long as a client may wait and currently receives updates about new instances.
 func (t *Tracker) Decide(now time.Time, service string, answers []*Answer) (software string, known bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	seen := t.services[service]
 	seen.prune(now.Add(-t.versionWindow))
-	if len(seen) != 1 {
+	if len(seen) != 1 || t.isMixed(now, service) {
 		return "", false
 	}
 	software = seen.list()[0]
@@ -347,8 +357,8 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var streams []Stream
-	for service, seen := range t.services {
-		if len(seen) > 1 {
+	for service := range t.services {
+		if t.isMixed(now, service) {
 			streams = append(streams, t.streams.ownStreams(now, service)...)
 		}
 	}
--- a/resumption/tracker_test.go
+++ b/resumption/tracker_test.go
@@ -47,7 +47,7 @@
 	for _, c := range cases {
 		tracker := NewTracker()
 		tracker.SetVersionWindow(testStart, time.Minute)
-		tracker.Observe(testStart, "svc", c.present)
+		tracker.Observe(testStart, "svc", c.present, false)
 		if c.fresh {
 			tracker.MarkSynced(testStart)
 		}
@@ -60,11 +60,31 @@
 	}
 }
 
+// TestStreamsOfSharedRoutesAreDistributed guards against a stream that is resumed at another service of its route, since no
+// other daemon has recorded what began it.
+func TestStreamsOfSharedRoutesAreDistributed(t *testing.T) {
+	tracker := NewTracker()
+	tracker.SetVersionWindow(testStart, 30*time.Second)
+	tracker.SetDaemons([]Daemon{{"a", "z1"}, {"b", "z2"}})
+	tracker.MarkSynced(testStart)
+	tracker.MergeRecord(testStart, testStart, nil, true)
+	tracker.RecordStream(testStart, stream("s1", "v1"))
+	if updates := tracker.Observe(testStart, "svc", []string{"v1"}, true); len(updates) != holdersPerStream {
+		t.Errorf("updates %+v on a stream from before the route was shared", updates)
+	}
+	if updates := tracker.RecordStream(testStart, stream("s2", "v1")); len(updates) != holdersPerStream {
+		t.Errorf("updates %+v", updates)
+	}
+	if software, known := tracker.Decide(testStart, "svc", nil); known || !tracker.NeedsRecord(testStart, "svc", nil) {
+		t.Errorf("an unknown stream of a shared route resumes at %q", software)
+	}
+}
+
 // TestVersionsCountForAWhile guards against removing a version while the streams that it began may still be resumed.
 func TestVersionsCountForAWhile(t *testing.T) {
 	tracker := NewTracker()
 	tracker.SetVersionWindow(testStart, 30*time.Second)
-	tracker.Observe(testStart, "svc", []string{"v1"})
+	tracker.Observe(testStart, "svc", []string{"v1"}, false)
 	observe := func(from, until time.Time) {
 		for now := from; !now.After(until); now = now.Add(freshWindow / 2) {
 			tracker.MarkSynced(now)
@@ -72,14 +92,14 @@
 	}
 	now := testStart.Add(29 * time.Second)
 	observe(testStart, now)
-	tracker.Observe(now, "svc", []string{"v2"})
+	tracker.Observe(now, "svc", []string{"v2"}, false)
 	tracker.MarkSynced(now)
 	if _, known := tracker.Decide(now, "svc", nil); known {
 		t.Error("the previous version was removed while its streams may still be resumed")
 	}
 	observe(now, now.Add(31*time.Second))
 	now = now.Add(31 * time.Second)
-	tracker.Observe(now, "svc", []string{"v2"})
+	tracker.Observe(now, "svc", []string{"v2"}, false)
 	tracker.MarkSynced(now)
 	if software, known := tracker.Decide(now, "svc", nil); !known || software != "v2" {
 		t.Errorf("%q, known %v", software, known)
@@ -94,14 +114,14 @@
 func TestShorterWindowWaits(t *testing.T) {
 	tracker := NewTracker()
 	tracker.SetVersionWindow(testStart, 30*time.Second)
-	tracker.Observe(testStart, "svc", []string{"v1", "v2"})
+	tracker.Observe(testStart, "svc", []string{"v1", "v2"}, false)
 	for _, step := range []struct {
 		after time.Duration
 		mixed int
 	}{{0, 1}, {29 * time.Second, 1}, {31 * time.Second, 0}} {
 		now := testStart.Add(step.after)
 		tracker.SetVersionWindow(now, 5*time.Second)
-		tracker.Observe(now, "svc", []string{"v2"})
+		tracker.Observe(now, "svc", []string{"v2"}, false)
 		if got := tracker.Counts().MixedServices; got != step.mixed {
 			t.Errorf("after %v: %d services with several versions", step.after, got)
 		}
@@ -112,7 +132,7 @@
 func TestFrozenDaemonIsNotFresh(t *testing.T) {
 	tracker := NewTracker()
 	tracker.SetVersionWindow(testStart, time.Minute)
-	tracker.Observe(testStart, "svc", []string{"v1"})
+	tracker.Observe(testStart, "svc", []string{"v1"}, false)
 	tracker.MarkSynced(testStart)
 	if _, known := tracker.Decide(testStart.Add(5*time.Second), "svc", nil); known {
 		t.Error("a daemon whose process was frozen decided")
@@ -174,7 +194,7 @@
 				others = append(others, Daemon{string(rune('a'+number%26)) + string(rune('a'+number/26)), string(rune('a' + number%3))})
 			}
 			tracker.SetDaemons(others)
-			tracker.Observe(testStart, "svc", []string{"v1", "v2"})
+			tracker.Observe(testStart, "svc", []string{"v1", "v2"}, false)
 			number := 0
 			for b.Loop() {
 				number++
