A store's era is not taken for older than it is

Callers: a daemon that had just started could prove its configuration by a read that began too soon after the store had come back from a copy, so a key that had been taken away could be taken.

Cause: such a daemon cannot tell when the era began and multiplies the renewals in the lease's record by the renew interval. A holder whose answers are lost repeats its renewal after a quarter of the interval, and each repetition counted.

A renewal now counts only if the one that counted before was sent at least an interval earlier.

Evidence: lease.TestEraIsNotTakenForOlderThanItIs failed before (1.65 s after an era began it was taken for 2 s old) and passes.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -47,6 +47,8 @@
 	eraKnown bool
 	// writtenEra is the era of our own last write that succeeded.
 	writtenEra uint64
+	// eraCountedAt is when the time that Record.EraRenewals counts next begins.
+	eraCountedAt time.Time
 	// noTakeoverUntil is until when nobody takes over the lease, since a holder of the previous era may
 	// still act.
 	noTakeoverUntil time.Time
@@ -126,8 +128,13 @@
 		return l.call(now, Call{})
 	}
 	record := l.renewalRecord()
-	if l.writtenEra == l.era {
+	switch {
+	case l.writtenEra != l.era:
+		l.eraCountedAt = now
+	case now.Sub(l.eraCountedAt) >= l.settings.RenewInterval:
+		// A renewal whose answer was lost is repeated sooner and does not count again.
 		record.EraRenewals++
+		l.eraCountedAt = now
 	}
 	return l.call(now, Call{Write: record, If: l.stored.At})
 }
@@ -230,6 +237,7 @@
 func (l *Lease) becomeHolder(wait bool, fence uint64) {
 	l.held = true
 	l.fence = fence
+	l.eraCountedAt = l.calledAt
 	l.mayOrderFrom = l.calledAt
 	if wait {
 		l.mayOrderFrom = l.calledAt.Add(l.settings.TakeoverOrderDelay)
--- a/lease/record.go
+++ b/lease/record.go
@@ -17,7 +17,8 @@
 	Fence uint64
 	// Renewals makes each renewal a change.
 	Renewals uint64
-	// Era is the era of the store that the writer knew, and EraRenewals counts the renewals in it.
+	// Era is the era of the store that the writer knew, and EraRenewals counts the renewals in it that
+	// followed the one before by RenewInterval at least.
 	Era         uint64
 	EraRenewals uint64
 }
