Answers to an earlier process are not taken by the one that follows

Callers: a daemon that asks another one what began a stream, for a turn at a limited server or for a choice could take the answer to a question that its earlier process had asked: the stream then goes on at the version of another stream, or a turn counts as granted.

Cause: each process numbered its questions from 1, and answers are matched by the number alone. Answers wait in the other daemon's send ring until the new process listens, or the other daemon was frozen before it answered.

--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -10,7 +11,9 @@
 // Calls are the questions under way and the daemons that are not to be asked. It is safe for
 // concurrent use.
 type Calls[T any] struct {
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// last is the number of the last question. It starts at a random number, so that an answer to an earlier process of this
+	// daemon matches none.
 	last    uint64
 	waiting map[uint64]chan T
 	// restUntil is until when a daemon that did not answer is not asked.
@@ -19,7 +22,7 @@
 
 // New returns a Calls without questions.
 func New[T any]() *Calls[T] {
-	return &Calls[T]{waiting: map[uint64]chan T{}, restUntil: map[string]time.Time{}}
+	return &Calls[T]{last: uint64(rand.Uint32()), waiting: map[uint64]chan T{}, restUntil: map[string]time.Time{}}
 }
 
 // Ask sends a question with a number of its own and returns the answer, or false if there is
