What the record of streams tells lapses, and covers routes that moved

What callers would have seen, found by a review: (1) a route that moves from one service to another, each of one version: a daemon that does not know the stream decided for the new service by the only version (by its test; no kill needed where not all daemons are asked); (2) versions of the record counted as seen at each read, so that one take-up that nobody knows a minute kept a version that had left alive for good, and with it the refusals; (3) a list of shards that broke off left streams out until their shard changed; (4) requests waited for a slow read of another one without bound.

Routes that were moved, split or joined within the time in which streams may be resumed make their services share a route, and shards name such services. A daemon that has observed the whole window adopts nothing from the record.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -259,6 +259,7 @@
 	d.startDuty("quarantine", d.quarantine.restore)
 	d.startDuty("quarantine", d.quarantine.runKept)
 	d.startDuty("stream record", d.origins.record.restore)
+	d.startDuty("stream record", d.origins.record.runReads)
 	for number := range resumption.ShardCount {
 		d.startDuty("stream record", func() { d.origins.record.keep(number) })
 	}
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -30,13 +30,15 @@
 	keeper *resumption.Tracker
 	record *streamRecord
 	calls  *calls.Calls[*resumption.Answer]
+	// targets are the services that resumable routes have led to lately.
+	targets routeTargets
 	// observedAt is when the control duty last looked at the versions.
 	observedAt time.Time
 }
 
 func newOrigins(d *Daemon) *origins {
 	tracker := resumption.NewTracker()
-	return &origins{daemon: d, keeper: tracker, record: newStreamRecord(d, tracker), calls: calls.New[*resumption.Answer]()}
+	return &origins{daemon: d, keeper: tracker, record: newStreamRecord(d, tracker), targets: routeTargets{}, calls: calls.New[*resumption.Answer]()}
 }
 
 // RecordStream implements gateway.Origins.
@@ -202,9 +204,10 @@
 	if view.Configuration() == nil {
 		return
 	}
-	services, span := resumableServices(view.Configuration())
+	span := resumableSpan(view.Configuration())
 	o.keeper.SetVersionWindow(now, span)
-	for service, sharesRoute := range services {
+	o.targets.update(now, span, view.Configuration())
+	for service, sharesRoute := range o.targets.services() {
 		tells := o.keeper.Observe(now, service, softwareOf(view.Instances(service)), sharesRoute)
 		if tells != nil {
 			o.daemon.log.add("origin", "Several versions.", "service", service, "shares_route", sharesRoute, "told_daemons", len(tells))
@@ -214,21 +217,15 @@
 	o.record.send(now)
 }
 
-// resumableServices returns the services whose streams may be taken up, with whether one shares such a route with another, and
-// for how long after a stream began that may be.
-func resumableServices(configuration *fleet.Configuration) (services map[string]bool, span time.Duration) {
-	services = map[string]bool{}
+// resumableSpan returns for how long after a stream began its client may take it up.
+func resumableSpan(configuration *fleet.Configuration) time.Duration {
+	span := time.Duration(0)
 	for i := range configuration.Routes {
-		route := &configuration.Routes[i]
-		if !route.Resumable {
-			continue
-		}
-		span = max(span, waitsPerTimeout*route.Timeout)
-		for _, target := range route.Targets {
-			services[target.Service] = services[target.Service] || len(route.Targets) > 1
+		if route := &configuration.Routes[i]; route.Resumable {
+			span = max(span, waitsPerTimeout*route.Timeout)
 		}
 	}
-	return services, span
+	return span
 }
 
 // softwareOf lists the versions of instances.
--- a/entry/originskept_test.go
+++ b/entry/originskept_test.go
@@ -150,3 +150,62 @@
 		}
 	}
 }
+
+// TestStreamOfARouteThatMovedIsUnknownElsewhere guards against a stream of a service of one version that goes on at the service
+// that its route leads to by now, at a daemon that does not know what began it.
+func TestStreamOfARouteThatMovedIsUnknownElsewhere(t *testing.T) {
+	f := start(t, 3)
+	configuration := usualConfiguration(2)
+	resumable := route("resumable", fleet.KindStream, 10*time.Second, time.Second, 2, "llm")
+	resumable.Resumable = true
+	configuration.Routes = append(configuration.Routes, resumable)
+	f.store.Configure(configuration)
+	for _, name := range []string{"llm0", "llm1"} {
+		f.server(name).EventPause = 50 * time.Millisecond
+	}
+	other, err := standin.Open(f.store, standin.Options{ID: "other", Service: "llm2", Zone: "z", Models: []string{"m"}, Software: "v1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(other.Close)
+	f.waitReady(t)
+	for i := range f.all {
+		eventually(t, "all daemons know each other", func() bool { return len(f.resolve(i).Addresses) == 3 })
+		eventually(t, "the route is known", func() bool {
+			_, status, _, _ := post(f.all[i].FrontAddress, "/resumable/x", "m")
+			return status == 200 && gauge(f.daemons[i].Metrics(), "configuration_version") == 2
+		})
+	}
+	// The daemons have observed the services for as long as streams may be resumed.
+	time.Sleep(21 * time.Second)
+	var begun []string
+	for range 20 {
+		begun = append(begun, cutStream(t, f.all[0].FrontAddress))
+	}
+	moved := usualConfiguration(3)
+	service := moved.Services[0]
+	service.Name = "llm2"
+	moved.Services = append(moved.Services, service)
+	resumable = route("resumable", fleet.KindStream, 10*time.Second, time.Second, 2, "llm2")
+	resumable.Resumable = true
+	moved.Routes = append(moved.Routes, resumable)
+	f.store.Configure(moved)
+	f.daemons[0].Kill()
+	for i := 1; i < 3; i++ {
+		eventually(t, "the route leads to the other service", func() bool {
+			_, status, _, _ := post(f.all[i].FrontAddress, "/resumable/x", "m")
+			return status == 200 && gauge(f.daemons[i].Metrics(), "configuration_version") == 3
+		})
+	}
+	joined := 0
+	for number, resumes := range begun {
+		runs := len(other.Runs())
+		_, _, _ = takeUp(f.all[1+number%2].FrontAddress, resumes)
+		if len(other.Runs()) > runs {
+			joined++
+		}
+	}
+	if joined > 0 {
+		t.Errorf("%d of %d streams went on at the service that the route leads to by now", joined, len(begun))
+	}
+}
--- a/entry/streamrecord.go
+++ b/entry/streamrecord.go
@@ -32,15 +32,16 @@
 	added [resumption.ShardCount]chan struct{}
 
 	mutex sync.Mutex
-	// readAt is when the last read began, readError how it ended, and places are those of the shards that were merged.
-	readAt    time.Time
-	readError error
-	places    map[string]history.Place
+	last  *recordRead
+	// reads holds a read until it is performed; there is one at a time.
+	reads chan *recordRead
+	// places are those of the shards that were merged. Only the read in progress uses them.
+	places map[string]history.Place
 }
 
 func newStreamRecord(d *Daemon, tracker *resumption.Tracker) *streamRecord {
 	s := &streamRecord{
-		daemon: d, tracker: tracker, source: d.store.StreamRecord(), places: map[string]history.Place{},
+		daemon: d, tracker: tracker, source: d.store.StreamRecord(), places: map[string]history.Place{}, reads: make(chan *recordRead, 1),
 		recorder: resumption.NewRecorder(d.started, d.current().Name, tracker, d.current().FirstStart),
 	}
 	for number := range s.added {
@@ -52,15 +53,16 @@
 
 // restore reads the record once this daemon receives updates about new instances. What appeared before that is in the record.
 func (s *streamRecord) restore() {
-	for s.daemon.ctx.Err() == nil {
-		sleep(s.daemon.ctx, recordTick)
-		if s.tracker.ObservedFor(s.daemon.clock.Now()) == 0 {
+	d := s.daemon
+	for d.ctx.Err() == nil {
+		sleep(d.ctx, recordTick)
+		if s.tracker.ObservedFor(d.clock.Now()) == 0 {
 			continue
 		}
-		if s.read(s.daemon.ctx) == nil {
+		if s.read(d.ctx) == nil {
 			return
 		}
-		sleep(s.daemon.ctx, longestPause(int(s.daemon.fleet.rank.Load()), int(s.daemon.fleet.live.Load())))
+		sleep(d.ctx, longestPause(int(d.fleet.rank.Load()), int(d.fleet.live.Load())))
 	}
 }
 
@@ -71,30 +73,75 @@
 	_ = s.read(ctx)
 }
 
-// read reads the record. Reads that are due at the same time become one.
+// recordRead is one read of the record. Its error counts once it is done.
+type recordRead struct {
+	begunAt time.Time
+	done    chan struct{}
+	err     error
+}
+
+// read reads the record, or waits for the read that is in progress. A read that began a moment ago is not repeated.
 func (s *streamRecord) read(ctx context.Context) error {
+	read := s.currentRead()
+	select {
+	case <-read.done:
+		return read.err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// currentRead returns the last read if it is recent or in progress, and begins one otherwise.
+func (s *streamRecord) currentRead() *recordRead {
+	d := s.daemon
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	d := s.daemon
+	now := d.clock.Now()
 	pause := max(recordReadPause, recordReadPausePerDaemon*time.Duration(d.fleet.live.Load()))
-	if d.clock.Since(s.readAt) < pause {
-		return s.readError
+	if s.last != nil && now.Sub(s.last.begunAt) < pause {
+		return s.last
+	}
+	if s.last != nil {
+		select {
+		case <-s.last.done:
+		default:
+			return s.last
+		}
+	}
+	read := &recordRead{begunAt: now, done: make(chan struct{})}
+	s.last = read
+	s.reads <- read
+	return read
+}
+
+// runReads performs the reads, one after the other.
+func (s *streamRecord) runReads() {
+	for {
+		select {
+		case read := <-s.reads:
+			read.err = s.merge(read.begunAt)
+			close(read.done)
+		case <-s.daemon.ctx.Done():
+			return
+		}
 	}
-	readAt := d.clock.Now()
-	s.readAt = readAt
+}
+
+// merge reads all shards and adds them to the tracker.
+func (s *streamRecord) merge(begunAt time.Time) error {
+	d := s.daemon
 	freshness := feed.Newest
-	if s.tracker.HistoryComplete(readAt) {
+	if s.tracker.HistoryComplete(begunAt) {
 		// Only streams of others may be missing.
 		freshness = feed.MayLag
 	}
-	shards, err := s.list(ctx, freshness)
-	s.readError = err
+	shards, err := s.list(d.ctx, freshness)
 	d.metrics.countRecordCall("list", err)
 	if err != nil {
-		d.log.add("origin", "Record not read.", "error", err, "took_ms", d.clock.Since(readAt).Milliseconds())
+		d.log.add("origin", "Record not read.", "error", err, "took_ms", d.clock.Since(begunAt).Milliseconds())
 		return err
 	}
-	s.tracker.MergeRecord(d.clock.Now(), readAt, shards, d.current().FirstStart)
+	s.tracker.MergeRecord(d.clock.Now(), begunAt, shards, d.current().FirstStart)
 	return nil
 }
 
@@ -102,6 +149,7 @@
 // older than the time of the call do not count as complete.
 func (s *streamRecord) list(ctx context.Context, freshness feed.Freshness) ([]resumption.Shard, error) {
 	var shards []resumption.Shard
+	places := map[string]history.Place{}
 	after := ""
 	for {
 		page, err := s.source.ListPage(ctx, after, freshness)
@@ -115,11 +163,12 @@
 			if s.places[item.Name] == item.Place {
 				item.Value.Streams = nil
 			}
-			s.places[item.Name] = item.Place
+			places[item.Name] = item.Place
 			item.Value.Complete = item.Value.Complete && freshness == feed.Newest
 			shards = append(shards, item.Value)
 		}
 		if after = page.Next; after == "" {
+			s.places = places
 			return shards, nil
 		}
 	}
--- a/resumption/record.go
+++ b/resumption/record.go
@@ -30,7 +30,9 @@
 	Complete bool
 	// Versions are the versions of each service, by the service's name.
 	Versions map[string][]string
-	Streams  []StreamGroup
+	// SharedRoutes are the services that have had a route together with another one.
+	SharedRoutes []string
+	Streams      []StreamGroup
 }
 
 // StreamGroup lists streams that have the same origin and expire at about the same time.
--- a/resumption/recorder.go
+++ b/resumption/recorder.go
@@ -46,6 +46,7 @@
 	revision uint64
 	complete bool
 	versions map[string][]string
+	shared   []string
 	streams  digestIndex
 	// changed is set if there is something to write.
 	changed bool
@@ -119,7 +120,7 @@
 // release drops the content of a shard that has a new owner. The daemons that began the streams send them to that one.
 func (s *ownedShard) release() {
 	s.loaded, s.changed = false, false
-	s.versions, s.streams = nil, digestIndex{}
+	s.versions, s.shared, s.streams = nil, nil, digestIndex{}
 }
 
 // Accept adds streams that another daemon sends to this one as the owner of their shards.
@@ -150,7 +151,7 @@
 
 // NextStep returns the call that is due for a shard, if any. It is followed by Loaded, Written or Failed.
 func (r *Recorder) NextStep(now time.Time, number int) (step Step, due bool) {
-	versions, observedWindow := r.tracker.history(now)
+	versions, shared, observedWindow := r.tracker.history(now)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	shard := &r.shards[number]
@@ -162,12 +163,12 @@
 		shard.busy = true
 		return Step{}, true
 	}
-	shard.update(versions, observedWindow)
+	shard.update(versions, shared, observedWindow)
 	if !shard.changed {
 		return Step{}, false
 	}
 	shard.busy, shard.writing, shard.changed = true, true, false
-	content := &Shard{Complete: shard.complete, Versions: shard.versions, Streams: shard.streams.groups(now)}
+	content := &Shard{Complete: shard.complete, Versions: shard.versions, SharedRoutes: shard.shared, Streams: shard.streams.groups(now)}
 	return Step{Write: content, Revision: shard.revision}, true
 }
 
@@ -186,22 +187,21 @@
 	return max(0, min(idle, shard.dueFrom.Sub(now)))
 }
 
-// update adopts the versions known to this daemon. Recorded versions are dropped only by a daemon that has observed all
+// update adopts the history known to this daemon. Recorded versions are dropped only by a daemon that has observed all
 // instances for the whole version window.
-func (s *ownedShard) update(versions map[string][]string, observedWindow bool) {
-	merged := map[string][]string{}
-	for service, present := range versions {
-		merged[service] = present
-	}
+func (s *ownedShard) update(versions map[string][]string, shared []string, observedWindow bool) {
 	if !observedWindow {
+		versions = maps.Clone(versions)
 		for service, recorded := range s.versions {
-			merged[service] = union(merged[service], recorded)
+			versions[service] = union(versions[service], recorded)
 		}
+		shared = union(shared, s.shared)
 	}
-	if !maps.EqualFunc(merged, s.versions, slices.Equal[[]string]) || observedWindow && !s.complete {
+	same := maps.EqualFunc(versions, s.versions, slices.Equal[[]string]) && slices.Equal(shared, s.shared)
+	if !same || observedWindow && !s.complete {
 		s.changed = true
 	}
-	s.versions, s.complete = merged, s.complete || observedWindow
+	s.versions, s.shared, s.complete = versions, shared, s.complete || observedWindow
 }
 
 // union merges sorted lists.
@@ -214,19 +214,19 @@
 // Loaded processes the answer to a read: the stored shard, or nil if there is none or if it cannot be read.
 func (r *Recorder) Loaded(now time.Time, number int, stored *Shard, revision uint64) {
 	if stored != nil {
-		r.tracker.mergeVersions(now, stored.Versions)
+		r.tracker.mergeHistory(now, stored)
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	shard := &r.shards[number]
 	shard.busy, shard.loaded, shard.revision = false, true, revision
 	if stored == nil {
-		shard.versions = nil
+		shard.versions, shard.shared = nil, nil
 		shard.complete = r.firstStart && revision == 0
 		shard.changed = true
 		return
 	}
-	shard.versions, shard.complete = stored.Versions, stored.Complete
+	shard.versions, shard.shared, shard.complete = stored.Versions, stored.SharedRoutes, stored.Complete
 	shard.streams.addGroups(now, stored.Streams)
 }
 
--- a/resumption/recorder_test.go
+++ b/resumption/recorder_test.go
@@ -176,3 +176,33 @@
 		t.Errorf("%d streams after those that expired, %+v", len(streams), streams[1000])
 	}
 }
+
+// TestVersionsThatLeftLapseWhileTheRecordIsRead guards against versions of the durable record that count as present for as long
+// as the record is read, since the owner of a shard reads what it has written itself.
+func TestVersionsThatLeftLapseWhileTheRecordIsRead(t *testing.T) {
+	r, tracker := newTestRecorder(true)
+	tracker.Observe(testStart, "svc", []string{"v1", "v2"}, false)
+	var stored *Shard
+	revision := uint64(0)
+	end := testStart.Add(10 * time.Minute)
+	lastRead := testStart
+	for now := testStart; now.Before(end); now = now.Add(freshWindow / 2) {
+		tracker.MarkSynced(now)
+		tracker.Observe(now, "svc", []string{"v2"}, false)
+		if step, due := r.NextStep(now, 0); due && step.Write == nil {
+			r.Loaded(now, 0, stored, revision)
+		} else if due {
+			stored, revision = step.Write, revision+1
+			r.Written(now, 0, revision)
+		}
+		// A client resumes a stream of which no daemon has a record.
+		if now.Sub(lastRead) >= 20*time.Second && stored != nil && tracker.NeedsRecord(now, "svc", nil) {
+			tracker.MergeRecord(now, now, []Shard{*stored}, false)
+			lastRead = now
+		}
+		tracker.Prune(now)
+	}
+	if software, known := tracker.Decide(end, "svc", nil); !known || software != "v2" {
+		t.Errorf("%d services have several versions ten minutes after the last server of v1 left; recorded: %v", tracker.Counts().MixedServices, stored.Versions)
+	}
+}
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -1,6 +1,7 @@
 package resumption
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -254,7 +255,7 @@
 // historyComplete reports whether this daemon knows every version that has been present within the version window. It does
 // if it has observed the instances for that long, or since it read a complete durable record.
 func (t *Tracker) historyComplete(now time.Time) bool {
-	return now.Before(t.freshUntil) && t.versionWindow > 0 && (t.observedFor(now) >= t.versionWindow || !t.recordReadAt.Before(t.observedSince))
+	return t.observedWindow(now) || t.versionWindow > 0 && now.Before(t.freshUntil) && !t.recordReadAt.Before(t.observedSince)
 }
 
 // HistoryComplete reports whether this daemon knows every version that has been present within the version window.
@@ -316,9 +317,7 @@
 	for i := range shards {
 		complete = complete || shards[i].Complete
 		t.recorded.addGroups(now, shards[i].Streams)
-		for service, present := range shards[i].Versions {
-			t.markSeen(now, service, present)
-		}
+		t.adoptHistory(now, &shards[i])
 	}
 	if complete {
 		t.recordReadAt = readAt
@@ -333,14 +332,37 @@
 	t.recordReadAt = time.Time{}
 }
 
-// mergeVersions adds the versions of a shard of the durable record. They count as seen now, since the record does not tell
-// when they were.
-func (t *Tracker) mergeVersions(now time.Time, recorded map[string][]string) {
+// mergeHistory adds the versions and the shared routes of a shard of the durable record.
+func (t *Tracker) mergeHistory(now time.Time, shard *Shard) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for service, present := range recorded {
-		t.markSeen(now, service, present)
+	t.adoptHistory(now, shard)
+}
+
+// adoptHistory adopts what the durable record tells of the time before this daemon observed the instances. It does not tell
+// when that was, so that what is new to this daemon counts as seen now. A daemon that has observed them for the whole version
+// window needs no record; otherwise daemons could keep a version alive by reading what they wrote to each other.
+func (t *Tracker) adoptHistory(now time.Time, shard *Shard) {
+	if t.observedWindow(now) {
+		return
+	}
+	for service, present := range shard.Versions {
+		for _, software := range present {
+			if _, known := t.services[service][software]; !known {
+				t.markSeen(now, service, []string{software})
+			}
+		}
 	}
+	for _, service := range shard.SharedRoutes {
+		if _, known := t.shared[service]; !known {
+			t.shared[service] = now
+		}
+	}
+}
+
+// observedWindow reports whether this daemon has observed the instances for the whole version window.
+func (t *Tracker) observedWindow(now time.Time) bool {
+	return t.versionWindow > 0 && t.observedFor(now) >= t.versionWindow
 }
 
 // takeUnrecorded returns the own streams that the durable record lacks, each once.
@@ -365,8 +387,9 @@
 	return streams
 }
 
-// history returns the recent versions of all services, and whether this daemon has observed them for the version window.
-func (t *Tracker) history(now time.Time) (present map[string][]string, observedWindow bool) {
+// history returns the recent versions of all services and the services that have recently shared a route, and whether this
+// daemon has observed them for the version window.
+func (t *Tracker) history(now time.Time) (present map[string][]string, sharedRoutes []string, observedWindow bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	present = make(map[string][]string, len(t.services))
@@ -374,7 +397,13 @@
 		seen.prune(now.Add(-t.versionWindow))
 		present[service] = seen.list()
 	}
-	return present, t.versionWindow > 0 && t.observedFor(now) >= t.versionWindow
+	for service, sharedAt := range t.shared {
+		if now.Sub(sharedAt) < t.versionWindow {
+			sharedRoutes = append(sharedRoutes, service)
+		}
+	}
+	slices.Sort(sharedRoutes)
+	return present, sharedRoutes, t.observedWindow(now)
 }
 
 // Prune removes expired streams and versions.
@@ -383,6 +412,7 @@
 	defer t.mutex.Unlock()
 	t.streams.prune(now)
 	t.recorded.prune(now)
+	maps.DeleteFunc(t.shared, func(_ string, sharedAt time.Time) bool { return now.Sub(sharedAt) >= t.versionWindow })
 	for _, seen := range t.services {
 		seen.prune(now.Add(-t.versionWindow))
 	}
