Soak: releases that end versions, and kills of all around their end

The soak could not see streams that go on at another version after a kill of all daemons, nor that all are refused while their versions serve: its servers had two versions by turns, so that none ever ended, and clients took their streams up within 0.3 s, before any daemon was in touch again.

Releases now replace the model servers one after the other by servers of a newer version, at addresses of their own, and some pause on the way. Around the end of the last server before that, all daemons or most of them are killed, in series, at times while the store fails or one is frozen. The numbers come from a random stream of their own, so that the faults of a seed stay as they are. Two thirds as many clients as there are others have streams of 5.5 s; they keep their connections until these end and take broken streams up until 15 s after they began, half of them 3.5 to 9 s late.

A check counts the streams that were taken up after such a kill at daemons in touch while two servers of their version served: of 12 or more at least half as large a share has to go on as of the new ones begins. The others are printed.

Two checks take note of releases. The one for take-ups at calm moments counts a stream only while two servers of its version serve, as the rule says: without releases each version had some at all times. The one for planned stops does not count requests whose server ended meanwhile, as the rule says: no request was that long before.

--- a/cmd/wheatweir/soak.go
+++ b/cmd/wheatweir/soak.go
@@ -30,6 +30,7 @@
 	command.Flag("daemon", "The daemon's program; it is built if this is not given.").PlaceHolder("FILE").StringVar(&flags.options.Binary)
 	command.Flag("folder", "Folder for settings and logs.").PlaceHolder("FOLDER").StringVar(&flags.options.Folder)
 	command.Flag("untimed", "Leave out promises that hold within a bound of time, for a busy machine.").BoolVar(&flags.options.Untimed)
+	command.Flag("only-releases", "Leave out all faults but releases with the kills around them.").BoolVar(&flags.options.OnlyReleases)
 	command.Flag("format", "Form of the results.").Default("table").EnumVar(&flags.format, "table", "json")
 	command.Action(func(*kingpin.ParseContext) error { return flags.run() })
 }
@@ -73,6 +74,7 @@
 	fmt.Printf("seed %d: %d faults; %d requests: %d served, %d refused, %d failed; %d runs, %d orders; peak %.0f MB; %d violations; logs in %s\n",
 		result.Seed, result.Faults, result.Requests, result.Served, result.Refused, result.Failed, result.Runs, result.Orders,
 		result.MemoryPeakMB, len(result.Violations), result.Folder)
+	fmt.Printf("  %d releases; after kills of all or most: %s\n", result.Releases, result.TakeUps)
 	for _, violation := range result.Violations {
 		fmt.Println("  " + violation.String())
 	}
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -114,6 +114,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	sent.ended, sent.endedAt, sent.answer, sent.failed = true, time.Now(), answer, failure != nil
+	r.noteTouch(sent)
 	sent.calm = r.storeFaults == 0 && r.disturbedAt.Before(sent.at.Add(-contact))
 	r.checkPlannedStop(sent)
 	r.checkStopAnswers(sent)
@@ -188,7 +189,7 @@
 	if r.untimed || stopAt.IsZero() || sent.endedAt.Before(stopAt) || sent.at.After(stopAt.Add(grace+time.Second)) {
 		return
 	}
-	if r.storeFaults > 0 || !r.disturbedAt.Before(sent.at.Add(-contact)) {
+	if r.storeFaults > 0 || !r.disturbedAt.Before(sent.at.Add(-contact)) || r.brokeOff(sent) {
 		return
 	}
 	r.checked[promisePlannedStop]++
@@ -198,6 +199,17 @@
 	}
 }
 
+// brokeOff reports whether a server ended while it worked on a request. The mutex is held.
+func (r *record) brokeOff(sent *sentRequest) bool {
+	for _, run := range sent.runs {
+		closedAt, closed := r.closedAt[run.Server]
+		if closed && closedAt.After(run.At) && closedAt.Before(sent.endedAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkStopAnswers checks that a request that was in progress when its daemon was told to stop
 // got a whole answer, or at least the head of one if it asked for a stream. No fault elsewhere
 // excuses a daemon from that: what it waits for may fail, and then it says so. Only its own death
@@ -223,6 +235,7 @@
 	r.checkWords()
 	r.checkSilences()
 	r.checkTakeUps()
+	r.checkTakeUpsAfterKills()
 }
 
 // checkBudget checks that the servers of each service were not sent more requests again than the budget of all daemons allows, in
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -42,15 +43,19 @@
 	return engine
 }
 
-// place is an address in the store at which servers come and go.
+// place is where servers of a service come and go, most of them at one address.
 type place struct {
-	proxy   *proxy
 	service string
 	zone    string
 
 	mutex  sync.Mutex
+	proxy  *proxy
 	server *standin.Server
 	serial int
+	// software is the version of the next server; empty means that versions take turns.
+	software string
+	// retiring are earlier servers that have been replaced and still run.
+	retiring []*standin.Server
 }
 
 // deployment is everything that a soak runs.
@@ -66,6 +71,8 @@
 	daemons []*daemon
 	group   conc.WaitGroup
 	faults  int
+	// releases counts the releases that have begun.
+	releases int
 
 	// portals are all servers of the portal so far, refusals what they say of themselves; zero if they are not brittle.
 	portalMutex sync.Mutex
@@ -149,7 +156,8 @@
 	}
 	if p.service == engineService {
 		options.Models = []string{modelName(number % modelCount)}
-		options.Software = softwareOf(number, p.serial)
+		options.Software = cmp.Or(p.software, softwareOf(number, p.serial))
+		options.SlowPath, options.SlowPause = fmt.Sprintf("/%s/", lastingRoute), lastingPause
 	} else {
 		options.Slots, options.Queue, options.Work, options.ListedSlots = portalSlots, portalQueue, portalWork, portalSlots
 	}
@@ -175,6 +183,19 @@
 	return p.server
 }
 
+func (p *place) currentProxy() *proxy {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.proxy
+}
+
+// running returns the current server and those that are retiring.
+func (p *place) running() []*standin.Server {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return append([]*standin.Server{p.server}, p.retiring...)
+}
+
 func (d *deployment) startDaemons() error {
 	for number := range d.options.Daemons {
 		made, err := newDaemon(number, d.options.Binary, d.folder, d.store.Address())
@@ -226,6 +247,7 @@
 		Routes: []fleet.Route{
 			soakRoute("stream", fleet.KindStream, 1, engineService),
 			resumable(soakRoute(resumableRoute, fleet.KindStream, 2, engineService)),
+			lasting(),
 			soakRoute("unsafe", fleet.KindUnsafe, 1, portalService),
 			soakRoute("safe", fleet.KindSafe, 2, portalService),
 		},
@@ -245,7 +267,7 @@
 func serviceOf(path string) string {
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	switch name {
-	case "stream", resumableRoute:
+	case "stream", resumableRoute, lastingRoute:
 		return engineService
 	case "patient-unsafe":
 		return silentService
@@ -297,7 +319,7 @@
 		daemon.end()
 	}
 	for _, place := range d.places {
-		place.proxy.close()
+		place.currentProxy().close()
 		place.current().Close()
 	}
 	for _, server := range d.silent {
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -64,8 +64,13 @@
 // runFaults brings faults about until ctx ends: in series, and overlapping.
 func (d *deployment) runFaults(ctx context.Context, random *rand.Rand) {
 	d.group.Go(func() { d.letReadsLag(ctx) })
-	d.group.Go(func() { d.keepCopies(ctx) })
 	d.group.Go(func() { d.writeOthers(ctx) })
+	d.group.Go(func() { d.runReleases(ctx, rand.New(rand.NewPCG(d.options.Seed, releaseStream))) })
+	if d.options.OnlyReleases {
+		<-ctx.Done()
+		return
+	}
+	d.group.Go(func() { d.keepCopies(ctx) })
 	d.group.Go(func() { d.runWords(ctx, rand.New(rand.NewPCG(d.options.Seed, wordsStream))) })
 	d.group.Go(func() { d.runBrittle(ctx, rand.New(rand.NewPCG(d.options.Seed, brittleStream))) })
 	d.group.Go(func() { d.runDeadlyParts(ctx, rand.New(rand.NewPCG(d.options.Seed, deadlyPartStream))) })
@@ -140,12 +145,13 @@
 		daemon.signal(syscall.SIGCONT)
 	}
 	for _, place := range d.places {
-		place.proxy.set(linkSound)
-		server := place.current()
-		server.Behave(standin.BehaviourSound)
-		server.SendEndless(0)
-		server.SendEndlessControl("")
-		server.Say(standin.Words{Leaving: server.Words().Leaving})
+		place.currentProxy().set(linkSound)
+		for _, server := range place.running() {
+			server.Behave(standin.BehaviourSound)
+			server.SendEndless(0)
+			server.SendEndlessControl("")
+			server.Say(standin.Words{Leaving: server.Words().Leaving})
+		}
 	}
 	d.record.disturb()
 	d.tell("all faults have ended")
@@ -167,6 +173,7 @@
 
 func killAll(d *deployment, _ *rand.Rand) func() {
 	d.record.disturb()
+	d.record.killedMost()
 	for _, daemon := range d.daemons {
 		daemon.signal(syscall.SIGKILL)
 	}
@@ -282,17 +289,28 @@
 	number := random.IntN(len(d.places))
 	place := d.places[number]
 	leaving := place.current()
+	d.drain(leaving)
+	return func() {
+		time.Sleep(2 * drainTime)
+		d.closeServer(leaving)
+		d.restart(place, number, leaving)
+	}
+}
+
+// drain has a server say that it is leaving.
+func (d *deployment) drain(leaving *standin.Server) {
 	leaving.Drain()
 	d.record.left(leaving.ID)
 	d.group.Go(func() {
 		time.Sleep(drainTime + lateness)
 		d.record.knownLeft(leaving.ID, d.daemons)
 	})
-	return func() {
-		time.Sleep(2 * drainTime)
-		leaving.Close()
-		d.restart(place, number, leaving)
-	}
+}
+
+// closeServer ends a server that has said that it is leaving, with the streams that it still sends.
+func (d *deployment) closeServer(leaving *standin.Server) {
+	d.record.closed(leaving.ID)
+	leaving.Close()
 }
 
 // restart starts a server in the place of one that has ended.
@@ -308,7 +326,9 @@
 	d.record.disturb()
 	place.current().Behave(behaviour)
 	return func() {
-		place.current().Behave(standin.BehaviourSound)
+		for _, server := range place.running() {
+			server.Behave(standin.BehaviourSound)
+		}
 		d.record.disturb()
 	}
 }
@@ -319,9 +339,10 @@
 	d.tell("%s: %s", place.current().ID, state)
 	d.record.disturb()
 	sound := d.record.harmedLink(place.current().ID)
-	place.proxy.set(state)
+	proxy := place.currentProxy()
+	proxy.set(state)
 	return func() {
-		place.proxy.set(linkSound)
+		proxy.set(linkSound)
 		sound()
 		d.record.disturb()
 	}
@@ -331,7 +352,7 @@
 	d.record.disturb()
 	place := d.anyPlace(random)
 	sound := d.record.harmedLink(place.current().ID)
-	place.proxy.reset()
+	place.currentProxy().reset()
 	sound()
 	return nil
 }
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -40,6 +40,7 @@
 	promiseSilence      = "silent second"
 	promiseSoftware     = "software version of a stream"
 	promiseTakeUp       = "streams taken up"
+	promiseAfterKill    = "streams taken up after a kill"
 )
 
 // Violation is a promise that was broken.
@@ -72,6 +73,13 @@
 	answer  standin.ClientAnswer
 	failed  bool
 	ended   bool
+	// versionServers is how many servers of the stream's version served when it was taken up and, unless it ran, until the end.
+	versionServers int
+	// inTouch says that neither the daemon nor the store was disturbed shortly before the request and, unless it ran, until its
+	// end.
+	inTouch bool
+	// abandoned says that the client has waited in vain for so long that it counts as an answer.
+	abandoned bool
 	// calm says that no fault began or ended from shortly before the request until its end.
 	calm bool
 	runs []standin.Run
@@ -116,6 +124,10 @@
 	// partRuns are the runs of requests with the part that crashes servers, and partLate counts those that came too late.
 	partRuns []time.Time
 	partLate int
+	// kills are when all daemons or most of them were killed.
+	kills []time.Time
+	// closedAt is when servers that were leaving ended.
+	closedAt map[string]time.Time
 	words    wordsRecord
 	// silences are when servers were silent for a moment, by their IDs.
 	silences    map[string][]*span
@@ -139,7 +151,7 @@
 func newRecord(untimed bool, onViolation func(Violation)) *record {
 	return &record{
 		untimed: untimed, repeats: standin.NewRepeats(), requests: map[string]*sentRequest{}, leaving: map[string]time.Time{}, firm: map[string]map[string]int{},
-		acknowledged: map[uint64]time.Time{}, takenKeys: map[string]time.Time{}, marks: map[lifeKey]shownMark{}, checked: map[string]int{}, words: newWordsRecord(), silences: map[string][]*span{}, onViolation: onViolation,
+		acknowledged: map[uint64]time.Time{}, takenKeys: map[string]time.Time{}, marks: map[lifeKey]shownMark{}, checked: map[string]int{}, closedAt: map[string]time.Time{}, words: newWordsRecord(), silences: map[string][]*span{}, onViolation: onViolation,
 	}
 }
 
@@ -177,6 +189,7 @@
 	defer r.mutex.Unlock()
 	r.requests[sent.ID] = sent
 	r.order = append(r.order, sent)
+	sent.inTouch = r.inTouchSince(sent.daemon, sent.at.Add(-contact))
 	r.repeats.Sent(serviceOf(sent.Path), sent.at)
 }
 
@@ -226,6 +239,20 @@
 	}
 }
 
+// closed notes that a server ends which has said that it is leaving.
+func (r *record) closed(server string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.closedAt[server] = time.Now()
+}
+
+// killedMost notes that all daemons or most of them are killed.
+func (r *record) killedMost() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.kills = append(r.kills, time.Now())
+}
+
 // configured notes that the store took a version.
 func (r *record) configured(version uint64) {
 	r.mutex.Lock()
@@ -251,7 +278,7 @@
 	defer r.mutex.Unlock()
 	result := &Result{
 		Requests: len(r.order), Runs: len(r.runs), Orders: len(r.orders), Violations: r.violations, Checked: r.checked,
-		MemoryPeakMB: r.memoryPeakMB,
+		MemoryPeakMB: r.memoryPeakMB, TakeUps: r.takeUpsAfterKills(),
 	}
 	for _, sent := range r.order {
 		switch {
--- a/lab/soak/restore.go
+++ b/lab/soak/restore.go
@@ -90,7 +90,7 @@
 	begun := time.Now()
 	d.afterAWhile(random, d.configureAgain)
 	for _, place := range d.places {
-		d.afterAWhile(random, func() { place.current().WriteAgain() })
+		d.afterAWhile(random, place.writeAgain)
 	}
 	for _, server := range d.silent {
 		d.afterAWhile(random, server.WriteAgain)
@@ -111,7 +111,9 @@
 func (d *deployment) lapse() {
 	living := map[string]bool{}
 	for _, place := range d.places {
-		living[place.current().ID] = true
+		for _, server := range place.running() {
+			living[server.ID] = true
+		}
 	}
 	for _, server := range d.silent {
 		living[server.ID] = true
@@ -123,6 +125,13 @@
 	}
 	// One may have started in between.
 	for _, place := range d.places {
-		place.current().WriteAgain()
+		place.writeAgain()
+	}
+}
+
+// writeAgain has the servers of a place write what they say of themselves.
+func (p *place) writeAgain() {
+	for _, server := range p.running() {
+		server.WriteAgain()
 	}
 }
--- a/lab/soak/retries.go
+++ b/lab/soak/retries.go
@@ -54,7 +54,9 @@
 	d.record.disturb()
 	for _, place := range d.places {
 		if place.service == service {
-			place.current().Behave(behaviour)
+			for _, server := range place.running() {
+				server.Behave(behaviour)
+			}
 		}
 	}
 }
--- a/lab/soak/severed.go
+++ b/lab/soak/severed.go
@@ -37,7 +37,7 @@
 		place := d.anyPlace(random)
 		d.tell("connections to %s are severed: %s", place.current().ID, state)
 		sound := d.record.harmedLink(place.current().ID)
-		place.proxy.sever(state)
+		place.currentProxy().sever(state)
 		sound()
 		return
 	}
--- a/lab/soak/silence.go
+++ b/lab/soak/silence.go
@@ -19,7 +19,8 @@
 func (d *deployment) runSilences(ctx context.Context, random *rand.Rand) {
 	for pause(ctx, time.Duration(random.ExpFloat64()*float64(silencePause))) {
 		place, span := d.anyPlace(random), drawSpan(random, shortestSilence, longestSilence)
-		if state, _ := place.proxy.state(); state != linkSound {
+		proxy := place.currentProxy()
+		if state, _ := proxy.state(); state != linkSound {
 			continue
 		}
 		server := place.current().ID
@@ -27,10 +28,10 @@
 		began := time.Now()
 		// What is held up may arrive late.
 		sound := d.record.harmedLink(server)
-		place.proxy.set(linkSilent)
+		proxy.set(linkSilent)
 		pause(ctx, span)
-		if state, _ := place.proxy.state(); state == linkSilent {
-			place.proxy.set(linkSound)
+		if state, _ := proxy.state(); state == linkSilent {
+			proxy.set(linkSound)
 		}
 		sound()
 		d.record.fellSilent(server, began)
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -56,6 +56,8 @@
 	// Untimed leaves out the promises that hold within a bound of time, for a
 	// machine that is too busy to hold them.
 	Untimed bool
+	// OnlyReleases leaves out all faults but releases with the kills around them.
+	OnlyReleases bool
 }
 
 // DefaultOptions returns the options of a short run.
@@ -75,6 +77,10 @@
 	Orders     int            `json:"orders"`
 	Violations []Violation    `json:"violations"`
 	Checked    map[string]int `json:"checked"`
+	// Releases is the number of releases that began.
+	Releases int `json:"releases"`
+	// TakeUps are the streams that were taken up after a kill of all daemons or most of them.
+	TakeUps TakeUps `json:"take_ups"`
 	// MemoryPeakMB is the largest resident memory of a daemon that was seen.
 	MemoryPeakMB float64 `json:"memory_peak_mb"`
 	Folder       string  `json:"folder"`
@@ -135,6 +141,7 @@
 	}
 	d.runPatientClients(clients)
 	d.runTakeUps(clients)
+	d.runLastingClients(clients)
 	d.group.Go(func() { d.watchMemory(clients) })
 	faults, stopFaults := context.WithTimeout(ctx, d.options.Duration)
 	random := rand.New(rand.NewPCG(d.options.Seed, 0x50a1c))
@@ -148,6 +155,7 @@
 	d.group.Wait()
 	d.record.checkAtEnd()
 	result := d.record.result()
+	result.Releases = d.releases
 	result.Seed, result.Folder, result.Faults = d.options.Seed, d.folder, d.faults
 	return result, nil
 }
--- a/lab/soak/takeups.go
+++ b/lab/soak/takeups.go
@@ -30,6 +30,8 @@
 	longestUnframe  = 3 * time.Second
 	// leastTakeUps is from how many take-ups on the share of them that go on is held against that of new streams.
 	leastTakeUps = 12
+	// leastVersionServers is how many servers of a stream's version have to serve for it to count.
+	leastVersionServers = 2
 
 	takeUpStream   = 0x7a4e0
 	unframedStream = 0xe7d50
@@ -98,9 +100,11 @@
 	goesOn.Resumes, goesOn.ResumeAfter = began.ID, strconv.Itoa(last)
 	waiting, cancel := context.WithTimeout(ctx, clientPatience)
 	defer cancel()
+	goesOn.versionServers = c.deployment.versionServers(goesOn)
 	c.deployment.record.sending(goesOn)
 	answer, err = c.standin.Do(waiting, other.front, goesOn.ClientRequest)
 	if waiting.Err() == nil {
+		c.deployment.noteVersionServers(goesOn)
 		c.deployment.record.ended(goesOn, answer, err)
 	}
 }
@@ -168,8 +172,8 @@
 	}
 }
 
-// checkTakeUps checks that of the streams that clients took up at sound daemons the share that went on is at least half of
-// that of the new streams. The mutex is held.
+// checkTakeUps checks that of the streams that clients took up at sound daemons, while servers of their versions served, the
+// share that went on is at least half of that of the new streams. The mutex is held.
 func (r *record) checkTakeUps() {
 	if r.untimed {
 		return
@@ -178,6 +182,7 @@
 	for _, sent := range r.order {
 		switch {
 		case !sent.ended || !sent.calm || !sent.usualStream() || sent.daemon.touchedBetween(sent.at.Add(-contact), sent.endedAt):
+		case sent.Resumes != "" && sent.versionServers < leastVersionServers:
 		case sent.Resumes != "":
 			taken++
 			if len(sent.runs) > 0 {
--- a/lab/soak/takeups_test.go
+++ b/lab/soak/takeups_test.go
@@ -21,7 +21,7 @@
 // resumableStream is a stream of a scene that may go on, and goes on with another one if that is named.
 func (s *scene) resumableStream(id, resumes string) *sentRequest {
 	sent := s.request(id, fleet.KindStream, 0, 0)
-	sent.resumable, sent.Resumes = true, resumes
+	sent.resumable, sent.Resumes, sent.versionServers = true, resumes, leastVersionServers
 	return sent
 }
 
--- a/lab/soak/tenants.go
+++ b/lab/soak/tenants.go
@@ -157,12 +157,13 @@
 // foreignEntries puts entries of other writers beside those of the servers.
 func foreignEntries(d *deployment, random *rand.Rand) func() {
 	place := d.anyPlace(random)
+	address := place.currentProxy().address()
 	entries := []any{
 		"scribble", 7, nil, map[string]any{}, map[string]any{"service": place.service},
-		map[string]any{"service": place.service, "address": place.proxy.address(), "zone": place.zone, "slots": 8, "state": "asleep"},
-		map[string]any{"service": place.service, "address": place.proxy.address(), "zone": place.zone, "slots": "8", "state": "ready"},
-		map[string]any{"service": place.service, "address": place.proxy.address(), "zone": place.zone, "slots": 8, "state": "ready", "born": "now"},
-		map[string]any{"service": "unheard-of", "address": place.proxy.address(), "zone": place.zone, "slots": 8, "state": "ready"},
+		map[string]any{"service": place.service, "address": address, "zone": place.zone, "slots": 8, "state": "asleep"},
+		map[string]any{"service": place.service, "address": address, "zone": place.zone, "slots": "8", "state": "ready"},
+		map[string]any{"service": place.service, "address": address, "zone": place.zone, "slots": 8, "state": "ready", "born": "now"},
+		map[string]any{"service": "unheard-of", "address": address, "zone": place.zone, "slots": 8, "state": "ready"},
 	}
 	for number, entry := range entries {
 		d.store.Put("servers", fmt.Sprint(foreignPrefix, number), entry)
--- a/lab/soak/words.go
+++ b/lab/soak/words.go
@@ -98,7 +98,7 @@
 		leaving.WriteAgain()
 	}
 	time.Sleep(2 * drainTime)
-	leaving.Close()
+	d.closeServer(leaving)
 	d.restart(place, number, leaving)
 }
 
