--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -163,10 +163,10 @@
 func (e *exchange) relayStream(ctx context.Context, candidate *balance.Candidate, response Response) attemptResult {
 	id := candidate.Instance.ID
 	buffer := make([]byte, pieceBytes)
-	events := eventSplitter{memory: e.gateway.settings.Memory.Reserve(membudget.Event)}
+	events := eventSplitter{memory: e.gateway.settings.Memory.Reserve(membudget.Event), resumedAfter: e.resumeAfter}
 	defer events.memory.Release()
 	// A run that resumes after the last event of a stream produces no events of its own.
-	resumed := e.resumeAfter != ""
+	mayBeEmpty := e.resumeAfter != "" && !e.nextEventBegun
 	var gaps sampler
 	sampling := e.isSampled()
 	for {
@@ -186,9 +186,11 @@
 			if events.lastID != "" {
 				e.resumeAfter = events.lastID
 			}
+			e.lacksResumePoint = events.lacksID
+			e.nextEventBegun = events.scanner.inEvent || e.nextEventBegun && !events.scanner.eventEnded
 		}
 		if errors.Is(err, io.EOF) {
-			if truncationError := events.scanner.truncationError(response.Framing(), resumed); truncationError != nil {
+			if truncationError := events.scanner.truncationError(response.Framing(), mayBeEmpty); truncationError != nil {
 				err = truncationError
 			}
 		}
@@ -219,12 +221,12 @@
 	return piece, err
 }
 
-// rejectEvent ends a stream with an event that is too large, or for which there is no memory. The latter does not count
-// against the instance.
+// rejectEvent ends a stream with an event that is too large, that does not continue the stream, or for which there is no
+// memory. Only the first counts against the instance: clients choose after which event a stream continues.
 func (e *exchange) rejectEvent(ctx context.Context, id string, err error) attemptResult {
-	outcome := balance.Broken
-	if membudget.ErrExhausted.Has(err) {
-		outcome = balance.Abandoned
+	outcome := balance.Abandoned
+	if OversizedPart(err) != "" {
+		outcome = balance.Broken
 	}
 	e.end(id, attributableOutcome(ctx, outcome))
 	e.observe(Event{Step: StepStreamTruncated, Instance: id, Oversized: OversizedPart(err), Err: err})
