The record of streams outlasts restores, shorter windows and owners that fail

By reading: a shard of an earlier copy of the store counted as complete; the streams of an owner that the store turns away were recorded by nobody; each stream woke four duties, also with one version.

Shards name the era of the store and the window; silence of all counts as an outage only where another daemon lives or none ever did; an owner whose calls fail forwards what arrives to the next; duties are woken only for what is to be written.

--- a/coordination/storeoutage.go
+++ b/coordination/storeoutage.go
@@ -33,9 +33,13 @@
 func (n *Node) ReceivesInstanceChanges(now time.Time) bool {
 	watches := n.Watching(now) && !n.sources[SourceInstances].unavailable
 	heard := !n.watcherSeenAt.Equal(n.started.Add(n.settings.WatchDelay))
-	return watches || heard && now.Sub(n.watcherSeenAt) <= watcherReportTTL || n.storeUnavailableForAll(now)
+	return watches || heard && now.Sub(n.watcherSeenAt) <= watcherReportTTL || !n.isIsolated() && n.storeUnavailableForAll(now)
 }
 
+// isIsolated reports whether this daemon, which has had others to talk to, has none now. What it does not hear then is no sign
+// that nobody does.
+func (n *Node) isIsolated() bool { return n.hadOthers && n.detector.LiveCount() <= 1 }
+
 // storeUnavailable reports whether the store answers none of this daemon's reads.
 func (n *Node) storeUnavailable() bool {
 	return n.sources[SourceConfiguration].unavailable && n.sources[SourceInstances].unavailable
--- a/entry/streamrecord.go
+++ b/entry/streamrecord.go
@@ -190,6 +190,9 @@
 
 func (s *streamRecord) wake() {
 	for number := range s.added {
+		if !s.recorder.HasChanges(number) {
+			continue
+		}
 		select {
 		case s.added[number] <- struct{}{}:
 		default:
@@ -230,16 +233,16 @@
 			s.failed(number, "read", err)
 			return
 		}
-		s.recorder.Loaded(d.clock.Now(), number, shard, place.Revision)
+		s.recorder.Loaded(d.clock.Now(), number, shard, place)
 		return
 	}
-	revision, err := d.store.SaveStreamShard(d.ctx, number, step.Revision, step.Write)
+	place, err := d.store.SaveStreamShard(d.ctx, number, step.Place, step.Write)
 	d.metrics.countRecordCall("write", err)
 	if err != nil {
 		s.failed(number, "write", err)
 		return
 	}
-	s.recorder.Written(d.clock.Now(), number, revision)
+	s.recorder.Written(d.clock.Now(), number, place)
 }
 
 func (s *streamRecord) failed(number int, call string, err error) {
--- a/resumption/record.go
+++ b/resumption/record.go
@@ -12,7 +12,8 @@
 	ShardCount = 4
 	// maxShardStreams bounds the streams of one shard, so that its encoded form fits into one object of the store.
 	maxShardStreams = 50_000
-	// expiryStep is the precision with which the durable record keeps the time at which streams expire.
+	// expiryStep is the precision with which the durable record keeps the time at which streams expire. Times are rounded to the
+	// nearest step, so that they stay the same when another daemon reads and writes them.
 	expiryStep = 5 * time.Second
 )
 
@@ -28,6 +29,8 @@
 type Shard struct {
 	// Complete reports whether Versions includes every version that was present within the version window.
 	Complete bool
+	// Window is the version window at the time of the write.
+	Window time.Duration
 	// Versions are the versions of each service, by the service's name.
 	Versions map[string][]string
 	// SharedRoutes are the services that have had a route together with another one.
@@ -100,20 +103,19 @@
 func (d digestIndex) groups(now time.Time) []StreamGroup {
 	type key struct {
 		began Began
-		steps time.Duration
+		until time.Time
 	}
 	byKey := map[key][]Digest{}
 	for digest, found := range d {
-		left := found.until.Sub(now)
-		if left <= 0 || found.ambiguous {
+		if !now.Before(found.until) || found.ambiguous {
 			continue
 		}
-		group := key{found.began, (left + expiryStep - 1) / expiryStep}
+		group := key{found.began, found.until.Round(expiryStep)}
 		byKey[group] = append(byKey[group], digest)
 	}
 	groups := make([]StreamGroup, 0, len(byKey))
 	for group, digests := range byKey {
-		groups = append(groups, StreamGroup{Began: group.began, Left: group.steps * expiryStep, Streams: digests})
+		groups = append(groups, StreamGroup{Began: group.began, Left: group.until.Sub(now), Streams: digests})
 	}
 	slices.SortFunc(groups, func(a, b StreamGroup) int { return int(b.Left - a.Left) })
 	room := maxShardStreams
--- a/resumption/recorder.go
+++ b/resumption/recorder.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/wheatweir/wheatweir/history"
 	"github.com/wheatweir/wheatweir/rendezvous"
 )
 
@@ -32,18 +33,19 @@
 
 	mutex sync.Mutex
 	self  string
-	// owners are the owners of the shards, as far as this daemon knows the others.
-	owners [ShardCount]string
-	shards [ShardCount]ownedShard
+	// owners are the owners of the shards, as far as this daemon knows the others, and standIns those who would be next.
+	owners   [ShardCount]string
+	standIns [ShardCount]string
+	shards   [ShardCount]ownedShard
 }
 
 // ownedShard is a shard as known to this daemon.
 type ownedShard struct {
 	// sentTo is the owner that this daemon's streams were sent to.
 	sentTo string
-	// loaded is set while revision and content are those of the store, plus what has been added since.
+	// loaded is set while place and content are those of the store, plus what has been added since.
 	loaded   bool
-	revision uint64
+	place    history.Place
 	complete bool
 	versions map[string][]string
 	shared   []string
@@ -53,13 +55,17 @@
 	// busy is set while a call is in progress, and writing if it is a write.
 	busy, writing bool
 	dueFrom       time.Time
+	// failing is set while the store does not take the calls of this daemon. Streams that arrive meanwhile are also forwarded to
+	// the stand-in.
+	failing bool
+	forward []Stream
 }
 
 // NewRecorder returns a Recorder for the streams and versions of a tracker.
 func NewRecorder(now time.Time, self string, tracker *Tracker, firstStart bool) *Recorder {
 	r := &Recorder{tracker: tracker, firstStart: firstStart, startedAt: now, self: self}
 	for number := range r.shards {
-		r.owners[number] = self
+		r.owners[number], r.standIns[number] = self, self
 		r.shards[number].streams = digestIndex{}
 	}
 	return r
@@ -72,13 +78,15 @@
 		names = append(names, other.Name)
 	}
 	set := rendezvous.NewSet(names)
-	var owners [ShardCount]string
+	var owners, standIns [ShardCount]string
 	for number := range owners {
-		owners[number] = set.Owner("stream record " + strconv.Itoa(number))
+		ranked := set.Top("stream record "+strconv.Itoa(number), 2)
+		owners[number] = ranked[0]
+		standIns[number] = ranked[len(ranked)-1]
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.owners = owners
+	r.owners, r.standIns = owners, standIns
 }
 
 // Outgoing returns the streams that the owners of their shards are to record. Streams of this daemon's own shards are
@@ -110,6 +118,12 @@
 	}
 	r.accept(now, byOwner[r.self])
 	delete(byOwner, r.self)
+	for number := range r.shards {
+		if shard := &r.shards[number]; len(shard.forward) > 0 && r.standIns[number] != r.self {
+			byOwner[r.standIns[number]] = append(byOwner[r.standIns[number]], shard.forward...)
+		}
+		r.shards[number].forward = nil
+	}
 	updates := make([]Update, 0, len(byOwner))
 	for owner, assigned := range byOwner {
 		updates = append(updates, Update{Daemon: owner, Streams: assigned})
@@ -137,45 +151,67 @@
 		}
 		digest := digestOf(stream.ID)
 		shard := &r.shards[digest.shard()]
-		shard.streams.add(digest, Began{Service: stream.Service, Software: stream.Software}, now.Add(stream.Left))
+		shard.streams.add(digest, Began{Service: stream.Service, Software: stream.Software}, now.Add(stream.Left+expiryStep))
+		r.tracker.noteVersion(now, stream.Service, stream.Software)
 		shard.changed = true
+		if shard.failing && r.owners[digest.shard()] == r.self {
+			shard.forward = append(shard.forward, stream)
+		}
 	}
 }
 
 // Step is a call to the store that is due for a shard: a read if Write is nil, else a write.
 type Step struct {
 	Write *Shard
-	// Revision is the expected revision of the stored shard; zero if it does not exist.
-	Revision uint64
+	// Place is the expected place of the stored shard, without a revision if it does not exist.
+	Place history.Place
 }
 
 // NextStep returns the call that is due for a shard, if any. It is followed by Loaded, Written or Failed.
 func (r *Recorder) NextStep(now time.Time, number int) (step Step, due bool) {
-	versions, shared, observedWindow := r.tracker.history(now)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	shard := &r.shards[number]
 	owned := r.owners[number] == r.self
-	if shard.busy || now.Before(shard.dueFrom) || now.Sub(r.startedAt) < ownershipDelay || !owned && !shard.changed {
+	if shard.busy || now.Before(r.dueFrom(shard)) || !owned && !shard.changed {
 		return Step{}, false
 	}
 	if !shard.loaded {
 		shard.busy = true
 		return Step{}, true
 	}
-	shard.update(versions, shared, observedWindow)
+	known := r.tracker.history(now)
+	shard.update(known)
 	if !shard.changed {
 		return Step{}, false
 	}
 	shard.busy, shard.writing, shard.changed = true, true, false
-	content := &Shard{Complete: shard.complete, Versions: shard.versions, SharedRoutes: shard.shared, Streams: shard.streams.groups(now)}
-	return Step{Write: content, Revision: shard.revision}, true
+	content := &Shard{
+		Complete: shard.complete, Window: known.window, Versions: shard.versions, SharedRoutes: shard.shared,
+		Streams: shard.streams.groups(now),
+	}
+	return Step{Write: content, Place: shard.place}, true
+}
+
+// dueFrom is when the next call for a shard may be made.
+func (r *Recorder) dueFrom(shard *ownedShard) time.Time {
+	if owning := r.startedAt.Add(ownershipDelay); owning.After(shard.dueFrom) {
+		return owning
+	}
+	return shard.dueFrom
 }
 
 func (s *ownedShard) interval() time.Duration {
 	return recordInterval + recordIntervalPerStream*time.Duration(len(s.streams))
 }
 
+// HasChanges reports whether a shard has changes that are to be written.
+func (r *Recorder) HasChanges(number int) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.shards[number].changed
+}
+
 // Wait returns how long it takes until a call may be due for a shard, if nothing is added to it, but idle at most.
 func (r *Recorder) Wait(now time.Time, number int, idle time.Duration) time.Duration {
 	r.mutex.Lock()
@@ -184,13 +220,14 @@
 	if shard.busy || !shard.changed {
 		return idle
 	}
-	return max(0, min(idle, shard.dueFrom.Sub(now)))
+	return max(0, min(idle, r.dueFrom(shard).Sub(now)))
 }
 
 // update adopts the history known to this daemon. Recorded versions are dropped only by a daemon that has observed all
 // instances for the whole version window.
-func (s *ownedShard) update(versions map[string][]string, shared []string, observedWindow bool) {
-	if !observedWindow {
+func (s *ownedShard) update(known knownHistory) {
+	versions, shared := known.versions, known.sharedRoutes
+	if !known.observedWindow {
 		versions = maps.Clone(versions)
 		for service, recorded := range s.versions {
 			versions[service] = union(versions[service], recorded)
@@ -198,10 +235,10 @@
 		shared = union(shared, s.shared)
 	}
 	same := maps.EqualFunc(versions, s.versions, slices.Equal[[]string]) && slices.Equal(shared, s.shared)
-	if !same || observedWindow && !s.complete {
+	if !same || known.observedWindow && !s.complete {
 		s.changed = true
 	}
-	s.versions, s.shared, s.complete = versions, shared, s.complete || observedWindow
+	s.versions, s.shared, s.complete = versions, shared, s.complete || known.observedWindow
 }
 
 // union merges sorted lists.
@@ -211,18 +248,18 @@
 	return slices.Compact(merged)
 }
 
-// Loaded processes the answer to a read: the stored shard, or nil if there is none or if it cannot be read.
-func (r *Recorder) Loaded(now time.Time, number int, stored *Shard, revision uint64) {
+// Loaded processes the answer to a read: the stored shard and its place, or nil if there is none or if it cannot be read.
+func (r *Recorder) Loaded(now time.Time, number int, stored *Shard, place history.Place) {
 	if stored != nil {
 		r.tracker.mergeHistory(now, stored)
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	shard := &r.shards[number]
-	shard.busy, shard.loaded, shard.revision = false, true, revision
+	shard.busy, shard.failing, shard.loaded, shard.place = false, false, true, place
 	if stored == nil {
 		shard.versions, shard.shared = nil, nil
-		shard.complete = r.firstStart && revision == 0
+		shard.complete = r.firstStart && place.Revision == 0
 		shard.changed = true
 		return
 	}
@@ -231,11 +268,12 @@
 }
 
 // Written processes the success of a write.
-func (r *Recorder) Written(now time.Time, number int, revision uint64) {
+func (r *Recorder) Written(now time.Time, number int, place history.Place) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	shard := &r.shards[number]
-	shard.busy, shard.writing, shard.revision, shard.dueFrom = false, false, revision, now.Add(shard.interval())
+	shard.busy, shard.writing, shard.failing = false, false, false
+	shard.place, shard.dueFrom = place, now.Add(shard.interval())
 }
 
 // Failed processes the failure of a call. After a conflict, or a write that may have been executed, the shard is read again.
@@ -246,6 +284,7 @@
 	shard.changed = shard.changed || shard.writing
 	shard.busy, shard.writing, shard.loaded = false, false, false
 	if !conflict {
+		shard.failing = true
 		shard.dueFrom = now.Add(recordRetryDelay)
 	}
 }
--- a/resumption/recorder_test.go
+++ b/resumption/recorder_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/wheatweir/wheatweir/history"
 )
 
 // newTestRecorder returns the recorder of a daemon without others, some time after its start, and its tracker.
@@ -37,21 +39,21 @@
 func TestTwoOwnersKeepEachOthersStreams(t *testing.T) {
 	r, _ := newTestRecorder(true)
 	nextStep(t, r, testStart, 0, false)
-	r.Loaded(testStart, 0, nil, 0)
+	r.Loaded(testStart, 0, nil, history.Place{})
 	r.Accept(testStart, []Stream{stream(recordedStream(0), "v1")})
 	nextStep(t, r, testStart, 0, true)
 	r.Failed(testStart, 0, true)
 	nextStep(t, r, testStart, 0, false)
 	const elsewhere = Digest(ShardCount)
 	stored := &Shard{Complete: true, Versions: map[string][]string{"svc": {"v1"}}, Streams: []StreamGroup{{Began{"svc", "v1"}, time.Minute, []Digest{elsewhere}}}}
-	r.Loaded(testStart, 0, stored, 7)
+	r.Loaded(testStart, 0, stored, history.At(1, uint64(7)))
 	step := nextStep(t, r, testStart, 0, true)
 	var written []Digest
 	for _, group := range step.Write.Streams {
 		written = append(written, group.Streams...)
 	}
-	if step.Revision != 7 || len(written) != 2 || !slices.Contains(written, elsewhere) {
-		t.Errorf("revision %d, streams %v", step.Revision, written)
+	if step.Place.Revision != 7 || len(written) != 2 || !slices.Contains(written, elsewhere) {
+		t.Errorf("revision %d, streams %v", step.Place.Revision, written)
 	}
 }
 
@@ -60,13 +62,13 @@
 func TestRecordedVersionsStay(t *testing.T) {
 	r, tracker := newTestRecorder(false)
 	nextStep(t, r, testStart, 0, false)
-	r.Loaded(testStart, 0, &Shard{Complete: true, Versions: map[string][]string{"svc": {"v1"}}}, 1)
+	r.Loaded(testStart, 0, &Shard{Complete: true, Versions: map[string][]string{"svc": {"v1"}}}, history.At(1, uint64(1)))
 	tracker.Observe(testStart, "svc", []string{"v2"}, false)
 	step := nextStep(t, r, testStart, 0, true)
 	if got := step.Write.Versions["svc"]; !slices.Equal(got, []string{"v1", "v2"}) || !step.Write.Complete {
 		t.Errorf("versions %v, complete %t", got, step.Write.Complete)
 	}
-	r.Written(testStart, 0, 2)
+	r.Written(testStart, 0, history.At(1, 2))
 	if tracker.Counts().MixedServices != 1 {
 		t.Error("the recorded version is not known to the tracker")
 	}
@@ -92,9 +94,9 @@
 		r, tracker := newTestRecorder(c.firstStart)
 		tracker.Observe(testStart, "svc", []string{"v1"}, false)
 		nextStep(t, r, testStart, 0, false)
-		r.Loaded(testStart, 0, nil, c.revision)
-		if step := nextStep(t, r, testStart, 0, true); step.Write.Complete != c.complete || step.Revision != c.revision {
-			t.Errorf("%s: complete %t, revision %d", c.name, step.Write.Complete, step.Revision)
+		r.Loaded(testStart, 0, nil, history.At(1, uint64(c.revision)))
+		if step := nextStep(t, r, testStart, 0, true); step.Write.Complete != c.complete || step.Place.Revision != c.revision {
+			t.Errorf("%s: complete %t, revision %d", c.name, step.Write.Complete, step.Place.Revision)
 		}
 	}
 }
@@ -107,9 +109,9 @@
 	tracker.Observe(testStart, "svc", []string{"v1"}, false)
 	tracker.MergeRecord(testStart, testStart, nil, true)
 	nextStep(t, r, testStart, 0, false)
-	r.Loaded(testStart, 0, nil, 0)
+	r.Loaded(testStart, 0, nil, history.Place{})
 	nextStep(t, r, testStart, 0, true)
-	r.Written(testStart, 0, 1)
+	r.Written(testStart, 0, history.At(1, 1))
 	if _, known := tracker.Decide(testStart, "svc", nil); !known {
 		t.Fatal("the only version is not known")
 	}
@@ -190,10 +192,10 @@
 		tracker.MarkSynced(now)
 		tracker.Observe(now, "svc", []string{"v2"}, false)
 		if step, due := r.NextStep(now, 0); due && step.Write == nil {
-			r.Loaded(now, 0, stored, revision)
+			r.Loaded(now, 0, stored, history.At(1, revision))
 		} else if due {
 			stored, revision = step.Write, revision+1
-			r.Written(now, 0, revision)
+			r.Written(now, 0, history.At(1, revision))
 		}
 		// A client resumes a stream of which no daemon has a record.
 		if now.Sub(lastRead) >= 20*time.Second && stored != nil && tracker.NeedsRecord(now, "svc", nil) {
@@ -206,3 +208,103 @@
 		t.Errorf("%d services have several versions ten minutes after the last server of v1 left; recorded: %v", tracker.Counts().MixedServices, stored.Versions)
 	}
 }
+
+// TestWaitEndsWhenACallIsDue guards against a daemon that has just started and looks without pause for calls that are not due.
+func TestWaitEndsWhenACallIsDue(t *testing.T) {
+	tracker := NewTracker()
+	tracker.SetVersionWindow(testStart, time.Minute)
+	r := NewRecorder(testStart, "self", tracker, true)
+	r.Accept(testStart, []Stream{stream(recordedStream(0), "v1")})
+	looks := 0
+	for now := testStart; ; looks++ {
+		if _, due := r.NextStep(now, 0); due || looks > 100 {
+			break
+		}
+		now = now.Add(r.Wait(now, 0, 100*time.Millisecond))
+	}
+	if looks > 100 {
+		t.Error("no end of looks before the first call is due")
+	}
+}
+
+// TestRecordKeepsALongerWindow guards against versions that a daemon drops too early after a restart with a configuration whose
+// streams may be resumed for less long than those that have begun before.
+func TestRecordKeepsALongerWindow(t *testing.T) {
+	r, _ := newTestRecorder(true)
+	r.tracker.Observe(testStart, "svc", []string{"v1"}, false)
+	nextStep(t, r, testStart, 0, false)
+	r.Loaded(testStart, 0, nil, history.Place{})
+	stored := nextStep(t, r, testStart, 0, true).Write
+
+	tracker := NewTracker()
+	const shorter = 20 * time.Second
+	tracker.SetVersionWindow(testStart, shorter)
+	tracker.MarkSynced(testStart)
+	tracker.MergeRecord(testStart, testStart, []Shard{*stored}, false)
+	now := testStart
+	for ; now.Before(testStart.Add(shorter + time.Second)); now = now.Add(freshWindow / 2) {
+		tracker.SetVersionWindow(now, shorter)
+		tracker.MarkSynced(now)
+		tracker.Observe(now, "svc", []string{"v2"}, false)
+	}
+	if software, known := tracker.Decide(now, "svc", nil); known {
+		t.Errorf("a stream of v1 that may be resumed for %v more goes on at %s", testStart.Add(time.Minute).Sub(now), software)
+	}
+}
+
+// TestRecordedStreamsExpire guards against streams whose time of expiry is put off with each write by another owner.
+func TestRecordedStreamsExpire(t *testing.T) {
+	streams := digestIndex{}
+	streams.add(1, Began{"svc", "v1"}, testStart.Add(time.Minute))
+	now := testStart
+	for ; now.Before(testStart.Add(2 * time.Minute)); now = now.Add(recordInterval) {
+		read := digestIndex{}
+		read.addGroups(now, streams.groups(now))
+		read.prune(now.Add(recordInterval))
+		streams = read
+	}
+	if len(streams) > 0 {
+		t.Errorf("a stream that may be resumed for a minute is kept for %v more after %v", streams[1].until.Sub(now), now.Sub(testStart))
+	}
+}
+
+// TestVersionsOfRecordedStreamsCount guards against an owner that is sent streams of a version that it has not seen yet, and
+// records versions without it as complete.
+func TestVersionsOfRecordedStreamsCount(t *testing.T) {
+	r, owner := newTestRecorder(true)
+	owner.Observe(testStart, "svc", []string{"v1"}, false)
+	nextStep(t, r, testStart, 0, false)
+	r.Loaded(testStart, 0, nil, history.Place{})
+	r.Accept(testStart, []Stream{stream(recordedStream(0), "v2")})
+	stored := nextStep(t, r, testStart, 0, true).Write
+
+	tracker := NewTracker()
+	tracker.SetVersionWindow(testStart, time.Minute)
+	tracker.MarkSynced(testStart)
+	tracker.MergeRecord(testStart, testStart, []Shard{*stored}, false)
+	tracker.Observe(testStart, "svc", []string{"v1"}, false)
+	if software, known := tracker.Decide(testStart, "svc", nil); known {
+		t.Errorf("a stream that is not recorded goes on at %s, though the record shows streams of v2", software)
+	}
+}
+
+func BenchmarkNextStepOfShardsOfOthers(b *testing.B) {
+	for _, services := range []int{10, 300} {
+		b.Run(fmt.Sprint(services, " services"), func(b *testing.B) {
+			tracker := NewTracker()
+			tracker.SetVersionWindow(testStart, time.Minute)
+			for number := range services {
+				tracker.Observe(testStart, fmt.Sprint("svc", number), []string{"v1"}, false)
+			}
+			r := NewRecorder(testStart.Add(-time.Minute), "self", tracker, true)
+			for number := range r.owners {
+				r.owners[number] = "other"
+			}
+			for b.Loop() {
+				for number := range ShardCount {
+					r.NextStep(testStart, number)
+				}
+			}
+		})
+	}
+}
--- a/resumption/simulation_test.go
+++ b/resumption/simulation_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/wheatweir/wheatweir/history"
 )
 
 const (
@@ -223,11 +225,11 @@
 				if shard, found := s.store.shards[number]; found {
 					stored = &shard
 				}
-				d.recorder.Loaded(s.now, number, stored, s.store.revisions[number])
-			} else if revision, conflict := s.store.write(number, step.Write, step.Revision); conflict {
+				d.recorder.Loaded(s.now, number, stored, history.At(1, s.store.revisions[number]))
+			} else if revision, conflict := s.store.write(number, step.Write, step.Place.Revision); conflict {
 				d.recorder.Failed(s.now, number, true)
 			} else {
-				d.recorder.Written(s.now, number, revision)
+				d.recorder.Written(s.now, number, history.At(1, revision))
 			}
 			s.keepShards(d)
 		}, func() { d.recorder.Failed(s.now, number, false) })
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -332,6 +332,13 @@
 	t.recordReadAt = time.Time{}
 }
 
+// noteVersion records a version that another daemon has seen.
+func (t *Tracker) noteVersion(now time.Time, service, software string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.markSeen(now, service, []string{software})
+}
+
 // mergeHistory adds the versions and the shared routes of a shard of the durable record.
 func (t *Tracker) mergeHistory(now time.Time, shard *Shard) {
 	t.mutex.Lock()
@@ -346,6 +353,10 @@
 	if t.observedWindow(now) {
 		return
 	}
+	if shard.Window > t.versionWindow {
+		t.shorterWindow, t.shortenAt = t.versionWindow, now.Add(shard.Window)
+		t.versionWindow = shard.Window
+	}
 	for service, present := range shard.Versions {
 		for _, software := range present {
 			if _, known := t.services[service][software]; !known {
@@ -387,23 +398,31 @@
 	return streams
 }
 
-// history returns the recent versions of all services and the services that have recently shared a route, and whether this
-// daemon has observed them for the version window.
-func (t *Tracker) history(now time.Time) (present map[string][]string, sharedRoutes []string, observedWindow bool) {
+// knownHistory is what a daemon knows of the recent past.
+type knownHistory struct {
+	window time.Duration
+	// versions are the recent versions of all services, sharedRoutes the services that have recently shared a route.
+	versions     map[string][]string
+	sharedRoutes []string
+	// observedWindow is set if the daemon has observed the instances for the whole version window.
+	observedWindow bool
+}
+
+func (t *Tracker) history(now time.Time) knownHistory {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	present = make(map[string][]string, len(t.services))
+	known := knownHistory{window: t.versionWindow, versions: make(map[string][]string, len(t.services)), observedWindow: t.observedWindow(now)}
 	for service, seen := range t.services {
 		seen.prune(now.Add(-t.versionWindow))
-		present[service] = seen.list()
+		known.versions[service] = seen.list()
 	}
 	for service, sharedAt := range t.shared {
 		if now.Sub(sharedAt) < t.versionWindow {
-			sharedRoutes = append(sharedRoutes, service)
+			known.sharedRoutes = append(known.sharedRoutes, service)
 		}
 	}
-	slices.Sort(sharedRoutes)
-	return present, sharedRoutes, t.observedWindow(now)
+	slices.Sort(known.sharedRoutes)
+	return known
 }
 
 // Prune removes expired streams and versions.
