--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -54,7 +54,10 @@
 
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
-	return &Tracker{streams: streamIndex{}, recorded: digestIndex{}, services: map[string]versions{}, shared: map[string]time.Time{}, distributed: map[string]bool{}, zones: map[string]string{}}
+	return &Tracker{
+		streams: streamIndex{}, recorded: digestIndex{}, services: map[string]versions{}, shared: map[string]time.Time{},
+		distributed: map[string]bool{}, zones: map[string]string{},
+	}
 }
 
 // SetDaemons replaces the set of other live daemons.
@@ -287,8 +290,9 @@
 
 // Decide returns the version at which to resume a stream that no daemon has a record of, given the answers of the
 // queried daemons. It returns false if the version cannot be determined. It can be determined only if this daemon and
-// the answers show a single version of the service, if its routes lead to no other service, and if one of these daemons knows every version that has been present
-// for as long as a client may wait and currently receives updates about new instances.
+// the answers show a single version of the service, if its routes lead to no other service, and if one of these daemons
+// knows every version that has been present for as long as a client may wait and currently receives updates about new
+// instances.
 func (t *Tracker) Decide(now time.Time, service string, answers []*Answer) (software string, known bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
