--- a/cmd/wheatweird/entryprocess_test.go
+++ b/cmd/wheatweird/entryprocess_test.go
@@ -101,7 +101,7 @@
 	}
 	folder := t.TempDir()
 	path := filepath.Join(folder, "daemon.ini")
-	content := fmt.Sprintf("[daemon]\nname = d1\nzone = z\ndeployment_key = %s\nmemory_limit_mb = %d\n[listen]\n", deploymentKey, entryMemoryMB)
+	content := fmt.Sprintf("[daemon]\nname = d1\nzone = z\nfirst_start = true\ndeployment_key = %s\nmemory_limit_mb = %d\n[listen]\n", deploymentKey, entryMemoryMB)
 	for name, address := range addresses {
 		content += name + " = " + *address + "\n"
 	}
