Requests that no instance ran wait for their model

What callers saw: streams that they took up after a crash of half of the released service's servers were refused with 503 within a millisecond (no_adapter), with 24 of 28 seconds left, and again when they came back. The address of the only instance listed with their model belonged to another process by then, which answered 421.

Cause: a request that was sent once does not wait for an instance any more, whether that one ran it or not.

A request that all instances so far turned away for lack of the model now waits like one that was never sent, with what is left of its wait, and reports its model as missing meanwhile. maxAttempts counts these sends as before. It goes to the same instance again only after that was listed without the model. It takes a token of the retry budget as it is sent, not as it begins to wait, so that others may retry meanwhile. One that an instance without room rejected is refused at once as before.

--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -32,6 +32,7 @@
 			return nil, ReasonQuarantined
 		}
 		e.phase = PhaseChoosing
+		e.updateMisdirection(view)
 		candidate, found := e.find(ctx, view, wait.lacksConnection)
 		switch found {
 		case searchReady:
@@ -218,7 +219,7 @@
 		Model: e.request.Model, Adapter: e.request.Adapter, Zone: e.gateway.settings.Zone, ZoneCost: e.gateway.settings.zoneCost(),
 		Affinity: e.affinity(), PromptTokens: e.request.PromptTokens, PromptLimit: e.promptLimit(view),
 		Yields:       e.yieldsNow(),
-		MemoryTokens: memoryTokens(view, e.service), Excluded: slices.Concat(e.unreachable, excluded, e.attemptedInstances),
+		MemoryTokens: memoryTokens(view, e.service), Excluded: slices.Concat(e.unreachable, excluded, e.excludedInstances()),
 		OutputTokens: e.request.OutputTokens, TargetGap: e.targetGap(), Tokens: e.gateway.tracker.TokenTimes(e.service),
 		Pinned: e.requiredOrigin.required, Software: e.requiredOrigin.software,
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -61,6 +61,8 @@
 
 	// attemptedInstances lists the instances that the request was sent to, by ID.
 	attemptedInstances []string
+	// misdirection tracks those of them that turned the request away for lack of its model.
+	misdirection misdirection
 	// unreachable lists instances that could not be reached; nothing was sent to them. They may be tried again at
 	// reachRetryAt, which is reachBackoff after the first of these failures.
 	unreachable  []string
@@ -71,6 +73,9 @@
 	// budget is the retry budget of the service, and retryReserved says that it holds a token for the next attempt.
 	budget        *retry.Budget
 	retryReserved bool
+	// retryPending is true if the next attempt takes a token when it is sent: it may wait for long until then, and must
+	// not keep the token from other requests meanwhile.
+	retryPending bool
 	// mayHaveRun is true if an instance may have run the request.
 	mayHaveRun bool
 	// answerStarted is true if the client has received a part of an answer.
@@ -210,6 +215,10 @@
 	if len(e.attemptedInstances) >= e.route.MaxAttempts {
 		return false
 	}
+	if last == attemptDeclined && e.onlyMisdirected() {
+		e.retryPending = true
+		return true
+	}
 	return e.reserveRetry()
 }
 
@@ -343,6 +352,7 @@
 	outcome := balance.Declined
 	if misdirected {
 		outcome = balance.Abandoned
+		e.misdirection.record(id)
 		e.gateway.tracker.ObserveMissing(time.Now(), id, e.request.Model, e.request.Adapter, missingModelTTL)
 	} else {
 		// The slot is not given back: the instance had less capacity than was assumed.
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -156,7 +156,7 @@
 		}
 	}
 	for _, instance := range view.Instances(e.service) {
-		if instance.Leaving || !e.hasModel(instance) || !e.requiredOrigin.allows(instance) || slices.Contains(e.attemptedInstances, instance.ID) || slices.Contains(e.unreachable, instance.ID) {
+		if instance.Leaving || !e.hasModel(instance) || !e.requiredOrigin.allows(instance) || slices.Contains(e.excludedInstances(), instance.ID) || slices.Contains(e.unreachable, instance.ID) {
 			continue
 		}
 		end, rests := resting[instance.ID]
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -22,6 +22,10 @@
 
 // spendRetry spends the reserved retry if the next attempt is one. It returns false if the attempt must not be made.
 func (e *exchange) spendRetry() bool {
+	if e.retryPending && !e.reserveRetry() {
+		return false
+	}
+	e.retryPending = false
 	if !e.retryReserved {
 		return true
 	}
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -117,11 +117,11 @@
 }
 
 // waitFor waits for a signal, at most for a duration and the rest of the request's wait. It reports whether to search
-// again. A request that was sent before does not wait.
+// again. A request that an instance accepted before does not wait.
 func (w *candidateWait) waitFor(ctx context.Context, reason Reason, duration time.Duration, signal <-chan struct{}) bool {
 	e := w.exchange
 	left := e.until(e.waitUntil)
-	if len(e.attemptedInstances) > 0 || left <= 0 {
+	if !e.onlyMisdirected() || left <= 0 {
 		return false
 	}
 	e.leaveQueue()
