First replica of a model goes to the version that streams wait for

Callers saw: half of the servers of a service crash after a release, and streams that clients take up at the version that began them wait 6 to 13 s for their model and are refused (no_model).

Cause: the planner first gave an unreachable model a replica on any instance, which was an empty one of the other version, and looked for one at the version that streams wait for afterwards. And where memory was freed for that second load, the rest of the same plan could use up the store load that it needed.

Fix: a model that streams of a version wait for gets its first replica at an instance of that version, if one can take it; other requests can use it there too, so it is one load instead of two. Memory that is freed for such a replica takes its load from the store out of the budget of the plan, as it does for parked models.

--- a/residency/plan.go
+++ b/residency/plan.go
@@ -166,13 +166,15 @@
 	s.freeMB -= model.WeightsMB
 }
 
-// makeReachable adds a replica of each included model that no responsive instance serves. Nothing
-// is evicted for a model that may be parked.
+// makeReachable adds a replica of each included model that no responsive instance serves. If streams
+// wait for the model at a software version, it goes to an instance of that version if one can take
+// it: other requests can use it there too. Nothing is evicted for a model that may be parked.
 func (p *plan) makeReachable(include func(*plan, string) bool) {
 	for _, model := range p.modelsByDemand() {
-		if p.reachable[model.Name] == 0 && include(p, model.Name) {
-			p.addReplica(model, "unreachable", !p.mayPark(model.Name))
+		if p.reachable[model.Name] > 0 || !include(p, model.Name) || p.addReplicasForSoftwareOf(model) {
+			continue
 		}
+		p.addReplica(model, "unreachable", !p.mayPark(model.Name))
 	}
 }
 
--- a/residency/scaleup.go
+++ b/residency/scaleup.go
@@ -135,7 +135,7 @@
 	if v.parks {
 		reason = "parked as idle: " + reason
 	}
-	if !v.projection.localCopy[model.Name] && p.service.parkable(model) {
+	if !v.projection.localCopy[model.Name] && (p.service.parkable(model) || p.requiredSoftware != nil) {
 		// The load of the model follows later. It counts now, so that no more memory is freed than
 		// can be loaded into.
 		p.loadsLeft--
--- a/residency/software.go
+++ b/residency/software.go
@@ -3,22 +3,31 @@
 import (
 	"maps"
 	"slices"
+
+	"github.com/wheatweir/wheatweir/fleet"
 )
 
 // addReplicasForSoftware adds a replica of a model on an instance of each software version that
 // streams wait for. Such a stream cannot resume on an instance of another version.
 func (p *plan) addReplicasForSoftware() {
 	for _, model := range p.modelsByDemand() {
-		waiting := p.observed[model.Name].Software
-		for _, software := range slices.Sorted(maps.Keys(waiting)) {
-			if waiting[software] <= 0 || p.servedBySoftware(model.Name, software) {
-				continue
-			}
-			p.requiredSoftware = &software
-			p.addReplica(model, "software "+software, true)
-			p.requiredSoftware = nil
+		p.addReplicasForSoftwareOf(model)
+	}
+}
+
+// addReplicasForSoftwareOf does so for one model. It reports whether it added an order.
+func (p *plan) addReplicasForSoftwareOf(model *fleet.Model) bool {
+	added := false
+	waiting := p.observed[model.Name].Software
+	for _, software := range slices.Sorted(maps.Keys(waiting)) {
+		if waiting[software] <= 0 || p.servedBySoftware(model.Name, software) {
+			continue
 		}
+		p.requiredSoftware = &software
+		added = p.addReplica(model, "software "+software, true) || added
+		p.requiredSoftware = nil
 	}
+	return added
 }
 
 // servedBySoftware reports whether an instance of a software version serves a model or is about to.
--- a/residency/software_test.go
+++ b/residency/software_test.go
@@ -50,3 +50,35 @@
 		}
 	}
 }
+
+// TestFirstReplicaGoesToTheSoftwareThatStreamsWaitFor guards against a load from the weight store that
+// the streams which wait for an unreachable model cannot use: it went to an empty instance of another
+// version, and the rate limit of the store delayed the load at theirs by seconds.
+func TestFirstReplicaGoesToTheSoftwareThatStreamsWaitFor(t *testing.T) {
+	cases := []struct {
+		name    string
+		waiting map[string]int
+		target  string
+	}{
+		{"no stream waits", nil, "s2"},
+		{"streams of the full version wait", map[string]int{"v1": 1}, "s0"},
+		{"streams of the other version wait", map[string]int{"v2": 1}, "s2"},
+		{"streams of a version that no instance runs wait", map[string]int{"v3": 1}, "s2"},
+	}
+	for _, c := range cases {
+		deployment := newPromptDeployment(
+			&fakeInstance{id: "s0", software: "v1", models: map[string][]string{"hot": nil}},
+			&fakeInstance{id: "s1", software: "v2", models: map[string][]string{"hot": nil}},
+			&fakeInstance{id: "s2", software: "v2", models: map[string][]string{}},
+		)
+		deployment.engine = &fleet.Engine{
+			Slots: 32, WeightsMB: 100, LoadsPerSecond: 0.2,
+			Models: []fleet.Model{{Name: "hot", WeightsMB: 100, LoadTime: 9 * time.Second}, {Name: "rare", WeightsMB: 100, LoadTime: 9 * time.Second}},
+		}
+		rare := residency.Demand{Concurrent: 1, PerSecond: 0.1, Waiting: 1, Software: c.waiting}
+		deployment.run(3*time.Second, map[string]residency.Demand{"hot": {Concurrent: 2, PerSecond: 2}, "rare": rare})
+		if targets := loadTargets(deployment.orders, "rare"); len(targets) != 1 || targets[0] != c.target {
+			t.Errorf("%s: loaded on %v, want %s", c.name, targets, c.target)
+		}
+	}
+}
