--- a/balance/slowness.go
+++ b/balance/slowness.go
@@ -46,7 +46,7 @@
 	}
 	smallest, largest := maxSlowness, minSlowness
 	for i, instance := range candidates {
-		if statuses[i].missing {
+		if statuses[i].excluded() {
 			continue
 		}
 		slowness := boundedSlowness(t.paces.Slowness(instance.ID))
