Suspected requests keep their turn until an instance runs them

What callers saw: take-ups of streams that ran at servers which crashed waited a second and more between two attempts, though no server had run them at the first one.

Cause: the turn of a suspected content was used up by each attempt, also by a refused connection and by an instance that turned the request away. The next turn comes a second later in the whole fleet.

Only a run uses the turn. It is valid for half a second as before, so no more copies run in any second.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -312,7 +312,6 @@
 	}
 	e.observe(Event{Step: StepSent, Instance: id, Software: candidate.Instance.Software, Load: candidate.Load, Candidates: candidate.CandidateCount, ChosenBy: candidate.By, Left: outbound.Left})
 	e.phase = PhaseAttempt
-	e.suspectTurnExpires = time.Time{}
 	e.gateway.tracker.Begin(id, e.request.PromptTokens)
 	e.leaveQueue()
 	e.awaitingFirstByte, e.sentAt, e.startedAt = true, e.gateway.Now(), time.Time{}
@@ -332,8 +331,8 @@
 // recordRun records that an instance runs the request, or may have run it.
 func (e *exchange) recordRun() {
 	e.mayHaveRun = true
-	// This run has used the allowance; a further run needs its own.
-	e.allowedAt = time.Time{}
+	// This run has used the allowance and the turn; a further run needs its own.
+	e.allowedAt, e.suspectTurnExpires = time.Time{}, time.Time{}
 }
 
 // connections returns this daemon's maximum number of connections to one instance; zero means no limit.
