Take-ups tell the placement their version until an instance runs them

Callers saw: streams that clients take up after half of the servers of a service crashed wait for their model at a server of their version and are refused (no_model), though a load of that model began seconds before.

Cause: the placement heard of the version that a take-up needs only once the take-up found no instance with the model. Also, the report that a model is missing woke the control duty before the version was counted.

Fix: a take-up whose origin is known reports its version when it begins to look for an instance, until an instance runs it or it ends. SoftwareMissing is therefore called SoftwareNeeded.

--- a/entry/demand.go
+++ b/entry/demand.go
@@ -104,8 +104,8 @@
 	return func() { w.wait(service, model, adapter, -1) }
 }
 
-// SoftwareMissing implements gateway.DemandObserver.
-func (w *demandCounter) SoftwareMissing(service, model, software string) func() {
+// SoftwareNeeded implements gateway.DemandObserver.
+func (w *demandCounter) SoftwareNeeded(service, model, software string) func() {
 	w.waitFor(service, model, software, 1)
 	return func() { w.waitFor(service, model, software, -1) }
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -87,10 +87,12 @@
 	// lacksResumePoint is true if the last event that was forwarded has no ID: a continuation would repeat it.
 	lacksResumePoint bool
 	// nextEventBegun is true if a part of the event after the last complete one has arrived: the stream has at least one more.
-	nextEventBegun  bool
-	requiredOrigin  requiredOrigin
-	deliveryTimes   delivery
-	backgroundState backgroundState
+	nextEventBegun bool
+	requiredOrigin requiredOrigin
+	// withdrawSoftware withdraws the report of the version that the stream needs; nil if there is none.
+	withdrawSoftware func()
+	deliveryTimes    delivery
+	backgroundState  backgroundState
 	// reportedStep and reportedReason are the last wait that was reported to the observer.
 	reportedStep   Step
 	reportedReason Reason
@@ -122,6 +124,8 @@
 	defer e.leaveQueue()
 	defer e.releaseSlot()
 	defer e.cancelRetry()
+	e.reportSoftware()
+	defer e.endSoftwareReport()
 	e.resumeAfter = e.request.ResumeAfter
 	last := attemptUnreached
 	for {
@@ -331,6 +335,7 @@
 // recordRun records that an instance runs the request, or may have run it.
 func (e *exchange) recordRun() {
 	e.mayHaveRun = true
+	e.endSoftwareReport()
 	// This run has used the allowance and the turn; a further run needs its own.
 	e.allowedAt, e.suspectTurnExpires = time.Time{}, time.Time{}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,9 +72,9 @@
 	// ModelMissing records that a request needs a model or adapter that no instance has loaded.
 	// The caller must call the returned function when the request stops waiting.
 	ModelMissing(service, model, adapter string) func()
-	// SoftwareMissing records that a stream needs a model at instances of a software version, none of which has it
-	// loaded. The caller must call the returned function when the stream stops waiting.
-	SoftwareMissing(service, model, software string) func()
+	// SoftwareNeeded records that a stream which does not run can resume only at instances of a software version that have a
+	// model. The caller must call the returned function when the stream runs or ends.
+	SoftwareNeeded(service, model, software string) func()
 	// RequestStarted records that a request for a model began; the returned function records its end.
 	RequestStarted(service, model string) func()
 	// Refused records that a request that had begun was refused for lack of capacity.
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -62,6 +62,23 @@
 	return ""
 }
 
+// reportSoftware reports to the placement that a stream can resume at instances of one version only. The report holds
+// until an instance runs the request or the exchange ends, whatever the request waits for: the instance that has the model
+// may be gone, and the next load of the model should be of use to the stream.
+func (e *exchange) reportSoftware() {
+	if e.requiredOrigin.required && e.request.Model != "" {
+		e.withdrawSoftware = e.gateway.demand.SoftwareNeeded(e.service, e.request.Model, e.requiredOrigin.software)
+	}
+}
+
+// endSoftwareReport withdraws the report of reportSoftware, if there is one.
+func (e *exchange) endSoftwareReport() {
+	if e.withdrawSoftware != nil {
+		e.withdrawSoftware()
+		e.withdrawSoftware = nil
+	}
+}
+
 // recordStart restricts the stream to the version of the instance whose first event is sent, and records it.
 func (e *exchange) recordStart(instance *fleet.Instance) {
 	e.requiredOrigin.require(instance.Software)
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -80,15 +80,7 @@
 // reportDemand reports to the placement what the request waits for. The returned function withdraws the report.
 func (w *candidateWait) reportDemand() func() {
 	e := w.exchange
-	withdrawModel := e.gateway.demand.ModelMissing(e.service, e.request.Model, e.request.Adapter)
-	if !e.requiredOrigin.required {
-		return withdrawModel
-	}
-	withdrawSoftware := e.gateway.demand.SoftwareMissing(e.service, e.request.Model, e.requiredOrigin.software)
-	return func() {
-		withdrawModel()
-		withdrawSoftware()
-	}
+	return e.gateway.demand.ModelMissing(e.service, e.request.Model, e.request.Adapter)
 }
 
 // awaitConnection waits for a connection. It reports whether the request may search again.
