Streams of a crashed server get their model as soon as memory is free

Callers saw: streams that clients take up after their server crashed wait until the instance list reflects the crash (three heartbeats), and then for a load from the weight store of 7 to 9 s, though a server of their version was back after 2 s, empty and with a copy of the model on its disk.

Cause: where loads take longer than the list, a crashed instance counts as serving its models until it leaves the list.

Fix: for a model that streams of a version wait for, a crashed instance of that version does not count. The replica takes free memory at the version; nothing is evicted for it until the list reflects the crash, as the instance may be back within seconds. Without such streams nothing changes.

TestStreamsOfACrashedServerGetTheirModelAtOnce failed before: "an empty instance of the version: loaded on [], want [s3]".

--- a/residency/software.go
+++ b/residency/software.go
@@ -15,33 +15,44 @@
 	}
 }
 
-// addReplicasForSoftwareOf does so for one model. It reports whether it added an order.
+// addReplicasForSoftwareOf does so for one model. It reports whether it added an order. While the
+// list still names a crashed instance with the model, nothing is evicted: the instance may be back
+// within seconds, empty and with a local copy.
 func (p *plan) addReplicasForSoftwareOf(model *fleet.Model) bool {
 	added := false
 	waiting := p.observed[model.Name].Software
 	for _, software := range slices.Sorted(maps.Keys(waiting)) {
-		if waiting[software] <= 0 || p.servedBySoftware(model.Name, software) {
+		if waiting[software] <= 0 {
+			continue
+		}
+		served, crashed := p.servedBySoftware(model.Name, software)
+		if served {
 			continue
 		}
 		p.requiredSoftware = &software
-		added = p.addReplica(model, "software "+software, true) || added
+		added = p.addReplica(model, "software "+software, !crashed) || added
 		p.requiredSoftware = nil
 	}
 	return added
 }
 
-// servedBySoftware reports whether an instance of a software version serves a model or is about to.
-func (p *plan) servedBySoftware(model, software string) bool {
+// servedBySoftware reports whether an instance of a software version serves a model or is about to,
+// and whether one that did has crashed.
+func (p *plan) servedBySoftware(model, software string) (served, crashed bool) {
 	for _, s := range p.projections {
-		if s.instanceState.instance.Software == software && !s.unresponsive && (s.serves(model) || s.reservedFor == model) {
-			return true
+		switch {
+		case s.instanceState.instance.Software != software || !s.serves(model) && s.reservedFor != model:
+		case s.instanceState.crashed(p.now):
+			crashed = true
+		case !s.unresponsive:
+			return true, crashed
 		}
 	}
-	return false
+	return false, crashed
 }
 
 // matchesSoftware reports whether the software version of an instance allows it to take the model
-// that is being placed.
+// that is being placed. An instance that has crashed takes none for the streams of its version.
 func (p *plan) matchesSoftware(s *projection) bool {
-	return p.requiredSoftware == nil || s.instanceState.instance.Software == *p.requiredSoftware
+	return p.requiredSoftware == nil || s.instanceState.instance.Software == *p.requiredSoftware && !s.instanceState.crashed(p.now)
 }
--- a/residency/software_test.go
+++ b/residency/software_test.go
@@ -1,6 +1,7 @@
 package residency_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -82,3 +83,54 @@
 		}
 	}
 }
+
+// TestStreamsOfACrashedServerGetTheirModelAtOnce guards against streams that wait for their model until
+// the instance list reflects the crash of the last instance of their version with it, while other models
+// take the memory of the instances that are back. Nothing is evicted for them until then.
+func TestStreamsOfACrashedServerGetTheirModelAtOnce(t *testing.T) {
+	cases := []struct {
+		name    string
+		waiting map[string]int
+		crashed bool
+		// back is set if an empty instance of the version appears.
+		back    bool
+		targets []string
+	}{
+		{"an empty instance of the version", map[string]int{"v1": 1}, true, true, []string{"s3"}},
+		{"the instance lives", map[string]int{"v1": 1}, false, true, nil},
+		{"no stream waits", nil, true, true, nil},
+		{"no free memory at the version", map[string]int{"v1": 1}, true, false, nil},
+	}
+	for _, c := range cases {
+		instances := []*fakeInstance{
+			{id: "s0", software: "v1", models: map[string][]string{"rare": nil}},
+			{id: "s1", software: "v1", models: map[string][]string{"hot": nil}},
+			{id: "s2", software: "v2", models: map[string][]string{"hot": nil}},
+		}
+		if c.back {
+			instances = append(instances, &fakeInstance{id: "s3", software: "v1", models: map[string][]string{}})
+		}
+		deployment := newPromptDeployment(instances...)
+		deployment.engine = &fleet.Engine{
+			Slots: 32, WeightsMB: 100, LoadsPerSecond: 10,
+			Models: []fleet.Model{{Name: "rare", WeightsMB: 100, LoadTime: 9 * time.Second}, {Name: "hot", WeightsMB: 100, LoadTime: 9 * time.Second}},
+		}
+		for _, s := range deployment.instances {
+			deployment.tracker.Report(deployment.now, deployment.now, s.id, s.report())
+		}
+		deployment.now = deployment.now.Add(10 * time.Millisecond)
+		if c.crashed {
+			deployment.tracker.RecordCrash(deployment.now, "s0")
+		}
+		demand := map[string]residency.Demand{"hot": {Concurrent: 0.06, PerSecond: 0.06}, "rare": {Concurrent: 0.06, PerSecond: 0.06, Software: c.waiting}}
+		orders := deployment.tracker.Plan(deployment.now, serviceFor(deployment.engine), demand)
+		if targets := loadTargets(orders, "rare"); !slices.Equal(targets, c.targets) {
+			t.Errorf("%s: loaded on %v, want %v", c.name, targets, c.targets)
+		}
+		for _, order := range orders {
+			if !order.Load {
+				t.Errorf("%s: %s is evicted from %s", c.name, order.Model, order.Instance)
+			}
+		}
+	}
+}
