--- a/internal/headguard/scanner.go
+++ b/internal/headguard/scanner.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"strconv"
 	"strings"
+
+	"github.com/wheatweir/wheatweir/internal/messagehead"
 )
 
 // scanner follows the requests of one connection byte by byte, in any split, with the grammar of net/http: lines end with LF or
@@ -13,7 +15,7 @@
 	// line is the line that is being read, up to maxLine bytes; lineBytes is its full length.
 	line      []byte
 	lineBytes int
-	head      head
+	head      messagehead.Framing
 	// left is how many bytes of a body or chunk are still to come.
 	left int64
 }
@@ -36,16 +38,6 @@
 // maxLine bounds what is kept of a line: the fields that matter here are short, and of others only the name.
 const maxLine = 256
 
-// head is what the fields of a head say about the framing of the body.
-type head struct {
-	lengths []string
-	chunked bool
-	// inFraming is set behind a field that frames the body.
-	inFraming bool
-	// unclear is set if such a field may be read in two ways.
-	unclear bool
-}
-
 // verdict is the result for one head: whether the framing of its body may be read in more than one way, and how it is read.
 type verdict struct {
 	ambiguous bool
@@ -74,7 +66,7 @@
 			s.addLine(data[:end])
 			data = data[end+1:]
 			if s.endLine() {
-				verdicts = append(verdicts, verdict{s.head.ambiguous(), s.head.chunked, s.head.length()})
+				verdicts = append(verdicts, verdict{s.head.Ambiguous(), s.head.Chunked(), s.head.Length()})
 				s.beginBody()
 			}
 		}
@@ -90,7 +82,7 @@
 // endBody ends a body with a length, or a chunk.
 func (s *scanner) endBody() {
 	s.state = inRequestLine
-	if s.head.chunked {
+	if s.head.Chunked() {
 		s.state = inChunkEnd
 	}
 }
@@ -104,13 +96,13 @@
 	case inRequestLine:
 		// net/http skips empty lines behind a body, and ends the connection for others.
 		if !empty {
-			s.state, s.head = inFields, head{}
+			s.state, s.head = inFields, messagehead.Framing{}
 		}
 	case inFields:
 		if empty {
 			return true
 		}
-		s.head.add(line, whole)
+		s.head.AddLine(line, whole)
 	case inChunkLine:
 		s.beginChunk(line, whole)
 	case inChunkEnd:
@@ -129,13 +121,13 @@
 // beginBody begins the body that the head announces.
 func (s *scanner) beginBody() {
 	switch {
-	case s.head.ambiguous():
+	case s.head.Ambiguous():
 		// The connection is closed after the answer.
 		s.state = lost
-	case s.head.chunked:
+	case s.head.Chunked():
 		s.state = inChunkLine
 	default:
-		s.left, s.state = s.head.length(), inLengthBody
+		s.left, s.state = s.head.Length(), inLengthBody
 		if s.left == 0 {
 			s.state = inRequestLine
 		}
@@ -155,65 +147,3 @@
 		s.left, s.state = int64(count), inChunk
 	}
 }
-
-// add takes in a field. Whole says that the line was kept to its end.
-func (h *head) add(line []byte, whole bool) {
-	if line[0] == ' ' || line[0] == '\t' {
-		// It continues the field before it.
-		h.unclear = h.unclear || h.inFraming
-		return
-	}
-	name, value, _ := bytes.Cut(line, []byte{':'})
-	field := bytes.TrimSpace(name)
-	isLength := bytes.EqualFold(field, contentLength)
-	h.inFraming = isLength || bytes.EqualFold(field, transferEncoding)
-	if !h.inFraming {
-		return
-	}
-	text := strings.Trim(string(value), " \t")
-	if !whole || len(field) != len(name) || strings.ContainsAny(text, "\r\x00") {
-		h.unclear = true
-	}
-	if isLength {
-		h.lengths = append(h.lengths, text)
-		return
-	}
-	h.unclear = h.unclear || h.chunked || !strings.EqualFold(text, "chunked")
-	h.chunked = true
-}
-
-// Fields that frame a body.
-var (
-	contentLength    = []byte("Content-Length")
-	transferEncoding = []byte("Transfer-Encoding")
-)
-
-// ambiguous reports whether the framing of the body may be read in more than one way.
-func (h *head) ambiguous() bool {
-	if h.unclear || h.chunked && len(h.lengths) > 0 {
-		return true
-	}
-	for _, length := range h.lengths {
-		if length != h.lengths[0] || !isDecimal(length) {
-			return true
-		}
-	}
-	return false
-}
-
-// length returns the length of the body; zero if there is none.
-func (h *head) length() int64 {
-	if len(h.lengths) == 0 {
-		return 0
-	}
-	length, err := strconv.ParseInt(h.lengths[0], 10, 64)
-	if err != nil {
-		return 0
-	}
-	return length
-}
-
-func isDecimal(text string) bool {
-	_, err := strconv.ParseUint(text, 10, 63)
-	return err == nil
-}
