Native path: only quiet connections, one whole head

What callers saw: an empty success, or one with the body of another answer, where a server sends more than one answer on a connection that is used again.

Cause: a connection went back to the pool without a look at what had come behind the answer, and was taken from it without a look at what had come since; a head that was left unfinished could take the next one into it.

Why it works: a connection is kept and taken only if it is open and nothing waits on it, and the bytes of a head pass the check that platform/ uses. Left: a whole answer that comes after the next request was sent; calls that must not be repeated go over connections of their own.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -14,7 +14,9 @@
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 
+	"github.com/wheatweir/wheatweir/internal/idle"
 	"github.com/wheatweir/wheatweir/internal/membudget"
+	"github.com/wheatweir/wheatweir/internal/messagehead"
 )
 
 // Error classes.
@@ -74,6 +76,9 @@
 	lastUsed    time.Time
 	readTimeout time.Duration
 	reused      bool
+	// head is what has arrived while a head is being read, also behind it.
+	head        []byte
+	readingHead bool
 }
 
 // Read sets a new read deadline before each read.
@@ -81,9 +86,28 @@
 	if err := c.SetReadDeadline(time.Now().Add(c.readTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(buffer)
+	count, err := c.Conn.Read(buffer)
+	if c.readingHead {
+		c.head = append(c.head, buffer[:count]...)
+	}
+	return count, err
 }
 
+// readHead reads the head of an answer into the message, with the interim answers before it, and checks that it is that of one
+// answer. The message reads its body from the connection later.
+func (c *connection) readHead(message *fasthttp.Response) error {
+	c.readingHead = true
+	defer func() { c.readingHead, c.head = false, nil }()
+	message.StreamBody = true
+	if err := message.ReadLimitBody(c.reader, 0); err != nil {
+		return err
+	}
+	return messagehead.CheckResponse(c.head[:len(c.head)-c.reader.Buffered()])
+}
+
+// isQuiet reports whether the connection is open and nothing waits to be read: an answer that nobody asked for belongs to no request.
+func (c *connection) isQuiet() bool { return c.reader.Buffered() == 0 && idle.IsOpen(c.Conn) }
+
 // Options of one request.
 type Options struct {
 	// FreshConnection opens a new connection instead of reusing an idle one. If
@@ -109,8 +133,7 @@
 		response.abort()
 		return nil, ErrSent.Wrap(err)
 	}
-	response.message.StreamBody = true
-	if err := response.message.ReadLimitBody(conn.reader, 0); err != nil {
+	if err := conn.readHead(response.message); err != nil {
 		response.abort()
 		if ctx.Err() != nil {
 			err = ctx.Err()
@@ -149,7 +172,7 @@
 		}
 		conn := connections[len(connections)-1]
 		p.idle[address] = connections[:len(connections)-1]
-		if time.Since(conn.lastUsed) < p.settings.KeepAlive {
+		if time.Since(conn.lastUsed) < p.settings.KeepAlive && conn.isQuiet() {
 			return conn
 		}
 		_ = conn.Close()
@@ -160,7 +183,7 @@
 	conn.lastUsed = time.Now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.closed || len(p.idle[address]) >= p.settings.MaxIdle {
+	if p.closed || len(p.idle[address]) >= p.settings.MaxIdle || !conn.isQuiet() {
 		_ = conn.Close()
 		return
 	}
