Tests: heads cut at every byte are no success

Clients of other operators got a 200 with an empty or short body, framed as whole, of a server that stopped in its answer's head and closed.

Each case checks that its server was reached.

--- a/upstream/leftovers_test.go
+++ b/upstream/leftovers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,3 +99,47 @@
 		pool.Close()
 	}
 }
+
+// TestAnswersCutInTheHeadAreNoSuccess guards against a success with an empty or short body of a server that stopped in the middle of
+// its answer's head.
+func TestAnswersCutInTheHeadAreNoSuccess(t *testing.T) {
+	for name, head := range map[string]string{
+		"a length":               "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Trace: a\r\n\r\n",
+		"an empty body":          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"chunks":                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"no framing":             "HTTP/1.1 200 OK\r\nX-Trace: a\r\n\r\n",
+		"no content":             "HTTP/1.1 204 No Content\r\nX-Trace: a\r\n\r\n",
+		"HTTP/1.0":               "HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"an interim answer":      "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"lines that end with LF": "HTTP/1.1 200 OK\nContent-Length: 0\n\n",
+		"a folded field":         "HTTP/1.1 200 OK\r\nX-Trace: a\r\n b\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var place atomic.Int64
+			var resets atomic.Bool
+			address := startServer(t, func(conn net.Conn, _ int) {
+				_, _ = io.WriteString(conn, head[:place.Load()])
+				if resets.Load() {
+					// The bytes arrive before the reset.
+					time.Sleep(time.Millisecond)
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				_ = conn.Close()
+			})
+			settings := upstream.DefaultSettings()
+			// A busy machine takes its time, and a case whose server is not reached shows nothing.
+			settings.DialTimeout = time.Minute
+			pool := upstream.NewPool(settings)
+			defer pool.Close()
+			for _, reset := range []bool{false, true} {
+				resets.Store(reset)
+				for place.Store(0); place.Load() < int64(len(head)); place.Add(1) {
+					if body, err := call(context.Background(), pool, address); !upstream.ErrSent.Has(err) {
+						t.Errorf("cut after %q, reset %t: %q, %v", head[:place.Load()], reset, body, err)
+					}
+				}
+			}
+		})
+	}
+}
