--- /dev/null
+++ b/cmd/wheatweird/ends_test.go
@@ -0,0 +1,270 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/platform/standin"
+)
+
+const (
+	endsDaemons = 7
+	endsServers = 18
+	// endsAnswers is how many answers are in progress when servers are killed, endsKilled how many of the servers are.
+	endsAnswers = 210
+	endsKilled  = 9
+	// entryRemoval is how long the entry of a killed server stays in the store.
+	entryRemoval = 500 * time.Millisecond
+)
+
+// endsServices are a service with an engine and one without.
+var endsServices = []string{"engine", "plain"}
+
+// endsFleet is a fleet of real daemons before real servers.
+type endsFleet struct {
+	*retryFleet
+	servers []*serverProcess
+	ids     []string
+}
+
+// startEndsFleet starts daemons, and servers of both services in turn.
+func startEndsFleet(t *testing.T, binary string, between between) *endsFleet {
+	t.Helper()
+	store, err := standin.NewStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	f := &endsFleet{retryFleet: &retryFleet{store: store}}
+	configuration := &fleet.Configuration{Version: 1, Services: []fleet.Service{
+		{Name: endsServices[0], MaxConnections: 400, Engine: &fleet.Engine{
+			Slots: 64, MemoryTokens: 1 << 30, WeightsMB: 200, AdapterSlots: 4, LoadsPerSecond: 5, Models: []fleet.Model{{Name: "m", WeightsMB: 60}},
+		}},
+		{Name: endsServices[1], MaxConnections: 400, HealthPath: "/health"},
+	}}
+	for _, service := range endsServices {
+		for _, kind := range []fleet.Route{
+			{Name: "stream", Kind: fleet.KindStream}, {Name: "resumable", Kind: fleet.KindStream, Resumable: true},
+			{Name: "unsafe", Kind: fleet.KindUnsafe}, {Name: "safe", Kind: fleet.KindSafe},
+		} {
+			kind.PathPrefix = "/" + service + "/" + kind.Name + "/"
+			kind.Name, kind.Host, kind.Timeout, kind.TargetLatency, kind.MaxAttempts = service+"-"+kind.Name, "h.example", 6*time.Second, 2*time.Second, 2
+			kind.Targets = []fleet.Target{{Service: service, Weight: 1}}
+			configuration.Routes = append(configuration.Routes, kind)
+		}
+	}
+	store.Configure(configuration)
+	for number := range endsServers {
+		f.servers = append(f.servers, startServerProcess(t, fmt.Sprint("s", number), between))
+		f.ids = append(f.ids, fmt.Sprint("s", number))
+		f.list(number)
+	}
+	folder := t.TempDir()
+	var seeds []string
+	for number := range endsDaemons {
+		d := f.newDaemon(t, binary, folder, number)
+		f.daemons = append(f.daemons, d)
+		seeds = append(seeds, d.relay.address())
+	}
+	for _, d := range f.daemons {
+		content, err := os.ReadFile(d.settings)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(d.settings, append(content, "[peers]\nseeds = "+strings.Join(seeds[:3], ", ")+"\n"...), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		d.start(t)
+	}
+	for _, d := range f.daemons {
+		for _, service := range endsServices {
+			d.waitServing(t, "/"+service+"/resumable/length")
+		}
+	}
+	return f
+}
+
+// waitServing waits until a path is served.
+func (d *retryDaemon) waitServing(t *testing.T, path string) {
+	t.Helper()
+	for until := time.Now().Add(30 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		if try := readParts(d.front, path, "probe", partCount-1); try.complete {
+			return
+		}
+		if time.Now().After(until) {
+			t.Fatalf("%s is not served through %s", path, d.front)
+		}
+	}
+}
+
+// list enters a server into the store.
+func (f *endsFleet) list(number int) {
+	f.store.Put("servers", f.ids[number], map[string]any{
+		"service": endsServices[number%len(endsServices)], "address": f.servers[number].address(), "zone": "z", "version": "v1", "slots": 64, "state": "ready", "coldLeftMs": 0, "callSeq": 0,
+		"models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}},
+	})
+}
+
+// crash kills a server. What is between starts it again at once if it can.
+func (f *endsFleet) crash(t *testing.T, number int) {
+	s := f.servers[number]
+	s.kill()
+	before := f.ids[number]
+	restarts := s.between == betweenSupervisor
+	if restarts {
+		f.ids[number] += "-again"
+		s.start(t, f.ids[number])
+	}
+	time.Sleep(entryRemoval)
+	f.store.Delete("servers", before)
+	if restarts {
+		f.list(number)
+	}
+}
+
+// readParts requests an answer and reads it to its end.
+func readParts(address, path, id string, after int) (try streamTry) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return try
+	}
+	defer conn.Close()
+	head := "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id + "\r\nX-Model: m\r\nX-Token-Count: 10,10\r\nContent-Length: 0\r\n"
+	if after > 0 {
+		head += fmt.Sprintf("Last-Event-Id: %d\r\n", after)
+	}
+	_, _ = io.WriteString(conn, head+"\r\n")
+	_ = conn.SetReadDeadline(time.Now().Add(2 * patience))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return try
+	}
+	try.status = response.StatusCode
+	reader := bufio.NewReader(response.Body)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			try.complete = err == io.EOF && line == "" && try.status == http.StatusOK
+			return try
+		}
+		if value, found := strings.CutPrefix(line, "id: "); found {
+			number, _ := strconv.Atoi(strings.TrimSpace(value))
+			try.numbers = append(try.numbers, number)
+		}
+		if value, found := strings.CutPrefix(line, "data: "); found && strings.TrimSpace(value) != id {
+			try.strange = value
+		}
+	}
+}
+
+// endsCount is what became of the answers of one framing.
+type endsCount struct {
+	all, whole, broken, early, disordered, mixed int
+}
+
+// count counts an answer behind a part.
+func (c *endsCount) count(try *streamTry, after int) {
+	c.all++
+	for place, number := range try.numbers {
+		if number != after+place+1 {
+			c.disordered++
+			break
+		}
+	}
+	if try.strange != "" {
+		c.mixed++
+	}
+	switch {
+	case !try.complete:
+		c.broken++
+	case after+len(try.numbers) < partCount:
+		c.early++
+	default:
+		c.whole++
+	}
+}
+
+// answersUnderCrashes reads answers while servers are killed, and returns what became of them by path.
+func (f *endsFleet) answersUnderCrashes(t *testing.T, random *rand.Rand, killed int) map[string]*endsCount {
+	tries := make([]streamTry, endsAnswers)
+	paths := make([]string, endsAnswers)
+	var group sync.WaitGroup
+	for number := range tries {
+		paths[number] = "/" + pick(random, endsServices) + "/" + pick(random, []string{"stream", "resumable", "unsafe", "safe"}) +
+			"/" + pick(random, []string{"none", "none", "length", "chunks"})
+		pause, id := time.Duration(random.IntN(300))*time.Millisecond, fmt.Sprintf("%016x", random.Uint64())
+		group.Go(func() {
+			time.Sleep(pause)
+			tries[number] = readParts(f.daemons[number%len(f.daemons)].front, paths[number], id, 0)
+		})
+	}
+	for _, number := range random.Perm(endsServers)[:killed] {
+		pause := time.Duration(300+random.IntN(250)) * time.Millisecond
+		group.Go(func() {
+			time.Sleep(pause)
+			f.crash(t, number)
+		})
+	}
+	group.Wait()
+	counts := map[string]*endsCount{}
+	for number, path := range paths {
+		if counts[path] == nil {
+			counts[path] = &endsCount{}
+		}
+		counts[path].count(&tries[number], 0)
+	}
+	return counts
+}
+
+func pick(random *rand.Rand, from []string) string { return from[random.IntN(len(from))] }
+
+// check checks that no answer looks complete before its end, holds a part twice or lacks one, or has parts of another one.
+func (c *endsCount) check(t *testing.T, path string) {
+	t.Helper()
+	if c.early+c.disordered+c.mixed > 0 {
+		t.Errorf("%s: %+v", path, *c)
+	}
+}
+
+// total sums the counts of all paths up.
+func total(counts map[string]*endsCount) (sum endsCount) {
+	for _, c := range counts {
+		sum.all, sum.whole, sum.broken = sum.all+c.all, sum.whole+c.whole, sum.broken+c.broken
+		sum.early, sum.disordered, sum.mixed = sum.early+c.early, sum.disordered+c.disordered, sum.mixed+c.mixed
+	}
+	return sum
+}
+
+// TestAnswersOfKilledServersAreNotComplete guards against an answer that looks complete before its end because its server process was
+// killed: the kernel ends its connections like those of a server that has sent all, and something else may accept connections at its
+// address at once. It also guards against whole answers of running servers that are taken for broken ones.
+func TestAnswersOfKilledServersAreNotComplete(t *testing.T) {
+	binary := buildBinary(t)
+	for seed, between := range []between{betweenNothing, betweenSupervisor, betweenClosingProxy, betweenHoldingProxy} {
+		t.Run(string(between), func(t *testing.T) {
+			f := startEndsFleet(t, binary, between)
+			random := rand.New(rand.NewPCG(uint64(seed), 1))
+			calm := total(f.answersUnderCrashes(t, random, 0))
+			t.Logf("running servers: %+v", calm)
+			if calm.whole != calm.all {
+				t.Errorf("%d of %d answers of running servers are whole", calm.whole, calm.all)
+			}
+			counts := f.answersUnderCrashes(t, random, endsKilled)
+			for path, c := range counts {
+				c.check(t, path)
+			}
+			t.Logf("killed servers: %+v", total(counts))
+		})
+	}
+}
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -139,6 +139,8 @@
 	// requests per second. Both are zero if instances have their full capacity from the start.
 	ColdSpan      time.Duration
 	ColdPerSecond float64
+	// HealthPath is the path at which an instance answers whether it is healthy; empty if there is none.
+	HealthPath string
 	// Engine is nil for a service without models.
 	Engine *Engine
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -306,7 +306,7 @@
 func (e *exchange) attempt(ctx context.Context, candidate *balance.Candidate) attemptResult {
 	id := candidate.Instance.ID
 	outbound := &Outbound{
-		Request: e.request, Instance: candidate.Instance, Left: e.until(e.deadline),
+		Request: e.request, Instance: candidate.Instance, Service: e.gateway.view.Load().Service(e.service), Left: e.until(e.deadline),
 		Priority: min(e.priority, maxPriority), Tenant: e.tenantName(), ResumeAfter: e.resumeAfter, MaxConnections: e.connections(),
 		MaxHeadBytes: e.headLimit(), StillAllowed: func() bool { return e.stillAllowed(id) },
 	}
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -81,6 +81,8 @@
 type Outbound struct {
 	Request  *Request
 	Instance *fleet.Instance
+	// Service is the service of the instance; nil if it is not known.
+	Service *fleet.Service
 	// Left is the time that the instance may use.
 	Left time.Duration
 	// Priority is the priority at the instance; zero is admitted first.
