--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -125,6 +125,8 @@
 	r.checkKeyRefusal(sent)
 	if answer.Status == 200 && answer.Complete {
 		r.checkWhole(sent)
+	} else {
+		r.checkGiven(sent)
 	}
 	if answer.PromisesNotRun() && !sent.repeatable() && !sent.resumable {
 		r.checked[promiseTrueRefusal]++
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -33,7 +33,21 @@
 }
 
 func (s *scene) run(id, server string) {
-	s.Ran(standin.Run{ID: id, At: time.Now(), Server: server, Method: "POST", URI: "/x", Body: "b", Header: http.Header{"X-Tenant": {ampleTenant}}})
+	s.runGiving(id, server, http.StatusOK)
+}
+
+// runGiving has a server run a request and answer with a status.
+func (s *scene) runGiving(id, server string, status int) {
+	s.Ran(standin.Run{
+		ID: id, At: time.Now(), Server: server, Method: "POST", URI: "/x", Body: "b", Header: http.Header{"X-Tenant": {ampleTenant}}, Status: status,
+	})
+}
+
+// statusAfter has a server run a request and give a status, and its client get an answer.
+func (s *scene) statusAfter(given int, answer standin.ClientAnswer) {
+	sent := s.request("a", fleet.KindSafe, 0, 0)
+	s.runGiving("a", "s1", given)
+	s.ended(sent, answer, nil)
 }
 
 // runAs has a server run a request with some fields.
@@ -166,6 +180,21 @@
 			answer.Body = answer.Body[:3]
 			s.ended(sent, answer, nil)
 		}},
+		{"a failure that the server gave", "", func(s *scene) {
+			s.statusAfter(500, standin.ClientAnswer{Status: 500, Signature: standin.SignatureOf("s1", "a")})
+		}},
+		{"a failure without the server's signature", promiseGiven, func(s *scene) { s.statusAfter(500, standin.ClientAnswer{Status: 500}) }},
+		{"a failure of a server that gave a success", promiseGiven, func(s *scene) {
+			s.statusAfter(200, standin.ClientAnswer{Status: 500, Signature: standin.SignatureOf("s1", "a")})
+		}},
+		{"a status that only another server gives", promiseGiven, func(s *scene) {
+			s.statusAfter(200, standin.ClientAnswer{Status: 404, Signature: standin.SignatureOf("s2", "a")})
+		}},
+		{"a status that nobody gives", promiseGiven, func(s *scene) { s.statusAfter(200, standin.ClientAnswer{Status: 204, Complete: true}) }},
+		{"a broken answer of another request", promiseGiven, func(s *scene) {
+			s.statusAfter(200, standin.ClientAnswer{Status: 200, Signature: standin.SignatureOf("s1", "b")})
+		}},
+		{"an unknown answer", "", func(s *scene) { s.statusAfter(200, standin.ClientAnswer{Status: 502, Complete: true}) }},
 		{"two servers run an unsafe request", promiseAtMostOnce, func(s *scene) {
 			s.request("a", fleet.KindUnsafe, 0, 0)
 			s.run("a", "s1")
@@ -284,11 +313,13 @@
 		}},
 		{"a planned stop cuts an answer that is no stream", promiseStopAnswers, func(s *scene) {
 			sent := s.waitThroughStop(fleet.KindUnsafe)
-			s.ended(sent, standin.ClientAnswer{Status: 200}, nil)
+			s.run("a", "s1")
+			s.ended(sent, standin.ClientAnswer{Status: 200, Signature: standin.SignatureOf("s1", "a")}, nil)
 		}},
 		{"a planned stop cuts a stream that has begun", "", func(s *scene) {
 			sent := s.waitThroughStop(fleet.KindStream)
-			s.ended(sent, standin.ClientAnswer{Status: 200}, nil)
+			s.run("a", "s1")
+			s.ended(sent, standin.ClientAnswer{Status: 200, Signature: standin.SignatureOf("s1", "a")}, nil)
 		}},
 		{"a planned stop ends a wait with an answer", "", func(s *scene) {
 			sent := s.waitThroughStop(fleet.KindUnsafe)
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -79,6 +79,8 @@
 	portals     []*standin.Server
 	refusals    int
 	bursts      atomic.Uint64
+	// hasty counts the requests that clients sent right after another one.
+	hasty atomic.Uint64
 
 	configMutex sync.Mutex
 	version     uint64
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -12,6 +12,7 @@
 // Names of the promises that a soak checks.
 const (
 	promiseWholeAnswer  = "whole answer"
+	promiseGiven        = "answer of a server"
 	promiseAtMostOnce   = "at most once"
 	promiseTrueRefusal  = "true refusal"
 	promiseUnchanged    = "unchanged request"
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -45,6 +45,17 @@
 	checkSeed(t, 318)
 }
 
+// TestSeededSoakOfLeftovers guards against answers that are made of two: servers leave whole answers and unfinished heads behind others
+// on kept connections, and clients got empty successes, failures that no server gave, and promises that a request had not run.
+func TestSeededSoakOfLeftovers(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	for _, seed := range []uint64{881101, 881104} {
+		checkSeed(t, seed)
+	}
+}
+
 // checkSeed runs one seed for a short while and checks that no promise was broken.
 func checkSeed(t *testing.T, seed uint64) {
 	t.Helper()
