A suspected request whose model was loaded late still waits for its turn

What callers saw: take-ups that had waited 5.9 s for their model were refused as suspected as soon as an instance had it, with 6 of 12 s left and the turn 0.86 s away.

Cause: a request waited for an instance and for its turn out of one allowance, so what waited long for its model had nothing left for the turn. A daemon gives out no turn in the first second after it stood still.

Once there is an instance for it, a request waits for its turn for a share of the time that is left then. A turn that is further away is refused at once, as not run. Turns come as before, so no more copies run in any second.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -49,6 +49,8 @@
 	instanceTurnExpires time.Time
 	// suspectTurnExpires is when the turn of the request's content expires, if the content is suspected.
 	suspectTurnExpires time.Time
+	// turnWaitUntil is when the request stops waiting for such a turn; zero before the first wait.
+	turnWaitUntil time.Time
 	// retryDelay is the time until a turn may be available, or until an instance's requested backoff ends.
 	retryDelay time.Duration
 	// quarantineAttributes holds the digests that the quarantine matches, or nil until they are needed. holdCause is
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -113,7 +113,7 @@
 			break
 		}
 		e.retryDelay = turn.Wait
-		if ctx.Err() != nil || turn.Wait > e.until(e.waitUntil) {
+		if ctx.Err() != nil || turn.Wait > e.until(e.turnDeadline()) {
 			return verdictOverdue
 		}
 		e.leaveQueue()
@@ -125,6 +125,16 @@
 	return outcome
 }
 
+// turnDeadline returns until when the request waits for a turn. It is a share of the time left once there is an instance
+// for it, however long it waited for that instance: turns are at most seconds away, and it has a place to run.
+func (e *exchange) turnDeadline() time.Time {
+	if e.turnWaitUntil.IsZero() {
+		left := e.until(e.firstEventDeadline)
+		e.turnWaitUntil = e.gateway.Now().Add(time.Duration(float64(left) * e.gateway.settings.MaxWaitShare))
+	}
+	return e.turnWaitUntil
+}
+
 // holdTimeLeft returns the time for which the request is still held.
 func (e *exchange) holdTimeLeft() time.Duration {
 	until, _ := e.gateway.settings.Quarantine.HeldUntil(e.attributes())
