Memory is freed for streams once their server is silent

Callers saw: streams wait for their model at their version for seconds although a replica there could be spared.

Cause: nothing was evicted for them while a crashed instance with the model was listed, up to 3.6 s and longer than the planner waits for silent instances (2.5 s).

Fix: a crashed instance that has been silent that long does not hold back an eviction any more.

--- a/residency/software.go
+++ b/residency/software.go
@@ -15,9 +15,9 @@
 	}
 }
 
-// addReplicasForSoftwareOf does so for one model. It reports whether it added an order. While the
-// list still names a crashed instance with the model, nothing is evicted: the instance may be back
-// within seconds, empty and with a local copy.
+// addReplicasForSoftwareOf does so for one model. It reports whether it added an order. While an
+// instance with the model has only just crashed, nothing is evicted: it may be back within seconds,
+// empty and with a local copy.
 func (p *plan) addReplicasForSoftwareOf(model *fleet.Model) bool {
 	added := false
 	waiting := p.observed[model.Name].Software
@@ -37,13 +37,13 @@
 }
 
 // servedBySoftware reports whether an instance of a software version serves a model or is about to,
-// and whether one that did has crashed.
+// and whether one that did has only just crashed.
 func (p *plan) servedBySoftware(model, software string) (served, crashed bool) {
 	for _, s := range p.projections {
 		switch {
 		case s.instanceState.instance.Software != software || !s.serves(model) && s.reservedFor != model:
 		case s.instanceState.crashed(p.now):
-			crashed = true
+			crashed = crashed || !s.unresponsive
 		case !s.unresponsive:
 			return true, crashed
 		}
