Take-ups wait longer for their model at their version

Cause: requests wait for an instance for half of their time, so that their client has the other half to try elsewhere. For a stream that is bound to a version there is no elsewhere: any daemon waits for the same instances.

Fix: such a request may wait 0.8 of its time.

TestTakeUpsWaitLongerForTheirVersion failed before: 503 no_model after 2 s of 4 s. Other requests wait as before.

--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -17,7 +17,7 @@
 func (e *exchange) candidate(ctx context.Context) (*balance.Candidate, Reason) {
 	if e.waitUntil.IsZero() {
 		left := e.until(e.firstEventDeadline)
-		e.waitUntil = e.gateway.Now().Add(time.Duration(float64(left) * e.gateway.settings.MaxWaitShare))
+		e.waitUntil = e.gateway.Now().Add(time.Duration(float64(left) * e.maxWaitShare()))
 	}
 	wait := &candidateWait{exchange: e, nextDelay: minCrowdedDelay}
 	defer wait.end()
--- a/gateway/softwaredemand_test.go
+++ b/gateway/softwaredemand_test.go
@@ -83,3 +83,40 @@
 		})
 	}
 }
+
+// TestTakeUpsWaitLongerForTheirVersion guards against take-ups that are refused seconds before the load of their model at their
+// version ends: their client comes back and waits for the same load. Other requests may find an instance elsewhere.
+func TestTakeUpsWaitLongerForTheirVersion(t *testing.T) {
+	cases := []struct {
+		name, resumes, after string
+		// loaded is the share of the client's time after which the model is loaded.
+		loaded float64
+		status int
+	}{
+		{"a take-up, loaded in time", "first", "3", 0.7, 200},
+		{"a take-up, loaded too late", "first", "3", 0.9, 503},
+		{"a new stream", "", "", 0.7, 503},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				origins := &fixedOrigins{known: map[string]gateway.StreamOrigin{"first": {Service: "svc", Software: "v2"}}}
+				settings := gateway.Settings{RetryAfter: 200 * time.Millisecond, MaxWaitShare: 0.5, ConnectionShare: func() float64 { return 1 }, StreamOrigins: origins}
+				g := gateway.New(settings, &scriptedUpstream{}, balance.NewTracker(), retry.NewBudgets(retry.Settings{Share: 0.2, Floor: 10, Initial: 10}), &recordingDemand{}, discardObserver{})
+				loaded, unloaded := softwareView("v1", "v2"), softwareView("v1", "v2")
+				for _, instance := range unloaded.Instances("svc") {
+					instance.Residents = nil
+				}
+				g.SetView(unloaded)
+				sent, got := request("resume"), &recordingReply{}
+				sent.Model, sent.ResumedRequestID, sent.ResumeAfter = "m", c.resumes, c.after
+				patience := loaded.Route("host", "/resume/x").FirstEventTimeout()
+				time.AfterFunc(time.Duration(c.loaded*float64(patience)), func() { g.SetView(loaded) })
+				g.Serve(context.Background(), sent, got)
+				if got.status != c.status {
+					t.Errorf("status %d, reason %q after %v of %v", got.status, got.reason, got.at.Sub(sent.Arrived), patience)
+				}
+			})
+		})
+	}
+}
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -32,6 +32,18 @@
 	backoffEndSpread = 100 * time.Millisecond
 )
 
+// maxPinnedWaitShare is MaxWaitShare for a stream that can resume at one software version only. Another daemon would
+// wait for the same instances, and a client that is refused comes back to the same load in progress.
+const maxPinnedWaitShare = 0.8
+
+// maxWaitShare returns the share of its remaining time that the request may spend waiting for an instance.
+func (e *exchange) maxWaitShare() float64 {
+	if e.requiredOrigin.required {
+		return max(maxPinnedWaitShare, e.gateway.settings.MaxWaitShare)
+	}
+	return e.gateway.settings.MaxWaitShare
+}
+
 // candidateWait is the wait of a request for an instance.
 type candidateWait struct {
 	exchange *exchange
