Adapters are loaded at the version whose streams need them

Callers saw: a stream that a client takes up, of a model with an adapter, waits for the adapter at its version until it is refused (no_adapter), if an instance of another version holds the adapter.

Cause: the planner loads an adapter that requests wait for if no instance holds it. Which version holds it did not count, and an adapter that only streams of a version wait for could be unloaded there as one that another instance holds too.

Fix: take-ups report the adapter that they need with their version. The planner loads it on an instance of the version that has the model, and unloads none there that streams of the version need.

TestStreamsGetTheirAdapterAtTheirSoftware failed before in two cases: v1 holds [a2], want a1 (without the load), and v1 holds [], want a2 (without the protection).

--- a/coordination/demand.go
+++ b/coordination/demand.go
@@ -86,6 +86,7 @@
 	sum.Waiting += load.Waiting
 	sum.Adapters = addCounts(sum.Adapters, load.Adapters)
 	sum.Software = addCounts(sum.Software, load.Software)
+	sum.SoftwareAdapters = addNestedCounts(sum.SoftwareAdapters, load.SoftwareAdapters)
 	sums[key] = sum
 }
 
@@ -100,6 +101,17 @@
 	return sum
 }
 
+// addNestedCounts adds counts of two levels to sum, which is created if there are any. It keeps no map of counts.
+func addNestedCounts(sum, counts map[string]map[string]int) map[string]map[string]int {
+	for key, inner := range counts {
+		if sum == nil {
+			sum = map[string]map[string]int{}
+		}
+		sum[key] = addCounts(sum[key], inner)
+	}
+	return sum
+}
+
 // validRefused returns the rate of refused requests. It returns zero if the rate is invalid or
 // exceeds the rate of requests that begin. One daemon's invalid number thus does not spoil the sum
 // over all.
@@ -118,7 +130,7 @@
 		}
 		d.current[key.service][key.model] = residency.Demand{
 			Concurrent: value, PerSecond: float64(sums[key].PerSecond), RefusedPerSecond: float64(sums[key].Refused), Waiting: sums[key].Waiting,
-			Adapters: sums[key].Adapters, Software: sums[key].Software,
+			Adapters: sums[key].Adapters, Software: sums[key].Software, SoftwareAdapters: sums[key].SoftwareAdapters,
 		}
 	}
 }
--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -207,6 +207,8 @@
 	// Software counts, by software version, the streams that wait for an instance of the version on
 	// which they began.
 	Software map[string]int `msgpack:"v,omitempty"`
+	// SoftwareAdapters counts those of them that wait for an adapter, by software version and adapter.
+	SoftwareAdapters map[string]map[string]int `msgpack:"va,omitempty"`
 }
 
 // ResidencyReport is what an instance holds according to its report.
--- a/entry/demand.go
+++ b/entry/demand.go
@@ -105,16 +105,26 @@
 }
 
 // SoftwareNeeded implements gateway.DemandObserver.
-func (w *demandCounter) SoftwareNeeded(service, model, software string) func() {
-	w.waitFor(service, model, software, 1)
-	return func() { w.waitFor(service, model, software, -1) }
+func (w *demandCounter) SoftwareNeeded(service, model, adapter, software string) func() {
+	w.need(service, model, adapter, software, 1)
+	return func() { w.need(service, model, adapter, software, -1) }
 }
 
-func (w *demandCounter) waitFor(service, model, software string, change int) {
+func (w *demandCounter) need(service, model, adapter, software string, change int) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	load := w.load(service, model)
 	load.Software = changeCount(load.Software, software, change)
+	if adapter == "" {
+		return
+	}
+	if load.SoftwareAdapters == nil {
+		load.SoftwareAdapters = map[string]map[string]int{}
+	}
+	load.SoftwareAdapters[software] = changeCount(load.SoftwareAdapters[software], adapter, change)
+	if len(load.SoftwareAdapters[software]) == 0 {
+		delete(load.SoftwareAdapters, software)
+	}
 }
 
 // changeCount changes a count; those that are zero are left out.
@@ -156,6 +166,10 @@
 		copied.PerSecond = float32(load.perSecond)
 		copied.Refused = float32(load.refused())
 		copied.Adapters, copied.Software = maps.Clone(load.Adapters), maps.Clone(load.Software)
+		copied.SoftwareAdapters = maps.Clone(load.SoftwareAdapters)
+		for software, adapters := range copied.SoftwareAdapters {
+			copied.SoftwareAdapters[software] = maps.Clone(adapters)
+		}
 		loads = append(loads, copied)
 	}
 	return loads
--- a/gateway/backgroundqueueexit_test.go
+++ b/gateway/backgroundqueueexit_test.go
@@ -125,4 +125,4 @@
 	})
 }
 
-func (discardDemand) SoftwareNeeded(_, _, _ string) func() { return func() {} }
+func (discardDemand) SoftwareNeeded(_, _, _, _ string) func() { return func() {} }
--- a/gateway/benchmark_test.go
+++ b/gateway/benchmark_test.go
@@ -85,4 +85,4 @@
 	}
 }
 
-func (discardDemand) SoftwareNeeded(_, _, _ string) func() { return func() {} }
+func (discardDemand) SoftwareNeeded(_, _, _, _ string) func() { return func() {} }
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -198,4 +198,4 @@
 	return &gateway.Request{ID: "r", Method: "POST", URI: "/" + route + "/x", Path: "/" + route + "/x", RouteHost: "host", Arrived: time.Now()}
 }
 
-func (*recordingDemand) SoftwareNeeded(_, _, _ string) func() { return func() {} }
+func (*recordingDemand) SoftwareNeeded(_, _, _, _ string) func() { return func() {} }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,8 +73,8 @@
 	// The caller must call the returned function when the request stops waiting.
 	ModelMissing(service, model, adapter string) func()
 	// SoftwareNeeded records that a stream which does not run can resume only at instances of a software version that have a
-	// model. The caller must call the returned function when the stream runs or ends.
-	SoftwareNeeded(service, model, software string) func()
+	// model and, unless it is empty, an adapter. The caller must call the returned function when the stream runs or ends.
+	SoftwareNeeded(service, model, adapter, software string) func()
 	// RequestStarted records that a request for a model began; the returned function records its end.
 	RequestStarted(service, model string) func()
 	// Refused records that a request that had begun was refused for lack of capacity.
--- a/gateway/softwaredemand_test.go
+++ b/gateway/softwaredemand_test.go
@@ -18,7 +18,7 @@
 	needed map[string]int
 }
 
-func (d *softwareDemand) SoftwareNeeded(_, model, software string) func() {
+func (d *softwareDemand) SoftwareNeeded(_, model, _, software string) func() {
 	d.needed[model+"@"+software]++
 	return func() { d.needed[model+"@"+software]-- }
 }
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -67,7 +67,7 @@
 // may be gone, and the next load of the model should be of use to the stream.
 func (e *exchange) reportSoftware() {
 	if e.requiredOrigin.required && e.request.Model != "" {
-		e.withdrawSoftware = e.gateway.demand.SoftwareNeeded(e.service, e.request.Model, e.requiredOrigin.software)
+		e.withdrawSoftware = e.gateway.demand.SoftwareNeeded(e.service, e.request.Model, e.request.Adapter, e.requiredOrigin.software)
 	}
 }
 
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -141,7 +141,7 @@
 func (p *plan) placeAdapter(model *fleet.Model, adapter string, makeRoom bool) {
 	var best, full *projection
 	for _, s := range p.hosts[model.Name] {
-		if !p.acceptsAdapters(s, model) {
+		if !p.acceptsAdapters(s, model) || !p.matchesSoftware(s) {
 			continue
 		}
 		if s.freeAdapterSlots <= 0 || s.freeMB < model.AdapterMB {
@@ -163,7 +163,7 @@
 	}
 	if full != nil && full.unloadingAdapters == 0 {
 		p.unloadAdapter(full, adapter)
-	} else if full == nil && p.pendingReplicas(model) == 0 {
+	} else if full == nil && p.requiredSoftware == nil && p.pendingReplicas(model) == 0 {
 		p.addReplica(model, "adapter wanted", true)
 	}
 }
@@ -189,7 +189,8 @@
 		adapterReplicas := p.adapterReplicas(name)
 		for adapter := range replica.adapters {
 			victim := adapterVictim{model: name, adapter: adapter, spare: adapterReplicas[adapter] > 1, rank: xxhash.Sum64String(salt + name + adapter)}
-			if (victim.spare || p.demand[name].Adapters[adapter] == 0) && victim.ranksBefore(&best) {
+			needed := p.observed[name].SoftwareAdapters[s.instanceState.instance.Software][adapter] > 0
+			if !needed && (victim.spare || p.demand[name].Adapters[adapter] == 0) && victim.ranksBefore(&best) {
 				best = victim
 			}
 		}
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -70,6 +70,7 @@
 	p.waitingTimes.observe(now, engine, demand)
 	p.loadReserved()
 	p.placeAdapters(true)
+	p.placeAdaptersForSoftware()
 	p.makeReachable((*plan).requested)
 	p.addReplicasForSoftware()
 	p.reserveStoreLoads()
--- a/residency/software.go
+++ b/residency/software.go
@@ -56,3 +56,29 @@
 func (p *plan) matchesSoftware(s *projection) bool {
 	return p.requiredSoftware == nil || s.instanceState.instance.Software == *p.requiredSoftware && !s.instanceState.crashed(p.now)
 }
+
+// placeAdaptersForSoftware loads the adapters that streams need on an instance of their software
+// version with the model.
+func (p *plan) placeAdaptersForSoftware() {
+	for i := range p.engine.Models {
+		model := &p.engine.Models[i]
+		needed := p.observed[model.Name].SoftwareAdapters
+		for _, software := range slices.Sorted(maps.Keys(needed)) {
+			p.requiredSoftware = &software
+			for _, adapter := range slices.Sorted(maps.Keys(needed[software])) {
+				if needed[software][adapter] > 0 && !p.adapterMatchesSoftware(model, adapter) {
+					p.placeAdapter(model, adapter, true)
+				}
+			}
+			p.requiredSoftware = nil
+		}
+	}
+}
+
+// adapterMatchesSoftware reports whether an instance of the required software version holds an
+// adapter of a model or is about to.
+func (p *plan) adapterMatchesSoftware(model *fleet.Model, adapter string) bool {
+	return slices.ContainsFunc(p.hosts[model.Name], func(s *projection) bool {
+		return p.matchesSoftware(s) && !s.unresponsive && s.serves(model.Name) && s.models[model.Name].adapters[adapter]
+	})
+}
--- a/residency/software_test.go
+++ b/residency/software_test.go
@@ -141,3 +141,36 @@
 		}
 	}
 }
+
+// TestStreamsGetTheirAdapterAtTheirSoftware guards against streams that wait indefinitely for an adapter that only
+// instances of other versions hold, and against unloading an adapter that streams of the version need.
+func TestStreamsGetTheirAdapterAtTheirSoftware(t *testing.T) {
+	cases := []struct {
+		name   string
+		needed map[string]map[string]int
+		// at is the adapter on the instance of v1 afterwards.
+		at string
+	}{
+		{"no stream waits", nil, "a2"},
+		{"streams of its version need the other adapter", map[string]map[string]int{"v1": {"a1": 1}}, "a1"},
+		{"streams of the other version need it", map[string]map[string]int{"v2": {"a1": 1}}, "a2"},
+		{"streams of its version need both", map[string]map[string]int{"v1": {"a1": 1, "a2": 1}}, "a2"},
+	}
+	for _, c := range cases {
+		deployment := newPromptDeployment(
+			&fakeInstance{id: "s0", software: "v1", models: map[string][]string{"big": {"a2"}}},
+			&fakeInstance{id: "s1", software: "v2", models: map[string][]string{"big": {"a1"}}},
+			&fakeInstance{id: "s2", software: "v2", models: map[string][]string{"big": {"a2"}}},
+		)
+		deployment.engine = &fleet.Engine{Slots: 32, WeightsMB: 100, AdapterSlots: 1, LoadsPerSecond: 1, Models: []fleet.Model{{Name: "big", WeightsMB: 90, Adapters: 2, AdapterMB: 2}}}
+		software := map[string]int{}
+		for version, adapters := range c.needed {
+			software[version] = len(adapters)
+		}
+		demand := residency.Demand{Concurrent: 1, PerSecond: 1, Software: software, SoftwareAdapters: c.needed}
+		deployment.run(3*time.Second, map[string]residency.Demand{"big": demand})
+		if held := deployment.instances[0].models["big"]; len(held) != 1 || held[0] != c.at {
+			t.Errorf("%s: v1 holds %v, want %s", c.name, held, c.at)
+		}
+	}
+}
--- a/residency/types.go
+++ b/residency/types.go
@@ -75,6 +75,8 @@
 	// Software counts the streams that wait for an instance of the software version that began
 	// them.
 	Software map[string]int
+	// SoftwareAdapters counts those of them that need an adapter, by software version and adapter.
+	SoftwareAdapters map[string]map[string]int
 }
 
 // Service is a service whose instances are planned for.
