--- a/cmd/wheatweird/ends_test.go
+++ b/cmd/wheatweird/ends_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -36,10 +37,13 @@
 	*retryFleet
 	servers []*serverProcess
 	ids     []string
+	// asked are the daemons that clients ask.
+	asked []*retryDaemon
 }
 
-// startEndsFleet starts daemons, and servers of both services in turn.
-func startEndsFleet(t *testing.T, binary string, between between) *endsFleet {
+// startEndsFleet starts daemons, some of them cut off from the servers, and servers of both services in turn. If some are cut off,
+// clients ask only these.
+func startEndsFleet(t *testing.T, binary string, between between, cutOff int) *endsFleet {
 	t.Helper()
 	store, err := standin.NewStore()
 	if err != nil {
@@ -73,7 +77,11 @@
 	folder := t.TempDir()
 	var seeds []string
 	for number := range endsDaemons {
-		d := f.newDaemon(t, binary, folder, number)
+		program := binary
+		if number < cutOff {
+			program = os.Args[0]
+		}
+		d := f.newDaemon(t, program, folder, number)
 		f.daemons = append(f.daemons, d)
 		seeds = append(seeds, d.relay.address())
 	}
@@ -87,12 +95,21 @@
 		}
 		d.start(t)
 	}
-	for _, d := range f.daemons {
+	if f.asked = f.daemons; cutOff > 0 {
+		f.asked = f.daemons[:cutOff]
+	}
+	f.waitServing(t)
+	return f
+}
+
+// waitServing waits until both services are served.
+func (f *endsFleet) waitServing(t *testing.T) {
+	t.Helper()
+	for _, d := range f.asked {
 		for _, service := range endsServices {
 			d.waitServing(t, "/"+service+"/resumable/length")
 		}
 	}
-	return f
 }
 
 // waitServing waits until a path is served.
@@ -171,6 +188,8 @@
 // endsCount is what became of the answers of one framing.
 type endsCount struct {
 	all, whole, broken, early, disordered, mixed int
+	// unfinished are the statuses of those that are not whole, and how many parts they have.
+	unfinished []string
 }
 
 // count counts an answer behind a part.
@@ -188,6 +207,7 @@
 	switch {
 	case !try.complete:
 		c.broken++
+		c.unfinished = append(c.unfinished, fmt.Sprintf("%d with %d parts", try.status, len(try.numbers)))
 	case after+len(try.numbers) < partCount:
 		c.early++
 	default:
@@ -195,8 +215,8 @@
 	}
 }
 
-// answersUnderCrashes reads answers while servers are killed, and returns what became of them by path.
-func (f *endsFleet) answersUnderCrashes(t *testing.T, random *rand.Rand, killed int) map[string]*endsCount {
+// answersDuring reads answers while something happens, and returns what became of them by path.
+func (f *endsFleet) answersDuring(random *rand.Rand, happens func()) map[string]*endsCount {
 	tries := make([]streamTry, endsAnswers)
 	paths := make([]string, endsAnswers)
 	var group sync.WaitGroup
@@ -206,16 +226,10 @@
 		pause, id := time.Duration(random.IntN(300))*time.Millisecond, fmt.Sprintf("%016x", random.Uint64())
 		group.Go(func() {
 			time.Sleep(pause)
-			tries[number] = readParts(f.daemons[number%len(f.daemons)].front, paths[number], id, 0)
-		})
-	}
-	for _, number := range random.Perm(endsServers)[:killed] {
-		pause := time.Duration(300+random.IntN(250)) * time.Millisecond
-		group.Go(func() {
-			time.Sleep(pause)
-			f.crash(t, number)
+			tries[number] = readParts(f.asked[number%len(f.asked)].front, paths[number], id, 0)
 		})
 	}
+	happens()
 	group.Wait()
 	counts := map[string]*endsCount{}
 	for number, path := range paths {
@@ -227,6 +241,19 @@
 	return counts
 }
 
+// crashSome kills servers at random, each at another time.
+func (f *endsFleet) crashSome(t *testing.T, random *rand.Rand) {
+	var group sync.WaitGroup
+	for _, number := range random.Perm(endsServers)[:endsKilled] {
+		pause := time.Duration(300+random.IntN(250)) * time.Millisecond
+		group.Go(func() {
+			time.Sleep(pause)
+			f.crash(t, number)
+		})
+	}
+	group.Wait()
+}
+
 func pick(random *rand.Rand, from []string) string { return from[random.IntN(len(from))] }
 
 // check checks that no answer looks complete before its end, holds a part twice or lacks one, or has parts of another one.
@@ -253,14 +280,16 @@
 	binary := buildBinary(t)
 	for seed, between := range []between{betweenNothing, betweenSupervisor, betweenClosingProxy, betweenHoldingProxy} {
 		t.Run(string(between), func(t *testing.T) {
-			f := startEndsFleet(t, binary, between)
+			f := startEndsFleet(t, binary, between, 0)
 			random := rand.New(rand.NewPCG(uint64(seed), 1))
-			calm := total(f.answersUnderCrashes(t, random, 0))
-			t.Logf("running servers: %+v", calm)
-			if calm.whole != calm.all {
-				t.Errorf("%d of %d answers of running servers are whole", calm.whole, calm.all)
+			counts := f.answersDuring(random, func() {})
+			for path, c := range counts {
+				if c.whole != c.all {
+					t.Errorf("running servers: %s: %+v", path, *c)
+				}
 			}
-			counts := f.answersUnderCrashes(t, random, endsKilled)
+			t.Logf("running servers: %+v", total(counts))
+			counts = f.answersDuring(random, func() { f.crashSome(t, random) })
 			for path, c := range counts {
 				c.check(t, path)
 			}
@@ -268,3 +297,65 @@
 		})
 	}
 }
+
+const (
+	// endsCutOff is how many daemons reach the servers only through the others, endsCarriers how many of the others end.
+	endsCutOff   = 2
+	endsCarriers = 3
+)
+
+// TestAnswersThroughDaemonsThatEndAreNotComplete guards against answers that look complete before their end, or that lack parts or have
+// them twice, because a daemon that carries them for another one, that other one, or their server is killed, frozen or stopped.
+func TestAnswersThroughDaemonsThatEndAreNotComplete(t *testing.T) {
+	f := startEndsFleet(t, buildBinary(t), betweenNothing, endsCutOff)
+	random := rand.New(rand.NewPCG(5, 1))
+	carriers := f.daemons[endsCutOff : endsCutOff+endsCarriers]
+	signalAll := func(daemons []*retryDaemon, signals ...syscall.Signal) func() {
+		return func() {
+			time.Sleep(400 * time.Millisecond)
+			for place, signal := range signals {
+				if place > 0 {
+					time.Sleep(freezeSpan)
+				}
+				for _, d := range daemons {
+					d.signal(signal)
+				}
+			}
+		}
+	}
+	for _, c := range []struct {
+		name    string
+		happens func()
+	}{
+		{"nothing", func() { f.checkCutOff(t) }},
+		{"carriers killed", signalAll(carriers, syscall.SIGKILL)},
+		{"carriers frozen", signalAll(carriers, syscall.SIGSTOP, syscall.SIGCONT)},
+		{"carriers stopped", signalAll(carriers, syscall.SIGTERM)},
+		{"asked daemons killed", signalAll(f.asked, syscall.SIGKILL)},
+		{"asked daemons frozen", signalAll(f.asked, syscall.SIGSTOP, syscall.SIGCONT)},
+		{"asked daemons stopped", signalAll(f.asked, syscall.SIGTERM)},
+		{"servers killed", func() { f.crashSome(t, random) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f.waitServing(t)
+			counts := f.answersDuring(random, c.happens)
+			for path, count := range counts {
+				count.check(t, path)
+			}
+			t.Logf("%+v", total(counts))
+		})
+	}
+}
+
+// checkCutOff checks that the daemons that are asked reach servers only through the others.
+func (f *endsFleet) checkCutOff(t *testing.T) {
+	t.Helper()
+	time.Sleep(2 * metricsInterval)
+	for _, d := range f.asked {
+		asked := entryDaemon{metrics: d.metrics}
+		direct, relayed := asked.metric(t, "wheatweir_connections_direct"), asked.metric(t, "wheatweir_connections_relayed")
+		if direct > 0 || relayed == 0 {
+			t.Errorf("%s: %v connections of its own, %v through others", d.front, direct, relayed)
+		}
+	}
+}
--- a/cmd/wheatweird/serverprocess_test.go
+++ b/cmd/wheatweird/serverprocess_test.go
@@ -2,18 +2,23 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/wheatweir/wheatweir/entry"
+	"github.com/wheatweir/wheatweir/internal/clock"
 )
 
 const (
@@ -27,12 +32,31 @@
 	partPause = 20 * time.Millisecond
 )
 
+// TestMain runs the tests, or one of the processes that they start.
 func TestMain(m *testing.M) {
-	if id := os.Getenv(serverProcessID); id != "" {
+	id := os.Getenv(serverProcessID)
+	switch {
+	case id != "":
 		runServerProcess(id)
-		return
+	case slices.Contains(os.Args, "--entry"):
+		if err := run(os.Args[len(os.Args)-1], false, startCutOff); err != nil {
+			panic(err)
+		}
+	default:
+		os.Exit(m.Run())
+	}
+}
+
+// startCutOff starts an entry daemon whose own paths to the servers are cut.
+func startCutOff(path string, _ bool) (runner, error) {
+	settings, err := entry.ReadSettings(path)
+	if err != nil {
+		return nil, err
+	}
+	refuse := func(context.Context, string) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ENETUNREACH}
 	}
-	os.Exit(m.Run())
+	return entry.StartOn(entry.Machine{Clock: clock.New(), Dial: refuse}, settings, os.Stdout)
 }
 
 // runServerProcess serves until the process is killed.
