Bodies of requests take from a memory budget as they arrive

What callers saw: a daemon that is killed over its memory while many clients upload, with all that it had taken; unsafe requests that had run got no answer.

Why it works: a body reserves each buffer before it grows, from memory of its own: three eighths of memory_limit_mb, and a sixteenth for bodies of up to 64 KiB so far, which large ones cannot use up.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -44,6 +44,9 @@
 	memoryHeadroom = 0.8
 	// receivedShare is the share of the process's memory that data from other processes may occupy until it is forwarded.
 	receivedShare = 1.0 / 8
+	// requestBodyShare is that of the bodies of clients' requests, smallBodyShare what small bodies have of their own.
+	requestBodyShare = 3.0 / 8
+	smallBodyShare   = 1.0 / 16
 	// gcPercent is how much garbage the process holds before it is collected, as a part of what is in use. A daemon
 	// at rest makes little garbage.
 	gcPercent = 50
@@ -125,7 +128,7 @@
 		clock: machine.Clock,
 		log:   newLogBook(settings.LogLevel, settings.Name, output), started: machine.Clock.Now(),
 		control: controlState{discovery: quota.NewDiscovery(machine.Clock.Now())}, work: newWorkRings(),
-		metrics: newMetrics(), memory: membudget.New(int64(settings.MemoryLimitMB * (1 << 20) * receivedShare)), memoryTold: memoryObserver{denied: map[membudget.Kind]int64{}},
+		metrics: newMetrics(), memory: newMemoryBudget(settings.MemoryLimitMB * (1 << 20)), memoryTold: memoryObserver{denied: map[membudget.Kind]int64{}},
 		tracker: balance.NewTracker(), demand: newDemandCounter(), life: lifecycle{failed: make(chan error, 1)}, assurance: newAssurance(), ctx: ctx, cancel: cancel,
 		following: newFollowState(),
 	}
@@ -188,12 +191,21 @@
 	return zoneCost
 }
 
+// newMemoryBudget divides the memory for data from other processes.
+func newMemoryBudget(limitBytes float64) *membudget.Budget {
+	budget := membudget.New(int64(limitBytes * receivedShare))
+	budget.Separate(membudget.RequestBody, int64(limitBytes*requestBodyShare))
+	budget.Separate(membudget.SmallRequestBody, int64(limitBytes*smallBodyShare))
+	return budget
+}
+
 func (d *Daemon) listen() error {
 	var err error
 	d.front, err = platform.ListenFront(d.current().FrontAddress, d.gateway, d.life.stopping.Load)
 	if err != nil {
 		return err
 	}
+	d.front.LimitMemory(d.memory)
 	addresses := map[string]bool{d.current().ReadyAddress: true, d.current().DirectoryAddress: true}
 	if d.current().MetricsAddress != "" {
 		addresses[d.current().MetricsAddress] = true
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -69,6 +69,8 @@
 	// its framing is given in two ways.
 	ReasonBodyTooLarge    Reason = "body_too_large"
 	ReasonBodyFramedTwice Reason = "body_framed_twice"
+	// ReasonNoMemory means that this daemon has no memory left for the request's body.
+	ReasonNoMemory Reason = "no_memory"
 )
 
 // Step is a decision on a request. It is written to logs and metrics. Each request ends with exactly one of StepEnded,
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -30,30 +30,47 @@
 	StoreAnswer Kind = "store_answer"
 	// PeerFrame is a message of another daemon.
 	PeerFrame Kind = "peer_frame"
+	// RequestBody is the body of a client's request, SmallRequestBody one that is small so far.
+	RequestBody      Kind = "request_body"
+	SmallRequestBody Kind = "small_request_body"
 )
 
 // Kinds lists all kinds.
-func Kinds() []Kind { return []Kind{AnswerHead, AnswerBody, Event, Report, StoreAnswer, PeerFrame} }
+func Kinds() []Kind {
+	return []Kind{AnswerHead, AnswerBody, Event, Report, StoreAnswer, PeerFrame, RequestBody, SmallRequestBody}
+}
 
-// Budget is the memory that all readers share. It is safe for concurrent use.
+// Budget is the memory that all readers share, but for kinds that have a limit of their own. It is safe for concurrent use.
 type Budget struct {
-	limit  int64
-	used   atomic.Int64
+	shared *pool
 	usages map[Kind]*usage
 }
 
+// pool is memory with a limit; zero means no limit.
+type pool struct {
+	limit int64
+	used  atomic.Int64
+}
+
 // usage is what the reservations of one kind hold.
-type usage struct{ used, peak, denied atomic.Int64 }
+type usage struct {
+	pool               *pool
+	used, peak, denied atomic.Int64
+}
 
 // New returns a budget of limit bytes; zero means no limit.
 func New(limit int64) *Budget {
-	budget := &Budget{limit: limit, usages: map[Kind]*usage{}}
+	budget := &Budget{shared: &pool{limit: limit}, usages: map[Kind]*usage{}}
 	for _, kind := range Kinds() {
-		budget.usages[kind] = &usage{}
+		budget.usages[kind] = &usage{pool: budget.shared}
 	}
 	return budget
 }
 
+// Separate gives a kind a limit of its own, beside that of the others; zero means no limit. It must be called before the first
+// reservation.
+func (b *Budget) Separate(kind Kind, limit int64) { b.usages[kind].pool = &pool{limit: limit} }
+
 // Usage is the state of one kind.
 type Usage struct {
 	// Bytes is what is reserved now, Peak the largest value since the start.
@@ -70,13 +87,12 @@
 }
 
 // Reserve returns an empty reservation.
-func (b *Budget) Reserve(kind Kind) Reservation { return Reservation{budget: b, usage: b.usages[kind]} }
+func (b *Budget) Reserve(kind Kind) Reservation { return Reservation{usage: b.usages[kind]} }
 
 // Reservation is the part of a budget that one reader holds. It is used by one goroutine at a time.
 type Reservation struct {
-	budget *Budget
-	usage  *usage
-	size   int64
+	usage *usage
+	size  int64
 	// waitForRoom is how long ReadAll waits for room.
 	waitForRoom time.Duration
 }
@@ -87,13 +103,13 @@
 	if change <= 0 {
 		// The kind never counts more than the whole.
 		r.usage.record(change)
-		r.budget.used.Add(change)
+		r.usage.pool.used.Add(change)
 		r.size = size
 		return nil
 	}
-	if !r.budget.take(change) {
+	if !r.usage.pool.take(change) {
 		r.usage.denied.Add(1)
-		return ErrExhausted.New("%d bytes more, %d of %d in use", change, r.budget.used.Load(), r.budget.limit)
+		return ErrExhausted.New("%d bytes more, %d of %d in use", change, r.usage.pool.used.Load(), r.usage.pool.limit)
 	}
 	r.size = size
 	r.usage.record(change)
@@ -101,13 +117,13 @@
 }
 
 // take reserves bytes and reports whether there was room. An attempt without room takes none away from others meanwhile.
-func (b *Budget) take(bytes int64) bool {
+func (p *pool) take(bytes int64) bool {
 	for {
-		used := b.used.Load()
-		if b.limit > 0 && used+bytes > b.limit {
+		used := p.used.Load()
+		if p.limit > 0 && used+bytes > p.limit {
 			return false
 		}
-		if b.used.CompareAndSwap(used, used+bytes) {
+		if p.used.CompareAndSwap(used, used+bytes) {
 			return true
 		}
 	}
--- a/internal/membudget/read.go
+++ b/internal/membudget/read.go
@@ -21,28 +21,40 @@
 // data arrives; each larger one is reserved, beside what the reservation holds already, before it is allocated. Data of more than limit bytes is ErrTooLarge. With
 // ErrTooLarge and ErrExhausted, ReadAll returns what it has read.
 func (r *Reservation) ReadAll(source io.Reader, free, limit int64) ([]byte, error) {
-	held := r.size
 	// One byte more than the limit tells that there is more.
-	size := min(free, limit+1)
-	data := make([]byte, 0, size)
+	return r.read(source, make([]byte, 0, min(free, limit+1)), r.size, limit)
+}
+
+// Continue goes on with what another reservation of ReadAll has read, as ReadAll. All of the buffer is reserved here.
+func (r *Reservation) Continue(source io.Reader, data []byte, limit int64) ([]byte, error) {
+	held := r.size
+	if err := r.grow(held + int64(cap(data))); err != nil {
+		return data, err
+	}
+	return r.read(source, data, held, limit)
+}
+
+// read reads into data, which grows beside what is held.
+func (r *Reservation) read(source io.Reader, data []byte, held, limit int64) ([]byte, error) {
 	for {
+		if int64(len(data)) > limit {
+			return data, ErrTooLarge.New("more than %d bytes", limit)
+		}
+		if len(data) == cap(data) {
+			size := min(2*int64(cap(data)), limit+1)
+			if err := r.grow(held + size); err != nil {
+				return data, err
+			}
+			data = append(make([]byte, 0, size), data...)
+		}
 		count, err := source.Read(data[len(data):cap(data)])
 		data = data[:len(data)+count]
-		switch {
-		case errors.Is(err, io.EOF):
+		if errors.Is(err, io.EOF) {
 			return data, nil
-		case err != nil:
-			return nil, err
-		case int64(len(data)) > limit:
-			return data, ErrTooLarge.New("more than %d bytes", limit)
-		case len(data) < cap(data):
-			continue
 		}
-		size = min(2*size, limit+1)
-		if err := r.grow(held + size); err != nil {
-			return data, err
+		if err != nil {
+			return nil, err
 		}
-		data = append(make([]byte, 0, size), data...)
 	}
 }
 
