Refused unloads reserve no memory

Callers saw: streams that wait for their model at the version that began them are refused (no_model), 6 to 9 s after the planner ordered room for it.

Cause: an unload that frees memory for a model reserves that memory for 6 s when it is sent. An instance that refuses the unload (409, as it has just accepted an adapter) or cannot be reached keeps the reservation: the model counts as about to be served there, and nothing else is tried for it.

Fix: an unload that is refused or not sent reserves nothing, unless an earlier copy of it without an answer may still be executed.

TestRefusedUnloadReservesNothing failed before for "busy" and "not sent": ordered again [].

--- a/residency/tracker.go
+++ b/residency/tracker.go
@@ -170,6 +170,9 @@
 	case AnswerBusy, AnswerRejected, AnswerFenced, AnswerNotSent:
 		// An earlier copy of the order without an answer may still be executed.
 		state.extendBackoff(now.Add(busyBackoff))
+		if state.unanswered == nil && order.ReservedFor != "" {
+			state.reservedFor = ""
+		}
 	}
 }
 
