--- a/residency/software_test.go
+++ b/residency/software_test.go
@@ -174,3 +174,27 @@
 		}
 	}
 }
+
+// TestFirstAdapterReplicaGoesToTheSoftwareThatNeedsIt guards against an adapter that no instance holds and that is loaded at
+// another version than the one whose streams wait for it.
+func TestFirstAdapterReplicaGoesToTheSoftwareThatNeedsIt(t *testing.T) {
+	deployment := newPromptDeployment(
+		&fakeInstance{id: "s0", software: "v1", models: map[string][]string{"big": {"a2"}}},
+		&fakeInstance{id: "s1", software: "v2", models: map[string][]string{"big": nil}},
+	)
+	deployment.engine = &fleet.Engine{Slots: 32, WeightsMB: 100, AdapterSlots: 2, LoadsPerSecond: 1, Models: []fleet.Model{{Name: "big", WeightsMB: 90, Adapters: 2, AdapterMB: 2}}}
+	demand := residency.Demand{
+		Concurrent: 1, PerSecond: 1, Waiting: 1, Adapters: map[string]int{"a1": 1},
+		Software: map[string]int{"v1": 1}, SoftwareAdapters: map[string]map[string]int{"v1": {"a1": 1}},
+	}
+	deployment.run(200*time.Millisecond, map[string]residency.Demand{"big": demand})
+	var targets []string
+	for _, order := range deployment.orders {
+		if order.Load && order.Adapter == "a1" && order.Reason != "second home" {
+			targets = append(targets, order.Instance)
+		}
+	}
+	if !slices.Equal(targets, []string{"s0"}) {
+		t.Errorf("a1 is loaded on %v, want s0 only", targets)
+	}
+}
