--- a/cmd/wheatweird/ends_test.go
+++ b/cmd/wheatweird/ends_test.go
@@ -273,31 +273,42 @@
 	return sum
 }
 
-// TestAnswersOfKilledServersAreNotComplete guards against an answer that looks complete before its end because its server process was
-// killed: the kernel ends its connections like those of a server that has sent all, and something else may accept connections at its
-// address at once. It also guards against whole answers of running servers that are taken for broken ones.
-func TestAnswersOfKilledServersAreNotComplete(t *testing.T) {
+// inEachBetween runs a test with a fleet for each thing that can be between the daemons and their servers.
+func inEachBetween(t *testing.T, check func(t *testing.T, f *endsFleet, random *rand.Rand)) {
 	binary := buildBinary(t)
 	for seed, between := range []between{betweenNothing, betweenSupervisor, betweenClosingProxy, betweenHoldingProxy} {
 		t.Run(string(between), func(t *testing.T) {
-			f := startEndsFleet(t, binary, between, 0)
-			random := rand.New(rand.NewPCG(uint64(seed), 1))
-			counts := f.answersDuring(random, func() {})
-			for path, c := range counts {
-				if c.whole != c.all {
-					t.Errorf("running servers: %s: %+v", path, *c)
-				}
-			}
-			t.Logf("running servers: %+v", total(counts))
-			counts = f.answersDuring(random, func() { f.crashSome(t, random) })
-			for path, c := range counts {
-				c.check(t, path)
-			}
-			t.Logf("killed servers: %+v", total(counts))
+			check(t, startEndsFleet(t, binary, between, 0), rand.New(rand.NewPCG(uint64(seed), 1)))
 		})
 	}
 }
 
+// TestAnswersOfKilledServersAreNotComplete guards against an answer that looks complete before its end because its server process was
+// killed: the kernel ends its connections like those of a server that has sent all, and something else may accept connections at its
+// address at once.
+func TestAnswersOfKilledServersAreNotComplete(t *testing.T) {
+	inEachBetween(t, func(t *testing.T, f *endsFleet, random *rand.Rand) {
+		counts := f.answersDuring(random, func() { f.crashSome(t, random) })
+		for path, c := range counts {
+			c.check(t, path)
+		}
+		t.Logf("%+v", total(counts))
+	})
+}
+
+// TestAnswersOfRunningServersAreWhole guards against whole answers of running servers that are taken for broken ones.
+func TestAnswersOfRunningServersAreWhole(t *testing.T) {
+	inEachBetween(t, func(t *testing.T, f *endsFleet, random *rand.Rand) {
+		counts := f.answersDuring(random, func() {})
+		for path, c := range counts {
+			if c.whole != c.all {
+				t.Errorf("%s: %+v", path, *c)
+			}
+		}
+		t.Logf("%+v", total(counts))
+	})
+}
+
 const (
 	// endsCutOff is how many daemons reach the servers only through the others, endsCarriers how many of the others end.
 	endsCutOff   = 2
