A second attempt at an instance uses no connection of the first

A request that an instance turned away may be sent to it again once it has the model. Both attempts bear the client's ID, so that a surplus copy of the 421, which stands in the place of the next answer on its connection, was taken for the answer to the second attempt: the request ran, counted as not run, and went to another instance or was refused with a 503.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/wheatweir/wheatweir/balance"
@@ -310,6 +311,7 @@
 	outbound := &Outbound{
 		Request: e.request, Instance: candidate.Instance, Service: e.gateway.view.Load().Service(e.service), Left: e.until(e.deadline),
 		Priority: min(e.priority, maxPriority), Tenant: e.tenantName(), ResumeAfter: e.resumeAfter, MaxConnections: e.connections(),
+		Repeated:     slices.Contains(e.attemptedInstances, id),
 		MaxHeadBytes: e.headLimit(), StillAllowed: func() bool { return e.stillAllowed(id) },
 	}
 	if outbound.Left <= 0 {
--- a/gateway/misdirected_test.go
+++ b/gateway/misdirected_test.go
@@ -73,6 +73,9 @@
 				g.Serve(context.Background(), sent, reply)
 				var ids []string
 				for _, outbound := range upstream.sent {
+					if repeated := slices.Contains(ids, outbound.Instance.ID); outbound.Repeated != repeated {
+						t.Errorf("sent to %s after %v: repeated %t", outbound.Instance.ID, ids, outbound.Repeated)
+					}
 					ids = append(ids, outbound.Instance.ID)
 				}
 				if took := time.Since(sent.Arrived); reply.status != c.status || !slices.Equal(ids, c.sent) || took < c.earliest {
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -83,6 +83,8 @@
 	Instance *fleet.Instance
 	// Service is the service of the instance; nil if it is not known.
 	Service *fleet.Service
+	// Repeated says that the request was sent to the instance before.
+	Repeated bool
 	// Left is the time that the instance may use.
 	Left time.Duration
 	// Priority is the priority at the instance; zero is admitted first.
