--- a/lab/soak/lasting_test.go
+++ b/lab/soak/lasting_test.go
@@ -139,7 +139,7 @@
 		if ends {
 			s.closed("s1")
 		}
-		s.ended(sent, standin.ClientAnswer{Status: 200}, nil)
+		s.ended(sent, standin.ClientAnswer{Status: 200, Signature: standin.SignatureOf("s1", "a")}, nil)
 		if want := map[bool]int{false: 1, true: 0}[ends]; len(s.violations) != want {
 			t.Errorf("the server ends %t: %v", ends, s.violations)
 		}
