Revert "Crashed instances receive no requests, also if no other instance has the model"

Callers would have seen: requests refused for up to 5 s after paths to servers that were cut are back.

Cause: a cut looks like a crash, and an instance that gets no requests for 5 s shows nobody that it lives.

The two tests that came with the change leave with it.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -57,24 +57,6 @@
 		{"reported to lack the model", []*fleet.Instance{instance("x", "z", model)}, balance.Request{Model: "m"}, func(t *balance.Tracker) {
 			t.ObserveMissing(now, "x", "m", "", time.Minute)
 		}, ""},
-		{"crashed, and no other instance", []*fleet.Instance{instance("x", "z")}, balance.Request{}, func(t *balance.Tracker) {
-			t.RecordCrash(now, "x", time.Second)
-			t.Begin("x", 0)
-			t.End(now, "x", balance.Unreached, siblings("x"))
-		}, ""},
-		{"crashed, beside one that is avoided", []*fleet.Instance{instance("x", "z"), instance("y", "z")}, balance.Request{}, func(t *balance.Tracker) {
-			t.RecordCrash(now, "x", time.Second)
-			t.Begin("y", 0)
-			t.End(now, "y", balance.Unreached, siblings("x", "y"))
-		}, "y"},
-		{"crashed, and served since", []*fleet.Instance{instance("x", "z")}, balance.Request{}, func(t *balance.Tracker) {
-			t.RecordCrash(now, "x", time.Second)
-			t.Begin("x", 0)
-			t.End(now, "x", balance.Served, siblings("x"))
-		}, "x"},
-		{"crashed, and listed for longer than that counts", []*fleet.Instance{instance("x", "z")}, balance.Request{}, func(t *balance.Tracker) {
-			t.RecordCrash(now, "x", time.Minute)
-		}, "x"},
 		{"avoided by two other daemons", []*fleet.Instance{instance("x", "z"), instance("y", "z")}, balance.Request{}, func(t *balance.Tracker) {
 			t.SetPeer(now, "peer", map[string]balance.Load{"x": {Avoiding: 1}, "y": {Requests: 5}})
 			t.SetPeer(now, "other", map[string]balance.Load{"x": {Avoiding: 1}})
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -57,24 +57,24 @@
 	minEjectSamples = 4
 )
 
-// crashTTL is how long an instance whose process has ended receives no requests. It covers the time
-// until the instance leaves the list, three missed heartbeats: 3.6 s on the platform. A process that
-// starts at its address is another instance.
-const crashTTL = 5 * time.Second
+// crashedBackoff is the backoff of an instance whose process has ended, until it leaves the list of
+// instances. The list drops it after three missed heartbeats, which takes 3.6 s on the platform.
+// Dead instances look idle, so they would be picked first.
+const crashedBackoff = 4 * time.Second
 
 // RecordCrash records that an instance ended some time ago.
 func (t *Tracker) RecordCrash(now time.Time, id string, age time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	until := now.Add(crashTTL - age)
-	if state := t.state(id); until.After(state.crashedUntil) {
-		state.crashedUntil = until
+	until := now.Add(crashedBackoff - age)
+	if state := t.state(id); until.After(state.backoffUntil) {
+		state.backoffUntil = until
 	}
 }
 
-// avoided reports whether the instance has crashed, is ejected or in a backoff of this daemon.
+// avoided reports whether the instance is ejected or in a backoff of this daemon.
 func (s *instanceState) avoided(now time.Time) bool {
-	return now.Before(s.crashedUntil) || now.Before(s.ejectedUntil) || now.Before(s.backoffUntil) || s.brokenBackoff.active(now)
+	return now.Before(s.ejectedUntil) || now.Before(s.backoffUntil) || s.brokenBackoff.active(now)
 }
 
 // stalled reports whether the instance has requests of this daemon but has sent nothing for
@@ -94,7 +94,6 @@
 	switch outcome {
 	case Served:
 		state.unreachedInARow, state.declinedInARow = 0, 0
-		state.crashedUntil = time.Time{}
 		state.lastActivityAt = now
 		state.recordOutcome(0)
 	case Failed:
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -129,7 +129,7 @@
 	bestScore := 0.0
 	count := 0
 	for i, instance := range allowed {
-		if statuses[i].excluded() {
+		if statuses[i].missing {
 			continue
 		}
 		count++
--- a/balance/slowness.go
+++ b/balance/slowness.go
@@ -46,7 +46,7 @@
 	}
 	smallest, largest := maxSlowness, minSlowness
 	for i, instance := range candidates {
-		if statuses[i].excluded() {
+		if statuses[i].missing {
 			continue
 		}
 		slowness := boundedSlowness(t.paces.Slowness(instance.ID))
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -18,8 +18,6 @@
 	backoffUntil    time.Time
 	unreachedInARow int
 	declinedInARow  int
-	// crashedUntil is until when the instance counts as crashed.
-	crashedUntil time.Time
 	// brokenBackoff follows connections of this daemon that ended without an answer. quorumBackoff
 	// follows such connections of several daemons.
 	brokenBackoff backoff
@@ -218,15 +216,10 @@
 	available bool
 	// missing means that the instance lacks the model or adapter of the request.
 	missing bool
-	// crashed means that the process of the instance has ended.
-	crashed bool
 	// slowness is set by fillSlowness, and only if the tracker has paces.
 	slowness float64
 }
 
-// excluded reports whether the instance cannot serve the request at all.
-func (s *status) excluded() bool { return s.missing || s.crashed }
-
 // statuses appends the status of each instance to a slice and returns it.
 func (t *Tracker) statuses(now time.Time, ids []string, model, adapter string, into []status) []status {
 	t.mutex.Lock()
@@ -244,7 +237,7 @@
 				load.add(t.grants[i].load)
 			}
 		}
-		into = append(into, status{load: load, available: available, missing: missing, crashed: now.Before(state.crashedUntil)})
+		into = append(into, status{load: load, available: available, missing: missing})
 	}
 	return into
 }
