--- a/entry/streamrecord.go
+++ b/entry/streamrecord.go
@@ -150,7 +150,7 @@
 func (s *streamRecord) list(ctx context.Context, freshness feed.Freshness) ([]resumption.Shard, error) {
 	var shards []resumption.Shard
 	places := map[string]history.Place{}
-	after := ""
+	after, unreadable := "", false
 	for {
 		page, err := s.source.ListPage(ctx, after, freshness)
 		if err != nil {
@@ -158,6 +158,8 @@
 		}
 		for _, item := range page.Items {
 			if item.Gone {
+				// It cannot be read, and may have held versions that the others lack.
+				unreadable = true
 				continue
 			}
 			if s.places[item.Name] == item.Place {
@@ -169,11 +171,23 @@
 		}
 		if after = page.Next; after == "" {
 			s.places = places
-			return shards, nil
+			return withoutCompleteness(shards, unreadable), nil
 		}
 	}
 }
 
+// withoutCompleteness returns the shards of a record of which some cannot be read: then none counts as complete, not even an empty
+// record.
+func withoutCompleteness(shards []resumption.Shard, unreadable bool) []resumption.Shard {
+	if !unreadable {
+		return shards
+	}
+	for i := range shards {
+		shards[i].Complete = false
+	}
+	return append(shards, resumption.Shard{})
+}
+
 // send hands new streams to the owners of their shards.
 func (s *streamRecord) send(now time.Time) {
 	for _, update := range s.recorder.Outgoing(now) {
