Daemons that are cut off together take nothing for an outage of the store

What callers saw: streams taken up at daemons that were cut off together went on at another version, for as long as the cut lasted; and a holder of the lease that was cut off with others went on giving orders beside its successor.

Cause: a daemon took the store to answer nobody once all daemons that count as alive said that it did not answer them. On one side of a cut those of the other side count as dead after some seconds, so that a few that agree stood for all. Only a daemon that was quite alone was left out.

Evidence: TestCutOffGroupTakesNothingForAnOutage (3, 9 and 71 daemons, groups of 2 to 8) fails on: two of three hear of new servers 5.1 s after the cut, and two daemons hold the lease.

Why it works: a daemon that has fallen silent objects as long as it is remembered; one that has stopped as planned does not. What it costs: in a true outage no orders are given while a daemon is lost, until it is back. TestOutageForAllIsTakenForOne has an outage in which all agree.

--- a/coordination/leaseholder.go
+++ b/coordination/leaseholder.go
@@ -66,7 +66,7 @@
 
 func (n *Node) leaseChanged(now time.Time) {
 	fence, _, may := n.mayOrder(now)
-	n.logEntry("lease", "Changed.", "held", n.held, "fence", fence, "may_order", may, "store_away", n.storeUnavailable())
+	n.logEntry("lease", "Changed.", "held", n.held, "fence", fence, "may_order", may, "store_away", n.StoreUnavailable())
 	if !n.held {
 		return
 	}
--- a/coordination/loadupdate.go
+++ b/coordination/loadupdate.go
@@ -81,7 +81,7 @@
 func (n *Node) ownLoad(now time.Time, requests map[string]balance.Load) Load {
 	load := Load{
 		Requests: requests, Models: n.demand.own, Versions: n.versions(now),
-		StoreUnavailable: n.storeUnavailable(), Watching: n.Watching(now), WatcherAge: n.watcherAge(now),
+		StoreUnavailable: n.StoreUnavailable(), Watching: n.Watching(now), WatcherAge: n.watcherAge(now),
 	}
 	if n.held {
 		load.Fence, _, _ = n.mayOrder(now)
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -60,9 +60,7 @@
 
 	// watcherSeenAt is the time of the latest evidence, first- or second-hand, of a daemon that watches
 	// the store; watcherReceivedAt is the time of the last message directly from such a daemon.
-	watcherSeenAt time.Time
-	// hadOthers is set once another daemon was alive.
-	hadOthers         bool
+	watcherSeenAt     time.Time
 	watchUntil        time.Time
 	watcherReceivedAt time.Time
 	holderSeenAt      time.Time
@@ -163,7 +161,6 @@
 	for _, packet := range n.detector.Tick(now) {
 		n.sendProbe(packet)
 	}
-	n.hadOthers = n.hadOthers || n.detector.LiveCount() > 1
 	n.applyRevision(now)
 	n.logMemberChanges(now)
 	n.logDueChanges(now)
--- a/coordination/storeoutage.go
+++ b/coordination/storeoutage.go
@@ -1,6 +1,10 @@
 package coordination
 
-import "time"
+import (
+	"time"
+
+	"github.com/wheatweir/wheatweir/member"
+)
 
 const (
 	// storeAwayReportTTL is how long another daemon's report on the store counts.
@@ -33,29 +37,27 @@
 func (n *Node) ReceivesInstanceChanges(now time.Time) bool {
 	watches := n.Watching(now) && !n.sources[SourceInstances].unavailable
 	heard := !n.watcherSeenAt.Equal(n.started.Add(n.settings.WatchDelay))
-	return watches || heard && now.Sub(n.watcherSeenAt) <= watcherReportTTL || !n.isIsolated() && n.storeUnavailableForAll(now)
+	return watches || heard && now.Sub(n.watcherSeenAt) <= watcherReportTTL || n.storeUnavailableForAll(now)
 }
 
-// isIsolated reports whether this daemon, which has had others to talk to, has none now. What it does not hear then is no sign
-// that nobody does.
-func (n *Node) isIsolated() bool { return n.hadOthers && n.detector.LiveCount() <= 1 }
-
-// storeUnavailable reports whether the store answers none of this daemon's reads.
-func (n *Node) storeUnavailable() bool {
+// StoreUnavailable reports whether the store answers none of this daemon's reads.
+func (n *Node) StoreUnavailable() bool {
 	return n.sources[SourceConfiguration].unavailable && n.sources[SourceInstances].unavailable
 }
 
 // storeUnavailableForAll reports whether the store answers neither this daemon nor, by their reports, any
-// other live daemon.
+// other daemon. One that has fallen silent objects for as long as it is remembered: this daemon may be cut off from it, alone or
+// together with others, and the store may answer it.
 func (n *Node) storeUnavailableForAll(now time.Time) bool {
-	if !n.storeUnavailable() {
+	if !n.StoreUnavailable() {
 		return false
 	}
-	for _, name := range n.detector.Live() {
-		if name == n.self {
+	for _, other := range n.detector.Members() {
+		stopped := other.State == member.Dead && other.Leaving
+		if other.Name == n.self || stopped {
 			continue
 		}
-		peer, found := n.peers[name]
+		peer, found := n.peers[other.Name]
 		if !found || now.Sub(peer.at) > storeAwayReportTTL || !peer.load.StoreUnavailable {
 			return false
 		}
