Streams go on at an only version only if the store confirms it

What callers saw: during a release, streams that had begun at servers of the new version and broke off went on at servers of the old one, where they were taken up at daemons that were cut off: up to 32 of 32 in the first second or two after the cut of one daemon, at any time after the cut of several.

Cause: nothing is told about streams while a service has one version. So a daemon that nobody tells of a second version, and that hears of servers as far as it can see, took the version that it knows for the one that began the stream. But a watch that has not answered yet, word of a daemon that watches from 1.5 s ago, and others that have not answered look the same at the wrong side of a cut. Silence was taken for "no".

By log: by=only_version with answers=0 and observed_ms up to the whole time.

Why it works: before a daemon goes by an only version it asks the store for the changes of servers since the place up to which it knows their versions. The question begins after the request has arrived, so that its answer covers all streams that began before.

While the store does not answer, nothing is confirmed. Streams are then told to two other daemons as if the service had two versions, so that they go on as they do in a release.

--- a/cmd/wheatweird/retryfleet_test.go
+++ b/cmd/wheatweird/retryfleet_test.go
@@ -314,13 +314,42 @@
 	}
 }
 
-// cutRelay passes connections on to a daemon until it is cut; then it closes them and takes no more.
+// cutRelay passes connections on to a daemon until it is cut; then it closes them and takes no more. While it is held, nothing
+// passes in either direction, and nothing is lost.
 type cutRelay struct {
 	listener net.Listener
 	target   string
 	mutex    sync.Mutex
 	isCut    bool
 	open     map[net.Conn]bool
+	// held is locked by what passes, and by whoever holds the relay.
+	held sync.RWMutex
+	// isHeld says that the relay is held; only the test uses it.
+	isHeld bool
+}
+
+// hold holds everything up, or lets it pass again.
+func (r *cutRelay) hold(held bool) {
+	switch {
+	case held && !r.isHeld:
+		r.held.Lock()
+	case !held && r.isHeld:
+		r.held.Unlock()
+	}
+	r.isHeld = held
+}
+
+// heldWriter writes once the relay is not held.
+type heldWriter struct {
+	relay *cutRelay
+	conn  net.Conn
+}
+
+// Write implements io.Writer.
+func (w heldWriter) Write(content []byte) (int, error) {
+	w.relay.held.RLock()
+	defer w.relay.held.RUnlock()
+	return w.conn.Write(content)
 }
 
 func newCutRelay(target string) (*cutRelay, error) {
@@ -360,10 +389,10 @@
 	r.open[incoming], r.open[outgoing] = true, true
 	r.mutex.Unlock()
 	go func() {
-		_, _ = io.Copy(outgoing, incoming)
+		_, _ = io.Copy(heldWriter{r, outgoing}, incoming)
 		_ = outgoing.Close()
 	}()
-	_, _ = io.Copy(incoming, outgoing)
+	_, _ = io.Copy(heldWriter{r, incoming}, outgoing)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	delete(r.open, incoming)
@@ -380,6 +409,7 @@
 }
 
 func (r *cutRelay) close() {
+	r.hold(false)
 	_ = r.listener.Close()
 	r.cut()
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -171,7 +171,7 @@
 	d.newNode()
 	d.updateRetryLimits(d.started)
 	d.startDuties()
-	d.log.add("daemon", "Started.", "name", settings.Name, "zone", settings.Zone, "front", settings.FrontAddress)
+	d.log.add("daemon", "Started.", "name", settings.Name, "zone", settings.Zone, "front", settings.FrontAddress, "first_start", settings.FirstStart)
 	return d, nil
 }
 
@@ -272,6 +272,7 @@
 	d.startDuty("quarantine", d.quarantine.runKept)
 	d.startDuty("stream record", d.origins.record.restore)
 	d.startDuty("stream record", d.origins.record.runReads)
+	d.startDuty("versions", d.origins.check.run)
 	for number := range resumption.ShardCount {
 		d.startDuty("stream record", func() { d.origins.record.keep(number) })
 	}
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -7,6 +7,7 @@
 	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/history"
 	"github.com/wheatweir/wheatweir/internal/calls"
 	"github.com/wheatweir/wheatweir/member"
 	"github.com/wheatweir/wheatweir/resumption"
@@ -29,16 +30,19 @@
 	daemon *Daemon
 	keeper *resumption.Tracker
 	record *streamRecord
+	check  *versionCheck
 	calls  *calls.Calls[*resumption.Answer]
 	// targets are the services that resumable routes have led to lately.
 	targets routeTargets
-	// observedAt is when the control duty last looked at the versions.
+	// observedAt is when the control duty last looked at the versions, and heardAt the place in the store's history up to which the
+	// node had heard of instances by then.
 	observedAt time.Time
+	heardAt    history.Place
 }
 
 func newOrigins(d *Daemon) *origins {
 	tracker := resumption.NewTracker()
-	return &origins{daemon: d, keeper: tracker, record: newStreamRecord(d, tracker), targets: routeTargets{}, calls: calls.New[*resumption.Answer]()}
+	return &origins{daemon: d, keeper: tracker, record: newStreamRecord(d, tracker), check: newVersionCheck(d, tracker), targets: routeTargets{}, calls: calls.New[*resumption.Answer]()}
 }
 
 // RecordStream implements gateway.Origins.
@@ -108,13 +112,15 @@
 			return answer.Began, foundOn(route, answer.Began, foundElsewhere), len(heard)
 		}
 	}
+	// Before the record is read: a version that comes to be known is a reason to read it.
+	confirmed := o.check.confirm(ctx) == nil
 	if o.keeper.NeedsRecord(o.daemon.clock.Now(), service, heard) {
 		o.record.readForRequest(ctx)
 		if began, known := o.keeper.Find(o.daemon.clock.Now(), id); known {
 			return began, foundOn(route, began, foundRecorded), len(heard)
 		}
 	}
-	software, known := o.keeper.Decide(o.daemon.clock.Now(), service, heard)
+	software, known := o.keeper.Decide(o.daemon.clock.Now(), service, heard, confirmed)
 	began = resumption.Began{Service: service, Software: software}
 	if known {
 		return began, foundOnlyVersion, len(heard)
@@ -196,10 +202,16 @@
 	if o.daemon.node.Synced() && o.daemon.node.ReceivesInstanceChanges(now) {
 		o.keeper.MarkSynced(now)
 	}
+	if o.daemon.node.StoreUnavailable() {
+		o.keeper.MarkStoreAway(now)
+	}
 	if now.Sub(o.observedAt) < originsEvery {
 		return
 	}
 	o.observedAt = now
+	// The view holds all that the node had heard of at the last look.
+	heardAt := o.heardAt
+	o.heardAt = o.daemon.node.InstancesAt()
 	view := o.daemon.gateway.View()
 	if view.Configuration() == nil {
 		return
@@ -210,10 +222,11 @@
 	for service, sharesRoute := range o.targets.services() {
 		tells := o.keeper.Observe(now, service, softwareOf(view.Instances(service)), sharesRoute)
 		if tells != nil {
-			o.daemon.log.add("origin", "Several versions.", "service", service, "shares_route", sharesRoute, "told_daemons", len(tells))
+			o.daemon.log.add("origin", "Streams told to other daemons.", "service", service, "shares_route", sharesRoute, "told_daemons", len(tells))
 		}
 		o.tell(tells)
 	}
+	o.check.observed.Store(&heardAt)
 	o.record.send(now)
 }
 
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -102,11 +102,20 @@
 // takeUp takes a stream up after its first event.
 func takeUp(address, resumes string) (string, standin.ClientAnswer, error) {
 	id := fmt.Sprintf("%016x", requestNumber.Add(1))
-	answer, err := client.Do(context.Background(), address, standin.ClientRequest{
-		ID: id, Host: "h.example", Path: "/resumable/x", Body: "prompt", Model: "m", PromptTokens: 100, OutputTokens: 10, Patience: 8 * time.Second,
+	answer, err := takeUpAs(id, address, "/resumable/x", resumes)
+	return id, answer, err
+}
+
+// takeUpOn takes a stream of a path up after its first event.
+func takeUpOn(address, path, resumes string) (standin.ClientAnswer, error) {
+	return takeUpAs(fmt.Sprintf("%016x", requestNumber.Add(1)), address, path, resumes)
+}
+
+func takeUpAs(id, address, path, resumes string) (standin.ClientAnswer, error) {
+	return client.Do(context.Background(), address, standin.ClientRequest{
+		ID: id, Host: "h.example", Path: path, Body: "prompt", Model: "m", PromptTokens: 100, OutputTokens: 10, Patience: 8 * time.Second,
 		ResumeAfter: "1", Resumes: resumes,
 	})
-	return id, answer, err
 }
 
 // TestClientTakesItsStreamUpAtItsSoftwareVersion guards against a stream that its client takes up at another daemon, where
--- a/resumption/recorder.go
+++ b/resumption/recorder.go
@@ -152,7 +152,7 @@
 		digest := digestOf(stream.ID)
 		shard := &r.shards[digest.shard()]
 		shard.streams.add(digest, Began{Service: stream.Service, Software: stream.Software}, now.Add(stream.Left+expiryStep))
-		r.tracker.noteVersion(now, stream.Service, stream.Software)
+		r.tracker.NoteVersion(now, stream.Service, stream.Software)
 		shard.changed = true
 		if shard.failing && r.owners[digest.shard()] == r.self {
 			shard.forward = append(shard.forward, stream)
--- a/resumption/recorder_test.go
+++ b/resumption/recorder_test.go
@@ -112,13 +112,13 @@
 	r.Loaded(testStart, 0, nil, history.Place{})
 	nextStep(t, r, testStart, 0, true)
 	r.Written(testStart, 0, history.At(1, 1))
-	if _, known := tracker.Decide(testStart, "svc", nil); !known {
+	if _, known := tracker.Decide(testStart, "svc", nil, true); !known {
 		t.Fatal("the only version is not known")
 	}
 	r.StoreRestored()
 	tracker.StoreRestored()
 	nextStep(t, r, testStart.Add(recordInterval), 0, false)
-	if _, known := tracker.Decide(testStart, "svc", nil); known {
+	if _, known := tracker.Decide(testStart, "svc", nil, true); known {
 		t.Error("the record from before the restore still counts")
 	}
 }
@@ -204,7 +204,7 @@
 		}
 		tracker.Prune(now)
 	}
-	if software, known := tracker.Decide(end, "svc", nil); !known || software != "v2" {
+	if software, known := tracker.Decide(end, "svc", nil, true); !known || software != "v2" {
 		t.Errorf("%d services have several versions ten minutes after the last server of v1 left; recorded: %v", tracker.Counts().MixedServices, stored.Versions)
 	}
 }
@@ -247,7 +247,7 @@
 		tracker.MarkSynced(now)
 		tracker.Observe(now, "svc", []string{"v2"}, false)
 	}
-	if software, known := tracker.Decide(now, "svc", nil); known {
+	if software, known := tracker.Decide(now, "svc", nil, true); known {
 		t.Errorf("a stream of v1 that may be resumed for %v more goes on at %s", testStart.Add(time.Minute).Sub(now), software)
 	}
 }
@@ -283,7 +283,7 @@
 	tracker.MarkSynced(testStart)
 	tracker.MergeRecord(testStart, testStart, []Shard{*stored}, false)
 	tracker.Observe(testStart, "svc", []string{"v1"}, false)
-	if software, known := tracker.Decide(testStart, "svc", nil); known {
+	if software, known := tracker.Decide(testStart, "svc", nil, true); known {
 		t.Errorf("a stream that is not recorded goes on at %s, though the record shows streams of v2", software)
 	}
 }
--- a/resumption/simulation_test.go
+++ b/resumption/simulation_test.go
@@ -39,10 +39,14 @@
 	incarnation int
 	up          bool
 	isolated    bool
-	lastFault   time.Time
-	startedAt   time.Time
-	stoppedAt   time.Time
-	present     []string
+	// side is the part of a partitioned fleet that the daemon is in. Only those of side 0 reach the store and hear of new versions.
+	side int
+	// cutAt is when the daemon last lost the store. It does not notice for up to noticeDelay.
+	cutAt     time.Time
+	lastFault time.Time
+	startedAt time.Time
+	stoppedAt time.Time
+	present   []string
 }
 
 // event is a scheduled action; events at the same time run in the order of their sequence.
@@ -84,6 +88,8 @@
 	killedAll     bool
 	outlasting    map[string]bool
 	clientRetries int
+	// attempts counts all tries to resume a stream while its version serves, also at daemons that are not in contact.
+	attempts, allWent int
 }
 
 // simulatedStore holds the durable record. While it is away, calls fail.
@@ -192,7 +198,7 @@
 	s.after(storeDelay, func() {
 		switch {
 		case d.incarnation != incarnation || !d.up:
-		case s.store.away || d.isolated:
+		case s.store.away || d.isolated || d.side != 0:
 			failed()
 		default:
 			answered()
@@ -260,7 +266,7 @@
 	var others []Daemon
 	for _, other := range s.daemons {
 		alive := other.up || s.now.Sub(other.stoppedAt) < failureDetectionDelay
-		if other != d && alive && (!d.isolated && !other.isolated || s.now.Sub(d.lastFault) < failureDetectionDelay) {
+		if other != d && alive && (s.connected(d, other) || s.now.Sub(d.lastFault) < failureDetectionDelay) {
 			others = append(others, Daemon{other.name, other.zone})
 		}
 	}
@@ -269,15 +275,15 @@
 		d.tracker.SetDaemons(others)
 		d.recorder.SetDaemons(others)
 	}
-	if !d.isolated {
-		d.tracker.MarkSynced(s.now)
+	if d.reachesStore() {
 		versions := s.versions
 		s.after(time.Duration(s.random.IntN(300))*time.Millisecond, func() {
-			if d.incarnation == incarnation && !d.isolated {
+			if d.incarnation == incarnation && d.reachesStore() {
 				d.present = versions
 			}
 		})
 	}
+	s.markReceiving(d)
 	s.sendUpdates(d, d.tracker.Observe(s.now, "svc", d.present, false))
 	s.keepRecord(d)
 	s.after(100*time.Millisecond, func() { s.refresh(d, incarnation) })
@@ -288,7 +294,7 @@
 	s.messages++
 	s.after(messageDelay, func() {
 		for _, d := range s.daemons {
-			if d.name == to && d.up && !d.isolated && !from.isolated {
+			if d.name == to && d.up && s.connected(d, from) {
 				deliver(d)
 			}
 		}
@@ -362,12 +368,13 @@
 				return
 			}
 		}
+		confirmed := false
 		decide := func() {
 			if found, known := d.tracker.Find(s.now, id); known {
 				s.continueStream(d, id, wantSoftware, found.Software)
 				return
 			}
-			if software, known := d.tracker.Decide(s.now, "svc", answers); known {
+			if software, known := d.tracker.Decide(s.now, "svc", answers, confirmed); known {
 				s.continueStream(d, id, wantSoftware, software)
 				return
 			}
@@ -376,11 +383,14 @@
 				s.after(clientRetryDelay, func() { s.resume(id, wantSoftware, retries-1) })
 			}
 		}
-		if d.tracker.NeedsRecord(s.now, "svc", answers) && s.now.Sub(d.recordAskedAt) >= time.Second {
-			s.readRecord(d, decide)
-			return
-		}
-		decide()
+		s.confirmVersions(d, func(answered bool) {
+			confirmed = answered
+			if d.tracker.NeedsRecord(s.now, "svc", answers) && s.now.Sub(d.recordAskedAt) >= time.Second {
+				s.readRecord(d, decide)
+				return
+			}
+			decide()
+		})
 	})
 }
 
@@ -401,7 +411,14 @@
 	for _, version := range s.versions {
 		serves = serves || version == wantSoftware
 	}
-	if !serves || d.isolated || s.now.Sub(d.lastFault) < contactWindow {
+	if !serves {
+		return
+	}
+	s.attempts++
+	if resumed {
+		s.allWent++
+	}
+	if d.isolated || d.side != 0 || s.now.Sub(d.lastFault) < contactWindow {
 		return
 	}
 	s.resumeAttempts++
@@ -418,7 +435,7 @@
 		switch {
 		case !d.up:
 		case isolated:
-			d.isolated, d.lastFault = true, s.now
+			d.isolated, d.lastFault, d.cutAt = true, s.now, s.now
 			s.after(duration, func() { d.isolated, d.lastFault = false, s.now })
 		default:
 			d.up, d.stoppedAt = false, s.now
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -40,14 +40,18 @@
 	shortenAt     time.Time
 	// shared holds when a service was last seen beside another one on the same route.
 	shared map[string]time.Time
-	// distributed holds the services whose streams are sent to other daemons, since not all have the same origin.
-	distributed map[string]bool
-	others      rendezvous.Set
-	zones       map[string]string
+	// distributed holds the services whose streams are sent to other daemons: not all have the same origin, or the store cannot
+	// show that they have. recorded services are those whose streams go into the durable record, as they have several origins.
+	distributed      map[string]bool
+	recordedServices map[string]bool
+	others           rendezvous.Set
+	zones            map[string]string
 	// freshUntil is the time until which this daemon counts as receiving updates about new instances. It has done so
 	// without interruption since observedSince.
 	freshUntil    time.Time
 	observedSince time.Time
+	// storeAwayUntil is the time until which the store counts as not answering this daemon.
+	storeAwayUntil time.Time
 	// recordReadAt is when the durable record was last read while it was complete; zero if it was not.
 	recordReadAt time.Time
 }
@@ -56,7 +60,7 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		streams: streamIndex{}, recorded: digestIndex{}, services: map[string]versions{}, shared: map[string]time.Time{},
-		distributed: map[string]bool{}, zones: map[string]string{},
+		distributed: map[string]bool{}, recordedServices: map[string]bool{}, zones: map[string]string{},
 	}
 }
 
@@ -132,15 +136,34 @@
 
 func (t *Tracker) observe(now time.Time, service string, present []string) []Update {
 	t.markSeen(now, service, present)
-	switch {
-	case !t.isMixed(now, service):
-		t.distributed[service] = false
+	mixed := t.isMixed(now, service)
+	records := mixed && !t.recordedServices[service]
+	distributes := t.isDistributed(now, service) && !t.distributed[service]
+	t.recordedServices[service], t.distributed[service] = mixed, t.isDistributed(now, service)
+	if !records && !distributes {
 		return nil
-	case t.distributed[service]:
+	}
+	streams := t.streams.ownStreams(now, service)
+	if records {
+		t.unrecorded = append(t.unrecorded, streams...)
+	}
+	if !distributes {
 		return nil
 	}
-	t.distributed[service] = true
-	return t.distribute(t.streams.ownStreams(now, service))
+	return t.groupByDaemon(streams)
+}
+
+// isDistributed reports whether other daemons record the streams of a service. While the store is away nothing confirms that the
+// service has one version only, so that a stream is resumed only where its origin is known.
+func (t *Tracker) isDistributed(now time.Time, service string) bool {
+	return t.isMixed(now, service) || now.Before(t.storeAwayUntil)
+}
+
+// MarkStoreAway records that the store does not answer this daemon. Like MarkSynced it must be called repeatedly.
+func (t *Tracker) MarkStoreAway(now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.storeAwayUntil = now.Add(freshWindow)
 }
 
 func (t *Tracker) markSeen(now time.Time, service string, present []string) {
@@ -160,19 +183,17 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.streams.merge(now, &stream, true)
+	recorded, distributed := t.recordedServices[stream.Service], t.distributed[stream.Service]
 	updates := t.observe(now, stream.Service, []string{stream.Software})
-	if updates == nil && t.isMixed(now, stream.Service) {
-		updates = t.distribute([]Stream{stream})
+	if recorded && t.isMixed(now, stream.Service) {
+		t.unrecorded = append(t.unrecorded, stream)
+	}
+	if distributed && t.isDistributed(now, stream.Service) {
+		updates = t.groupByDaemon([]Stream{stream})
 	}
 	return updates
 }
 
-// distribute marks streams for the durable record, and groups them by the daemons that are to record them.
-func (t *Tracker) distribute(streams []Stream) []Update {
-	t.unrecorded = append(t.unrecorded, streams...)
-	return t.groupByDaemon(streams)
-}
-
 // groupByDaemon groups streams by the daemons that are to record them.
 func (t *Tracker) groupByDaemon(streams []Stream) []Update {
 	byDaemon := map[string][]Stream{}
@@ -292,8 +313,9 @@
 // queried daemons. It returns false if the version cannot be determined. It can be determined only if this daemon and
 // the answers show a single version of the service, if its routes lead to no other service, and if one of these daemons
 // knows every version that has been present for as long as a client may wait and currently receives updates about new
-// instances.
-func (t *Tracker) Decide(now time.Time, service string, answers []*Answer) (software string, known bool) {
+// instances. That nobody has told of another version shows nothing at a daemon that is cut off, alone or together with others: so
+// the store has to have confirmed, since the request arrived, that there was none.
+func (t *Tracker) Decide(now time.Time, service string, answers []*Answer, confirmed bool) (software string, known bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	seen := t.services[service]
@@ -309,7 +331,7 @@
 			}
 		}
 	}
-	return software, completeAt(t.historyComplete(now), answers)
+	return software, confirmed && completeAt(t.historyComplete(now), answers)
 }
 
 // MergeRecord adds the shards of the durable record, which were read from readAt on. Missing shards are complete if no daemon
@@ -336,8 +358,8 @@
 	t.recordReadAt = time.Time{}
 }
 
-// noteVersion records a version that another daemon has seen.
-func (t *Tracker) noteVersion(now time.Time, service, software string) {
+// NoteVersion records a version that the store, or another daemon, has shown.
+func (t *Tracker) NoteVersion(now time.Time, service, software string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.markSeen(now, service, []string{software})
--- a/resumption/tracker_test.go
+++ b/resumption/tracker_test.go
@@ -54,7 +54,7 @@
 		if !c.restarted {
 			tracker.MergeRecord(testStart, testStart, []Shard{{Complete: true}}, false)
 		}
-		if software, known := tracker.Decide(testStart, "svc", c.answers); known != c.known || known && software != c.present[0] {
+		if software, known := tracker.Decide(testStart, "svc", c.answers, true); known != c.known || known && software != c.present[0] {
 			t.Errorf("%s: %q, known %v", c.name, software, known)
 		}
 	}
@@ -75,7 +75,7 @@
 	if updates := tracker.RecordStream(testStart, stream("s2", "v1")); len(updates) != holdersPerStream {
 		t.Errorf("updates %+v", updates)
 	}
-	if software, known := tracker.Decide(testStart, "svc", nil); known || !tracker.NeedsRecord(testStart, "svc", nil) {
+	if software, known := tracker.Decide(testStart, "svc", nil, true); known || !tracker.NeedsRecord(testStart, "svc", nil) {
 		t.Errorf("an unknown stream of a shared route resumes at %q", software)
 	}
 }
@@ -94,14 +94,14 @@
 	observe(testStart, now)
 	tracker.Observe(now, "svc", []string{"v2"}, false)
 	tracker.MarkSynced(now)
-	if _, known := tracker.Decide(now, "svc", nil); known {
+	if _, known := tracker.Decide(now, "svc", nil, true); known {
 		t.Error("the previous version was removed while its streams may still be resumed")
 	}
 	observe(now, now.Add(31*time.Second))
 	now = now.Add(31 * time.Second)
 	tracker.Observe(now, "svc", []string{"v2"}, false)
 	tracker.MarkSynced(now)
-	if software, known := tracker.Decide(now, "svc", nil); !known || software != "v2" {
+	if software, known := tracker.Decide(now, "svc", nil, true); !known || software != "v2" {
 		t.Errorf("%q, known %v", software, known)
 	}
 	// The version seen most recently is kept however long ago it was seen.
@@ -134,7 +134,7 @@
 	tracker.SetVersionWindow(testStart, time.Minute)
 	tracker.Observe(testStart, "svc", []string{"v1"}, false)
 	tracker.MarkSynced(testStart)
-	if _, known := tracker.Decide(testStart.Add(5*time.Second), "svc", nil); known {
+	if _, known := tracker.Decide(testStart.Add(5*time.Second), "svc", nil, true); known {
 		t.Error("a daemon whose process was frozen decided")
 	}
 }
