--- a/cmd/wheatweird/main.go
+++ b/cmd/wheatweird/main.go
@@ -22,6 +22,7 @@
 	app.Version(version.Text)
 	path := app.Flag("settings", "Settings file (INI).").Envar("WHEATWEIR_SETTINGS").PlaceHolder("FILE.ini").String()
 	asEntry := app.Flag("entry", "Run as an entry daemon on the users' platform.").Bool()
+	firstStart := app.Flag("first-start", "Whether no daemon of the deployment has run before, as [daemon] first_start of an entry daemon; empty means false.").PlaceHolder("true|false").Enum("", "true", "false")
 	check := app.Flag("check-settings", "Check the settings and exit.").Bool()
 	help := app.Flag("print-settings", "Print a settings file with all defaults and exit.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -34,7 +35,7 @@
 	}
 	start := startNative
 	if *asEntry {
-		start = startEntry
+		start = func(path string, checkOnly bool) (runner, error) { return startEntry(path, checkOnly, *firstStart == "true") }
 	}
 	if err := run(*path, *check, start); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -109,12 +110,13 @@
 }
 
 // startEntry starts an entry daemon on the users' platform. Its settings are read
-// again on SIGHUP and when the file changes.
-func startEntry(path string, checkOnly bool) (runner, error) {
+// again on SIGHUP and when the file changes. FirstStart adds to what they say.
+func startEntry(path string, checkOnly, firstStart bool) (runner, error) {
 	loaded, err := entry.ReadSettings(path)
 	if err != nil || checkOnly {
 		return nil, err
 	}
+	loaded.FirstStart = loaded.FirstStart || firstStart
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	running, err := entry.Start(loaded, os.Stdout)
