Soak: daemons out of step while a new version joins

Some of the daemons, one at least stays in step, are cut off or deaf one way, from the others and mostly from the store, or frozen, and 50 ms to 5 s later a server of a new version joins beside each engine. The engines leave after it. Clients take streams up at any daemon, in step or not, with one version before each round for as long as streams may be taken up. The daemons are told that they start for the first time; without that they know of no only version.

The check is the one for all streams: each goes on at the version that began it.

--- a/cmd/wheatweir/soak.go
+++ b/cmd/wheatweir/soak.go
@@ -33,10 +33,22 @@
 	command.Flag("only-releases", "Leave out all faults but releases with the kills around them.").BoolVar(&flags.options.OnlyReleases)
 	command.Flag("engines", "Number of model servers.").Default(fmt.Sprint(flags.options.Engines)).IntVar(&flags.options.Engines)
 	command.Flag("only-crashes", "Leave out all faults but crashes of half of the model servers, each in the middle of a release.").BoolVar(&flags.options.OnlyCrashes)
+	command.Flag("only-out-of-step", "Leave out all faults but daemons that are cut off or frozen while a new version joins.").BoolVar(&flags.options.OnlyOutOfStep)
 	command.Flag("format", "Form of the results.").Default("table").EnumVar(&flags.format, "table", "json")
 	command.Action(func(*kingpin.ParseContext) error { return flags.run() })
 }
 
+// moreThanOne reports whether several of these are set.
+func moreThanOne(set []bool) bool {
+	count := 0
+	for _, one := range set {
+		if one {
+			count++
+		}
+	}
+	return count > 1
+}
+
 func (f *soakFlags) run() error {
 	if f.minutes <= 0 || f.runs < 1 || f.options.Daemons < 1 || f.options.Clients < 1 {
 		return ErrCommand.New("--minutes, --runs, --daemons and --clients have to be greater than zero")
@@ -44,8 +56,11 @@
 	if f.options.Engines < 2 {
 		return ErrCommand.New("--engines has to be greater than one")
 	}
-	if f.options.OnlyReleases && f.options.OnlyCrashes {
-		return ErrCommand.New("--only-releases and --only-crashes exclude each other")
+	if only := []bool{f.options.OnlyReleases, f.options.OnlyCrashes, f.options.OnlyOutOfStep}; moreThanOne(only) {
+		return ErrCommand.New("--only-releases, --only-crashes and --only-out-of-step exclude each other")
+	}
+	if f.options.OnlyOutOfStep && f.options.Daemons < 2 {
+		return ErrCommand.New("--only-out-of-step needs two daemons")
 	}
 	f.options.Duration = time.Duration(f.minutes * float64(time.Minute))
 	ctx, cancel := interruptible()
--- a/cmd/wheatweird/main.go
+++ b/cmd/wheatweird/main.go
@@ -35,7 +35,9 @@
 	}
 	start := startNative
 	if *asEntry {
-		start = func(path string, checkOnly bool) (runner, error) { return startEntry(path, checkOnly, *firstStart == "true") }
+		start = func(path string, checkOnly bool) (runner, error) {
+			return startEntry(path, checkOnly, *firstStart == "true")
+		}
 	}
 	if err := run(*path, *check, start); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -129,7 +129,7 @@
 		return err
 	}
 	p := &place{proxy: proxy, service: service, zone: fmt.Sprint("zone-", number%zones+1)}
-	if d.options.OnlyCrashes {
+	if d.options.OnlyCrashes || d.options.OnlyOutOfStep {
 		p.software = softwareOf(0, 0)
 	}
 	d.places = append(d.places, p)
@@ -217,6 +217,7 @@
 		if err != nil {
 			return err
 		}
+		made.firstStart = d.options.OnlyOutOfStep
 		d.daemons = append(d.daemons, made)
 	}
 	for _, daemon := range d.daemons {
@@ -275,6 +276,14 @@
 		configuration.Routes = append(configuration.Routes, soakRoute(markName(version), fleet.KindSafe, 2, portalService))
 	}
 	addPatience(configuration)
+	if d.options.OnlyOutOfStep {
+		for i := range configuration.Routes {
+			if route := &configuration.Routes[i]; route.Resumable {
+				// Daemons that cannot prove that keys are still valid serve public routes only.
+				route.Timeout, route.Public = outOfStepTimeout, true
+			}
+		}
+	}
 	d.store.ConfigureWithKeys(configuration, addTenants(configuration))
 }
 
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -69,6 +69,10 @@
 		d.runCrashes(ctx, rand.New(rand.NewPCG(d.options.Seed, crashStream)))
 		return
 	}
+	if d.options.OnlyOutOfStep {
+		d.runOutOfStep(ctx, rand.New(rand.NewPCG(d.options.Seed, outOfStepStream)))
+		return
+	}
 	d.group.Go(func() { d.runReleases(ctx, rand.New(rand.NewPCG(d.options.Seed, releaseStream))) })
 	if d.options.OnlyReleases {
 		<-ctx.Done()
--- a/lab/soak/lasting.go
+++ b/lab/soak/lasting.go
@@ -48,6 +48,10 @@
 
 // lastingClients returns the number of these clients.
 func (d *deployment) lastingClients() int {
+	if d.options.OnlyOutOfStep {
+		// Their streams last longer than versions may count there.
+		return 0
+	}
 	if d.options.OnlyCrashes {
 		return crashLastingShare * d.options.Clients
 	}
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -23,6 +24,8 @@
 	logs     *os.File
 
 	front, ready, directory, peers string
+	// firstStart tells it that no daemon has run before.
+	firstStart bool
 	// peerProxy is where the other daemons reach it, storeProxy where it reaches
 	// the store.
 	peerProxy, storeProxy *proxy
@@ -94,6 +97,9 @@
 lease_term = %s
 `, d.name, d.number%zones+1, memoryLimitMB, d.front, d.ready, d.directory, d.peers, d.peerProxy.address(), seeds, d.storeProxy.address(),
 		contact, revokeWithin, keep, grace, retryShare, retrySlack, leaseTerm)
+	if d.firstStart {
+		text = strings.Replace(text, "[daemon]\n", "[daemon]\nfirst_start = true\n", 1)
+	}
 	// Readers see the old file or the new one, never a part of it.
 	next := d.settings + ".next"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -62,6 +62,8 @@
 	OnlyReleases bool
 	// OnlyCrashes leaves out all faults but crashes of half of the engines, each in the middle of a release.
 	OnlyCrashes bool
+	// OnlyOutOfStep leaves out all faults but daemons that are cut off or frozen while a new version joins.
+	OnlyOutOfStep bool
 }
 
 // DefaultOptions returns the options of a short run.
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -77,6 +77,27 @@
 	}
 }
 
+// TestSeededSoakOutOfStep guards against daemons that are cut off or frozen while servers of a new version join, and have streams
+// that began there go on at servers of the version before.
+func TestSeededSoakOutOfStep(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	options := soak.DefaultOptions()
+	options.Seed, options.Duration, options.OnlyOutOfStep, options.Untimed = 911002, 30*time.Second, true, true
+	options.Clients, options.Folder = 20, t.TempDir()
+	result, err := soak.Run(context.Background(), options, t.Output())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result.Releases == 0 || result.Checked["software version of a stream"] == 0 {
+		t.Errorf("too little to tell: %+v", result)
+	}
+	for _, violation := range result.Violations {
+		t.Error(violation)
+	}
+}
+
 // checkSeed runs one seed for a short while and checks that no promise was broken.
 func checkSeed(t *testing.T, seed uint64) {
 	t.Helper()
--- a/lab/soak/takeups.go
+++ b/lab/soak/takeups.go
@@ -57,11 +57,28 @@
 // runTakeUps runs the clients that take streams up until ctx ends.
 func (d *deployment) runTakeUps(ctx context.Context) {
 	first := d.options.Clients + max(1, d.options.Clients/patientShare)
-	for number := range max(1, d.options.Clients/takeUpShare) {
+	for number := range d.takeUpClients() {
 		d.group.Go(func() { d.runTakeUpClient(ctx, first+number) })
 	}
 }
 
+// takeUpClients returns the number of these clients.
+func (d *deployment) takeUpClients() int {
+	if d.options.OnlyOutOfStep {
+		return 2 * d.options.Clients
+	}
+	return max(1, d.options.Clients/takeUpShare)
+}
+
+// chooseAnother returns the daemon at which a stream is taken up. Clients that have an address go on using it, also if the daemon
+// there is cut off from those that tell addresses.
+func (c *client) chooseAnother(ctx context.Context) *daemon {
+	if c.deployment.options.OnlyOutOfStep {
+		return c.deployment.anyDaemon(c.random)
+	}
+	return c.choose(ctx)
+}
+
 func (d *deployment) runTakeUpClient(ctx context.Context, number int) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2}
 	defer transport.CloseIdleConnections()
@@ -91,7 +108,7 @@
 		return
 	}
 	time.Sleep(time.Duration(c.random.Float64() * float64(longestAbsence)))
-	other := c.choose(ctx)
+	other := c.chooseAnother(ctx)
 	if other == nil {
 		return
 	}
