Versions are confirmed only where a service may have an only one

What was seen: nothing by callers. Each take-up of a stream that nobody knows asked the store, also in the middle of a release, where no answer lets it go on at an only version: a call that is paid for, and up to 50 ms of its wait.

Why it works: the check is left out where this daemon or an answer shows a second version, or a second service on the route. Those take-ups read the record of streams as before.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -113,7 +113,7 @@
 		}
 	}
 	// Before the record is read: a version that comes to be known is a reason to read it.
-	confirmed := o.check.confirm(ctx) == nil
+	confirmed := o.keeper.HasOnlyVersion(o.daemon.clock.Now(), service, heard) && o.check.confirm(ctx) == nil
 	if o.keeper.NeedsRecord(o.daemon.clock.Now(), service, heard) {
 		o.record.readForRequest(ctx)
 		if began, known := o.keeper.Find(o.daemon.clock.Now(), id); known {
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -318,6 +318,19 @@
 func (t *Tracker) Decide(now time.Time, service string, answers []*Answer, confirmed bool) (software string, known bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	software, only := t.onlyVersion(now, service, answers)
+	return software, only && confirmed && completeAt(t.historyComplete(now), answers)
+}
+
+// HasOnlyVersion reports whether this daemon and the answers show a single version of a service whose routes lead to no other one.
+func (t *Tracker) HasOnlyVersion(now time.Time, service string, answers []*Answer) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	_, only := t.onlyVersion(now, service, answers)
+	return only
+}
+
+func (t *Tracker) onlyVersion(now time.Time, service string, answers []*Answer) (software string, only bool) {
 	seen := t.services[service]
 	seen.prune(now.Add(-t.versionWindow))
 	if len(seen) != 1 || t.isMixed(now, service) {
@@ -331,7 +344,7 @@
 			}
 		}
 	}
-	return software, confirmed && completeAt(t.historyComplete(now), answers)
+	return software, true
 }
 
 // MergeRecord adds the shards of the durable record, which were read from readAt on. Missing shards are complete if no daemon
