Daemons that hear of the store from others tell their streams in an outage too

Streams are told to other daemons while the store does not answer this one. A daemon that does not watch the store has no call that fails, so it told nothing in an outage, and its streams were refused elsewhere.

After a check that failed none is made for 0.5 s, and take-ups that need one are refused at once.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -199,10 +199,11 @@
 
 // tick takes in what the control duty knows of servers.
 func (o *origins) tick(now time.Time) {
-	if o.daemon.node.Synced() && o.daemon.node.ReceivesInstanceChanges(now) {
+	synced := o.daemon.node.Synced() && o.daemon.node.ReceivesInstanceChanges(now)
+	if synced {
 		o.keeper.MarkSynced(now)
 	}
-	if o.daemon.node.StoreUnavailable() {
+	if !synced || o.daemon.node.StoreUnavailable() {
 		o.keeper.MarkStoreAway(now)
 	}
 	if now.Sub(o.observedAt) < originsEvery {
--- a/entry/versioncheck.go
+++ b/entry/versioncheck.go
@@ -22,6 +22,8 @@
 	// versionCheckPause is the minimum time between two checks, for each daemon that there is at least versionCheckPausePerDaemon.
 	versionCheckPause          = 50 * time.Millisecond
 	versionCheckPausePerDaemon = 2 * time.Millisecond
+	// versionCheckRest is for how long after a check that failed none is made.
+	versionCheckRest = 500 * time.Millisecond
 	// versionCheckTimeout bounds how long a request waits for a check, beside that pause.
 	versionCheckTimeout = 500 * time.Millisecond
 )
@@ -42,6 +44,8 @@
 	mutex sync.Mutex
 	// next is the check that waits for its turn; nil if nobody has asked for one.
 	next *sharedCheck
+	// restsUntil is until when no check is made, since the last one failed.
+	restsUntil time.Time
 	// asked tells the duty that there is one.
 	asked chan struct{}
 }
@@ -61,7 +65,7 @@
 // confirm has the tracker know all versions that servers have now. The check begins after the call of confirm, so that its answer
 // covers all streams that began before. While the store is known not to answer this daemon, it fails at once.
 func (c *versionCheck) confirm(ctx context.Context) error {
-	if c.daemon.following.probing.Load() != nil {
+	if c.daemon.following.probing.Load() != nil || c.rests() {
 		return errNotConfirmed.New("store does not answer")
 	}
 	ctx, cancel := context.WithTimeout(ctx, versionCheckTimeout+c.pause())
@@ -75,6 +79,24 @@
 	}
 }
 
+// rests reports whether the last check has failed a moment ago.
+func (c *versionCheck) rests() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.daemon.clock.Now().Before(c.restsUntil)
+}
+
+// finish hands the result of a check to the requests that wait for it.
+func (c *versionCheck) finish(check *sharedCheck, err error) {
+	if err != nil {
+		c.mutex.Lock()
+		c.restsUntil = c.daemon.clock.Now().Add(versionCheckRest)
+		c.mutex.Unlock()
+	}
+	check.err = err
+	close(check.done)
+}
+
 // join returns the check that waits for its turn.
 func (c *versionCheck) join() *sharedCheck {
 	c.mutex.Lock()
@@ -112,8 +134,7 @@
 			return
 		}
 		if check := c.begin(); check != nil {
-			check.err = c.perform(d.ctx)
-			close(check.done)
+			c.finish(check, c.perform(d.ctx))
 		}
 		sleep(d.ctx, c.pause())
 	}
--- a/entry/versioncheck_test.go
+++ b/entry/versioncheck_test.go
@@ -21,8 +21,9 @@
 	}
 }
 
-func checkUnknownStreams(t *testing.T, daemons int) {
-	const services = 12
+// startOnlyVersions starts daemons for the first time before services with one server each, on routes of the same names.
+func startOnlyVersions(t *testing.T, daemons, services int) *deployment {
+	t.Helper()
 	f := start(t, 0)
 	seed := freeAddress(t)
 	for number := range daemons {
@@ -52,6 +53,12 @@
 			})
 		}
 	}
+	return f
+}
+
+func checkUnknownStreams(t *testing.T, daemons int) {
+	const services = 12
+	f := startOnlyVersions(t, daemons, services)
 	wentOn := 0
 	for number := range services {
 		address, path := f.all[number%daemons].FrontAddress, fmt.Sprintf("/llm-%d/x", number)
@@ -70,6 +77,32 @@
 	t.Logf("%d of %d streams of unknown origin went on", wentOn, services)
 }
 
+// TestTakeUpsInAnOutageCostFewCalls guards against daemons that do not watch the store and ask it again for each stream of unknown
+// origin while it turns all calls away.
+func TestTakeUpsInAnOutageCostFewCalls(t *testing.T) {
+	const daemons, rounds, calm = 13, 40, 4 * time.Second
+	f := startOnlyVersions(t, daemons, 1)
+	f.store.SetFault(func(string, string) standin.Fault { return standin.FaultBusy })
+	time.Sleep(calm)
+	before := f.store.Calls()
+	time.Sleep(rounds * 50 * time.Millisecond)
+	without := f.store.Calls() - before
+	for range rounds {
+		for i := range f.all {
+			go func() { _, _ = takeUpOn(f.all[i].FrontAddress, "/llm-0/x", "ffffffffffffffff") }()
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	with := f.store.Calls() - before - without
+	// In two seconds each daemon may ask five times for servers, every half second, and three times for the record of streams, each
+	// second. What daemons ask by themselves in an outage is drawn by chance.
+	allowed := without + daemons*(5+3) + 20
+	t.Logf("%d calls without take-ups, %d with", without, with)
+	if with > allowed {
+		t.Errorf("%d calls with take-ups, %d without", with, without)
+	}
+}
+
 func (f *deployment) addVersion(t *testing.T, service, software string) {
 	t.Helper()
 	server, err := standin.Open(f.store, standin.Options{ID: service + "-" + software, Service: service, Zone: "z", Models: []string{"m"}, Software: software})
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -159,7 +159,8 @@
 	return t.isMixed(now, service) || now.Before(t.storeAwayUntil)
 }
 
-// MarkStoreAway records that the store does not answer this daemon. Like MarkSynced it must be called repeatedly.
+// MarkStoreAway records that the store does not answer this daemon, or that this daemon hears of instances neither from the store
+// nor from others. Like MarkSynced it must be called repeatedly.
 func (t *Tracker) MarkStoreAway(now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
