Log and explain tell who gave the version of a stream that is taken up

What operators saw: "origin: Looked up." told how the version was found, and not which daemon knew it, how many were asked, or whether the store had confirmed an only one. wheatweir explain listed the line and concluded nothing.

Change: the line has told_by, asked and confirmed (store, failed, not_needed) beside answers and observed_ms, and the cause that explain gives names them. A confirmation is never older than the request. TestStoryTellsTheOriginOfAStream.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -93,39 +93,56 @@
 // Find implements gateway.Origins.
 func (o *origins) Find(ctx context.Context, request *gateway.Request, route *fleet.Route, service string) (gateway.StreamOrigin, bool) {
 	askedAt := o.daemon.clock.Now()
-	began, by, answers := o.find(ctx, request.ResumedRequestID, route, service)
-	o.daemon.metrics.takenUp(by).Inc(1)
-	o.daemon.log.add("origin", "Looked up.", "request", request.ID, "resumes", loggedID(request.ResumedRequestID), "service", began.Service,
-		"by", by, "software", began.Software, "answers", answers, "observed_ms", o.keeper.ObservedFor(askedAt).Milliseconds(),
-		"took_ms", o.daemon.clock.Since(askedAt).Milliseconds())
-	return gateway.StreamOrigin{Service: began.Service, Software: began.Software}, by != foundNowhere && by != foundMoved
+	found := o.find(ctx, request.ResumedRequestID, route, service)
+	o.daemon.metrics.takenUp(found.by).Inc(1)
+	o.daemon.log.add("origin", "Looked up.", "request", request.ID, "resumes", loggedID(request.ResumedRequestID), "service", found.began.Service,
+		"by", found.by, "software", found.began.Software, "told_by", found.toldBy, "asked", found.asked, "answers", found.answers, "confirmed", found.confirmed,
+		"observed_ms", o.keeper.ObservedFor(askedAt).Milliseconds(), "took_ms", o.daemon.clock.Since(askedAt).Milliseconds())
+	return gateway.StreamOrigin{Service: found.began.Service, Software: found.began.Software}, found.by != foundNowhere && found.by != foundMoved
+}
+
+// originLookup is what was found about the origin of a stream, and how.
+type originLookup struct {
+	began resumption.Began
+	by    string
+	// toldBy is the daemon that knew, asked and answers the numbers of daemons that were asked and that answered.
+	toldBy         string
+	asked, answers int
+	confirmed      confirmation
 }
 
 // find finds what began a stream of a route.
-func (o *origins) find(ctx context.Context, id string, route *fleet.Route, service string) (began resumption.Began, by string, answers int) {
+func (o *origins) find(ctx context.Context, id string, route *fleet.Route, service string) originLookup {
+	found := originLookup{confirmed: notNeeded}
 	if began, known := o.keeper.Find(o.daemon.clock.Now(), id); known {
-		return began, foundOn(route, began, foundHere), 0
+		found.began, found.by = began, foundOn(route, began, foundHere)
+		return found
 	}
-	heard := o.ask(ctx, id, service)
-	for _, answer := range heard {
-		if answer.Known {
-			return answer.Began, foundOn(route, answer.Began, foundElsewhere), len(heard)
-		}
+	names := o.keeper.QueryTargets(id)
+	heard, toldBy := o.ask(ctx, names, id, service)
+	found.asked, found.answers = len(names), len(heard)
+	if toldBy != "" {
+		began := heard[len(heard)-1].Began
+		found.began, found.by, found.toldBy = began, foundOn(route, began, foundElsewhere), toldBy
+		return found
 	}
 	// Before the record is read: a version that comes to be known is a reason to read it.
-	confirmed := o.keeper.HasOnlyVersion(o.daemon.clock.Now(), service, heard) && o.check.confirm(ctx) == nil
+	if o.keeper.HasOnlyVersion(o.daemon.clock.Now(), service, heard) {
+		found.confirmed = confirmationOf(o.check.confirm(ctx))
+	}
 	if o.keeper.NeedsRecord(o.daemon.clock.Now(), service, heard) {
 		o.record.readForRequest(ctx)
 		if began, known := o.keeper.Find(o.daemon.clock.Now(), id); known {
-			return began, foundOn(route, began, foundRecorded), len(heard)
+			found.began, found.by = began, foundOn(route, began, foundRecorded)
+			return found
 		}
 	}
-	software, known := o.keeper.Decide(o.daemon.clock.Now(), service, heard, confirmed)
-	began = resumption.Began{Service: service, Software: software}
+	software, known := o.keeper.Decide(o.daemon.clock.Now(), service, heard, found.confirmed == byStore)
+	found.began, found.by = resumption.Began{Service: service, Software: software}, foundNowhere
 	if known {
-		return began, foundOnlyVersion, len(heard)
+		found.by = foundOnlyVersion
 	}
-	return began, foundNowhere, len(heard)
+	return found
 }
 
 // foundOn returns how the origin of a stream was found, unless the route does not lead there.
@@ -145,27 +162,31 @@
 	return false
 }
 
-// ask asks other daemons at once and returns their answers, until one knows.
-func (o *origins) ask(ctx context.Context, id, service string) []*resumption.Answer {
+// namedAnswer is the answer of a daemon, or nil if it gave none.
+type namedAnswer struct {
+	from   string
+	answer *resumption.Answer
+}
+
+// ask asks other daemons at once and returns their answers, until one knows: its answer is the last one, and toldBy its name.
+func (o *origins) ask(ctx context.Context, names []string, id, service string) (heard []*resumption.Answer, toldBy string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	names := o.keeper.QueryTargets(id)
-	answers := make(chan *resumption.Answer, len(names))
+	answers := make(chan namedAnswer, len(names))
 	for _, name := range names {
-		go func() { answers <- o.askOne(ctx, name, id, service) }()
+		go func() { answers <- namedAnswer{name, o.askOne(ctx, name, id, service)} }()
 	}
-	var heard []*resumption.Answer
 	for range names {
-		answer := <-answers
-		if answer == nil {
+		given := <-answers
+		if given.answer == nil {
 			continue
 		}
-		heard = append(heard, answer)
-		if answer.Known {
-			break
+		heard = append(heard, given.answer)
+		if given.answer.Known {
+			return heard, given.from
 		}
 	}
-	return heard
+	return heard, ""
 }
 
 // askOne returns the answer of one daemon, or nil.
--- a/entry/versioncheck.go
+++ b/entry/versioncheck.go
@@ -28,6 +28,23 @@
 	versionCheckTimeout = 500 * time.Millisecond
 )
 
+// confirmation says whether the store has confirmed that a service has one version, since a request for that arrived.
+type confirmation string
+
+const (
+	// notNeeded means that the store was not asked, as the answer would have changed nothing.
+	notNeeded    confirmation = "not_needed"
+	byStore      confirmation = "store"
+	notConfirmed confirmation = "failed"
+)
+
+func confirmationOf(err error) confirmation {
+	if err != nil {
+		return notConfirmed
+	}
+	return byStore
+}
+
 // versionCheck asks the store which servers have come since this daemon last heard of any. What a daemon hears from others, or does
 // not hear, cannot show that it is not cut off from them; an answer of the store to a question of its own can. Requests that wait
 // share a check.
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -158,6 +158,24 @@
 	return ""
 }
 
+// originOf tells from what the software version of a stream was concluded that the request resumes; empty if it resumes none.
+func originOf(story *Story) string {
+	for i := range story.Steps {
+		step := &story.Steps[i]
+		by := step.Value("by")
+		if by == "" || step.Name != "" {
+			continue
+		}
+		text := fmt.Sprintf("; the version %q of the stream that it resumes follows from %q", step.Value("software"), by)
+		if toldBy := step.Value("told_by"); toldBy != "" {
+			text += ", told by " + toldBy
+		}
+		return text + fmt.Sprintf(" (%s of %s daemons answered, confirmed: %s, servers observed for %s ms)",
+			step.Value("answers"), step.Value("asked"), step.Value("confirmed"), step.Value("observed_ms"))
+	}
+	return ""
+}
+
 // droppedCount is how many lines a daemon says it dropped; one that does not say counts as one.
 func droppedCount(step *Step) int {
 	count, err := strconv.Atoi(step.Value("count"))
@@ -218,7 +236,7 @@
 	slices.SortFunc(story.Nodes, cmp.Compare[string])
 	story.Known = r.known.of(story.Steps)
 	story.Warnings = warnings(&story)
-	story.Cause = cause(&story) + r.heldFor(&story)
+	story.Cause = cause(&story) + originOf(&story) + r.heldFor(&story)
 	return story, nil
 }
 
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -46,6 +46,23 @@
 	}
 }
 
+// TestStoryTellsTheOriginOfAStream guards against a stream that went on at a version, or was refused, and of which nobody can tell
+// from what its version was concluded and who said so.
+func TestStoryTellsTheOriginOfAStream(t *testing.T) {
+	for line, want := range map[string]string{
+		"by=daemon software=v1 told_by=d2 asked=8 answers=3 confirmed=not_needed": `the version "v1" of the stream that it resumes follows from "daemon", told by d2 (3 of 8 daemons answered, confirmed: not_needed, servers observed for 912 ms)`,
+		"by=unknown software= told_by= asked=8 answers=0 confirmed=failed":        `follows from "unknown" (0 of 8 daemons answered, confirmed: failed, servers observed for 912 ms)`,
+	} {
+		looked := `time=2026-12-02T10:00:01.190Z level=info msg="origin: Looked up." node=a request=r1 resumes=r0 service=svc ` + line + " observed_ms=912 took_ms=3\n"
+		if story, err := read(t, "r1", looked+log); err != nil || !strings.Contains(story.Cause, want) {
+			t.Errorf("cause %q, %v; want %q", story.Cause, err, want)
+		}
+	}
+	if story, err := read(t, "r1", log); err != nil || strings.Contains(story.Cause, "version") {
+		t.Errorf("cause %q of a request that resumes no stream, %v", story.Cause, err)
+	}
+}
+
 // TestStoryTellsOfASpentRetryBudget guards against a request that got one attempt for want of budget and looks as if its route
 // allowed no other one.
 func TestStoryTellsOfASpentRetryBudget(t *testing.T) {
