Soak: engines are replaced beside odd entries of another writer

Entries of other writers in a soak were of the wrong type, never nested deeply, with numbers too large or a port out of range. They are now, among the servers and the configuration.

--- a/lab/soak/outofstep.go
+++ b/lab/soak/outofstep.go
@@ -103,3 +103,12 @@
 		one()
 	}
 }
+
+// joinBesideOddEntries replaces all engines while odd entries of another writer stand among those of the servers. Daemons that the
+// entries keep from following the list serve nothing after that, however long they have time to recover.
+func (d *deployment) joinBesideOddEntries(ctx context.Context, random *rand.Rand) {
+	d.tell("odd entries stand among those of the servers")
+	foreignEntries(d, random)
+	d.joinVersion(ctx, "v0", longestBeside)
+	pause(ctx, drainTime+2*shortestFarewell)
+}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -156,6 +156,9 @@
 	d.runFaults(faults, random)
 	stopFaults()
 	d.heal()
+	if d.options.OnlyOutOfStep {
+		d.joinBesideOddEntries(ctx, random)
+	}
 	if ctx.Err() == nil {
 		d.checkRecovery(ctx)
 	}
--- a/lab/soak/tenants.go
+++ b/lab/soak/tenants.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/wheatweir/wheatweir/fleet"
@@ -168,9 +169,33 @@
 	for number, entry := range entries {
 		d.store.Put("servers", fmt.Sprint(foreignPrefix, number), entry)
 	}
+	odd := oddEntries(place.service, address, place.zone)
+	for number, entry := range odd {
+		d.store.PutRaw("servers", fmt.Sprint(foreignPrefix, "odd-", number), entry)
+		d.store.PutRaw("config", fmt.Sprint(foreignPrefix, "odd-", number), entry)
+	}
 	return func() {
 		for number := range entries {
 			d.store.Delete("servers", fmt.Sprint(foreignPrefix, number))
 		}
+		for number := range odd {
+			d.store.Delete("servers", fmt.Sprint(foreignPrefix, "odd-", number))
+			d.store.Delete("config", fmt.Sprint(foreignPrefix, "odd-", number))
+		}
+	}
+}
+
+// oddDepth is deeper than encoding/json reads.
+const oddDepth = 20_000
+
+// oddEntries are entries that are nested very deeply, hold numbers too large or a port out of range.
+func oddEntries(service, address, zone string) []string {
+	deep := strings.Repeat("[", oddDepth) + strings.Repeat("]", oddDepth)
+	entry := func(address, slots, field string) string {
+		return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":%s,"state":"ready",%s}`, service, address, zone, slots, field)
+	}
+	return []string{
+		deep, entry("127.0.0.1:70000", "8", `"extra":`+deep), entry(address, "8", `"models":`+deep), entry(address, "9000000000000000000", `"born":1`),
+		entry(address, "1e400", `"born":1`), entry("127.0.0.1:70000", "8", `"born":1`),
 	}
 }
