--- a/cmd/wheatweird/outofstep_test.go
+++ b/cmd/wheatweird/outofstep_test.go
@@ -163,6 +163,13 @@
 			f.stores[number].hold(false)
 		}},
 		{"hears no store", func(f *versionFleet, number int) { f.stores[number].hold(true) }, func(f *versionFleet, number int) { f.stores[number].hold(false) }},
+		{"is refused by the store, and reached by no other daemon", func(f *versionFleet, number int) {
+			f.daemons[number].relay.cut()
+			f.stores[number].cut()
+		}, func(f *versionFleet, number int) {
+			f.daemons[number].relay.restore()
+			f.stores[number].restore()
+		}},
 		{"stands still", func(f *versionFleet, number int) { f.daemons[number].signal(syscall.SIGSTOP) }, func(f *versionFleet, number int) { f.daemons[number].signal(syscall.SIGCONT) }},
 	}
 }
