--- a/cmd/wheatweird/entryprocess_test.go
+++ b/cmd/wheatweird/entryprocess_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -43,23 +42,41 @@
 
 // entryDaemon is a real entry daemon as a process of its own, before a store and servers of this test.
 type entryDaemon struct {
-	store    *standin.Store
-	process  *os.Process
-	log      string
-	settings string
-	front    string
-	ready    string
-	peers    string
-	metrics  string
+	store     *standin.Store
+	process   *os.Process
+	log       string
+	settings  string
+	front     string
+	ready     string
+	directory string
+	peers     string
+	metrics   string
+	// configuration is what the store was given first.
+	configuration *fleet.Configuration
+	// memoryMB is the memory of its machine.
+	memoryMB int
 	// peak is the largest resident memory of the process so far, in MB.
 	peak atomic.Int64
 }
 
 const deploymentKey = "a key for this test"
 
+// entryMachine is the machine of a daemon.
+type entryMachine struct {
+	memoryMB int
+	// descriptors bounds the open descriptors of the process; zero leaves them as they are.
+	descriptors int
+}
+
 // startEntryDaemon starts a daemon and waits until it is ready. The calm service has a sound server, the service named
 // "faulty" has none yet.
 func startEntryDaemon(t *testing.T, binary string) *entryDaemon {
+	t.Helper()
+	return startEntryDaemonOn(t, binary, entryMachine{memoryMB: entryMemoryMB})
+}
+
+// startEntryDaemonOn is startEntryDaemon on a machine of another size.
+func startEntryDaemonOn(t *testing.T, binary string, machine entryMachine) *entryDaemon {
 	t.Helper()
 	store, err := standin.NewStore()
 	if err != nil {
@@ -72,7 +89,7 @@
 			MaxAttempts: 2, Resumable: resumable, Targets: []fleet.Target{{Service: service, Weight: 1}},
 		}
 	}
-	store.Configure(&fleet.Configuration{
+	configuration := &fleet.Configuration{
 		Version: 1,
 		Routes: []fleet.Route{
 			route("calm", fleet.KindStream, false, "calm"), route("stream", fleet.KindStream, false, "faulty"),
@@ -83,17 +100,16 @@
 				Models: []fleet.Model{{Name: "m", WeightsMB: 60}}}},
 			{Name: "faulty", MaxConnections: 400},
 		},
-	})
+	}
+	store.Configure(configuration)
 	calm, err := standin.NewServer(store, "calm-1", "calm", "z", "m")
 	if err != nil {
 		t.Fatal(err)
 	}
 	calm.EventPause = 20 * time.Millisecond
 	t.Cleanup(calm.Close)
-	d := &entryDaemon{store: store}
-	addresses := map[string]*string{"front": &d.front, "ready": &d.ready, "peers": &d.peers, "metrics": &d.metrics}
-	var directory string
-	addresses["directory"] = &directory
+	d := &entryDaemon{store: store, configuration: configuration, memoryMB: machine.memoryMB}
+	addresses := map[string]*string{"front": &d.front, "ready": &d.ready, "directory": &d.directory, "peers": &d.peers, "metrics": &d.metrics}
 	for _, address := range addresses {
 		if *address, err = loopback.Address(); err != nil {
 			t.Fatal(err)
@@ -101,7 +117,7 @@
 	}
 	folder := t.TempDir()
 	path := filepath.Join(folder, "daemon.ini")
-	content := fmt.Sprintf("[daemon]\nname = d1\nzone = z\nfirst_start = true\ndeployment_key = %s\nmemory_limit_mb = %d\n[listen]\n", deploymentKey, entryMemoryMB)
+	content := fmt.Sprintf("[daemon]\nname = d1\nzone = z\nfirst_start = true\ndeployment_key = %s\nmemory_limit_mb = %d\n[listen]\n", deploymentKey, machine.memoryMB)
 	for name, address := range addresses {
 		content += name + " = " + *address + "\n"
 	}
@@ -115,7 +131,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	command := exec.Command(binary, "--entry", "--settings", path)
+	command := limitedCommand(machine.descriptors, binary, "--entry", "--settings", path)
 	command.Stdout, command.Stderr = output, output
 	// A test that is killed leaves no process behind.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -181,7 +197,7 @@
 		}
 		peak = max(peak, now)
 		d.peak.Store(int64(peak))
-		if peak > entryMemoryMB {
+		if peak > float64(d.memoryMB) {
 			_ = d.process.Kill()
 			return
 		}
