Connections of clients are bounded at every listener of an entry daemon

Callers saw daemons end over their memory, and no answers, while clients sent heads that do not end, small fields, or nothing at all.

Cause: the head of a request was bounded for one connection only (64 KiB, which small fields turn into more than 1 MB), and nothing bounded how many connections an address had, so one address could take all memory and all descriptors of the process. The configuration's limits on heads and times were not used.

Change: internal/connlimit. Each listener has a part of the descriptors that no other can take, and the process keeps the rest for its own connections. At its limit a listener closes a connection that has no request in service, those first that never had one and are older than a second. Heads beyond 4 KiB reserve memory from a budget of their own; the largest unfinished one gives way. Receive buffers are 16 KiB. Times and sizes come from the configuration in force, with a margin of a quarter. Bodies that stop arriving get 408, and requests whose connection gives way while they arrive 503: nothing of them was passed on. A refused client that still sends is read for a second.

--- a/cmd/wheatweird/main.go
+++ b/cmd/wheatweird/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -23,6 +24,7 @@
 	path := app.Flag("settings", "Settings file (INI).").Envar("WHEATWEIR_SETTINGS").PlaceHolder("FILE.ini").String()
 	asEntry := app.Flag("entry", "Run as an entry daemon on the users' platform.").Bool()
 	firstStart := app.Flag("first-start", "Whether no daemon of the deployment has run before, as [daemon] first_start of an entry daemon; empty means false.").PlaceHolder("true|false").Enum("", "true", "false")
+	maxDescriptors := app.Flag("max-descriptors", "How many descriptors the process may open, as [daemon] max_descriptors of an entry daemon; empty or 0 leaves what the settings say.").PlaceHolder("N").String()
 	check := app.Flag("check-settings", "Check the settings and exit.").Bool()
 	help := app.Flag("print-settings", "Print a settings file with all defaults and exit.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -33,10 +35,14 @@
 	if *path == "" {
 		app.Fatalf("--settings is missing")
 	}
+	descriptors, err := parseDescriptors(*maxDescriptors)
+	if err != nil {
+		app.Fatalf("--max-descriptors: %v", err)
+	}
 	start := startNative
 	if *asEntry {
 		start = func(path string, checkOnly bool) (runner, error) {
-			return startEntry(path, checkOnly, *firstStart == "true")
+			return startEntry(path, checkOnly, entryFlags{firstStart: *firstStart == "true", maxDescriptors: descriptors})
 		}
 	}
 	if err := run(*path, *check, start); err != nil {
@@ -111,14 +117,36 @@
 	return daemon.Start(loaded, os.Stderr)
 }
 
+// entryFlags are flags that add to the settings of an entry daemon.
+type entryFlags struct {
+	firstStart bool
+	// maxDescriptors is zero if the settings decide.
+	maxDescriptors int
+}
+
+// parseDescriptors reads a number of descriptors; no text means that none is given.
+func parseDescriptors(text string) (int, error) {
+	if text == "" {
+		return 0, nil
+	}
+	count, err := strconv.Atoi(text)
+	if err == nil && count < 0 {
+		err = strconv.ErrRange
+	}
+	return count, err
+}
+
 // startEntry starts an entry daemon on the users' platform. Its settings are read
-// again on SIGHUP and when the file changes. FirstStart adds to what they say.
-func startEntry(path string, checkOnly, firstStart bool) (runner, error) {
+// again on SIGHUP and when the file changes. The flags add to what they say.
+func startEntry(path string, checkOnly bool, flags entryFlags) (runner, error) {
 	loaded, err := entry.ReadSettings(path)
 	if err != nil || checkOnly {
 		return nil, err
 	}
-	loaded.FirstStart = loaded.FirstStart || firstStart
+	loaded.FirstStart = loaded.FirstStart || flags.firstStart
+	if flags.maxDescriptors > 0 {
+		loaded.MaxDescriptors = flags.maxDescriptors
+	}
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	running, err := entry.Start(loaded, os.Stdout)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/gateway"
 	"github.com/wheatweir/wheatweir/internal/clock"
+	"github.com/wheatweir/wheatweir/internal/connlimit"
 	"github.com/wheatweir/wheatweir/internal/membudget"
 	"github.com/wheatweir/wheatweir/member"
 	"github.com/wheatweir/wheatweir/peer"
@@ -44,9 +45,14 @@
 	memoryHeadroom = 0.8
 	// receivedShare is the share of the process's memory that data from other processes may occupy until it is forwarded.
 	receivedShare = 1.0 / 8
-	// requestBodyShare is that of the bodies of clients' requests, smallBodyShare what small bodies have of their own.
-	requestBodyShare = 3.0 / 8
+	// requestBodyShare is that of the bodies of clients' requests, smallBodyShare what small bodies have of their own. requestHeadShare is
+	// that of heads, connectionShare that of connections without them.
+	requestBodyShare = 5.0 / 16
 	smallBodyShare   = 1.0 / 16
+	requestHeadShare = 1.0 / 16
+	connectionShare  = 3.0 / 16
+	// anyHeadBytes is a size of heads for which there is memory on every machine, however small.
+	anyHeadBytes = 64 << 10
 	// gcPercent is how much garbage the process holds before it is collected, as a part of what is in use. A daemon
 	// at rest makes little garbage.
 	gcPercent = 50
@@ -83,6 +89,10 @@
 	paths     *paths
 	front     *platform.Front
 	servers   []*http.Server
+	// listeners are those of all addresses.
+	listeners connlimit.Group
+	// connectionsTold is what the log was last told of them.
+	connectionsTold connlimit.Observer
 	peers     *peer.Transport[coordination.Message]
 
 	// The request path.
@@ -196,6 +206,7 @@
 	budget := membudget.New(int64(limitBytes * receivedShare))
 	budget.Separate(membudget.RequestBody, int64(limitBytes*requestBodyShare))
 	budget.Separate(membudget.SmallRequestBody, int64(limitBytes*smallBodyShare))
+	budget.Separate(membudget.RequestHead, max(int64(limitBytes*requestHeadShare), connlimit.HeadCost(anyHeadBytes)))
 	return budget
 }
 
@@ -205,22 +216,26 @@
 	if err != nil {
 		return err
 	}
-	d.front.LimitMemory(d.memory)
-	addresses := map[string]bool{d.current().ReadyAddress: true, d.current().DirectoryAddress: true}
-	if d.current().MetricsAddress != "" {
-		addresses[d.current().MetricsAddress] = true
+	machine := connlimit.Machine{
+		Descriptors: d.current().MaxDescriptors, MemoryBytes: int64(d.current().MemoryLimitMB * (1 << 20) * connectionShare),
 	}
-	for address := range addresses {
-		server, listener, err := platform.ListenDirectory(address, d)
+	d.front.LimitMemory(d.memory)
+	d.front.LimitConnections(machine)
+	d.listeners.Add(connlimit.Front, d.front.Listener())
+	for address, name := range d.questionAddresses() {
+		server, listener, err := platform.ListenDirectory(address, d, machine.Connections(name), d.memory)
 		if err != nil {
 			return err
 		}
+		d.listeners.Add(name, listener)
 		d.servers = append(d.servers, server)
 		d.startDuty("directory", func() { _ = server.Serve(listener) })
 	}
 	if d.peers, err = peer.Listen(d.current().PeerAddress, peerKey(d.current().DeploymentKey), d.receive); err != nil {
 		return err
 	}
+	d.peers.LimitConnections(machine.Connections(connlimit.Peers))
+	d.listeners.Add(connlimit.Peers, d.peers.Listener())
 	d.peers.LimitMemory(d.memory)
 	d.peers.ServeTunnels(d.paths.carry)
 	d.peers.OnUnacknowledged(func(address string, waiting time.Duration) {
@@ -229,6 +244,17 @@
 	return nil
 }
 
+// questionAddresses returns the addresses that answer questions. One that several uses share has the name of that with most connections.
+func (d *Daemon) questionAddresses() map[string]connlimit.Name {
+	addresses := map[string]connlimit.Name{}
+	if d.current().MetricsAddress != "" {
+		addresses[d.current().MetricsAddress] = connlimit.Metrics
+	}
+	addresses[d.current().ReadyAddress] = connlimit.Ready
+	addresses[d.current().DirectoryAddress] = connlimit.Directory
+	return addresses
+}
+
 // peerKey is what daemons of one deployment that speak the same form of messages share.
 func peerKey(deploymentKey string) []byte {
 	return []byte(deploymentKey + " messages " + coordination.MessageForm)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/internal/connlimit"
 	"github.com/wheatweir/wheatweir/internal/exposition"
 	"github.com/wheatweir/wheatweir/internal/membudget"
 	"github.com/wheatweir/wheatweir/platform"
@@ -379,6 +380,23 @@
 	d.metrics.evacuated.Update(float64(d.node.EvacuatedZones()))
 	d.metrics.parked.Update(float64(d.node.ParkedModels()))
 	d.observeMemory(now)
+	d.observeConnections(now)
+}
+
+// observeConnections shows how many connections the listeners have, and logs that clients are turned away.
+func (d *Daemon) observeConnections(now time.Time) {
+	all := d.listeners.Counts()
+	for name, counts := range all {
+		tagged := d.metrics.root.Tagged(map[string]string{"listener": string(name)})
+		counts.Update(func(gauge string) connlimit.Gauge { return tagged.Gauge(gauge) })
+	}
+	for _, report := range d.connectionsTold.Observe(now, all) {
+		message := "Clients are turned away."
+		if report.Ended {
+			message = "Clients are no longer turned away."
+		}
+		d.log.add("connections", message, report.Fields()...)
+	}
 }
 
 // heapMetric is the runtime's metric of the heap: live objects, and dead ones that are not swept yet.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -70,6 +70,8 @@
 	FirstStart bool
 	// MemoryLimitMB is the memory of the process.
 	MemoryLimitMB float64
+	// MaxDescriptors is the number of descriptors that the process may open; zero means what the kernel allows.
+	MaxDescriptors int
 	// CPUShare is the processor of the machine, in cores; zero if it is not known.
 	CPUShare float64
 }
@@ -92,6 +94,7 @@
 		inifile.Choice("daemon", "log_level", &s.LogLevel, "debug", "info", "warn", "error"),
 		inifile.Secret("daemon", "deployment_key", &s.DeploymentKey),
 		inifile.Number("daemon", "memory_limit_mb", &s.MemoryLimitMB, 16, 1<<20),
+		optional(inifile.Integer("daemon", "max_descriptors", &s.MaxDescriptors, 64, 1<<20)),
 		optional(inifile.Boolean("daemon", "first_start", &s.FirstStart)),
 		optional(inifile.Number("daemon", "cpu_share", &s.CPUShare, 0, 4096)),
 
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -277,6 +277,8 @@
 	gateway.ReasonClientDisconnected: "the client left",
 	gateway.ReasonAnswered:           "the instance answered",
 	gateway.ReasonNoMemory:           "this daemon had no memory left for its body",
+	gateway.ReasonBodyTooSlow:        "its body stopped arriving",
+	gateway.ReasonConnections:        "its body had not arrived, and its connection was needed for another client",
 	gateway.ReasonBodyTooLarge:       "its body is larger than the configuration allows",
 	gateway.ReasonBodyFramedTwice:    "its head may be read in two ways as to where its body ends, such as with both a length and chunks",
 	gateway.ReasonQuarantined:        "servers crashed under requests like it",
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -71,6 +71,9 @@
 	ReasonBodyFramedTwice Reason = "body_framed_twice"
 	// ReasonNoMemory means that this daemon has no memory left for the request's body.
 	ReasonNoMemory Reason = "no_memory"
+	// ReasonBodyTooSlow means that the body stopped arriving, and ReasonConnections that its connection was needed for another client.
+	ReasonBodyTooSlow Reason = "body_too_slow"
+	ReasonConnections Reason = "connections"
 )
 
 // Step is a decision on a request. It is written to logs and metrics. Each request ends with exactly one of StepEnded,
--- a/internal/headguard/headguard.go
+++ b/internal/headguard/headguard.go
@@ -59,6 +59,9 @@
 	return first, true
 }
 
+// NetConn returns the connection whose requests are followed.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // SyscallConn implements syscall.Conn.
 func (c *conn) SyscallConn() (syscall.RawConn, error) {
 	exposed, ok := c.Conn.(syscall.Conn)
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -33,11 +33,13 @@
 	// RequestBody is the body of a client's request, SmallRequestBody one that is small so far.
 	RequestBody      Kind = "request_body"
 	SmallRequestBody Kind = "small_request_body"
+	// RequestHead is the head of a client's request.
+	RequestHead Kind = "request_head"
 )
 
 // Kinds lists all kinds.
 func Kinds() []Kind {
-	return []Kind{AnswerHead, AnswerBody, Event, Report, StoreAnswer, PeerFrame, RequestBody, SmallRequestBody}
+	return []Kind{AnswerHead, AnswerBody, Event, Report, StoreAnswer, PeerFrame, RequestBody, SmallRequestBody, RequestHead}
 }
 
 // Budget is the memory that all readers share, but for kinds that have a limit of their own. It is safe for concurrent use.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -24,6 +24,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/errs"
 
+	"github.com/wheatweir/wheatweir/internal/connlimit"
 	"github.com/wheatweir/wheatweir/internal/idle"
 	"github.com/wheatweir/wheatweir/internal/membudget"
 	"github.com/wheatweir/wheatweir/ring"
@@ -71,7 +72,7 @@
 type Transport[M any] struct {
 	key      []byte
 	handler  Handler[M]
-	listener net.Listener
+	listener *connlimit.Listener
 	ctx      context.Context
 	cancel   context.CancelFunc
 	group    conc.WaitGroup
@@ -100,7 +101,7 @@
 
 // Listen opens the transport on an "IP:port" address.
 func Listen[M any](address string, key []byte, handler Handler[M]) (*Transport[M], error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := connlimit.Listen(address, listenerOptions(maxConnections))
 	if err != nil {
 		return nil, ErrListen.Wrap(err)
 	}
@@ -113,6 +114,17 @@
 	return transport, nil
 }
 
+// listenerOptions bounds the incoming connections. Those that have not proved the key give way to others.
+func listenerOptions(most int) connlimit.Options {
+	return connlimit.Options{Most: most, Limits: func() connlimit.Limits { return connlimit.Limits{} }}
+}
+
+// LimitConnections bounds the connections that other daemons may open.
+func (t *Transport[M]) LimitConnections(most int) { t.listener.SetOptions(listenerOptions(most)) }
+
+// Listener returns the listener for other daemons.
+func (t *Transport[M]) Listener() *connlimit.Listener { return t.listener }
+
 // LimitMemory makes the frames that are being received or handled share a memory budget. A frame waits for room for
 // frameRoomTimeout; then its connection is closed.
 func (t *Transport[M]) LimitMemory(budget *membudget.Budget) { t.memory.Store(budget) }
@@ -353,6 +365,7 @@
 		t.count(func(counts *Counts) { counts.Rejected++ })
 		return
 	}
+	connlimit.Of(conn).HeadRead()
 	if label == labelTunnel {
 		t.serveTunnel(session)
 		return
--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/wheatweir/wheatweir/internal/connlimit"
 )
 
 // Error classes of tunnels.
@@ -297,6 +299,9 @@
 var keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
 
 func enableKeepAlive(conn net.Conn) {
+	if limited := connlimit.Of(conn); limited != nil {
+		conn = limited.NetConn()
+	}
 	if socket, ok := conn.(*net.TCPConn); ok {
 		_ = socket.SetKeepAliveConfig(keepAliveConfig)
 	}
