A native daemon bounds the connections and bodies of its callers

Callers saw a native daemon grow to 984 MB while 120 of them sent bodies of 4 MB that lacked a byte, and got no answer while others held all its connections.

Cause: the HTTP library read each body whole before the daemon saw it, in memory that nothing counted; connections were bounded by a constant that knew nothing of the process's descriptors.

Change: bodies are read as they arrive, into memory that they reserve from received_bytes; one without room is refused as not run. Callers and peers go through internal/connlimit. The runtime collects garbage more often beyond received_bytes and a quarter.

--- a/caller/errors.go
+++ b/caller/errors.go
@@ -47,6 +47,8 @@
 	outcome.ReasonQuota:          fiber.StatusTooManyRequests,
 	outcome.ReasonQuotaUnsure:    fiber.StatusServiceUnavailable,
 	ReasonStopping:               fiber.StatusServiceUnavailable,
+	ReasonNoMemory:               fiber.StatusServiceUnavailable,
+	ReasonConnections:            fiber.StatusServiceUnavailable,
 }
 
 // statusClientClosedRequest is the status that proxies log for a caller that
--- a/caller/server.go
+++ b/caller/server.go
@@ -16,7 +16,9 @@
 	"github.com/zeebo/errs"
 
 	"github.com/wheatweir/wheatweir/api"
+	"github.com/wheatweir/wheatweir/internal/connlimit"
 	"github.com/wheatweir/wheatweir/internal/drain"
+	"github.com/wheatweir/wheatweir/internal/membudget"
 	"github.com/wheatweir/wheatweir/outcome"
 	"github.com/wheatweir/wheatweir/tenant"
 )
@@ -39,44 +41,55 @@
 type Server struct {
 	app         *fiber.App
 	handler     Handler
-	listener    net.Listener
+	listener    *connlimit.Listener
 	hangups     *hangupWatch
 	lifetime    *drain.Lifetime
 	connections drain.Connections
 	cancel      context.CancelFunc
 	group       conc.WaitGroup
-	idPrefix    string
-	nextID      atomic.Uint64
-	active      atomic.Int64
-	lastCall    atomic.Int64
+	// memory bounds the bodies of all calls, maxBodyBytes that of one.
+	memory       atomic.Pointer[membudget.Budget]
+	maxBodyBytes int
+	idPrefix     string
+	nextID       atomic.Uint64
+	active       atomic.Int64
+	lastCall     atomic.Int64
 }
 
 // Listen starts a server on an "IP:port" address. The name makes request
 // identities unique among daemons.
 func Listen(address, name string, maxBodyBytes int, handler Handler) (*Server, error) {
-	raw, err := net.Listen("tcp", address)
+	limited, err := connlimit.Listen(address, listenerOptions(connlimit.Machine{}))
 	if err != nil {
 		return nil, ErrServer.Wrap(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	server := &Server{
 		handler:  handler,
-		listener: listener{raw},
+		listener: limited,
 		hangups:  newHangupWatch(),
 		lifetime: drain.NewLifetime(),
 		cancel:   cancel,
+
+		maxBodyBytes: maxBodyBytes,
+
 		idPrefix: name + "-" + strconv.FormatInt(time.Now().UnixMilli(), 36) + "-",
 	}
+	server.memory.Store(membudget.New(0))
 	server.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		// Strings must stay valid after the handler has returned, because
 		// streams go on after it.
-		Immutable:    true,
-		BodyLimit:    maxBodyBytes,
-		ReadTimeout:  readTimeout,
-		IdleTimeout:  idleTimeout,
-		Concurrency:  maxConnections,
-		ErrorHandler: server.handleError,
+		Immutable:   true,
+		BodyLimit:   maxBodyBytes,
+		ReadTimeout: readTimeout,
+		IdleTimeout: idleTimeout,
+		// The listener bounds the connections.
+		Concurrency: maxConnections,
+		// Bodies are read into memory that is reserved as they arrive.
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		ErrorHandler:                 server.handleError,
 	})
 	server.app.Server().ConnState = server.noteState
 	server.routes()
@@ -87,6 +100,9 @@
 
 func (s *Server) noteState(conn net.Conn, state fasthttp.ConnState) {
 	s.connections.Note(conn, state == fasthttp.StateActive)
+	if state == fasthttp.StateIdle {
+		connlimit.Of(conn).Rest()
+	}
 }
 
 // Address returns the address that the server listens on.
@@ -115,7 +131,7 @@
 		status = known.Code
 	}
 	if status == fiber.StatusRequestEntityTooLarge || status == fiber.StatusRequestHeaderFieldsTooLarge {
-		leftUnread(c.Context().Conn())
+		closeUnread(c)
 	}
 	if status == fiber.StatusRequestTimeout && s.lifetime.Ended() {
 		return writeError(c, RefuseStopping())
@@ -133,7 +149,7 @@
 	if !hasField(head, fiber.HeaderContentLength) || !hasField(head, fiber.HeaderTransferEncoding) {
 		return c.Next()
 	}
-	c.Response().SetConnectionClose()
+	closeUnread(c)
 	return fiber.NewError(fiber.StatusBadRequest, "the body has a length and comes in chunks")
 }
 
@@ -149,6 +165,7 @@
 }
 
 func (s *Server) routes() {
+	s.app.Use(noteRequest)
 	s.app.Use(refuseTwoFramings)
 	s.app.Post("/v1/chat/completions", s.completion)
 	s.app.Post("/v1/completions", s.completion)
@@ -175,14 +192,14 @@
 
 const bearerScheme = "Bearer "
 
-func (s *Server) newCall(c *fiber.Ctx) *Call {
+// newCall returns the call of a request with this body.
+func (s *Server) newCall(c *fiber.Ctx, content []byte) *Call {
 	return &Call{
 		TenantKey: tenant.DigestOf(bearerOf(c)),
 		ID:        s.idPrefix + strconv.FormatUint(s.nextID.Add(1), 36),
 		Method:    strings.Clone(c.Method()),
 		ArrivedAt: time.Now(),
-		// The library uses the body's buffer again after the handler.
-		Body: append([]byte(nil), c.Body()...),
+		Body:      content,
 	}
 }
 
@@ -196,16 +213,25 @@
 }
 
 func (s *Server) completion(c *fiber.Ctx) error {
-	call := s.newCall(c)
+	body, err := s.readBody(c, s.maxBodyBytes)
+	if err != nil {
+		return s.refuseBody(c, err)
+	}
+	call := s.newCall(c, body.content)
 	call.Path = strings.Clone(c.Path())
 	if result, ok := decodeCompletion(call, headersOf(c)); !ok {
+		body.release()
 		return writeError(c, result)
 	}
-	return s.serve(c, call)
+	return s.serve(c, call, body)
 }
 
 func (s *Server) service(c *fiber.Ctx) error {
-	call := s.newCall(c)
+	body, err := s.readBody(c, s.maxBodyBytes)
+	if err != nil {
+		return s.refuseBody(c, err)
+	}
+	call := s.newCall(c, body.content)
 	call.Service = c.Params("name")
 	call.Path = "/" + c.Params("*")
 	if query := c.Context().QueryArgs().String(); query != "" {
@@ -213,15 +239,17 @@
 	}
 	call.ContentType = c.Get(fiber.HeaderContentType)
 	if result, ok := decodeHeaders(call, headersOf(c)); !ok {
+		body.release()
 		return writeError(c, result)
 	}
-	return s.serve(c, call)
+	return s.serve(c, call, body)
 }
 
-// serve runs a call and sends its answer.
-func (s *Server) serve(c *fiber.Ctx, call *Call) error {
+// serve runs a call and sends its answer. The body is released when the call has ended.
+func (s *Server) serve(c *fiber.Ctx, call *Call, body *callBody) error {
 	c.Set(HeaderRequestID, call.ID)
 	if s.lifetime.Drained() {
+		body.release()
 		return writeError(c, RefuseStopping())
 	}
 	s.active.Add(1)
@@ -231,6 +259,7 @@
 	end := func() {
 		unbind()
 		release()
+		body.release()
 		s.active.Add(-1)
 	}
 	answer, result := s.handler.Serve(ctx, call)
@@ -327,11 +356,17 @@
 }
 
 func (s *Server) command(c *fiber.Ctx) error {
-	if len(c.Body()) > maxCommandBytes {
+	content, err := s.readBody(c, maxCommandBytes)
+	switch {
+	case membudget.ErrTooLarge.Has(err):
+		closeUnread(c)
 		return writeError(c, badRequest("command is over %d bytes", maxCommandBytes))
+	case err != nil:
+		return s.refuseBody(c, err)
 	}
+	defer content.release()
 	credential := strings.TrimPrefix(c.Get(fiber.HeaderAuthorization), bearerScheme)
-	body, status := s.handler.Command(c.Context(), string(append([]byte(nil), c.Body()...)), credential)
+	body, status := s.handler.Command(c.Context(), string(content.content), credential)
 	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
 	return c.Status(status).Send(body)
 }
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -57,6 +57,7 @@
 				revision, published = d.node.Revision(), now
 			}
 			d.limiter.Tick(now)
+			d.observeConnections(now)
 			d.lastTick.Store(time.Now().UnixNano())
 		case happened := <-d.events.Items():
 			d.perform(happened(d.node, time.Now()))
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/wheatweir/wheatweir/control"
 	"github.com/wheatweir/wheatweir/engine"
 	"github.com/wheatweir/wheatweir/exchange"
+	"github.com/wheatweir/wheatweir/internal/connlimit"
 	"github.com/wheatweir/wheatweir/internal/membudget"
 	"github.com/wheatweir/wheatweir/limiter"
 	"github.com/wheatweir/wheatweir/member"
@@ -65,14 +67,18 @@
 	engines   *engine.Client
 	services  *service.Client
 	server    *caller.Server
-	operators *operator.Executor
-	ledger    *keyLedger
-	metrics   *metrics
-	history   *history
-	requests  *requestLog
-	budgets   *retry.Budgets
-	exchange  exchange.Settings
-	limiter   *limiter.Limiter
+	listeners connlimit.Group
+	// connectionsTold is what the log was last told of them, connectionsAt when they were last looked at.
+	connectionsTold connlimit.Observer
+	connectionsAt   time.Time
+	operators       *operator.Executor
+	ledger          *keyLedger
+	metrics         *metrics
+	history         *history
+	requests        *requestLog
+	budgets         *retry.Budgets
+	exchange        exchange.Settings
+	limiter         *limiter.Limiter
 	// tenants are those of the configuration in force, peerAddresses where other daemons hear.
 	tenants       atomic.Pointer[tenant.Table]
 	peerAddresses atomic.Pointer[map[string]string]
@@ -88,6 +94,13 @@
 	group    conc.WaitGroup
 }
 
+const (
+	// memoryLimitPercent is what received data and its garbage may occupy, in hundredths of what is allowed for received data, and
+	// baseMemoryBytes what else the process occupies, before garbage is collected more often.
+	memoryLimitPercent = 125
+	baseMemoryBytes    = 48 << 20
+)
+
 // Rings between the duties. Each is long enough for a burst of one round at
 // the largest size; a full one sheds work that is found again later.
 const (
@@ -98,6 +111,8 @@
 
 // Start starts a daemon and returns once it takes calls. Logs go to output.
 func Start(s settings.Settings, output io.Writer) (*Daemon, error) {
+	// Bodies that were read in growing buffers leave garbage, which is collected before it takes much memory of its own.
+	debug.SetMemoryLimit(int64(s.Requests.ReceivedBytes)*memoryLimitPercent/100 + baseMemoryBytes)
 	ctx, cancel := context.WithCancel(context.Background())
 	prefixes := &route.PrefixIndex{}
 	memory := membudget.New(int64(s.Requests.ReceivedBytes))
@@ -159,6 +174,12 @@
 		d.transport.Close()
 		return ErrStart.Wrap(err)
 	}
+	machine := connlimit.Machine{Descriptors: d.settings.Daemon.MaxDescriptors}
+	d.server.LimitMemory(d.memory)
+	d.server.LimitConnections(machine)
+	d.transport.LimitConnections(machine.Connections(connlimit.Peers))
+	d.listeners.Add(connlimit.Caller, d.server.Listener())
+	d.listeners.Add(connlimit.Peers, d.transport.Listener())
 	return nil
 }
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -2,9 +2,11 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/wheatweir/wheatweir/internal/connlimit"
 	"github.com/wheatweir/wheatweir/internal/exposition"
 	"github.com/wheatweir/wheatweir/outcome"
 )
@@ -35,3 +37,26 @@
 }
 
 func (m *metrics) write(w io.Writer) error { return m.root.Write(w) }
+
+// connectionsInterval is the time between two looks at the connections.
+const connectionsInterval = time.Second
+
+// observeConnections shows how many connections the listeners have, and logs that callers are turned away.
+func (d *Daemon) observeConnections(now time.Time) {
+	if now.Sub(d.connectionsAt) < connectionsInterval {
+		return
+	}
+	d.connectionsAt = now
+	all := d.listeners.Counts()
+	for name, counts := range all {
+		tagged := d.metrics.root.Tagged(map[string]string{"listener": string(name)})
+		counts.Update(func(gauge string) connlimit.Gauge { return tagged.Gauge(gauge) })
+	}
+	for _, report := range d.connectionsTold.Observe(now, all) {
+		message := "Callers are turned away."
+		if report.Ended {
+			message = "Callers are no longer turned away."
+		}
+		d.logger.Info(message, append([]any{"part", "connections"}, report.Fields()...)...)
+	}
+}
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -20,6 +20,8 @@
 		inifile.Secret("daemon", "deployment_key", &d.DeploymentKey),
 		inifile.Choice("daemon", "log_level", &d.LogLevel, "debug", "info", "warn", "error"),
 
+		inifile.Integer("daemon", "max_descriptors", &d.MaxDescriptors, 0, 1<<20),
+
 		inifile.Duration("requests", "address_keep", &r.AddressKeep, time.Second, time.Hour),
 		inifile.Duration("requests", "drain_limit", &r.DrainLimit, time.Second, 24*time.Hour),
 		inifile.Duration("requests", "default_deadline", &r.DefaultDeadline, 100*time.Millisecond, time.Hour),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -29,6 +29,8 @@
 	// DeploymentKey is shared by all daemons of a deployment.
 	DeploymentKey string
 	LogLevel      string
+	// MaxDescriptors is the number of descriptors that the process may open; zero means what the kernel allows.
+	MaxDescriptors int
 }
 
 // Requests is the [requests] section.
