What clients send behind their requests is bounded too

Callers saw daemons end over their memory while others sent the largest heads again and again, or bodies of a length that is refused; and got no answer while clients that had been answered, or sent a body byte by byte, kept all descriptors.

Cause: a body over the limit was read up to the limit before it was refused, and then the kernel went on to buffer what came; a request whose body stopped held its connection for ever. The HTTP library keeps a connection half a second after a refusal.

A listener has at most an eighth of its connections beyond its limit while they end. The runtime's part of the memory is three quarters, as the kernel's buffers come on top.

--- a/cmd/wheatweird/clients_test.go
+++ b/cmd/wheatweird/clients_test.go
@@ -65,12 +65,71 @@
 				d := startEntryDaemonOn(t, binary, entryMachine{memoryMB: smallMemoryMB})
 				target := d.listeners()[listener]
 				sent := unfinishedHeads(target[1])[name]
-				d.checkCrowd(t, &crowd{address: target[0], size: headCrowd, opening: sent[0], more: sent[1]}, resources{memoryMB: smallMemoryMB})
+				d.checkCrowd(t, &crowd{address: target[0], size: headCrowd, misbehaviour: misbehaviour{opening: sent[0], more: sent[1]}}, resources{memoryMB: smallMemoryMB})
 			})
 		}
 	}
 }
 
+// TestCrowdsOfRequestsTakeNoMemory guards against clients that send whole heads and more than is read of what follows them: bodies that are
+// too large, requests behind others, the largest heads again and again; and against those that do not read what they are answered.
+func TestCrowdsOfRequestsTakeNoMemory(t *testing.T) {
+	const (
+		crowdSize  = 200
+		answerSize = 512 << 10
+	)
+	binary := buildBinary(t)
+	request := func(path, fields string) string {
+		return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: c\r\nX-Model: m\r\nX-Token-Count: 10,10\r\n" + fields + "\r\n"
+	}
+	piece := bytes.Repeat([]byte("x"), 64<<10)
+	heavy := []byte(request("/calm/x", string(manyFields(insideHead))+"Content-Length: 0\r\n"))
+	small := request("/safe/x", "Content-Length: 0\r\n")
+	for name, c := range map[string]struct {
+		listener string
+		does     misbehaviour
+	}{
+		"bodies over the limit":       {"front", misbehaviour{opening: []byte(request("/calm/x", "Content-Length: 1000000000\r\n")), more: piece}},
+		"chunks over the limit":       {"front", misbehaviour{opening: []byte(request("/calm/x", "Transfer-Encoding: chunked\r\n") + "40000000\r\n"), more: piece}},
+		"largest heads":               {"front", misbehaviour{opening: heavy, more: heavy}},
+		"requests behind one":         {"front", misbehaviour{opening: bytes.Repeat([]byte(small), 1200)}},
+		"answers that nobody reads":   {"front", misbehaviour{opening: bytes.Repeat([]byte(request("/unsafe/x", "Content-Length: 0\r\n")), 20), deaf: true}},
+		"metrics that nobody reads":   {"metrics", misbehaviour{opening: bytes.Repeat([]byte("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"), 200), deaf: true}},
+		"questions with endless body": {"directory", misbehaviour{opening: []byte("POST /resolve HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000\r\n\r\n"), more: piece}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startEntryDaemonOn(t, binary, entryMachine{memoryMB: smallMemoryMB})
+			if name == "answers that nobody reads" {
+				d.serve(t, "faulty-1", func(writer http.ResponseWriter, request *http.Request) {
+					writer.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
+					writer.Header().Set("X-Server-Signature", "s")
+					_, _ = writer.Write(make([]byte, answerSize))
+				})
+			}
+			d.checkCrowd(t, &crowd{address: d.listeners()[c.listener][0], size: crowdSize, misbehaviour: c.does}, resources{memoryMB: smallMemoryMB})
+		})
+	}
+}
+
+// TestCrowdsOfRequestsLeaveDescriptors guards against clients that have had an answer, or send a body slowly, and then keep their
+// connections.
+func TestCrowdsOfRequestsLeaveDescriptors(t *testing.T) {
+	binary := buildBinary(t)
+	head := "POST /none/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: c\r\n"
+	for name, does := range map[string]misbehaviour{
+		"idle after an answer": {opening: []byte(head + "Content-Length: 0\r\n\r\n")},
+		"stalled body":         {opening: []byte(head + "Content-Length: 1000\r\n\r\n")},
+		"slow body":            {opening: []byte(head + "Content-Length: 1000000\r\n\r\n"), more: []byte("x")},
+		"slow head":            {opening: []byte(head), more: []byte("x")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startEntryDaemonOn(t, binary, entryMachine{memoryMB: entryMemoryMB, descriptors: smallDescriptors})
+			clients := &crowd{address: d.front, size: connectionCrowd, misbehaviour: does}
+			d.checkCrowd(t, clients, resources{memoryMB: entryMemoryMB, descriptors: smallDescriptors - ownDescriptors})
+		})
+	}
+}
+
 // TestCrowdsOfConnectionsLeaveDescriptors guards against clients that only connect, and take the descriptors that the daemon needs for
 // the store, servers, other daemons and its other addresses.
 func TestCrowdsOfConnectionsLeaveDescriptors(t *testing.T) {
@@ -95,7 +154,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer cancel()
-	clients := &crowd{address: d.front, size: connectionCrowd, opening: []byte("POST /calm/x HTTP/1.1\r\n")}
+	clients := &crowd{address: d.front, size: connectionCrowd, misbehaviour: misbehaviour{opening: []byte("POST /calm/x HTTP/1.1\r\n")}}
 	clients.start(ctx, &group)
 	clients.waitPlaced(t)
 	if err := d.process.Signal(syscall.SIGTERM); err != nil {
--- a/cmd/wheatweird/crowd_test.go
+++ b/cmd/wheatweird/crowd_test.go
@@ -29,12 +29,19 @@
 	return exec.Command("sh", append([]string{"-c", script, binary}, arguments...)...)
 }
 
+// misbehaviour is what each client of a crowd does.
+type misbehaviour struct {
+	// opening is sent first, and more again and again after it, if it is set.
+	opening, more []byte
+	// deaf clients read nothing of what the daemon answers.
+	deaf bool
+}
+
 // crowd is a number of connections of clients that do not behave. Whatever a daemon does to one, another takes its place.
 type crowd struct {
+	misbehaviour
 	address string
 	size    int
-	// opening is sent first, and more again and again after it, if it is set.
-	opening, more []byte
 	// arrived counts the connections that are open and have sent their opening, rounds all that were opened.
 	arrived, rounds atomic.Int64
 }
@@ -65,16 +72,25 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
 	defer stop()
 	c.rounds.Add(1)
+	if c.deaf {
+		_ = conn.(*net.TCPConn).SetReadBuffer(1 << 10)
+	}
 	if _, err := conn.Write(c.opening); err != nil {
 		return
 	}
 	c.arrived.Add(1)
 	defer c.arrived.Add(-1)
+	if c.deaf && len(c.more) == 0 {
+		<-ctx.Done()
+		return
+	}
 	if len(c.more) == 0 {
 		_, _ = io.Copy(io.Discard, conn)
 		return
 	}
-	go func() { _, _ = io.Copy(io.Discard, conn) }()
+	if !c.deaf {
+		go func() { _, _ = io.Copy(io.Discard, conn) }()
+	}
 	for {
 		if _, err := conn.Write(c.more); err != nil {
 			return
--- a/cmd/wheatweird/nativeclients_test.go
+++ b/cmd/wheatweird/nativeclients_test.go
@@ -110,7 +110,7 @@
 	for name, sent := range unfinishedHeads("/v1/completions") {
 		t.Run(name, func(t *testing.T) {
 			d := startNativeDaemon(t, binary, 0)
-			d.checkCrowd(t, &crowd{address: d.caller, size: headCrowd, opening: sent[0], more: sent[1]}, most)
+			d.checkCrowd(t, &crowd{address: d.caller, size: headCrowd, misbehaviour: misbehaviour{opening: sent[0], more: sent[1]}}, most)
 		})
 	}
 	framings := map[string]string{
@@ -126,7 +126,7 @@
 		t.Run(name, func(t *testing.T) {
 			d := startNativeDaemon(t, binary, 0)
 			opening := append([]byte("POST "+path+" HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n"+framing), bytes.Repeat([]byte("x"), nativeBodyBytes-1)...)
-			d.checkCrowd(t, &crowd{address: d.caller, size: nativeUploads, opening: opening}, most)
+			d.checkCrowd(t, &crowd{address: d.caller, size: nativeUploads, misbehaviour: misbehaviour{opening: opening}}, most)
 		})
 	}
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -38,11 +38,12 @@
 )
 
 const (
-	eventRingSize  = 4096
-	callRingSize   = 256
-	reportWorkers  = 8
-	orderWorkers   = 8
-	memoryHeadroom = 0.8
+	eventRingSize = 4096
+	callRingSize  = 256
+	reportWorkers = 8
+	orderWorkers  = 8
+	// memoryHeadroom is the share of the process's memory that the runtime may manage. What the kernel buffers of connections comes on top.
+	memoryHeadroom = 0.75
 	// receivedShare is the share of the process's memory that data from other processes may occupy until it is forwarded.
 	receivedShare = 1.0 / 8
 	// requestBodyShare is that of the bodies of clients' requests, smallBodyShare what small bodies have of their own. requestHeadShare is
@@ -93,7 +94,7 @@
 	listeners connlimit.Group
 	// connectionsTold is what the log was last told of them.
 	connectionsTold connlimit.Observer
-	peers     *peer.Transport[coordination.Message]
+	peers           *peer.Transport[coordination.Message]
 
 	// The request path.
 	gateway  *gateway.Gateway
--- a/internal/connlimit/limits.go
+++ b/internal/connlimit/limits.go
@@ -45,7 +45,7 @@
 	lingerBytes = 8 << 20
 	// refusalTimeout bounds the writing of a refusal.
 	refusalTimeout = time.Second
-	// lingerShare is the part of a listener's connections that may linger.
+	// lingerShare is the part of a listener's connections that may linger, beyond its limit.
 	lingerShare = 8
 	// acceptRetry is the pause after a failure to accept.
 	acceptRetry = 5 * time.Millisecond
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -117,6 +117,12 @@
 	defer l.mutex.Unlock()
 	l.counts.Accepted++
 	now := time.Now()
+	if int(l.counts.Open) >= l.options.Most+l.places() {
+		// Too many connections that were told to give way have not ended yet.
+		l.counts.Refused++
+		_ = accepted.Close()
+		return nil
+	}
 	if int(l.counts.Open)-l.leaving >= l.options.Most && !l.giveWay(now) {
 		l.counts.Refused++
 		l.refuse(accepted)
@@ -150,13 +156,16 @@
 
 // mayLinger takes one of the places for connections that linger. The mutex must be held.
 func (l *Listener) mayLinger() bool {
-	if l.lingering >= max(1, l.options.Most/lingerShare) {
+	if l.lingering >= l.places() {
 		return false
 	}
 	l.lingering++
 	return true
 }
 
+// places is how many connections may linger, and how many may be open beyond the limit until others that give way have ended.
+func (l *Listener) places() int { return max(1, l.options.Most/lingerShare) }
+
 func (l *Listener) endLinger() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/connlimit/shares.go
+++ b/internal/connlimit/shares.go
@@ -22,11 +22,11 @@
 const connectionCost = 16<<10 + ReceiveBufferBytes
 
 // fewestConnections is what each listener may have at least.
-const fewestConnections = 8
+const fewestConnections = 6
 
 // descriptorShares are the parts of a process's descriptors that each listener may take, in thousandths. What is left is for files and for
 // the connections that the process opens.
-var descriptorShares = map[Name]int{Front: 400, Caller: 400, Peers: 125, Directory: 50, Ready: 16, Metrics: 8}
+var descriptorShares = map[Name]int{Front: 380, Caller: 380, Peers: 125, Directory: 50, Ready: 16, Metrics: 8}
 
 // Machine is what the process may use.
 type Machine struct {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -51,6 +51,9 @@
 	frameRoomTimeout = 2 * time.Second
 	// writeTimeout bounds the sending of one frame.
 	writeTimeout = 3 * time.Second
+	// receiveBufferBytes is what the kernel may buffer of what another daemon sends back before it is read: acknowledgements, or the
+	// answers that come through a tunnel.
+	receiveBufferBytes = 64 << 10
 	// idleTimeout is how long a connection without messages is kept. A daemon sends to the same few
 	// others for some seconds, and probes each other one rarely.
 	idleTimeout = 10 * time.Second
@@ -298,7 +301,7 @@
 }
 
 func (t *Transport[M]) connect(s *sender) *outgoingSession {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: connlimit.LimitReceiveBuffer(receiveBufferBytes)}
 	conn, err := dialer.DialContext(t.ctx, "tcp", s.address)
 	if err == nil {
 		// A connection that is opened while the transport closes is not tracked.
--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -96,7 +96,7 @@
 func (t *Transport[M]) DialTunnel(ctx context.Context, relay, target string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, tunnelOpenTimeout)
 	defer cancel()
-	dialer := net.Dialer{KeepAliveConfig: keepAliveConfig}
+	dialer := net.Dialer{KeepAliveConfig: keepAliveConfig, Control: connlimit.LimitReceiveBuffer(receiveBufferBytes)}
 	conn, err := dialer.DialContext(ctx, "tcp", relay)
 	if err != nil {
 		return nil, ErrRelay.Wrap(err)
