--- a/cmd/wheatweir/soak.go
+++ b/cmd/wheatweir/soak.go
@@ -34,6 +34,7 @@
 	command.Flag("engines", "Number of model servers.").Default(fmt.Sprint(flags.options.Engines)).IntVar(&flags.options.Engines)
 	command.Flag("only-crashes", "Leave out all faults but crashes of half of the model servers, each in the middle of a release.").BoolVar(&flags.options.OnlyCrashes)
 	command.Flag("only-out-of-step", "Leave out all faults but daemons that are cut off or frozen while a new version joins.").BoolVar(&flags.options.OnlyOutOfStep)
+	command.Flag("crowds", "Add crowds of clients that do not behave.").BoolVar(&flags.options.Crowds)
 	command.Flag("format", "Form of the results.").Default("table").EnumVar(&flags.format, "table", "json")
 	command.Action(func(*kingpin.ParseContext) error { return flags.run() })
 }
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -214,6 +214,9 @@
 func (d *deployment) startDaemons() error {
 	for number := range d.options.Daemons {
 		made, err := newDaemon(number, d.options.Binary, d.folder, d.store.Address())
+		if err == nil {
+			made.crowds = d.options.Crowds
+		}
 		if err != nil {
 			return err
 		}
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -65,6 +65,9 @@
 func (d *deployment) runFaults(ctx context.Context, random *rand.Rand) {
 	d.group.Go(func() { d.letReadsLag(ctx) })
 	d.group.Go(func() { d.writeOthers(ctx) })
+	if d.options.Crowds {
+		d.group.Go(func() { d.runCrowds(ctx, rand.New(rand.NewPCG(d.options.Seed, crowdStream))) })
+	}
 	if d.options.OnlyCrashes {
 		d.runCrashes(ctx, rand.New(rand.NewPCG(d.options.Seed, crashStream)))
 		return
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -24,6 +23,8 @@
 	logs     *os.File
 
 	front, ready, directory, peers string
+	// crowds says that its descriptors are limited, as crowds come.
+	crowds bool
 	// firstStart tells it that no daemon has run before.
 	firstStart bool
 	// peerProxy is where the other daemons reach it, storeProxy where it reaches
@@ -118,7 +119,7 @@
 }
 
 func (d *daemon) launch() error {
-	command := exec.Command(d.binary, "--entry", "--settings", d.settings)
+	command := daemonCommand(d.crowds, d.binary, "--entry", "--settings", d.settings)
 	command.Stdout, command.Stderr = d.logs, d.logs
 	if err := command.Start(); err != nil {
 		return ErrSoak.Wrap(err)
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wheatweir/wheatweir/fleet"
@@ -23,6 +24,7 @@
 	promiseOneHolder    = "one holder of orders"
 	promiseMemory       = "memory"
 	promiseDaemonMemory = "memory of a daemon"
+	promiseDescriptors  = "descriptors of a daemon"
 	promiseLoadCeiling  = "load ceiling"
 	promiseRetryBudget  = "retry budget"
 	promisePlannedStop  = "planned stop"
@@ -95,6 +97,9 @@
 	untimed bool
 	// memoryPeakMB is the largest resident memory of a daemon that was seen.
 	memoryPeakMB float64
+	// crowds counts the crowds that came, descriptorsPeak is the most descriptors that a daemon was seen to have open.
+	crowds          atomic.Int64
+	descriptorsPeak int
 
 	mutex    sync.Mutex
 	requests map[string]*sentRequest
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -64,6 +64,8 @@
 	OnlyCrashes bool
 	// OnlyOutOfStep leaves out all faults but daemons that are cut off or frozen while a new version joins.
 	OnlyOutOfStep bool
+	// Crowds adds crowds of clients that do not behave.
+	Crowds bool
 }
 
 // DefaultOptions returns the options of a short run.
@@ -91,7 +93,10 @@
 	CrashTakeUps TakeUps `json:"crash_take_ups"`
 	// MemoryPeakMB is the largest resident memory of a daemon that was seen.
 	MemoryPeakMB float64 `json:"memory_peak_mb"`
-	Folder       string  `json:"folder"`
+	// Crowds is the number of crowds that came, DescriptorsPeak the most descriptors that a daemon had open meanwhile.
+	Crowds          int64  `json:"crowds"`
+	DescriptorsPeak int    `json:"descriptors_peak"`
+	Folder          string `json:"folder"`
 }
 
 // Run plays one soak. Progress goes to output.
@@ -151,6 +156,9 @@
 	d.runTakeUps(clients)
 	d.runLastingClients(clients)
 	d.group.Go(func() { d.watchMemory(clients) })
+	if d.options.Crowds {
+		d.group.Go(func() { d.watchDescriptors(clients) })
+	}
 	faults, stopFaults := context.WithTimeout(ctx, d.options.Duration)
 	random := rand.New(rand.NewPCG(d.options.Seed, 0x50a1c))
 	d.runFaults(faults, random)
@@ -166,7 +174,7 @@
 	d.group.Wait()
 	d.record.checkAtEnd()
 	result := d.record.result()
-	result.Releases = d.releases
+	result.Releases, result.Crowds, result.DescriptorsPeak = d.releases, d.record.crowds.Load(), d.record.descriptorsPeak
 	result.Seed, result.Folder, result.Faults = d.options.Seed, d.folder, d.faults
 	return result, nil
 }
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -98,6 +98,27 @@
 	}
 }
 
+// TestSeededSoakOfCrowds guards against daemons that clients which do not behave take over their memory or their descriptors, while other
+// clients are served and daemons are killed, stopped and frozen.
+func TestSeededSoakOfCrowds(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	options := soak.DefaultOptions()
+	options.Seed, options.Duration, options.Untimed, options.Crowds = 940001, 20*time.Second, true, true
+	options.Daemons, options.Clients, options.Folder = 3, 8, t.TempDir()
+	result, err := soak.Run(context.Background(), options, t.Output())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result.Served == 0 || result.Crowds == 0 || result.Checked["descriptors of a daemon"] == 0 {
+		t.Errorf("too little to tell: %+v", result)
+	}
+	for _, violation := range result.Violations {
+		t.Error(violation)
+	}
+}
+
 // checkSeed runs one seed for a short while and checks that no promise was broken.
 func checkSeed(t *testing.T, seed uint64) {
 	t.Helper()
