A listener at its limit waits for connections that give way to end

Callers were refused at a small listener beside a crowd on a busy machine: 1 to 5 of 24, one run each, in connlimit.TestUnusedConnectionsGiveWay. Cause: connections that had been told to give way had not ended yet, and new ones were closed meanwhile. The listener now waits up to 100 ms for them; others wait in the kernel.

Whole answers of a native daemon hold their memory until they are written (caller.TestAnswersHoldTheirMemoryUntilTheyAreWritten): it was given back when they had been read, so answers for callers that do not read had no bound.

The gauges of listeners are made once and set once a second; they were made anew in each turn of the control duty.

--- a/caller/body.go
+++ b/caller/body.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"net/http"
 	"time"
 
@@ -103,3 +104,15 @@
 		return fiber.NewError(http.StatusRequestTimeout, "the body did not arrive")
 	}
 }
+
+// heldBody is the body of a whole answer. It holds its memory until it is written.
+type heldBody struct {
+	*bytes.Reader
+	memory membudget.Reservation
+}
+
+// Close implements io.Closer. The library calls it when the answer is written, or cannot be.
+func (b *heldBody) Close() error {
+	b.memory.Release()
+	return nil
+}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/wheatweir/wheatweir/api"
+	"github.com/wheatweir/wheatweir/internal/membudget"
 	"github.com/wheatweir/wheatweir/outcome"
 	"github.com/wheatweir/wheatweir/tenant"
 )
@@ -76,6 +77,8 @@
 	ContentType string
 	// Body is a whole answer, if Stream is nil.
 	Body []byte
+	// Memory is what the body occupies of a budget, until the answer is written.
+	Memory membudget.Reservation
 	// Stream is an answer that is still arriving.
 	Stream Stream
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -272,7 +272,8 @@
 	c.Set(fiber.HeaderContentType, answer.ContentType)
 	if answer.Stream == nil {
 		end()
-		return c.Send(answer.Body)
+		c.Context().SetBodyStream(&heldBody{bytes.NewReader(answer.Body), answer.Memory}, len(answer.Body))
+		return nil
 	}
 	c.Set(fiber.HeaderCacheControl, "no-cache")
 	stream := answer.Stream
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -69,16 +69,17 @@
 	server    *caller.Server
 	listeners connlimit.Group
 	// connectionsTold is what the log was last told of them, connectionsAt when they were last looked at.
-	connectionsTold connlimit.Observer
-	connectionsAt   time.Time
-	operators       *operator.Executor
-	ledger          *keyLedger
-	metrics         *metrics
-	history         *history
-	requests        *requestLog
-	budgets         *retry.Budgets
-	exchange        exchange.Settings
-	limiter         *limiter.Limiter
+	connectionsTold  connlimit.Observer
+	connectionsAt    time.Time
+	connectionGauges map[connlimit.Name]*connlimit.Gauges
+	operators        *operator.Executor
+	ledger           *keyLedger
+	metrics          *metrics
+	history          *history
+	requests         *requestLog
+	budgets          *retry.Budgets
+	exchange         exchange.Settings
+	limiter          *limiter.Limiter
 	// tenants are those of the configuration in force, peerAddresses where other daemons hear.
 	tenants       atomic.Pointer[tenant.Table]
 	peerAddresses atomic.Pointer[map[string]string]
@@ -136,8 +137,11 @@
 		budgets:   retry.NewBudgets(retry.Settings{Share: s.Requests.RetryShare, Floor: retryBurst, Initial: retryBurst}),
 		exchange:  exchange.Settings{MaxAttempts: s.Requests.MaxAttempts},
 		gates:     map[string]*admit.Gate{},
-		cancel:    cancel,
-		failed:    make(chan error, 1),
+
+		connectionGauges: map[connlimit.Name]*connlimit.Gauges{},
+
+		cancel: cancel,
+		failed: make(chan error, 1),
 	}
 	d.table.Store(&route.Table{})
 	d.tenants.Store(tenant.NewTable(nil))
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -49,8 +49,12 @@
 	d.connectionsAt = now
 	all := d.listeners.Counts()
 	for name, counts := range all {
-		tagged := d.metrics.root.Tagged(map[string]string{"listener": string(name)})
-		counts.Update(func(gauge string) connlimit.Gauge { return tagged.Gauge(gauge) })
+		gauges := d.connectionGauges[name]
+		if gauges == nil {
+			gauges = connlimit.NewGauges(d.metrics.root.Tagged(map[string]string{"listener": string(name)}))
+			d.connectionGauges[name] = gauges
+		}
+		gauges.Update(counts)
 	}
 	for _, report := range d.connectionsTold.Observe(now, all) {
 		message := "Callers are turned away."
--- a/daemon/model.go
+++ b/daemon/model.go
@@ -136,11 +136,11 @@
 
 func (d *Daemon) wholeAnswer(ctx context.Context, response *upstream.Response) (*caller.Answer, outcome.Result) {
 	answer := &caller.Answer{Status: response.Status(), ContentType: response.Header("Content-Type")}
-	body, err := response.ReadAll(maxAnswerBytes)
+	body, memory, err := response.ReadAndHold(maxAnswerBytes)
 	if err != nil {
 		return nil, brokenResult(ctx, err)
 	}
-	answer.Body = body
+	answer.Body, answer.Memory = body, memory
 	return answer, outcome.Result{Kind: outcome.Answered, Status: answer.Status}
 }
 
--- a/daemon/plainservice.go
+++ b/daemon/plainservice.go
@@ -40,5 +40,5 @@
 	if result.Kind != outcome.Answered {
 		return nil, result
 	}
-	return &caller.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}, result
+	return &caller.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body, Memory: answer.Memory}, result
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -92,9 +92,11 @@
 	servers   []*http.Server
 	// listeners are those of all addresses.
 	listeners connlimit.Group
-	// connectionsTold is what the log was last told of them.
-	connectionsTold connlimit.Observer
-	peers           *peer.Transport[coordination.Message]
+	// connectionsTold is what the log was last told of them, connectionsAt when they were last looked at.
+	connectionsTold  connlimit.Observer
+	connectionsAt    time.Time
+	connectionGauges map[connlimit.Name]*connlimit.Gauges
+	peers            *peer.Transport[coordination.Message]
 
 	// The request path.
 	gateway  *gateway.Gateway
@@ -141,7 +143,7 @@
 		control: controlState{discovery: quota.NewDiscovery(machine.Clock.Now())}, work: newWorkRings(),
 		metrics: newMetrics(), memory: newMemoryBudget(settings.MemoryLimitMB * (1 << 20)), memoryTold: memoryObserver{denied: map[membudget.Kind]int64{}},
 		tracker: balance.NewTracker(), demand: newDemandCounter(), life: lifecycle{failed: make(chan error, 1)}, assurance: newAssurance(), ctx: ctx, cancel: cancel,
-		following: newFollowState(),
+		following: newFollowState(), connectionGauges: map[connlimit.Name]*connlimit.Gauges{},
 	}
 	d.store = platform.NewStore(settings.StoreAddress, d.memory)
 	d.store.OnEra(d.eraLearned)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -383,12 +383,23 @@
 	d.observeConnections(now)
 }
 
+// connectionsInterval is the time between two looks at the connections.
+const connectionsInterval = time.Second
+
 // observeConnections shows how many connections the listeners have, and logs that clients are turned away.
 func (d *Daemon) observeConnections(now time.Time) {
+	if now.Sub(d.connectionsAt) < connectionsInterval {
+		return
+	}
+	d.connectionsAt = now
 	all := d.listeners.Counts()
 	for name, counts := range all {
-		tagged := d.metrics.root.Tagged(map[string]string{"listener": string(name)})
-		counts.Update(func(gauge string) connlimit.Gauge { return tagged.Gauge(gauge) })
+		gauges := d.connectionGauges[name]
+		if gauges == nil {
+			gauges = connlimit.NewGauges(d.metrics.root.Tagged(map[string]string{"listener": string(name)}))
+			d.connectionGauges[name] = gauges
+		}
+		gauges.Update(counts)
 	}
 	for _, report := range d.connectionsTold.Observe(now, all) {
 		message := "Clients are turned away."
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -411,6 +411,9 @@
 	if c.leaving && c.phase == inService {
 		return ErrGaveWay.New("the client does not read")
 	}
+	if c.leaving {
+		span = min(span, refusalTimeout)
+	}
 	return c.Conn.SetWriteDeadline(time.Now().Add(span))
 }
 
--- a/internal/connlimit/limits.go
+++ b/internal/connlimit/limits.go
@@ -47,6 +47,9 @@
 	refusalTimeout = time.Second
 	// lingerShare is the part of a listener's connections that may linger, beyond its limit.
 	lingerShare = 8
+	// endTimeout is how long the listener waits for connections that give way to end before it refuses another one.
+	endTimeout  = 100 * time.Millisecond
+	endInterval = time.Millisecond
 	// acceptRetry is the pause after a failure to accept.
 	acceptRetry = 5 * time.Millisecond
 )
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -96,6 +96,7 @@
 			l.acceptFailed()
 			time.Sleep(acceptRetry)
 		default:
+			l.awaitEnds()
 			if conn := l.admit(accepted); conn != nil {
 				return conn, nil
 			}
@@ -103,6 +104,21 @@
 	}
 }
 
+// endsPending reports whether too many connections that were told to give way have not ended yet. The mutex must be held.
+func (l *Listener) endsPending() bool { return int(l.counts.Open) >= l.options.Most+l.places() }
+
+// awaitEnds waits for a while until connections that were told to give way have ended. Others wait in the kernel meanwhile.
+func (l *Listener) awaitEnds() {
+	for until := time.Now().Add(endTimeout); ; time.Sleep(endInterval) {
+		l.mutex.Lock()
+		pending := l.endsPending()
+		l.mutex.Unlock()
+		if !pending || time.Now().After(until) {
+			return
+		}
+	}
+}
+
 // acceptFailed makes room when the kernel has no descriptor left.
 func (l *Listener) acceptFailed() {
 	l.mutex.Lock()
@@ -117,8 +133,7 @@
 	defer l.mutex.Unlock()
 	l.counts.Accepted++
 	now := time.Now()
-	if int(l.counts.Open) >= l.options.Most+l.places() {
-		// Too many connections that were told to give way have not ended yet.
+	if l.endsPending() {
 		l.counts.Refused++
 		_ = accepted.Close()
 		return nil
--- a/internal/connlimit/observer.go
+++ b/internal/connlimit/observer.go
@@ -1,6 +1,10 @@
 package connlimit
 
-import "time"
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
 
 const (
 	// reportInterval is the minimum time between two reports on one listener.
@@ -79,17 +83,32 @@
 	}
 }
 
-// Gauge takes a value that is shown as a metric.
-type Gauge interface{ Update(value float64) }
+// Scope makes gauges by their names.
+type Scope interface{ Gauge(name string) tally.Gauge }
+
+// Gauges show the counts of one listener as metrics.
+type Gauges struct {
+	open, limit, gaveWay, refused, headsTooLarge, headsWithoutRoom, timedOut, acceptFailures tally.Gauge
+}
+
+// NewGauges returns the gauges of a listener in a scope of its own.
+func NewGauges(scope Scope) *Gauges {
+	return &Gauges{
+		open: scope.Gauge("connections_open"), limit: scope.Gauge("connections_limit"), gaveWay: scope.Gauge("connections_gave_way"),
+		refused: scope.Gauge("connections_refused"), headsTooLarge: scope.Gauge("heads_too_large"),
+		headsWithoutRoom: scope.Gauge("heads_without_room"), timedOut: scope.Gauge("requests_timed_out"),
+		acceptFailures: scope.Gauge("accept_failures"),
+	}
+}
 
-// Update shows the counts, each as a gauge that has a name.
-func (c Counts) Update(gauge func(name string) Gauge) {
-	gauge("connections_open").Update(float64(c.Open))
-	gauge("connections_limit").Update(float64(c.Limit))
-	gauge("connections_gave_way").Update(float64(c.GaveWay))
-	gauge("connections_refused").Update(float64(c.Refused))
-	gauge("heads_too_large").Update(float64(c.HeadsTooLarge))
-	gauge("heads_without_room").Update(float64(c.HeadsWithoutRoom))
-	gauge("requests_timed_out").Update(float64(c.TimedOut))
-	gauge("accept_failures").Update(float64(c.AcceptFailures))
+// Update shows counts.
+func (g *Gauges) Update(counts Counts) {
+	g.open.Update(float64(counts.Open))
+	g.limit.Update(float64(counts.Limit))
+	g.gaveWay.Update(float64(counts.GaveWay))
+	g.refused.Update(float64(counts.Refused))
+	g.headsTooLarge.Update(float64(counts.HeadsTooLarge))
+	g.headsWithoutRoom.Update(float64(counts.HeadsWithoutRoom))
+	g.timedOut.Update(float64(counts.TimedOut))
+	g.acceptFailures.Update(float64(counts.AcceptFailures))
 }
--- a/service/service.go
+++ b/service/service.go
@@ -37,6 +37,8 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// Memory is what the body occupies of the budget.
+	Memory membudget.Reservation
 }
 
 // Client talks to any number of services.
@@ -73,13 +75,15 @@
 	}
 	answer := Answer{Status: response.Status(), ContentType: response.Header("Content-Type")}
 	notRun := response.Header(engine.HeaderNotRun) == "true"
-	answer.Body, err = response.ReadAll(maxAnswerBytes)
+	answer.Body, answer.Memory, err = response.ReadAndHold(maxAnswerBytes)
 	switch {
 	case notRun:
+		answer.Memory.Release()
 		return answer, outcome.Result{Kind: outcome.NotRun, Reason: outcome.ReasonRefused, Status: answer.Status}
 	case err != nil:
 		return answer, outcome.Result{Kind: outcome.Failed, Reason: outcome.ReasonBroken, Err: ErrCall.Wrap(err)}
 	case answer.Status >= fasthttp.StatusInternalServerError:
+		answer.Memory.Release()
 		return answer, outcome.Result{Kind: outcome.Failed, Reason: outcome.ReasonBroken, Status: answer.Status}
 	}
 	return answer, outcome.Result{Kind: outcome.Answered, Status: answer.Status}
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -56,17 +56,26 @@
 // ReadAll reads the rest of the body and releases the response. It returns an
 // error if the rest exceeds limit bytes, or if the pool's memory budget has no room for it.
 func (r *Response) ReadAll(limit int) ([]byte, error) {
+	body, memory, err := r.ReadAndHold(limit)
+	memory.Release()
+	return body, err
+}
+
+// ReadAndHold is ReadAll for a body that is kept: the reservation is that of the body, for whoever keeps it to release.
+func (r *Response) ReadAndHold(limit int) ([]byte, membudget.Reservation, error) {
 	memory := r.pool.settings.Memory.Reserve(membudget.AnswerBody)
-	defer memory.Release()
 	body, err := memory.ReadAll(r, firstBufferBytes, int64(limit))
 	r.Close()
 	switch {
 	case membudget.ErrTooLarge.Has(err):
-		return nil, ErrSent.Wrap(ErrTooLarge.New("over %d bytes", limit))
+		err = ErrSent.Wrap(ErrTooLarge.New("over %d bytes", limit))
 	case err != nil:
-		return nil, ErrSent.Wrap(err)
+		err = ErrSent.Wrap(err)
+	default:
+		return body, memory, nil
 	}
-	return body, nil
+	memory.Release()
+	return nil, membudget.Reservation{}, err
 }
 
 // firstBufferBytes is the size of the first buffer of ReadAll, which is not taken from the memory budget.
