Memory of a head is given back once, also when the server closes a connection that is being read

Suspected, not seen: a server that stops closes connections from another goroutine while their heads reserve memory, which would leave the budget wrong. The reservation has a lock of its own and ends with the connection. The number of connections of a listener that accepts already is changed by SetMost only; the other options stay as they are from the first connection on.

--- a/caller/body.go
+++ b/caller/body.go
@@ -25,14 +25,17 @@
 
 // listenerOptions bounds the connections of callers. The library bounds heads and the times for reading.
 func listenerOptions(machine connlimit.Machine) connlimit.Options {
-	most := min(maxConnections, machine.Connections(connlimit.Caller))
 	limits := connlimit.Limits{IdleTimeout: idleTimeout}
-	return connlimit.Options{Most: most, Limits: func() connlimit.Limits { return limits }, Refusals: true}
+	return connlimit.Options{Most: mostConnections(machine), Limits: func() connlimit.Limits { return limits }, Refusals: true}
+}
+
+func mostConnections(machine connlimit.Machine) int {
+	return min(maxConnections, machine.Connections(connlimit.Caller))
 }
 
 // LimitConnections bounds the connections by what a machine has.
 func (s *Server) LimitConnections(machine connlimit.Machine) {
-	s.listener.SetOptions(listenerOptions(machine))
+	s.listener.SetMost(mostConnections(machine))
 }
 
 // LimitMemory bounds the bodies of all calls together.
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -36,7 +37,7 @@
 	net.Conn
 	listener *Listener
 
-	// The fields up to memory are guarded by the listener's mutex.
+	// The fields up to closed are guarded by the listener's mutex.
 	place   *list.List
 	element *list.Element
 	// leaving means that the connection has to give way.
@@ -53,9 +54,13 @@
 	// rest of a request is to be read before the connection is closed.
 	served, handled, lingers, closed bool
 
-	memory    membudget.Reservation
 	headBytes int
 	headLines int
+	// memoryMutex guards the memory of the head, as servers close connections that are being read. The memory is not reserved any more
+	// once it was given up.
+	memoryMutex sync.Mutex
+	memory      membudget.Reservation
+	memoryGone  bool
 	// headMemory is what the memory holds, for others.
 	headMemory atomic.Int64
 	// refused means that the client was told that its request is not received.
@@ -149,8 +154,7 @@
 	if c == nil {
 		return
 	}
-	c.memory.Release()
-	c.headMemory.Store(0)
+	c.releaseHead(false)
 	c.headBytes, c.headLines = 0, 0
 	c.listener.mutex.Lock()
 	defer c.listener.mutex.Unlock()
@@ -342,22 +346,44 @@
 		return nil
 	}
 	size := int64(headByteCost*c.headBytes + headLineCost*c.headLines)
-	err := c.memory.Resize(size)
-	for until := time.Now().Add(roomTimeout); err != nil && time.Now().Before(until); err = c.memory.Resize(size) {
+	err := c.resizeHead(size)
+	for until := time.Now().Add(roomTimeout); membudget.ErrExhausted.Has(err) && time.Now().Before(until); err = c.resizeHead(size) {
 		if !c.listener.giveWayToHead(size) {
 			break
 		}
 		time.Sleep(roomInterval)
 	}
-	if err != nil {
+	if membudget.ErrExhausted.Has(err) {
 		c.listener.count(func(counts *Counts) { counts.HeadsWithoutRoom++ })
 		c.refuse(statusUnavailable, "no_memory")
 		return io.EOF
 	}
+	return err
+}
+
+// resizeHead reserves memory for the head, unless the connection was closed.
+func (c *Conn) resizeHead(size int64) error {
+	c.memoryMutex.Lock()
+	defer c.memoryMutex.Unlock()
+	if c.memoryGone {
+		return net.ErrClosed
+	}
+	if err := c.memory.Resize(size); err != nil {
+		return err
+	}
 	c.headMemory.Store(size)
 	return nil
 }
 
+// releaseHead gives the memory of the head back.
+func (c *Conn) releaseHead(gone bool) {
+	c.memoryMutex.Lock()
+	defer c.memoryMutex.Unlock()
+	c.memory.Release()
+	c.headMemory.Store(0)
+	c.memoryGone = c.memoryGone || gone
+}
+
 // refusalOf is an answer to a request that was not received.
 func refusalOf(status int, reason string) []byte {
 	body := reason + "\n"
@@ -434,8 +460,7 @@
 	rejected := c.phase == inService && !c.handled
 	lingers := (c.lingers || rejected && c.listener.options.Refusals) && c.listener.mayLinger()
 	c.listener.mutex.Unlock()
-	c.memory.Release()
-	c.headMemory.Store(0)
+	c.releaseHead(true)
 	if !lingers {
 		return c.Conn.Close()
 	}
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -18,6 +18,8 @@
 	options Options
 
 	mutex sync.Mutex
+	// most is the number of connections that may be open.
+	most int
 	// fresh holds connections that have had no request served, kept those that have and wait for another, each in the order in
 	// which they began to wait; serving those with a request in service. Others that are open are about to be closed.
 	fresh, kept, serving list.List
@@ -57,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{Listener: raw, options: options}, nil
+	return &Listener{Listener: raw, options: options, most: options.Most}, nil
 }
 
 // LimitReceiveBuffer returns a control function that bounds what the kernel buffers of a connection. Kernels that refuse are left as they are.
@@ -69,11 +71,17 @@
 	}
 }
 
-// SetOptions replaces the options. But for the number of connections they must not change after the first Accept.
+// SetOptions replaces the options. It must be called before the first Accept.
 func (l *Listener) SetOptions(options Options) {
+	l.options = options
+	l.SetMost(options.Most)
+}
+
+// SetMost changes the number of connections that may be open. Those that are stay.
+func (l *Listener) SetMost(most int) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.options = options
+	l.most = most
 }
 
 // Counts returns the current totals.
@@ -81,7 +89,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	counts := l.counts
-	counts.Limit = int64(l.options.Most)
+	counts.Limit = int64(l.most)
 	return counts
 }
 
@@ -105,7 +113,7 @@
 }
 
 // endsPending reports whether too many connections that were told to give way have not ended yet. The mutex must be held.
-func (l *Listener) endsPending() bool { return int(l.counts.Open) >= l.options.Most+l.places() }
+func (l *Listener) endsPending() bool { return int(l.counts.Open) >= l.most+l.places() }
 
 // awaitEnds waits for a while until connections that were told to give way have ended. Others wait in the kernel meanwhile.
 func (l *Listener) awaitEnds() {
@@ -138,7 +146,7 @@
 		_ = accepted.Close()
 		return nil
 	}
-	if int(l.counts.Open)-l.leaving >= l.options.Most && !l.giveWay(now) {
+	if int(l.counts.Open)-l.leaving >= l.most && !l.giveWay(now) {
 		l.counts.Refused++
 		l.refuse(accepted)
 		return nil
@@ -179,7 +187,7 @@
 }
 
 // places is how many connections may linger, and how many may be open beyond the limit until others that give way have ended.
-func (l *Listener) places() int { return max(1, l.options.Most/lingerShare) }
+func (l *Listener) places() int { return max(1, l.most/lingerShare) }
 
 func (l *Listener) endLinger() {
 	l.mutex.Lock()
@@ -213,7 +221,7 @@
 	switch {
 	case fresh != nil && now.Sub(fresh.placed) >= youngConnection:
 		return fresh
-	case kept != nil && (fresh == nil || l.fresh.Len() <= l.options.Most/2):
+	case kept != nil && (fresh == nil || l.fresh.Len() <= l.most/2):
 		return kept
 	case fresh != nil:
 		return fresh
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -123,7 +123,7 @@
 }
 
 // LimitConnections bounds the connections that other daemons may open.
-func (t *Transport[M]) LimitConnections(most int) { t.listener.SetOptions(listenerOptions(most)) }
+func (t *Transport[M]) LimitConnections(most int) { t.listener.SetMost(most) }
 
 // Listener returns the listener for other daemons.
 func (t *Transport[M]) Listener() *connlimit.Listener { return t.listener }
