One rule says what the head of a response is, and it is checked as the head arrives

What callers saw: an entry daemon took a server's 000 to 099 for an interim response and waited for the next head, until the request's time was over (504 at the deadline; on a connection that carried on, the head behind it as the answer). It handed on 600 to 999, heads of HTTP/0.9, 2.0 and 9.9 as HTTP/1.1, and a line that begins with a blank or tab inside the field before it, which may be the signature. A native daemon handed on 000 as 200 with whatever body followed, and 001, 099, 101, 600 and 999 as they were. A call to the store, a report or an order that was answered with 000 took its whole time-out. A server that sent bytes that can become no head and then nothing held its caller until the deadline.

Cause: the check looked at the first line for the form of a status line only, not at the status; whether a head is an interim one was decided by "less than 200"; fasthttp reads a status of 0 as 200; and the check ran after the HTTP library had found the end of the head.

Now ResponseScanner follows the bytes of a head as they arrive, at both readers of responses: a status of three digits from 100 to 599, HTTP/1.0 or 1.1, no 101 (nobody asks for it), names of token bytes, no control bytes in reasons and values, no folded lines, one framing. It alone tells interim heads. The first byte that can be part of no head ends the call, and so does a library that finds the end elsewhere: fasthttp does not see the end of a head whose lines end with LF, and waited for it.

The test that had a folded field for sound now has it, and two more forms, for malformed.

Names with blanks and control bytes inside were refused before, at both daemons: handled, the tests stay.

--- a/internal/messagehead/response_test.go
+++ b/internal/messagehead/response_test.go
@@ -7,6 +7,20 @@
 	"github.com/wheatweir/wheatweir/internal/messagehead"
 )
 
+// checkResponse returns an error unless raw is the head of one response, behind any number of interim ones.
+func checkResponse(raw []byte) error {
+	var scanner messagehead.ResponseScanner
+	count, err := scanner.Scan(raw)
+	switch {
+	case err != nil:
+		return err
+	case !scanner.Done() || count != len(raw):
+		return &messagehead.MalformedError{Defect: messagehead.DefectEnd}
+	default:
+		return nil
+	}
+}
+
 // TestResponseHeads guards against answers whose status, fields or end may be read in two ways, and against a check that refuses
 // heads as servers send them.
 func TestResponseHeads(t *testing.T) {
@@ -22,7 +36,9 @@
 		"no reason":                        {"HTTP/1.1 200\r\n\r\n", true},
 		"lines that end with LF":           {"HTTP/1.1 200 OK\nContent-Length: 5\n\n", true},
 		"an old version":                   {"HTTP/1.0 200 OK\r\n\r\n", true},
-		"a folded field":                   {ok + "X-A: b\r\n c\r\n\r\n", true},
+		"a folded field":                   {ok + "X-A: b\r\n c\r\n\r\n", false},
+		"a field folded with a tab":        {ok + "X-A: b\r\n\tc\r\n\r\n", false},
+		"a blank line of a folded field":   {ok + "X-A: b\r\n \r\n\r\n", false},
 		"the same length twice":            {ok + "Content-Length: 5\r\nContent-Length: 5\r\n\r\n", true},
 		"an empty field":                   {ok + "X-A:\r\n\r\n", true},
 		"interim answers":                  {"HTTP/1.1 103 Hints\r\nLink: a\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + ok + "\r\n", true},
@@ -50,7 +66,7 @@
 		"chunks in an old version":         {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false},
 		"a length and chunks, interim one": {"HTTP/1.1 103 Hints\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + ok + "\r\n", false},
 	} {
-		if err := messagehead.CheckResponse([]byte(c.raw)); (err == nil) != c.sound {
+		if err := checkResponse([]byte(c.raw)); (err == nil) != c.sound {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
@@ -74,7 +90,7 @@
 					// What was left is whole.
 					continue
 				}
-				if messagehead.CheckResponse([]byte(begun+whole)) == nil {
+				if checkResponse([]byte(begun+whole)) == nil {
 					t.Errorf("%s: a head behind %q", name, begun)
 				}
 			}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -76,33 +76,52 @@
 	lastUsed    time.Time
 	readTimeout time.Duration
 	reused      bool
-	// head is what has arrived while a head is being read, also behind it.
-	head        []byte
-	readingHead bool
+	// scanner follows the head that is being read, and its interim answers; nil while none is. Unread is how much of what has arrived
+	// since the head began is behind it.
+	scanner *messagehead.ResponseScanner
+	unread  int
 }
 
-// Read sets a new read deadline before each read.
+// errHeadEnd means that the HTTP library looks for the end of a head elsewhere than where it is.
+var errHeadEnd = &messagehead.MalformedError{Defect: messagehead.DefectEnd}
+
+// Read sets a new read deadline before each read. It ends a head once its bytes can become none any more.
 func (c *connection) Read(buffer []byte) (int, error) {
+	if c.scanner != nil && c.scanner.Done() {
+		return 0, errHeadEnd
+	}
 	if err := c.SetReadDeadline(time.Now().Add(c.readTimeout)); err != nil {
 		return 0, err
 	}
 	count, err := c.Conn.Read(buffer)
-	if c.readingHead {
-		c.head = append(c.head, buffer[:count]...)
+	if c.scanner != nil {
+		scanned, malformed := c.scanner.Scan(buffer[:count])
+		c.unread += count - scanned
+		if malformed != nil {
+			return 0, malformed
+		}
 	}
 	return count, err
 }
 
-// readHead reads the head of an answer into the message, with the interim answers before it, and checks that it is that of one
-// answer. The message reads its body from the connection later.
+// readHead reads the head of an answer into the message, with the interim answers before it. The message reads its body from the
+// connection later.
 func (c *connection) readHead(message *fasthttp.Response) error {
-	c.readingHead = true
-	defer func() { c.readingHead, c.head = false, nil }()
+	c.scanner, c.unread = &messagehead.ResponseScanner{}, 0
+	defer func() { c.scanner = nil }()
 	message.StreamBody = true
-	if err := message.ReadLimitBody(c.reader, 0); err != nil {
+	err := message.ReadLimitBody(c.reader, 0)
+	ended := c.scanner.Done()
+	switch {
+	case c.scanner.Err() != nil:
+		return c.scanner.Err()
+	case err != nil && !ended:
 		return err
+	case err != nil || !ended || c.unread != c.reader.Buffered():
+		return errHeadEnd
+	default:
+		return nil
 	}
-	return messagehead.CheckResponse(c.head[:len(c.head)-c.reader.Buffered()])
 }
 
 // isQuiet reports whether the connection is open and nothing waits to be read: an answer that nobody asked for belongs to no request.
