The command line takes no malformed head for an answer

What operators saw: 'wheatweir do' and the shell, asking a daemon or what stands before it, showed what came behind a head of status 000, of another version, or with a blank in the name of a field, as the daemon's result; callers took addresses from it.

Cause: net/http's client checks less of a head than ResponseScanner does, and nothing else did.

Commands and questions about addresses now go on a connection each, which ends once its bytes can become no head. The lab's load generator is left as it is: it checks each byte of an answer against its own request.

--- a/lab/client/client.go
+++ b/lab/client/client.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -18,6 +19,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/wheatweir/wheatweir/internal/messagehead"
 	"github.com/wheatweir/wheatweir/lab/payload"
 )
 
@@ -65,6 +67,8 @@
 type Client struct {
 	bootstrap []string
 	http      *http.Client
+	// questions makes calls whose answers are not checked against the request, one on each connection.
+	questions *http.Client
 
 	mutex sync.Mutex
 	known map[string]knownAddresses
@@ -78,7 +82,22 @@
 // New returns a client that asks the given addresses which to use.
 func New(bootstrap []string) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1024, IdleConnTimeout: 30 * time.Second}
-	return &Client{bootstrap: bootstrap, http: &http.Client{Transport: transport}, known: map[string]knownAddresses{}}
+	return &Client{
+		bootstrap: bootstrap, http: &http.Client{Transport: transport}, questions: newQuestionClient(), known: map[string]knownAddresses{},
+	}
+}
+
+// newQuestionClient returns a client that takes no malformed heads for answers.
+func newQuestionClient() *http.Client {
+	var dialer net.Dialer
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return messagehead.NewResponseConn(conn), nil
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
 }
 
 // Close closes unused connections.
@@ -127,7 +146,7 @@
 	if err != nil {
 		return answer, ErrCall.Wrap(err)
 	}
-	response, err := c.http.Do(request)
+	response, err := c.questions.Do(request)
 	if err != nil {
 		return answer, ErrCall.Wrap(err)
 	}
--- /dev/null
+++ b/lab/client/malformedheads_test.go
@@ -0,0 +1,95 @@
+package client_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/wheatweir/wheatweir/internal/messagehead/messageheadtest"
+	"github.com/wheatweir/wheatweir/lab/client"
+)
+
+// atOnce is how soon a command ends whatever its daemon, or what stands before it, has sent.
+const atOnce = time.Second
+
+// answerWith starts a server that answers each request with a head and a body, and keeps its connections.
+func answerWith(t *testing.T, c messageheadtest.Case, body string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				for reader := bufio.NewReader(conn); ; {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, _ = io.WriteString(conn, c.Head(fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n", len(body)))+body)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestCommandsTakeNoMalformedHeads guards against operators who are shown what no daemon has answered, against addresses that callers use
+// although no daemon gave them, and against commands that wait.
+func TestCommandsTakeNoMalformedHeads(t *testing.T) {
+	for _, c := range messageheadtest.Malformed() {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			address := answerWith(t, c, `{"columns":["odd"],"addresses":["127.0.0.1:1"],"keep_seconds":60}`)
+			caller := client.New([]string{address})
+			defer caller.Close()
+			began := time.Now()
+			if result, err := caller.Operator(ctx, address, "", "show models"); err == nil {
+				t.Errorf("a command: %+v", result)
+			}
+			if addresses, err := caller.Addresses(ctx, "m"); err == nil {
+				t.Errorf("addresses: %v", addresses)
+			}
+			if took := time.Since(began); took > atOnce {
+				t.Errorf("it took %v", took)
+			}
+		})
+	}
+}
+
+// TestCommandsTakeWellFormedHeads guards against a check that refuses answers as daemons, and what stands before them, send them.
+func TestCommandsTakeWellFormedHeads(t *testing.T) {
+	for _, c := range append(messageheadtest.WellFormed(), messageheadtest.LineFeeds()) {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			address := answerWith(t, c, `{"columns":["even"],"addresses":["127.0.0.1:1"],"keep_seconds":60}`)
+			caller := client.New([]string{address})
+			defer caller.Close()
+			for range 2 {
+				if result, err := caller.Operator(ctx, address, "", "show models"); err != nil || len(result.Columns) != 1 {
+					t.Errorf("%+v, %v", result, err)
+				}
+			}
+			if addresses, err := caller.Addresses(ctx, "m"); err != nil || len(addresses) != 1 {
+				t.Errorf("%v, %v", addresses, err)
+			}
+		})
+	}
+}
--- a/lab/client/operator.go
+++ b/lab/client/operator.go
@@ -18,7 +18,7 @@
 	if credential != "" {
 		request.Header.Set("Authorization", "Bearer "+credential)
 	}
-	response, err := c.http.Do(request)
+	response, err := c.questions.Do(request)
 	if err != nil {
 		return nil, ErrCall.Wrap(err)
 	}
