Log, metrics and explain name a malformed head as the cause

What operators saw: a server or back end that sends malformed heads looked like one whose connection broke: 'broken' in the metrics of an entry daemon, back_end_broken at a native one, the library's words in the log.

The attempt's line of an entry daemon has malformed=DEFECT, explain says which server sent a malformed head and what is wrong with it, wheatweir_answers_malformed counts by defect and instance, reports and orders included. A native daemon has the reason malformed_answer in its log, in 'show requests' and in error bodies (502, outcome unknown), the same counter by defect, and a line for its own calls. Its back end ranks last for the time of a failure, as one whose connection broke.

--- a/caller/errors.go
+++ b/caller/errors.go
@@ -42,6 +42,7 @@
 	outcome.ReasonConnect:        fiber.StatusServiceUnavailable,
 	outcome.ReasonRefused:        fiber.StatusServiceUnavailable,
 	outcome.ReasonBroken:         fiber.StatusBadGateway,
+	outcome.ReasonMalformed:      fiber.StatusBadGateway,
 	outcome.ReasonCallerGone:     statusClientClosedRequest,
 	outcome.ReasonUnknownTenant:  fiber.StatusUnauthorized,
 	outcome.ReasonQuota:          fiber.StatusTooManyRequests,
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -6,6 +6,7 @@
 
 	"github.com/wheatweir/wheatweir/api"
 	"github.com/wheatweir/wheatweir/control"
+	"github.com/wheatweir/wheatweir/internal/messagehead"
 	"github.com/wheatweir/wheatweir/objectstore"
 	"github.com/wheatweir/wheatweir/ring"
 )
@@ -182,6 +183,7 @@
 			return
 		}
 		delta, err := d.platform.Changes(ctx, watch.Since, watch.Wait)
+		d.noteMalformed(err, platformName)
 		answer := control.ChangesAnswer{Delta: delta, Err: callError(err)}
 		d.events.Put(ctx, func(node *control.Node, now time.Time) []control.Action {
 			return node.ChangesAnswered(now, answer)
@@ -206,6 +208,7 @@
 
 func (d *Daemon) writeObject(ctx context.Context, call control.Write) {
 	object, err := d.platform.Put(ctx, call.Object, call.IfVersion)
+	d.noteMalformed(err, platformName)
 	answer := control.WriteAnswer{Key: call.Object.Key, Object: object, Err: callError(err)}
 	d.events.Put(ctx, func(node *control.Node, now time.Time) []control.Action {
 		return node.WriteAnswered(now, answer)
@@ -214,12 +217,26 @@
 
 func (d *Daemon) readObject(ctx context.Context, key api.Key) {
 	object, err := d.platform.Get(ctx, key)
+	d.noteMalformed(err, platformName)
 	answer := control.ReadAnswer{Key: key, Object: object, Err: callError(err)}
 	d.events.Put(ctx, func(node *control.Node, now time.Time) []control.Action {
 		return node.ReadAnswered(now, answer)
 	})
 }
 
+// platformName stands for the platform in the log, where calls to back ends have the back end's name.
+const platformName = "platform"
+
+// noteMalformed counts and logs a call of this daemon's own that was answered with a malformed head.
+func (d *Daemon) noteMalformed(err error, from string) {
+	defect := messagehead.DefectOf(err)
+	if defect == "" {
+		return
+	}
+	d.metrics.countMalformed(err)
+	d.logger.Info("Malformed head.", "part", "calls", "from", from, "malformed", string(defect), "error", err)
+}
+
 func callError(err error) control.CallError {
 	switch {
 	case err == nil:
@@ -240,6 +257,7 @@
 			return
 		}
 		report, err := d.engines.Report(ctx, poll.Address)
+		d.noteMalformed(err, poll.BackEnd)
 		answer := control.PollAnswer{BackEnd: poll.BackEnd, Report: report}
 		if err != nil || report.BackEnd != poll.BackEnd {
 			answer.Err = control.CallUnknown
@@ -256,7 +274,9 @@
 		if !ok {
 			return
 		}
-		if err := d.engines.Order(ctx, sent.Address, sent.Order); err != nil {
+		err := d.engines.Order(ctx, sent.Address, sent.Order)
+		d.noteMalformed(err, sent.BackEnd)
+		if err != nil {
 			d.logger.Warn("Order failed.", "part", "placement", "back_end", sent.BackEnd,
 				"artifact", sent.Order.Artifact.String(), "error", err)
 		}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/wheatweir/wheatweir/internal/connlimit"
 	"github.com/wheatweir/wheatweir/internal/exposition"
+	"github.com/wheatweir/wheatweir/internal/messagehead"
 	"github.com/wheatweir/wheatweir/outcome"
 )
 
@@ -19,6 +20,8 @@
 	firstToken tally.Histogram
 	attempts   tally.Counter
 	retries    tally.Counter
+	// malformed counts answers with a malformed head.
+	malformed map[messagehead.Defect]tally.Counter
 }
 
 func newMetrics() *metrics {
@@ -29,6 +32,10 @@
 		attempts:   root.Counter("attempts"),
 		retries:    root.Counter("retries"),
 		firstToken: root.Histogram("first_byte_seconds", exposition.DurationBuckets()),
+		malformed:  map[messagehead.Defect]tally.Counter{},
+	}
+	for _, defect := range messagehead.Defects() {
+		m.malformed[defect] = root.Tagged(map[string]string{"defect": string(defect)}).Counter("answers_malformed")
 	}
 	for _, kind := range []outcome.Kind{outcome.Answered, outcome.NotRun, outcome.Failed, outcome.Unknown} {
 		m.outcomes[kind] = root.Tagged(map[string]string{"outcome": kind.String()}).Counter("requests")
@@ -36,6 +43,13 @@
 	return m
 }
 
+// countMalformed counts a call that ended with a malformed head; other errors are left out.
+func (m *metrics) countMalformed(err error) {
+	if counter, found := m.malformed[messagehead.DefectOf(err)]; found {
+		counter.Inc(1)
+	}
+}
+
 func (m *metrics) write(w io.Writer) error { return m.root.Write(w) }
 
 // connectionsInterval is the time between two looks at the connections.
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -160,6 +160,7 @@
 // noteFailure keeps the request from the back end that failed it.
 func (d *Daemon) noteFailure(call *caller.Call, backEnd *route.BackEnd, request *route.Request, result outcome.Result) {
 	request.Exclude(backEnd.Load)
+	d.metrics.countMalformed(result.Err)
 	d.logger.Info("Attempt failed.", "part", "route", "request", call.ID, "back_end", backEnd.Name,
 		"outcome", result.Kind, "reason", string(result.Reason), "error", result.Err)
 }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -22,6 +22,7 @@
 
 	"github.com/wheatweir/wheatweir/api"
 	"github.com/wheatweir/wheatweir/internal/membudget"
+	"github.com/wheatweir/wheatweir/internal/messagehead"
 	"github.com/wheatweir/wheatweir/outcome"
 	"github.com/wheatweir/wheatweir/upstream"
 )
@@ -150,17 +151,25 @@
 }
 
 func sendResult(ctx context.Context, err error) outcome.Result {
-	result := outcome.Result{Kind: outcome.Unknown, Reason: outcome.ReasonBroken, Err: ErrCall.Wrap(err)}
-	if upstream.ErrNotSent.Has(err) {
-		result.Kind = outcome.NotRun
-		result.Reason = outcome.ReasonConnect
-	}
+	result := SendFailure(ErrCall.Wrap(err))
 	if ctx.Err() != nil {
 		result.Reason = outcome.ReasonCallerGone
 	}
 	return result
 }
 
+// SendFailure returns the result of an attempt that ended without the head of an answer.
+func SendFailure(err error) outcome.Result {
+	result := outcome.Result{Kind: outcome.Unknown, Reason: outcome.ReasonBroken, Err: err}
+	switch {
+	case upstream.ErrNotSent.Has(err):
+		result.Kind, result.Reason = outcome.NotRun, outcome.ReasonConnect
+	case messagehead.DefectOf(err) != "":
+		result.Reason = outcome.ReasonMalformed
+	}
+	return result
+}
+
 // maxRefusalBytes bounds the body of a refusal that is kept for the log.
 const maxRefusalBytes = 4 << 10
 
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -285,7 +285,7 @@
 			return node.ReportAnswered(askedAt, now, ask.Instance, report, err == nil)
 		})
 		d.noteRefused(err, ask.Instance, ask.Address)
-		d.noteOversized(err, ask.Instance)
+		d.noteFaultyAnswer(err, ask.Instance)
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/wheatweir/wheatweir/gateway"
 	"github.com/wheatweir/wheatweir/internal/exposition"
 	"github.com/wheatweir/wheatweir/internal/membudget"
+	"github.com/wheatweir/wheatweir/internal/messagehead"
 	"github.com/wheatweir/wheatweir/platform"
 )
 
@@ -82,10 +83,11 @@
 	mixedServices tally.Gauge
 	// parked is the number of models that are parked, at the daemon that places models.
 	parked tally.Gauge
-	// oversized counts answers of which a part was too large, by the part and the first mostOversizedInstances instances
-	// that sent one.
-	oversized          map[oversizedKey]tally.Counter
-	oversizedInstances map[string]bool
+	// oversized counts answers of which a part was too large, by the part, and malformed those with a malformed head, by the defect.
+	// Both have series of their own for the first mostFaultyInstances instances that sent such answers.
+	oversized       map[oversizedKey]tally.Counter
+	malformed       map[malformedKey]tally.Counter
+	faultyInstances map[string]bool
 	// retries counts retries that a budget allowed or denied, by the first mostRetryServices services that had some.
 	retries       map[retryKey]tally.Counter
 	retryServices map[string]bool
@@ -117,10 +119,16 @@
 	part     gateway.AnswerPart
 }
 
-// mostOversizedInstances bounds the instances that have series of their own; the others share one.
+// malformedKey names a series of answers with a malformed head.
+type malformedKey struct {
+	instance string
+	defect   messagehead.Defect
+}
+
+// mostFaultyInstances bounds the instances that have series of their own; the others share one.
 const (
-	mostOversizedInstances  = 64
-	otherOversizedInstances = "others"
+	mostFaultyInstances  = 64
+	otherFaultyInstances = "others"
 )
 
 // retryKey names a series of retries. Its step is StepRetryAllowed or StepRetryDenied.
@@ -159,7 +167,7 @@
 	}
 	return &metrics{
 		root: root, steps: map[stepKey]tally.Counter{}, answers: map[answerKey]tally.Counter{}, tenants: map[tenantKey]tally.Counter{}, tenantNames: map[string]bool{},
-		oversized: map[oversizedKey]tally.Counter{}, oversizedInstances: map[string]bool{}, retries: map[retryKey]tally.Counter{}, retryServices: map[string]bool{},
+		oversized: map[oversizedKey]tally.Counter{}, malformed: map[malformedKey]tally.Counter{}, faultyInstances: map[string]bool{}, retries: map[retryKey]tally.Counter{}, retryServices: map[string]bool{},
 		unreadable: root.Counter("entries_unreadable"), took: map[stepKey]tally.Histogram{},
 		inProgress: root.Gauge("requests_in_progress"), configuration: root.Gauge("configuration_version"),
 		instances: root.Gauge("instances"), daemons: root.Gauge("live_daemons"), leaseHeld: root.Gauge("lease_held"), storeEra: root.Gauge("store_era"),
@@ -200,6 +208,9 @@
 	if event.Oversized != "" {
 		m.oversizedSeries(event.Instance, event.Oversized).Inc(1)
 	}
+	if event.Malformed != "" {
+		m.malformedSeries(event.Instance, event.Malformed).Inc(1)
+	}
 	if event.Service != "" {
 		m.retrySeries(event.Service, event.Step).Inc(1)
 	}
@@ -300,13 +311,7 @@
 func (m *metrics) oversizedSeries(instance string, part gateway.AnswerPart) tally.Counter {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if !m.oversizedInstances[instance] {
-		if len(m.oversizedInstances) < mostOversizedInstances {
-			m.oversizedInstances[instance] = true
-		} else {
-			instance = otherOversizedInstances
-		}
-	}
+	instance = m.faultyLabel(instance)
 	key := oversizedKey{instance, part}
 	counter, found := m.oversized[key]
 	if !found {
@@ -316,6 +321,32 @@
 	return counter
 }
 
+// malformedSeries is the counter of answers of an instance whose head had a defect.
+func (m *metrics) malformedSeries(instance string, defect messagehead.Defect) tally.Counter {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	instance = m.faultyLabel(instance)
+	key := malformedKey{instance, defect}
+	counter, found := m.malformed[key]
+	if !found {
+		counter = m.root.Tagged(map[string]string{"instance": instance, "defect": string(defect)}).Counter("answers_malformed")
+		m.malformed[key] = counter
+	}
+	return counter
+}
+
+// faultyLabel is the label of an instance that sent a faulty answer. The mutex is held.
+func (m *metrics) faultyLabel(instance string) string {
+	if m.faultyInstances[instance] {
+		return instance
+	}
+	if len(m.faultyInstances) >= mostFaultyInstances {
+		return otherFaultyInstances
+	}
+	m.faultyInstances[instance] = true
+	return instance
+}
+
 // answerSeries is the counter of answers of servers that were framed and ended alike.
 func (m *metrics) answerSeries(key answerKey) tally.Counter {
 	m.mutex.Lock()
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -191,6 +191,9 @@
 	if event.Oversized != "" {
 		fields = append(fields, "oversized", string(event.Oversized))
 	}
+	if event.Malformed != "" {
+		fields = append(fields, "malformed", string(event.Malformed))
+	}
 	if event.Status != 0 {
 		fields = append(fields, "status", event.Status)
 	}
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/wheatweir/wheatweir/coordination"
 	"github.com/wheatweir/wheatweir/gateway"
+	"github.com/wheatweir/wheatweir/internal/messagehead"
 	"github.com/wheatweir/wheatweir/quarantine"
 	"github.com/wheatweir/wheatweir/residency"
 )
@@ -26,17 +27,19 @@
 		return node.OrderAnswered(now, sent.Order, answer)
 	})
 	d.noteRefused(err, sent.Order.Instance, sent.Order.Address)
-	d.noteOversized(err, sent.Order.Instance)
+	d.noteFaultyAnswer(err, sent.Order.Instance)
 }
 
-// noteOversized counts and logs an answer to a call of this daemon's own of which a part was too large.
-func (d *Daemon) noteOversized(err error, instance string) {
-	part := gateway.OversizedPart(err)
-	if part == "" {
-		return
+// noteFaultyAnswer counts and logs an answer to a call of this daemon's own of which a part was too large, or whose head was malformed.
+func (d *Daemon) noteFaultyAnswer(err error, instance string) {
+	if part := gateway.OversizedPart(err); part != "" {
+		d.metrics.oversizedSeries(instance, part).Inc(1)
+		d.log.add("instances", "Sent a report or an answer to an order that is too large.", "instance", instance, "oversized", string(part), "error", err)
+	}
+	if defect := messagehead.DefectOf(err); defect != "" {
+		d.metrics.malformedSeries(instance, defect).Inc(1)
+		d.log.add("instances", "Sent a report or an answer to an order with a malformed head.", "instance", instance, "malformed", string(defect), "error", err)
 	}
-	d.metrics.oversizedSeries(instance, part).Inc(1)
-	d.log.add("instances", "Sent a report or an answer to an order that is too large.", "instance", instance, "oversized", string(part), "error", err)
 }
 
 // noteRefused takes a refused connection for a crash if other daemons are refused too: nobody listens there any more.
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -312,6 +312,10 @@
 			return fmt.Sprintf("%s after %s ms; at %s the connection was closed, since it sent a %s without end: %s",
 				text, last.Value("took_ms"), story.Steps[i].Value("instance"), part, story.Steps[i].Value("error"))
 		}
+		if defect := story.Steps[i].Value("malformed"); defect != "" {
+			return fmt.Sprintf("%s after %s ms; %s sent a malformed head (%s), and the connection was closed",
+				text, last.Value("took_ms"), story.Steps[i].Value("instance"), defect)
+		}
 		if failure := story.Steps[i].Value("error"); failure != "" {
 			return fmt.Sprintf("%s after %s ms; the last failure, at %s: %s", text, last.Value("took_ms"), story.Steps[i].Value("instance"), failure)
 		}
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/wheatweir/wheatweir/balance"
 	"github.com/wheatweir/wheatweir/fleet"
+	"github.com/wheatweir/wheatweir/internal/messagehead"
 	"github.com/wheatweir/wheatweir/retry"
 )
 
@@ -150,6 +151,8 @@
 	Framing Framing
 	// Oversized is the part of the answer of which the instance sent too much; empty if it did not.
 	Oversized AnswerPart
+	// Malformed is what is wrong with the head of the answer; empty if nothing is.
+	Malformed messagehead.Defect
 	// Phase is the phase that the request had reached.
 	Phase Phase
 	// Candidates is the number of instances that could have been chosen.
--- a/gateway/sendfailure.go
+++ b/gateway/sendfailure.go
@@ -7,6 +7,7 @@
 	"github.com/wheatweir/wheatweir/fleet"
 	"github.com/wheatweir/wheatweir/internal/drain"
 	"github.com/wheatweir/wheatweir/internal/membudget"
+	"github.com/wheatweir/wheatweir/internal/messagehead"
 )
 
 // failedSend ends an attempt without the head of an answer.
@@ -39,7 +40,7 @@
 		e.reportBroken(ctx, instance)
 	}
 	e.end(id, attributableOutcome(ctx, outcome))
-	e.observe(Event{Step: StepAttemptFailed, Instance: id, Oversized: OversizedPart(err), Err: err})
+	e.observe(Event{Step: StepAttemptFailed, Instance: id, Oversized: OversizedPart(err), Malformed: messagehead.DefectOf(err), Err: err})
 	return attemptBroken
 }
 
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -46,7 +46,9 @@
 	ReasonConnect        Reason = "connect_failed"
 	ReasonRefused        Reason = "back_end_refused"
 	ReasonBroken         Reason = "back_end_broken"
-	ReasonCallerGone     Reason = "caller_gone"
+	// ReasonMalformed means that the back end sent bytes that are not the head of an answer.
+	ReasonMalformed  Reason = "malformed_answer"
+	ReasonCallerGone Reason = "caller_gone"
 	// ReasonUnknownTenant means the request has no API key, or a key of no tenant.
 	ReasonUnknownTenant Reason = "unknown_key"
 	// ReasonQuota means the tenant has exhausted its limit, ReasonQuotaUnsure that this could
--- a/route/load.go
+++ b/route/load.go
@@ -21,7 +21,7 @@
 	reportedAt     atomic.Int64
 	slots          atomic.Int64
 	refusedAt      atomic.Int64
-	// unreachableAt is the time of the last attempt if it got no byte of an answer; otherwise zero.
+	// unreachableAt is the time of the last attempt if it got no head of an answer; otherwise zero.
 	unreachableAt atomic.Int64
 }
 
@@ -31,7 +31,7 @@
 const failureTTL = 2 * time.Second
 
 // RecordResult records the result of an attempt at the back end. A back end that sent
-// no byte of an answer ranks below one that refused the request: the latter responds
+// no head of an answer ranks below one that refused the request: the latter responds
 // and may accept other requests.
 func (l *Load) RecordResult(now time.Time, result outcome.Result) {
 	switch {
@@ -41,7 +41,7 @@
 	case result.Reason == outcome.ReasonCallerGone:
 	case result.Kind == outcome.Answered || result.Status != 0:
 		l.unreachableAt.Store(0)
-	case result.Reason == outcome.ReasonConnect || result.Reason == outcome.ReasonBroken:
+	case result.Reason == outcome.ReasonConnect || result.Reason == outcome.ReasonBroken || result.Reason == outcome.ReasonMalformed:
 		l.unreachableAt.Store(now.UnixNano())
 	}
 }
@@ -54,7 +54,7 @@
 type attemptStatus int
 
 const (
-	// unreachable means that the last attempt, within failureTTL, got no byte of an answer.
+	// unreachable means that the last attempt, within failureTTL, got no head of an answer.
 	unreachable attemptStatus = iota
 	// refused means that the back end refused a request within failureTTL.
 	refused
--- a/service/service.go
+++ b/service/service.go
@@ -67,11 +67,7 @@
 	request.SetBodyRaw(call.Body)
 	response, err := c.pool.Do(ctx, address, request, upstream.Options{FreshConnection: call.FreshConnection})
 	if err != nil {
-		result := outcome.Result{Kind: outcome.Unknown, Reason: outcome.ReasonBroken, Err: ErrCall.Wrap(err)}
-		if upstream.ErrNotSent.Has(err) {
-			result.Kind, result.Reason = outcome.NotRun, outcome.ReasonConnect
-		}
-		return Answer{}, result
+		return Answer{}, engine.SendFailure(ErrCall.Wrap(err))
 	}
 	answer := Answer{Status: response.Status(), ContentType: response.Header("Content-Type")}
 	notRun := response.Header(engine.HeaderNotRun) == "true"
