Soak: servers send malformed heads

The soak's servers sent unfinished heads and bytes without end, but no head that is whole and malformed, so no seed could show one. The fault draws from numbers of its own: the other faults of earlier seeds are the same.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -89,6 +89,7 @@
 	d.group.Go(func() { d.runUnframed(ctx, rand.New(rand.NewPCG(d.options.Seed, unframedStream))) })
 	d.group.Go(func() { d.runFailing(ctx, rand.New(rand.NewPCG(d.options.Seed, failingStream))) })
 	d.group.Go(func() { d.runEndless(ctx, rand.New(rand.NewPCG(d.options.Seed, endlessStream))) })
+	d.group.Go(func() { d.runMalformed(ctx, rand.New(rand.NewPCG(d.options.Seed, malformedStream))) })
 	d.group.Go(func() { d.runLeftovers(ctx, rand.New(rand.NewPCG(d.options.Seed, leftoverStream))) })
 	d.group.Go(func() { d.runSilences(ctx, rand.New(rand.NewPCG(d.options.Seed, silenceStream))) })
 	if !pause(ctx, firstFault) {
@@ -162,6 +163,7 @@
 			server.Behave(standin.BehaviourSound)
 			server.SendEndless(0)
 			server.LeaveBehind(0, nil)
+			server.SpoilHeads(0, nil)
 			server.SendEndlessControl("")
 			server.Say(standin.Words{Leaving: server.Words().Leaving})
 		}
