A stopping daemon takes no request whose answer cannot be whole in its grace

What callers saw: in the grace of a planned stop an entry daemon took streams that could not end in time, passed them on and broke them off at the end of the grace, in the middle, also those that may not run again; plain requests got 502 then, and had run. Another daemon could have served them whole.

Cause: a request might begin for half of the grace whatever its answer needs.

Evidence: TestRequestsLateInTheGraceAreAnswered, a request each 50 ms from 1 s before the signal on, grace 3 s. Before: of streams that take 2.5 s 26 were cut, all sent after the signal, and 48 of streams of 4 s, 28 of them sent after it; plain requests: 26 and 48 times 502. The native daemon cuts none (TestCallsLateInADrainAreAnswered): a call that does not fit gets 502, outcome unknown.

Now the gateway estimates for each route how long whole answers need (mean and deviation as in RFC 6298), knows from the signal on when the last answers go out, and refuses at once, with 503, what does not fit. Of the requests after the signal none is cut, and none gets 502. Without an answer seen on a route, all requests begin as before. A wrong estimate costs a refusal at once that another daemon takes, or what it cost before.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -30,7 +30,7 @@
 )
 
 // Stop ends the daemon: it is no longer ready and leaves the answers about
-// addresses at once, goes on serving for as long as clients may keep an answer unless a duty
+// addresses at once, goes on serving what can be whole within the grace for as long as clients may keep an answer unless a duty
 // has failed, then lets no request begin, and waits for those that have begun, within the grace
 // and until ctx ends. What is left then gets its final answer.
 func (d *Daemon) Stop(ctx context.Context) {
@@ -40,12 +40,14 @@
 	d.startDuty("leave", d.leave)
 	d.peers.DrainTunnels()
 	grace := d.current().Grace
+	end := begun.Add(grace - stopMargin)
+	d.gateway.EndsAt(end)
 	kept := min(keptFactor*d.current().AddressKeep, grace/graceShare) - acceptMargin
 	// Without one of its duties a daemon may decide by what has long changed.
 	d.waitUntil(ctx, begun.Add(kept), d.life.lacksDuty.Load)
 	d.gateway.Drain()
 	d.log.add("daemon", "Requests no longer begin.", "requests", d.gateway.Active())
-	d.waitUntil(ctx, begun.Add(grace-stopMargin), d.idle)
+	d.waitUntil(ctx, end, d.idle)
 	d.log.add("daemon", "Requests end.", "requests_cut", d.gateway.Active())
 	d.gateway.End()
 	d.waitUntil(context.Background(), d.clock.Now().Add(answerMargin), d.answered)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,6 +94,10 @@
 	changed  atomic.Pointer[chan struct{}]
 	active   atomic.Int64
 	lifetime *drain.Lifetime
+	// endsAt is when a stopping daemon gives requests their last answer; nil before it stops.
+	endsAt atomic.Pointer[time.Time]
+	// answerTimes estimates how long answers need.
+	answerTimes *answerTimes
 	// shortageTracker holds the models and tenants whose requests are being refused.
 	shortageTracker *shortageTracker
 	// backgroundQueues queues the background requests that wait for more urgent ones.
@@ -107,7 +111,7 @@
 	}
 	g := &Gateway{
 		settings: settings, upstream: upstream, tracker: tracker, chooser: localChooser{balance.NewPicker(tracker)},
-		budgets: budgets, demand: demand, observer: observer, shortageTracker: newShortageTracker(), lifetime: drain.NewLifetime(),
+		budgets: budgets, demand: demand, observer: observer, shortageTracker: newShortageTracker(), lifetime: drain.NewLifetime(), answerTimes: newAnswerTimes(),
 		backgroundQueues: newYieldQueues(),
 	}
 	g.view.Store(fleet.NewView(nil, nil))
@@ -134,6 +138,9 @@
 
 // SetView replaces the snapshot of the fleet, and wakes the requests that wait for a change.
 func (g *Gateway) SetView(view *fleet.View) {
+	if known := g.view.Load(); known == nil || known.Version() != view.Version() {
+		g.answerTimes.prune(view.Configuration())
+	}
 	g.view.Store(view)
 	next := make(chan struct{})
 	close(*g.changed.Swap(&next))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -62,7 +62,7 @@
 	}
 	e.end(id, outcome)
 	if response.Status() < statusMultipleChoices {
-		e.reportSuccess(id)
+		e.recordServed(id)
 	}
 	e.answerStarted = true
 	if e.reply.Begin(response.Status(), response.Header(), int64(len(body))) != nil || e.reply.Write(body) != nil {
@@ -136,7 +136,7 @@
 		if errors.Is(err, io.EOF) {
 			e.end(id, outcome)
 			if response.Status() < statusMultipleChoices {
-				e.reportSuccess(id)
+				e.recordServed(id)
 			}
 			e.observe(Event{Step: StepEnded, Instance: id, Status: response.Status(), Reason: ReasonAnswered})
 			return attemptEnded
@@ -237,7 +237,7 @@
 func (e *exchange) finishStream(instance *fleet.Instance, response Response, events *eventSplitter) attemptResult {
 	id := instance.ID
 	e.end(id, balance.Served)
-	e.reportSuccess(id)
+	e.recordServed(id)
 	if !e.writePiece(instance, response, events.remainder()) {
 		e.reply.Abort()
 	}
