--- a/cmd/wheatweird/nativeclients_test.go
+++ b/cmd/wheatweird/nativeclients_test.go
@@ -29,6 +29,7 @@
 type nativeDaemon struct {
 	caller, peers string
 	pid           int
+	standIns      *cluster.Cluster
 }
 
 func startNativeDaemon(t *testing.T, binary string, descriptors int) *nativeDaemon {
@@ -40,7 +41,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(standIns.Close)
-	d := &nativeDaemon{}
+	d := &nativeDaemon{standIns: standIns}
 	for _, address := range []*string{&d.caller, &d.peers} {
 		if *address, err = loopback.Address(); err != nil {
 			t.Fatal(err)
