--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -11,7 +11,6 @@
 	"github.com/wheatweir/wheatweir/gateway"
 	"github.com/wheatweir/wheatweir/internal/exposition"
 	"github.com/wheatweir/wheatweir/internal/membudget"
-	"github.com/wheatweir/wheatweir/internal/messagehead"
 	"github.com/wheatweir/wheatweir/platform"
 )
 
@@ -83,11 +82,8 @@
 	mixedServices tally.Gauge
 	// parked is the number of models that are parked, at the daemon that places models.
 	parked tally.Gauge
-	// oversized counts answers of which a part was too large, by the part, and malformed those with a malformed head, by the defect.
-	// Both have series of their own for the first mostFaultyInstances instances that sent such answers.
-	oversized       map[oversizedKey]tally.Counter
-	malformed       map[malformedKey]tally.Counter
-	faultyInstances map[string]bool
+	// faulty counts answers with a part that was too large, or a malformed head.
+	faulty *faultyAnswers
 	// retries counts retries that a budget allowed or denied, by the first mostRetryServices services that had some.
 	retries       map[retryKey]tally.Counter
 	retryServices map[string]bool
@@ -113,24 +109,6 @@
 	whole   bool
 }
 
-// oversizedKey names a series of answers of which a part was too large.
-type oversizedKey struct {
-	instance string
-	part     gateway.AnswerPart
-}
-
-// malformedKey names a series of answers with a malformed head.
-type malformedKey struct {
-	instance string
-	defect   messagehead.Defect
-}
-
-// mostFaultyInstances bounds the instances that have series of their own; the others share one.
-const (
-	mostFaultyInstances  = 64
-	otherFaultyInstances = "others"
-)
-
 // retryKey names a series of retries. Its step is StepRetryAllowed or StepRetryDenied.
 type retryKey struct {
 	service string
@@ -167,7 +145,7 @@
 	}
 	return &metrics{
 		root: root, steps: map[stepKey]tally.Counter{}, answers: map[answerKey]tally.Counter{}, tenants: map[tenantKey]tally.Counter{}, tenantNames: map[string]bool{},
-		oversized: map[oversizedKey]tally.Counter{}, malformed: map[malformedKey]tally.Counter{}, faultyInstances: map[string]bool{}, retries: map[retryKey]tally.Counter{}, retryServices: map[string]bool{},
+		faulty: newFaultyAnswers(root), retries: map[retryKey]tally.Counter{}, retryServices: map[string]bool{},
 		unreadable: root.Counter("entries_unreadable"), took: map[stepKey]tally.Histogram{},
 		inProgress: root.Gauge("requests_in_progress"), configuration: root.Gauge("configuration_version"),
 		instances: root.Gauge("instances"), daemons: root.Gauge("live_daemons"), leaseHeld: root.Gauge("lease_held"), storeEra: root.Gauge("store_era"),
@@ -206,10 +184,10 @@
 		m.answerSeries(answerKey{event.Framing, event.Step == gateway.StepEnded}).Inc(1)
 	}
 	if event.Oversized != "" {
-		m.oversizedSeries(event.Instance, event.Oversized).Inc(1)
+		m.faulty.countOversized(event.Instance, event.Oversized)
 	}
 	if event.Malformed != "" {
-		m.malformedSeries(event.Instance, event.Malformed).Inc(1)
+		m.faulty.countMalformed(event.Instance, event.Malformed)
 	}
 	if event.Service != "" {
 		m.retrySeries(event.Service, event.Step).Inc(1)
@@ -307,46 +285,6 @@
 	return counter
 }
 
-// oversizedSeries is the counter of answers of an instance of which a part was too large.
-func (m *metrics) oversizedSeries(instance string, part gateway.AnswerPart) tally.Counter {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	instance = m.faultyLabel(instance)
-	key := oversizedKey{instance, part}
-	counter, found := m.oversized[key]
-	if !found {
-		counter = m.root.Tagged(map[string]string{"instance": instance, "part": string(part)}).Counter("answers_oversized")
-		m.oversized[key] = counter
-	}
-	return counter
-}
-
-// malformedSeries is the counter of answers of an instance whose head had a defect.
-func (m *metrics) malformedSeries(instance string, defect messagehead.Defect) tally.Counter {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	instance = m.faultyLabel(instance)
-	key := malformedKey{instance, defect}
-	counter, found := m.malformed[key]
-	if !found {
-		counter = m.root.Tagged(map[string]string{"instance": instance, "defect": string(defect)}).Counter("answers_malformed")
-		m.malformed[key] = counter
-	}
-	return counter
-}
-
-// faultyLabel is the label of an instance that sent a faulty answer. The mutex is held.
-func (m *metrics) faultyLabel(instance string) string {
-	if m.faultyInstances[instance] {
-		return instance
-	}
-	if len(m.faultyInstances) >= mostFaultyInstances {
-		return otherFaultyInstances
-	}
-	m.faultyInstances[instance] = true
-	return instance
-}
-
 // answerSeries is the counter of answers of servers that were framed and ended alike.
 func (m *metrics) answerSeries(key answerKey) tally.Counter {
 	m.mutex.Lock()
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -33,11 +33,11 @@
 // noteFaultyAnswer counts and logs an answer to a call of this daemon's own of which a part was too large, or whose head was malformed.
 func (d *Daemon) noteFaultyAnswer(err error, instance string) {
 	if part := gateway.OversizedPart(err); part != "" {
-		d.metrics.oversizedSeries(instance, part).Inc(1)
+		d.metrics.faulty.countOversized(instance, part)
 		d.log.add("instances", "Sent a report or an answer to an order that is too large.", "instance", instance, "oversized", string(part), "error", err)
 	}
 	if defect := messagehead.DefectOf(err); defect != "" {
-		d.metrics.malformedSeries(instance, defect).Inc(1)
+		d.metrics.faulty.countMalformed(instance, defect)
 		d.log.add("instances", "Sent a report or an answer to an order with a malformed head.", "instance", instance, "malformed", string(defect), "error", err)
 	}
 }
--- a/lab/client/malformedheads_test.go
+++ b/lab/client/malformedheads_test.go
@@ -1,12 +1,7 @@
 package client_test
 
 import (
-	"bufio"
 	"context"
-	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -17,36 +12,6 @@
 // atOnce is how soon a command ends whatever its daemon, or what stands before it, has sent.
 const atOnce = time.Second
 
-// answerWith starts a server that answers each request with a head and a body, and keeps its connections.
-func answerWith(t *testing.T, c messageheadtest.Case, body string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				for reader := bufio.NewReader(conn); ; {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = io.WriteString(conn, c.Head(fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n", len(body)))+body)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // TestCommandsTakeNoMalformedHeads guards against operators who are shown what no daemon has answered, against addresses that callers use
 // although no daemon gave them, and against commands that wait.
 func TestCommandsTakeNoMalformedHeads(t *testing.T) {
@@ -55,7 +20,7 @@
 			t.Parallel()
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
-			address := answerWith(t, c, `{"columns":["odd"],"addresses":["127.0.0.1:1"],"keep_seconds":60}`)
+			address := messageheadtest.Serve(t, c, `{"columns":["odd"],"addresses":["127.0.0.1:1"],"keep_seconds":60}`)
 			caller := client.New([]string{address})
 			defer caller.Close()
 			began := time.Now()
@@ -79,7 +44,7 @@
 			t.Parallel()
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
-			address := answerWith(t, c, `{"columns":["even"],"addresses":["127.0.0.1:1"],"keep_seconds":60}`)
+			address := messageheadtest.Serve(t, c, `{"columns":["even"],"addresses":["127.0.0.1:1"],"keep_seconds":60}`)
 			caller := client.New([]string{address})
 			defer caller.Close()
 			for range 2 {
--- a/objectstore/malformedheads_test.go
+++ b/objectstore/malformedheads_test.go
@@ -1,12 +1,7 @@
 package objectstore_test
 
 import (
-	"bufio"
 	"context"
-	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -21,36 +16,6 @@
 // atOnce is a fifth of the time of the calls.
 const atOnce = time.Second
 
-// answerWith starts a server that answers each request with a head and a body, and keeps its connections.
-func answerWith(t *testing.T, c messageheadtest.Case, body string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				for reader := bufio.NewReader(conn); ; {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = io.WriteString(conn, c.Head(fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n", len(body)))+body)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // TestMalformedHeadsMakeNoDecision guards against records, reports and answers to orders and requests that a native daemon reads from heads
 // that no server sends, and against calls that wait for their whole time.
 func TestMalformedHeadsMakeNoDecision(t *testing.T) {
@@ -59,7 +24,7 @@
 			t.Parallel()
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
-			address := answerWith(t, c, `{"version":3,"through":3}`)
+			address := messageheadtest.Serve(t, c, `{"version":3,"through":3}`)
 			store := objectstore.NewHTTPClient(address, membudget.New(0))
 			defer store.Close()
 			engines := engine.NewClient(5*time.Second, membudget.New(0))
